--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/checks.go
@@ -0,0 +1,20 @@
+package core
+
+// checks counts invariant checks and the violations found.
+type checks struct {
+	checked  [9]uint64
+	violated [9]uint64
+}
+
+// require notes one check of a promise and reports a violation if ok is false.
+func (n *Node) require(promise Promise, ok bool, detail string) {
+	n.checks.checked[promise]++
+	if ok {
+		return
+	}
+	n.checks.violated[promise]++
+	n.do(LogViolation{Violation: Violation{Promise: promise, Detail: detail}})
+}
+
+// check runs the invariants that span the node's whole state.
+func (n *Node) check() { _ = n.require }
--- /dev/null
+++ b/core/node.go
@@ -0,0 +1,309 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Node is the decision core of one entry VM. Its exported fields are set
+// before the first call of Update and not changed after it. A Node is not safe
+// for concurrent use: one goroutine owns it.
+type Node struct {
+	// Self describes this node.
+	Self NodeInfo
+	// Incarnation is higher at each process start.
+	Incarnation Incarnation
+	// Seed makes the node's random choices repeatable.
+	Seed uint64
+	// Settings bounds and times the node's work.
+	Settings Settings
+	// Policy selects how requests are placed; the zero value is the product's.
+	Policy Policy
+
+	now      Instant
+	started  bool
+	rng      *rand.Rand
+	commands []Command
+	timers   timerHeap
+	ticket   Ticket
+	leaving  bool
+
+	members members
+	config  configuration
+	once    onceOnly
+	orders  orders
+	entry   entry
+	owner   owner
+	checks  checks
+}
+
+// Settings holds the node's limits and periods. Zero fields take the values
+// of [DefaultSettings].
+type Settings struct {
+	// HeartbeatEvery is the period of heartbeats to one random member.
+	HeartbeatEvery time.Duration
+	// SuspectAfter is how long a heartbeat may stay unanswered.
+	SuspectAfter time.Duration
+	// DeadAfter is how long a suspicion may stand unrefuted.
+	DeadAfter time.Duration
+	// LogReadEvery is the period of reads of the log's end.
+	LogReadEvery time.Duration
+	// VMListEvery is the period of reads of the VM list.
+	VMListEvery time.Duration
+	// PollEvery is the period of polls of each owned engine.
+	PollEvery time.Duration
+	// StaleAfter is how long a node may go without hearing of the
+	// configuration from the log or a peer before it takes no new work.
+	StaleAfter time.Duration
+	// ResumeWithin is how long a stream whose entry died is kept for its
+	// caller to come back.
+	ResumeWithin time.Duration
+	// PromiseValid is how long a placement holds before it must begin.
+	PromiseValid time.Duration
+	// StepTimeout bounds one step at an engine.
+	StepTimeout time.Duration
+	// PlaceTimeout bounds the wait for an owner's answer.
+	PlaceTimeout time.Duration
+	// KeyBatchEvery is the least time between two appends of intents.
+	KeyBatchEvery time.Duration
+	// KeyMargin is taken off the log's retention before a key expires.
+	KeyMargin time.Duration
+	// CallTimeout bounds a call to a plain service.
+	CallTimeout time.Duration
+	// ClaimLease is how long a claim to order an engine about lasts.
+	ClaimLease time.Duration
+	// OrderFlight is the longest time an order may be in flight.
+	OrderFlight time.Duration
+	// KeyWritersPerRegion bounds how many nodes of a region write intents.
+	KeyWritersPerRegion int
+	// MaxQueue bounds the requests that wait at one owner for one profile.
+	MaxQueue int
+	// EngineRequests is the number of requests that a decode engine is
+	// expected to batch before its time per token passes the target.
+	EngineRequests int
+}
+
+// DefaultSettings returns the settings that a node uses where none are given.
+func DefaultSettings() Settings {
+	return Settings{
+		HeartbeatEvery:      500 * time.Millisecond,
+		SuspectAfter:        400 * time.Millisecond,
+		DeadAfter:           1500 * time.Millisecond,
+		LogReadEvery:        500 * time.Millisecond,
+		VMListEvery:         2 * time.Second,
+		PollEvery:           500 * time.Millisecond,
+		StaleAfter:          15 * time.Second,
+		ResumeWithin:        3 * time.Second,
+		PromiseValid:        time.Second,
+		StepTimeout:         5 * time.Second,
+		PlaceTimeout:        250 * time.Millisecond,
+		KeyBatchEvery:       40 * time.Millisecond,
+		KeyMargin:           5 * time.Minute,
+		CallTimeout:         5 * time.Second,
+		ClaimLease:          10 * time.Second,
+		OrderFlight:         5 * time.Second,
+		KeyWritersPerRegion: 8,
+		MaxQueue:            64,
+		EngineRequests:      20,
+	}
+}
+
+// Update takes in one message at the given time and returns the commands that
+// follow from it. Time never goes backwards: an earlier instant counts as the
+// latest one seen.
+func (n *Node) Update(now Instant, message Message) []Command {
+	if now > n.now {
+		n.now = now
+	}
+	n.commands = nil
+	if !n.started {
+		n.start()
+	}
+	n.runTimers()
+	n.dispatch(message)
+	n.check()
+	return n.commands
+}
+
+// Wake returns the instant at which the node next needs a Tick, and false if
+// it needs none.
+func (n *Node) Wake() (Instant, bool) { return n.timers.next() }
+
+func (n *Node) start() {
+	n.started = true
+	n.rng = rand.New(rand.NewPCG(n.Seed, uint64(n.Incarnation)))
+	n.members.start(n)
+	n.config.start(n)
+	n.once.start(n)
+	n.orders.start(n)
+	n.entry.start(n)
+	n.owner.start(n)
+}
+
+// PeerAddress returns where another node takes connections from its peers.
+func (n *Node) PeerAddress(id NodeID) (string, bool) { return n.members.peerAddress(id) }
+
+// UpstreamAddress returns where an engine or plain service takes requests.
+func (n *Node) UpstreamAddress(id EngineID) (string, bool) { return n.members.upstreamAddress(id) }
+
+// do adds a command to those that the current Update returns.
+func (n *Node) do(c Command) { n.commands = append(n.commands, c) }
+
+// send sends a message to another node, or to this node itself without a
+// network.
+func (n *Node) send(to NodeID, body PeerBody) {
+	if to == n.Self.ID {
+		n.after(0, Peer{From: to, Incarnation: n.Incarnation, Body: body})
+		return
+	}
+	n.do(SendPeer{To: to, Body: body})
+}
+
+// nextTicket returns a ticket that has not been used before.
+func (n *Node) nextTicket() Ticket {
+	n.ticket++
+	return n.ticket
+}
+
+func (n *Node) dispatch(message Message) {
+	switch m := message.(type) {
+	case Tick:
+	case timerMessage:
+		m.run(n)
+	case CallerRequest:
+		n.entry.request(n, m)
+	case CallerGone:
+		n.entry.gone(n, m)
+	case PrefillDone:
+		n.entry.prefillDone(n, m)
+	case ImportDone:
+		n.entry.importDone(n, m)
+	case FirstToken:
+		n.entry.firstToken(n, m)
+	case StreamEnded:
+		n.entry.streamEnded(n, m)
+	case EngineFailed:
+		n.entry.engineFailed(n, m)
+	case ReleaseDone:
+		n.releaseDone(m)
+	case ReleaseFailed:
+		n.releaseFailed(m)
+	case EngineReport:
+		n.owner.report(n, m)
+		n.orders.report(n, m)
+	case EngineUnreachable:
+		n.owner.unreachable(n, m)
+	case CallerCall:
+		n.once.call(n, m)
+	case ServiceAnswered:
+		n.once.answered(n, m)
+	case ServiceFailed:
+		n.once.failed(n, m)
+	case LogAppended:
+		n.logAppended(m)
+	case LogAppendFailed:
+		n.logAppendFailed(m)
+	case LogRead:
+		n.logRead(m)
+	case LogReadFailed:
+		n.logReadFailed(m)
+	case VMList:
+		n.vmList(m)
+	case PlatformFailed:
+	case OrderWanted:
+		n.orders.wanted(n, m.Order)
+	case OrderDone:
+		n.orders.done(n, m)
+	case OrderFailed:
+		n.orders.failed(n, m)
+	case AddressQuery:
+		n.addresses(m)
+	case StatusQuery:
+		n.do(AnswerStatus{Query: m.Query, Status: n.status()})
+	case Shutdown:
+		n.shutdown()
+	case Peer:
+		n.peer(m)
+	}
+}
+
+func (n *Node) peer(m Peer) {
+	n.members.heard(n, m.From, m.Incarnation)
+	switch b := m.Body.(type) {
+	case Heartbeat:
+		n.members.heartbeat(n, m.From, b)
+	case HeartbeatAck:
+		n.members.ack(n, m.From, b)
+	case HeartbeatRequest:
+		n.members.relay(n, m.From, b)
+	case ConfigQuery:
+		n.config.query(n, m.From, b)
+	case ConfigAnswer:
+		n.config.answer(n, m.From, b)
+	case VMListQuery:
+		n.members.vmListQuery(n, m.From)
+	case VMListAnswer:
+		n.members.vmListAnswer(n, b)
+	case KeyCall:
+		n.once.keyCall(n, m.From, b)
+	case KeyAnswer:
+		n.once.keyAnswer(n, m.From, b)
+	case Place:
+		n.owner.place(n, m.From, b)
+	case Placed:
+		n.entry.placed(n, m.From, b)
+	case PlaceRefused:
+		n.entry.placeRefused(n, b)
+	case AttemptProgress:
+		n.owner.progress(n, b)
+	case AttemptEnded:
+		n.owner.ended(n, m.From, b)
+	case AttemptEndedAck:
+		n.entry.endedAck(n, b)
+	case HolderQuery:
+		n.entry.holderQuery(n, m.From, b)
+	case HolderAnswer:
+		n.owner.holderAnswer(n, m.From, b)
+	case MoveAway:
+		n.entry.moveAway(n, b)
+	}
+}
+
+func (n *Node) logAppended(m LogAppended) {
+	n.once.appended(n, m)
+	n.orders.appended(n, m)
+	n.config.appended(n, m)
+}
+
+func (n *Node) logAppendFailed(m LogAppendFailed) {
+	n.once.appendFailed(n, m)
+	n.orders.appendFailed(n, m)
+	n.config.appendFailed(n, m)
+}
+
+func (n *Node) logRead(m LogRead) {
+	switch m.Stream {
+	case ConfigStream:
+		n.config.read(n, m)
+	case KeyStream:
+		n.once.read(n, m)
+	case ClaimStream:
+		n.orders.read(n, m)
+	}
+}
+
+func (n *Node) logReadFailed(m LogReadFailed) {
+	switch m.Stream {
+	case ConfigStream:
+		n.config.readFailed(n, m)
+	case KeyStream:
+		n.once.readFailed(n, m)
+	case ClaimStream:
+		n.orders.readFailed(n, m)
+	}
+}
+
+func (n *Node) vmList(m VMList) {
+	n.members.vmList(n, m)
+	n.owner.vmList(n, m)
+}
--- /dev/null
+++ b/core/peer.go
@@ -0,0 +1,216 @@
+package core
+
+import "time"
+
+// PeerBody is the sealed set of messages between nodes.
+type PeerBody interface{ isPeerBody() }
+
+// MemberStatus is what a node believes of another.
+type MemberStatus int
+
+// The statuses of members.
+const (
+	// Alive members answer heartbeats.
+	Alive MemberStatus = iota
+	// Suspect members missed a heartbeat and may refute.
+	Suspect
+	// Dead members missed heartbeats for too long.
+	Dead
+	// Left members said that they leave.
+	Left
+)
+
+// MemberUpdate spreads what is believed of one member.
+type MemberUpdate struct {
+	Node        NodeInfo
+	Incarnation Incarnation
+	Status      MemberStatus
+	// Sequence orders updates within one incarnation: a member raises it to
+	// refute a suspicion.
+	Sequence uint64
+}
+
+// Heartbeat asks a member whether it is alive.
+type Heartbeat struct {
+	Sequence uint64
+	// OnBehalfOf is set when another node asked for this heartbeat.
+	OnBehalfOf   NodeID
+	Updates      []MemberUpdate
+	ConfigOffset Offset
+}
+
+// HeartbeatAck answers a Heartbeat.
+type HeartbeatAck struct {
+	Sequence     uint64
+	OnBehalfOf   NodeID
+	Updates      []MemberUpdate
+	ConfigOffset Offset
+	// Spare is the share of the node's request capacity that is free.
+	Spare float64
+}
+
+// HeartbeatRequest asks a node to send a heartbeat to Target.
+type HeartbeatRequest struct {
+	Target   NodeID
+	Sequence uint64
+}
+
+// ConfigQuery asks a peer for configuration records after an offset.
+type ConfigQuery struct{ After Offset }
+
+// ConfigAnswer gives the records of ConfigStream after After, or a snapshot
+// where the peer no longer has them. Through is the peer's offset.
+type ConfigAnswer struct {
+	After    Offset
+	Snapshot Option[SnapshotTaken]
+	Records  []LogRecord
+	Through  Offset
+}
+
+// Place asks an owner to place a request.
+type Place struct {
+	Allocation Allocation
+	Profile    ProfileID
+	Customer   CustomerID
+	Prompt     Prompt
+	MaxTokens  Tokens
+	// Emitted is how many tokens the caller already has.
+	Emitted Tokens
+	// Adopt asks first for a stream of this request that an engine still
+	// holds.
+	Adopt bool
+	// Waited is the time since the caller's request arrived.
+	Waited time.Duration
+	// Avoid names engines that just failed this request.
+	Avoid []EngineID
+}
+
+// Placed is an owner's promise. Prefill is empty when the decode engine holds
+// the KV cache already.
+type Placed struct {
+	Allocation Allocation
+	Prefill    EngineID
+	Decode     EngineID
+	// Source is an engine to import the KV cache from, when a running stream
+	// moves and no prefill is needed.
+	Source EngineID
+	// Memory is the number of tokens to hold at the decode engine.
+	Memory Tokens
+	// Valid is how long the promise holds unless the entry begins.
+	Valid time.Duration
+	// FirstToken is the predicted time until the first token.
+	FirstToken time.Duration
+}
+
+// PlaceRefused is an owner's final refusal.
+type PlaceRefused struct {
+	Allocation Allocation
+	Reason     RefusalReason
+	RetryAfter time.Duration
+}
+
+// EndReason says how an attempt ended.
+type EndReason int
+
+// The ways in which an attempt ends.
+const (
+	// Completed attempts sent the whole answer.
+	Completed EndReason = iota
+	// Cancelled attempts lost their caller.
+	Cancelled
+	// Failed attempts lost an engine.
+	Failed
+	// Expired attempts were given up before they began.
+	Expired
+)
+
+// AttemptProgress tells an owner how far an attempt has come, so that its
+// predictions follow what happened.
+type AttemptProgress struct {
+	Allocation Allocation
+	// Prefilled is set when the prefill engine is done with the request.
+	Prefilled     bool
+	Cached        Tokens
+	PrefillTime   time.Duration
+	Imported      bool
+	ImportTime    time.Duration
+	FirstTokenHit bool
+}
+
+// AttemptEnded tells an owner that an attempt is over and its memory has been
+// or will be released by its holder.
+type AttemptEnded struct {
+	Allocation Allocation
+	Reason     EndReason
+	Tokens     Tokens
+	Decoded    time.Duration
+	// FailedEngine names the engine that failed the attempt, if one did.
+	FailedEngine EngineID
+	// Released is set when both engines have acknowledged the release.
+	Released bool
+}
+
+// AttemptEndedAck acknowledges an AttemptEnded, which is repeated until then.
+type AttemptEndedAck struct{ Allocation Allocation }
+
+// HolderQuery asks a holder which of its allocations are still live.
+type HolderQuery struct{ Allocations []Allocation }
+
+// HolderAnswer names those that are not live.
+type HolderAnswer struct{ Ended []Allocation }
+
+// MoveAway asks a holder to move a running stream off its decode engine.
+type MoveAway struct {
+	Allocation Allocation
+	// By is the time left before the engine must be empty.
+	By time.Duration
+}
+
+// KeyCall asks the owner of a key to run a once-only call.
+type KeyCall struct {
+	Call      CallID
+	Profile   ProfileID
+	Customer  CustomerID
+	Key       IdempotencyKey
+	KeyMinted int64
+	Body      []byte
+}
+
+// KeyAnswer is the final answer to a KeyCall.
+type KeyAnswer struct {
+	Call       CallID
+	Outcome    Outcome
+	Reason     RefusalReason
+	Status     int
+	Body       []byte
+	RetryAfter time.Duration
+}
+
+// VMListQuery asks a peer for the platform's VM list, for a node that cannot
+// read it itself.
+type VMListQuery struct{}
+
+// VMListAnswer passes on the VM list that a peer read Age ago.
+type VMListAnswer struct {
+	List VMList
+	Age  time.Duration
+}
+
+func (VMListQuery) isPeerBody()      {}
+func (VMListAnswer) isPeerBody()     {}
+func (Heartbeat) isPeerBody()        {}
+func (HeartbeatAck) isPeerBody()     {}
+func (HeartbeatRequest) isPeerBody() {}
+func (ConfigQuery) isPeerBody()      {}
+func (ConfigAnswer) isPeerBody()     {}
+func (Place) isPeerBody()            {}
+func (Placed) isPeerBody()           {}
+func (PlaceRefused) isPeerBody()     {}
+func (AttemptProgress) isPeerBody()  {}
+func (AttemptEnded) isPeerBody()     {}
+func (AttemptEndedAck) isPeerBody()  {}
+func (HolderQuery) isPeerBody()      {}
+func (HolderAnswer) isPeerBody()     {}
+func (MoveAway) isPeerBody()         {}
+func (KeyCall) isPeerBody()          {}
+func (KeyAnswer) isPeerBody()        {}
--- /dev/null
+++ b/core/timer.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timerMessage is a message that the node sent to itself for a later time.
+type timerMessage interface {
+	Message
+	run(n *Node)
+}
+
+// callback is a timerMessage that calls a function.
+type callback func(n *Node)
+
+func (callback) isMessage()    {}
+func (c callback) run(n *Node) { c(n) }
+
+type timer struct {
+	at      Instant
+	order   uint64
+	message Message
+}
+
+// timerHeap orders timers by time, and by the order of their setting where
+// the times are equal.
+type timerHeap struct {
+	items []timer
+	order uint64
+}
+
+func (h *timerHeap) Len() int { return len(h.items) }
+func (h *timerHeap) Less(i, j int) bool {
+	a, b := h.items[i], h.items[j]
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	return a.order < b.order
+}
+func (h *timerHeap) Swap(i, j int) { h.items[i], h.items[j] = h.items[j], h.items[i] }
+
+// Push appends x; it serves container/heap.
+func (h *timerHeap) Push(x any) { h.items = append(h.items, x.(timer)) }
+
+// Pop removes the last item; it serves container/heap.
+func (h *timerHeap) Pop() any {
+	last := len(h.items) - 1
+	x := h.items[last]
+	h.items[last] = timer{}
+	h.items = h.items[:last]
+	return x
+}
+
+func (h *timerHeap) next() (Instant, bool) {
+	if len(h.items) == 0 {
+		return 0, false
+	}
+	return h.items[0].at, true
+}
+
+// after delivers message to this node once d has passed.
+func (n *Node) after(d time.Duration, message Message) {
+	n.timers.order++
+	heap.Push(&n.timers, timer{at: n.now.Add(d), order: n.timers.order, message: message})
+}
+
+// afterFunc calls f once d has passed.
+func (n *Node) afterFunc(d time.Duration, f func(n *Node)) { n.after(d, callback(f)) }
+
+// every calls f after each period, lengthened or shortened at random by up to
+// a tenth so that nodes do not act in step.
+func (n *Node) every(period time.Duration, f func(n *Node)) {
+	n.afterFunc(n.jitter(period), func(n *Node) {
+		f(n)
+		n.every(period, f)
+	})
+}
+
+// jitter returns d changed at random by up to a tenth.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.9 + 0.2*n.rng.Float64()))
+}
+
+func (n *Node) runTimers() {
+	for {
+		at, ok := n.timers.next()
+		if !ok || at > n.now {
+			return
+		}
+		t := heap.Pop(&n.timers).(timer)
+		n.dispatch(t.message)
+	}
+}
--- /dev/null
+++ b/daisyctl/main.go
@@ -0,0 +1,4 @@
+// Command daisyctl is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/daisyshed/main.go
@@ -0,0 +1,4 @@
+// Command daisyshed is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is not built yet.
+package main
+
+func main() {}
