--- /dev/null
+++ b/core/baseline.go
@@ -0,0 +1,77 @@
+package core
+
+import "slices"
+
+// placeBaseline places a request the way that routers without books do, as a
+// baseline for measurements: the prefill engine is picked by late reports or
+// at random, and the decode engine only once the prefill is done.
+func (s *owner) placeBaseline(n *Node, g *group, it *queued) {
+	b := s.pick(n, s.candidates(n, g, &it.profile, Prefill, it.place.Avoid), func(b *book) int {
+		return int(b.report.Queued)
+	})
+	if b == nil {
+		s.refuseItem(n, g, it, NoUpstream)
+		return
+	}
+	s.dispatch(n, g, it, choice{prefill: b, start: n.now, firstToken: n.now})
+}
+
+func (s *owner) candidates(n *Node, g *group, profile *Profile, role Role, avoid []EngineID) []*book {
+	var books []*book
+	for _, id := range g.engines {
+		b, ok := s.books[id]
+		if ok && s.usable(n, b, profile, role) && !slices.Contains(avoid, id) {
+			books = append(books, b)
+		}
+	}
+	return books
+}
+
+// pick chooses among books by the policy: at random, or the less loaded of
+// two.
+func (s *owner) pick(n *Node, books []*book, load func(*book) int) *book {
+	if len(books) == 0 {
+		return nil
+	}
+	first := books[n.rng.IntN(len(books))]
+	if n.Policy.Placement == RandomChoice {
+		return first
+	}
+	second := books[n.rng.IntN(len(books))]
+	if load(second) < load(first) {
+		return second
+	}
+	return first
+}
+
+// decodeAfterPrefill chooses a decode engine for a finished prefill.
+func (s *owner) decodeAfterPrefill(n *Node, r *serving) EngineID {
+	g, ok := s.groups[r.group]
+	profile, known := n.config.profile(r.request.Profile)
+	if !ok || !known {
+		return ""
+	}
+	b := s.pick(n, s.candidates(n, g, &profile, Decode, r.avoid), func(b *book) int {
+		return b.report.Running
+	})
+	if b == nil {
+		return ""
+	}
+	if j, ok := s.jobs[r.allocation]; ok {
+		s.rebook(j, b)
+	}
+	return b.upstream.ID
+}
+
+// rebook moves a job's decode memory to another engine's book.
+func (s *owner) rebook(j *job, b *book) {
+	if old, ok := s.books[j.decode]; ok {
+		delete(old.jobs, j.allocation)
+		old.booked -= j.memory.Pieces()
+		old.batch--
+	}
+	j.decode = b.upstream.ID
+	b.jobs[j.allocation] = j
+	b.booked += j.memory.Pieces()
+	b.batch++
+}
--- /dev/null
+++ b/core/book.go
@@ -0,0 +1,319 @@
+package core
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// job is one attempt that an owner has placed, or found on an engine's list.
+type job struct {
+	allocation Allocation
+	// asked is the allocation that the entry proposed; the owner raises its
+	// attempt if it knows of a higher one.
+	asked     Allocation
+	entry     NodeID
+	group     GroupID
+	profile   ProfileID
+	customer  CustomerID
+	prompt    Prompt
+	maxTokens Tokens
+	prefill   EngineID
+	decode    EngineID
+	placed    Placed
+	// memory is what the attempt may come to hold at the decode engine.
+	memory  Tokens
+	perStep time.Duration
+
+	placedAt    Instant
+	startsAt    Instant
+	prefillEnds Instant
+	uncached    Tokens
+	believed    Tokens
+	prefilled   bool
+	sharing     int
+	decoding    bool
+	decodingAt  Instant
+	batchAtRise int
+	// discovered jobs were found on an engine's list and placed by another
+	// owner; missing counts the reports in which they were absent.
+	discovered bool
+	missing    int
+	askedAt    Instant
+	movedAt    Instant
+	orphanedAt Option[Instant]
+}
+
+// book holds what an owner knows and has promised of one engine.
+type book struct {
+	upstream  Upstream
+	polling   bool
+	reachable bool
+	missed    int
+	reported  bool
+	heardAt   Instant
+	state     EngineState
+	role      Role
+	model     ModelID
+	pieces    int
+	report    EngineReport
+	// jobs are the attempts that this engine prefills or decodes for.
+	jobs map[Allocation]*job
+	// pending are the prefills given to this engine, in order.
+	pending []*job
+	lastEnd Instant
+	booked  int
+	batch   int
+	// transfers counts running imports to or from the engine.
+	transfers     int
+	cache         cacheBelief
+	eventsThrough uint64
+	drainSince    Option[Instant]
+	drained       bool
+}
+
+func newBook(u Upstream) *book {
+	return &book{upstream: u, jobs: make(map[Allocation]*job), cache: newCacheBelief()}
+}
+
+func (b *book) takeReport(now Instant, m EngineReport) {
+	b.reachable = true
+	b.missed = 0
+	b.reported = true
+	b.heardAt = now
+	b.state = m.State
+	b.role = m.Role
+	b.model = m.Model
+	b.pieces = m.Pieces
+	b.report = m
+	if m.EventsThrough < b.eventsThrough {
+		b.cache = newCacheBelief()
+	}
+	b.cache.apply(m.Events)
+	b.eventsThrough = m.EventsThrough
+}
+
+// free returns the pieces that no promise covers.
+func (b *book) free() int { return b.pieces - b.booked }
+
+// freeAt returns when the prefills given to the engine should be done.
+func (b *book) freeAt(now Instant) Instant {
+	at := now
+	for i, j := range b.pending {
+		took := j.prefillEnds.Sub(j.startsAt)
+		if i == 0 {
+			at = max(now, j.startsAt.Add(took))
+			continue
+		}
+		at = at.Add(took)
+	}
+	return at
+}
+
+func (b *book) addPrefill(j *job) {
+	b.jobs[j.allocation] = j
+	b.pending = append(b.pending, j)
+}
+
+// endPrefill takes a prefill off the engine and returns when the engine began
+// to work on it.
+func (b *book) endPrefill(now Instant, j *job) (began Instant) {
+	i := slices.Index(b.pending, j)
+	if i < 0 {
+		return now
+	}
+	began = max(j.placedAt, b.lastEnd)
+	b.pending = slices.Delete(b.pending, i, i+1)
+	b.lastEnd = now
+	if len(b.pending) > 0 {
+		next := b.pending[0]
+		took := next.prefillEnds.Sub(next.startsAt)
+		next.startsAt = now
+		next.prefillEnds = now.Add(took)
+	}
+	return began
+}
+
+// minStep returns the tightest target per token among the requests that the
+// engine decodes.
+func (b *book) minStep(target time.Duration) time.Duration {
+	tightest := target
+	for _, j := range b.jobs {
+		if j.decode == b.upstream.ID && j.perStep > 0 {
+			tightest = min(tightest, j.perStep)
+		}
+	}
+	return tightest
+}
+
+// remember enters a job into the books of its engines.
+func (s *owner) remember(j *job) {
+	s.jobs[j.allocation] = j
+	if last, ok := s.byRequest[j.allocation.Request]; !ok || last.Attempt <= j.allocation.Attempt {
+		s.byRequest[j.allocation.Request] = j.allocation
+	}
+	if b, ok := s.books[j.prefill]; ok && !j.prefilled {
+		b.addPrefill(j)
+	}
+	if b, ok := s.books[j.decode]; ok {
+		b.jobs[j.allocation] = j
+		b.booked += j.memory.Pieces()
+		b.batch++
+	}
+}
+
+// forget takes a job out of all books.
+func (s *owner) forget(j *job) {
+	delete(s.jobs, j.allocation)
+	if s.byRequest[j.allocation.Request] == j.allocation {
+		delete(s.byRequest, j.allocation.Request)
+	}
+	if b, ok := s.books[j.prefill]; ok {
+		if i := slices.Index(b.pending, j); i >= 0 {
+			b.pending = slices.Delete(b.pending, i, i+1)
+		}
+		if j.prefill != j.decode {
+			delete(b.jobs, j.allocation)
+		}
+		s.endTransfer(b, j)
+	}
+	if b, ok := s.books[j.decode]; ok {
+		if _, held := b.jobs[j.allocation]; held {
+			delete(b.jobs, j.allocation)
+			b.booked -= j.memory.Pieces()
+			b.batch--
+		}
+		s.endTransfer(b, j)
+	}
+	j.sharing = 0
+}
+
+// endTransfer notes that a running transfer no longer shares an engine's link.
+func (s *owner) endTransfer(b *book, j *job) {
+	if j.sharing > 0 {
+		b.transfers = max(b.transfers-1, 0)
+	}
+}
+
+// progress takes in that an attempt has finished a step.
+func (s *owner) progress(n *Node, m AttemptProgress) {
+	j, ok := s.jobs[m.Allocation]
+	if !ok {
+		return
+	}
+	switch m.Done {
+	case PrefillStep:
+		s.prefillEnded(n, j, m)
+	case ImportStep:
+		s.importEnded(n, j, m)
+	case DecodeStep:
+	}
+	if g, ok := s.groups[j.group]; ok {
+		s.pump(n, g)
+	}
+}
+
+func (s *owner) prefillEnded(n *Node, j *job, m AttemptProgress) {
+	b, ok := s.books[j.prefill]
+	if !ok || j.prefilled {
+		return
+	}
+	j.prefilled = true
+	began := b.endPrefill(n.now, j)
+	uncached := max(j.prompt.Tokens-m.Cached, 0)
+	s.ratesOf(b.upstream.Pool).prefill.observe(float64(uncached), n.now.Sub(began).Seconds())
+	b.cache.learn(j.believed, m.Cached)
+	b.cache.addAll(j.prompt.Blocks)
+	s.beginTransfer(j, b)
+}
+
+func (s *owner) beginTransfer(j *job, from *book) {
+	to, ok := s.books[j.decode]
+	if !ok {
+		return
+	}
+	from.transfers++
+	to.transfers++
+	j.sharing = max(from.transfers, to.transfers)
+}
+
+func (s *owner) importEnded(n *Node, j *job, m AttemptProgress) {
+	j.decoding = true
+	j.decodingAt = n.now
+	if to, ok := s.books[j.decode]; ok {
+		j.batchAtRise = to.batch
+		if j.sharing > 0 {
+			s.ratesOf(to.upstream.Pool).transfer.observe(float64(j.prompt.Tokens)*float64(j.sharing), m.Took.Seconds())
+		}
+		s.endTransfer(to, j)
+	}
+	if from, ok := s.books[j.prefill]; ok {
+		delete(from.jobs, j.allocation)
+		s.endTransfer(from, j)
+	}
+	j.sharing = 0
+}
+
+// attemptEnded takes in that an attempt is over.
+func (s *owner) attemptEnded(n *Node, from NodeID, m AttemptEnded) {
+	n.send(from, AttemptEndedAck{Allocation: m.Allocation})
+	if _, again := s.ended[m.Allocation]; again {
+		return
+	}
+	s.ended[m.Allocation] = n.now
+	for _, g := range s.groups {
+		if it, ok := g.queue.find(m.Allocation); ok {
+			g.queue.remove(it)
+		}
+	}
+	j, ok := s.jobs[m.Allocation]
+	if !ok {
+		return
+	}
+	s.learnEnd(n, j, m)
+	s.forget(j)
+	if g, ok := s.groups[j.group]; ok {
+		s.pump(n, g)
+	}
+}
+
+func (s *owner) learnEnd(n *Node, j *job, m AttemptEnded) {
+	if m.FailedEngine != "" {
+		s.engineFailed(n, m.FailedEngine)
+	}
+	if m.Reason != Completed || j.discovered {
+		return
+	}
+	s.length(j.profile).observe(m.Tokens)
+	if g, ok := s.groups[j.group]; ok && j.decoding {
+		g.residence += time.Duration(0.02 * float64(n.now.Sub(j.placedAt)-g.residence))
+	}
+	b, ok := s.books[j.decode]
+	if !ok || m.Tokens < 2 || m.Decoded <= 0 {
+		return
+	}
+	batch := float64(j.batchAtRise+b.batch) / 2
+	perToken := m.Decoded.Seconds() / float64(m.Tokens-1)
+	s.ratesOf(b.upstream.Pool).step.observe(batch, perToken)
+}
+
+// engineFailed asks a failing engine for a fresh report before it gets more
+// work.
+func (s *owner) engineFailed(n *Node, id EngineID) {
+	b, ok := s.books[id]
+	if !ok || n.now.Sub(b.heardAt) < n.Settings.PollEvery/4 {
+		return
+	}
+	n.do(PollEngine{Engine: id, EventsAfter: b.eventsThrough})
+}
+
+// remaining predicts how long a job still decodes, at most.
+func (s *owner) remaining(n *Node, j *job) time.Duration {
+	b, ok := s.books[j.decode]
+	if !ok || !j.decoding {
+		return math.MaxInt64
+	}
+	step := s.ratesOf(b.upstream.Pool).stepTime(b.batch)
+	most := time.Duration(float64(j.maxTokens) * float64(step))
+	return max(most-n.now.Sub(j.decodingAt), step)
+}
--- a/core/checks.go
+++ b/core/checks.go
@@ -17,4 +17,15 @@
 }
 
 // check runs the invariants that span the node's whole state.
-func (n *Node) check() { _ = n.require }
+func (n *Node) check() {
+	n.checkMemory()
+}
+
+// checkMemory asserts that whatever an engine may hold for this node either
+// serves a live request or is being released.
+func (n *Node) checkMemory() {
+	for key := range n.holds {
+		_, releasing := n.releases[key]
+		n.require(MemoryReleased, releasing || n.entry.live(key.allocation), "memory is held for an attempt that ended")
+	}
+}
--- a/core/command.go
+++ b/core/command.go
@@ -61,6 +61,9 @@
 	TooLong
 	// OwnerUnreachable means that no owner of the engines answered in time.
 	OwnerUnreachable
+	// AlreadyAnswered means that the request has had its whole answer. A
+	// caller that lost the answer asks again with the offset it has reached.
+	AlreadyAnswered
 )
 
 // SendPeer sends a message to another node. Delivery is not assured.
@@ -117,8 +120,9 @@
 }
 
 // StartPrefill asks a prefill engine to compute a prompt's KV cache. For a
-// request that moves after Emitted tokens, the emitted tokens belong to the
-// prompt.
+// request that goes on after Emitted tokens, the emitted tokens belong to the
+// prompt; a runtime that has sent the caller more than that takes its own
+// count.
 type StartPrefill struct {
 	Engine     EngineID
 	Allocation Allocation
@@ -138,7 +142,8 @@
 }
 
 // StartDecode opens the stream of an answer and sends it on to the caller,
-// from the token after Emitted.
+// from the token after Emitted or after what the caller has already been sent,
+// whichever is more. It ends an earlier stream of the same request.
 type StartDecode struct {
 	Engine     EngineID
 	Allocation Allocation
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -20,3 +20,9 @@
 // fresh reports whether the configuration was heard of recently enough to
 // take new work under it.
 func (s *configuration) fresh(_ *Node) bool { return false }
+
+// pools returns the pools in force, sorted by id.
+func (s *configuration) pools() []Pool { return nil }
+
+// profiles returns the profiles in force, sorted by id.
+func (s *configuration) profiles() []Profile { return nil }
--- /dev/null
+++ b/core/entry_place.go
@@ -0,0 +1,223 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+// maxPlaceTries bounds the owners that are asked for one attempt.
+const maxPlaceTries = 4
+
+// place asks the owner of a suitable group of engines for a placement.
+func (s *entry) place(n *Node, r *serving) {
+	profile, ok := n.config.profile(r.request.Profile)
+	if !ok {
+		s.giveUp(n, r, UnknownProfile, time.Minute)
+		return
+	}
+	g, ok := n.owner.groupFor(n, r, profile)
+	if !ok {
+		s.giveUp(n, r, NoUpstream, n.spread(noUpstreamRetryAfter))
+		return
+	}
+	r.phase = waiting
+	r.group = g.id
+	r.asked = n.now
+	r.acknowledged = false
+	r.placed = Placed{}
+	r.owner = n.placer(g, r.unreachable)
+	n.send(r.owner, Place{
+		Allocation: r.allocation,
+		Group:      r.group,
+		Profile:    r.request.Profile,
+		Customer:   r.request.Customer,
+		Prompt:     r.request.Prompt,
+		MaxTokens:  r.request.MaxTokens,
+		Emitted:    r.emitted,
+		Adopt:      r.request.Resumed && r.failures == 0 && r.allocation.Attempt == 1,
+		Waited:     n.now.Sub(r.arrived),
+		Source:     r.source,
+		Avoid:      r.avoid,
+	})
+	s.watchPlacement(n, r, n.Settings.PlaceTimeout)
+}
+
+// noUpstreamRetryAfter is when to come back if no engine may serve a profile.
+const noUpstreamRetryAfter = 2 * time.Second
+
+// placer returns the node that places requests on a group.
+func (n *Node) placer(g *group, unreachable Set[NodeID]) NodeID {
+	if n.Policy.Placement != Joint {
+		return n.Self.ID
+	}
+	owner := n.groupOwner(g)
+	if !unreachable.Has(owner) {
+		return owner
+	}
+	return n.Self.ID
+}
+
+// watchPlacement asks again if an owner stays silent.
+func (s *entry) watchPlacement(n *Node, r *serving, d time.Duration) {
+	allocation, asked := r.allocation, r.asked
+	n.afterFunc(d, func(n *Node) {
+		now, ok := n.entry.current(allocation)
+		if !ok || now.phase != waiting || now.asked != asked {
+			return
+		}
+		n.entry.placementLate(n, now)
+	})
+}
+
+func (s *entry) placementLate(n *Node, r *serving) {
+	if r.acknowledged && n.groupOwnerAlive(r.owner) {
+		r.acknowledged = false
+		s.askAgain(n, r)
+		return
+	}
+	r.unreachable.Add(r.owner)
+	if len(r.unreachable) >= maxPlaceTries || r.owner == n.Self.ID {
+		s.end(n, r, Expired, "", 0)
+		s.giveUp(n, r, OwnerUnreachable, n.spread(time.Second))
+		return
+	}
+	s.end(n, r, Expired, "", 0)
+	s.nextAttempt(n, r)
+	s.place(n, r)
+}
+
+// askAgain repeats a Place for the same allocation; owners answer it alike.
+func (s *entry) askAgain(n *Node, r *serving) {
+	n.send(r.owner, Place{
+		Allocation: r.allocation, Group: r.group, Profile: r.request.Profile, Customer: r.request.Customer,
+		Prompt: r.request.Prompt, MaxTokens: r.request.MaxTokens, Emitted: r.emitted,
+		Waited: n.now.Sub(r.arrived), Source: r.source, Avoid: r.avoid,
+	})
+	s.watchPlacement(n, r, n.Settings.PlaceTimeout)
+}
+
+// groupOwnerAlive reports whether the node that was asked may still answer.
+func (n *Node) groupOwnerAlive(id NodeID) bool {
+	return id == n.Self.ID || n.members.present(id)
+}
+
+func (s *entry) placeQueued(n *Node, b PlaceQueued) {
+	r, ok := s.current(b.Allocation)
+	if !ok || r.phase != waiting {
+		return
+	}
+	r.acknowledged = true
+	s.watchPlacement(n, r, max(b.Expected, n.Settings.PlaceTimeout))
+}
+
+// placed begins the attempt that an owner promised.
+func (s *entry) placed(n *Node, from NodeID, b Placed) {
+	r, ok := s.serving[b.Allocation.Request]
+	if !ok || !s.accepts(n, r, b) {
+		s.decline(n, from, b)
+		return
+	}
+	if r.asked < n.resumedAt {
+		s.decline(n, from, b)
+		s.nextAttempt(n, r)
+		s.place(n, r)
+		return
+	}
+	r.allocation = b.Allocation
+	r.placed = b
+	r.owner = from
+	s.notePressure(r.group, b.FirstToken)
+	s.begin(n, r)
+}
+
+// accepts reports whether a promise answers the question that the request is
+// waiting on. An owner may raise the attempt above one that it knows of.
+func (s *entry) accepts(n *Node, r *serving, b Placed) bool {
+	return r.phase == waiting &&
+		b.Allocation.Holder == n.Self.ID &&
+		b.Allocation.Incarnation == n.Incarnation &&
+		b.Allocation.Attempt >= r.allocation.Attempt
+}
+
+// decline gives a promise back that is no longer wanted.
+func (s *entry) decline(n *Node, from NodeID, b Placed) {
+	if r, ok := s.serving[b.Allocation.Request]; ok && r.allocation == b.Allocation {
+		return
+	}
+	s.report(n, from, AttemptEnded{Allocation: b.Allocation, Reason: Expired})
+}
+
+func (s *entry) notePressure(g GroupID, d time.Duration) {
+	s.pressure[g] = (3*s.pressure[g] + d) / 4
+}
+
+// begin starts the first step of a promised attempt.
+func (s *entry) begin(n *Node, r *serving) {
+	r.stepAt = n.now
+	switch {
+	case r.placed.Source != "":
+		s.startImport(n, r, r.placed.Source)
+	case r.placed.Prefill == "":
+		s.startDecode(n, r)
+	default:
+		s.startPrefill(n, r)
+	}
+	s.watchStep(n, r)
+}
+
+func (s *entry) placeRefused(n *Node, b PlaceRefused) {
+	r, ok := s.current(b.Allocation)
+	if !ok || r.phase != waiting {
+		return
+	}
+	switch {
+	case r.moving():
+		s.moveFailed(n, r)
+	case b.Reason == Leaving:
+		r.unreachable.Add(r.owner)
+		s.nextAttempt(n, r)
+		s.place(n, r)
+	case b.Reason == NothingToResume:
+		s.nextAttempt(n, r)
+		s.place(n, r)
+	case b.Reason == NoCapacity && s.otherGroup(n, r):
+		s.nextAttempt(n, r)
+		s.place(n, r)
+	default:
+		s.giveUp(n, r, b.Reason, b.RetryAfter)
+	}
+}
+
+// otherGroup notes that a group is crowded and reports whether another one
+// that has not refused the request is left.
+func (s *entry) otherGroup(n *Node, r *serving) bool {
+	r.crowded.Add(r.group)
+	profile, ok := n.config.profile(r.request.Profile)
+	if !ok || len(r.crowded) > 1 {
+		return false
+	}
+	g, ok := n.owner.groupFor(n, r, profile)
+	return ok && !r.crowded.Has(g.id)
+}
+
+// moveAway starts to move a running stream off its decode engine.
+func (s *entry) moveAway(n *Node, b MoveAway) {
+	r, ok := s.current(b.Allocation)
+	if !ok || r.phase != decoding || r.moving() {
+		return
+	}
+	r.source = r.placed.Decode
+	r.sourceAllocation = r.allocation
+	r.avoid = append(slices.Clone(r.avoid), r.source)
+	s.nextAttempt(n, r)
+	s.place(n, r)
+}
+
+// moveFailed lets a stream go on where it runs.
+func (s *entry) moveFailed(n *Node, r *serving) {
+	r.allocation = r.sourceAllocation
+	r.placed = Placed{Allocation: r.allocation, Decode: r.source}
+	r.source = ""
+	r.phase = decoding
+	s.watchStep(n, r)
+}
--- /dev/null
+++ b/core/entry_step.go
@@ -0,0 +1,237 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+// mayStart reports whether an engine may receive a new step, as far as this
+// node knows. The owner has checked as well; this guards against a promise
+// that was overtaken by a withdrawal.
+func (n *Node) mayStart(engine EngineID, profile ProfileID) bool {
+	return !n.owner.withdrawnFor(n, engine, profile, withdrawalGrace)
+}
+
+const (
+	// withdrawalGrace is how long after a withdrawal was seen a promise given
+	// before it may still begin.
+	withdrawalGrace = time.Second
+	// withdrawalBound is the longest time after which a withdrawn upstream may
+	// still get new work.
+	withdrawalBound = 3 * time.Second
+)
+
+// hold notes that a command gives an engine memory to hold.
+func (n *Node) hold(engine EngineID, a Allocation, profile ProfileID) {
+	idle := !n.owner.withdrawnFor(n, engine, profile, withdrawalBound)
+	n.require(WithdrawnIdle, idle, string(engine)+" is withdrawn and got a request")
+	n.holds[releaseKey{engine: engine, allocation: a}] = struct{}{}
+}
+
+func (s *entry) startPrefill(n *Node, r *serving) {
+	if !n.mayStart(r.placed.Prefill, r.request.Profile) {
+		s.retry(n, r, r.placed.Prefill)
+		return
+	}
+	profile, _ := n.config.profile(r.request.Profile)
+	r.phase = prefilling
+	n.hold(r.placed.Prefill, r.allocation, r.request.Profile)
+	n.do(StartPrefill{
+		Engine:     r.placed.Prefill,
+		Allocation: r.allocation,
+		Prompt:     r.request.Prompt,
+		Emitted:    r.emitted,
+		Priority:   profile.Priority,
+		Model:      profile.Model,
+	})
+}
+
+func (s *entry) startImport(n *Node, r *serving, from EngineID) {
+	if !n.mayStart(r.placed.Decode, r.request.Profile) {
+		s.retry(n, r, r.placed.Decode)
+		return
+	}
+	r.phase = importing
+	n.hold(r.placed.Decode, r.allocation, r.request.Profile)
+	n.do(StartImport{
+		Engine:     r.placed.Decode,
+		From:       from,
+		Allocation: r.allocation,
+		Tokens:     r.placed.Memory,
+	})
+}
+
+func (s *entry) startDecode(n *Node, r *serving) {
+	r.phase = decoding
+	n.do(StartDecode{
+		Engine:     r.placed.Decode,
+		Allocation: r.allocation,
+		Emitted:    r.emitted,
+		MaxTokens:  r.request.MaxTokens,
+		Priority:   n.priority(r.request.Profile),
+	})
+}
+
+// watchStep gives a step up that takes too long.
+func (s *entry) watchStep(n *Node, r *serving) {
+	allocation, began := r.allocation, r.phase
+	if began == waiting {
+		return
+	}
+	n.afterFunc(n.Settings.StepTimeout, func(n *Node) {
+		r, ok := n.entry.current(allocation)
+		if !ok || r.phase != began {
+			return
+		}
+		if _, streaming := r.firstAt.Get(); r.phase == decoding && streaming {
+			return
+		}
+		n.entry.retry(n, r, n.entry.stepEngine(r))
+	})
+}
+
+// stepEngine returns the engine that works on the request now.
+func (s *entry) stepEngine(r *serving) EngineID {
+	if r.phase == prefilling {
+		return r.placed.Prefill
+	}
+	return r.placed.Decode
+}
+
+func (s *entry) prefillDone(n *Node, m PrefillDone) {
+	r, ok := s.current(m.Allocation)
+	if !ok || r.phase != prefilling || m.Engine != r.placed.Prefill {
+		return
+	}
+	s.tell(n, r.owner, AttemptProgress{
+		Allocation: r.allocation, Done: PrefillStep, Cached: m.Cached, Took: n.now.Sub(r.stepAt),
+	})
+	if r.placed.Decode == "" {
+		r.placed.Decode = n.owner.decodeAfterPrefill(n, r)
+	}
+	if r.placed.Decode == "" {
+		s.retry(n, r, "")
+		return
+	}
+	r.stepAt = n.now
+	s.startImport(n, r, r.placed.Prefill)
+	s.watchStep(n, r)
+}
+
+func (s *entry) importDone(n *Node, m ImportDone) {
+	r, ok := s.current(m.Allocation)
+	if !ok || r.phase != importing || m.Engine != r.placed.Decode {
+		return
+	}
+	s.tell(n, r.owner, AttemptProgress{Allocation: r.allocation, Done: ImportStep, Took: n.now.Sub(r.stepAt)})
+	s.releaseSource(n, r)
+	if r.placed.Prefill != "" {
+		n.release(r.placed.Prefill, r.allocation)
+	}
+	r.stepAt = n.now
+	s.startDecode(n, r)
+	s.watchStep(n, r)
+}
+
+// releaseSource frees the memory that a moved stream left behind.
+func (s *entry) releaseSource(n *Node, r *serving) {
+	if !r.moving() {
+		return
+	}
+	n.release(r.source, r.sourceAllocation)
+	s.report(n, r.owner, AttemptEnded{Allocation: r.sourceAllocation, Reason: Completed})
+	r.source = ""
+}
+
+func (s *entry) firstToken(n *Node, m FirstToken) {
+	r, ok := s.current(m.Allocation)
+	if !ok || r.phase != decoding {
+		return
+	}
+	if _, again := r.firstAt.Get(); !again {
+		r.firstAt = Some(n.now)
+	}
+}
+
+func (s *entry) streamEnded(n *Node, m StreamEnded) {
+	r, ok := s.serving[m.Allocation.Request]
+	if !ok || (r.allocation != m.Allocation && r.sourceAllocation != m.Allocation) {
+		return
+	}
+	_, twice := s.answered[m.Allocation.Request]
+	n.require(AnsweredOnce, !twice || r.request.Resumed, string(m.Allocation.Request)+" was answered twice")
+	n.require(AnswerWhole, m.Tokens > 0 && m.Tokens <= r.request.MaxTokens, string(m.Allocation.Request)+" got an answer of impossible length")
+	n.do(LogDecision{Decision: s.finished(n, r, m.Tokens)})
+	s.end(n, r, Completed, "", m.Tokens)
+	delete(s.serving, m.Allocation.Request)
+	s.answered[m.Allocation.Request] = n.now
+}
+
+func (s *entry) finished(n *Node, r *serving, tokens Tokens) Decision {
+	d := s.decision(n, r, "finish", NoReason, 0)
+	d.Tokens = tokens
+	return d
+}
+
+func (s *entry) engineFailed(n *Node, m EngineFailed) {
+	r, ok := s.current(m.Allocation)
+	if !ok {
+		s.sourceFailed(m)
+		return
+	}
+	r.emitted = max(r.emitted, m.Emitted)
+	if m.Step == ImportStep && m.Full && s.importAgain(n, r) {
+		return
+	}
+	s.retry(n, r, m.Engine)
+}
+
+// sourceFailed notes how far a stream came that failed while it was moving.
+func (s *entry) sourceFailed(m EngineFailed) {
+	r, ok := s.serving[m.Allocation.Request]
+	if ok && r.moving() && r.sourceAllocation == m.Allocation {
+		r.emitted = max(r.emitted, m.Emitted)
+	}
+}
+
+// importAgain repeats an import that was refused for lack of memory, because
+// a release may still be on its way there.
+func (s *entry) importAgain(n *Node, r *serving) bool {
+	if r.phase != importing || r.importTries >= maxImportTries {
+		return false
+	}
+	r.importTries++
+	allocation := r.allocation
+	n.afterFunc(importRetryAfter, func(n *Node) {
+		r, ok := n.entry.current(allocation)
+		if !ok || r.phase != importing {
+			return
+		}
+		if n.Policy.Placement != Joint {
+			n.release(r.placed.Decode, r.allocation)
+			r.placed.Decode = n.owner.decodeAfterPrefill(n, r)
+		}
+		from := r.placed.Prefill
+		if r.moving() {
+			from = r.source
+		}
+		n.entry.startImport(n, r, from)
+	})
+	return true
+}
+
+// retry ends the attempt and places the request again, away from the engine
+// that failed it.
+func (s *entry) retry(n *Node, r *serving, failed EngineID) {
+	s.end(n, r, Failed, failed, r.emitted)
+	r.failures++
+	if failed != "" && !slices.Contains(r.avoid, failed) {
+		r.avoid = append(slices.Clone(r.avoid), failed)
+	}
+	if r.failures >= maxFailures {
+		s.giveUp(n, r, UpstreamFailed, n.spread(time.Second))
+		return
+	}
+	s.nextAttempt(n, r)
+	s.place(n, r)
+}
--- a/core/membership.go
+++ b/core/membership.go
@@ -20,6 +20,9 @@
 // sorted by id.
 func (s *members) upstreams() []Upstream { return nil }
 
+// present reports whether some start of a node is believed to live.
+func (s *members) present(_ NodeID) bool { return true }
+
 // alive reports whether that very start of a node is believed to live.
 // Suspect members count as alive.
 func (s *members) alive(_ NodeID, _ Incarnation) bool { return true }
@@ -31,3 +34,6 @@
 func (n *Node) addresses(_ AddressQuery) {}
 
 func (n *Node) status() Status { return Status{} }
+
+// leave spreads that this node leaves.
+func (s *members) leave(_ *Node) {}
--- a/core/node.go
+++ b/core/node.go
@@ -20,13 +20,20 @@
 	// Policy selects how requests are placed; the zero value is the product's.
 	Policy Policy
 
-	now      Instant
-	started  bool
-	rng      *rand.Rand
-	commands []Command
-	timers   timerHeap
-	ticket   Ticket
-	leaving  bool
+	now Instant
+	// resumedAt is when the node last came back from a pause.
+	resumedAt Instant
+	started   bool
+	rng       *rand.Rand
+	commands  []Command
+	timers    timerHeap
+	ticket    Ticket
+	leaving   bool
+
+	// releases are the allocations being released, with the time until the
+	// next repetition. holds are those that engines may hold for this node.
+	releases map[releaseKey]time.Duration
+	holds    map[releaseKey]struct{}
 
 	members members
 	config  configuration
@@ -37,88 +44,16 @@
 	checks  checks
 }
 
-// Settings holds the node's limits and periods. Zero fields take the values
-// of [DefaultSettings].
-type Settings struct {
-	// HeartbeatEvery is the period of heartbeats to one random member.
-	HeartbeatEvery time.Duration
-	// SuspectAfter is how long a heartbeat may stay unanswered.
-	SuspectAfter time.Duration
-	// DeadAfter is how long a suspicion may stand unrefuted.
-	DeadAfter time.Duration
-	// LogReadEvery is the period of reads of the log's end.
-	LogReadEvery time.Duration
-	// VMListEvery is the period of reads of the VM list.
-	VMListEvery time.Duration
-	// PollEvery is the period of polls of each owned engine.
-	PollEvery time.Duration
-	// StaleAfter is how long a node may go without hearing of the
-	// configuration from the log or a peer before it takes no new work.
-	StaleAfter time.Duration
-	// ResumeWithin is how long a stream whose entry died is kept for its
-	// caller to come back.
-	ResumeWithin time.Duration
-	// PromiseValid is how long a placement holds before it must begin.
-	PromiseValid time.Duration
-	// StepTimeout bounds one step at an engine.
-	StepTimeout time.Duration
-	// PlaceTimeout bounds the wait for an owner's answer.
-	PlaceTimeout time.Duration
-	// KeyBatchEvery is the least time between two appends of intents.
-	KeyBatchEvery time.Duration
-	// KeyMargin is taken off the log's retention before a key expires.
-	KeyMargin time.Duration
-	// CallTimeout bounds a call to a plain service.
-	CallTimeout time.Duration
-	// ClaimLease is how long a claim to order an engine about lasts.
-	ClaimLease time.Duration
-	// OrderFlight is the longest time an order may be in flight.
-	OrderFlight time.Duration
-	// KeyWritersPerRegion bounds how many nodes of a region write intents.
-	KeyWritersPerRegion int
-	// MaxQueue bounds the requests that wait at one owner for one profile.
-	MaxQueue int
-	// EngineRequests is the number of requests that a decode engine is
-	// expected to batch before its time per token passes the target.
-	EngineRequests int
-}
-
-// DefaultSettings returns the settings that a node uses where none are given.
-func DefaultSettings() Settings {
-	return Settings{
-		HeartbeatEvery:      500 * time.Millisecond,
-		SuspectAfter:        400 * time.Millisecond,
-		DeadAfter:           1500 * time.Millisecond,
-		LogReadEvery:        500 * time.Millisecond,
-		VMListEvery:         2 * time.Second,
-		PollEvery:           500 * time.Millisecond,
-		StaleAfter:          15 * time.Second,
-		ResumeWithin:        3 * time.Second,
-		PromiseValid:        time.Second,
-		StepTimeout:         5 * time.Second,
-		PlaceTimeout:        250 * time.Millisecond,
-		KeyBatchEvery:       40 * time.Millisecond,
-		KeyMargin:           5 * time.Minute,
-		CallTimeout:         5 * time.Second,
-		ClaimLease:          10 * time.Second,
-		OrderFlight:         5 * time.Second,
-		KeyWritersPerRegion: 8,
-		MaxQueue:            64,
-		EngineRequests:      20,
-	}
-}
-
 // Update takes in one message at the given time and returns the commands that
 // follow from it. Time never goes backwards: an earlier instant counts as the
 // latest one seen.
 func (n *Node) Update(now Instant, message Message) []Command {
-	if now > n.now {
-		n.now = now
-	}
 	n.commands = nil
 	if !n.started {
+		n.now = now
 		n.start()
 	}
+	n.advance(now)
 	n.runTimers()
 	n.dispatch(message)
 	n.check()
@@ -131,7 +66,10 @@
 
 func (n *Node) start() {
 	n.started = true
+	n.Settings = n.Settings.withDefaults()
 	n.rng = rand.New(rand.NewPCG(n.Seed, uint64(n.Incarnation)))
+	n.releases = make(map[releaseKey]time.Duration)
+	n.holds = make(map[releaseKey]struct{})
 	n.members.start(n)
 	n.config.start(n)
 	n.once.start(n)
@@ -146,6 +84,14 @@
 // UpstreamAddress returns where an engine or plain service takes requests.
 func (n *Node) UpstreamAddress(id EngineID) (string, bool) { return n.members.upstreamAddress(id) }
 
+// advance moves the node's clock and notices when the process was paused.
+func (n *Node) advance(now Instant) {
+	if now.Sub(n.now) > n.Settings.PromiseValid {
+		n.resumedAt = now
+	}
+	n.now = max(n.now, now)
+}
+
 // do adds a command to those that the current Update returns.
 func (n *Node) do(c Command) { n.commands = append(n.commands, c) }
 
@@ -192,7 +138,7 @@
 		n.owner.report(n, m)
 		n.orders.report(n, m)
 	case EngineUnreachable:
-		n.owner.unreachable(n, m)
+		n.owner.unreachable(m)
 	case CallerCall:
 		n.once.call(n, m)
 	case ServiceAnswered:
@@ -252,12 +198,14 @@
 		n.owner.place(n, m.From, b)
 	case Placed:
 		n.entry.placed(n, m.From, b)
+	case PlaceQueued:
+		n.entry.placeQueued(n, b)
 	case PlaceRefused:
 		n.entry.placeRefused(n, b)
 	case AttemptProgress:
 		n.owner.progress(n, b)
 	case AttemptEnded:
-		n.owner.ended(n, m.From, b)
+		n.owner.attemptEnded(n, m.From, b)
 	case AttemptEndedAck:
 		n.entry.endedAck(n, b)
 	case HolderQuery:
--- a/core/peer.go
+++ b/core/peer.go
@@ -70,10 +70,12 @@
 // Place asks an owner to place a request.
 type Place struct {
 	Allocation Allocation
-	Profile    ProfileID
-	Customer   CustomerID
-	Prompt     Prompt
-	MaxTokens  Tokens
+	// Group is the group of engines to choose from.
+	Group     GroupID
+	Profile   ProfileID
+	Customer  CustomerID
+	Prompt    Prompt
+	MaxTokens Tokens
 	// Emitted is how many tokens the caller already has.
 	Emitted Tokens
 	// Adopt asks first for a stream of this request that an engine still
@@ -81,6 +83,9 @@
 	Adopt bool
 	// Waited is the time since the caller's request arrived.
 	Waited time.Duration
+	// Source is the decode engine that a running stream has to leave; the new
+	// engine imports the KV cache from it.
+	Source EngineID
 	// Avoid names engines that just failed this request.
 	Avoid []EngineID
 }
@@ -102,6 +107,13 @@
 	FirstToken time.Duration
 }
 
+// PlaceQueued tells an entry that the owner has its Place and will answer it
+// within about Expected.
+type PlaceQueued struct {
+	Allocation Allocation
+	Expected   time.Duration
+}
+
 // PlaceRefused is an owner's final refusal.
 type PlaceRefused struct {
 	Allocation Allocation
@@ -124,17 +136,16 @@
 	Expired
 )
 
-// AttemptProgress tells an owner how far an attempt has come, so that its
-// predictions follow what happened.
+// AttemptProgress tells an owner that an attempt has finished a step, so that
+// its books and predictions follow what happened.
 type AttemptProgress struct {
 	Allocation Allocation
-	// Prefilled is set when the prefill engine is done with the request.
-	Prefilled     bool
-	Cached        Tokens
-	PrefillTime   time.Duration
-	Imported      bool
-	ImportTime    time.Duration
-	FirstTokenHit bool
+	// Done is the step that finished: PrefillStep or ImportStep.
+	Done EngineStep
+	// Cached is how many prompt tokens the prefill found in the cache.
+	Cached Tokens
+	// Took is the time from the start of the step to its end.
+	Took time.Duration
 }
 
 // AttemptEnded tells an owner that an attempt is over and its memory has been
@@ -142,12 +153,15 @@
 type AttemptEnded struct {
 	Allocation Allocation
 	Reason     EndReason
-	Tokens     Tokens
-	Decoded    time.Duration
+	// Tokens is the length of the answer so far, and Decoded the time from its
+	// first token to the last.
+	Tokens  Tokens
+	Decoded time.Duration
+	// FirstToken is the time from the request's arrival to its first token;
+	// zero if there was none.
+	FirstToken time.Duration
 	// FailedEngine names the engine that failed the attempt, if one did.
 	FailedEngine EngineID
-	// Released is set when both engines have acknowledged the release.
-	Released bool
 }
 
 // AttemptEndedAck acknowledges an AttemptEnded, which is repeated until then.
@@ -156,8 +170,11 @@
 // HolderQuery asks a holder which of its allocations are still live.
 type HolderQuery struct{ Allocations []Allocation }
 
-// HolderAnswer names those that are not live.
-type HolderAnswer struct{ Ended []Allocation }
+// HolderAnswer names those of the asked allocations that are not live.
+type HolderAnswer struct {
+	Asked []Allocation
+	Ended []Allocation
+}
 
 // MoveAway asks a holder to move a running stream off its decode engine.
 type MoveAway struct {
@@ -205,6 +222,7 @@
 func (ConfigAnswer) isPeerBody()     {}
 func (Place) isPeerBody()            {}
 func (Placed) isPeerBody()           {}
+func (PlaceQueued) isPeerBody()      {}
 func (PlaceRefused) isPeerBody()     {}
 func (AttemptProgress) isPeerBody()  {}
 func (AttemptEnded) isPeerBody()     {}
--- /dev/null
+++ b/core/placement.go
@@ -0,0 +1,444 @@
+package core
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// dispatchLead is how long before an engine is free its next prefill is
+	// sent, so that the engine does not idle for a round trip.
+	dispatchLead = 10 * time.Millisecond
+	// roundTrips stands for the messages between entry, owner and engines.
+	roundTrips = 4 * time.Millisecond
+	// stepSafety is the share of a per-token target that a batch may be
+	// predicted to use.
+	stepSafety = 0.95
+	// overlapShare is the share of the expected releases that may be promised
+	// before they happen.
+	overlapShare = 0.7
+	// maxCandidates bounds the candidates in a decision's record.
+	maxCandidates = 6
+	// wasteMatters is the weight on wasted prefill from which no memory is
+	// promised before it is free.
+	wasteMatters = 0.5
+	// reportFresh bounds the age of the report of an engine that gets work.
+	reportFresh = 4 * time.Second
+)
+
+// plan is a walk through a group's queue: it hands out the engines' time in
+// advance, so that each request sees what those before it will take.
+type plan struct {
+	now    Instant
+	freeAt map[EngineID]Instant
+	// short is the decode memory, in pieces, that requests earlier in the
+	// queue wait for.
+	short int
+	// next is when the queue has to be looked at again.
+	next Instant
+}
+
+func (p *plan) lookAgain(at Instant) {
+	if p.next == 0 || at < p.next {
+		p.next = at
+	}
+}
+
+// choice is a placement that was found for a request.
+type choice struct {
+	prefill    *book
+	decode     *book
+	start      Instant
+	firstToken Instant
+	uncached   Tokens
+	believed   Tokens
+	took       time.Duration
+}
+
+func (s *owner) pumpAll(n *Node) {
+	for _, id := range sortedKeys(s.groups) {
+		s.pump(n, s.groups[id])
+	}
+}
+
+// pump walks through the queue once: it places what can begin now, refuses
+// what cannot meet its targets any more, and leaves the rest.
+func (s *owner) pump(n *Node, g *group) {
+	if g.queue.len() == 0 {
+		return
+	}
+	p := &plan{now: n.now, freeAt: make(map[EngineID]Instant, len(g.engines))}
+	for i, it := range g.queue.ordered() {
+		switch {
+		case i >= n.Settings.MaxQueue:
+			s.refuseItem(n, g, it, OverShare)
+		case it.moves():
+			s.considerMove(n, g, it, p)
+		case n.Policy.Placement != Joint:
+			s.placeBaseline(n, g, it)
+		default:
+			s.consider(n, g, it, p)
+		}
+	}
+	s.pumpAt(n, g, p.next)
+}
+
+// pumpAt looks at the queue again at the given time.
+func (s *owner) pumpAt(n *Node, g *group, at Instant) {
+	if at == 0 || g.pumpSet || g.queue.len() == 0 {
+		return
+	}
+	g.pumpSet = true
+	id := g.id
+	n.afterFunc(max(at.Sub(n.now), time.Millisecond), func(n *Node) {
+		if g, ok := n.owner.groups[id]; ok {
+			g.pumpSet = false
+			n.owner.pump(n, g)
+		}
+	})
+}
+
+func (s *owner) consider(n *Node, g *group, it *queued, p *plan) {
+	deadline := it.arrived.Add(it.profile.FirstTokenTarget + it.profile.MaxWait)
+	c, ok := s.choosePrefill(n, g, it, p)
+	if !ok {
+		s.waitOrRefuse(n, g, it, p, deadline)
+		return
+	}
+	need := memoryFor(it.place).Pieces()
+	var largest int
+	c.decode, largest = s.chooseDecode(n, g, it, c.start.Add(c.took).Sub(p.now))
+	if largest == 0 {
+		s.waitOrRefuse(n, g, it, p, deadline)
+		return
+	}
+	if need > largest {
+		s.refuseItem(n, g, it, TooLong)
+		return
+	}
+	wait := s.memoryWait(g, p, need, c.decode != nil)
+	if c.decode == nil {
+		p.short += need
+	}
+	s.predict(p, it, &c, wait)
+	it.predicted = c.firstToken.Sub(it.arrived)
+	it.expected = c.start.Sub(p.now)
+	if !n.Policy.NoAdmission && c.firstToken > deadline {
+		s.refuseItem(n, g, it, NoCapacity)
+		return
+	}
+	if c.decode == nil || c.start > p.now.Add(dispatchLead) {
+		p.freeAt[c.prefill.upstream.ID] = c.start.Add(c.took)
+		p.lookAgain(max(c.start.Add(-dispatchLead), p.now.Add(time.Millisecond)))
+		return
+	}
+	s.dispatch(n, g, it, c)
+	delete(p.freeAt, c.prefill.upstream.ID)
+}
+
+// waitOrRefuse keeps a request for which no engine can be had, for as long as
+// one may still report in time.
+func (s *owner) waitOrRefuse(n *Node, g *group, it *queued, p *plan, deadline Instant) {
+	if s.unreported(g) && p.now < deadline {
+		it.expected = n.Settings.PollEvery
+		p.lookAgain(min(p.now.Add(n.Settings.PollEvery/4), deadline))
+		return
+	}
+	s.refuseItem(n, g, it, NoUpstream)
+}
+
+// unreported reports whether a group has engines that have not reported yet.
+func (s *owner) unreported(g *group) bool {
+	for _, id := range g.engines {
+		if b, ok := s.books[id]; ok && !b.reported {
+			return true
+		}
+	}
+	return false
+}
+
+// predict fills in when the first token should come, if decode memory is
+// there only after wait.
+func (s *owner) predict(p *plan, it *queued, c *choice, wait time.Duration) {
+	step := time.Duration(0)
+	pool := c.prefill.upstream.Pool
+	sharing := c.prefill.transfers + 1
+	if c.decode != nil {
+		pool = c.decode.upstream.Pool
+		sharing = max(sharing, c.decode.transfers+1)
+		step = s.ratesOf(pool).stepTime(c.decode.batch + 1)
+	}
+	r := s.ratesOf(pool)
+	moved := r.transferTime(it.place.Prompt.Tokens, sharing)
+	begin := max(c.start, p.now.Add(wait))
+	margin := roundTrips + s.ratesOf(c.prefill.upstream.Pool).error() + r.error()
+	c.firstToken = begin.Add(c.took + moved + step + margin)
+}
+
+// memoryWait predicts how long a request waits for decode memory behind the
+// requests before it, from the rate at which memory is released.
+func (s *owner) memoryWait(g *group, p *plan, need int, have bool) time.Duration {
+	if have && p.short == 0 {
+		return 0
+	}
+	booked := 0
+	for _, id := range g.engines {
+		if b, ok := s.books[id]; ok && b.role == Decode {
+			booked += b.booked
+		}
+	}
+	if booked == 0 || g.residence <= 0 {
+		return 0
+	}
+	perSecond := float64(booked) / g.residence.Seconds()
+	return seconds(float64(p.short+need) / perSecond)
+}
+
+// memoryFor returns the memory that a request may come to hold at a decode
+// engine.
+func memoryFor(b Place) Tokens { return b.Prompt.Tokens + b.MaxTokens }
+
+// usable reports whether an engine may get new work of a profile.
+func (s *owner) usable(n *Node, b *book, profile *Profile, role Role) bool {
+	if !b.reported || !b.reachable || b.state != Serving || b.role != role || b.upstream.Leaving {
+		return false
+	}
+	if n.now.Sub(b.heardAt) > reportFresh {
+		return false
+	}
+	pool, ok := n.config.pool(b.upstream.Pool)
+	if !ok || pool.Withdrawn || (b.model != "" && b.model != profile.Model) {
+		return false
+	}
+	allowed := profile.PrefillPools
+	if role == Decode {
+		allowed = profile.DecodePools
+	}
+	return slices.Contains(allowed, pool.ID) && !slices.Contains(profile.Withdrawn, pool.ID)
+}
+
+// choosePrefill picks the prefill engine through which the KV cache is ready
+// first, by its queue and by the part of the prompt that it has cached.
+func (s *owner) choosePrefill(n *Node, g *group, it *queued, p *plan) (choice, bool) {
+	var best choice
+	it.candidates = it.candidates[:0]
+	for _, id := range g.engines {
+		b, ok := s.books[id]
+		if !ok || !s.usable(n, b, &it.profile, Prefill) || slices.Contains(it.place.Avoid, id) {
+			continue
+		}
+		if s.borrowedPrefillFull(n, g, b, it) {
+			continue
+		}
+		c := s.prefillChoice(n, b, it, p)
+		it.note(Candidate{Engine: id, Predicted: c.start.Add(c.took).Sub(p.now)})
+		if best.prefill == nil || s.readyAt(n, c) < s.readyAt(n, best) {
+			best = c
+		}
+	}
+	return best, best.prefill != nil
+}
+
+// note records a candidate for the decision's record.
+func (q *queued) note(c Candidate) {
+	if len(q.candidates) < maxCandidates {
+		q.candidates = append(q.candidates, c)
+	}
+}
+
+// readyAt ranks prefill engines; a borrowed engine counts as somewhat later,
+// so that it is used only where it helps.
+func (s *owner) readyAt(n *Node, c choice) Instant {
+	at := c.start.Add(c.took)
+	if pool, ok := n.config.pool(c.prefill.upstream.Pool); ok && pool.Borrowed {
+		at = at.Add(borrowedPenalty)
+	}
+	return at
+}
+
+// borrowedPenalty is the gain in time that the use of a borrowed engine must
+// bring.
+const borrowedPenalty = 20 * time.Millisecond
+
+func (s *owner) prefillChoice(n *Node, b *book, it *queued, p *plan) choice {
+	start, planned := p.freeAt[b.upstream.ID]
+	if !planned {
+		start = b.freeAt(p.now)
+		p.freeAt[b.upstream.ID] = start
+	}
+	c := choice{prefill: b, start: start, uncached: it.place.Prompt.Tokens + it.place.Emitted}
+	if !n.Policy.NoPrefixLocality {
+		c.believed = b.cache.hit(it.place.Prompt)
+		c.uncached -= Tokens(b.cache.confidence * float64(c.believed))
+	}
+	c.took = s.ratesOf(b.upstream.Pool).prefillTime(c.uncached)
+	return c
+}
+
+// chooseDecode picks the decode engine with the smallest batch among those
+// that have memory for the request, or will have when its prefill is done, and
+// that stay within the targets per token of all that they serve.
+// It also returns the memory of the largest engine that may serve at all, in
+// pieces.
+func (s *owner) chooseDecode(n *Node, g *group, it *queued, ready time.Duration) (best *book, largest int) {
+	for _, id := range g.engines {
+		b, ok := s.books[id]
+		if !ok || !s.usable(n, b, &it.profile, Decode) || slices.Contains(it.place.Avoid, id) {
+			continue
+		}
+		largest = max(largest, b.pieces)
+		if !s.hasRoom(n, g, b, it, ready) {
+			continue
+		}
+		if best == nil || s.decodeRank(n, b) < s.decodeRank(n, best) {
+			best = b
+		}
+	}
+	return best, largest
+}
+
+// decodeRank orders decode engines: own before borrowed, then by batch.
+func (s *owner) decodeRank(n *Node, b *book) int {
+	rank := b.batch
+	if pool, ok := n.config.pool(b.upstream.Pool); ok && pool.Borrowed {
+		rank += borrowedRank
+	}
+	return rank
+}
+
+const borrowedRank = 1 << 16
+
+func (s *owner) hasRoom(n *Node, g *group, b *book, it *queued, ready time.Duration) bool {
+	need := memoryFor(it.place).Pieces()
+	if n.Policy.NoDecodePromise {
+		return true
+	}
+	free := b.free()
+	if it.profile.WasteWeight < wasteMatters && !n.Policy.NoOverlap && g.residence > 0 && !it.moves() {
+		free += int(overlapShare * float64(b.booked) * ready.Seconds() / g.residence.Seconds())
+	}
+	if free < need {
+		return false
+	}
+	target := time.Duration(stepSafety * float64(b.minStep(it.profile.PerTokenTarget)))
+	if b.batch > 0 && s.ratesOf(b.upstream.Pool).stepTime(b.batch+1) > target {
+		return false
+	}
+	return !s.borrowedDecodeFull(n, g, b, it, need)
+}
+
+// borrowedPrefillFull reports whether a profile has its share of the borrowed
+// prefill engines.
+func (s *owner) borrowedPrefillFull(n *Node, g *group, b *book, it *queued) bool {
+	pool, ok := n.config.pool(b.upstream.Pool)
+	if !ok || !pool.Borrowed {
+		return false
+	}
+	engines, used := 0, 0
+	for _, id := range g.engines {
+		other, ok := s.books[id]
+		if !ok || other.role != Prefill || !s.borrowed(n, other) {
+			continue
+		}
+		engines++
+		for _, j := range other.pending {
+			if j.profile == it.profile.ID {
+				used++
+			}
+		}
+	}
+	return float64(used+1) > math.Ceil(it.profile.BorrowedShare*float64(engines))
+}
+
+// borrowedDecodeFull reports whether a profile has its share of the borrowed
+// decode memory.
+func (s *owner) borrowedDecodeFull(n *Node, g *group, b *book, it *queued, need int) bool {
+	if !s.borrowed(n, b) {
+		return false
+	}
+	pieces, used := s.borrowedUse(n, g, it.profile.ID)
+	return float64(used+need) > it.profile.BorrowedShare*float64(pieces)
+}
+
+func (s *owner) borrowed(n *Node, b *book) bool {
+	pool, ok := n.config.pool(b.upstream.Pool)
+	return ok && pool.Borrowed
+}
+
+// borrowedUse returns the borrowed decode memory of a group and how much of
+// it a profile holds, in pieces.
+func (s *owner) borrowedUse(n *Node, g *group, profile ProfileID) (pieces, used int) {
+	for _, id := range g.engines {
+		b, ok := s.books[id]
+		if !ok || b.role != Decode || !s.borrowed(n, b) {
+			continue
+		}
+		pieces += b.pieces
+		for _, j := range b.jobs {
+			if j.profile == profile && j.decode == id {
+				used += j.memory.Pieces()
+			}
+		}
+	}
+	return pieces, used
+}
+
+// dispatch turns a queued request into a promise.
+func (s *owner) dispatch(n *Node, g *group, it *queued, c choice) {
+	g.queue.charge(it)
+	g.refusals -= refusalWeight * g.refusals
+	j := s.newJob(n, g, it)
+	j.prefill = c.prefill.upstream.ID
+	j.startsAt = c.start
+	j.prefillEnds = c.start.Add(c.took)
+	j.uncached = c.uncached
+	j.believed = c.believed
+	j.placed.Prefill = j.prefill
+	if c.decode != nil {
+		j.decode = c.decode.upstream.ID
+		j.placed.Decode = j.decode
+	}
+	j.placed.FirstToken = c.firstToken.Sub(it.arrived)
+	s.promise(n, j, it)
+}
+
+func (s *owner) newJob(n *Node, g *group, it *queued) *job {
+	a := it.place.Allocation
+	if last, ok := s.byRequest[a.Request]; ok && last.Attempt >= a.Attempt && last != a {
+		a.Attempt = last.Attempt + 1
+	}
+	memory := memoryFor(it.place)
+	return &job{
+		allocation: a,
+		asked:      it.place.Allocation,
+		entry:      it.from,
+		group:      g.id,
+		profile:    it.place.Profile,
+		customer:   it.place.Customer,
+		prompt:     it.place.Prompt,
+		maxTokens:  it.place.MaxTokens,
+		memory:     memory,
+		perStep:    it.profile.PerTokenTarget,
+		placedAt:   n.now,
+		askedAt:    n.now,
+		placed:     Placed{Allocation: a, Memory: memory, Valid: n.Settings.PromiseValid},
+	}
+}
+
+func (s *owner) promise(n *Node, j *job, it *queued) {
+	s.remember(j)
+	n.send(it.from, j.placed)
+	d := s.jobDecision(n, j, "place")
+	d.Waited = n.now.Sub(it.arrived)
+	d.Candidates = it.candidates
+	n.do(LogDecision{Decision: d})
+}
+
+func (s *owner) jobDecision(n *Node, j *job, step string) Decision {
+	return Decision{
+		At: n.now, Node: n.Self.ID, Request: j.allocation.Request, Attempt: j.allocation.Attempt,
+		Profile: j.profile, Customer: j.customer, Step: step,
+		Prefill: j.prefill, Decode: j.decode, Predicted: j.placed.FirstToken,
+	}
+}
--- a/core/policy.go
+++ b/core/policy.go
@@ -10,8 +10,10 @@
 	NoAdmission bool
 	// NoFairShares serves in order of arrival.
 	NoFairShares bool
-	// PrefillFirst chooses the decode engine only after the prefill.
-	PrefillFirst bool
+	// NoDecodePromise starts prefills without a promise of decode memory.
+	NoDecodePromise bool
+	// NoOverlap books decode memory only once it is free.
+	NoOverlap bool
 }
 
 // PlacementPolicy names a way to choose engines.
--- /dev/null
+++ b/core/predict.go
@@ -0,0 +1,151 @@
+package core
+
+import (
+	"math"
+	"time"
+)
+
+// linearFit learns y = a + b*x from observations, by least squares with
+// exponential forgetting. Its prior counts as a few observations.
+type linearFit struct {
+	weight, sumX, sumY, sumXX, sumXY float64
+	// deviation is the recent mean of the absolute error of predictions.
+	deviation float64
+}
+
+const (
+	// fitMemory is the factor by which each observation lessens the earlier
+	// ones.
+	fitMemory = 0.98
+	// priorWeight is the weight of the prior, in observations.
+	priorWeight = 2
+)
+
+// newLinearFit returns a fit that starts from a line through (0, a) with
+// slope b, spread over xs up to scale.
+func newLinearFit(a, b, scale float64) linearFit {
+	f := linearFit{}
+	for _, x := range []float64{0.25 * scale, scale} {
+		f.add(x, a+b*x, priorWeight/2)
+	}
+	return f
+}
+
+func (f *linearFit) add(x, y, w float64) {
+	f.weight += w
+	f.sumX += w * x
+	f.sumY += w * y
+	f.sumXX += w * x * x
+	f.sumXY += w * x * y
+}
+
+func (f *linearFit) observe(x, y float64) {
+	f.deviation = 0.95*f.deviation + 0.05*math.Abs(y-f.at(x))
+	f.weight *= fitMemory
+	f.sumX *= fitMemory
+	f.sumY *= fitMemory
+	f.sumXX *= fitMemory
+	f.sumXY *= fitMemory
+	f.add(x, y, 1)
+}
+
+// at predicts y, which is never negative.
+func (f *linearFit) at(x float64) float64 {
+	a, b := f.line()
+	return max(a+b*x, 0)
+}
+
+// line returns the intercept and the slope, neither of which is negative:
+// work never takes less time for being larger.
+func (f *linearFit) line() (a, b float64) {
+	spread := f.weight*f.sumXX - f.sumX*f.sumX
+	if spread > 1e-9*f.sumXX*f.weight {
+		b = (f.weight*f.sumXY - f.sumX*f.sumY) / spread
+	}
+	b = max(b, 0)
+	a = (f.sumY - b*f.sumX) / f.weight
+	if a < 0 {
+		return 0, f.sumXY / f.sumXX
+	}
+	return a, b
+}
+
+// rates holds what is learned of the engines of one pool, in seconds.
+type rates struct {
+	// prefill is the time by uncached prompt tokens.
+	prefill linearFit
+	// transfer is the time by tokens moved times the transfers that share
+	// the link.
+	transfer linearFit
+	// step is the time per token by requests in the batch.
+	step linearFit
+}
+
+// The figures from which predictions start. They are on the fast side, so
+// that the first requests are admitted and can be learned from.
+const (
+	priorPrefillSeconds      = 0.005
+	priorPrefillPerToken     = 1.0 / 40000
+	priorTransferSeconds     = 0.002
+	priorTransferPerToken    = 1.0 / 400000
+	priorStepSeconds         = 0.010
+	priorStepPerRequest      = 0.0005
+	priorTokens              = 2000.0
+	priorBatch               = 20.0
+	priorAnswerTokens        = 100.0
+	answerMemory             = 0.02
+	predictionSafety         = 1.0
+	cacheConfidenceInitially = 0.8
+)
+
+func newRates() *rates {
+	return &rates{
+		prefill:  newLinearFit(priorPrefillSeconds, priorPrefillPerToken, priorTokens),
+		transfer: newLinearFit(priorTransferSeconds, priorTransferPerToken, priorTokens),
+		step:     newLinearFit(priorStepSeconds, priorStepPerRequest, priorBatch),
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (r *rates) prefillTime(uncached Tokens) time.Duration {
+	return seconds(r.prefill.at(float64(uncached)))
+}
+
+func (r *rates) transferTime(t Tokens, sharing int) time.Duration {
+	return seconds(r.transfer.at(float64(t) * float64(sharing)))
+}
+
+func (r *rates) stepTime(batch int) time.Duration {
+	return seconds(r.step.at(float64(batch)))
+}
+
+// error is the time by which predictions of a first token tend to be off.
+func (r *rates) error() time.Duration {
+	return seconds(predictionSafety * (r.prefill.deviation + r.transfer.deviation))
+}
+
+// answerLength learns how long a profile's answers are.
+type answerLength struct{ mean float64 }
+
+func (s *owner) length(id ProfileID) *answerLength {
+	l, ok := s.lengths[id]
+	if !ok {
+		l = &answerLength{mean: priorAnswerTokens}
+		s.lengths[id] = l
+	}
+	return l
+}
+
+func (l *answerLength) observe(t Tokens) { l.mean += answerMemory * (float64(t) - l.mean) }
+
+func (l *answerLength) expected(most Tokens) float64 { return min(l.mean, float64(most)) }
+
+func (s *owner) ratesOf(id PoolID) *rates {
+	r, ok := s.rates[id]
+	if !ok {
+		r = newRates()
+		s.rates[id] = r
+	}
+	return r
+}
--- a/core/profile.go
+++ b/core/profile.go
@@ -46,8 +46,8 @@
 	MaxWait time.Duration
 	// Priority orders profiles; higher goes first.
 	Priority int
-	// BorrowedShare bounds the share of the profile's running requests that
-	// borrowed engines may hold, from 0 to 1.
+	// BorrowedShare bounds the share of the borrowed engines' memory, and of
+	// their prefills at one time, that the profile may hold, from 0 to 1.
 	BorrowedShare float64
 	// WasteWeight, from 0 to 1, is the weight on wasted prefill against
 	// goodput.
--- /dev/null
+++ b/core/release.go
@@ -0,0 +1,148 @@
+package core
+
+import "time"
+
+// ending is an attempt whose owner has not yet acknowledged its end.
+type ending struct {
+	owner NodeID
+	body  AttemptEnded
+}
+
+// releaseKey names memory that is being released.
+type releaseKey struct {
+	engine     EngineID
+	allocation Allocation
+}
+
+const (
+	// releaseRetryFirst and releaseRetryMost bound the time between repetitions
+	// of a release.
+	releaseRetryFirst = 250 * time.Millisecond
+	releaseRetryMost  = 2 * time.Second
+	// endedRetryAfter is the time between repetitions of an AttemptEnded.
+	endedRetryAfter = 500 * time.Millisecond
+)
+
+// end releases what an attempt may hold and tells its owner.
+func (s *entry) end(n *Node, r *serving, reason EndReason, failed EngineID, tokens Tokens) {
+	n.releaseAll(r)
+	if r.owner == "" {
+		return
+	}
+	body := AttemptEnded{Allocation: r.allocation, Reason: reason, Tokens: tokens, FailedEngine: failed}
+	if at, ok := r.firstAt.Get(); ok {
+		body.FirstToken = at.Sub(r.arrived)
+		body.Decoded = n.now.Sub(at)
+	}
+	s.report(n, r.owner, body)
+}
+
+// releaseAll releases the memory of an attempt on every engine that it may
+// have reached.
+func (n *Node) releaseAll(r *serving) {
+	if r.moving() {
+		n.release(r.source, r.sourceAllocation)
+		n.entry.report(n, r.owner, AttemptEnded{Allocation: r.sourceAllocation, Reason: Failed})
+		r.source = ""
+	}
+	if r.phase == waiting {
+		return
+	}
+	if r.placed.Prefill != "" && r.phase != decoding {
+		n.release(r.placed.Prefill, r.allocation)
+	}
+	if r.placed.Decode != "" && r.phase != prefilling {
+		n.release(r.placed.Decode, r.allocation)
+	}
+}
+
+// tell sends a message to an owner, which may be this node.
+func (s *entry) tell(n *Node, owner NodeID, body PeerBody) {
+	if owner != "" {
+		n.send(owner, body)
+	}
+}
+
+// report tells an owner that an attempt is over and repeats it until the
+// owner acknowledges.
+func (s *entry) report(n *Node, owner NodeID, body AttemptEnded) {
+	if owner == "" {
+		return
+	}
+	if _, known := s.ending[body.Allocation]; known {
+		return
+	}
+	s.ending[body.Allocation] = &ending{owner: owner, body: body}
+	s.repeatEnded(n, body.Allocation)
+}
+
+func (s *entry) repeatEnded(n *Node, a Allocation) {
+	e, ok := s.ending[a]
+	if !ok {
+		return
+	}
+	if !n.groupOwnerAlive(e.owner) {
+		delete(s.ending, a)
+		return
+	}
+	n.send(e.owner, e.body)
+	n.afterFunc(endedRetryAfter, func(n *Node) { n.entry.repeatEnded(n, a) })
+}
+
+func (s *entry) endedAck(_ *Node, b AttemptEndedAck) { delete(s.ending, b.Allocation) }
+
+// holderQuery answers an owner that asks which allocations are still live.
+func (s *entry) holderQuery(n *Node, from NodeID, b HolderQuery) {
+	var ended []Allocation
+	for _, a := range b.Allocations {
+		if !s.live(a) {
+			ended = append(ended, a)
+		}
+	}
+	n.send(from, HolderAnswer{Asked: b.Allocations, Ended: ended})
+}
+
+// live reports whether an allocation may still be used.
+func (s *entry) live(a Allocation) bool {
+	r, ok := s.serving[a.Request]
+	if !ok {
+		return false
+	}
+	return r.allocation == a || (r.moving() && r.sourceAllocation == a)
+}
+
+// release frees an allocation on an engine and repeats it until the engine
+// acknowledges.
+func (n *Node) release(engine EngineID, a Allocation) {
+	key := releaseKey{engine: engine, allocation: a}
+	if _, pending := n.releases[key]; pending {
+		return
+	}
+	n.releases[key] = releaseRetryFirst
+	n.repeatRelease(key)
+}
+
+func (n *Node) repeatRelease(key releaseKey) {
+	wait, pending := n.releases[key]
+	if !pending {
+		return
+	}
+	if !n.owner.exists(key.engine) {
+		delete(n.releases, key)
+		delete(n.holds, key)
+		return
+	}
+	n.do(ReleaseMemory{Engine: key.engine, Allocation: key.allocation})
+	n.releases[key] = min(2*wait, releaseRetryMost)
+	n.afterFunc(n.jitter(wait), func(n *Node) { n.repeatRelease(key) })
+}
+
+func (n *Node) releaseDone(m ReleaseDone) {
+	key := releaseKey{engine: m.Engine, allocation: m.Allocation}
+	delete(n.releases, key)
+	delete(n.holds, key)
+}
+
+// releaseFailed needs no action: the release is repeated until it is
+// acknowledged.
+func (n *Node) releaseFailed(_ ReleaseFailed) {}
--- /dev/null
+++ b/core/settings.go
@@ -0,0 +1,102 @@
+package core
+
+import (
+	"cmp"
+	"time"
+)
+
+// Settings holds the node's limits and periods. Zero fields take the values
+// of [DefaultSettings].
+type Settings struct {
+	// HeartbeatEvery is the period of heartbeats to one random member.
+	HeartbeatEvery time.Duration
+	// SuspectAfter is how long a heartbeat may stay unanswered.
+	SuspectAfter time.Duration
+	// DeadAfter is how long a suspicion may stand unrefuted.
+	DeadAfter time.Duration
+	// LogReadEvery is the period of reads of the log's end.
+	LogReadEvery time.Duration
+	// VMListEvery is the period of reads of the VM list.
+	VMListEvery time.Duration
+	// PollEvery is the period of polls of each owned engine.
+	PollEvery time.Duration
+	// StaleAfter is how long a node may go without hearing of the
+	// configuration from the log or a peer before it takes no new work.
+	StaleAfter time.Duration
+	// ResumeWithin is how long a stream whose entry died is kept for its
+	// caller to come back.
+	ResumeWithin time.Duration
+	// PromiseValid is how long a placement holds before it must begin.
+	PromiseValid time.Duration
+	// StepTimeout bounds one step at an engine.
+	StepTimeout time.Duration
+	// PlaceTimeout bounds the wait for an owner's answer.
+	PlaceTimeout time.Duration
+	// KeyBatchEvery is the least time between two appends of intents.
+	KeyBatchEvery time.Duration
+	// KeyMargin is taken off the log's retention before a key expires.
+	KeyMargin time.Duration
+	// CallTimeout bounds a call to a plain service.
+	CallTimeout time.Duration
+	// ClaimLease is how long a claim to order an engine about lasts.
+	ClaimLease time.Duration
+	// OrderFlight is the longest time an order may be in flight.
+	OrderFlight time.Duration
+	// KeyWritersPerRegion bounds how many nodes of a region write intents.
+	KeyWritersPerRegion int
+	// MaxQueue bounds the requests that wait at one owner for one profile.
+	MaxQueue int
+	// EngineRequests is the number of requests that a decode engine is
+	// expected to batch before its time per token passes the target.
+	EngineRequests int
+}
+
+// DefaultSettings returns the settings that a node uses where none are given.
+func DefaultSettings() Settings {
+	return Settings{
+		HeartbeatEvery:      500 * time.Millisecond,
+		SuspectAfter:        400 * time.Millisecond,
+		DeadAfter:           1500 * time.Millisecond,
+		LogReadEvery:        500 * time.Millisecond,
+		VMListEvery:         2 * time.Second,
+		PollEvery:           500 * time.Millisecond,
+		StaleAfter:          15 * time.Second,
+		ResumeWithin:        3 * time.Second,
+		PromiseValid:        time.Second,
+		StepTimeout:         5 * time.Second,
+		PlaceTimeout:        250 * time.Millisecond,
+		KeyBatchEvery:       40 * time.Millisecond,
+		KeyMargin:           5 * time.Minute,
+		CallTimeout:         5 * time.Second,
+		ClaimLease:          10 * time.Second,
+		OrderFlight:         5 * time.Second,
+		KeyWritersPerRegion: 8,
+		MaxQueue:            64,
+		EngineRequests:      20,
+	}
+}
+
+// withDefaults returns the settings with DefaultSettings in place of zeros.
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	s.HeartbeatEvery = cmp.Or(s.HeartbeatEvery, d.HeartbeatEvery)
+	s.SuspectAfter = cmp.Or(s.SuspectAfter, d.SuspectAfter)
+	s.DeadAfter = cmp.Or(s.DeadAfter, d.DeadAfter)
+	s.LogReadEvery = cmp.Or(s.LogReadEvery, d.LogReadEvery)
+	s.VMListEvery = cmp.Or(s.VMListEvery, d.VMListEvery)
+	s.PollEvery = cmp.Or(s.PollEvery, d.PollEvery)
+	s.StaleAfter = cmp.Or(s.StaleAfter, d.StaleAfter)
+	s.ResumeWithin = cmp.Or(s.ResumeWithin, d.ResumeWithin)
+	s.PromiseValid = cmp.Or(s.PromiseValid, d.PromiseValid)
+	s.StepTimeout = cmp.Or(s.StepTimeout, d.StepTimeout)
+	s.PlaceTimeout = cmp.Or(s.PlaceTimeout, d.PlaceTimeout)
+	s.KeyBatchEvery = cmp.Or(s.KeyBatchEvery, d.KeyBatchEvery)
+	s.KeyMargin = cmp.Or(s.KeyMargin, d.KeyMargin)
+	s.CallTimeout = cmp.Or(s.CallTimeout, d.CallTimeout)
+	s.ClaimLease = cmp.Or(s.ClaimLease, d.ClaimLease)
+	s.OrderFlight = cmp.Or(s.OrderFlight, d.OrderFlight)
+	s.KeyWritersPerRegion = cmp.Or(s.KeyWritersPerRegion, d.KeyWritersPerRegion)
+	s.MaxQueue = cmp.Or(s.MaxQueue, d.MaxQueue)
+	s.EngineRequests = cmp.Or(s.EngineRequests, d.EngineRequests)
+	return s
+}
