--- a/wire/platformlog/protocol.go
+++ b/wire/platformlog/protocol.go
@@ -9,6 +9,10 @@
 // on /v1/streams/{stream}. POST appends an
 // AppendRequest and answers with an AppendResult. GET with the query parameter
 // "after" answers with a ReadResult of at most 1000 records.
+//
+// The log refuses an append before any effect with one of the statuses 400,
+// 404, 405, 413, 429 and 503, and with no others. Any other failure, a broken
+// connection included, leaves open whether the records are in the log.
 const StreamsPath = "/v1/streams/"
 
 // AppendRequest appends records in order, without others between them.
