--- /dev/null
+++ b/standin/ledger/ledger.go
@@ -0,0 +1,84 @@
+// Package ledger is a stand-in for a plain service. It records every call that
+// reaches it and repeats nothing and forgets nothing, so that a test can see
+// what ran twice.
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+
+	"daisyshed.dev/standin/fault"
+	"daisyshed.dev/standin/httpjson"
+	"daisyshed.dev/wire/service"
+)
+
+// Entry is one call that ran. Entries are numbered from one.
+type Entry struct {
+	Entry int
+	Key   string
+	Body  json.RawMessage
+}
+
+// List is what ran, in order.
+type List struct{ Ran []Entry }
+
+// Ledger records calls. Its fields are set before Run.
+type Ledger struct {
+	// Listener takes precedence over Address.
+	Listener net.Listener
+	Address  string
+	// Gate injects faults.
+	Gate fault.Gate
+
+	mu  sync.Mutex
+	ran []Entry
+}
+
+// Run serves until ctx ends.
+func (l *Ledger) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+service.CallPath, l.call)
+	mux.HandleFunc("GET "+service.ListPath, l.list)
+	mux.HandleFunc("POST "+fault.Path, httpjson.Faults(l.Gate.Inject))
+	return httpjson.Serve(ctx, l.Listener, l.Address, httpjson.Delayed(&l.Gate, mux))
+}
+
+// Ran returns the calls that ran, in order.
+func (l *Ledger) Ran() []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.ran)
+}
+
+func (l *Ledger) call(w http.ResponseWriter, r *http.Request) {
+	if err := l.Gate.Enter(); err != nil {
+		httpjson.Fail(w, err)
+		return
+	}
+	var body json.RawMessage
+	if !httpjson.Read(w, r, &body) {
+		return
+	}
+	entry := l.record(r.Header.Get("Idempotency-Key"), body)
+	if err := l.Gate.Leave(); err != nil {
+		httpjson.Fail(w, err)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, entry)
+}
+
+func (l *Ledger) record(key string, body json.RawMessage) Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := Entry{Entry: len(l.ran) + 1, Key: key, Body: body}
+	l.ran = append(l.ran, entry)
+	return entry
+}
+
+func (l *Ledger) list(w http.ResponseWriter, _ *http.Request) {
+	httpjson.Write(w, http.StatusOK, List{Ran: l.Ran()})
+}
--- /dev/null
+++ b/standin/platform/vms.go
@@ -0,0 +1,71 @@
+package platform
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/standin/fault"
+	"daisyshed.dev/wire/vmlist"
+)
+
+// Removed is the state that takes a VM off the list.
+const Removed = "Removed"
+
+// VMs is the platform's VM list, which shows changes late. Its fields are set
+// before use; its methods may be called by several goroutines.
+type VMs struct {
+	// Lag is how late changes show.
+	Lag time.Duration
+	// Listed is the list at the start.
+	Listed []vmlist.VM
+	// Gate injects faults.
+	Gate fault.Gate
+
+	mu      sync.Mutex
+	changes []vmChange
+}
+
+type vmChange struct {
+	at core.Instant
+	vm vmlist.VM
+}
+
+// Set adds or replaces a VM, or takes it off the list if its state is Removed.
+func (v *VMs) Set(now core.Instant, vm vmlist.VM) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.Gate.Enter(); err != nil {
+		return err
+	}
+	v.changes = append(v.changes, vmChange{now, vm})
+	return v.Gate.Leave()
+}
+
+// List returns the VMs as they were Lag ago.
+func (v *VMs) List(now core.Instant) (vmlist.List, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if err := v.Gate.Enter(); err != nil {
+		return vmlist.List{}, err
+	}
+	for len(v.changes) > 0 && v.changes[0].at <= now.Add(-v.Lag) {
+		v.apply(v.changes[0].vm)
+		v.changes = v.changes[1:]
+	}
+	return vmlist.List{VMs: slices.Clone(v.Listed)}, v.Gate.Leave()
+}
+
+func (v *VMs) apply(vm vmlist.VM) {
+	i := slices.IndexFunc(v.Listed, func(x vmlist.VM) bool { return x.ID == vm.ID })
+	switch {
+	case vm.State == Removed && i >= 0:
+		v.Listed = slices.Delete(v.Listed, i, i+1)
+	case vm.State == Removed:
+	case i >= 0:
+		v.Listed[i] = vm
+	default:
+		v.Listed = append(v.Listed, vm)
+	}
+}
--- /dev/null
+++ b/standin/programs.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/standin/engine"
+	"daisyshed.dev/standin/enginehttp"
+	"daisyshed.dev/standin/ledger"
+	"daisyshed.dev/standin/platform"
+	"daisyshed.dev/standin/platformhttp"
+	"daisyshed.dev/standin/settings"
+	"daisyshed.dev/standin/weights"
+	"daisyshed.dev/wire/vmlist"
+)
+
+// program is one stand-in: its settings, which can run.
+type program interface {
+	settings.Checked
+	Run(ctx context.Context) error
+	// describe adds what tells this process from others to a log line.
+	describe(e *zerolog.Event)
+}
+
+// engineProgram runs one model engine.
+type engineProgram struct {
+	ID      core.EngineID
+	Pool    core.PoolID
+	Address string
+	// Role is Prefill or Decode.
+	Role            string
+	Seed            uint64
+	WeightStore     string
+	engine.Settings `yaml:",inline"`
+}
+
+func newEngineProgram() *engineProgram {
+	return &engineProgram{Seed: 1, Settings: engine.DefaultSettings()}
+}
+
+// Check implements settings.Checked.
+func (p *engineProgram) Check() []settings.Problem {
+	problems := required(map[string]string{"Address": p.Address, "ID": string(p.ID), "Model": string(p.Model)})
+	if _, ok := engine.ParseRole(p.Role); !ok {
+		problems = append(problems, settings.Problem{Field: "Role", Reason: "is not Prefill or Decode"})
+	}
+	return append(problems, p.Settings.Check()...)
+}
+
+// Run serves until ctx ends.
+func (p *engineProgram) Run(ctx context.Context) error {
+	p.Settings.Role, _ = engine.ParseRole(p.Role)
+	server := enginehttp.Server{
+		Address:     p.Address,
+		Settings:    p.Settings,
+		Seed:        p.Seed,
+		WeightStore: p.WeightStore,
+	}
+	return server.Run(ctx)
+}
+
+func (p *engineProgram) describe(e *zerolog.Event) {
+	e.Str("ID", string(p.ID)).Str("Pool", string(p.Pool)).Str("Role", p.Role).Str("Address", p.Address)
+}
+
+// logProgram runs the platform's log.
+type logProgram struct {
+	Address          string
+	Retention        time.Duration
+	AppendsPerSecond float64
+}
+
+func newLogProgram() *logProgram {
+	return &logProgram{Retention: time.Hour, AppendsPerSecond: 400}
+}
+
+// Check implements settings.Checked.
+func (p *logProgram) Check() []settings.Problem {
+	problems := required(map[string]string{"Address": p.Address})
+	if p.Retention <= 0 {
+		problems = append(problems, settings.Problem{Field: "Retention", Reason: "is not positive"})
+	}
+	if p.AppendsPerSecond < 0 {
+		problems = append(problems, settings.Problem{Field: "AppendsPerSecond", Reason: "is negative"})
+	}
+	return problems
+}
+
+// Run serves until ctx ends.
+func (p *logProgram) Run(ctx context.Context) error {
+	l := &platform.Log{Retention: p.Retention, AppendsPerSecond: p.AppendsPerSecond}
+	server := platformhttp.Log{Address: p.Address, Log: l}
+	return server.Run(ctx)
+}
+
+func (p *logProgram) describe(e *zerolog.Event) { e.Str("Address", p.Address) }
+
+// vmsProgram runs the platform's VM list.
+type vmsProgram struct {
+	Address string
+	Lag     time.Duration
+	VMs     []vmlist.VM
+}
+
+func newVMsProgram() *vmsProgram { return &vmsProgram{Lag: 2 * time.Second} }
+
+// Check implements settings.Checked.
+func (p *vmsProgram) Check() []settings.Problem {
+	problems := required(map[string]string{"Address": p.Address})
+	for i, vm := range p.VMs {
+		problems = append(problems, checkVM(i, vm)...)
+	}
+	return problems
+}
+
+// Run serves until ctx ends.
+func (p *vmsProgram) Run(ctx context.Context) error {
+	server := platformhttp.VMs{Address: p.Address, VMs: &platform.VMs{Lag: p.Lag, Listed: p.VMs}}
+	return server.Run(ctx)
+}
+
+func (p *vmsProgram) describe(e *zerolog.Event) {
+	e.Str("Address", p.Address).Int("VMs", len(p.VMs))
+}
+
+// weightsProgram runs the weight store.
+type weightsProgram struct {
+	Address  string
+	Models   []string
+	Interval time.Duration
+}
+
+func newWeightsProgram() *weightsProgram { return &weightsProgram{Interval: time.Second} }
+
+// Check implements settings.Checked.
+func (p *weightsProgram) Check() []settings.Problem {
+	return required(map[string]string{"Address": p.Address})
+}
+
+// Run serves until ctx ends.
+func (p *weightsProgram) Run(ctx context.Context) error {
+	store := weights.Store{Address: p.Address, Models: p.Models, Interval: p.Interval}
+	return store.Run(ctx)
+}
+
+func (p *weightsProgram) describe(e *zerolog.Event) { e.Str("Address", p.Address) }
+
+// ledgerProgram runs the plain service.
+type ledgerProgram struct{ Address string }
+
+func newLedgerProgram() *ledgerProgram { return &ledgerProgram{} }
+
+// Check implements settings.Checked.
+func (p *ledgerProgram) Check() []settings.Problem {
+	return required(map[string]string{"Address": p.Address})
+}
+
+// Run serves until ctx ends.
+func (p *ledgerProgram) Run(ctx context.Context) error {
+	l := ledger.Ledger{Address: p.Address}
+	return l.Run(ctx)
+}
+
+func (p *ledgerProgram) describe(e *zerolog.Event) { e.Str("Address", p.Address) }
--- /dev/null
+++ b/standin/weights/weights.go
@@ -0,0 +1,83 @@
+// Package weights is a stand-in for the rate-limited weight store.
+package weights
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"daisyshed.dev/standin/fault"
+	"daisyshed.dev/standin/httpjson"
+	"daisyshed.dev/wire/weightstore"
+)
+
+// Store serves the weights of models. Its fields are set before Run.
+type Store struct {
+	// Listener takes precedence over Address.
+	Listener net.Listener
+	Address  string
+	// Models lists the models in the store.
+	Models []string
+	// Interval is the shortest time between two fetches.
+	Interval time.Duration
+	// Gate injects faults.
+	Gate fault.Gate
+
+	mu   sync.Mutex
+	next time.Time
+}
+
+// Weights is the answer to a fetch.
+type Weights struct{ Model string }
+
+// Run serves until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+weightstore.WeightsPath+"{model...}", s.get)
+	mux.HandleFunc("POST "+fault.Path, httpjson.Faults(s.Gate.Inject))
+	return httpjson.Serve(ctx, s.Listener, s.Address, httpjson.Delayed(&s.Gate, mux))
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	if err := s.Gate.Enter(); err != nil {
+		httpjson.Fail(w, err)
+		return
+	}
+	model := r.PathValue("model")
+	if !s.has(model) {
+		httpjson.Write(w, http.StatusNotFound, httpjson.ErrorBody{Detail: "unknown model " + model})
+		return
+	}
+	if wait := s.wait(time.Now()); wait > 0 {
+		httpjson.SetRetryAfter(w, wait)
+		httpjson.Write(w, http.StatusTooManyRequests, httpjson.ErrorBody{Detail: "rate exceeded"})
+		return
+	}
+	if err := s.Gate.Leave(); err != nil {
+		httpjson.Fail(w, err)
+		return
+	}
+	httpjson.Write(w, http.StatusOK, Weights{model})
+}
+
+func (s *Store) has(model string) bool {
+	for _, m := range s.Models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// wait returns how long a fetch has to wait, or takes its turn.
+func (s *Store) wait(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Before(s.next) {
+		return s.next.Sub(now)
+	}
+	s.next = now.Add(s.Interval)
+	return 0
+}
