--- /dev/null
+++ b/bench/world/caller.go
@@ -0,0 +1,206 @@
+package world
+
+import (
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// Caller is one request for a generated answer and what its caller saw of it.
+type Caller struct {
+	Request core.CallerRequest
+	// Output is the true length of the answer.
+	Output core.Tokens
+	// Retries is how often the caller comes back after a refusal or a lost
+	// connection.
+	Retries int
+	// Patience is how long the caller waits before it hangs up; zero waits
+	// for ever.
+	Patience time.Duration
+
+	// Arrived is when the caller first asked, FirstAt and LastAt when tokens
+	// came, in the caller's own view.
+	Arrived  core.Instant
+	FirstAt  core.Instant
+	LastAt   core.Instant
+	Received core.Tokens
+	// Refused counts refusals, Reason is that of the last.
+	Refused int
+	Reason  core.RefusalReason
+	// Done is set once the whole answer has arrived, Answers counts ends of
+	// answers, Cancelled is set if the caller hung up, and GivenUp once no
+	// retry is left.
+	Done      bool
+	Answers   int
+	Cancelled bool
+	GivenUp   bool
+	// Faults lists what was wrong with the answer.
+	Faults []string
+
+	world      *World
+	node       *node
+	sent       core.Tokens
+	connection *connection
+	// Nodes to try, in order; the caller moves on when one is lost.
+	nodes []core.NodeID
+	next  int
+}
+
+// connection is one connection of a caller; what was sent on an earlier one
+// does not arrive any more.
+type connection struct {
+	caller *Caller
+	closed bool
+}
+
+func (c *Caller) fault(what string) { c.Faults = append(c.Faults, what) }
+
+// Ask lets a caller ask the first of the given nodes now, and the others in
+// turn when it has to come back.
+func (w *World) Ask(c *Caller, nodes ...core.NodeID) {
+	c.world = w
+	c.Arrived = w.Now
+	c.nodes = nodes
+	if c.Patience > 0 {
+		w.After(c.Patience, c.hangUp)
+	}
+	c.connect()
+}
+
+func (c *Caller) connect() {
+	w := c.world
+	if c.ended() {
+		return
+	}
+	if c.connection != nil {
+		c.connection.closed = true
+	}
+	conn := &connection{caller: c}
+	c.connection = conn
+	id := c.nodes[c.next%len(c.nodes)]
+	m := c.Request
+	m.Resumed = c.Received > 0 || c.Refused == 0 && c.next > 0
+	m.ResumeAfter = c.Received
+	w.After(w.CallerDelay, func() {
+		n, ok := w.nodes[id]
+		if conn.closed {
+			return
+		}
+		if !ok || n.stopped {
+			w.After(w.CallerDelay, conn.broken)
+			return
+		}
+		c.node = n
+		c.sent = m.ResumeAfter
+		n.callers[m.Request] = c
+		n.receive(m)
+	})
+}
+
+// ended reports whether the caller wants nothing more.
+func (c *Caller) ended() bool { return c.Done || c.Cancelled || c.GivenUp }
+
+// deliver brings one token to the caller.
+func (conn *connection) deliver(offset core.Tokens, last bool) {
+	c := conn.caller
+	c.world.After(c.world.CallerDelay, func() {
+		if conn.closed || c.Cancelled {
+			return
+		}
+		if c.Done {
+			c.fault("a token came after the end")
+			return
+		}
+		if offset != c.Received+1 {
+			c.fault("a token was lost or repeated")
+		}
+		c.Received = offset
+		c.LastAt = c.world.Now
+		if c.FirstAt == 0 {
+			c.FirstAt = c.world.Now
+		}
+		if last {
+			c.finish()
+		}
+	})
+}
+
+func (c *Caller) finish() {
+	c.Answers++
+	c.Done = true
+	if c.Received != c.Output {
+		c.fault("the answer was cut short")
+	}
+}
+
+// broken tells the caller that its connection was lost; it asks elsewhere.
+func (conn *connection) broken() {
+	c := conn.caller
+	if conn.closed || c.ended() {
+		return
+	}
+	conn.closed = true
+	c.next++
+	c.comeBack(reconnectAfter)
+}
+
+// reconnectAfter is how soon a caller asks again after a lost connection.
+const reconnectAfter = 100 * time.Millisecond
+
+func (c *Caller) comeBack(after time.Duration) {
+	if c.Retries <= 0 {
+		c.GivenUp = true
+		return
+	}
+	c.Retries--
+	c.world.After(after, c.connect)
+}
+
+// hangUp lets the caller cancel.
+func (c *Caller) hangUp() {
+	if c.ended() {
+		return
+	}
+	c.Cancelled = true
+	c.connection.closed = true
+	n := c.node
+	if n == nil {
+		return
+	}
+	c.world.After(c.world.CallerDelay, func() { n.callerGone(c) })
+}
+
+func (n *node) callerGone(c *Caller) {
+	if n.callers[c.Request.Request] != c {
+		return
+	}
+	n.disconnect(c)
+	delete(n.streams, c.Request.Request)
+	n.receive(core.CallerGone{Request: c.Request.Request})
+}
+
+func (n *node) disconnect(c *Caller) {
+	if n.callers[c.Request.Request] == c {
+		delete(n.callers, c.Request.Request)
+	}
+}
+
+func (n *node) refuseCaller(m core.RefuseCaller) {
+	c, ok := n.callers[m.Request]
+	if !ok {
+		return
+	}
+	n.disconnect(c)
+	delete(n.streams, m.Request)
+	conn := c.connection
+	n.world.After(n.world.CallerDelay, func() {
+		if conn.closed || c.ended() {
+			return
+		}
+		conn.closed = true
+		c.Refused++
+		c.Reason = m.Reason
+		c.next++
+		c.comeBack(m.RetryAfter)
+	})
+}
--- /dev/null
+++ b/bench/world/count.go
@@ -0,0 +1,52 @@
+package world
+
+import (
+	"cmp"
+	"slices"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/standin/engine"
+	wire "daisyshed.dev/wire/engine"
+)
+
+// countBytes adds up what nodes send each other.
+func (w *World) countBytes(_ core.NodeID, _ core.PeerBody) {}
+
+// sorted returns a map's keys in ascending order.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// EngineCounters adds up what the engines of the world have done.
+func (w *World) EngineCounters() engine.Counters {
+	var total engine.Counters
+	for _, id := range sorted(w.engines) {
+		c := w.engines[id].core.Counters
+		total.Prefilled += c.Prefilled
+		total.Used += c.Used
+		total.Prefills += c.Prefills
+		total.Evicted += c.Evicted
+		total.Emitted += c.Emitted
+		total.Steps += c.Steps
+		total.StepTime += c.StepTime
+		total.SentBytes += c.SentBytes
+	}
+	return total
+}
+
+// Held returns what an engine holds, by its own list.
+func (w *World) Held(id core.EngineID) []wire.Held {
+	var held []wire.Held
+	e := w.engines[id]
+	e.ask(func(t engine.Ticket) engine.Message { return engine.Poll{Ticket: t} }, func(c engine.Command) {
+		if r, ok := c.(engine.Reported); ok {
+			held = r.Report.Held
+		}
+	})
+	return held
+}
--- /dev/null
+++ b/bench/world/faults.go
@@ -0,0 +1,80 @@
+package world
+
+import (
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// Kill ends a node at once and breaks its callers' connections.
+func (w *World) Kill(id core.NodeID) {
+	n, ok := w.nodes[id]
+	if !ok || n.stopped {
+		return
+	}
+	n.stopped = true
+	for _, request := range sorted(n.callers) {
+		conn := n.callers[request].connection
+		w.After(w.CallerDelay, conn.broken)
+	}
+	for _, c := range n.calls {
+		c.Lost++
+	}
+}
+
+// Freeze stops a node for a time; what arrives meanwhile waits.
+func (w *World) Freeze(id core.NodeID, d time.Duration) {
+	n, ok := w.nodes[id]
+	if !ok || n.stopped || n.frozen {
+		return
+	}
+	n.frozen = true
+	w.After(d, func() {
+		n.frozen = false
+		inbox := n.inbox
+		n.inbox = nil
+		for _, m := range inbox {
+			n.receive(m)
+		}
+		n.receive(core.Tick{})
+	})
+}
+
+// Cut stops messages from one node to another, or lets them through again.
+func (w *World) Cut(from, to core.NodeID, on bool) {
+	if on {
+		w.cuts[cut{from, to}] = true
+		return
+	}
+	delete(w.cuts, cut{from, to})
+}
+
+// Unreliable loses and duplicates shares of the messages between nodes.
+func (w *World) Unreliable(loss, dup float64) { w.loss, w.dup = loss, dup }
+
+// Running reports whether a node has neither been killed nor stopped.
+func (w *World) Running(id core.NodeID) bool {
+	n, ok := w.nodes[id]
+	return ok && !n.stopped
+}
+
+// Shutdown asks a node to leave.
+func (w *World) Shutdown(id core.NodeID) {
+	if n, ok := w.nodes[id]; ok {
+		n.receive(core.Shutdown{})
+	}
+}
+
+// Status returns a node's view.
+func (w *World) Status(id core.NodeID) (status core.Status) {
+	n := w.nodes[id]
+	for _, c := range n.core.Update(w.Now, core.StatusQuery{}) {
+		if a, ok := c.(core.AnswerStatus); ok {
+			status = a.Status
+			continue
+		}
+		n.carryOut(c)
+	}
+	n.setWake()
+	return status
+}
--- /dev/null
+++ b/bench/world/node.go
@@ -0,0 +1,205 @@
+package world
+
+import (
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/wire/platformlog"
+)
+
+// node runs one core.
+type node struct {
+	world *World
+	info  core.NodeInfo
+	core  *core.Node
+	// stopped nodes answer nothing more; frozen ones keep what arrives.
+	stopped bool
+	frozen  bool
+	inbox   []core.Message
+	wakeAt  core.Instant
+	wakeSet bool
+	// callers are the callers that are connected, streams the streams that
+	// are sent on to them.
+	callers map[core.RequestID]*Caller
+	streams map[core.RequestID]*stream
+	calls   map[core.CallID]*Call
+}
+
+// StartNode starts a node, or starts it again with a new incarnation.
+func (w *World) StartNode(info core.NodeInfo) {
+	n := &node{
+		world:   w,
+		info:    info,
+		callers: make(map[core.RequestID]*Caller),
+		streams: make(map[core.RequestID]*stream),
+		calls:   make(map[core.CallID]*Call),
+		core: &core.Node{
+			Self:        info,
+			Incarnation: core.Incarnation(w.Now),
+			Seed:        w.Seed ^ hash(string(info.ID)),
+			Settings:    w.Settings,
+			Policy:      w.Policy,
+		},
+	}
+	w.nodes[info.ID] = n
+	n.receive(core.VMList{Nodes: w.Nodes})
+}
+
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(s) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return h
+}
+
+// receive passes a message to the core and carries out what follows.
+func (n *node) receive(m core.Message) {
+	if n.stopped {
+		return
+	}
+	if n.frozen {
+		n.inbox = append(n.inbox, m)
+		return
+	}
+	w := n.world
+	w.Updates++
+	var began time.Time
+	if w.MeasureTime {
+		began = time.Now()
+	}
+	commands := n.core.Update(w.Now, m)
+	if w.MeasureTime {
+		w.UpdateTime += time.Since(began)
+	}
+	for _, c := range commands {
+		n.carryOut(c)
+	}
+	n.setWake()
+}
+
+// setWake makes sure that the core gets a tick when it wants one.
+func (n *node) setWake() {
+	at, ok := n.core.Wake()
+	if !ok || (n.wakeSet && n.wakeAt <= at) {
+		return
+	}
+	n.wakeSet = true
+	n.wakeAt = at
+	n.world.at(at, func() {
+		if n.wakeAt == at {
+			n.wakeSet = false
+			n.receive(core.Tick{})
+		}
+	})
+}
+
+func (n *node) carryOut(c core.Command) {
+	w := n.world
+	switch c := c.(type) {
+	case core.SendPeer:
+		n.sendPeer(c)
+	case core.RefuseCaller:
+		n.refuseCaller(c)
+	case core.AnswerCall:
+		n.answerCall(c)
+	case core.StartPrefill:
+		n.startPrefill(c)
+	case core.StartImport:
+		n.startImport(c)
+	case core.StartDecode:
+		n.startDecode(c)
+	case core.ReleaseMemory:
+		n.releaseMemory(c)
+	case core.PollEngine:
+		n.pollEngine(c)
+	case core.SendOrder:
+		n.sendOrder(c)
+	case core.CallService:
+		n.callService(c)
+	case core.AppendLog:
+		n.appendLog(c)
+	case core.ReadLog:
+		n.readLog(c)
+	case core.ReadVMList:
+		n.readVMList()
+	case core.LogDecision:
+		if w.Observe != nil {
+			w.Observe(c.Decision)
+		}
+	case core.LogViolation:
+		w.Violations = append(w.Violations, Violation{At: w.Now, Node: n.info.ID, Violation: c.Violation})
+	case core.StopNode:
+		n.stopped = true
+	case core.AnswerAddresses, core.AnswerStatus:
+	}
+}
+
+// sendPeer passes a message to another node.
+func (n *node) sendPeer(c core.SendPeer) {
+	w := n.world
+	w.countBytes(n.info.ID, c.Body)
+	if w.cuts[cut{n.info.ID, c.To}] || w.rng.Float64() < w.loss {
+		return
+	}
+	m := core.Peer{From: n.info.ID, Incarnation: n.core.Incarnation, Body: c.Body}
+	deliver := func() {
+		if to, ok := w.nodes[c.To]; ok {
+			to.receive(m)
+		}
+	}
+	w.After(w.LinkDelay, deliver)
+	if w.rng.Float64() < w.dup {
+		w.After(w.LinkDelay+time.Duration(w.rng.Int64N(int64(20*time.Millisecond))), deliver)
+	}
+}
+
+// later passes a message to the node after a delay.
+func (n *node) later(d time.Duration, m core.Message) {
+	n.world.After(d, func() { n.receive(m) })
+}
+
+func (n *node) appendLog(c core.AppendLog) {
+	w := n.world
+	w.After(w.LogDelay/2, func() {
+		first, err := w.appendRecords(c.Stream, c.Records)
+		if err != nil {
+			n.later(w.LogDelay/2, core.LogAppendFailed{
+				Ticket: c.Ticket, NotAppended: !replyLost(err), Reason: err.Error(),
+			})
+			return
+		}
+		n.later(w.LogDelay/2, core.LogAppended{Ticket: c.Ticket, First: first})
+	})
+}
+
+func (n *node) readLog(c core.ReadLog) {
+	w := n.world
+	w.After(w.LogDelay, func() {
+		res, err := w.log.Read(w.Now, c.Stream, c.After)
+		if err != nil {
+			n.receive(core.LogReadFailed{Stream: c.Stream, Reason: err.Error()})
+			return
+		}
+		records := make([]core.LogRecord, 0, len(res.Entries))
+		for _, e := range res.Entries {
+			records = append(records, core.LogRecord{Offset: e.Offset, At: e.At, Record: platformlog.Decode(e.Data)})
+		}
+		n.receive(core.LogRead{
+			Stream: c.Stream, After: c.After, Records: records, First: res.First, End: res.End,
+			Now: res.Now, Retention: time.Duration(res.RetentionNanos),
+		})
+	})
+}
+
+func (n *node) readVMList() {
+	w := n.world
+	w.After(w.LogDelay, func() {
+		list, err := w.vms.List(w.Now)
+		if err != nil {
+			n.receive(core.PlatformFailed{Reason: err.Error()})
+			return
+		}
+		n.receive(list.Core())
+	})
+}
--- /dev/null
+++ b/bench/world/steps.go
@@ -0,0 +1,173 @@
+package world
+
+import (
+	"daisyshed.dev/core"
+	"daisyshed.dev/standin/engine"
+	wire "daisyshed.dev/wire/engine"
+)
+
+// askEngine sends an operation to an engine and its answers back to the node.
+func (n *node) askEngine(id core.EngineID, m func(engine.Ticket) engine.Message, answer func(engine.Command)) {
+	w := n.world
+	e, ok := w.engines[id]
+	if !ok || e.removed {
+		w.After(w.LinkDelay, func() { answer(engine.Lost{}) })
+		return
+	}
+	w.After(w.LinkDelay, func() {
+		e.ask(m, func(c engine.Command) { w.After(w.LinkDelay, func() { answer(c) }) })
+	})
+}
+
+// failed turns an engine's refusal into the core's message.
+func failed(id core.EngineID, a core.Allocation, step core.EngineStep, emitted core.Tokens, c engine.Command) core.EngineFailed {
+	m := core.EngineFailed{Engine: id, Allocation: a, Step: step, Emitted: emitted, Reason: "connection lost"}
+	if r, ok := c.(engine.Refused); ok {
+		m.Reason = r.Code
+		m.Full = r.Code == wire.CodeFull
+		m.Draining = r.Code == wire.CodeDraining
+	}
+	return m
+}
+
+func (n *node) startPrefill(c core.StartPrefill) {
+	emitted := c.Emitted
+	var output core.Tokens
+	if caller, ok := n.callers[c.Allocation.Request]; ok {
+		emitted = max(emitted, caller.Received)
+		output = caller.Output
+	}
+	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
+		return engine.Prefill{Ticket: t, Output: output, Request: wire.PrefillRequest{
+			Allocation: tag(c.Allocation), Model: c.Model, Priority: c.Priority,
+			Tokens: c.Prompt.Tokens, Blocks: c.Prompt.Blocks, Emitted: emitted,
+		}}
+	}, func(a engine.Command) {
+		if done, ok := a.(engine.Prefilled); ok {
+			n.receive(core.PrefillDone{Engine: c.Engine, Allocation: c.Allocation, Cached: done.Result.Cached})
+			return
+		}
+		n.receive(failed(c.Engine, c.Allocation, core.PrefillStep, 0, a))
+	})
+}
+
+func (n *node) startImport(c core.StartImport) {
+	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
+		return engine.Import{Ticket: t, Request: wire.ImportRequest{
+			Allocation: tag(c.Allocation), FromAddress: string(c.From), Tokens: c.Tokens,
+		}}
+	}, func(a engine.Command) {
+		if _, ok := a.(engine.Imported); ok {
+			n.receive(core.ImportDone{Engine: c.Engine, Allocation: c.Allocation})
+			return
+		}
+		n.receive(failed(c.Engine, c.Allocation, core.ImportStep, 0, a))
+	})
+}
+
+// stream is an answer on its way from an engine to a caller.
+type stream struct {
+	allocation core.Allocation
+	engine     core.EngineID
+	next       core.Tokens
+	first      bool
+}
+
+func (n *node) startDecode(c core.StartDecode) {
+	caller, ok := n.callers[c.Allocation.Request]
+	if !ok {
+		return
+	}
+	s := &stream{allocation: c.Allocation, engine: c.Engine, next: max(c.Emitted, caller.sent) + 1}
+	n.streams[c.Allocation.Request] = s
+	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
+		return engine.Decode{Ticket: t, Request: wire.DecodeRequest{
+			Allocation: tag(c.Allocation), After: s.next - 1, MaxTokens: c.MaxTokens, Priority: c.Priority,
+		}}
+	}, func(a engine.Command) { n.streamed(s, caller, a) })
+}
+
+func (n *node) streamed(s *stream, caller *Caller, a engine.Command) {
+	if n.stopped || n.streams[s.allocation.Request] != s {
+		return
+	}
+	switch a := a.(type) {
+	case engine.Opened:
+	case engine.Token:
+		n.token(s, caller, a)
+	default:
+		delete(n.streams, s.allocation.Request)
+		n.receive(failed(s.engine, s.allocation, core.DecodeStep, s.next-1, a))
+	}
+}
+
+func (n *node) token(s *stream, caller *Caller, t engine.Token) {
+	if n.frozen {
+		n.world.After(frozenRetry, func() { n.streamed(s, caller, t) })
+		return
+	}
+	if t.Offset < s.next {
+		return
+	}
+	if t.Offset > s.next {
+		caller.fault("a token was skipped")
+	}
+	s.next++
+	caller.sent = t.Offset
+	caller.connection.deliver(t.Offset, t.Event.Last)
+	if !s.first {
+		s.first = true
+		n.receive(core.FirstToken{Allocation: s.allocation})
+	}
+	if t.Event.Last {
+		delete(n.streams, s.allocation.Request)
+		n.receive(core.StreamEnded{Allocation: s.allocation, Tokens: t.Offset})
+		n.disconnect(caller)
+	}
+}
+
+func (n *node) releaseMemory(c core.ReleaseMemory) {
+	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
+		return engine.Release{Ticket: t, Allocation: tag(c.Allocation)}
+	}, func(a engine.Command) {
+		if _, ok := a.(engine.Released); ok {
+			n.receive(core.ReleaseDone{Engine: c.Engine, Allocation: c.Allocation})
+			return
+		}
+		n.receive(core.ReleaseFailed{Engine: c.Engine, Allocation: c.Allocation})
+	})
+}
+
+func (n *node) pollEngine(c core.PollEngine) {
+	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
+		return engine.Poll{Ticket: t, After: c.EventsAfter}
+	}, func(a engine.Command) {
+		r, ok := a.(engine.Reported)
+		if !ok {
+			n.receive(core.EngineUnreachable{Engine: c.Engine})
+			return
+		}
+		m, err := r.Report.Core(c.Engine)
+		if err != nil {
+			n.receive(core.EngineUnreachable{Engine: c.Engine, Reason: err.Error()})
+			return
+		}
+		n.receive(m)
+	})
+}
+
+func (n *node) sendOrder(c core.SendOrder) {
+	o := c.Order
+	n.askEngine(o.Engine, func(t engine.Ticket) engine.Message {
+		return engine.Order{Ticket: t, Request: wire.OrderRequest{
+			Kind: o.Kind.String(), Role: o.Role.String(), Model: o.Model, Adapter: o.Adapter, Fencing: o.Fencing,
+		}}
+	}, func(a engine.Command) {
+		if _, ok := a.(engine.Ordered); ok {
+			n.receive(core.OrderDone{Order: o})
+			return
+		}
+		r, refused := a.(engine.Refused)
+		n.receive(core.OrderFailed{Order: o, Refused: refused && r.Code == wire.CodeOldFencing})
+	})
+}
--- /dev/null
+++ b/wire/engine/report.go
@@ -0,0 +1,66 @@
+package engine
+
+import "daisyshed.dev/core"
+
+// UnknownWordError says that a report names a state or role that the protocol
+// does not know.
+type UnknownWordError struct {
+	Field string
+	Word  string
+}
+
+// Error names the word.
+func (e *UnknownWordError) Error() string { return "report: unknown " + e.Field + " " + e.Word }
+
+// Core returns the report as the core takes it.
+func (r Report) Core(id core.EngineID) (core.EngineReport, error) {
+	state, err := parseState(r.State)
+	if err != nil {
+		return core.EngineReport{}, err
+	}
+	role, err := ParseRole(r.Role)
+	if err != nil {
+		return core.EngineReport{}, err
+	}
+	m := core.EngineReport{
+		Engine:        id,
+		State:         state,
+		Role:          role,
+		Model:         r.Model,
+		Pieces:        r.Pieces,
+		FreePieces:    r.FreePieces,
+		Queued:        r.Queued,
+		Running:       r.Running,
+		Fencing:       r.Fencing,
+		EventsFrom:    r.EventsFrom,
+		EventsThrough: r.EventsThrough,
+	}
+	for _, h := range r.Held {
+		m.Held = append(m.Held, core.Held{
+			Allocation: core.Allocation(h.Allocation), Tokens: h.Tokens, Emitted: h.Emitted, Finished: h.Finished,
+		})
+	}
+	for _, e := range r.Events {
+		m.Events = append(m.Events, core.CacheEvent(e))
+	}
+	return m, nil
+}
+
+func parseState(word string) (core.EngineState, error) {
+	for _, s := range []core.EngineState{core.Serving, core.Draining} {
+		if s.String() == word {
+			return s, nil
+		}
+	}
+	return 0, &UnknownWordError{Field: "state", Word: word}
+}
+
+// ParseRole returns the role of that name.
+func ParseRole(word string) (core.Role, error) {
+	for _, r := range []core.Role{core.Prefill, core.Decode} {
+		if r.String() == word {
+			return r, nil
+		}
+	}
+	return 0, &UnknownWordError{Field: "role", Word: word}
+}
