--- /dev/null
+++ b/core/fold.go
@@ -0,0 +1,144 @@
+package core
+
+import (
+	"maps"
+	"slices"
+)
+
+// maxRejected bounds the rejected publications that a Folded remembers.
+const maxRejected = 64
+
+// Folded is the configuration that follows from the records of ConfigStream up
+// to an offset. Every reader folds by the same rule, so two readers at one
+// offset hold the same configuration. The zero value has folded nothing.
+type Folded struct {
+	offset   Offset
+	profiles map[ProfileID]ProfileEntry
+	pools    map[PoolID]PoolEntry
+	rejected []RejectedPublication
+}
+
+// Offset returns the offset of the last record folded.
+func (f *Folded) Offset() Offset { return f.offset }
+
+// Profiles returns a copy of the profiles in force.
+func (f *Folded) Profiles() map[ProfileID]ProfileEntry { return maps.Clone(f.profiles) }
+
+// Pools returns a copy of the pools in force.
+func (f *Folded) Pools() map[PoolID]PoolEntry { return maps.Clone(f.pools) }
+
+// Profile returns a profile in force.
+func (f *Folded) Profile(id ProfileID) (ProfileEntry, bool) {
+	e, ok := f.profiles[id]
+	return e, ok
+}
+
+// Pool returns a pool in force.
+func (f *Folded) Pool(id PoolID) (PoolEntry, bool) {
+	e, ok := f.pools[id]
+	return e, ok
+}
+
+// Rejected returns the latest publications that lost a race, oldest first.
+func (f *Folded) Rejected() []RejectedPublication { return slices.Clone(f.rejected) }
+
+// Apply folds the next record and reports whether the offset moved. A record
+// at or below the offset is passed over. So is one that leaves a gap after it,
+// unless it is a snapshot that closes the gap: then the offset becomes the
+// snapshot's, and the records after that are due next.
+func (f *Folded) Apply(r LogRecord) bool {
+	if r.Offset == f.offset+1 {
+		f.offset = r.Offset
+		f.fold(r)
+		return true
+	}
+	s, ok := r.Record.(SnapshotTaken)
+	return ok && r.Offset > f.offset && f.Restore(s)
+}
+
+// Restore starts from a snapshot if it lies ahead, and reports whether it does.
+func (f *Folded) Restore(s SnapshotTaken) bool {
+	if s.Through <= f.offset {
+		return false
+	}
+	f.offset = s.Through
+	f.profiles = make(map[ProfileID]ProfileEntry, len(s.Profiles))
+	for _, e := range s.Profiles {
+		f.profiles[e.Profile.ID] = e
+	}
+	f.pools = make(map[PoolID]PoolEntry, len(s.Pools))
+	for _, e := range s.Pools {
+		f.pools[e.Pool.ID] = e
+	}
+	return true
+}
+
+// Snapshot returns the configuration as a record, with entries sorted by id.
+func (f *Folded) Snapshot() SnapshotTaken {
+	s := SnapshotTaken{Through: f.offset}
+	for _, id := range sortedKeys(f.profiles) {
+		s.Profiles = append(s.Profiles, f.profiles[id])
+	}
+	for _, id := range sortedKeys(f.pools) {
+		s.Pools = append(s.Pools, f.pools[id])
+	}
+	return s
+}
+
+func (f *Folded) fold(r LogRecord) {
+	switch p := r.Record.(type) {
+	case ProfilePublished:
+		f.foldProfile(r.Offset, p)
+	case PoolPublished:
+		f.foldPool(r.Offset, p)
+	}
+}
+
+func (f *Folded) foldProfile(offset Offset, p ProfilePublished) {
+	current := f.profiles[p.Profile.ID]
+	if current.Revision > 0 && current.Publication == p.Publication {
+		return
+	}
+	if p.Base != current.Revision {
+		f.reject(RejectedPublication{
+			Publication: p.Publication, Offset: offset, Operator: p.Operator,
+			Profile: p.Profile.ID, Base: p.Base, Current: current.Revision,
+		})
+		return
+	}
+	if f.profiles == nil {
+		f.profiles = map[ProfileID]ProfileEntry{}
+	}
+	f.profiles[p.Profile.ID] = ProfileEntry{
+		Profile: p.Profile, Revision: current.Revision + 1, Offset: offset,
+		Publication: p.Publication, Operator: p.Operator, Source: p.Source,
+	}
+}
+
+func (f *Folded) foldPool(offset Offset, p PoolPublished) {
+	current := f.pools[p.Pool.ID]
+	if current.Revision > 0 && current.Publication == p.Publication {
+		return
+	}
+	if p.Base != current.Revision {
+		f.reject(RejectedPublication{
+			Publication: p.Publication, Offset: offset, Operator: p.Operator,
+			Pool: p.Pool.ID, Base: p.Base, Current: current.Revision,
+		})
+		return
+	}
+	if f.pools == nil {
+		f.pools = map[PoolID]PoolEntry{}
+	}
+	f.pools[p.Pool.ID] = PoolEntry{
+		Pool: p.Pool, Revision: current.Revision + 1, Offset: offset,
+		Publication: p.Publication, Operator: p.Operator, Source: p.Source,
+	}
+}
+
+func (f *Folded) reject(r RejectedPublication) {
+	if len(f.rejected) == maxRejected {
+		f.rejected = f.rejected[1:]
+	}
+	f.rejected = append(f.rejected, r)
+}
