--- /dev/null
+++ b/core/logreader.go
@@ -0,0 +1,56 @@
+package core
+
+import "time"
+
+// logReader reads one stream of the log. It has at most one read in flight:
+// every ReadLog is answered by one LogRead or LogReadFailed.
+type logReader struct {
+	stream StreamID
+	// cursor is the offset after which the next read starts.
+	cursor    Offset
+	inFlight  bool
+	sentAt    Instant
+	reachable bool
+	// caughtUp is set once a read reached the stream's end.
+	caughtUp  bool
+	retention time.Duration
+	clock     logClock
+}
+
+// poll starts a read unless one is in flight.
+func (r *logReader) poll(n *Node) {
+	if r.inFlight {
+		return
+	}
+	r.inFlight = true
+	r.sentAt = n.now
+	n.do(ReadLog{Stream: r.stream, After: r.cursor})
+}
+
+// answered takes in the figures of an answer, but not its records.
+func (r *logReader) answered(n *Node, m LogRead) {
+	r.inFlight = false
+	r.reachable = true
+	r.retention = m.Retention
+	r.clock = logClock{read: m.Now, sentAt: r.sentAt, answeredAt: n.now, known: true}
+}
+
+func (r *logReader) failed() {
+	r.inFlight = false
+	r.reachable = false
+}
+
+// logClock bounds the log's time between reads. The log took its reading
+// between the sending of the request and the arrival of the answer.
+type logClock struct {
+	read       int64
+	sentAt     Instant
+	answeredAt Instant
+	known      bool
+}
+
+// earliest returns a time that the log's clock has passed.
+func (c logClock) earliest(now Instant) int64 { return c.read + int64(now.Sub(c.answeredAt)) }
+
+// latest returns a time that the log's clock has not passed.
+func (c logClock) latest(now Instant) int64 { return c.read + int64(now.Sub(c.sentAt)) }
--- a/core/node.go
+++ b/core/node.go
@@ -131,6 +131,7 @@
 
 func (n *Node) start() {
 	n.started = true
+	n.Settings = n.Settings.withDefaults()
 	n.rng = rand.New(rand.NewPCG(n.Seed, uint64(n.Incarnation)))
 	n.members.start(n)
 	n.config.start(n)
--- a/core/once.go
+++ b/core/once.go
@@ -17,3 +17,6 @@
 
 // busy reports whether calls are in progress, for a graceful shutdown.
 func (s *onceOnly) busy() bool { return false }
+
+// running returns the number of calls in progress.
+func (s *onceOnly) running() int { return 0 }
--- /dev/null
+++ b/core/ownership.go
@@ -0,0 +1,112 @@
+package core
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// keyWriterRole is the key by which the writers of a region are chosen.
+const keyWriterRole = "key-writers"
+
+// ranks caches, for each region, the members that may own keys.
+type ranks struct {
+	serving map[RegionID][]NodeID
+}
+
+func (r *ranks) clear() { r.serving = nil }
+
+// serving returns the members of a region that may own keys, this node
+// included unless it leaves.
+func (s *members) serving(n *Node, region RegionID) []NodeID {
+	if s.ranks.serving == nil {
+		s.ranks.serving = map[RegionID][]NodeID{}
+		for _, id := range sortedKeys(s.byID) {
+			if m := s.byID[id]; m.serving() {
+				of := m.node.Region
+				s.ranks.serving[of] = append(s.ranks.serving[of], id)
+			}
+		}
+	}
+	ids := slices.Clone(s.ranks.serving[region])
+	if region == n.Self.Region && !n.leaving {
+		ids = append(ids, n.Self.ID)
+	}
+	return ids
+}
+
+// ownerOf returns the live node that owns key by rendezvous hashing, this
+// node included. Leaving nodes own nothing, unless there is no other. It
+// returns no node for another region without known members.
+func (s *members) ownerOf(n *Node, region RegionID, key string) NodeID {
+	ids := s.serving(n, region)
+	if len(ids) == 0 && region == n.Self.Region {
+		return n.Self.ID
+	}
+	return bestScore(ids, key)
+}
+
+// keyWriter returns the node that writes the intent of a key. Only a few nodes
+// of a region write intents, so that batches are large and appends few.
+func (s *members) keyWriter(n *Node, key IdempotencyKey) NodeID {
+	writers := s.keyWriters(n)
+	if len(writers) == 0 {
+		return n.Self.ID
+	}
+	return bestScore(writers, "key/"+string(key))
+}
+
+// keyWriters returns the nodes of this region that write intents.
+func (s *members) keyWriters(n *Node) []NodeID {
+	ids := s.serving(n, n.Self.Region)
+	byScore(ids, keyWriterRole)
+	return ids[:min(len(ids), n.Settings.KeyWritersPerRegion)]
+}
+
+// bestScore returns the id with the highest score for a key.
+func bestScore(ids []NodeID, key string) NodeID {
+	var best NodeID
+	var bestScore uint64
+	k := hash64(key)
+	for _, id := range ids {
+		score := mix(hash64(string(id)), k)
+		if best == "" || score > bestScore || (score == bestScore && id < best) {
+			best, bestScore = id, score
+		}
+	}
+	return best
+}
+
+// byScore sorts ids by descending score for a key.
+func byScore(ids []NodeID, key string) {
+	k := hash64(key)
+	slices.SortFunc(ids, func(a, b NodeID) int {
+		x, y := mix(hash64(string(a)), k), mix(hash64(string(b)), k)
+		if c := cmp.Compare(y, x); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+}
+
+// hash64 is a hash that is equal on every node.
+func hash64(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, part := range parts {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+// mix joins two hashes so that each bit of the result depends on all bits of
+// both.
+func mix(a, b uint64) uint64 {
+	x := a*0x9e3779b97f4a7c15 + b
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
