--- a/bench/world/faults.go
+++ b/bench/world/faults.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"fmt"
 	"time"
 
 	"daisyshed.dev/core"
@@ -78,3 +79,41 @@
 	n.setWake()
 	return status
 }
+
+// MendLinks ends all cuts.
+func (w *World) MendLinks() { clear(w.cuts) }
+
+// Streaming returns how many callers a node is connected to.
+func (w *World) Streaming(id core.NodeID) int {
+	if n, ok := w.nodes[id]; ok && !n.stopped {
+		return len(n.callers)
+	}
+	return 0
+}
+
+// Calling returns how many calls a node has not answered yet.
+func (w *World) Calling(id core.NodeID) int {
+	if n, ok := w.nodes[id]; ok && !n.stopped {
+		return len(n.calls)
+	}
+	return 0
+}
+
+// PoolOf returns an engine's pool.
+func (w *World) PoolOf(id core.EngineID) core.PoolID {
+	for _, e := range w.Engines {
+		if e.Upstream.ID == id {
+			return e.Upstream.Pool
+		}
+	}
+	return ""
+}
+
+// Describe says where a caller's request stands, for a failing run.
+func (w *World) Describe(c *Caller) string {
+	where := "no node"
+	if c.node != nil {
+		where = string(c.node.info.ID)
+	}
+	return fmt.Sprintf("received %d of %d, refused %d (%s), last at %s", c.Received, c.Output, c.Refused, c.Reason, where)
+}
--- a/bench/world/platform.go
+++ b/bench/world/platform.go
@@ -23,7 +23,20 @@
 		}
 		data = append(data, b)
 	}
-	return w.log.Append(w.Now, stream, data)
+	first, err := w.log.Append(w.Now, stream, data)
+	if stream == core.ConfigStream && (err == nil || replyLost(err)) {
+		w.remember(records)
+	}
+	return first, err
+}
+
+// remember keeps the configuration's records beside the log.
+func (w *World) remember(records []core.Record) {
+	for _, r := range records {
+		w.records = append(w.records, core.LogRecord{
+			Offset: core.Offset(len(w.records) + 1), At: int64(w.Now), Record: r,
+		})
+	}
 }
 
 func replyLost(err error) bool {
@@ -45,3 +58,44 @@
 	u.Leaving = true
 	w.SetVM(upstreamVM(u, vmlist.KindEngine))
 }
+
+// TryPublish appends a publication and reports whether it is known to be in
+// the log.
+func (w *World) TryPublish(r core.Record) bool {
+	_, err := w.appendRecords(core.ConfigStream, []core.Record{r})
+	if err == nil || replyLost(err) {
+		w.noteWithdrawal(r)
+		return true
+	}
+	return false
+}
+
+// noteWithdrawal remembers when a pool was withdrawn.
+func (w *World) noteWithdrawal(r core.Record) {
+	p, ok := r.(core.PoolPublished)
+	if !ok {
+		return
+	}
+	if !p.Pool.Withdrawn {
+		delete(w.withdrawn, p.Pool.ID)
+		return
+	}
+	if _, already := w.withdrawn[p.Pool.ID]; !already {
+		w.withdrawn[p.Pool.ID] = w.Now
+	}
+}
+
+// WithdrawnSince returns when a pool was withdrawn, if it is.
+func (w *World) WithdrawnSince(id core.PoolID) (core.Instant, bool) {
+	at, ok := w.withdrawn[id]
+	return at, ok
+}
+
+// Folded returns the configuration that the log holds, whatever its faults.
+func (w *World) Folded() *core.Folded {
+	folded := &core.Folded{}
+	for _, r := range w.records {
+		folded.Apply(r)
+	}
+	return folded
+}
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -57,8 +57,12 @@
 	log      platform.Log
 	vms      platform.VMs
 	cuts     map[cut]bool
-	loss     float64
-	dup      float64
+	// records are those of the configuration stream, withdrawn the pools
+	// withdrawn there.
+	records   []core.LogRecord
+	withdrawn map[core.PoolID]core.Instant
+	loss      float64
+	dup       float64
 }
 
 // EngineSpec describes one engine.
@@ -95,6 +99,7 @@
 	w.nodes = make(map[core.NodeID]*node)
 	w.engines = make(map[core.EngineID]*engineRunner)
 	w.services = make(map[core.EngineID]*service)
+	w.withdrawn = make(map[core.PoolID]core.Instant)
 	w.cuts = make(map[cut]bool)
 	w.ControlBytes = make(map[string]uint64)
 	w.log = platform.Log{Retention: retention}
