--- a/core/addresses.go
+++ b/core/addresses.go
@@ -169,7 +169,7 @@
 }
 
 // requests returns the number of requests and calls that this node serves.
-func (n *Node) requests() int { return n.once.running() }
+func (n *Node) requests() int { return len(n.entry.serving) + n.once.running() }
 
 // status returns the node's view, for operators.
 func (n *Node) status() Status {
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -249,6 +249,24 @@
 	return e.Pool, ok
 }
 
+// profiles returns the profiles in force, sorted by id.
+func (s *configuration) profiles() []Profile {
+	list := make([]Profile, 0, len(s.folded.profiles))
+	for _, id := range sortedKeys(s.folded.profiles) {
+		list = append(list, s.folded.profiles[id].Profile)
+	}
+	return list
+}
+
+// pools returns the pools in force, sorted by id.
+func (s *configuration) pools() []Pool {
+	list := make([]Pool, 0, len(s.folded.pools))
+	for _, id := range sortedKeys(s.folded.pools) {
+		list = append(list, s.folded.pools[id].Pool)
+	}
+	return list
+}
+
 // fresh reports whether the configuration was heard of recently enough to
 // take new work under it.
 func (s *configuration) fresh(n *Node) bool {
--- a/core/membership.go
+++ b/core/membership.go
@@ -304,6 +304,15 @@
 	return m.status != Dead
 }
 
+// present reports whether some start of a node is believed to live.
+func (s *members) present(id NodeID) bool {
+	if m, ok := s.byID[id]; ok && m.heard {
+		return m.alive()
+	}
+	_, known := s.known[id]
+	return id == s.own || known || !s.settled
+}
+
 // size returns the number of live members, without this node.
 func (s *members) size() int {
 	count := 0
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 )
 
@@ -89,16 +88,6 @@
 	})
 }
 
-// hash64 is a hash that is equal on every node.
-func hash64(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, part := range parts {
-		_, _ = h.Write([]byte(part))
-		_, _ = h.Write([]byte{0})
-	}
-	return h.Sum64()
-}
-
 // mix joins two hashes so that each bit of the result depends on all bits of
 // both.
 func mix(a, b uint64) uint64 {
