--- a/core/group.go
+++ b/core/group.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"hash/fnv"
 	"slices"
 	"strconv"
 	"time"
@@ -48,29 +47,13 @@
 func shardOf(id EngineID, shards int) int {
 	best, bestScore := 0, uint64(0)
 	for i := range shards {
-		if score := hash64(string(id), strconv.Itoa(i)); score > bestScore {
+		if score := mix(hash64(string(id)), uint64(i)); score > bestScore {
 			best, bestScore = i, score
 		}
 	}
 	return best
 }
 
-// hash64 hashes strings to a well-mixed number.
-func hash64(parts ...string) uint64 {
-	h := fnv.New64a()
-	for _, p := range parts {
-		_, _ = h.Write([]byte(p))
-		_, _ = h.Write([]byte{0})
-	}
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
-
 // regroup rebuilds the groups from configuration and the VM list, keeping the
 // queues of those that stay.
 func (s *owner) regroup(n *Node) {
@@ -164,7 +147,7 @@
 		if !g.serves(n, profile) || r.crowded.Has(g.id) {
 			continue
 		}
-		score := hash64(string(g.id), string(r.request.Customer)) >> 1
+		score := mix(hash64(string(g.id)), hash64(string(r.request.Customer))) >> 1
 		if g.region == n.Self.Region {
 			score |= 1 << 63
 		}
--- a/core/membership.go
+++ b/core/membership.go
@@ -306,11 +306,11 @@
 
 // present reports whether some start of a node is believed to live.
 func (s *members) present(id NodeID) bool {
-	if m, ok := s.byID[id]; ok && m.heard {
-		return m.alive()
+	if id == s.own {
+		return true
 	}
-	_, known := s.known[id]
-	return id == s.own || known || !s.settled
+	m, ok := s.byID[id]
+	return !ok || m.status != Dead
 }
 
 // size returns the number of live members, without this node.
