--- /dev/null
+++ b/wire/peer/convert_member.go
@@ -0,0 +1,86 @@
+package peer
+
+import "daisyshed.dev/core"
+
+func fromMemberUpdate(u core.MemberUpdate) *MemberUpdate {
+	return &MemberUpdate{
+		Node:        fromNode(u.Node),
+		Incarnation: uint64(u.Incarnation),
+		Status:      uint32(u.Status),
+		Sequence:    u.Sequence,
+	}
+}
+
+func toMemberUpdates(list []*MemberUpdate) ([]core.MemberUpdate, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	out := make([]core.MemberUpdate, len(list))
+	for i, u := range list {
+		status, err := inRange("MemberUpdate.Status", u.GetStatus(), core.Left)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = core.MemberUpdate{
+			Node:        toNode(u.GetNode()),
+			Incarnation: core.Incarnation(u.GetIncarnation()),
+			Status:      status,
+			Sequence:    u.GetSequence(),
+		}
+	}
+	return out, nil
+}
+
+func fromHeartbeat(b core.Heartbeat) *Heartbeat {
+	return &Heartbeat{
+		Sequence:     b.Sequence,
+		OnBehalfOf:   string(b.OnBehalfOf),
+		Updates:      each(b.Updates, fromMemberUpdate),
+		ConfigOffset: int64(b.ConfigOffset),
+	}
+}
+
+func toHeartbeat(b *Heartbeat) (core.PeerBody, error) {
+	updates, err := toMemberUpdates(b.GetUpdates())
+	if err != nil {
+		return nil, err
+	}
+	return core.Heartbeat{
+		Sequence:     b.GetSequence(),
+		OnBehalfOf:   core.NodeID(b.GetOnBehalfOf()),
+		Updates:      updates,
+		ConfigOffset: core.Offset(b.GetConfigOffset()),
+	}, nil
+}
+
+func fromHeartbeatAck(b core.HeartbeatAck) *HeartbeatAck {
+	return &HeartbeatAck{
+		Sequence:     b.Sequence,
+		OnBehalfOf:   string(b.OnBehalfOf),
+		Updates:      each(b.Updates, fromMemberUpdate),
+		ConfigOffset: int64(b.ConfigOffset),
+		Spare:        b.Spare,
+	}
+}
+
+func toHeartbeatAck(b *HeartbeatAck) (core.PeerBody, error) {
+	updates, err := toMemberUpdates(b.GetUpdates())
+	if err != nil {
+		return nil, err
+	}
+	return core.HeartbeatAck{
+		Sequence:     b.GetSequence(),
+		OnBehalfOf:   core.NodeID(b.GetOnBehalfOf()),
+		Updates:      updates,
+		ConfigOffset: core.Offset(b.GetConfigOffset()),
+		Spare:        b.GetSpare(),
+	}, nil
+}
+
+func fromHeartbeatRequest(b core.HeartbeatRequest) *HeartbeatRequest {
+	return &HeartbeatRequest{Target: string(b.Target), Sequence: b.Sequence}
+}
+
+func toHeartbeatRequest(b *HeartbeatRequest) core.PeerBody {
+	return core.HeartbeatRequest{Target: core.NodeID(b.GetTarget()), Sequence: b.GetSequence()}
+}
--- /dev/null
+++ b/wire/peer/decode.go
@@ -0,0 +1,72 @@
+package peer
+
+import (
+	"daisyshed.dev/core"
+	"google.golang.org/protobuf/proto"
+)
+
+// Decode returns the message in the bytes of an [Envelope]. Bytes that are no
+// envelope give a *[DecodeError], *[RangeError] or [EmptyError].
+func Decode(data []byte) (core.Peer, error) {
+	e := &Envelope{}
+	if err := proto.Unmarshal(data, e); err != nil {
+		return core.Peer{}, &DecodeError{Cause: err}
+	}
+	return FromEnvelope(e)
+}
+
+// FromEnvelope returns the message in e.
+func FromEnvelope(e *Envelope) (core.Peer, error) {
+	body, err := toBody(e)
+	if err != nil {
+		return core.Peer{}, err
+	}
+	return core.Peer{
+		From:        core.NodeID(e.GetFrom()),
+		Incarnation: core.Incarnation(e.GetIncarnation()),
+		Body:        body,
+	}, nil
+}
+
+func toBody(e *Envelope) (core.PeerBody, error) {
+	switch b := e.GetBody().(type) {
+	case *Envelope_Heartbeat:
+		return toHeartbeat(b.Heartbeat)
+	case *Envelope_HeartbeatAck:
+		return toHeartbeatAck(b.HeartbeatAck)
+	case *Envelope_HeartbeatRequest:
+		return toHeartbeatRequest(b.HeartbeatRequest), nil
+	case *Envelope_ConfigQuery:
+		return core.ConfigQuery{After: core.Offset(b.ConfigQuery.GetAfter())}, nil
+	case *Envelope_ConfigAnswer:
+		return toConfigAnswer(b.ConfigAnswer)
+	case *Envelope_Place:
+		return toPlace(b.Place), nil
+	case *Envelope_Placed:
+		return toPlaced(b.Placed), nil
+	case *Envelope_PlaceRefused:
+		return toPlaceRefused(b.PlaceRefused)
+	case *Envelope_AttemptProgress:
+		return toAttemptProgress(b.AttemptProgress), nil
+	case *Envelope_AttemptEnded:
+		return toAttemptEnded(b.AttemptEnded)
+	case *Envelope_AttemptEndedAck:
+		return core.AttemptEndedAck{Allocation: toAllocation(b.AttemptEndedAck.GetAllocation())}, nil
+	case *Envelope_HolderQuery:
+		return core.HolderQuery{Allocations: toAllocations(b.HolderQuery.GetAllocations())}, nil
+	case *Envelope_HolderAnswer:
+		return core.HolderAnswer{Ended: toAllocations(b.HolderAnswer.GetEnded())}, nil
+	case *Envelope_MoveAway:
+		return toMoveAway(b.MoveAway), nil
+	case *Envelope_KeyCall:
+		return toKeyCall(b.KeyCall), nil
+	case *Envelope_KeyAnswer:
+		return toKeyAnswer(b.KeyAnswer)
+	case *Envelope_VMListQuery:
+		return core.VMListQuery{}, nil
+	case *Envelope_VMListAnswer:
+		return toVMListAnswer(b.VMListAnswer), nil
+	default:
+		return nil, EmptyError{}
+	}
+}
--- /dev/null
+++ b/wire/peer/encode.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"fmt"
+
+	"daisyshed.dev/core"
+	"google.golang.org/protobuf/proto"
+)
+
+// UnknownBodyError says that a body has no form on the wire.
+type UnknownBodyError struct{ Body core.PeerBody }
+
+// Error names the body's type.
+func (e *UnknownBodyError) Error() string { return fmt.Sprintf("peer: unknown body %T", e.Body) }
+
+// Encode returns m as the bytes of an [Envelope].
+func Encode(m core.Peer) ([]byte, error) {
+	envelope, err := ToEnvelope(m)
+	if err != nil {
+		return nil, err
+	}
+	data, err := proto.Marshal(envelope)
+	if err != nil {
+		return nil, &EncodeError{Cause: err}
+	}
+	return data, nil
+}
+
+// ToEnvelope returns m as an [Envelope].
+func ToEnvelope(m core.Peer) (*Envelope, error) {
+	e := &Envelope{From: string(m.From), Incarnation: uint64(m.Incarnation)}
+	switch b := m.Body.(type) {
+	case core.Heartbeat:
+		e.Body = &Envelope_Heartbeat{fromHeartbeat(b)}
+	case core.HeartbeatAck:
+		e.Body = &Envelope_HeartbeatAck{fromHeartbeatAck(b)}
+	case core.HeartbeatRequest:
+		e.Body = &Envelope_HeartbeatRequest{fromHeartbeatRequest(b)}
+	case core.ConfigQuery:
+		e.Body = &Envelope_ConfigQuery{&ConfigQuery{After: int64(b.After)}}
+	case core.ConfigAnswer:
+		answer, err := fromConfigAnswer(b)
+		if err != nil {
+			return nil, err
+		}
+		e.Body = &Envelope_ConfigAnswer{answer}
+	case core.Place:
+		e.Body = &Envelope_Place{fromPlace(b)}
+	case core.Placed:
+		e.Body = &Envelope_Placed{fromPlaced(b)}
+	case core.PlaceRefused:
+		e.Body = &Envelope_PlaceRefused{fromPlaceRefused(b)}
+	case core.AttemptProgress:
+		e.Body = &Envelope_AttemptProgress{fromAttemptProgress(b)}
+	case core.AttemptEnded:
+		e.Body = &Envelope_AttemptEnded{fromAttemptEnded(b)}
+	case core.AttemptEndedAck:
+		e.Body = &Envelope_AttemptEndedAck{&AttemptEndedAck{Allocation: fromAllocation(b.Allocation)}}
+	case core.HolderQuery:
+		e.Body = &Envelope_HolderQuery{&HolderQuery{Allocations: fromAllocations(b.Allocations)}}
+	case core.HolderAnswer:
+		e.Body = &Envelope_HolderAnswer{&HolderAnswer{Ended: fromAllocations(b.Ended)}}
+	case core.MoveAway:
+		e.Body = &Envelope_MoveAway{&MoveAway{Allocation: fromAllocation(b.Allocation), ByNanos: int64(b.By)}}
+	case core.KeyCall:
+		e.Body = &Envelope_KeyCall{fromKeyCall(b)}
+	case core.KeyAnswer:
+		e.Body = &Envelope_KeyAnswer{fromKeyAnswer(b)}
+	case core.VMListQuery:
+		e.Body = &Envelope_VMListQuery{&VMListQuery{}}
+	case core.VMListAnswer:
+		e.Body = &Envelope_VMListAnswer{fromVMListAnswer(b)}
+	default:
+		return nil, &UnknownBodyError{Body: m.Body}
+	}
+	return e, nil
+}
