--- /dev/null
+++ b/wire/peer/bodies_test.go
@@ -0,0 +1,113 @@
+package peer_test
+
+import (
+	"daisyshed.dev/core"
+	"pgregory.net/rapid"
+)
+
+// bodies draws every kind of body.
+var bodies = map[string]func(t *rapid.T) core.PeerBody{
+	"Heartbeat": func(t *rapid.T) core.PeerBody {
+		return core.Heartbeat{
+			Sequence:     rapid.Uint64().Draw(t, "sequence"),
+			OnBehalfOf:   text[core.NodeID](t, "for"),
+			Updates:      list(t, "updates", update),
+			ConfigOffset: offset(t, "config"),
+		}
+	},
+	"HeartbeatAck": func(t *rapid.T) core.PeerBody {
+		return core.HeartbeatAck{
+			Sequence:     rapid.Uint64().Draw(t, "sequence"),
+			OnBehalfOf:   text[core.NodeID](t, "for"),
+			Updates:      list(t, "updates", update),
+			ConfigOffset: offset(t, "config"),
+			Spare:        rapid.Float64().Draw(t, "spare"),
+		}
+	},
+	"HeartbeatRequest": func(t *rapid.T) core.PeerBody {
+		return core.HeartbeatRequest{Target: text[core.NodeID](t, "target"), Sequence: rapid.Uint64().Draw(t, "sequence")}
+	},
+	"ConfigQuery":  func(t *rapid.T) core.PeerBody { return core.ConfigQuery{After: offset(t, "after")} },
+	"ConfigAnswer": configAnswer,
+	"VMListQuery":  func(*rapid.T) core.PeerBody { return core.VMListQuery{} },
+	"VMListAnswer": func(t *rapid.T) core.PeerBody {
+		return core.VMListAnswer{
+			List: core.VMList{Nodes: list(t, "nodes", node), Upstreams: list(t, "upstreams", upstream)},
+			Age:  span(t, "age"),
+		}
+	},
+	"Place": func(t *rapid.T) core.PeerBody {
+		return core.Place{
+			Allocation: allocation(t),
+			Profile:    text[core.ProfileID](t, "profile"),
+			Customer:   text[core.CustomerID](t, "customer"),
+			Prompt: core.Prompt{Tokens: tokens(t, "prompt"), Blocks: list(t, "blocks", func(t *rapid.T) core.BlockHash {
+				return core.BlockHash(rapid.Uint64().Draw(t, "block"))
+			})},
+			MaxTokens: tokens(t, "max"),
+			Emitted:   tokens(t, "emitted"),
+			Adopt:     rapid.Bool().Draw(t, "adopt"),
+			Waited:    span(t, "waited"),
+			Avoid:     list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
+		}
+	},
+	"Placed": func(t *rapid.T) core.PeerBody {
+		return core.Placed{
+			Allocation: allocation(t),
+			Prefill:    text[core.EngineID](t, "prefill"),
+			Decode:     text[core.EngineID](t, "decode"),
+			Source:     text[core.EngineID](t, "source"),
+			Memory:     tokens(t, "memory"),
+			Valid:      span(t, "valid"),
+			FirstToken: span(t, "first"),
+		}
+	},
+	"PlaceRefused": func(t *rapid.T) core.PeerBody {
+		return core.PlaceRefused{Allocation: allocation(t), Reason: enum(t, "reason", core.OwnerUnreachable), RetryAfter: span(t, "retry")}
+	},
+	"AttemptProgress": func(t *rapid.T) core.PeerBody {
+		return core.AttemptProgress{
+			Allocation:    allocation(t),
+			Prefilled:     rapid.Bool().Draw(t, "prefilled"),
+			Cached:        tokens(t, "cached"),
+			PrefillTime:   span(t, "prefill"),
+			Imported:      rapid.Bool().Draw(t, "imported"),
+			ImportTime:    span(t, "import"),
+			FirstTokenHit: rapid.Bool().Draw(t, "hit"),
+		}
+	},
+	"AttemptEnded": func(t *rapid.T) core.PeerBody {
+		return core.AttemptEnded{
+			Allocation:   allocation(t),
+			Reason:       enum(t, "reason", core.Expired),
+			Tokens:       tokens(t, "tokens"),
+			Decoded:      span(t, "decoded"),
+			FailedEngine: text[core.EngineID](t, "failed"),
+			Released:     rapid.Bool().Draw(t, "released"),
+		}
+	},
+	"AttemptEndedAck": func(t *rapid.T) core.PeerBody { return core.AttemptEndedAck{Allocation: allocation(t)} },
+	"HolderQuery":     func(t *rapid.T) core.PeerBody { return core.HolderQuery{Allocations: list(t, "list", allocation)} },
+	"HolderAnswer":    func(t *rapid.T) core.PeerBody { return core.HolderAnswer{Ended: list(t, "list", allocation)} },
+	"MoveAway":        func(t *rapid.T) core.PeerBody { return core.MoveAway{Allocation: allocation(t), By: span(t, "by")} },
+	"KeyCall": func(t *rapid.T) core.PeerBody {
+		return core.KeyCall{
+			Call:      text[core.CallID](t, "call"),
+			Profile:   text[core.ProfileID](t, "profile"),
+			Customer:  text[core.CustomerID](t, "customer"),
+			Key:       text[core.IdempotencyKey](t, "key"),
+			KeyMinted: rapid.Int64().Draw(t, "minted"),
+			Body:      list(t, "body", func(t *rapid.T) byte { return rapid.Byte().Draw(t, "byte") }),
+		}
+	},
+	"KeyAnswer": func(t *rapid.T) core.PeerBody {
+		return core.KeyAnswer{
+			Call:       text[core.CallID](t, "call"),
+			Outcome:    enum(t, "outcome", core.Unknown),
+			Reason:     enum(t, "reason", core.OwnerUnreachable),
+			Status:     rapid.IntRange(0, 599).Draw(t, "status"),
+			Body:       list(t, "body", func(t *rapid.T) byte { return rapid.Byte().Draw(t, "byte") }),
+			RetryAfter: span(t, "retry"),
+		}
+	},
+}
--- /dev/null
+++ b/wire/peer/peer_test.go
@@ -0,0 +1,118 @@
+package peer_test
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/wire/peer"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"pgregory.net/rapid"
+)
+
+// typed reports whether err is one of the decoder's own types.
+func typed(err error) bool {
+	var (
+		decode   *peer.DecodeError
+		outside  *peer.RangeError
+		snapshot *peer.SnapshotError
+		large    *peer.FrameTooLargeError
+		empty    peer.EmptyError
+	)
+	return errors.As(err, &decode) || errors.As(err, &outside) || errors.As(err, &snapshot) ||
+		errors.As(err, &large) || errors.As(err, &empty)
+}
+
+func TestBodiesRoundTrip(t *testing.T) {
+	for name, draw := range bodies {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				is := is.New(t)
+				m := core.Peer{From: text[core.NodeID](t, "from"), Incarnation: 9, Body: draw(t)}
+				var b bytes.Buffer
+				n, err := peer.WriteFrame(&b, m)
+				is.NoErr(err)
+				is.Equal(n, b.Len())
+				frames := bufio.NewReader(&b)
+				got, err := peer.ReadFrame(frames)
+				is.NoErr(err)
+				is.Equal(got, m)
+				_, err = peer.ReadFrame(frames)
+				is.Equal(err, io.EOF)
+			})
+		})
+	}
+}
+
+func TestEveryBodyOfTheEnvelopeIsTested(t *testing.T) {
+	is := is.New(t)
+	fields := (&peer.Envelope{}).ProtoReflect().Descriptor().Oneofs().ByName("Body").Fields()
+	for i := range fields.Len() {
+		_, ok := bodies[string(fields.Get(i).Name())]
+		is.True(ok)
+	}
+	is.Equal(fields.Len(), len(bodies))
+	is.True(fields.ByName(protoreflect.Name("VMListQuery")) != nil)
+}
+
+func TestUnreadableRecordStaysUnreadable(t *testing.T) {
+	is := is.New(t)
+	in := core.ConfigAnswer{Records: []core.LogRecord{{Offset: 3, At: 4, Record: core.Unreadable{Reason: "x"}}}}
+	data, err := peer.Encode(core.Peer{Body: in})
+	is.NoErr(err)
+	out, err := peer.Decode(data)
+	is.NoErr(err)
+	got := out.Body.(core.ConfigAnswer).Records[0]
+	is.Equal(got.Offset, core.Offset(3))
+	_, ok := got.Record.(core.Unreadable)
+	is.True(ok)
+}
+
+func TestFaultyEnvelopesAreTypedErrors(t *testing.T) {
+	is := is.New(t)
+	_, err := peer.Decode(nil)
+	is.Equal(err, peer.EmptyError{})
+	_, err = peer.FromEnvelope(&peer.Envelope{Body: &peer.Envelope_KeyAnswer{KeyAnswer: &peer.KeyAnswer{Reason: 99}}})
+	is.Equal(err, &peer.RangeError{Field: "KeyAnswer.Reason", Value: 99})
+	_, err = peer.FromEnvelope(&peer.Envelope{Body: &peer.Envelope_ConfigAnswer{ConfigAnswer: &peer.ConfigAnswer{Snapshot: []byte("x")}}})
+	is.True(typed(err))
+}
+
+func TestFramesBeyondTheLimitAreRefused(t *testing.T) {
+	is := is.New(t)
+	var large *peer.FrameTooLargeError
+	m := core.Peer{Body: core.KeyCall{Body: make([]byte, peer.MaxFrame)}}
+	_, err := peer.WriteFrame(io.Discard, m)
+	is.True(errors.As(err, &large))
+	_, err = peer.ReadFrame(bufio.NewReader(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 0x0f})))
+	is.True(errors.As(err, &large))
+	_, err = peer.ReadFrame(bufio.NewReader(bytes.NewReader([]byte{9, 1})))
+	is.True(typed(err))
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, draw := range bodies {
+		body := rapid.Custom(func(t *rapid.T) core.PeerBody {
+			// A generator must draw something, also for a body without fields.
+			_ = rapid.Bool().Draw(t, "unused")
+			return draw(t)
+		}).Example(1)
+		data, err := peer.Encode(core.Peer{From: "n", Body: body})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := peer.Decode(data); err != nil && !typed(err) {
+			t.Errorf("Decode: untyped error %v", err)
+		}
+		if _, err := peer.ReadFrame(bufio.NewReader(bytes.NewReader(data))); err != nil && err != io.EOF && !typed(err) {
+			t.Errorf("ReadFrame: untyped error %v", err)
+		}
+	})
+}
--- a/wire/settings/document.go
+++ b/wire/settings/document.go
@@ -19,13 +19,16 @@
 	file   string
 	lines  map[string]int
 	faults Faults
+	// unread is set when the file's text is not YAML, so that nothing is known
+	// of its fields.
+	unread bool
 }
 
 // Parse reads data into the struct that into points to. Keys are the names of
 // the struct's fields. Fields that the file does not name keep their values.
 func Parse(file string, data []byte, into any) *Document {
 	d := &Document{file: file, lines: map[string]int{}}
-	parsed, err := parser.ParseBytes(data, 0)
+	parsed, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		d.syntax(err)
 		return d
@@ -44,8 +47,11 @@
 
 // Fault adds a fault of a field, for checks beyond the field's type. A field
 // that the file does not name is reported at the line of the nearest mapping
-// around it.
+// around it. A file that is not YAML has no further faults.
 func (d *Document) Fault(field, problem string) {
+	if d.unread {
+		return
+	}
 	d.add(d.line(field), field, problem)
 }
 
@@ -73,6 +79,7 @@
 }
 
 func (d *Document) syntax(err error) {
+	d.unread = true
 	var syntax yaml.Error
 	if errors.As(err, &syntax) && syntax.GetToken() != nil {
 		d.add(syntax.GetToken().Position.Line, "", syntax.GetMessage())
