Add the daemon round the core

One goroutine owns core.Node; callers, engines, services, peers, the platform and operators have packages of their own which work in traffic goroutines and send messages to it. Commands that need an address get it on the control goroutine, which does no input or output; log lines go through a writer that drops and counts rather than blocks.

Ruled out: calls to plain services over kept connections, because net/http replays a request with an Idempotency-Key when a kept connection breaks; http.Server.ReadTimeout, because it ends the context of long streams; yamux keep-alives, because the core's heartbeats do their work.

--- /dev/null
+++ b/daisyshed/caller/request.go
@@ -0,0 +1,109 @@
+package caller
+
+import (
+	"sync"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/engine"
+)
+
+// output writes an answer in the form that its caller asked for.
+type output interface {
+	// token writes one token of the answer.
+	token(offset core.Tokens, text string, last bool) error
+	// problem ends the answer with a problem.
+	problem(p Problem)
+}
+
+// request is one caller's request on one connection. The goroutine that reads
+// tokens from an engine writes them to the caller; the handler waits until the
+// request has ended.
+type request struct {
+	id   core.RequestID
+	text string
+
+	// refused, taken, broken and finished tell the handler how the request
+	// ended.
+	refused  chan Problem
+	taken    chan struct{}
+	broken   chan struct{}
+	finished chan struct{}
+	// left is closed once the core has heard of the end.
+	left     chan struct{}
+	takeOnce sync.Once
+
+	mu     sync.Mutex
+	out    output
+	sent   core.Tokens
+	closed bool
+}
+
+func newRequest(id core.RequestID, text string, sent core.Tokens, out output) *request {
+	return &request{
+		id:       id,
+		text:     text,
+		refused:  make(chan Problem, 1),
+		taken:    make(chan struct{}),
+		broken:   make(chan struct{}),
+		finished: make(chan struct{}),
+		left:     make(chan struct{}),
+		out:      out,
+		sent:     sent,
+	}
+}
+
+// Text returns the prompt.
+func (r *request) Text() string { return r.text }
+
+// Sent returns how many tokens the caller has been sent.
+func (r *request) Sent() core.Tokens {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent
+}
+
+// Token sends one token to the caller. Tokens go out in order and once each.
+func (r *request) Token(offset core.Tokens, text string, last bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.closed:
+		return engine.CallerGoneError{}
+	case offset <= r.sent:
+		return nil
+	case offset > r.sent+1:
+		return &engine.GapError{Want: r.sent + 1, Got: offset}
+	}
+	if err := r.out.token(offset, text, last); err != nil {
+		r.closed = true
+		close(r.broken)
+		return engine.CallerGoneError{}
+	}
+	r.sent = offset
+	if last {
+		r.closed = true
+		close(r.finished)
+	}
+	return nil
+}
+
+// refuse ends the request with a problem, which the handler writes.
+func (r *request) refuse(p Problem) {
+	select {
+	case r.refused <- p:
+	default:
+	}
+}
+
+// takeOver ends the request because its caller is back on another connection.
+func (r *request) takeOver() { r.takeOnce.Do(func() { close(r.taken) }) }
+
+// close stops all writing to the caller; after it the handler may return. It
+// reports whether the request was still open.
+func (r *request) close() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	open := !r.closed
+	r.closed = true
+	return open
+}
--- /dev/null
+++ b/daisyshed/daemon.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/caller"
+	"daisyshed.dev/daisyshed/control"
+	"daisyshed.dev/daisyshed/engine"
+	"daisyshed.dev/daisyshed/operator"
+	"daisyshed.dev/daisyshed/peer"
+	"daisyshed.dev/daisyshed/platformlog"
+	"daisyshed.dev/daisyshed/service"
+	"daisyshed.dev/daisyshed/settings"
+	"daisyshed.dev/daisyshed/vmlist"
+	wirelog "daisyshed.dev/wire/platformlog"
+	wirevms "daisyshed.dev/wire/vmlist"
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+)
+
+// watchEvery is the period at which a watch looks for changes.
+const watchEvery = time.Second
+
+// daemon is everything that runs in one process.
+type daemon struct {
+	settings  settings.Settings
+	log       zerolog.Logger
+	inbox     *control.Inbox
+	loop      *control.Loop
+	peers     *peer.Transport
+	operators *operator.Server
+	listeners listeners
+	servers   []*http.Server
+	failed    chan error
+}
+
+// openDaemon listens on all addresses and builds what serves them. The
+// clean-up function closes them.
+func openDaemon(s settings.Settings) (*daemon, func(), error) {
+	started := time.Now()
+	l, err := listen(s)
+	if err != nil {
+		return nil, nil, oops.In("daisyshed").With("Node", s.Node).Wrap(err)
+	}
+	d := &daemon{settings: s, listeners: l, failed: make(chan error, 3)}
+	closeLog := d.openLog(started)
+	metrics, closeMetrics := operator.OpenMetrics(d.noteFault)
+	inbox, closeInbox := control.OpenInbox(s.Limits.Inbox)
+	d.inbox = inbox
+	d.build(metrics, core.Incarnation(started.UnixNano()), control.MonotonicClock(started))
+	return d, func() {
+		closeInbox()
+		d.peers.Close()
+		d.listeners.close()
+		closeMetrics()
+		closeLog()
+	}, nil
+}
+
+// openLog makes a log whose writes never block.
+func (d *daemon) openLog(started time.Time) func() {
+	w, closeWriter := operator.OpenWriter(os.Stderr, func(n int) {
+		if d.operators != nil {
+			d.operators.Metrics.LinesDropped(n)
+		}
+	})
+	d.log = zerolog.New(w).With().Timestamp().
+		Str("Node", string(d.settings.Node)).
+		Int64("Incarnation", started.UnixNano()).
+		Logger()
+	return closeWriter
+}
+
+// noteFault logs a fault that the daemon outlives.
+func (d *daemon) noteFault(err error) { d.log.Warn().Str("Event", "Fault").Err(err).Send() }
+
+func (d *daemon) build(metrics *operator.Metrics, incarnation core.Incarnation, clock func() core.Instant) {
+	callers := d.callers(incarnation)
+	d.peers = d.transport(metrics, incarnation)
+	d.operators = d.operatorServer(metrics)
+	d.loop = &control.Loop{
+		Node: &core.Node{
+			Self:        d.settings.Self(),
+			Incarnation: incarnation,
+			Seed:        uint64(incarnation),
+			Settings:    d.settings.Core(),
+		},
+		Inbox:    d.inbox,
+		Clock:    clock,
+		Observer: metrics,
+		Executor: d.executor(callers),
+	}
+	d.servers = []*http.Server{
+		d.server(callers.Handler()),
+		d.server(d.operators.Handler()),
+	}
+}
+
+func (d *daemon) executor(callers *caller.Server) control.Executor {
+	p := d.settings.Periods
+	send := d.inbox.Send
+	platform := &http.Client{Transport: d.roundTripper()}
+	return control.Executor{
+		Callers: callers,
+		Engines: &engine.Client{
+			HTTP:           &http.Client{Transport: d.roundTripper()},
+			Answers:        callers,
+			Send:           send,
+			StepTimeout:    p.StepTimeout,
+			ControlTimeout: p.ControlTimeout,
+			OrderTimeout:   p.OrderTimeout,
+		},
+		Services: &service.Client{HTTP: service.NewHTTPClient(), Send: send},
+		Peers:    d.peers,
+		Log: &platformlog.Log{
+			Client:  &wirelog.Client{Base: d.settings.Log, HTTP: platform},
+			Timeout: p.ControlTimeout,
+			Send:    send,
+		},
+		VMs: &vmlist.Reader{
+			Client:  &wirevms.Client{Base: d.settings.VMList, HTTP: platform},
+			Timeout: p.ControlTimeout,
+			Send:    send,
+		},
+		Operators: d.operators,
+	}
+}
+
+func (d *daemon) roundTripper() *http.Transport {
+	p := d.settings.Periods
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: p.DialTimeout}).DialContext,
+		MaxConnsPerHost:        d.settings.Limits.UpstreamConnections,
+		MaxIdleConnsPerHost:    d.settings.Limits.UpstreamConnections,
+		IdleConnTimeout:        p.IdleTimeout,
+		MaxResponseHeaderBytes: int64(d.settings.Limits.HeaderBytes),
+	}
+}
+
+func (d *daemon) callers(incarnation core.Incarnation) *caller.Server {
+	p := d.settings.Periods
+	return &caller.Server{
+		Node:        d.settings.Node,
+		Incarnation: incarnation,
+		Limits: caller.Limits{
+			BodyBytes:    int64(d.settings.Limits.BodyBytes),
+			Requests:     int64(d.settings.Limits.Requests),
+			ReadTimeout:  p.ReadTimeout,
+			WriteTimeout: p.WriteTimeout,
+			CallTimeout:  p.AnswerTimeout,
+		},
+		Send: d.inbox.Send,
+	}
+}
+
+func (d *daemon) transport(meter peer.Meter, incarnation core.Incarnation) *peer.Transport {
+	p := d.settings.Periods
+	return &peer.Transport{
+		Self:        d.settings.Node,
+		Incarnation: incarnation,
+		Send:        d.inbox.Send,
+		Meter:       meter,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		Limits: peer.Limits{
+			Queue:        d.settings.Limits.PeerQueue,
+			DialTimeout:  p.DialTimeout,
+			WriteTimeout: p.WriteTimeout,
+			IdleTimeout:  p.IdleTimeout,
+		},
+	}
+}
+
+func (d *daemon) operatorServer(metrics *operator.Metrics) *operator.Server {
+	p := d.settings.Periods
+	return &operator.Server{
+		Log:          d.log,
+		Metrics:      metrics,
+		Decisions:    operator.NewDecisions(d.settings.Limits.Decisions),
+		Send:         d.inbox.Send,
+		StaleAfter:   p.StaleAfter,
+		WatchEvery:   watchEvery,
+		StatusEvery:  p.StatusEvery,
+		WriteTimeout: p.WriteTimeout,
+	}
+}
+
+// server returns an HTTP server. Answers that outlast its WriteTimeout extend
+// it before each write.
+func (d *daemon) server(h http.Handler) *http.Server {
+	p := d.settings.Periods
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: p.HeaderTimeout,
+		WriteTimeout:      p.WriteTimeout,
+		IdleTimeout:       p.IdleTimeout,
+		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
+		ErrorLog:          operator.HTTPErrors(d.log),
+	}
+}
--- /dev/null
+++ b/daisyshed/listeners.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"net"
+
+	"daisyshed.dev/daisyshed/settings"
+	"daisyshed.dev/daisyshed/tcp"
+)
+
+// listeners are the sockets of a daemon.
+type listeners struct{ caller, peer, operator net.Listener }
+
+// listen opens all sockets, or none.
+func listen(s settings.Settings) (listeners, error) {
+	var l listeners
+	var err error
+	if l.caller, err = tcp.Listen(s.CallerAddress, s.Limits.CallerConnections); err != nil {
+		return l, err
+	}
+	if l.peer, err = tcp.Listen(s.PeerAddress, s.Limits.PeerConnections); err != nil {
+		l.close()
+		return l, err
+	}
+	if l.operator, err = tcp.Listen(s.OperatorAddress, s.Limits.OperatorConnections); err != nil {
+		l.close()
+		return l, err
+	}
+	return l, nil
+}
+
+// close closes the sockets that are open; closing one again does no harm.
+func (l listeners) close() {
+	for _, one := range []net.Listener{l.caller, l.peer, l.operator} {
+		if one != nil {
+			_ = one.Close()
+		}
+	}
+}
--- /dev/null
+++ b/daisyshed/operator/log.go
@@ -0,0 +1,54 @@
+package operator
+
+import (
+	"daisyshed.dev/core"
+	"github.com/rs/zerolog"
+)
+
+// LogDecision writes one line for a decision and keeps it for explanations.
+func (s *Server) LogDecision(d core.Decision) {
+	s.Decisions.Add(d)
+	s.Log.Info().
+		Str("Event", "Decision").
+		Str("Step", d.Step).
+		Str("Request", string(d.Request)).
+		Uint32("Attempt", uint32(d.Attempt)).
+		Str("Profile", string(d.Profile)).
+		Str("Customer", string(d.Customer)).
+		Str("Prefill", string(d.Prefill)).
+		Str("Decode", string(d.Decode)).
+		Str("Reason", d.Reason.String()).
+		Array("Candidates", candidates(d.Candidates)).
+		Dur("PredictedMs", d.Predicted).
+		Dur("ActualMs", d.Actual).
+		Dur("RetryAfterMs", d.RetryAfter).
+		Dur("WaitedMs", d.Waited).
+		Int("Tokens", int(d.Tokens)).
+		Send()
+}
+
+// LogViolation writes one line for an invariant that does not hold.
+func (s *Server) LogViolation(v core.Violation) {
+	s.Log.Error().
+		Str("Event", "Violation").
+		Str("Promise", v.Promise.String()).
+		Str("Detail", v.Detail).
+		Send()
+}
+
+// candidates writes the engines that a decision considered.
+type candidates []core.Candidate
+
+// MarshalZerologArray writes the candidates.
+func (c candidates) MarshalZerologArray(a *zerolog.Array) {
+	for _, one := range c {
+		a.Object(candidate(one))
+	}
+}
+
+type candidate core.Candidate
+
+// MarshalZerologObject writes one candidate.
+func (c candidate) MarshalZerologObject(e *zerolog.Event) {
+	e.Str("Engine", string(c.Engine)).Dur("PredictedMs", c.Predicted).Str("Rejected", c.Rejected)
+}
--- /dev/null
+++ b/daisyshed/operator/metrics.go
@@ -0,0 +1,170 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"daisyshed.dev/core"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	reporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportEvery is the period at which counts become visible to a scrape.
+const reportEvery = time.Second
+
+// Metrics counts what a node does. It is safe for concurrent use and does not
+// block.
+type Metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+	fault   func(error)
+
+	updates       tally.Counter
+	updateNanos   tally.Counter
+	requests      tally.Counter
+	resumed       tally.Counter
+	callersGone   tally.Counter
+	calls         tally.Counter
+	answers       tally.Counter
+	tokens        tally.Counter
+	firstTokens   tally.Counter
+	prefills      tally.Counter
+	prefillTokens tally.Counter
+	cachedTokens  tally.Counter
+	engineFaults  tally.Counter
+	releaseFaults tally.Counter
+	logFaults     tally.Counter
+	vmListFaults  tally.Counter
+	sentBytes     tally.Counter
+	receivedBytes tally.Counter
+	peerDropped   tally.Counter
+	peerFaults    tally.Counter
+	linesDropped  tally.Counter
+}
+
+// OpenMetrics returns a Metrics; fault is told of faults in reporting and of
+// peers' faults. The clean-up function ends the reporting.
+func OpenMetrics(fault func(error)) (*Metrics, func()) {
+	registry := prom.NewRegistry()
+	r := reporter.NewReporter(reporter.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: fault,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "daisyshed",
+		CachedReporter:         r,
+		Separator:              reporter.DefaultSeparator,
+		SanitizeOptions:        &reporter.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	m := &Metrics{scope: scope, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), fault: fault}
+	m.register()
+	return m, func() {
+		if err := closer.Close(); err != nil {
+			fault(err)
+		}
+	}
+}
+
+func (m *Metrics) register() {
+	m.updates = m.scope.Counter("updates_total")
+	m.updateNanos = m.scope.Counter("update_nanoseconds_total")
+	m.requests = m.scope.Counter("requests_total")
+	m.resumed = m.scope.Counter("requests_resumed_total")
+	m.callersGone = m.scope.Counter("callers_gone_total")
+	m.calls = m.scope.Counter("calls_total")
+	m.answers = m.scope.Counter("answers_completed_total")
+	m.tokens = m.scope.Counter("answer_tokens_total")
+	m.firstTokens = m.scope.Counter("first_tokens_total")
+	m.prefills = m.scope.Counter("prefills_started_total")
+	m.prefillTokens = m.scope.Counter("prefill_tokens_started_total")
+	m.cachedTokens = m.scope.Counter("prefill_tokens_cached_total")
+	m.engineFaults = m.scope.Counter("engine_steps_failed_total")
+	m.releaseFaults = m.scope.Counter("releases_failed_total")
+	m.logFaults = m.scope.Counter("log_failures_total")
+	m.vmListFaults = m.scope.Counter("vm_list_failures_total")
+	m.sentBytes = m.scope.Counter("control_sent_bytes_total")
+	m.receivedBytes = m.scope.Counter("control_received_bytes_total")
+	m.peerDropped = m.scope.Counter("peer_messages_dropped_total")
+	m.peerFaults = m.scope.Counter("peer_faults_total")
+	m.linesDropped = m.scope.Counter("log_lines_dropped_total")
+}
+
+// Updated notes one update of the core and the time that it took.
+func (m *Metrics) Updated(took time.Duration) {
+	m.updates.Inc(1)
+	m.updateNanos.Inc(int64(took))
+}
+
+// Message notes a message to the core.
+func (m *Metrics) Message(message core.Message) {
+	switch b := message.(type) {
+	case core.CallerRequest:
+		m.requests.Inc(1)
+		if b.Resumed {
+			m.resumed.Inc(1)
+		}
+	case core.CallerGone:
+		m.callersGone.Inc(1)
+	case core.CallerCall:
+		m.calls.Inc(1)
+	case core.FirstToken:
+		m.firstTokens.Inc(1)
+	case core.StreamEnded:
+		m.answers.Inc(1)
+		m.tokens.Inc(int64(b.Tokens))
+	case core.PrefillDone:
+		m.cachedTokens.Inc(int64(b.Cached))
+	case core.EngineFailed:
+		m.engineFaults.Inc(1)
+	case core.ReleaseFailed:
+		m.releaseFaults.Inc(1)
+	case core.LogAppendFailed, core.LogReadFailed:
+		m.logFaults.Inc(1)
+	case core.PlatformFailed:
+		m.vmListFaults.Inc(1)
+	}
+}
+
+// Command notes a command of the core.
+func (m *Metrics) Command(command core.Command) {
+	switch c := command.(type) {
+	case core.RefuseCaller:
+		m.refused(c.Reason)
+	case core.AnswerCall:
+		m.scope.Tagged(map[string]string{"outcome": c.Outcome.String()}).Counter("call_outcomes_total").Inc(1)
+		if c.Reason != core.NoReason {
+			m.refused(c.Reason)
+		}
+	case core.StartPrefill:
+		m.prefills.Inc(1)
+		m.prefillTokens.Inc(int64(c.Prompt.Tokens + c.Emitted))
+	case core.LogDecision:
+		m.scope.Tagged(map[string]string{"step": c.Decision.Step}).Counter("decisions_total").Inc(1)
+	}
+}
+
+func (m *Metrics) refused(reason core.RefusalReason) {
+	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals_total").Inc(1)
+}
+
+// ControlBytes notes bytes exchanged with other nodes.
+func (m *Metrics) ControlBytes(sent, received int) {
+	m.sentBytes.Inc(int64(sent))
+	m.receivedBytes.Inc(int64(received))
+}
+
+// PeerDropped notes a message to another node that was dropped.
+func (m *Metrics) PeerDropped() { m.peerDropped.Inc(1) }
+
+// PeerFault notes a fault of a connection with another node.
+func (m *Metrics) PeerFault(err error) {
+	m.peerFaults.Inc(1)
+	m.fault(err)
+}
+
+// LinesDropped notes log lines that could not be written in time.
+func (m *Metrics) LinesDropped(n int) { m.linesDropped.Inc(int64(n)) }
--- /dev/null
+++ b/daisyshed/service/client.go
@@ -0,0 +1,95 @@
+// Package service sends calls to plain services.
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/wire/service"
+)
+
+// MaxAnswerBytes bounds the body of a service's answer.
+const MaxAnswerBytes = 4 << 20
+
+// Client sends each call once and its result as a message. HTTP must not
+// reuse connections, so that a connection that was never made proves that a
+// call was not received.
+type Client struct {
+	HTTP *http.Client
+	Send func(core.Message)
+}
+
+// AnswerTooLargeError says that a service's answer exceeds MaxAnswerBytes.
+type AnswerTooLargeError struct{}
+
+// Error describes the fault.
+func (AnswerTooLargeError) Error() string { return "service: answer too large" }
+
+// NewHTTPClient returns an HTTP client that never sends a request twice.
+func NewHTTPClient() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// Call sends a call without blocking its caller.
+func (c *Client) Call(address string, call core.CallService) {
+	go func() { c.Send(c.call(address, call)) }()
+}
+
+func (c *Client) call(address string, call core.CallService) core.Message {
+	if address == "" {
+		return core.ServiceFailed{Ticket: call.Ticket, Engine: call.Engine, NotRun: true, Reason: "address unknown"}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), call.Timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	status, body, err := c.post(ctx, address, call)
+	if err != nil {
+		return core.ServiceFailed{
+			Ticket: call.Ticket,
+			Engine: call.Engine,
+			NotRun: !connected.Load(),
+			Reason: err.Error(),
+		}
+	}
+	return core.ServiceAnswered{Ticket: call.Ticket, Engine: call.Engine, Status: status, Body: body}
+}
+
+func (c *Client) post(ctx context.Context, address string, call core.CallService) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+service.CallPath, bytes.NewReader(call.Body))
+	if err != nil {
+		return 0, nil, err
+	}
+	// Without GetBody the transport cannot replay the request, which it would
+	// otherwise do for one with an Idempotency-Key.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	if call.Key != "" {
+		req.Header.Set("Idempotency-Key", string(call.Key))
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return 0, nil, err
+	}
+	if len(body) > MaxAnswerBytes {
+		return 0, nil, AnswerTooLargeError{}
+	}
+	return resp.StatusCode, body, nil
+}
--- /dev/null
+++ b/daisyshed/settings/core.go
@@ -0,0 +1,55 @@
+package settings
+
+import "daisyshed.dev/core"
+
+// Self returns this node as its peers see it.
+func (s Settings) Self() core.NodeInfo {
+	return core.NodeInfo{
+		ID:            s.Node,
+		Domain:        s.Domain,
+		Region:        s.Region,
+		PeerAddress:   s.PeerAddress,
+		CallerAddress: s.CallerAddress,
+	}
+}
+
+// SeedList returns the seeds as a first VM list.
+func (s Settings) SeedList() core.VMList {
+	var list core.VMList
+	for _, seed := range s.Seeds {
+		list.Nodes = append(list.Nodes, core.NodeInfo{
+			ID:            seed.Node,
+			Domain:        seed.Domain,
+			Region:        seed.Region,
+			PeerAddress:   seed.PeerAddress,
+			CallerAddress: seed.CallerAddress,
+		})
+	}
+	return list
+}
+
+// Core returns the settings of the decision core.
+func (s Settings) Core() core.Settings {
+	p := s.Periods
+	return core.Settings{
+		HeartbeatEvery:      p.HeartbeatEvery,
+		SuspectAfter:        p.SuspectAfter,
+		DeadAfter:           p.DeadAfter,
+		LogReadEvery:        p.LogReadEvery,
+		VMListEvery:         p.VMListEvery,
+		PollEvery:           p.PollEvery,
+		StaleAfter:          p.StaleAfter,
+		ResumeWithin:        p.ResumeWithin,
+		PromiseValid:        p.PromiseValid,
+		StepTimeout:         p.StepTimeout,
+		PlaceTimeout:        p.PlaceTimeout,
+		KeyBatchEvery:       p.KeyBatchEvery,
+		KeyMargin:           p.KeyMargin,
+		CallTimeout:         p.CallTimeout,
+		ClaimLease:          p.ClaimLease,
+		OrderFlight:         p.OrderFlight,
+		KeyWritersPerRegion: s.Limits.KeyWritersPerRegion,
+		MaxQueue:            s.Limits.Queue,
+		EngineRequests:      s.Limits.EngineRequests,
+	}
+}
