Add daisyctl: publish, revise, look and explain

Publishing reads the log to its end, folds it by core.Folded, appends with a fresh publication id and reads its own record back before it says accepted. After a lost reply it searches by the id before it appends again; a second copy does no harm, since folding passes over it and the first one counts. A conflict shows what leads from the winner to what was wanted (exit code 3). It then waits for all live nodes, which it takes from the daemons' own status and from what they believe of each other, so a few operator URLs suffice for many nodes; nodes without the revision are named (exit code 4).

Ruled out: asking each node by an operator URL of its own, since the VM list carries none. 'revise' works on fields without a file; withdrawal is such a revision, so there is no withdraw command and nothing names a single engine.

--- /dev/null
+++ b/daisyctl/command/explain_profile.go
@@ -0,0 +1,117 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"daisyshed.dev/core"
+)
+
+// hypothetical is what can be said of a request that nobody made, from the
+// configuration and the owners' books. It reserves nothing, and a real request
+// also waits for its turn and its latency target.
+type hypothetical struct {
+	Profile core.ProfileID
+	Tokens  core.Tokens
+	Pieces  int
+	// Answer says what would become of the request.
+	Answer    string
+	Upstreams []upstreamAnswer
+}
+
+// upstreamAnswer says whether one upstream could serve.
+type upstreamAnswer struct {
+	Upstream core.EngineID
+	Pool     core.PoolID
+	Role     string
+	Rejected string `json:",omitempty"`
+}
+
+func (c *explainCommand) hypothetical() error {
+	answers, err := c.app.ask()
+	if err != nil {
+		return err
+	}
+	out := hypothetical{Profile: c.Profile, Tokens: c.Tokens, Pieces: c.Tokens.Pieces()}
+	var newest core.Status
+	for _, a := range answers {
+		if a.Err == nil && a.Value.ConfigOffset >= newest.ConfigOffset {
+			newest = a.Value
+		}
+	}
+	i := slices.IndexFunc(newest.Profiles, func(e core.ProfileEntry) bool { return e.Profile.ID == c.Profile })
+	if i < 0 {
+		return &NotFoundError{What: "profile in force named", Name: string(c.Profile)}
+	}
+	out.judge(newest.Profiles[i].Profile, newest.Pools, combine(answers))
+	return c.app.show(out)
+}
+
+// judge looks at each upstream of the profile's pools.
+func (h *hypothetical) judge(p core.Profile, pools []core.PoolEntry, all []core.UpstreamStatus) {
+	withdrawn := map[core.PoolID]bool{}
+	for _, e := range pools {
+		withdrawn[e.Pool.ID] = e.Pool.Withdrawn || slices.Contains(p.Withdrawn, e.Pool.ID)
+	}
+	answer := ""
+	for _, group := range []struct {
+		role  core.Role
+		pools []core.PoolID
+	}{{core.Prefill, p.PrefillPools}, {core.Decode, p.DecodePools}, {core.Plain, p.ServicePools}} {
+		able := 0
+		for _, u := range all {
+			if !slices.Contains(group.pools, u.Upstream.Pool) {
+				continue
+			}
+			a := upstreamAnswer{Upstream: u.Upstream.ID, Pool: u.Upstream.Pool, Role: group.role.String()}
+			a.Rejected = h.obstacle(u, p.Model, group.role, withdrawn[u.Upstream.Pool])
+			if a.Rejected == "" {
+				able++
+			}
+			h.Upstreams = append(h.Upstreams, a)
+		}
+		if len(group.pools) > 0 && able == 0 {
+			answer = fmt.Sprintf("would be refused now: no %s upstream could serve it", group.role)
+		}
+	}
+	if answer == "" {
+		answer = "could be placed now"
+	}
+	h.Answer = answer
+}
+
+// obstacle says what keeps an upstream from serving, or nothing.
+func (h *hypothetical) obstacle(u core.UpstreamStatus, model core.ModelID, role core.Role, withdrawn bool) string {
+	switch {
+	case withdrawn:
+		return "its pool is withdrawn"
+	case upstreamState(u) != "serving":
+		return "it is " + upstreamState(u)
+	case !u.Owned:
+		return ""
+	case role == core.Plain:
+		return ""
+	case u.Role != role:
+		return "its role is " + u.Role.String()
+	case u.Model != model:
+		return "its model is " + string(u.Model)
+	case role == core.Decode && u.Pieces-u.Booked < h.Pieces:
+		return fmt.Sprintf("it has %d of %d pieces left, %d are needed", u.Pieces-u.Booked, u.Pieces, h.Pieces)
+	default:
+		return ""
+	}
+}
+
+func (h hypothetical) print(w io.Writer) {
+	line(w, "a request of %s with %d tokens (%d pieces) %s", h.Profile, h.Tokens, h.Pieces, h.Answer)
+	var rows [][]string
+	for _, u := range h.Upstreams {
+		verdict := "could serve"
+		if u.Rejected != "" {
+			verdict = u.Rejected
+		}
+		rows = append(rows, []string{string(u.Upstream), string(u.Pool), u.Role, verdict})
+	}
+	table(w, "UPSTREAM POOL ROLE VERDICT", rows)
+}
--- /dev/null
+++ b/daisyctl/command/run.go
@@ -0,0 +1,107 @@
+// Package command holds the commands of daisyctl.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"daisyshed.dev/daisyctl/configlog"
+	"daisyshed.dev/daisyctl/operator"
+	"daisyshed.dev/wire/platformlog"
+	"github.com/jessevdk/go-flags"
+)
+
+const (
+	// requestTimeout bounds one exchange with the log or a daemon.
+	requestTimeout = 5 * time.Second
+	// publishPause is the time between two attempts to publish.
+	publishPause = 300 * time.Millisecond
+	// rolloutEvery is the time between two looks at the nodes' offsets.
+	rolloutEvery = 200 * time.Millisecond
+)
+
+// global holds the options of all commands.
+type global struct {
+	Settings string        `long:"settings" value-name:"FILE" env:"DAISYCTL_SETTINGS" description:"settings in YAML: Log, Daemons, Operator"`
+	Log      string        `long:"log" value-name:"URL" description:"base URL of the platform's log"`
+	Daemons  []string      `long:"daemon" value-name:"URL" description:"operator URL of a daemon; may be given several times"`
+	Operator string        `long:"operator" value-name:"NAME" description:"name that publications carry; else $USER"`
+	JSON     bool          `long:"json" description:"print JSON for programs instead of tables"`
+	Timeout  time.Duration `long:"timeout" value-name:"TIME" default:"19s" description:"bound on the whole command, and on the wait until a publication is in force"`
+}
+
+// app is what the commands share.
+type app struct {
+	global
+	ctx    context.Context
+	stdout io.Writer
+	http   *http.Client
+}
+
+// Run runs the command that args name and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	a := &app{ctx: ctx, stdout: stdout, http: &http.Client{Timeout: requestTimeout}}
+	parser, err := newParser(a)
+	if err == nil {
+		_, err = parser.ParseArgs(args)
+	}
+	var usage *flags.Error
+	switch {
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprint(stdout, help(parser, usage.Message))
+	case err != nil:
+		_, _ = fmt.Fprintln(stderr, "daisyctl:", err)
+	}
+	return exitCode(err)
+}
+
+// deadline returns a context that ends after --timeout.
+func (a *app) deadline() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(a.ctx, a.Timeout)
+}
+
+// openLog returns the configuration as the log holds it.
+func (a *app) openLog(ctx context.Context) (*configlog.Log, error) {
+	s, err := a.readSettings()
+	if err != nil {
+		return nil, err
+	}
+	if s.Log == "" {
+		return nil, &InvalidError{What: "Log", Problem: "is not known; name it with --log or in the settings"}
+	}
+	l := &configlog.Log{Client: &platformlog.Client{Base: s.Log, HTTP: a.http}}
+	return l, l.Sync(ctx)
+}
+
+// fleet returns the daemons to ask.
+func (a *app) fleet() (*operator.Fleet, error) {
+	s, err := a.readSettings()
+	if err != nil {
+		return nil, err
+	}
+	return &operator.Fleet{URLs: s.Daemons, HTTP: a.http}, nil
+}
+
+// help returns what --help prints: of the whole command line it lists all
+// commands too.
+func help(parser *flags.Parser, message string) string {
+	if parser.Active != nil {
+		return message + exitHelp
+	}
+	var b strings.Builder
+	b.WriteString(message + "\nAll commands:\n")
+	for _, c := range parser.Commands() {
+		if len(c.Commands()) == 0 {
+			fmt.Fprintf(&b, "  %-17s %s\n", c.Name, c.ShortDescription)
+		}
+		for _, sub := range c.Commands() {
+			fmt.Fprintf(&b, "  %-17s %s\n", c.Name+" "+sub.Name, sub.ShortDescription)
+		}
+	}
+	return b.String() + exitHelp
+}
--- /dev/null
+++ b/daisyctl/command/show_test.go
@@ -0,0 +1,103 @@
+package command_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyctl/command"
+	"github.com/matryer/is"
+)
+
+func TestHelpListsAllCommands(t *testing.T) {
+	is := is.New(t)
+	got := run("--help")
+	is.Equal(got.code, command.ExitOK)
+	for _, want := range []string{"profile publish", "pool revise", "upstream list", "explain", "Exit codes:"} {
+		is.True(strings.Contains(got.stdout, want))
+	}
+}
+
+func TestInvalidUse(t *testing.T) {
+	settings := write(t, "Log: http://127.0.0.1:1\nNonsense: 1\nDaemons: 5\n")
+	for name, args := range map[string][]string{
+		"no command":       {},
+		"unknown command":  {"nonsense"},
+		"no log":           {"profile", "list"},
+		"bad URL":          {"--log", "nonsense", "profile", "list"},
+		"settings":         {"--settings", settings, "status"},
+		"missing settings": {"--settings", settings + "x", "status"},
+		"two questions":    {"explain", "r", "--profile", "p"},
+		"no question":      {"explain"},
+		"other shell":      {"completion", "zsh"},
+		"no period":        {"watch", "--every", "0s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := run(args...)
+			is.Equal(got.code, command.ExitInvalid)
+			is.True(got.stderr != "")
+		})
+	}
+	is := is.New(t)
+	faults := run("--settings", settings, "status").stderr
+	is.True(strings.Contains(faults, settings+":2: Nonsense"))
+	is.True(strings.Contains(faults, settings+":3: Daemons"))
+}
+
+func TestNoDaemonAnswers(t *testing.T) {
+	is := is.New(t)
+	got := run("--daemon", "http://127.0.0.1:1", "status")
+	is.Equal(got.code, command.ExitFailed)
+	is.True(strings.Contains(got.stderr, "no daemon answered"))
+}
+
+func busy() core.Status {
+	s := node("a", 4)
+	s.Profiles = []core.ProfileEntry{{Profile: core.Profile{
+		ID: "bill-summary", Model: "m", PrefillPools: []core.PoolID{"pre"}, DecodePools: []core.PoolID{"dec"},
+	}}}
+	s.Upstreams = []core.UpstreamStatus{
+		{Upstream: core.Upstream{ID: "p1", Pool: "pre"}, Owned: true, Reachable: true, Role: core.Prefill, Model: "m"},
+		{Upstream: core.Upstream{ID: "d1", Pool: "dec"}, Owned: true, Reachable: true, Role: core.Decode, Model: "m", Pieces: 40, Booked: 40},
+		{Upstream: core.Upstream{ID: "d2", Pool: "dec"}, Owned: true, Reachable: false, Role: core.Decode, Model: "m", Pieces: 40},
+	}
+	return s
+}
+
+func TestExplainHypothetical(t *testing.T) {
+	is := is.New(t)
+	url := newFakeDaemon(t, busy())
+	got := run("--daemon", url, "explain", "--profile", "bill-summary", "--tokens", "5000")
+	is.Equal(got.code, command.ExitOK)
+	is.True(strings.Contains(got.stdout, "(2 pieces) would be refused now: no Decode upstream could serve it"))
+	is.True(strings.Contains(got.stdout, "it has 0 of 40 pieces left, 2 are needed"))
+	is.True(strings.Contains(got.stdout, "it is unreachable"))
+	is.Equal(run("--daemon", url, "explain", "--profile", "nothing").code, command.ExitFailed)
+}
+
+func TestExplainRequest(t *testing.T) {
+	is := is.New(t)
+	finish := core.Decision{Request: "r", Attempt: 1, Step: "finish", Actual: 310 * time.Millisecond, Tokens: 12}
+	place := core.Decision{
+		Request: "r", Attempt: 1, Step: "place", Prefill: "p1", Decode: "d1", Predicted: 300 * time.Millisecond,
+		Candidates: []core.Candidate{{Engine: "d1"}, {Engine: "d2", Rejected: "full"}},
+	}
+	url := newFakeDaemon(t, busy(), finish)
+	other := newFakeDaemon(t, busy(), place)
+	got := run("--daemon", url, "--daemon", other, "explain", "r")
+	is.Equal(got.code, command.ExitOK)
+	is.True(strings.Index(got.stdout, "place r") < strings.Index(got.stdout, "finish r"))
+	is.True(strings.Contains(got.stdout, "d2, predicted 0s, passed over: full"))
+	is.True(strings.Contains(got.stdout, "first token measured: 310ms"))
+	is.Equal(run("--daemon", url, "explain", "nothing").code, command.ExitFailed)
+}
+
+func TestUpstreamList(t *testing.T) {
+	is := is.New(t)
+	got := run("--daemon", newFakeDaemon(t, busy()), "upstream", "list")
+	is.Equal(got.code, command.ExitOK)
+	is.Equal(strings.Count(got.stdout, "\n"), 4)
+	is.True(strings.Contains(got.stdout, "unreachable"))
+}
--- /dev/null
+++ b/daisyctl/command/status.go
@@ -0,0 +1,145 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyctl/operator"
+)
+
+// statusCommand shows the nodes.
+type statusCommand struct{ app *app }
+
+// nodeStatus is the answer of one daemon, or why there is none.
+type nodeStatus struct {
+	URL    string
+	Error  string `json:",omitempty"`
+	Status core.Status
+}
+
+type statuses struct{ Daemons []nodeStatus }
+
+// Execute implements flags.Commander.
+func (c *statusCommand) Execute([]string) error {
+	answers, err := c.app.ask()
+	if err != nil {
+		return err
+	}
+	var out statuses
+	for _, a := range answers {
+		s := nodeStatus{URL: a.URL, Status: a.Value}
+		if a.Err != nil {
+			s.Error = a.Err.Reason
+		}
+		out.Daemons = append(out.Daemons, s)
+	}
+	return c.app.show(out)
+}
+
+// ask asks all daemons for their status and fails if none answers.
+func (a *app) ask() ([]operator.Answer[core.Status], error) {
+	fleet, err := a.fleet()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := a.deadline()
+	defer cancel()
+	answers := fleet.Statuses(ctx)
+	return answers, someAnswer(answers)
+}
+
+// someAnswer returns an error if no daemon answered.
+func someAnswer[T any](answers []operator.Answer[T]) error {
+	silent := &SilentError{}
+	for _, a := range answers {
+		if a.Err == nil {
+			return nil
+		}
+		silent.Reasons = append(silent.Reasons, a.Err.Error())
+	}
+	return silent
+}
+
+func (s statuses) print(w io.Writer) {
+	var rows [][]string
+	highest := s.highest()
+	for _, d := range s.Daemons {
+		if d.Error != "" {
+			line(w, "no answer from %s: %s", d.URL, d.Error)
+			continue
+		}
+		rows = append(rows, nodeRow(d.Status, highest))
+	}
+	table(w, "NODE DOMAIN STATE OFFSET BEHIND CONFIG-AGE LOG REQUESTS OWNS CHECKS VIOLATIONS CALLERS", rows)
+	s.printMembers(w)
+	s.printRejected(w)
+}
+
+func (s statuses) highest() core.Offset {
+	var highest core.Offset
+	for _, d := range s.Daemons {
+		highest = max(highest, d.Status.ConfigOffset)
+	}
+	return highest
+}
+
+func nodeRow(s core.Status, highest core.Offset) []string {
+	state := "serving"
+	if s.Leaving {
+		state = "leaving"
+	}
+	log := "unreachable"
+	if s.LogReachable {
+		log = "reachable"
+	}
+	return []string{
+		string(s.Node.ID), string(s.Node.Domain), state, fmt.Sprint(s.ConfigOffset), fmt.Sprint(highest - s.ConfigOffset),
+		short(s.ConfigAge), log, fmt.Sprint(s.Requests), fmt.Sprint(owned(s)), fmt.Sprint(total(s.Checks)),
+		fmt.Sprint(total(s.Violations)), s.Node.CallerAddress,
+	}
+}
+
+func owned(s core.Status) int {
+	n := 0
+	for _, u := range s.Upstreams {
+		if u.Owned {
+			n++
+		}
+	}
+	return n
+}
+
+func total(counts [9]uint64) uint64 {
+	var sum uint64
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// printMembers names the members that a daemon does not believe to be alive.
+func (s statuses) printMembers(w io.Writer) {
+	for _, d := range s.Daemons {
+		for _, m := range d.Status.Members {
+			if m.Status != core.Alive {
+				line(w, "%s believes %s in %s to be %s", d.Status.Node.ID, m.Node.ID, m.Node.Domain, m.Status)
+			}
+		}
+	}
+}
+
+// printRejected names the publications that lost a race, as one daemon knows
+// them.
+func (s statuses) printRejected(w io.Writer) {
+	for _, d := range s.Daemons {
+		if d.Error != "" {
+			continue
+		}
+		for _, r := range d.Status.Rejected {
+			line(w, "rejected: %s%s by %s at offset %d, written against revision %d while %d was in force",
+				r.Profile, r.Pool, dash(r.Operator), r.Offset, r.Base, r.Current)
+		}
+		return
+	}
+}
