--- a/core/membership.go
+++ b/core/membership.go
@@ -304,6 +304,17 @@
 	return m.status != Dead
 }
 
+// incarnation returns the latest start of a node that was heard of.
+func (s *members) incarnation(n *Node, id NodeID) Incarnation {
+	if id == n.Self.ID {
+		return n.Incarnation
+	}
+	if m, ok := s.byID[id]; ok {
+		return m.incarnation
+	}
+	return 0
+}
+
 // present reports whether some start of a node is believed to live.
 func (s *members) present(id NodeID) bool {
 	if id == s.own {
--- /dev/null
+++ b/core/once_upstream.go
@@ -0,0 +1,169 @@
+package core
+
+import "slices"
+
+// plainCall is a call that may be repeated.
+type plainCall struct {
+	call     CallID
+	profile  ProfileID
+	customer CustomerID
+	body     []byte
+	tried    []EngineID
+}
+
+// flight is a call on its way to an upstream: either a plain one or one under
+// a key.
+type flight struct {
+	engine EngineID
+	plain  *plainCall
+	run    *keyRun
+}
+
+// dispatchPlain sends a repeatable call to an upstream that was not tried.
+func (s *onceOnly) dispatchPlain(n *Node, c *plainCall) {
+	engine, ok := s.pick(n, c.profile, c.tried)
+	if !ok {
+		reason := NoUpstream
+		if len(c.tried) > 0 {
+			reason = UpstreamFailed
+		}
+		refuseCall(n, c.call, reason, callRetryAfter)
+		return
+	}
+	if len(c.tried) == 0 {
+		s.budget = min(retryBudget, s.budget+retryShare)
+	}
+	c.tried = append(c.tried, engine)
+	decided(n, c.call, c.profile, c.customer, engine, len(c.tried))
+	s.send(n, flight{engine: engine, plain: c}, c.profile, c.body, "")
+}
+
+func (s *onceOnly) send(n *Node, f flight, profile ProfileID, body []byte, key IdempotencyKey) {
+	n.require(WithdrawnIdle, n.usable(profile, f.engine), string(f.engine)+" is withdrawn and got a call")
+	ticket := n.nextTicket()
+	s.flights[ticket] = f
+	s.load[f.engine]++
+	n.do(CallService{
+		Ticket: ticket, Engine: f.engine, Body: body, Key: key, Timeout: n.Settings.CallTimeout,
+	})
+}
+
+// land takes a call out of flight.
+func (s *onceOnly) land(ticket Ticket) (flight, bool) {
+	f, ok := s.flights[ticket]
+	if !ok {
+		return f, false
+	}
+	delete(s.flights, ticket)
+	s.load[f.engine]--
+	if s.load[f.engine] == 0 {
+		delete(s.load, f.engine)
+	}
+	return f, true
+}
+
+func (s *onceOnly) answered(n *Node, m ServiceAnswered) {
+	f, ok := s.land(m.Ticket)
+	switch {
+	case !ok:
+	case f.plain != nil:
+		n.do(AnswerCall{Call: f.plain.call, Outcome: Ran, Status: m.Status, Body: m.Body})
+	default:
+		s.decide(n, f.run, KeyResult{Outcome: Ran, Status: m.Status, Body: m.Body}, NoReason)
+	}
+}
+
+func (s *onceOnly) failed(n *Node, m ServiceFailed) {
+	f, ok := s.land(m.Ticket)
+	switch {
+	case !ok:
+	case f.plain != nil:
+		s.plainFailed(n, f.plain, m)
+	default:
+		s.runFailed(n, f.run, m)
+	}
+}
+
+// plainFailed tries another upstream, within the budget that keeps retries
+// from adding to an overload.
+func (s *onceOnly) plainFailed(n *Node, c *plainCall, m ServiceFailed) {
+	if len(c.tried) < plainTries && s.budget >= 1 {
+		if _, ok := s.pick(n, c.profile, c.tried); ok {
+			s.budget--
+			s.dispatchPlain(n, c)
+			return
+		}
+	}
+	outcome := Unknown
+	if m.NotRun && len(c.tried) == 1 {
+		outcome = NotRun
+	}
+	n.do(AnswerCall{
+		Call: c.call, Outcome: outcome, Reason: UpstreamFailed, RetryAfter: n.spread(callRetryAfter),
+	})
+}
+
+// pick chooses the upstream with the fewest calls of this node in flight, in
+// this region if any serves there.
+func (s *onceOnly) pick(n *Node, profile ProfileID, tried []EngineID) (EngineID, bool) {
+	var near, far []EngineID
+	for _, u := range s.plainUpstreams(n) {
+		switch {
+		case slices.Contains(tried, u.ID) || !n.usableUpstream(profile, u):
+		case u.Region == n.Self.Region:
+			near = append(near, u.ID)
+		default:
+			far = append(far, u.ID)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return "", false
+	}
+	n.rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	return slices.MinFunc(near, func(a, b EngineID) int { return s.load[a] - s.load[b] }), true
+}
+
+// plainUpstreams returns the VM list's plain services.
+func (s *onceOnly) plainUpstreams(n *Node) []Upstream {
+	if s.plainAt == n.members.list.readAt && len(s.plain) > 0 {
+		return s.plain
+	}
+	s.plainAt = n.members.list.readAt
+	s.plain = nil
+	for _, u := range n.members.upstreams() {
+		if pool, ok := n.config.pool(u.Pool); ok && pool.Role == Plain {
+			s.plain = append(s.plain, u)
+		}
+	}
+	return s.plain
+}
+
+// usable reports whether a plain service may get new calls of a profile.
+func (n *Node) usable(profile ProfileID, engine EngineID) bool {
+	for _, u := range n.members.upstreams() {
+		if u.ID == engine {
+			return n.usableUpstream(profile, u)
+		}
+	}
+	return false
+}
+
+func (n *Node) usableUpstream(id ProfileID, u Upstream) bool {
+	profile, ok := n.config.profile(id)
+	if !ok || u.Leaving || !slices.Contains(profile.ServicePools, u.Pool) {
+		return false
+	}
+	pool, ok := n.config.pool(u.Pool)
+	return ok && !pool.Withdrawn && !slices.Contains(profile.Withdrawn, u.Pool)
+}
+
+// decided logs which upstream a call goes to.
+func decided(n *Node, call CallID, profile ProfileID, customer CustomerID, engine EngineID, try int) {
+	n.do(LogDecision{Decision: Decision{
+		At: n.now, Node: n.Self.ID, Request: RequestID(call), Attempt: Attempt(try),
+		Profile: profile, Customer: customer, Step: "call", Decode: engine,
+	}})
+}
