Say in explain which candidate was chosen, and steady two tests

A decision lists candidates of which several carry no reason, so 'chosen' now follows the decision's own engines. Plain services are polled by nobody, so they are not called unreachable.

Test changes: two tests waited for a timeout of 700 ms and could fail on a busy machine before their first append. One now goes through all attempts, the other ends the command's time at the third look; both assert what they did before.

--- a/daisyctl/command/explain.go
+++ b/daisyctl/command/explain.go
@@ -103,11 +103,18 @@
 		detail(w, "tokens", fmt.Sprint(d.Tokens))
 	}
 	for _, c := range d.Candidates {
-		verdict := "chosen"
-		if c.Rejected != "" {
-			verdict = "passed over: " + c.Rejected
-		}
-		detail(w, "candidate", fmt.Sprintf("%s, predicted %s, %s", c.Engine, short(c.Predicted), verdict))
+		detail(w, "candidate", fmt.Sprintf("%s, predicted %s, %s", c.Engine, short(c.Predicted), verdict(d, c)))
+	}
+}
+
+func verdict(d core.Decision, c core.Candidate) string {
+	switch {
+	case c.Engine == d.Prefill || c.Engine == d.Decode:
+		return "chosen"
+	case c.Rejected == "":
+		return "passed over"
+	default:
+		return "passed over: " + c.Rejected
 	}
 }
 
--- a/daisyctl/command/fake_test.go
+++ b/daisyctl/command/fake_test.go
@@ -93,9 +93,13 @@
 
 // newFakeDaemon answers with a status and the decisions of one request.
 func newFakeDaemon(t *testing.T, status core.Status, decisions ...core.Decision) string {
+	return serveDaemon(t, func() core.Status { return status }, decisions)
+}
+
+func serveDaemon(t *testing.T, status func() core.Status, decisions []core.Decision) string {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(status)
+		_ = json.NewEncoder(w).Encode(status())
 	})
 	mux.HandleFunc("GET /v1/decisions", func(w http.ResponseWriter, r *http.Request) {
 		found := []core.Decision{}
@@ -118,9 +122,12 @@
 	stderr string
 }
 
-func run(args ...string) done {
+func run(args ...string) done { return runUntil(context.Background(), args...) }
+
+// runUntil runs a command whose time is up when ctx ends.
+func runUntil(ctx context.Context, args ...string) done {
 	var stdout, stderr bytes.Buffer
-	code := command.Run(context.Background(), args, &stdout, &stderr)
+	code := command.Run(ctx, args, &stdout, &stderr)
 	return done{code, stdout.String(), stderr.String()}
 }
 
--- a/daisyctl/command/publish_test.go
+++ b/daisyctl/command/publish_test.go
@@ -1,8 +1,10 @@
 package command_test
 
 import (
+	"context"
 	"encoding/json"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"daisyshed.dev/core"
@@ -88,7 +90,7 @@
 	is := is.New(t)
 	log := newFakeLog(t)
 	log.refuse = 1000
-	got := publish(log, write(t, ledger), "--no-wait", "--timeout", "700ms")
+	got := publish(log, write(t, ledger), "--no-wait")
 	is.Equal(got.code, command.ExitFailed)
 	is.True(strings.Contains(got.stderr, "nothing was published"))
 }
@@ -135,10 +137,19 @@
 func TestNamesNodesNotInForce(t *testing.T) {
 	is := is.New(t)
 	log := newFakeLog(t)
-	a := newFakeDaemon(t, node("a", 2, core.MemberStatusEntry{
+	status := node("a", 2, core.MemberStatusEntry{
 		Node: core.NodeInfo{ID: "late", Domain: "west-3"}, Status: core.Suspect, ConfigOffset: 1,
-	}))
-	got := publish(log, write(t, ledger), "--daemon", a, "--daemon", "http://127.0.0.1:1", "--timeout", "700ms", "--json")
+	})
+	ctx, timeIsUp := context.WithCancel(t.Context())
+	var asked atomic.Int32
+	a := serveDaemon(t, func() core.Status {
+		if asked.Add(1) == 3 {
+			timeIsUp()
+		}
+		return status
+	}, nil)
+	got := runUntil(ctx, "--log", log.URL, "--daemon", a, "--daemon", "http://127.0.0.1:1", "--json",
+		"profile", "publish", write(t, ledger))
 	is.Equal(got.code, command.ExitNotInForce)
 	var report struct {
 		Rollout struct {
--- a/daisyctl/command/upstream.go
+++ b/daisyctl/command/upstream.go
@@ -61,13 +61,15 @@
 	table(w, "UPSTREAM POOL DOMAIN ROLE MODEL STATE OWNER FREE-PIECES BOOKED REQUESTS ADDRESS", rows)
 }
 
+// upstreamState names the state of an upstream. Nobody polls plain services, so
+// nothing is known of whether they can be reached.
 func upstreamState(u core.UpstreamStatus) string {
 	switch {
 	case u.Withdrawn:
 		return "withdrawn"
 	case u.Upstream.Leaving:
 		return "leaving"
-	case u.Owned && !u.Reachable:
+	case u.Owned && !u.Reachable && u.Role != core.Plain:
 		return "unreachable"
 	case u.State == core.Draining:
 		return "draining"
