Test the daemon's packages on virtual time and mend what that showed

Faults found by the tests and mended: - A caller that stopped reading was sometimes never reported as gone: when its connection broke and its context ended together, the handler took the request for answered. The request now says whether the whole answer was sent. - A frame went out as two writes, hence two yamux frames of twelve bytes of header each; it is now one write.

yamux keeps timers in a pool of the whole process, which may not pass between bubbles of synctest. The transport's cases therefore run one after the other in one bubble, and two collections empty the pool for a repeated run.

Ruled out: httptest's recorder, which can neither hang up nor stall.

--- a/daisyshed/caller/completion.go
+++ b/daisyshed/caller/completion.go
@@ -68,22 +68,16 @@
 	s.Send(m)
 	select {
 	case p := <-req.refused:
-		if req.close() {
+		if !req.close() {
 			req.out.problem(p)
 		}
+		return
 	case <-req.finished:
 	case <-req.broken:
-		s.Send(core.CallerGone{Request: req.id})
 	case <-req.taken:
-		s.abandon(req)
 	case <-r.Context().Done():
-		s.abandon(req)
 	}
-}
-
-// abandon ends a request whose caller left, unless its answer was complete.
-func (s *Server) abandon(req *request) {
-	if req.close() {
+	if !req.close() {
 		s.Send(core.CallerGone{Request: req.id})
 	}
 }
--- a/daisyshed/caller/request.go
+++ b/daisyshed/caller/request.go
@@ -36,6 +36,8 @@
 	out    output
 	sent   core.Tokens
 	closed bool
+	// whole is set once the caller has been sent the last token.
+	whole bool
 }
 
 func newRequest(id core.RequestID, text string, sent core.Tokens, out output) *request {
@@ -82,6 +84,7 @@
 	r.sent = offset
 	if last {
 		r.closed = true
+		r.whole = true
 		close(r.finished)
 	}
 	return nil
@@ -99,11 +102,10 @@
 func (r *request) takeOver() { r.takeOnce.Do(func() { close(r.taken) }) }
 
 // close stops all writing to the caller; after it the handler may return. It
-// reports whether the request was still open.
+// reports whether the caller has been sent the whole answer.
 func (r *request) close() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	open := !r.closed
 	r.closed = true
-	return open
+	return r.whole
 }
--- /dev/null
+++ b/daisyshed/peer/transport_test.go
@@ -0,0 +1,243 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/peer"
+	wire "daisyshed.dev/wire/peer"
+	"github.com/hashicorp/yamux"
+	"github.com/matryer/is"
+)
+
+var limits = peer.Limits{
+	Queue:        4,
+	DialTimeout:  time.Second,
+	WriteTimeout: 2 * time.Second,
+	IdleTimeout:  time.Minute,
+}
+
+// meter keeps what a transport counts.
+type meter struct {
+	mu                      sync.Mutex
+	sent, received, dropped int
+	faults                  []error
+}
+
+func (m *meter) ControlBytes(sent, received int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent += sent
+	m.received += received
+}
+
+func (m *meter) PeerDropped() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dropped++
+}
+
+func (m *meter) PeerFault(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = append(m.faults, err)
+}
+
+func (m *meter) get() (sent, received, dropped int, faults []error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sent, m.received, m.dropped, m.faults
+}
+
+func (m *meter) droppedSoFar() int {
+	_, _, dropped, _ := m.get()
+	return dropped
+}
+
+func (m *meter) faultsSoFar() []error {
+	_, _, _, faults := m.get()
+	return faults
+}
+
+// pair is a transport a that sends to a transport b through pipes.
+type pair struct {
+	a, b           *peer.Transport
+	meterA, meterB meter
+	inbox          chan core.Message
+	mu             sync.Mutex
+	pipes          []net.Conn
+}
+
+func newPair() *pair {
+	p := &pair{inbox: make(chan core.Message, 64)}
+	p.b = &peer.Transport{Self: "b", Meter: &p.meterB, Limits: limits, Send: func(m core.Message) { p.inbox <- m }}
+	p.a = &peer.Transport{Self: "a", Incarnation: 7, Meter: &p.meterA, Limits: limits, Dial: p.dial}
+	return p
+}
+
+func (p *pair) dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pipes = append(p.pipes, far)
+	go p.b.ServeConn(far)
+	return near, nil
+}
+
+func (p *pair) connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pipes)
+}
+
+func (p *pair) close() {
+	p.a.Close()
+	p.b.Close()
+}
+
+// transportCases run one after the other in one bubble: yamux keeps timers in a
+// pool of the whole process, and a timer may not pass from bubble to bubble.
+var transportCases = []struct {
+	name string
+	run  func(t *testing.T)
+}{
+	{"Messages arrive in order over one connection", messagesArriveInOrderOverOneConnection},
+	{"Idle connection closes and is made again", idleConnectionClosesAndIsMadeAgain},
+	{"Broken connection is replaced", brokenConnectionIsReplaced},
+	{"Full queue drops without blocking", fullQueueDropsWithoutBlocking},
+	{"Random bytes end the connection only", randomBytesEndTheConnectionOnly},
+	{"Random frame ends the connection only", randomFrameEndsTheConnectionOnly},
+	{"Silent connection is closed", silentConnectionIsClosed},
+}
+
+func TestTransport(t *testing.T) {
+	// Two collections empty the pool, for a run of this test that follows.
+	defer runtime.GC()
+	defer runtime.GC()
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range transportCases {
+			t.Log(c.name)
+			c.run(t)
+		}
+	})
+}
+
+func messagesArriveInOrderOverOneConnection(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	for i := range 3 {
+		p.a.Post("b", "addr", core.Heartbeat{Sequence: uint64(i)})
+	}
+	for i := range 3 {
+		is.Equal(<-p.inbox, core.Peer{From: "a", Incarnation: 7, Body: core.Heartbeat{Sequence: uint64(i)}})
+	}
+	synctest.Wait()
+	is.Equal(p.connections(), 1)
+	sent, _, _, _ := p.meterA.get()
+	_, received, _, _ := p.meterB.get()
+	is.True(sent > 0)
+	is.Equal(sent, received)
+}
+
+func idleConnectionClosesAndIsMadeAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	p.a.Post("b", "addr", core.VMListQuery{})
+	<-p.inbox
+	time.Sleep(3 * limits.IdleTimeout)
+	p.a.Post("b", "addr", core.VMListQuery{})
+	<-p.inbox
+	synctest.Wait()
+	is.Equal(p.connections(), 2)
+	is.Equal(p.meterA.droppedSoFar(), 0)
+}
+
+func brokenConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	p.a.Post("b", "addr", core.Heartbeat{Sequence: 1})
+	<-p.inbox
+	is.NoErr(p.pipes[0].Close())
+	synctest.Wait()
+	p.a.Post("b", "addr", core.Heartbeat{Sequence: 2})
+	got := (<-p.inbox).(core.Peer)
+	is.Equal(got.Body, core.Heartbeat{Sequence: 2})
+	is.Equal(p.connections(), 2)
+}
+
+func fullQueueDropsWithoutBlocking(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	p.a.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	for range 20 {
+		p.a.Post("b", "addr", core.VMListQuery{})
+	}
+	synctest.Wait()
+	// One message may be in the hands of the link, the queue holds the rest.
+	is.True(p.meterA.droppedSoFar() >= 20-limits.Queue-1)
+	time.Sleep(time.Minute)
+	synctest.Wait()
+	is.Equal(p.meterA.droppedSoFar(), 20)
+}
+
+func randomBytesEndTheConnectionOnly(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	near, far := net.Pipe()
+	go p.b.ServeConn(far)
+	// The server closes as soon as it has seen enough, so a write may fail.
+	_, _ = near.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	synctest.Wait()
+	_, err := near.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.Equal(len(p.meterB.faultsSoFar()), 1)
+	var none *peer.NoStreamError
+	is.True(errors.As(p.meterB.faultsSoFar()[0], &none))
+}
+
+func randomFrameEndsTheConnectionOnly(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	near, far := net.Pipe()
+	defer near.Close()
+	go p.b.ServeConn(far)
+	session, err := yamux.Client(near, nil)
+	is.NoErr(err)
+	stream, err := session.OpenStream()
+	is.NoErr(err)
+	_, err = stream.Write([]byte{3, 0xff, 0xff, 0xff})
+	is.NoErr(err)
+	<-session.CloseChan()
+	synctest.Wait()
+	is.Equal(len(p.meterB.faultsSoFar()), 1)
+	var decode *wire.DecodeError
+	is.True(errors.As(p.meterB.faultsSoFar()[0], &decode))
+}
+
+func silentConnectionIsClosed(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	near, far := net.Pipe()
+	go p.b.ServeConn(far)
+	_, err := near.Read(make([]byte, 1))
+	is.True(err != nil)
+	synctest.Wait()
+	is.Equal(len(p.meterB.faultsSoFar()), 1)
+}
--- /dev/null
+++ b/daisyshed/service/client_test.go
@@ -0,0 +1,120 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/service"
+	"github.com/matryer/is"
+)
+
+// serve answers one request on conn in a service's place.
+type serve func(r *http.Request, conn net.Conn)
+
+// call sends one call to a service and returns the result, the number of
+// connections made and the request as the service saw it.
+func call(t *testing.T, s serve) (core.Message, int, *http.Request) {
+	t.Helper()
+	messages := make(chan core.Message, 8)
+	dials := 0
+	var seen *http.Request
+	client := &service.Client{HTTP: service.NewHTTPClient(), Send: func(m core.Message) { messages <- m }}
+	client.HTTP.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		if s == nil {
+			return nil, io.ErrClosedPipe
+		}
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			r, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			seen = r
+			s(r, far)
+		}()
+		return near, nil
+	}
+	client.Call("s1", core.CallService{Ticket: 4, Engine: "s1", Body: []byte(`{"A":1}`), Key: "k", Timeout: time.Second})
+	m := <-messages
+	synctest.Wait()
+	return m, dials, seen
+}
+
+func TestAnswerIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, dials, seen := call(t, func(r *http.Request, conn net.Conn) {
+			body, err := io.ReadAll(r.Body)
+			is.NoErr(err)
+			is.Equal(string(body), `{"A":1}`)
+			_, err = io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\n{}")
+			is.NoErr(err)
+		})
+		is.Equal(m, core.ServiceAnswered{Ticket: 4, Engine: "s1", Status: 201, Body: []byte("{}")})
+		is.Equal(dials, 1)
+		is.Equal(seen.Header.Get("Idempotency-Key"), "k")
+	})
+}
+
+func TestConnectionThatWasNeverMadeIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, _, _ := call(t, nil)
+		is.True(m.(core.ServiceFailed).NotRun)
+	})
+}
+
+func TestBrokenConnectionMayHaveRunAndIsNotTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, dials, _ := call(t, func(*http.Request, net.Conn) {})
+		is.True(!m.(core.ServiceFailed).NotRun)
+		is.Equal(dials, 1)
+	})
+}
+
+func TestSilentServiceMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		m, dials, _ := call(t, func(_ *http.Request, conn net.Conn) {
+			// The client gives up, which ends the read.
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		is.True(!m.(core.ServiceFailed).NotRun)
+		is.Equal(dials, 1)
+		is.Equal(time.Since(start), time.Second)
+	})
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m, dials, _ := call(t, func(r *http.Request, conn net.Conn) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, err := io.WriteString(conn, "HTTP/1.1 302 Found\r\nLocation: http://s2/\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+		})
+		is.Equal(m.(core.ServiceAnswered).Status, 302)
+		is.Equal(dials, 1)
+	})
+}
+
+func TestUnknownAddressIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		messages := make(chan core.Message)
+		client := &service.Client{HTTP: service.NewHTTPClient(), Send: func(m core.Message) { messages <- m }}
+		client.Call("", core.CallService{Ticket: 4, Engine: "s1", Timeout: time.Second})
+		is.True((<-messages).(core.ServiceFailed).NotRun)
+	})
+}
--- a/wire/peer/frame.go
+++ b/wire/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"errors"
 	"io"
 
@@ -22,7 +23,12 @@
 	if size := proto.Size(envelope); size > MaxFrame {
 		return 0, &FrameTooLargeError{Size: size, Limit: MaxFrame}
 	}
-	return protodelim.MarshalTo(w, envelope)
+	// One write makes one yamux frame of length and envelope.
+	var frame bytes.Buffer
+	if _, err := protodelim.MarshalTo(&frame, envelope); err != nil {
+		return 0, &EncodeError{Cause: err}
+	}
+	return w.Write(frame.Bytes())
 }
 
 // ReadFrame reads one length-delimited envelope. An error other than io.EOF
