Test the stand-ins, and report all faults of settings at once

The engine core is tested on virtual time, one test for each thing that it models, and by random operations and faults on three engines: memory is never overbooked, readers get tokens in order, fencing numbers do not go back, and releases free all memory. Settings: a missing field was not named while another field was unknown; now both are. Twice-given fields no longer hide the other faults.

--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,259 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/standin/engine"
+	"daisyshed.dev/standin/fault"
+	wire "daisyshed.dev/wire/engine"
+)
+
+func TestPrefillTakesTimeByUncachedTokens(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	start := w.now
+	first := w.prefill("p", tag("a", 1), 800, 1, 2, 3)
+	second := w.prefill("p", tag("b", 1), 800, 1, 2, 4)
+	w.run(time.Second / 2)
+	is.Equal(w.at[first].Sub(start), 120*time.Millisecond)  // 20 ms and 800 tokens at 8000/s
+	is.Equal(w.at[second].Sub(start), 176*time.Millisecond) // queued, then 20 ms and 288 tokens
+	is.Equal(w.last(second).(engine.Prefilled).Result.Cached, core.Tokens(512))
+	is.Equal(w.engines["p"].Counters.Prefilled, core.Tokens(1088))
+}
+
+func TestPrefillQueueHonoursPriority(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	w.prefill("p", tag("running", 1), 800)
+	low := w.prefill("p", tag("low", 1), 800)
+	high := w.ticket()
+	request := wire.PrefillRequest{Allocation: tag("high", 1), Model: model, Tokens: 800, Priority: 1}
+	w.update("p", engine.Prefill{Ticket: high, Request: request})
+	w.run(time.Second / 2)
+	is.True(w.at[high] < w.at[low])
+}
+
+func TestPrefillResultIsEvictedUnlessExported(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	w.prefill("p", tag("kept", 1), 800)
+	w.prefill("p", tag("lost", 1), 800)
+	w.run(time.Second / 2)
+	w.importFrom("d", "p", tag("kept", 1), 1000)
+	w.run(time.Second)
+	is.Equal(len(w.report("p", 0).Held), 1)
+	is.Equal(w.code(w.importFrom("d", "p", tag("lost", 1), 1000)), wire.CodeGone)
+	is.Equal(w.engines["p"].Counters.Evicted, 1)
+}
+
+func TestTransfersShareTheLink(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	for _, e := range w.engines {
+		e.LinkRate = 1e9
+		e.TokenBytes = 1e6
+	}
+	w.prefill("p", tag("a", 1), 100)
+	w.prefill("p", tag("b", 1), 100)
+	w.run(time.Second / 10)
+	start := w.now
+	a := w.importFrom("d", "p", tag("a", 1), 100)
+	b := w.importFrom("d", "p", tag("b", 1), 100)
+	w.run(time.Second)
+	// 100 MB each at half of 1 GB/s, after 2 ms of latency.
+	is.Equal(w.at[a].Sub(start).Round(time.Microsecond), 202*time.Millisecond)
+	is.Equal(w.at[b].Sub(start).Round(time.Microsecond), 202*time.Millisecond)
+}
+
+func TestStallStopsTransfersUntilItEnds(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	w.prefill("p", tag("a", 1), 800)
+	w.run(time.Second / 2)
+	w.inject("p", fault.Fault{Kind: fault.Stall, On: true})
+	ticket := w.importFrom("d", "p", tag("a", 1), 1000)
+	w.run(time.Minute)
+	is.Equal(w.last(ticket), nil)
+	w.inject("p", fault.Fault{Kind: fault.Stall})
+	w.run(time.Second)
+	is.Equal(w.last(ticket), engine.Imported{Ticket: ticket})
+}
+
+func TestAnswerIsWholeAndInOrder(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	ticket := w.stream("a", 800)
+	w.run(time.Minute)
+	is.Equal(w.text(ticket), answer("a"))
+	is.True(w.last(ticket).(engine.Token).Event.Last)
+	is.Equal(w.engines["d"].Counters.Used, core.Tokens(800))
+	is.True(w.report("d", 0).Held[0].Finished) // held until released
+	w.release("d", tag("a", 1))
+	is.Equal(w.engines["d"].FreePieces(), 40)
+	is.Equal(w.engines["p"].FreePieces(), 40)
+}
+
+func TestTwentyRequestsKeepToTheTokenTarget(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	for i := range 20 {
+		request := string(rune('a' + i))
+		w.prefill("p", tag(request, 1), 4500)
+		w.run(600 * time.Millisecond)
+		w.importFrom("d", "p", tag(request, 1), 4700)
+		w.run(100 * time.Millisecond)
+		w.release("p", tag(request, 1))
+	}
+	is.Equal(w.engines["d"].FreePieces(), 0)
+	for i := range 20 {
+		w.decode("d", tag(string(rune('a'+i)), 1), 0)
+	}
+	w.run(time.Minute)
+	is.True(w.engines["d"].Counters.SlowestStep > 45*time.Millisecond)
+	is.True(w.engines["d"].Counters.SlowestStep <= 55*time.Millisecond)
+	is.Equal(w.code(w.importFrom("d", "p", tag("one too many", 1), 1)), wire.CodeFull)
+}
+
+func TestStreamGoesOnWithoutReaderAndResumes(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	first := w.stream("a", 800)
+	w.run(50 * time.Millisecond)
+	w.update("d", engine.Disconnect{Ticket: first})
+	w.run(time.Minute)
+	is.Equal(len(w.replies[first]), 1+2) // Opened and the tokens of two steps
+	again := w.decode("d", tag("a", 2), 2)
+	is.Equal(w.text(first)+w.text(again), answer("a"))
+	is.Equal(w.report("d", 0).Held[0].Allocation, tag("a", 2))
+	is.Equal(w.code(w.decode("d", tag("a", 1), 0)), wire.CodeSuperseded)
+	w.release("d", tag("a", 1)) // not the tag that is held
+	is.Equal(len(w.report("d", 0).Held), 1)
+	is.Equal(w.code(w.release("d", tag("a", 2))), "")
+	is.Equal(w.code(w.release("d", tag("a", 2))), "")
+	is.Equal(w.engines["d"].FreePieces(), 40)
+}
+
+func TestMoveCarriesTheAnswerAlongAndStopsTheSource(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	w.add("d2", core.Decode)
+	first := w.stream("a", 800)
+	w.run(200 * time.Millisecond)
+	w.importFrom("d2", "d", tag("a", 2), 1200)
+	sent := len(w.replies[first]) - 1
+	w.run(time.Second)
+	is.Equal(len(w.replies[first])-1, sent)
+	second := w.decode("d2", tag("a", 2), core.Tokens(sent))
+	w.release("d", tag("a", 1))
+	w.run(time.Minute)
+	is.Equal(w.text(first)+w.text(second), answer("a"))
+	is.Equal(w.engines["d2"].Counters.Used, core.Tokens(0)) // counted at d
+}
+
+func TestReleaseCancelsWhateverRuns(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	computing := w.prefill("p", tag("a", 1), 800)
+	queued := w.prefill("p", tag("b", 1), 800)
+	w.run(70 * time.Millisecond)
+	w.release("p", tag("a", 1))
+	w.release("p", tag("b", 1))
+	is.Equal(w.code(computing), wire.CodeGone)
+	is.Equal(w.code(queued), wire.CodeGone)
+	is.Equal(w.engines["p"].Counters.Prefilled, core.Tokens(466)) // 70 of 120 ms of 800
+	w.prefill("p", tag("c", 1), 800)
+	w.run(time.Second / 2)
+	importing := w.importFrom("d", "p", tag("c", 1), 1000)
+	w.release("d", tag("c", 1))
+	is.Equal(w.code(importing), wire.CodeGone)
+	is.Equal(w.engines["d"].FreePieces(), 40)
+}
+
+func TestDrainingFinishesWhatItHolds(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	ticket := w.stream("a", 800)
+	w.inject("d", fault.Fault{Kind: fault.Drain, On: true})
+	is.Equal(w.code(w.importFrom("d", "p", tag("b", 1), 100)), wire.CodeDraining)
+	is.Equal(w.code(w.prefill("d", tag("b", 1), 100)), wire.CodeDraining)
+	is.Equal(w.report("d", 0).State, "Draining")
+	w.run(time.Minute)
+	is.Equal(w.text(ticket), answer("a"))
+}
+
+func TestFencedEngineRefusesAnOldOrder(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		fenced, ignoring bool
+		code             string
+	}{
+		{"fenced", true, false, wire.CodeOldFencing},
+		{"not fenced", false, false, ""},
+		{"told to ignore", true, true, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := pair()
+			w.engines["d"].Fenced = test.fenced
+			w.inject("d", fault.Fault{Kind: fault.IgnoreFencing, On: test.ignoring})
+			w.order("d", 7, core.Prefill)
+			is.Equal(w.report("d", 0).Role, "Prefill")
+			is.Equal(w.code(w.order("d", 6, core.Decode)), test.code)
+			is.Equal(w.report("d", 0).Fencing, core.Offset(7))
+		})
+	}
+}
+
+func TestLaterOrderWinsOverOneThatIsLoading(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	w.engines["d"].Fenced = true
+	old, latest := w.ticket(), w.ticket()
+	w.update("d", engine.Order{Ticket: old, Request: wire.OrderRequest{Kind: "LoadModel", Model: "old", Fencing: 1}})
+	w.update("d", engine.Order{Ticket: latest, Request: wire.OrderRequest{Kind: "LoadModel", Model: "new", Fencing: 2}})
+	w.run(2 * time.Second)
+	is.Equal(w.code(old), wire.CodeOldFencing)
+	is.Equal(w.report("d", 0).Model, core.ModelID("new"))
+}
+
+func TestReportsLagButTheListIsExact(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	w.prefill("p", tag("a", 1), 8000)
+	w.prefill("p", tag("b", 1), 8000, 1)
+	r := w.report("p", 0)
+	is.Equal(len(r.Held), 2)
+	is.Equal(r.Queued, core.Tokens(0))
+	is.Equal(r.FreePieces, 40)
+	w.run(600 * time.Millisecond)
+	r = w.report("p", 0)
+	is.Equal(r.Queued, core.Tokens(16000))
+	is.Equal(r.FreePieces, 38)
+}
+
+func TestCacheEventsAreLateAndNumbered(t *testing.T) {
+	is := is.New(t)
+	w := pair()
+	w.engines["p"].CacheBlocks = 2
+	w.prefill("p", tag("a", 1), 512, 1, 2)
+	w.run(300 * time.Millisecond)
+	is.Equal(len(w.report("p", 0).Events), 0)
+	w.run(500 * time.Millisecond)
+	r := w.report("p", 1)
+	is.Equal(r.Events, []wire.CacheEvent{{Block: 1}})
+	is.Equal(r.EventsFrom, uint64(2))
+	is.Equal(r.EventsThrough, uint64(2))
+	w.inject("p", fault.Fault{Kind: fault.EventGaps, Rate: 1})
+	w.prefill("p", tag("b", 1), 512, 3, 4)
+	w.run(time.Second)
+	w.inject("p", fault.Fault{Kind: fault.EventGaps})
+	w.prefill("p", tag("c", 1), 512, 5)
+	w.run(time.Second)
+	r = w.report("p", 2)
+	is.Equal(r.EventsFrom, uint64(7)) // events 3 to 6 were lost
+	is.Equal(r.Events, []wire.CacheEvent{{Block: 5}, {Block: 4, Evicted: true}})
+}
--- a/standin/settings/settings.go
+++ b/standin/settings/settings.go
@@ -58,11 +58,8 @@
 	}
 	l := loader{lines: map[string]int{}}
 	l.parse(data, target)
-	if checked, ok := target.(Checked); ok && len(l.problems) == 0 {
-		for _, p := range checked.Check() {
-			p.Line = l.lines[p.Field]
-			l.problems = append(l.problems, p)
-		}
+	if checked, ok := target.(Checked); ok {
+		l.check(checked)
 	}
 	if len(l.problems) == 0 {
 		return nil
@@ -78,7 +75,7 @@
 }
 
 func (l *loader) parse(data []byte, target any) {
-	file, err := parser.ParseBytes(data, 0)
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		l.problem(1, "file", err)
 		return
@@ -90,6 +87,19 @@
 	}
 }
 
+// check adds the problems that the settings find in themselves, but for fields
+// that could not be read.
+func (l *loader) check(checked Checked) {
+	unread := l.problems
+	for _, p := range checked.Check() {
+		if slices.ContainsFunc(unread, func(u Problem) bool { return u.Field == p.Field }) {
+			continue
+		}
+		p.Line = l.lines[p.Field]
+		l.problems = append(l.problems, p)
+	}
+}
+
 func (l *loader) walk(node ast.Node, target reflect.Value, path string) {
 	line := node.GetToken().Position.Line
 	l.lines[path] = line
@@ -108,7 +118,7 @@
 func (l *loader) walkStruct(node ast.Node, target reflect.Value, path string) {
 	mapping, ok := node.(ast.MapNode)
 	if !ok {
-		l.add(node.GetToken().Position.Line, path, "is not a mapping")
+		l.add(node.GetToken().Position.Line, cmp.Or(path, "file"), "is not a mapping")
 		return
 	}
 	fields := map[string]reflect.Value{}
