--- a/daisyshed/caller/problem.go
+++ b/daisyshed/caller/problem.go
@@ -58,6 +58,7 @@
 	core.InProgress:         http.StatusConflict,
 	core.TooLong:            http.StatusRequestEntityTooLarge,
 	core.OwnerUnreachable:   http.StatusServiceUnavailable,
+	core.AlreadyAnswered:    http.StatusConflict,
 }
 
 // details explains each reason to the caller.
@@ -78,6 +79,7 @@
 	core.InProgress:         "the same request or key is being served",
 	core.TooLong:            "the prompt fits no engine",
 	core.OwnerUnreachable:   "no owner of the upstreams answered in time",
+	core.AlreadyAnswered:    "the request has had its whole answer; ask again with Last-Event-ID for what is missing",
 }
 
 // refusal returns the problem for a reason of the core.
--- a/daisyshed/caller/refusal_test.go
+++ b/daisyshed/caller/refusal_test.go
@@ -72,7 +72,7 @@
 		core.KeyMissing:     400,
 		core.Leaving:        503,
 	}
-	for reason := core.UnknownProfile; reason <= core.OwnerUnreachable; reason++ {
+	for reason := core.UnknownProfile; reason <= core.AlreadyAnswered; reason++ {
 		run(t, func(t *testing.T, n *node) {
 			is := is.New(t)
 			responses := n.start(t.Context(), completions, streamed)
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -49,6 +49,8 @@
 			Adopt:     rapid.Bool().Draw(t, "adopt"),
 			Waited:    span(t, "waited"),
 			Avoid:     list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
+			Group:     text[core.GroupID](t, "group"),
+			Source:    text[core.EngineID](t, "source"),
 		}
 	},
 	"Placed": func(t *rapid.T) core.PeerBody {
@@ -62,18 +64,18 @@
 			FirstToken: span(t, "first"),
 		}
 	},
+	"PlaceQueued": func(t *rapid.T) core.PeerBody {
+		return core.PlaceQueued{Allocation: allocation(t), Expected: span(t, "expected")}
+	},
 	"PlaceRefused": func(t *rapid.T) core.PeerBody {
-		return core.PlaceRefused{Allocation: allocation(t), Reason: enum(t, "reason", core.OwnerUnreachable), RetryAfter: span(t, "retry")}
+		return core.PlaceRefused{Allocation: allocation(t), Reason: enum(t, "reason", core.AlreadyAnswered), RetryAfter: span(t, "retry")}
 	},
 	"AttemptProgress": func(t *rapid.T) core.PeerBody {
 		return core.AttemptProgress{
-			Allocation:    allocation(t),
-			Prefilled:     rapid.Bool().Draw(t, "prefilled"),
-			Cached:        tokens(t, "cached"),
-			PrefillTime:   span(t, "prefill"),
-			Imported:      rapid.Bool().Draw(t, "imported"),
-			ImportTime:    span(t, "import"),
-			FirstTokenHit: rapid.Bool().Draw(t, "hit"),
+			Allocation: allocation(t),
+			Done:       enum(t, "done", core.DecodeStep),
+			Cached:     tokens(t, "cached"),
+			Took:       span(t, "took"),
 		}
 	},
 	"AttemptEnded": func(t *rapid.T) core.PeerBody {
@@ -83,13 +85,15 @@
 			Tokens:       tokens(t, "tokens"),
 			Decoded:      span(t, "decoded"),
 			FailedEngine: text[core.EngineID](t, "failed"),
-			Released:     rapid.Bool().Draw(t, "released"),
+			FirstToken:   span(t, "first"),
 		}
 	},
 	"AttemptEndedAck": func(t *rapid.T) core.PeerBody { return core.AttemptEndedAck{Allocation: allocation(t)} },
 	"HolderQuery":     func(t *rapid.T) core.PeerBody { return core.HolderQuery{Allocations: list(t, "list", allocation)} },
-	"HolderAnswer":    func(t *rapid.T) core.PeerBody { return core.HolderAnswer{Ended: list(t, "list", allocation)} },
-	"MoveAway":        func(t *rapid.T) core.PeerBody { return core.MoveAway{Allocation: allocation(t), By: span(t, "by")} },
+	"HolderAnswer": func(t *rapid.T) core.PeerBody {
+		return core.HolderAnswer{Asked: list(t, "asked", allocation), Ended: list(t, "list", allocation)}
+	},
+	"MoveAway": func(t *rapid.T) core.PeerBody { return core.MoveAway{Allocation: allocation(t), By: span(t, "by")} },
 	"KeyCall": func(t *rapid.T) core.PeerBody {
 		return core.KeyCall{
 			Call:      text[core.CallID](t, "call"),
@@ -104,7 +108,7 @@
 		return core.KeyAnswer{
 			Call:       text[core.CallID](t, "call"),
 			Outcome:    enum(t, "outcome", core.Unknown),
-			Reason:     enum(t, "reason", core.OwnerUnreachable),
+			Reason:     enum(t, "reason", core.AlreadyAnswered),
 			Status:     rapid.IntRange(0, 599).Draw(t, "status"),
 			Body:       list(t, "body", func(t *rapid.T) byte { return rapid.Byte().Draw(t, "byte") }),
 			RetryAfter: span(t, "retry"),
--- a/wire/peer/convert_attempt.go
+++ b/wire/peer/convert_attempt.go
@@ -8,36 +8,34 @@
 
 func fromAttemptProgress(b core.AttemptProgress) *AttemptProgress {
 	return &AttemptProgress{
-		Allocation:    fromAllocation(b.Allocation),
-		Prefilled:     b.Prefilled,
-		Cached:        int64(b.Cached),
-		PrefillNanos:  int64(b.PrefillTime),
-		Imported:      b.Imported,
-		ImportNanos:   int64(b.ImportTime),
-		FirstTokenHit: b.FirstTokenHit,
+		Allocation: fromAllocation(b.Allocation),
+		Done:       uint32(b.Done),
+		Cached:     int64(b.Cached),
+		TookNanos:  int64(b.Took),
 	}
 }
 
-func toAttemptProgress(b *AttemptProgress) core.PeerBody {
-	return core.AttemptProgress{
-		Allocation:    toAllocation(b.GetAllocation()),
-		Prefilled:     b.GetPrefilled(),
-		Cached:        core.Tokens(b.GetCached()),
-		PrefillTime:   time.Duration(b.GetPrefillNanos()),
-		Imported:      b.GetImported(),
-		ImportTime:    time.Duration(b.GetImportNanos()),
-		FirstTokenHit: b.GetFirstTokenHit(),
+func toAttemptProgress(b *AttemptProgress) (core.PeerBody, error) {
+	done, err := inRange("AttemptProgress.Done", b.GetDone(), core.DecodeStep)
+	if err != nil {
+		return nil, err
 	}
+	return core.AttemptProgress{
+		Allocation: toAllocation(b.GetAllocation()),
+		Done:       done,
+		Cached:     core.Tokens(b.GetCached()),
+		Took:       time.Duration(b.GetTookNanos()),
+	}, nil
 }
 
 func fromAttemptEnded(b core.AttemptEnded) *AttemptEnded {
 	return &AttemptEnded{
-		Allocation:   fromAllocation(b.Allocation),
-		Reason:       uint32(b.Reason),
-		Tokens:       int64(b.Tokens),
-		DecodedNanos: int64(b.Decoded),
-		FailedEngine: string(b.FailedEngine),
-		Released:     b.Released,
+		Allocation:      fromAllocation(b.Allocation),
+		Reason:          uint32(b.Reason),
+		Tokens:          int64(b.Tokens),
+		DecodedNanos:    int64(b.Decoded),
+		FailedEngine:    string(b.FailedEngine),
+		FirstTokenNanos: int64(b.FirstToken),
 	}
 }
 
@@ -52,7 +50,7 @@
 		Tokens:       core.Tokens(b.GetTokens()),
 		Decoded:      time.Duration(b.GetDecodedNanos()),
 		FailedEngine: core.EngineID(b.GetFailedEngine()),
-		Released:     b.GetReleased(),
+		FirstToken:   time.Duration(b.GetFirstTokenNanos()),
 	}, nil
 }
 
--- a/wire/peer/convert_key.go
+++ b/wire/peer/convert_key.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reason, err := inRange("KeyAnswer.Reason", b.GetReason(), core.OwnerUnreachable)
+	reason, err := inRange("KeyAnswer.Reason", b.GetReason(), core.AlreadyAnswered)
 	if err != nil {
 		return nil, err
 	}
--- a/wire/peer/convert_place.go
+++ b/wire/peer/convert_place.go
@@ -17,6 +17,8 @@
 		Adopt:       b.Adopt,
 		WaitedNanos: int64(b.Waited),
 		Avoid:       each(b.Avoid, func(id core.EngineID) string { return string(id) }),
+		Group:       string(b.Group),
+		Source:      string(b.Source),
 	}
 }
 
@@ -31,6 +33,8 @@
 		Adopt:      b.GetAdopt(),
 		Waited:     time.Duration(b.GetWaitedNanos()),
 		Avoid:      each(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }),
+		Group:      core.GroupID(b.GetGroup()),
+		Source:     core.EngineID(b.GetSource()),
 	}
 }
 
@@ -58,6 +62,13 @@
 	}
 }
 
+func toPlaceQueued(b *PlaceQueued) core.PeerBody {
+	return core.PlaceQueued{
+		Allocation: toAllocation(b.GetAllocation()),
+		Expected:   time.Duration(b.GetExpectedNanos()),
+	}
+}
+
 func fromPlaceRefused(b core.PlaceRefused) *PlaceRefused {
 	return &PlaceRefused{
 		Allocation:      fromAllocation(b.Allocation),
@@ -67,7 +78,7 @@
 }
 
 func toPlaceRefused(b *PlaceRefused) (core.PeerBody, error) {
-	reason, err := inRange("PlaceRefused.Reason", b.GetReason(), core.OwnerUnreachable)
+	reason, err := inRange("PlaceRefused.Reason", b.GetReason(), core.AlreadyAnswered)
 	if err != nil {
 		return nil, err
 	}
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -44,10 +44,12 @@
 		return toPlace(b.Place), nil
 	case *Envelope_Placed:
 		return toPlaced(b.Placed), nil
+	case *Envelope_PlaceQueued:
+		return toPlaceQueued(b.PlaceQueued), nil
 	case *Envelope_PlaceRefused:
 		return toPlaceRefused(b.PlaceRefused)
 	case *Envelope_AttemptProgress:
-		return toAttemptProgress(b.AttemptProgress), nil
+		return toAttemptProgress(b.AttemptProgress)
 	case *Envelope_AttemptEnded:
 		return toAttemptEnded(b.AttemptEnded)
 	case *Envelope_AttemptEndedAck:
@@ -55,7 +57,10 @@
 	case *Envelope_HolderQuery:
 		return core.HolderQuery{Allocations: toAllocations(b.HolderQuery.GetAllocations())}, nil
 	case *Envelope_HolderAnswer:
-		return core.HolderAnswer{Ended: toAllocations(b.HolderAnswer.GetEnded())}, nil
+		return core.HolderAnswer{
+			Asked: toAllocations(b.HolderAnswer.GetAsked()),
+			Ended: toAllocations(b.HolderAnswer.GetEnded()),
+		}, nil
 	case *Envelope_MoveAway:
 		return toMoveAway(b.MoveAway), nil
 	case *Envelope_KeyCall:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -48,6 +48,10 @@
 		e.Body = &Envelope_Place{fromPlace(b)}
 	case core.Placed:
 		e.Body = &Envelope_Placed{fromPlaced(b)}
+	case core.PlaceQueued:
+		e.Body = &Envelope_PlaceQueued{&PlaceQueued{
+			Allocation: fromAllocation(b.Allocation), ExpectedNanos: int64(b.Expected),
+		}}
 	case core.PlaceRefused:
 		e.Body = &Envelope_PlaceRefused{fromPlaceRefused(b)}
 	case core.AttemptProgress:
@@ -59,7 +63,9 @@
 	case core.HolderQuery:
 		e.Body = &Envelope_HolderQuery{&HolderQuery{Allocations: fromAllocations(b.Allocations)}}
 	case core.HolderAnswer:
-		e.Body = &Envelope_HolderAnswer{&HolderAnswer{Ended: fromAllocations(b.Ended)}}
+		e.Body = &Envelope_HolderAnswer{&HolderAnswer{
+			Asked: fromAllocations(b.Asked), Ended: fromAllocations(b.Ended),
+		}}
 	case core.MoveAway:
 		e.Body = &Envelope_MoveAway{&MoveAway{Allocation: fromAllocation(b.Allocation), ByNanos: int64(b.By)}}
 	case core.KeyCall:
