--- a/core/entry.go
+++ b/core/entry.go
@@ -55,11 +55,23 @@
 	serving  map[RequestID]*serving
 	ending   map[Allocation]*ending
 	answered map[RequestID]Instant
+	// attempts remembers the latest attempt of each recent request, so that no
+	// allocation is ever used twice.
+	attempts map[RequestID]lastAttempt
 	// pressure remembers each group's recent time to first token.
 	pressure map[GroupID]time.Duration
 }
 
+// lastAttempt is the latest attempt of a request and when it was made.
+type lastAttempt struct {
+	attempt Attempt
+	at      Instant
+}
+
 const (
+	// attemptsFor is how long attempts are remembered; it is longer than
+	// owners remember ended ones.
+	attemptsFor = 2 * endedFor
 	// answeredFor is how long the entry remembers whole answers.
 	answeredFor = time.Minute
 	// maxFailures bounds the placements of one request that engines may fail.
@@ -77,6 +89,7 @@
 	s.serving = make(map[RequestID]*serving)
 	s.ending = make(map[Allocation]*ending)
 	s.answered = make(map[RequestID]Instant)
+	s.attempts = make(map[RequestID]lastAttempt)
 	s.pressure = make(map[GroupID]time.Duration)
 	n.every(answeredFor, func(n *Node) { n.entry.forgetAnswered(n) })
 }
@@ -87,6 +100,11 @@
 			delete(s.answered, id)
 		}
 	}
+	for id, last := range s.attempts {
+		if _, running := s.serving[id]; !running && n.now.Sub(last.at) > attemptsFor {
+			delete(s.attempts, id)
+		}
+	}
 }
 
 // refusesNew says why the node takes no new work, or NoReason if it does.
@@ -177,11 +195,16 @@
 func (s *entry) nextAttempt(n *Node, r *serving) {
 	r.allocation = Allocation{
 		Request:     r.request.Request,
-		Attempt:     r.allocation.Attempt + 1,
+		Attempt:     max(r.allocation.Attempt, s.attempts[r.request.Request].attempt) + 1,
 		Holder:      n.Self.ID,
 		Incarnation: n.Incarnation,
 	}
 	r.importTries = 0
+	s.noteAttempt(n, r)
+}
+
+func (s *entry) noteAttempt(n *Node, r *serving) {
+	s.attempts[r.request.Request] = lastAttempt{attempt: r.allocation.Attempt, at: n.now}
 }
 
 // current returns the request that an allocation serves now.
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -34,7 +34,7 @@
 		Prompt:     r.request.Prompt,
 		MaxTokens:  r.request.MaxTokens,
 		Emitted:    r.emitted,
-		Adopt:      r.request.Resumed && r.failures == 0 && r.allocation.Attempt == 1,
+		Adopt:      r.request.Resumed && r.failures == 0,
 		Waited:     n.now.Sub(r.arrived),
 		Source:     r.source,
 		Avoid:      r.avoid,
@@ -124,6 +124,7 @@
 		return
 	}
 	r.allocation = b.Allocation
+	s.noteAttempt(n, r)
 	r.placed = b
 	r.owner = from
 	s.notePressure(r.group, b.FirstToken)
