--- a/core/addresses.go
+++ b/core/addresses.go
@@ -207,13 +207,3 @@
 	}
 	return m.status
 }
-
-func (n *Node) upstreamStatus(u Upstream) UpstreamStatus {
-	owner := n.members.ownerOf(n, u.Region, "upstream/"+string(u.ID))
-	pool, known := n.config.pool(u.Pool)
-	return UpstreamStatus{
-		Upstream: u, Owner: owner, Owned: owner == n.Self.ID,
-		Withdrawn: u.Leaving || !known || pool.Withdrawn,
-		Role:      pool.Role, Model: pool.Model,
-	}
-}
--- /dev/null
+++ b/core/owner_status.go
@@ -0,0 +1,39 @@
+package core
+
+// upstreamStatus describes an upstream for operators; only the node that keeps
+// its books knows how full it is.
+func (n *Node) upstreamStatus(u Upstream) UpstreamStatus {
+	pool, known := n.config.pool(u.Pool)
+	status := UpstreamStatus{
+		Upstream:  u,
+		Withdrawn: u.Leaving || !known || pool.Withdrawn,
+		Role:      pool.Role,
+		Model:     pool.Model,
+	}
+	g, grouped := n.owner.groupOf[u.ID]
+	if !grouped {
+		status.Owner = n.members.ownerOf(n, u.Region, "upstream/"+string(u.ID))
+		status.Owned = status.Owner == n.Self.ID
+		return status
+	}
+	status.Owner = n.groupOwner(g)
+	status.Owned = status.Owner == n.Self.ID
+	if b, ok := n.owner.books[u.ID]; ok {
+		b.describe(&status)
+	}
+	return status
+}
+
+// describe fills in what the book knows.
+func (b *book) describe(status *UpstreamStatus) {
+	status.Reachable = b.reachable
+	status.State = b.state
+	status.Pieces = b.pieces
+	status.FreePieces = b.report.FreePieces
+	status.Booked = b.booked
+	status.Requests = len(b.jobs)
+	if b.reported {
+		status.Role = b.role
+		status.Model = b.model
+	}
+}
