--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -63,11 +63,12 @@
 	_ = x[InProgress-13]
 	_ = x[TooLong-14]
 	_ = x[OwnerUnreachable-15]
+	_ = x[AlreadyAnswered-16]
 }
 
-const _RefusalReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachable"
+const _RefusalReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachableAlreadyAnswered"
 
-var _RefusalReason_index = [...]uint8{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181}
+var _RefusalReason_index = [...]uint8{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181, 196}
 
 func (i RefusalReason) String() string {
 	idx := int(i) - 0
