--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: all build test race demo soak bench generate format lint clean
+.PHONY: all build test race demo soak bench capacity generate format lint clean
 
 all: build test
 
@@ -32,6 +32,11 @@
 bench: build
 	@$(BIN)/bench $(ARGS)
 
+# Measures the slopes that docs/CAPACITY.md is worked out from.
+CAPACITY ?=
+capacity:
+	@cd bench && $(GO) run ./cmd/capacity $(CAPACITY)
+
 generate:
 	@cd core && $(GO) generate ./...
 	@cd wire && $(GO) generate ./...
--- /dev/null
+++ b/bench/capacity/usage.go
@@ -0,0 +1,77 @@
+package capacity
+
+import (
+	"slices"
+	"time"
+)
+
+// Count is a number of messages and their bytes.
+type Count struct {
+	Messages uint64
+	Bytes    uint64
+}
+
+// Usage adds up what a fleet's nodes did.
+type Usage struct {
+	// Kinds counts messages between nodes by their type, and the answers of
+	// the log, the VM list and the engines.
+	Kinds map[string]Count
+	// Updates counts calls of the cores and UpdateTime the time spent in them.
+	Updates    uint64
+	UpdateTime time.Duration
+	// Placed, Refused and Ended count requests.
+	Placed  uint64
+	Refused uint64
+	Ended   uint64
+}
+
+// The kinds of what a node receives that is no message between nodes.
+const (
+	logReadKind    = "log read"
+	logAppendKind  = "log append"
+	vmListKind     = "VM list"
+	engineReport   = "engine report"
+	appendedRecord = "log record"
+)
+
+// ControlKinds are the messages between nodes whose number does not depend on
+// the number of requests.
+var ControlKinds = []string{
+	"Heartbeat", "HeartbeatAck", "HeartbeatRequest", "ConfigQuery", "ConfigAnswer", "VMListQuery", "VMListAnswer",
+	"HolderQuery", "HolderAnswer",
+}
+
+func newUsage() Usage { return Usage{Kinds: make(map[string]Count)} }
+
+func (u *Usage) add(kind string, size int) {
+	c := u.Kinds[kind]
+	c.Messages++
+	c.Bytes += uint64(size)
+	u.Kinds[kind] = c
+}
+
+// Control adds up the control messages between nodes.
+func (u *Usage) Control() Count {
+	var total Count
+	for kind, c := range u.Kinds {
+		if slices.Contains(ControlKinds, kind) {
+			total.Messages += c.Messages
+			total.Bytes += c.Bytes
+		}
+	}
+	return total
+}
+
+// Requests adds up the messages between nodes that belong to requests.
+func (u *Usage) Requests() Count {
+	var total Count
+	for kind, c := range u.Kinds {
+		if !slices.Contains(ControlKinds, kind) && !slices.Contains(platformKinds, kind) {
+			total.Messages += c.Messages
+			total.Bytes += c.Bytes
+		}
+	}
+	return total
+}
+
+var platformKinds = []string{logReadKind, logAppendKind, vmListKind, engineReport, appendedRecord}
--- a/bench/world/count.go
+++ b/bench/world/count.go
@@ -2,15 +2,33 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 
 	"daisyshed.dev/core"
 	"daisyshed.dev/standin/engine"
 	wire "daisyshed.dev/wire/engine"
+	"daisyshed.dev/wire/peer"
+	"google.golang.org/protobuf/proto"
 )
 
 // countBytes adds up what nodes send each other.
-func (w *World) countBytes(_ core.NodeID, _ core.PeerBody) {}
+func (w *World) countBytes(m core.Peer) {
+	kind, size := MessageSize(m)
+	w.ControlBytes[kind] += uint64(size)
+}
+
+// MessageSize returns the name of a message's type and the size of its
+// envelope in bytes, or zero bytes for a body without a form on the wire.
+func MessageSize(m core.Peer) (kind string, size int) {
+	kind = strings.TrimPrefix(fmt.Sprintf("%T", m.Body), "core.")
+	envelope, err := peer.ToEnvelope(m)
+	if err != nil {
+		return kind, 0
+	}
+	return kind, proto.Size(envelope)
+}
 
 // sorted returns a map's keys in ascending order.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K {
