--- /dev/null
+++ b/bench/capacity/books.go
@@ -0,0 +1,169 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"daisyshed.dev/core"
+	wire "daisyshed.dev/wire/engine"
+	"daisyshed.dev/wire/peer"
+)
+
+const (
+	// bookNodes is the number of nodes of a fleet that carries the target's
+	// load per node.
+	bookNodes = 8
+	// loadWarmUp is the time until as many requests end as begin.
+	loadWarmUp = 12 * time.Second
+	// loadWindow is the time over which the load is counted.
+	loadWindow = 20 * time.Second
+)
+
+// Books measures decisions, what requests cost between nodes, polls of
+// engines, and the VM list of the target's size.
+func Books(seed uint64, emit func(Row)) {
+	r := Report{part: "books", emit: emit}
+	perNode := float64(TargetRequests) / TargetNodes
+	share := float64(TargetUpstreams) / TargetNodes
+	for _, load := range []float64{0, perNode / 4, perNode} {
+		loaded(r, seed, bookNodes, int(share*bookNodes), load)
+	}
+	loaded(r, seed, 1, 12, perNode/share*12)
+	loaded(r, seed, 1, 64, perNode/share*64)
+	for _, count := range []int{100, 1_000, TargetUpstreams} {
+		vmListAt(r, seed, count)
+	}
+	codecs(r)
+}
+
+// loaded measures a fleet of one region under a load per node.
+func loaded(r Report, seed uint64, nodes, engines int, perNode float64) {
+	c := fmt.Sprintf("%d nodes, %d engines, %.3g req/s each", nodes, engines, perNode)
+	before := heap()
+	f := &Fleet{Seed: seed, Size: nodes, Regions: 1, Upstreams: upstreams(engines, 1), Roles: roles()}
+	f.Open()
+	f.publishLoad()
+	f.Run(loadWarmUp)
+	if perNode > 0 {
+		f.ask(perNode, loadWarmUp+loadWindow)
+	}
+	f.Run(loadWarmUp)
+	f.Reset()
+	garbage := allocated()
+	f.Run(loadWindow)
+	r.add(c, "bytes allocated per node, harness included", float64(allocated()-garbage)/float64(nodes)/loadWindow.Seconds(), "B/s")
+	f.perNode(r, c, loadWindow)
+	r.add(c, "memory per node, engines and harness included", float64(heap()-before)/float64(nodes), "B")
+	if f.Usage.Ended == 0 {
+		return
+	}
+	ended := float64(f.Usage.Ended)
+	requests := f.Usage.Requests()
+	r.add(c, "requests that reached decoding", ended/float64(nodes)/loadWindow.Seconds(), "1/s per node")
+	r.add(c, "requests refused", float64(f.Usage.Refused)/float64(nodes)/loadWindow.Seconds(), "1/s per node")
+	r.add(c, "messages between nodes per request", float64(requests.Messages)/ended, "")
+	r.add(c, "bytes between nodes per request", float64(requests.Bytes)/ended, "B")
+	r.add(c, "request bytes per node", float64(requests.Bytes)/float64(nodes)/loadWindow.Seconds(), "B/s")
+}
+
+// vmListAt measures one node that reads a VM list with the given number of
+// upstreams before the target's number of nodes.
+func vmListAt(r Report, seed uint64, count int) {
+	c := fmt.Sprintf("VM list of %d nodes, %d upstreams", TargetNodes, count)
+	f := &Fleet{Seed: seed, Size: 1, Regions: 1}
+	f.Open()
+	f.publishLoad()
+	f.Run(loadWarmUp)
+	f.infos = nil
+	for i := range TargetNodes {
+		f.infos = append(f.infos, nodeInfo(i, TargetRegions))
+	}
+	f.Upstreams = upstreams(count, TargetRegions)
+	f.listSize = 0
+	f.Roles = roles()
+	for _, u := range f.Upstreams {
+		f.engines[u.ID] = &engine{upstream: u, role: f.Roles[u.Pool]}
+	}
+	before := heap()
+	n := f.nodes[f.infos[0].ID]
+	n.receive(core.VMList{Nodes: f.infos, Upstreams: f.Upstreams})
+	f.Run(time.Second)
+	r.add(c, "memory of the list, groups and books", float64(heap()-before), "B")
+	r.add(c, "size of the list", float64(f.vmListSize()), "B")
+	r.add(c, "bytes of lists at one read a period", float64(f.vmListSize())/core.DefaultSettings().VMListEvery.Seconds(), "B/s")
+	took := n.timed(core.VMList{Nodes: f.infos, Upstreams: f.Upstreams})
+	r.add(c, "processor time to take a list in", took.Seconds()*1000, "ms")
+	f.Run(0)
+	r.add(c, "processor time to regroup", n.regroupTime().Seconds()*1000, "ms")
+	data, _ := json.Marshal(f.vmList())
+	began := time.Now()
+	var list map[string]any
+	_ = json.Unmarshal(data, &list)
+	r.add(c, "processor time to decode a list", time.Since(began).Seconds()*1000, "ms")
+}
+
+// timed passes a message to the core and returns the processor time.
+func (n *node) timed(m core.Message) time.Duration {
+	before := n.fleet.Usage.UpdateTime
+	n.receive(m)
+	return n.fleet.Usage.UpdateTime - before
+}
+
+// regroupTime returns the processor time of the regrouping that a VM list sets
+// off shortly after.
+func (n *node) regroupTime() time.Duration {
+	before := n.fleet.Usage.UpdateTime
+	n.fleet.Run(regroupWithin)
+	return n.fleet.Usage.UpdateTime - before
+}
+
+// regroupWithin is a little more than the core's delay before it regroups.
+const regroupWithin = 25 * time.Millisecond
+
+// codecs measures the encoding of the messages that requests cost.
+func codecs(r Report) {
+	for _, blocks := range []int{0, 18, 128} {
+		c := fmt.Sprintf("Place with %d blocks", blocks)
+		m := core.Peer{From: "entry-001", Incarnation: 1, Body: core.Place{
+			Allocation: core.Allocation{Request: "request-00000000000000000000000001", Attempt: 1, Holder: "entry-001", Incarnation: 1},
+			Group:      "plot-scribe/region-1/3", Profile: loadProfile, Customer: "plot-1",
+			Prompt: core.Prompt{Tokens: core.Tokens(blocks+1) * core.BlockTokens, Blocks: make([]core.BlockHash, blocks)},
+		}}
+		data, _ := peer.Encode(m)
+		r.add(c, "size", float64(len(data)), "B")
+		r.add(c, "processor time to encode and decode", perCall(func() {
+			data, _ := peer.Encode(m)
+			_, _ = peer.Decode(data)
+		}).Seconds()*1e6, "µs")
+	}
+	reportCodec(r)
+}
+
+// reportCodec measures the decoding of a decode engine's report.
+func reportCodec(r Report) {
+	const held = 30
+	report := wire.Report{State: "Serving", Role: "Decode", Model: modelName}
+	for i := range held {
+		report.Held = append(report.Held, wire.Held{Allocation: wire.Allocation{
+			Request: core.RequestID(fmt.Sprintf("request-%026d", i)), Attempt: 1, Holder: "entry-001", Incarnation: 1_800_000_000_000_000_000,
+		}, Tokens: 4096, Emitted: 100})
+	}
+	data, _ := json.Marshal(report)
+	c := fmt.Sprintf("report with %d held", held)
+	r.add(c, "size", float64(len(data)), "B")
+	r.add(c, "processor time to decode", perCall(func() {
+		var got wire.Report
+		_ = json.Unmarshal(data, &got)
+	}).Seconds()*1e6, "µs")
+}
+
+// perCall returns the mean time of a call.
+func perCall(f func()) time.Duration {
+	const calls = 5_000
+	began := time.Now()
+	for range calls {
+		f()
+	}
+	return time.Since(began) / calls
+}
--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -47,6 +47,8 @@
 	parted  core.RegionID
 	// listSize is the size of the VM list, once it was worked out.
 	listSize int
+	// answered counts the answers to plain calls that ran.
+	answered int
 }
 
 // Open starts all nodes.
--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -11,6 +11,9 @@
 // Parts are all parts in their order.
 var Parts = []Part{
 	{"membership", Membership},
+	{"configuration", Configuration},
+	{"books", Books},
+	{"once", Once},
 	{"failure", Failure},
 }
 
--- a/bench/capacity/node.go
+++ b/bench/capacity/node.go
@@ -78,6 +78,10 @@
 		f.Usage.add(vmListKind, f.vmListSize())
 	case core.AnswerStatus:
 		n.status = c.Status
+	case core.AnswerCall:
+		if c.Outcome == core.Ran {
+			f.answered++
+		}
 	case core.RefuseCaller:
 		f.Usage.Refused++
 	case core.CallService:
