Recover from predictions that a stalled engine has spoilt

Cause: one transfer that stalled for seconds went into the fit and its mean error with full weight; the predicted first token then lay beyond every target, everything was refused, and nothing ran that could have taught the fit better. Ruled out: lost messages (they are retried) and memory that stays booked (books were empty). Observations are now bounded by their prediction, and a request that nothing stands in the way of is placed every half second whatever the prediction.

--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -104,3 +104,13 @@
 func (r *Run) between(a, b time.Duration) time.Duration {
 	return a + time.Duration(r.rng.Int64N(int64(b-a)))
 }
+
+// Plus adds two outcomes up.
+func (o Outcomes) Plus(p Outcomes) Outcomes {
+	return Outcomes{
+		Requests: o.Requests + p.Requests, Whole: o.Whole + p.Whole, Cancelled: o.Cancelled + p.Cancelled,
+		GivenUp: o.GivenUp + p.GivenUp, Calls: o.Calls + p.Calls, Ran: o.Ran + p.Ran, NotRun: o.NotRun + p.NotRun,
+		Unknown: o.Unknown + p.Unknown, Silent: o.Silent + p.Silent, Doubles: o.Doubles + p.Doubles,
+		FalseNotRun: o.FalseNotRun + p.FalseNotRun,
+	}
+}
--- a/bench/world/faults.go
+++ b/bench/world/faults.go
@@ -34,8 +34,8 @@
 		n.frozen = false
 		inbox := n.inbox
 		n.inbox = nil
-		for _, m := range inbox {
-			n.receive(m)
+		for _, deliver := range inbox {
+			deliver()
 		}
 		n.receive(core.Tick{})
 	})
--- a/bench/world/node.go
+++ b/bench/world/node.go
@@ -15,7 +15,7 @@
 	// stopped nodes answer nothing more; frozen ones keep what arrives.
 	stopped bool
 	frozen  bool
-	inbox   []core.Message
+	inbox   []func()
 	wakeAt  core.Instant
 	wakeSet bool
 	// callers are the callers that are connected, streams the streams that
@@ -59,7 +59,7 @@
 		return
 	}
 	if n.frozen {
-		n.inbox = append(n.inbox, m)
+		n.inbox = append(n.inbox, func() { n.receive(m) })
 		return
 	}
 	w := n.world
--- a/bench/world/service.go
+++ b/bench/world/service.go
@@ -1,8 +1,6 @@
 package world
 
 import (
-	"time"
-
 	"daisyshed.dev/core"
 )
 
@@ -88,6 +86,3 @@
 
 // ServiceDown makes a plain service refuse calls, or accept them again.
 func (w *World) ServiceDown(id core.EngineID, down bool) { w.services[id].down = down }
-
-// frozenRetry is how often a frozen node's buffers are looked at.
-const frozenRetry = 20 * time.Millisecond
--- a/bench/world/steps.go
+++ b/bench/world/steps.go
@@ -88,6 +88,10 @@
 }
 
 func (n *node) streamed(s *stream, caller *Caller, a engine.Command) {
+	if n.frozen {
+		n.inbox = append(n.inbox, func() { n.streamed(s, caller, a) })
+		return
+	}
 	if n.stopped || n.streams[s.allocation.Request] != s {
 		return
 	}
@@ -102,10 +106,6 @@
 }
 
 func (n *node) token(s *stream, caller *Caller, t engine.Token) {
-	if n.frozen {
-		n.world.After(frozenRetry, func() { n.streamed(s, caller, t) })
-		return
-	}
 	if t.Offset < s.next {
 		return
 	}
--- a/core/group.go
+++ b/core/group.go
@@ -30,7 +30,9 @@
 	refusals float64
 	// residence is the mean time for which a request holds decode memory.
 	residence time.Duration
-	pumpSet   bool
+	// placedAt is when a request was last placed.
+	placedAt Instant
+	pumpSet  bool
 }
 
 // actingFor is how long a node goes on serving a group that it does not own.
--- a/core/placement.go
+++ b/core/placement.go
@@ -124,7 +124,7 @@
 	s.predict(p, it, &c, wait)
 	it.predicted = c.firstToken.Sub(it.arrived)
 	it.expected = c.start.Sub(p.now)
-	if !n.Policy.NoAdmission && c.firstToken > deadline {
+	if !n.Policy.NoAdmission && c.firstToken > deadline && !g.probes(p.now, c) {
 		s.refuseItem(n, g, it, NoCapacity)
 		return
 	}
@@ -137,6 +137,18 @@
 	delete(p.freeAt, c.prefill.upstream.ID)
 }
 
+// probeEvery is the time without a placement after which a request is placed
+// although it is predicted to be late.
+const probeEvery = 500 * time.Millisecond
+
+// probes reports whether a request that is predicted to be late is placed all
+// the same: if nothing has been placed for a while and nothing is in its way,
+// the prediction may be what is wrong, and only a request that runs can tell.
+func (g *group) probes(now Instant, c choice) bool {
+	idle := c.decode != nil && c.start <= now
+	return idle && now.Sub(g.placedAt) > probeEvery
+}
+
 // waitOrRefuse keeps a request for which no engine can be had, for as long as
 // one may still report in time.
 func (s *owner) waitOrRefuse(n *Node, g *group, it *queued, p *plan, deadline Instant) {
@@ -387,6 +399,7 @@
 // dispatch turns a queued request into a promise.
 func (s *owner) dispatch(n *Node, g *group, it *queued, c choice) {
 	g.queue.charge(it)
+	g.placedAt = n.now
 	g.refusals -= refusalWeight * g.refusals
 	j := s.newJob(n, g, it)
 	j.prefill = c.prefill.upstream.ID
--- a/core/predict.go
+++ b/core/predict.go
@@ -17,6 +17,9 @@
 	// fitMemory is the factor by which each observation lessens the earlier
 	// ones.
 	fitMemory = 0.98
+	// outlierFactor and outlierSeconds bound an observation by its prediction.
+	outlierFactor  = 2
+	outlierSeconds = 0.02
 	// priorWeight is the weight of the prior, in observations.
 	priorWeight = 2
 )
@@ -39,7 +42,10 @@
 	f.sumXY += w * x * y
 }
 
+// observe takes in one observation. One that is far above its prediction
+// counts as less: a stalled engine says little about those that work.
 func (f *linearFit) observe(x, y float64) {
+	y = min(y, outlierFactor*f.at(x)+outlierSeconds)
 	f.deviation = 0.95*f.deviation + 0.05*math.Abs(y-f.at(x))
 	f.weight *= fitMemory
 	f.sumX *= fitMemory
