--- a/core/entry.go
+++ b/core/entry.go
@@ -31,6 +31,8 @@
 	acknowledged bool
 	// unreachable names owners that did not answer.
 	unreachable Set[NodeID]
+	// ownersLeft counts the owners that refused because they leave.
+	ownersLeft int
 	// crowded names groups that refused the request for lack of capacity.
 	crowded Set[GroupID]
 	avoid   []EngineID
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -175,12 +175,7 @@
 	case r.moving():
 		s.moveFailed(n, r)
 	case b.Reason == Leaving:
-		r.unreachable.Add(r.owner)
-		s.nextAttempt(n, r)
-		s.place(n, r)
-	case b.Reason == NothingToResume:
-		s.nextAttempt(n, r)
-		s.place(n, r)
+		s.ownerLeft(n, r)
 	case b.Reason == NoCapacity && s.otherGroup(n, r):
 		s.nextAttempt(n, r)
 		s.place(n, r)
@@ -189,6 +184,24 @@
 	}
 }
 
+// ownerLeft places a request again that an owner refused because it leaves,
+// once the view of who owns the group may have changed.
+func (s *entry) ownerLeft(n *Node, r *serving) {
+	r.unreachable.Add(r.owner)
+	r.ownersLeft++
+	if r.ownersLeft > maxPlaceTries {
+		s.giveUp(n, r, Leaving, leavingRetryAfter)
+		return
+	}
+	s.nextAttempt(n, r)
+	allocation := r.allocation
+	n.afterFunc(2*regroupDelay, func(n *Node) {
+		if r, ok := n.entry.current(allocation); ok && r.phase == waiting {
+			n.entry.place(n, r)
+		}
+	})
+}
+
 // otherGroup notes that a group is crowded and reports whether another one
 // that has not refused the request is left.
 func (s *entry) otherGroup(n *Node, r *serving) bool {
