Let a stream go on where it is when its move cannot be placed

A move that fails anywhere now leaves the stream where it runs, or places it anew if its engine has failed meanwhile.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -81,6 +81,9 @@
 	return r.w.Services[r.rng.IntN(len(r.w.Services))].Upstream.ID
 }
 
+// lasts notes that a fault which healing does not end lasts for d.
+func (r *Run) lasts(d time.Duration) { r.faultsEnd = max(r.faultsEnd, r.w.Now.Add(d)) }
+
 // disturb notes that a node cannot hear everything until d from now.
 func (r *Run) disturb(id core.NodeID, d time.Duration) {
 	r.disturbed[id] = max(r.disturbed[id], r.w.Now.Add(d))
@@ -99,6 +102,7 @@
 
 func (r *Run) restart(n core.NodeInfo, after time.Duration) {
 	r.disturb(n.ID, after+warmUp)
+	r.lasts(after)
 	r.w.After(after, func() {
 		if !r.w.Running(n.ID) {
 			r.w.StartNode(n)
@@ -113,6 +117,7 @@
 	r.Provoked[core.AnsweredOnce] += r.w.Streaming(n.ID)
 	r.Provoked[core.AtMostOnce] += r.w.Calling(n.ID)
 	r.disturb(n.ID, d+time.Second)
+	r.lasts(d)
 	r.w.Freeze(n.ID, d)
 }
 
@@ -141,6 +146,7 @@
 	n := r.anyNode()
 	r.w.Shutdown(n.ID)
 	r.disturb(n.ID, 20*time.Second)
+	r.lasts(12 * time.Second)
 	r.w.After(10*time.Second, func() {
 		r.w.Kill(n.ID)
 		r.restart(n, time.Second)
@@ -148,7 +154,9 @@
 }
 
 func (r *Run) engineFreeze() {
-	r.w.Inject(r.anyEngine(), fault.Fault{Kind: fault.Freeze, Millis: r.between(100*time.Millisecond, 8*time.Second).Milliseconds()})
+	d := r.between(100*time.Millisecond, 8*time.Second)
+	r.lasts(d)
+	r.w.Inject(r.anyEngine(), fault.Fault{Kind: fault.Freeze, Millis: d.Milliseconds()})
 }
 
 func (r *Run) engineCrash() {
@@ -251,6 +259,7 @@
 func (r *Run) domainLoss() {
 	lost := domain(r.rng.IntN(3))
 	back := r.between(time.Second, 10*time.Second)
+	r.lasts(back)
 	for _, n := range r.w.Nodes {
 		if n.Domain == lost && r.w.Running(n.ID) {
 			r.Provoked[core.AnswerWhole] += r.w.Streaming(n.ID)
@@ -280,6 +289,7 @@
 
 // heal ends all faults.
 func (r *Run) heal() {
+	r.lasts(0)
 	r.w.Unreliable(0, 0)
 	r.w.MendLinks()
 	r.w.LogFault(fault.Fault{Kind: fault.Down})
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"time"
+
 	"daisyshed.dev/bench/world"
 	"daisyshed.dev/core"
 )
@@ -115,6 +117,29 @@
 	}
 }
 
+// watchMemory checks, once the faults have ended, that no engine holds
+// anything for longer than the bound after its request has ended.
+func (r *Run) watchMemory() {
+	r.w.Every(250*time.Millisecond, func() {
+		for _, e := range r.w.Engines {
+			for _, h := range r.w.Held(e.Upstream.ID) {
+				r.checkHeld(e.Upstream.ID, h.Allocation.Request)
+			}
+		}
+	})
+}
+
+func (r *Run) checkHeld(engine core.EngineID, request core.RequestID) {
+	c := r.byRequest[request]
+	if c == nil || c.EndedAt == 0 || r.late[request] {
+		return
+	}
+	if r.w.Now.Sub(max(c.EndedAt, r.faultsEnd)) > releaseBound {
+		r.late[request] = true
+		r.fail(core.MemoryReleased, "%s still holds %s, which ended %s ago", engine, request, r.w.Now.Sub(c.EndedAt))
+	}
+}
+
 // judgeMemory checks that no engine holds anything once all requests ended.
 func (r *Run) judgeMemory() {
 	for _, e := range r.w.Engines {
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -21,6 +21,7 @@
 	for at := warmUp; at < warmUp+r.Faulty; at += time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second)) {
 		c := r.newCaller()
 		r.callers = append(r.callers, c)
+		r.byRequest[c.Request.Request] = c
 		r.w.After(at, func() { r.w.Ask(c, r.shuffledNodes()...) })
 	}
 	payments := 4 + 12*r.rng.Float64()
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -40,6 +40,11 @@
 	pools   map[core.PoolID]core.Revision
 	// disturbed is when each node was last cut off, frozen or stopped.
 	disturbed map[core.NodeID]core.Instant
+	// faultsEnd is when the last fault ends, byRequest the callers by request.
+	faultsEnd core.Instant
+	byRequest map[core.RequestID]*world.Caller
+	// late are the requests whose memory was found held for too long.
+	late map[core.RequestID]bool
 }
 
 // Failure is one violation of a promise.
@@ -79,6 +84,8 @@
 	r.Provoked = make(map[core.Promise]int)
 	r.Faults = make(map[string]int)
 	r.pools = make(map[core.PoolID]core.Revision)
+	r.byRequest = make(map[core.RequestID]*world.Caller)
+	r.late = make(map[core.RequestID]bool)
 	r.disturbed = make(map[core.NodeID]core.Instant)
 	r.build()
 	r.w.Open()
@@ -86,6 +93,7 @@
 	r.w.After(warmUp, r.nextFault)
 	r.w.Run(warmUp + r.Faulty)
 	r.heal()
+	r.watchMemory()
 	r.w.Run(warmUp + r.Faulty + quietTime)
 	r.judge()
 	r.Steps = r.w.Updates
--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -34,6 +34,8 @@
 	Answers   int
 	Cancelled bool
 	GivenUp   bool
+	// EndedAt is when one of these three came true.
+	EndedAt core.Instant
 	// Faults lists what was wrong with the answer.
 	Faults []string
 
@@ -128,6 +130,7 @@
 func (c *Caller) finish() {
 	c.Answers++
 	c.Done = true
+	c.EndedAt = c.world.Now
 	if c.Received != c.Output {
 		c.fault("the answer was cut short")
 	}
@@ -150,6 +153,7 @@
 func (c *Caller) comeBack(after time.Duration) {
 	if c.Retries <= 0 {
 		c.GivenUp = true
+		c.EndedAt = c.world.Now
 		return
 	}
 	c.Retries--
@@ -162,6 +166,7 @@
 		return
 	}
 	c.Cancelled = true
+	c.EndedAt = c.world.Now
 	c.connection.closed = true
 	n := c.node
 	if n == nil {
--- a/core/checks.go
+++ b/core/checks.go
@@ -26,6 +26,6 @@
 func (n *Node) checkMemory() {
 	for key := range n.holds {
 		_, releasing := n.releases[key]
-		n.require(MemoryReleased, releasing || n.entry.live(key.allocation), "memory is held for an attempt that ended")
+		n.require(MemoryReleased, releasing || n.entry.live(key.allocation), "memory is held for an attempt that ended: "+string(key.engine)+" "+string(key.allocation.Request))
 	}
 }
--- a/core/entry.go
+++ b/core/entry.go
@@ -47,6 +47,8 @@
 	// that it was placed with.
 	source           EngineID
 	sourceAllocation Allocation
+	// sourceLost is set if that engine fails meanwhile.
+	sourceLost bool
 }
 
 // moving reports whether a running stream is on its way to another engine.
@@ -114,7 +116,7 @@
 	if n.leaving {
 		return Leaving
 	}
-	if !n.config.fresh(n) {
+	if !n.config.fresh(n) || n.config.folded.Offset() == 0 {
 		return StaleConfiguration
 	}
 	return NoReason
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -12,12 +12,12 @@
 func (s *entry) place(n *Node, r *serving) {
 	profile, ok := n.config.profile(r.request.Profile)
 	if !ok {
-		s.giveUp(n, r, UnknownProfile, time.Minute)
+		s.unplaced(n, r, UnknownProfile, time.Minute)
 		return
 	}
 	g, ok := n.owner.groupFor(n, r, profile)
 	if !ok {
-		s.giveUp(n, r, NoUpstream, n.spread(noUpstreamRetryAfter))
+		s.unplaced(n, r, NoUpstream, n.spread(noUpstreamRetryAfter))
 		return
 	}
 	r.phase = waiting
@@ -42,6 +42,16 @@
 	s.watchPlacement(n, r, n.Settings.PlaceTimeout)
 }
 
+// unplaced ends a request for which there is no placement; a running stream
+// that should have moved goes on where it is.
+func (s *entry) unplaced(n *Node, r *serving, reason RefusalReason, after time.Duration) {
+	if r.moving() {
+		s.moveFailed(n, r)
+		return
+	}
+	s.giveUp(n, r, reason, after)
+}
+
 // noUpstreamRetryAfter is when to come back if no engine may serve a profile.
 const noUpstreamRetryAfter = 2 * time.Second
 
@@ -76,6 +86,11 @@
 		return
 	}
 	r.unreachable.Add(r.owner)
+	if r.moving() {
+		s.report(n, r.owner, AttemptEnded{Allocation: r.allocation, Reason: Expired})
+		s.moveFailed(n, r)
+		return
+	}
 	if len(r.unreachable) >= maxPlaceTries || r.owner == n.Self.ID {
 		s.end(n, r, Expired, "", 0)
 		s.giveUp(n, r, OwnerUnreachable, n.spread(time.Second))
@@ -222,16 +237,20 @@
 	}
 	r.source = r.placed.Decode
 	r.sourceAllocation = r.allocation
+	r.sourceLost = false
 	r.avoid = append(slices.Clone(r.avoid), r.source)
 	s.nextAttempt(n, r)
 	s.place(n, r)
 }
 
-// moveFailed lets a stream go on where it runs.
+// moveFailed lets a stream go on where it runs, or places it anew if its
+// engine has failed meanwhile.
 func (s *entry) moveFailed(n *Node, r *serving) {
 	r.allocation = r.sourceAllocation
 	r.placed = Placed{Allocation: r.allocation, Decode: r.source}
 	r.source = ""
 	r.phase = decoding
-	s.watchStep(n, r)
+	if r.sourceLost {
+		s.retry(n, r, r.placed.Decode)
+	}
 }
--- a/core/entry_step.go
+++ b/core/entry_step.go
@@ -48,7 +48,7 @@
 
 func (s *entry) startImport(n *Node, r *serving, from EngineID) {
 	if !n.mayStart(r.placed.Decode, r.request.Profile) {
-		s.retry(n, r, r.placed.Decode)
+		s.importForbidden(n, r)
 		return
 	}
 	r.phase = importing
@@ -61,6 +61,17 @@
 	})
 }
 
+// importForbidden gives up a placement whose decode engine was withdrawn
+// meanwhile.
+func (s *entry) importForbidden(n *Node, r *serving) {
+	if r.moving() {
+		s.report(n, r.owner, AttemptEnded{Allocation: r.allocation, Reason: Expired})
+		s.moveFailed(n, r)
+		return
+	}
+	s.retry(n, r, r.placed.Decode)
+}
+
 func (s *entry) startDecode(n *Node, r *serving) {
 	r.phase = decoding
 	n.do(StartDecode{
@@ -191,6 +202,7 @@
 	r, ok := s.serving[m.Allocation.Request]
 	if ok && r.moving() && r.sourceAllocation == m.Allocation {
 		r.emitted = max(r.emitted, m.Emitted)
+		r.sourceLost = true
 	}
 }
 
