Never take a VM list without upstreams from a peer

Cause: a node starts from the seeds in its settings, which name no upstreams; it passed that list on to peers that could not read the platform's, with age zero. Only complete lists are passed on and taken, and a release is dropped only if a complete list no longer shows the engine. A promise that arrives twice no longer ends an attempt that is still the source of a move.

--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -157,7 +157,7 @@
 
 // decline gives a promise back that is no longer wanted.
 func (s *entry) decline(n *Node, from NodeID, b Placed) {
-	if r, ok := s.serving[b.Allocation.Request]; ok && r.allocation == b.Allocation {
+	if s.live(b.Allocation) {
 		return
 	}
 	s.report(n, from, AttemptEnded{Allocation: b.Allocation, Reason: Expired})
--- a/core/membership_list.go
+++ b/core/membership_list.go
@@ -122,16 +122,19 @@
 // view: the VM list may not show it yet.
 func (s *members) inScope(n *Node, node NodeInfo) bool { return node.Region == n.Self.Region }
 
+// complete reports whether the list came from the platform: the seeds in a
+// node's settings name no upstreams.
+func (l *vmListState) complete() bool { return l.have && len(l.list.Upstreams) > 0 }
+
 func (s *members) vmListQuery(n *Node, from NodeID) {
-	if s.list.have {
+	if s.list.complete() {
 		n.send(from, VMListAnswer{List: s.list.list, Age: n.now.Sub(s.list.readAt)})
 	}
 }
 
 func (s *members) vmListAnswer(n *Node, m VMListAnswer) {
 	readAt := n.now.Add(-m.Age)
-	complete := len(s.list.list.Upstreams) > 0
-	if s.list.have && complete && readAt <= s.list.readAt {
+	if len(m.List.Upstreams) == 0 || s.list.complete() && readAt <= s.list.readAt {
 		return
 	}
 	n.vmList(m.List)
--- a/core/owner.go
+++ b/core/owner.go
@@ -75,6 +75,9 @@
 	return ok
 }
 
+// gone reports whether the VM list is known and no longer shows an upstream.
+func (s *owner) gone(id EngineID) bool { return len(s.upstreams) > 0 && !s.exists(id) }
+
 // openBooks starts to poll the engines that this node acts for.
 func (s *owner) openBooks(n *Node) {
 	for _, id := range sortedKeys(s.groupOf) {
--- a/core/release.go
+++ b/core/release.go
@@ -127,7 +127,7 @@
 	if !pending {
 		return
 	}
-	if !n.owner.exists(key.engine) {
+	if n.owner.gone(key.engine) {
 		delete(n.releases, key)
 		delete(n.holds, key)
 		return
