Drive the control core under random faults, and bind a call to its writer's start

The harness runs nodes over a network, log, VM list and plain services that fail as told, on virtual time.

--- /dev/null
+++ b/core/harness_platform_test.go
@@ -0,0 +1,214 @@
+package core_test
+
+import (
+	"fmt"
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// logEpoch is the log's clock at the world's start.
+const logEpoch = int64(1_700_000_000) * int64(time.Second)
+
+// logFault is what the log does to requests.
+type logFault struct {
+	down bool
+	// lostReply is the chance that an append takes effect but gets no answer,
+	// and late the chance that it takes effect only after its failure.
+	lostReply, late float64
+	slow            time.Duration
+	// cut holds the nodes that alone cannot reach the log.
+	cut map[core.NodeID]bool
+}
+
+// fakeLog is an append-only log with offsets per stream.
+type fakeLog struct {
+	w         *world
+	streams   map[core.StreamID][]core.LogRecord
+	retention time.Duration
+	fault     logFault
+	lost      int
+}
+
+func newFakeLog(w *world) *fakeLog {
+	return &fakeLog{w: w, streams: map[core.StreamID][]core.LogRecord{}, retention: time.Hour}
+}
+
+func (l *fakeLog) clock() int64 { return logEpoch + int64(l.w.now) }
+
+// put appends records at once, as an operator's client does.
+func (l *fakeLog) put(stream core.StreamID, records ...core.Record) core.Offset {
+	first := core.Offset(len(l.streams[stream]) + 1)
+	for i, r := range records {
+		l.streams[stream] = append(l.streams[stream], core.LogRecord{
+			Offset: first + core.Offset(i), At: l.clock(), Record: r,
+		})
+	}
+	return first
+}
+
+func (l *fakeLog) unreachable(h *host) bool { return l.fault.down || l.fault.cut[h.info.ID] }
+
+func (l *fakeLog) append(h *host, c core.AppendLog) {
+	w := l.w
+	delay := 2*time.Millisecond + w.upTo(4*time.Millisecond) + w.upTo(l.fault.slow)
+	switch {
+	case l.unreachable(h):
+		w.reply(h, delay, core.LogAppendFailed{Ticket: c.Ticket, NotAppended: w.chance(0.5), Reason: "down"})
+	case w.chance(l.fault.lostReply):
+		l.lost++
+		w.at(w.now+delay, func() { l.put(c.Stream, c.Records...) })
+		w.reply(h, 2*delay, core.LogAppendFailed{Ticket: c.Ticket, Reason: "reply lost"})
+	case w.chance(l.fault.late):
+		l.lost++
+		w.at(w.now+time.Second+w.upTo(10*time.Second), func() { l.put(c.Stream, c.Records...) })
+		w.reply(h, delay, core.LogAppendFailed{Ticket: c.Ticket, Reason: "timeout"})
+	default:
+		incarnation := h.incarnation
+		w.at(w.now+delay, func() {
+			first := l.put(c.Stream, c.Records...)
+			if h.incarnation == incarnation {
+				w.reply(h, w.upTo(2*time.Millisecond), core.LogAppended{Ticket: c.Ticket, First: first})
+			}
+		})
+	}
+}
+
+func (l *fakeLog) read(h *host, c core.ReadLog) {
+	w := l.w
+	delay := time.Millisecond + w.upTo(3*time.Millisecond) + w.upTo(l.fault.slow)
+	if l.unreachable(h) {
+		w.reply(h, delay, core.LogReadFailed{Stream: c.Stream, Reason: "down"})
+		return
+	}
+	incarnation := h.incarnation
+	w.at(w.now+delay, func() {
+		if h.incarnation == incarnation {
+			w.reply(h, w.upTo(2*time.Millisecond)+w.upTo(l.fault.slow), l.answer(c))
+		}
+	})
+}
+
+// answer returns up to a page of the records that the log still keeps.
+func (l *fakeLog) answer(c core.ReadLog) core.LogRead {
+	const page = 50
+	all := l.streams[c.Stream]
+	first := 0
+	for first < len(all) && l.clock()-all[first].At >= int64(l.retention) {
+		first++
+	}
+	from := min(max(first, int(c.After)), len(all))
+	to := min(from+page, len(all))
+	return core.LogRead{
+		Stream: c.Stream, After: c.After, Records: all[from:to:to],
+		First: core.Offset(first + 1), End: core.Offset(len(all)), Now: l.clock(), Retention: l.retention,
+	}
+}
+
+// serviceFault is what plain services do to calls.
+type serviceFault struct {
+	// refuse is the chance of a refusal before the call is read, lost that the
+	// call runs but its answer is lost, late that it runs after the timeout.
+	refuse, lost, late float64
+}
+
+// services are the plain services with a ledger of what ran.
+type services struct {
+	w     *world
+	ran   map[core.IdempotencyKey][]string
+	fault serviceFault
+}
+
+func (s *services) call(h *host, c core.CallService) {
+	w := s.w
+	delay := time.Millisecond + w.upTo(20*time.Millisecond)
+	run := func() {
+		s.ran[c.Key] = append(s.ran[c.Key], fmt.Sprintf("%s from %s/%d at %v", c.Engine, h.info.ID, h.incarnation, w.now))
+	}
+	switch {
+	case w.chance(s.fault.refuse):
+		w.reply(h, delay, core.ServiceFailed{Ticket: c.Ticket, Engine: c.Engine, NotRun: true, Reason: "refused"})
+	case w.chance(s.fault.lost):
+		w.at(w.now+delay, run)
+		w.reply(h, c.Timeout, core.ServiceFailed{Ticket: c.Ticket, Engine: c.Engine, Reason: "timeout"})
+	case w.chance(s.fault.late):
+		w.at(w.now+c.Timeout+delay, run)
+		w.reply(h, c.Timeout, core.ServiceFailed{Ticket: c.Ticket, Engine: c.Engine, Reason: "timeout"})
+	default:
+		w.at(w.now+delay, run)
+		w.reply(h, 2*delay, core.ServiceAnswered{Ticket: c.Ticket, Engine: c.Engine, Status: 200, Body: []byte(c.Key)})
+	}
+}
+
+// sentCall is one call of a caller, with its answer.
+type sentCall struct {
+	call   core.CallerCall
+	node   core.NodeID
+	sentAt time.Duration
+	// incarnation is the start of the node that took the call.
+	incarnation core.Incarnation
+	answered    bool
+	answer      core.AnswerCall
+}
+
+// callers send calls and judge the answers.
+type callers struct {
+	w     *world
+	byID  map[core.CallID]*sentCall
+	byKey map[core.IdempotencyKey][]*sentCall
+}
+
+func (c *callers) send(id core.NodeID, key core.IdempotencyKey, profile core.ProfileID) *sentCall {
+	h := c.w.hosts[id]
+	call := core.CallerCall{
+		Call:    core.CallID(fmt.Sprintf("%s/%d/%d", id, h.incarnation, len(c.byID))),
+		Profile: profile, Customer: "gardener", Key: key, Body: []byte("body of " + key),
+	}
+	sent := &sentCall{call: call, node: id, sentAt: c.w.now, incarnation: h.incarnation}
+	c.byID[call.Call] = sent
+	c.byKey[key] = append(c.byKey[key], sent)
+	c.w.send(id, call)
+	return sent
+}
+
+func (c *callers) answered(a core.AnswerCall) {
+	sent := c.byID[a.Call]
+	if sent == nil || sent.answered {
+		c.w.t.Fatalf("call %s is answered twice or was never sent", a.Call)
+		return
+	}
+	sent.answered, sent.answer = true, a
+	ran := len(c.w.services.ran[sent.call.Key]) > 0
+	if a.Outcome == core.Ran && !ran {
+		c.w.t.Fatalf("call %s is called Ran but its key %s never ran", a.Call, sent.call.Key)
+	}
+	final := a.Outcome == core.NotRun && a.Reason == core.UpstreamFailed
+	if final && ran {
+		c.w.t.Fatalf("call %s is called NotRun for good but its key %s ran", a.Call, sent.call.Key)
+	}
+}
+
+// check asserts the promises of once-only calls over the ledger.
+func (c *callers) check() {
+	c.w.t.Helper()
+	for key, runs := range c.w.services.ran {
+		if key == "" {
+			continue
+		}
+		if len(runs) > 1 {
+			c.w.t.Fatalf("key %s ran more than once: %v", key, runs)
+		}
+		if c.allNotRun(key) {
+			c.w.t.Fatalf("key %s ran, but each of its calls was called NotRun: %v", key, runs)
+		}
+	}
+}
+
+func (c *callers) allNotRun(key core.IdempotencyKey) bool {
+	for _, sent := range c.byKey[key] {
+		if !sent.answered || sent.answer.Outcome != core.NotRun {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/harness_test.go
@@ -0,0 +1,344 @@
+package core_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// failer is what the world needs of a test.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// world drives several nodes over a network and a platform that fail as told,
+// on virtual time. The same seed and the same calls give the same run.
+type world struct {
+	t        failer
+	rng      *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	order    int
+	settings core.Settings
+	hosts    map[core.NodeID]*host
+	ids      []core.NodeID
+	links    map[link]*fault
+	log      *fakeLog
+	vms      core.VMList
+	vmsDown  bool
+	services *services
+	callers  *callers
+	// other sees the commands that the world does not carry out itself.
+	other func(id core.NodeID, c core.Command)
+}
+
+// link is one direction between two nodes.
+type link struct{ from, to core.NodeID }
+
+// fault is what a link does to messages.
+type fault struct {
+	cut        bool
+	loss, dup  float64
+	extraDelay time.Duration
+}
+
+// host runs one start after another of a node.
+type host struct {
+	info        core.NodeInfo
+	node        *core.Node
+	incarnation core.Incarnation
+	up          bool
+	frozen      bool
+	// holdNext freezes the process between the next update and its commands.
+	holdNext bool
+	inbox    []core.Message
+	held     []core.Command
+	bootedAt time.Duration
+	rate     float64
+	wakeAt   time.Duration
+}
+
+func newWorld(t failer, seed uint64, nodes int) *world {
+	w := &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)),
+		hosts: map[core.NodeID]*host{}, links: map[link]*fault{},
+		other: func(core.NodeID, core.Command) {},
+	}
+	w.log = newFakeLog(w)
+	w.services = &services{w: w, ran: map[core.IdempotencyKey][]string{}}
+	w.callers = &callers{w: w, byID: map[core.CallID]*sentCall{}, byKey: map[core.IdempotencyKey][]*sentCall{}}
+	for i := range nodes {
+		id := core.NodeID(fmt.Sprintf("node-%d", i))
+		domain := core.DomainID(fmt.Sprintf("west-%d", i%3))
+		info := core.NodeInfo{ID: id, Domain: domain, Region: "west", PeerAddress: string(id), CallerAddress: string(id)}
+		w.hosts[id] = &host{info: info}
+		w.ids = append(w.ids, id)
+		w.vms.Nodes = append(w.vms.Nodes, info)
+	}
+	return w
+}
+
+// startAll starts every node.
+func (w *world) startAll() {
+	for _, id := range w.ids {
+		w.restart(id)
+	}
+}
+
+// restart kills a node's process if it runs, and starts a new one.
+func (w *world) restart(id core.NodeID) {
+	h := w.hosts[id]
+	w.kill(id)
+	h.incarnation++
+	h.up = true
+	h.bootedAt = w.now - time.Duration(w.rng.Int64N(int64(time.Hour)))
+	h.rate = 1 + (w.rng.Float64()-0.5)/500
+	h.node = &core.Node{Self: h.info, Incarnation: h.incarnation, Seed: w.rng.Uint64(), Settings: w.settings}
+	w.update(h, core.Tick{})
+}
+
+// kill ends a node's process.
+func (w *world) kill(id core.NodeID) {
+	h := w.hosts[id]
+	h.up, h.frozen, h.holdNext = false, false, false
+	h.inbox, h.held = nil, nil
+}
+
+// freeze pauses a node's process, either at once or between its next update
+// and the commands that follow from it.
+func (w *world) freeze(id core.NodeID, beforeCommands bool) {
+	h := w.hosts[id]
+	if beforeCommands {
+		h.holdNext = h.up
+		return
+	}
+	h.frozen = h.up
+}
+
+// thaw lets a node's process go on with what it was about to do.
+func (w *world) thaw(id core.NodeID) {
+	h := w.hosts[id]
+	h.frozen, h.holdNext = false, false
+	held, inbox := h.held, h.inbox
+	h.held, h.inbox = nil, nil
+	for _, c := range held {
+		w.run(h, c)
+	}
+	for _, m := range inbox {
+		w.update(h, m)
+	}
+	if h.up {
+		w.update(h, core.Tick{})
+	}
+}
+
+// clock returns a node's own time, which runs at its own rate.
+func (h *host) clock(now time.Duration) core.Instant {
+	return core.Instant(float64(now-h.bootedAt) * h.rate)
+}
+
+// send hands a message to a node's process.
+func (w *world) send(id core.NodeID, m core.Message) { w.update(w.hosts[id], m) }
+
+func (w *world) update(h *host, m core.Message) {
+	if !h.up {
+		return
+	}
+	if h.frozen {
+		h.inbox = append(h.inbox, m)
+		return
+	}
+	commands := h.node.Update(h.clock(w.now), m)
+	if h.holdNext {
+		h.holdNext, h.frozen = false, true
+		h.held = commands
+		return
+	}
+	for _, c := range commands {
+		w.run(h, c)
+	}
+	w.scheduleWake(h)
+}
+
+func (w *world) scheduleWake(h *host) {
+	at, ok := h.node.Wake()
+	if !ok {
+		return
+	}
+	due := h.bootedAt + time.Duration(float64(at)/h.rate) + time.Microsecond
+	due = max(due, w.now)
+	if h.wakeAt > w.now && h.wakeAt <= due {
+		return
+	}
+	h.wakeAt = due
+	incarnation := h.incarnation
+	w.at(due, func() {
+		if h.incarnation == incarnation && !h.frozen && h.wakeAt == due {
+			h.wakeAt = 0
+			w.update(h, core.Tick{})
+		}
+	})
+}
+
+// reply delivers m to the process that asked, if it still runs.
+func (w *world) reply(h *host, after time.Duration, m core.Message) {
+	incarnation := h.incarnation
+	w.at(w.now+after, func() {
+		if h.incarnation == incarnation {
+			w.update(h, m)
+		}
+	})
+}
+
+func (w *world) run(h *host, c core.Command) {
+	switch c := c.(type) {
+	case core.SendPeer:
+		w.transmit(h, c)
+	case core.AppendLog:
+		w.log.append(h, c)
+	case core.ReadLog:
+		w.log.read(h, c)
+	case core.ReadVMList:
+		w.readVMList(h)
+	case core.CallService:
+		w.services.call(h, c)
+	case core.AnswerCall:
+		w.callers.answered(c)
+	case core.LogViolation:
+		w.t.Fatalf("%s at %v: %v", h.info.ID, w.now, c.Violation)
+	default:
+		w.other(h.info.ID, c)
+	}
+}
+
+func (w *world) transmit(from *host, c core.SendPeer) {
+	to, ok := w.hosts[c.To]
+	if !ok {
+		return
+	}
+	f := w.link(from.info.ID, c.To)
+	copies := 1
+	if w.chance(f.dup) {
+		copies = 2
+	}
+	m := core.Peer{From: from.info.ID, Incarnation: from.incarnation, Body: c.Body}
+	for range copies {
+		if f.cut || w.chance(f.loss) {
+			continue
+		}
+		delay := 300*time.Microsecond + w.upTo(time.Millisecond) + w.upTo(f.extraDelay)
+		w.at(w.now+delay, func() { w.update(to, m) })
+	}
+}
+
+func (w *world) readVMList(h *host) {
+	if w.vmsDown {
+		w.reply(h, w.upTo(time.Second), core.PlatformFailed{Reason: "down"})
+		return
+	}
+	w.reply(h, w.upTo(5*time.Millisecond), w.vms)
+}
+
+// link returns the faults of one direction.
+func (w *world) link(from, to core.NodeID) *fault {
+	l := link{from: from, to: to}
+	if w.links[l] == nil {
+		w.links[l] = &fault{}
+	}
+	return w.links[l]
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.links = map[link]*fault{}
+	w.vmsDown = false
+	w.log.fault = logFault{}
+	w.services.fault = serviceFault{}
+	for _, id := range w.ids {
+		if w.hosts[id].up {
+			w.thaw(id)
+		} else {
+			w.restart(id)
+		}
+	}
+}
+
+// ask sends a node a query and returns the command that answers it.
+func (w *world) ask(id core.NodeID, m core.Message) core.Command {
+	var answer core.Command
+	before := w.other
+	w.other = func(from core.NodeID, c core.Command) {
+		switch c.(type) {
+		case core.AnswerStatus, core.AnswerAddresses:
+			answer = c
+		default:
+			before(from, c)
+		}
+	}
+	w.send(id, m)
+	w.other = before
+	return answer
+}
+
+// status returns a running node's view.
+func (w *world) status(id core.NodeID) core.Status {
+	w.t.Helper()
+	answer, ok := w.ask(id, core.StatusQuery{}).(core.AnswerStatus)
+	if !ok {
+		w.t.Fatalf("%s gives no status", id)
+	}
+	return answer.Status
+}
+
+// advance runs everything that is due within d.
+func (w *world) advance(d time.Duration) {
+	end := w.now + d
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = max(w.now, e.at)
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *world) at(at time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.events, event{at: at, order: w.order, run: run})
+}
+
+func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
+
+func (w *world) upTo(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(w.rng.Int64N(int64(d)))
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
--- a/core/once_entry.go
+++ b/core/once_entry.go
@@ -12,7 +12,7 @@
 	to := n.members.keyWriter(n, m.Key)
 	s.forwarded[m.Call] = forward{to: to}
 	n.send(to, KeyCall{
-		Call: m.Call, Profile: m.Profile, Customer: m.Customer,
+		Call: m.Call, Writer: n.members.incarnation(n, to), Profile: m.Profile, Customer: m.Customer,
 		Key: m.Key, KeyMinted: m.KeyMinted, Body: m.Body,
 	})
 	wait := intentTimeout + n.Settings.CallTimeout + answerMargin
--- a/core/once_writer.go
+++ b/core/once_writer.go
@@ -72,7 +72,11 @@
 	}
 	s.wantedAt = n.now
 	w := waiter{from: from, call: m.Call}
-	digest := digestOf(m)
+	if m.Writer != n.Incarnation {
+		tell(n, w, KeyAnswer{Outcome: Unknown, Reason: OwnerUnreachable, RetryAfter: n.spread(callRetryAfter)})
+		return
+	}
+	digest := CallDigest(m.Profile, m.Customer, m.Body)
 	if st, ok := s.keys[m.Key]; ok && s.join(n, st, w, digest) {
 		return
 	}
@@ -94,9 +98,9 @@
 	return false
 }
 
-// digestOf identifies what a call asks for.
-func digestOf(m KeyCall) uint64 {
-	return hash64(string(m.Profile), string(m.Customer), string(m.Body))
+// CallDigest identifies what a call asks for. It is the Digest of a KeyIntent.
+func CallDigest(profile ProfileID, customer CustomerID, body []byte) uint64 {
+	return hash64(string(profile), string(customer), string(body))
 }
 
 // refusal decides whether to refuse a call whose key this node has not met.
--- a/core/peer.go
+++ b/core/peer.go
@@ -185,7 +185,10 @@
 
 // KeyCall asks the owner of a key to run a once-only call.
 type KeyCall struct {
-	Call      CallID
+	Call CallID
+	// Writer is the start of the owner that the call is meant for. Another
+	// start does not know whether it was refused before, and does not take it.
+	Writer    Incarnation
 	Profile   ProfileID
 	Customer  CustomerID
 	Key       IdempotencyKey
