--- /dev/null
+++ b/bench/command.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"daisyshed.dev/bench/experiment"
+	"daisyshed.dev/bench/scenario"
+	"github.com/samber/oops"
+)
+
+// command holds the command line.
+type command struct {
+	Scenario []string      `long:"scenario" description:"scenario to run; may be repeated"`
+	Policy   []string      `long:"policy" description:"policy to run; may be repeated; all if absent"`
+	Seed     []uint64      `long:"seed" default:"1" description:"seed of arrivals and of all random choices; may be repeated"`
+	Duration time.Duration `long:"duration" default:"60s" description:"length of the measured window in virtual time"`
+	All      bool          `long:"all" description:"run every scenario"`
+	Plot     string        `long:"plot" value-name:"FILE.png" description:"draw the results"`
+	Workers  int           `long:"workers" default:"1" description:"runs at one time"`
+}
+
+// NothingToRun says that no scenario was named.
+type NothingToRun struct{}
+
+// Error says what to do about it.
+func (NothingToRun) Error() string { return "name a scenario with --scenario, or use --all" }
+
+// describe lists what may be named on the command line.
+func describe() string {
+	var b strings.Builder
+	b.WriteString("Runs scenarios under placement policies on virtual time.\n\nScenarios:\n")
+	for _, s := range scenario.All() {
+		b.WriteString("  " + s.Name + "\n")
+	}
+	b.WriteString("\nPolicies:\n")
+	for _, p := range experiment.Policies() {
+		b.WriteString("  " + p.Name + "\n")
+	}
+	return b.String()
+}
+
+func (c *command) run(w io.Writer) error {
+	runs, err := c.runs()
+	if err != nil {
+		return oops.Wrapf(err, "command line")
+	}
+	results, err := c.carryOut(runs, json.NewEncoder(w))
+	if err != nil {
+		return oops.Wrapf(err, "write results")
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return oops.Wrapf(experiment.Plot(results, c.Plot), "plot")
+}
+
+// runs returns each chosen scenario with each chosen seed and policy.
+func (c *command) runs() ([]*experiment.Run, error) {
+	scenarios, err := c.scenarios()
+	if err != nil {
+		return nil, err
+	}
+	policies, err := c.policies()
+	if err != nil {
+		return nil, err
+	}
+	var runs []*experiment.Run
+	for _, s := range scenarios {
+		for _, seed := range c.Seed {
+			for _, p := range policies {
+				runs = append(runs, &experiment.Run{Scenario: s, Policy: p, Seed: seed, Window: c.Duration})
+			}
+		}
+	}
+	return runs, nil
+}
+
+func (c *command) scenarios() ([]scenario.Scenario, error) {
+	if c.All {
+		return scenario.All(), nil
+	}
+	if len(c.Scenario) == 0 {
+		return nil, NothingToRun{}
+	}
+	var chosen []scenario.Scenario
+	for _, name := range c.Scenario {
+		s, err := scenario.Find(name)
+		if err != nil {
+			return nil, err
+		}
+		chosen = append(chosen, s)
+	}
+	return chosen, nil
+}
+
+func (c *command) policies() ([]experiment.Policy, error) {
+	if len(c.Policy) == 0 {
+		return experiment.Policies(), nil
+	}
+	var chosen []experiment.Policy
+	for _, name := range c.Policy {
+		p, err := experiment.FindPolicy(name)
+		if err != nil {
+			return nil, err
+		}
+		chosen = append(chosen, p)
+	}
+	return chosen, nil
+}
+
+// carryOut carries out the runs, a few at a time, and writes their results in
+// order.
+func (c *command) carryOut(runs []*experiment.Run, out *json.Encoder) ([]experiment.Result, error) {
+	results := make([]experiment.Result, len(runs))
+	done := make([]chan struct{}, len(runs))
+	slots := make(chan struct{}, max(c.Workers, 1))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i, r := range runs {
+		done[i] = make(chan struct{})
+		wg.Go(func() {
+			slots <- struct{}{}
+			results[i] = r.Result()
+			<-slots
+			close(done[i])
+		})
+	}
+	for i := range runs {
+		<-done[i]
+		if err := out.Encode(results[i]); err != nil {
+			return nil, err
+		}
+		runs[i] = nil
+	}
+	return results, nil
+}
--- /dev/null
+++ b/bench/experiment/run.go
@@ -0,0 +1,83 @@
+package experiment
+
+import (
+	"time"
+
+	"daisyshed.dev/bench/scenario"
+	"daisyshed.dev/bench/world"
+	"daisyshed.dev/core"
+)
+
+const (
+	// loadFrom is when callers begin to arrive, after configuration has
+	// reached the nodes.
+	loadFrom = 5 * time.Second
+	// warmUp is the load before the measured window, coolDown the load after
+	// it, so that its requests begin and end among others.
+	warmUp   = 25 * time.Second
+	coolDown = 15 * time.Second
+	// drain is the time without arrivals in which all requests end.
+	drain = 90 * time.Second
+	// sampleEvery is the period at which engines' lists are looked at.
+	sampleEvery = 250 * time.Millisecond
+)
+
+// Run is one scenario under one policy.
+type Run struct {
+	Scenario scenario.Scenario
+	Policy   Policy
+	Seed     uint64
+	// Window is the length of the measured window.
+	Window time.Duration
+	// PeerSize, if set, returns the bytes of a message between nodes.
+	PeerSize func(core.Peer) int
+	// Observe, if set, sees each decision.
+	Observe func(core.Decision)
+
+	world     *world.World
+	arrivals  []scenario.Arrival
+	measured  []scenario.Arrival
+	decisions int
+	borrowed  borrowedUse
+}
+
+// Result carries out the run.
+func (r *Run) Result() Result {
+	r.open()
+	from := loadFrom + warmUp
+	end := from + r.Window + coolDown
+	r.arrivals = r.Scenario.Arrivals(r.Seed, loadFrom, end)
+	for _, a := range r.arrivals {
+		if a.At >= from && a.At < from+r.Window {
+			r.measured = append(r.measured, a)
+		}
+		r.world.After(a.At, func() { r.world.Ask(a.Caller, a.Nodes...) })
+	}
+	r.Scenario.Schedule(r.world, from, r.Window)
+	r.borrowed.watch(r)
+	r.world.Run(end + drain)
+	return r.result(end + drain)
+}
+
+func (r *Run) open() {
+	r.world = r.Scenario.World(r.Policy.Core, r.Seed)
+	r.world.MeasureTime = true
+	r.world.PeerSize = r.PeerSize
+	r.world.Observe = r.observe
+	r.world.Open()
+}
+
+func (r *Run) observe(d core.Decision) {
+	if d.Step == "place" || d.Step == "refuse" {
+		r.decisions++
+	}
+	if r.Observe != nil {
+		r.Observe(d)
+	}
+}
+
+// World returns the world of a run after Result.
+func (r *Run) World() *world.World { return r.world }
+
+// Measured returns the callers of the measured window after Result.
+func (r *Run) Measured() []scenario.Arrival { return r.measured }
--- /dev/null
+++ b/bench/scenario/load.go
@@ -0,0 +1,95 @@
+package scenario
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"daisyshed.dev/bench/world"
+	"daisyshed.dev/core"
+)
+
+// callerRetries is how often a caller comes back.
+const callerRetries = 5
+
+const (
+	// templateBlocks is the part of a prompt that all requests of a profile
+	// share, contextBlocks the part that those of one customer share as well.
+	templateBlocks = 1
+	contextBlocks  = 2
+)
+
+// Arrival is one caller and when it first asks, from the start of the run.
+type Arrival struct {
+	At     time.Duration
+	Caller *world.Caller
+	// Shared is the part of the prompt that other requests may have in common.
+	Shared core.Tokens
+	// Nodes are the nodes that the caller tries, in order.
+	Nodes []core.NodeID
+}
+
+// Arrivals returns the callers of an open-loop Poisson process in a span of
+// time. They depend on the scenario's mix and the seed only, so that every
+// policy meets the same callers.
+func (s Scenario) Arrivals(seed uint64, from, until time.Duration) []Arrival {
+	rng := rand.New(rand.NewPCG(seed, 0x6c6f6164))
+	rate := s.Rate()
+	var all []Arrival
+	gap := func() time.Duration { return time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) }
+	for at := from + gap(); at < until; at += gap() {
+		a := s.arrival(rng, len(all))
+		a.At = at
+		all = append(all, a)
+	}
+	return all
+}
+
+func (s Scenario) arrival(rng *rand.Rand, number int) Arrival {
+	class := s.drawClass(rng)
+	customer := s.Customers.ID(s.Customers.draw(rng))
+	prompt, shared := promptOf(class, customer, class.Prompt.Draw(rng), number)
+	a := Arrival{
+		Shared: shared,
+		Caller: &world.Caller{
+			Request: core.CallerRequest{
+				Request: core.RequestID(fmt.Sprintf("request-%d", number)), Profile: class.Profile,
+				Customer: customer, Prompt: prompt,
+			},
+			Output:  class.Output.Draw(rng),
+			Retries: callerRetries,
+		},
+	}
+	for _, i := range rng.Perm(s.Nodes) {
+		a.Nodes = append(a.Nodes, nodeID(i))
+	}
+	return a
+}
+
+// promptOf returns a prompt whose first blocks are shared.
+func promptOf(class Class, customer core.CustomerID, tokens core.Tokens, number int) (core.Prompt, core.Tokens) {
+	p := core.Prompt{Tokens: tokens}
+	shared := core.Tokens(0)
+	for b := range int(tokens / core.BlockTokens) {
+		owner := fmt.Sprintf("request-%d", number)
+		if b < templateBlocks {
+			owner = string(class.Profile)
+		} else if b < templateBlocks+contextBlocks {
+			owner = string(class.Profile) + "/" + string(customer)
+		}
+		if b < templateBlocks+contextBlocks {
+			shared += core.BlockTokens
+		}
+		p.Blocks = append(p.Blocks, blockHash(owner, b))
+	}
+	return p, shared
+}
+
+func blockHash(owner string, block int) core.BlockHash {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s#%d", owner, block)
+	return core.BlockHash(h.Sum64())
+}
+
+func nodeID(i int) core.NodeID { return core.NodeID(fmt.Sprintf("entry-%d", i)) }
--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -20,13 +20,18 @@
 
 	// Arrived is when the caller first asked, FirstAt and LastAt when tokens
 	// came, in the caller's own view.
-	Arrived  core.Instant
+	Arrived core.Instant
+	// AskedAt is when the caller first asked or last came back after a
+	// refusal.
+	AskedAt  core.Instant
 	FirstAt  core.Instant
 	LastAt   core.Instant
 	Received core.Tokens
 	// Refused counts refusals, Reason is that of the last.
 	Refused int
 	Reason  core.RefusalReason
+	// RefusedAfter is the longest time that the caller waited for a refusal.
+	RefusedAfter time.Duration
 	// Done is set once the whole answer has arrived, Answers counts ends of
 	// answers, Cancelled is set if the caller hung up, and GivenUp once no
 	// retry is left.
@@ -60,6 +65,7 @@
 func (w *World) Ask(c *Caller, nodes ...core.NodeID) {
 	c.world = w
 	c.Arrived = w.Now
+	c.AskedAt = w.Now
 	c.nodes = nodes
 	if c.Patience > 0 {
 		w.After(c.Patience, c.hangUp)
@@ -200,7 +206,9 @@
 		conn.closed = true
 		c.Refused++
 		c.Reason = m.Reason
+		c.RefusedAfter = max(c.RefusedAfter, c.world.Now.Sub(c.AskedAt))
 		c.next++
+		c.AskedAt = c.world.Now.Add(m.RetryAfter)
 		c.comeBack(m.RetryAfter)
 	})
 }
--- a/bench/world/count.go
+++ b/bench/world/count.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"daisyshed.dev/core"
@@ -10,7 +11,12 @@
 )
 
 // countBytes adds up what nodes send each other.
-func (w *World) countBytes(_ core.NodeID, _ core.PeerBody) {}
+func (w *World) countBytes(m core.Peer) {
+	if w.PeerSize == nil {
+		return
+	}
+	w.ControlBytes[fmt.Sprintf("%T", m.Body)] += uint64(w.PeerSize(m))
+}
 
 // sorted returns a map's keys in ascending order.
 func sorted[K cmp.Ordered, V any](m map[K]V) []K {
--- a/bench/world/faults.go
+++ b/bench/world/faults.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/standin/fault"
 )
 
 // Kill ends a node at once and breaks its callers' connections.
@@ -78,3 +79,12 @@
 	n.setWake()
 	return status
 }
+
+// LoseEngine ends an engine at once; nothing reaches it until it is restored.
+func (w *World) LoseEngine(id core.EngineID) {
+	w.engines[id].removed = true
+	w.Inject(id, fault.Fault{Kind: fault.Crash})
+}
+
+// RestoreEngine lets a lost engine start again, with nothing in its memory.
+func (w *World) RestoreEngine(id core.EngineID) { w.engines[id].removed = false }
--- a/bench/world/node.go
+++ b/bench/world/node.go
@@ -138,11 +138,11 @@
 // sendPeer passes a message to another node.
 func (n *node) sendPeer(c core.SendPeer) {
 	w := n.world
-	w.countBytes(n.info.ID, c.Body)
+	m := core.Peer{From: n.info.ID, Incarnation: n.core.Incarnation, Body: c.Body}
+	w.countBytes(m)
 	if w.cuts[cut{n.info.ID, c.To}] || w.rng.Float64() < w.loss {
 		return
 	}
-	m := core.Peer{From: n.info.ID, Incarnation: n.core.Incarnation, Body: c.Body}
 	deliver := func() {
 		if to, ok := w.nodes[c.To]; ok {
 			to.receive(m)
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -32,6 +32,8 @@
 	CallerDelay time.Duration
 	// LogDelay is the time that the log takes for an answer.
 	LogDelay time.Duration
+	// PeerSize, if set, returns the bytes of a message between nodes.
+	PeerSize func(core.Peer) int
 	// Observe, if set, sees each decision.
 	Observe func(core.Decision)
 
