Watch a placement once, so that a queued request has one owner

Cause: place() and placeQueued() each set a watch of their own, both due 250 ms after the question. The first asked the owner again and cleared the acknowledgement; the second came about a millisecond later, before the answer, took the owner for unreachable and let the entry place the request from books of its own. So every request that waited for more than PlaceTimeout was placed by a second owner, and the two promised the same memory.

--- a/core/entry.go
+++ b/core/entry.go
@@ -27,6 +27,8 @@
 	group GroupID
 	owner NodeID
 	asked Instant
+	// watch numbers the latest watch over the placement.
+	watch uint64
 	// acknowledged is set when the owner said that it has queued the request.
 	acknowledged bool
 	// unreachable names owners that did not answer.
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -57,12 +57,14 @@
 	return n.Self.ID
 }
 
-// watchPlacement asks again if an owner stays silent.
+// watchPlacement asks again if an owner stays silent. A later watch replaces
+// an earlier one, so that one question is not found late twice.
 func (s *entry) watchPlacement(n *Node, r *serving, d time.Duration) {
-	allocation, asked := r.allocation, r.asked
+	r.watch++
+	allocation, watch := r.allocation, r.watch
 	n.afterFunc(d, func(n *Node) {
 		now, ok := n.entry.current(allocation)
-		if !ok || now.phase != waiting || now.asked != asked {
+		if !ok || now.phase != waiting || now.watch != watch {
 			return
 		}
 		n.entry.placementLate(n, now)
