Walk the queue in milliseconds less, and honour NoFairShares

Cause: a queue that waits for decode memory was walked again every millisecond, and each request in it worked out anew which engines may serve its profile and how much of the borrowed memory is used. Now a queue that waits for memory is walked when a message frees some or its next deadline comes, and eligible engines are worked out once a walk. A request for which memory is there is no longer predicted to wait behind those that fit nowhere.

--- a/core/drain.go
+++ b/core/drain.go
@@ -125,7 +125,8 @@
 
 // considerMove places a running stream that has to leave its engine.
 func (s *owner) considerMove(n *Node, g *group, it *queued, p *plan) {
-	b, _ := s.chooseDecode(n, g, it, 0)
+	e := s.eligible(n, g, it, p)
+	b := s.chooseDecode(n, g, e, it, p, 0)
 	if b == nil {
 		if p.now.Sub(it.arrivedAtOwner) < moveAgainAfter {
 			p.short += memoryFor(it.place).Pieces()
@@ -136,6 +137,8 @@
 		return
 	}
 	g.queue.charge(it)
+	delete(p.eligible, it.profile.ID)
+	delete(p.tightest, b.upstream.ID)
 	j := s.newJob(n, g, it)
 	j.decode = b.upstream.ID
 	j.prefilled = true
--- a/core/group.go
+++ b/core/group.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		shards := (count[string(pool.Model)+"/"+string(u.Region)] + groupSize - 1) / groupSize
-		g := s.groupNamed(fresh, groupKey(u, pool.Model, shards), pool.Model, u.Region)
+		g := s.groupNamed(n, fresh, groupKey(u, pool.Model, shards), pool.Model, u.Region)
 		g.engines = append(g.engines, u.ID)
 		g.pools.Add(u.Pool)
 		s.groupOf[u.ID] = g
@@ -84,13 +84,13 @@
 
 // groupNamed returns the group of that name among the fresh ones, with its
 // engines to be filled in again.
-func (s *owner) groupNamed(fresh map[GroupID]*group, id GroupID, model ModelID, region RegionID) *group {
+func (s *owner) groupNamed(n *Node, fresh map[GroupID]*group, id GroupID, model ModelID, region RegionID) *group {
 	if g, ok := fresh[id]; ok {
 		return g
 	}
 	g, ok := s.groups[id]
 	if !ok {
-		g = &group{id: id, model: model, region: region, queue: newFairQueue(), residence: initialResidence}
+		g = &group{id: id, model: model, region: region, queue: newFairQueue(n.Policy.NoFairShares), residence: initialResidence}
 	}
 	g.engines = nil
 	g.pools = SetOf[PoolID]()
--- a/core/placement.go
+++ b/core/placement.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -37,6 +36,19 @@
 	short int
 	// next is when the queue has to be looked at again.
 	next Instant
+	// eligible remembers the engines for each profile, and tightest the
+	// tightest target per token at each decode engine.
+	eligible map[ProfileID]*eligible
+	tightest map[EngineID]time.Duration
+}
+
+func newPlan(now Instant) *plan {
+	return &plan{
+		now:      now,
+		freeAt:   make(map[EngineID]Instant),
+		eligible: make(map[ProfileID]*eligible),
+		tightest: make(map[EngineID]time.Duration),
+	}
 }
 
 func (p *plan) lookAgain(at Instant) {
@@ -68,7 +80,7 @@
 	if g.queue.len() == 0 {
 		return
 	}
-	p := &plan{now: n.now, freeAt: make(map[EngineID]Instant, len(g.engines))}
+	p := newPlan(n.now)
 	for i, it := range g.queue.ordered() {
 		switch {
 		case i >= n.Settings.MaxQueue:
@@ -101,24 +113,25 @@
 
 func (s *owner) consider(n *Node, g *group, it *queued, p *plan) {
 	deadline := it.arrived.Add(it.profile.FirstTokenTarget + it.profile.MaxWait)
-	c, ok := s.choosePrefill(n, g, it, p)
+	e := s.eligible(n, g, it, p)
+	c, ok := s.choosePrefill(n, e, it, p)
 	if !ok {
 		s.waitOrRefuse(n, g, it, p, deadline)
 		return
 	}
 	need := memoryFor(it.place).Pieces()
-	var largest int
-	c.decode, largest = s.chooseDecode(n, g, it, c.start.Add(c.took).Sub(p.now))
-	if largest == 0 {
+	if e.largest == 0 {
 		s.waitOrRefuse(n, g, it, p, deadline)
 		return
 	}
-	if need > largest {
+	if need > e.largest {
 		s.refuseItem(n, g, it, TooLong)
 		return
 	}
-	wait := s.memoryWait(g, p, need, c.decode != nil)
+	c.decode = s.chooseDecode(n, g, e, it, p, c.start.Add(c.took).Sub(p.now))
+	wait := time.Duration(0)
 	if c.decode == nil {
+		wait = s.memoryWait(g, p, need)
 		p.short += need
 	}
 	s.predict(p, it, &c, wait)
@@ -128,15 +141,25 @@
 		s.refuseItem(n, g, it, NoCapacity)
 		return
 	}
-	if c.decode == nil || c.start > p.now.Add(dispatchLead) {
+	if c.decode == nil {
+		// Memory comes free by messages; only the deadline comes by itself.
+		p.freeAt[c.prefill.upstream.ID] = c.start.Add(c.took)
+		p.lookAgain(p.now.Add(max(deadline.Sub(c.firstToken), shortestLook)))
+		return
+	}
+	if c.start > p.now.Add(dispatchLead) {
 		p.freeAt[c.prefill.upstream.ID] = c.start.Add(c.took)
 		p.lookAgain(max(c.start.Add(-dispatchLead), p.now.Add(time.Millisecond)))
 		return
 	}
 	s.dispatch(n, g, it, c)
-	delete(p.freeAt, c.prefill.upstream.ID)
+	p.dispatched(e, c, need)
 }
 
+// shortestLook is the least time between two walks through a queue that waits
+// for memory only.
+const shortestLook = 5 * time.Millisecond
+
 // waitOrRefuse keeps a request for which no engine can be had, for as long as
 // one may still report in time.
 func (s *owner) waitOrRefuse(n *Node, g *group, it *queued, p *plan, deadline Instant) {
@@ -178,10 +201,7 @@
 
 // memoryWait predicts how long a request waits for decode memory behind the
 // requests before it, from the rate at which memory is released.
-func (s *owner) memoryWait(g *group, p *plan, need int, have bool) time.Duration {
-	if have && p.short == 0 {
-		return 0
-	}
+func (s *owner) memoryWait(g *group, p *plan, need int) time.Duration {
 	booked := 0
 	for _, id := range g.engines {
 		if b, ok := s.books[id]; ok && b.role == Decode {
@@ -220,21 +240,19 @@
 
 // choosePrefill picks the prefill engine through which the KV cache is ready
 // first, by its queue and by the part of the prompt that it has cached.
-func (s *owner) choosePrefill(n *Node, g *group, it *queued, p *plan) (choice, bool) {
+func (s *owner) choosePrefill(n *Node, e *eligible, it *queued, p *plan) (choice, bool) {
 	var best choice
+	var bestReady Instant
 	it.candidates = it.candidates[:0]
-	for _, id := range g.engines {
-		b, ok := s.books[id]
-		if !ok || !s.usable(n, b, &it.profile, Prefill) || slices.Contains(it.place.Avoid, id) {
+	for _, o := range e.prefill {
+		id := o.book.upstream.ID
+		if slices.Contains(it.place.Avoid, id) || (o.borrowed && e.prefillShareUsed(it.profile.BorrowedShare)) {
 			continue
 		}
-		if s.borrowedPrefillFull(n, g, b, it) {
-			continue
-		}
-		c := s.prefillChoice(n, b, it, p)
+		c := s.prefillChoice(n, o.book, it, p)
 		it.note(Candidate{Engine: id, Predicted: c.start.Add(c.took).Sub(p.now)})
-		if best.prefill == nil || s.readyAt(n, c) < s.readyAt(n, best) {
-			best = c
+		if ready := o.readyAt(c); best.prefill == nil || ready < bestReady {
+			best, bestReady = c, ready
 		}
 	}
 	return best, best.prefill != nil
@@ -247,20 +265,6 @@
 	}
 }
 
-// readyAt ranks prefill engines; a borrowed engine counts as somewhat later,
-// so that it is used only where it helps.
-func (s *owner) readyAt(n *Node, c choice) Instant {
-	at := c.start.Add(c.took)
-	if pool, ok := n.config.pool(c.prefill.upstream.Pool); ok && pool.Borrowed {
-		at = at.Add(borrowedPenalty)
-	}
-	return at
-}
-
-// borrowedPenalty is the gain in time that the use of a borrowed engine must
-// bring.
-const borrowedPenalty = 20 * time.Millisecond
-
 func (s *owner) prefillChoice(n *Node, b *book, it *queued, p *plan) choice {
 	start, planned := p.freeAt[b.upstream.ID]
 	if !planned {
@@ -279,41 +283,28 @@
 // chooseDecode picks the decode engine with the smallest batch among those
 // that have memory for the request, or will have when its prefill is done, and
 // that stay within the targets per token of all that they serve.
-// It also returns the memory of the largest engine that may serve at all, in
-// pieces.
-func (s *owner) chooseDecode(n *Node, g *group, it *queued, ready time.Duration) (best *book, largest int) {
-	for _, id := range g.engines {
-		b, ok := s.books[id]
-		if !ok || !s.usable(n, b, &it.profile, Decode) || slices.Contains(it.place.Avoid, id) {
+func (s *owner) chooseDecode(n *Node, g *group, e *eligible, it *queued, p *plan, ready time.Duration) *book {
+	var best *engineOption
+	for _, o := range e.decode {
+		if slices.Contains(it.place.Avoid, o.book.upstream.ID) || !s.hasRoom(n, g, e, o, it, p, ready) {
 			continue
 		}
-		largest = max(largest, b.pieces)
-		if !s.hasRoom(n, g, b, it, ready) {
-			continue
-		}
-		if best == nil || s.decodeRank(n, b) < s.decodeRank(n, best) {
-			best = b
+		if best == nil || o.rank() < best.rank() {
+			best = o
 		}
 	}
-	return best, largest
-}
-
-// decodeRank orders decode engines: own before borrowed, then by batch.
-func (s *owner) decodeRank(n *Node, b *book) int {
-	rank := b.batch
-	if pool, ok := n.config.pool(b.upstream.Pool); ok && pool.Borrowed {
-		rank += borrowedRank
+	if best == nil {
+		return nil
 	}
-	return rank
+	return best.book
 }
 
-const borrowedRank = 1 << 16
-
-func (s *owner) hasRoom(n *Node, g *group, b *book, it *queued, ready time.Duration) bool {
+func (s *owner) hasRoom(n *Node, g *group, e *eligible, o *engineOption, it *queued, p *plan, ready time.Duration) bool {
 	need := memoryFor(it.place).Pieces()
 	if n.Policy.NoDecodePromise {
 		return true
 	}
+	b := o.book
 	free := b.free()
 	if it.profile.WasteWeight < wasteMatters && !n.Policy.NoOverlap && g.residence > 0 && !it.moves() {
 		free += int(overlapShare * float64(b.booked) * ready.Seconds() / g.residence.Seconds())
@@ -321,67 +312,11 @@
 	if free < need {
 		return false
 	}
-	target := time.Duration(stepSafety * float64(b.minStep(it.profile.PerTokenTarget)))
+	target := time.Duration(stepSafety * float64(min(p.tightestAt(b), it.profile.PerTokenTarget)))
 	if b.batch > 0 && s.ratesOf(b.upstream.Pool).stepTime(b.batch+1) > target {
 		return false
 	}
-	return !s.borrowedDecodeFull(n, g, b, it, need)
-}
-
-// borrowedPrefillFull reports whether a profile has its share of the borrowed
-// prefill engines.
-func (s *owner) borrowedPrefillFull(n *Node, g *group, b *book, it *queued) bool {
-	pool, ok := n.config.pool(b.upstream.Pool)
-	if !ok || !pool.Borrowed {
-		return false
-	}
-	engines, used := 0, 0
-	for _, id := range g.engines {
-		other, ok := s.books[id]
-		if !ok || other.role != Prefill || !s.borrowed(n, other) {
-			continue
-		}
-		engines++
-		for _, j := range other.pending {
-			if j.profile == it.profile.ID {
-				used++
-			}
-		}
-	}
-	return float64(used+1) > math.Ceil(it.profile.BorrowedShare*float64(engines))
-}
-
-// borrowedDecodeFull reports whether a profile has its share of the borrowed
-// decode memory.
-func (s *owner) borrowedDecodeFull(n *Node, g *group, b *book, it *queued, need int) bool {
-	if !s.borrowed(n, b) {
-		return false
-	}
-	pieces, used := s.borrowedUse(n, g, it.profile.ID)
-	return float64(used+need) > it.profile.BorrowedShare*float64(pieces)
-}
-
-func (s *owner) borrowed(n *Node, b *book) bool {
-	pool, ok := n.config.pool(b.upstream.Pool)
-	return ok && pool.Borrowed
-}
-
-// borrowedUse returns the borrowed decode memory of a group and how much of
-// it a profile holds, in pieces.
-func (s *owner) borrowedUse(n *Node, g *group, profile ProfileID) (pieces, used int) {
-	for _, id := range g.engines {
-		b, ok := s.books[id]
-		if !ok || b.role != Decode || !s.borrowed(n, b) {
-			continue
-		}
-		pieces += b.pieces
-		for _, j := range b.jobs {
-			if j.profile == profile && j.decode == id {
-				used += j.memory.Pieces()
-			}
-		}
-	}
-	return pieces, used
+	return !o.borrowed || e.fitsShare(it.profile.BorrowedShare, need)
 }
 
 // dispatch turns a queued request into a promise.
--- a/core/queue.go
+++ b/core/queue.go
@@ -39,10 +39,16 @@
 	clock float64
 	order uint64
 	tags  map[CustomerID]float64
+	// byArrival ignores shares.
+	byArrival bool
 }
 
-func newFairQueue() fairQueue {
-	return fairQueue{served: make(map[CustomerID]float64), tags: make(map[CustomerID]float64)}
+func newFairQueue(byArrival bool) fairQueue {
+	return fairQueue{
+		served:    make(map[CustomerID]float64),
+		tags:      make(map[CustomerID]float64),
+		byArrival: byArrival,
+	}
 }
 
 func (q *fairQueue) len() int { return len(q.items) }
@@ -79,6 +85,9 @@
 func (q *fairQueue) ordered() []*queued {
 	clear(q.tags)
 	for _, it := range q.items {
+		if q.byArrival {
+			break
+		}
 		c := it.place.Customer
 		start, seen := q.tags[c]
 		if !seen {
