--- a/core/queue.go
+++ b/core/queue.go
@@ -30,8 +30,9 @@
 
 // fairQueue orders requests by priority, and within a priority such that each
 // customer gets its share of the cost that is served, by start-time fair
-// queueing. Customers are charged when a request is dispatched, so a refused
-// request costs its customer nothing.
+// queueing. A customer's own requests go cheapest first, which answers more of
+// them from the same share. Customers are charged when a request is dispatched,
+// so a refused request costs its customer nothing.
 type fairQueue struct {
 	items  []*queued
 	served map[CustomerID]float64
@@ -84,7 +85,9 @@
 // ordered returns the items in the order in which they should be served.
 func (q *fairQueue) ordered() []*queued {
 	clear(q.tags)
-	for _, it := range q.items {
+	byCost := slices.Clone(q.items)
+	slices.SortStableFunc(byCost, func(a, b *queued) int { return cmp.Compare(a.cost, b.cost) })
+	for _, it := range byCost {
 		if q.byArrival {
 			break
 		}
