--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -1,11 +1,13 @@
 package experiment
 
 import (
+	"io"
 	"time"
 
 	"daisyshed.dev/bench/scenario"
 	"daisyshed.dev/bench/world"
 	"daisyshed.dev/core"
+	"daisyshed.dev/wire/peer"
 )
 
 const (
@@ -29,8 +31,6 @@
 	Seed     uint64
 	// Window is the length of the measured window.
 	Window time.Duration
-	// PeerSize, if set, returns the bytes of a message between nodes.
-	PeerSize func(core.Peer) int
 	// Observe, if set, sees each decision.
 	Observe func(core.Decision)
 
@@ -62,7 +62,7 @@
 func (r *Run) open() {
 	r.world = r.Scenario.World(r.Policy.Core, r.Seed)
 	r.world.MeasureTime = true
-	r.world.PeerSize = r.PeerSize
+	r.world.PeerSize = peerSize
 	r.world.Observe = r.observe
 	r.world.Open()
 }
@@ -76,6 +76,16 @@
 	}
 }
 
+// peerSize returns the bytes of a message as the daemons frame it, without what
+// the connection adds.
+func peerSize(m core.Peer) int {
+	n, err := peer.WriteFrame(io.Discard, m)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // World returns the world of a run after Result.
 func (r *Run) World() *world.World { return r.world }
 
--- a/core/addresses.go
+++ b/core/addresses.go
@@ -169,7 +169,7 @@
 }
 
 // requests returns the number of requests and calls that this node serves.
-func (n *Node) requests() int { return n.once.running() }
+func (n *Node) requests() int { return len(n.entry.serving) + n.once.running() }
 
 // status returns the node's view, for operators.
 func (n *Node) status() Status {
@@ -207,13 +207,3 @@
 	}
 	return m.status
 }
-
-func (n *Node) upstreamStatus(u Upstream) UpstreamStatus {
-	owner := n.members.ownerOf(n, u.Region, "upstream/"+string(u.ID))
-	pool, known := n.config.pool(u.Pool)
-	return UpstreamStatus{
-		Upstream: u, Owner: owner, Owned: owner == n.Self.ID,
-		Withdrawn: u.Leaving || !known || pool.Withdrawn,
-		Role:      pool.Role, Model: pool.Model,
-	}
-}
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -34,7 +34,7 @@
 		Prompt:     r.request.Prompt,
 		MaxTokens:  r.request.MaxTokens,
 		Emitted:    r.emitted,
-		Adopt:      r.request.Resumed && r.failures == 0 && r.allocation.Attempt == 1,
+		Adopt:      r.request.Resumed && r.failures == 0,
 		Waited:     n.now.Sub(r.arrived),
 		Source:     r.source,
 		Avoid:      r.avoid,
@@ -126,6 +126,7 @@
 		return
 	}
 	r.allocation = b.Allocation
+	s.noteAttempt(n, r)
 	r.placed = b
 	r.owner = from
 	s.notePressure(r.group, b.FirstToken)
@@ -176,12 +177,7 @@
 	case r.moving():
 		s.moveFailed(n, r)
 	case b.Reason == Leaving:
-		r.unreachable.Add(r.owner)
-		s.nextAttempt(n, r)
-		s.place(n, r)
-	case b.Reason == NothingToResume:
-		s.nextAttempt(n, r)
-		s.place(n, r)
+		s.ownerLeft(n, r)
 	case b.Reason == NoCapacity && s.otherGroup(n, r):
 		s.nextAttempt(n, r)
 		s.place(n, r)
@@ -190,6 +186,24 @@
 	}
 }
 
+// ownerLeft places a request again that an owner refused because it leaves,
+// once the view of who owns the group may have changed.
+func (s *entry) ownerLeft(n *Node, r *serving) {
+	r.unreachable.Add(r.owner)
+	r.ownersLeft++
+	if r.ownersLeft > maxPlaceTries {
+		s.giveUp(n, r, Leaving, leavingRetryAfter)
+		return
+	}
+	s.nextAttempt(n, r)
+	allocation := r.allocation
+	n.afterFunc(2*regroupDelay, func(n *Node) {
+		if r, ok := n.entry.current(allocation); ok && r.phase == waiting {
+			n.entry.place(n, r)
+		}
+	})
+}
+
 // otherGroup notes that a group is crowded and reports whether another one
 // that has not refused the request is left.
 func (s *entry) otherGroup(n *Node, r *serving) bool {
--- a/core/placement.go
+++ b/core/placement.go
@@ -137,7 +137,7 @@
 	s.predict(p, it, &c, wait)
 	it.predicted = c.firstToken.Sub(it.arrived)
 	it.expected = c.start.Sub(p.now)
-	if !n.Policy.NoAdmission && c.firstToken > deadline {
+	if !n.Policy.NoAdmission && c.firstToken > deadline && !g.probes(p.now, c) {
 		s.refuseItem(n, g, it, NoCapacity)
 		return
 	}
@@ -160,6 +160,18 @@
 // for memory only.
 const shortestLook = 5 * time.Millisecond
 
+// probeEvery is the time without a placement after which a request is placed
+// although it is predicted to be late.
+const probeEvery = 500 * time.Millisecond
+
+// probes reports whether a request that is predicted to be late is placed all
+// the same: if nothing has been placed for a while and nothing is in its way,
+// the prediction may be what is wrong, and only a request that runs can tell.
+func (g *group) probes(now Instant, c choice) bool {
+	idle := c.decode != nil && c.start <= now
+	return idle && now.Sub(g.placedAt) > probeEvery
+}
+
 // waitOrRefuse keeps a request for which no engine can be had, for as long as
 // one may still report in time.
 func (s *owner) waitOrRefuse(n *Node, g *group, it *queued, p *plan, deadline Instant) {
@@ -322,6 +334,7 @@
 // dispatch turns a queued request into a promise.
 func (s *owner) dispatch(n *Node, g *group, it *queued, c choice) {
 	g.queue.charge(it)
+	g.placedAt = n.now
 	g.refusals -= refusalWeight * g.refusals
 	j := s.newJob(n, g, it)
 	j.prefill = c.prefill.upstream.ID
