Turn to one deputy when a group's owner does not answer

Cause: each entry that missed the owner placed the request from books of its own, so that after the loss of a failure domain several nodes promised the same memory. Now they all turn to the next node of the same rendezvous order.

--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -54,7 +54,7 @@
 	if !unreachable.Has(owner) {
 		return owner
 	}
-	return n.Self.ID
+	return n.members.deputyOf(n, g.region, groupKeyPrefix+string(g.id), unreachable)
 }
 
 // watchPlacement asks again if an owner stays silent. A later watch replaces
--- a/core/group.go
+++ b/core/group.go
@@ -115,11 +115,14 @@
 	for _, id := range sortedKeys(fresh) {
 		g := fresh[id]
 		slices.Sort(g.engines)
-		g.owner = n.members.ownerOf(n, g.region, "group/"+string(id))
+		g.owner = n.members.ownerOf(n, g.region, groupKeyPrefix+string(id))
 		s.byModel[g.model] = append(s.byModel[g.model], g)
 	}
 }
 
+// groupKeyPrefix makes a group's id the key by which its owner is chosen.
+const groupKeyPrefix = "group/"
+
 // groupOwner returns the node that owns a group.
 func (n *Node) groupOwner(g *group) NodeID {
 	if g.owner == "" {
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -46,6 +46,16 @@
 	return bestScore(ids, key)
 }
 
+// deputyOf returns the node that owns key if those that are unreachable do not,
+// so that all nodes that miss an owner turn to the same one in its place.
+func (s *members) deputyOf(n *Node, region RegionID, key string, unreachable Set[NodeID]) NodeID {
+	ids := slices.DeleteFunc(s.serving(n, region), func(id NodeID) bool { return unreachable.Has(id) })
+	if len(ids) == 0 {
+		return n.Self.ID
+	}
+	return bestScore(ids, key)
+}
+
 // keyWriter returns the node that writes the intent of a key. Only a few nodes
 // of a region write intents, so that batches are large and appends few.
 func (s *members) keyWriter(n *Node, key IdempotencyKey) NodeID {
