Book a stream found on a prefill engine once it has reached its decode engine

Cause: a new owner finds an allocation on a prefill engine's list. Once the stream decodes elsewhere, the decode engine's list shows a known allocation, so its memory was never booked there, and each such report kept the entry from being forgotten. For as long as the streams ran, the owner promised memory that they held.

--- a/core/compare.go
+++ b/core/compare.go
@@ -33,6 +33,10 @@
 			continue
 		}
 		j, known := s.jobs[h.Allocation]
+		if known && b.hasMovedTo(j) {
+			s.forget(j)
+			known = false
+		}
 		if !known {
 			j = s.discover(n, b, h)
 		}
@@ -48,6 +52,12 @@
 	}
 }
 
+// hasMovedTo reports whether a job that was found on a prefill engine's list
+// has reached this decode engine, which its books do not know of.
+func (b *book) hasMovedTo(j *job) bool {
+	return j.discovered && b.role == Decode && j.decode != b.upstream.ID
+}
+
 // discover enters an allocation that another owner, or an earlier start of
 // this one, has placed.
 func (s *owner) discover(n *Node, b *book, h Held) *job {
