--- a/core/eligible.go
+++ b/core/eligible.go
@@ -84,12 +84,13 @@
 	return ok && pool.Borrowed
 }
 
-// countBorrowed adds a borrowed engine and the profile's use of it.
+// countBorrowed adds a borrowed engine and the profile's use of it. What was
+// found on an engine's list, placed by another owner, counts for every profile.
 func (e *eligible) countBorrowed(b *book, profile ProfileID) {
 	if b.role == Prefill {
 		e.lentPrefills++
 		for _, j := range b.pending {
-			if j.profile == profile {
+			if j.profile == profile || j.discovered {
 				e.usedPrefills++
 			}
 		}
@@ -97,7 +98,7 @@
 	}
 	e.lentPieces += b.pieces
 	for _, j := range b.jobs {
-		if j.profile == profile && j.decode == b.upstream.ID {
+		if (j.profile == profile || j.discovered) && j.decode == b.upstream.ID {
 			e.usedPieces += j.memory.Pieces()
 		}
 	}
