--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -64,15 +64,17 @@
 	if !unreachable.Has(owner) {
 		return owner
 	}
-	return n.Self.ID
+	return n.members.deputyOf(n, g.region, groupKeyPrefix+string(g.id), unreachable)
 }
 
-// watchPlacement asks again if an owner stays silent.
+// watchPlacement asks again if an owner stays silent. A later watch replaces
+// an earlier one, so that one question is not found late twice.
 func (s *entry) watchPlacement(n *Node, r *serving, d time.Duration) {
-	allocation, asked := r.allocation, r.asked
+	r.watch++
+	allocation, watch := r.allocation, r.watch
 	n.afterFunc(d, func(n *Node) {
 		now, ok := n.entry.current(allocation)
-		if !ok || now.phase != waiting || now.asked != asked {
+		if !ok || now.phase != waiting || now.watch != watch {
 			return
 		}
 		n.entry.placementLate(n, now)
--- a/core/group.go
+++ b/core/group.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		shards := (count[string(pool.Model)+"/"+string(u.Region)] + groupSize - 1) / groupSize
-		g := s.groupNamed(fresh, groupKey(u, pool.Model, shards), pool.Model, u.Region)
+		g := s.groupNamed(n, fresh, groupKey(u, pool.Model, shards), pool.Model, u.Region)
 		g.engines = append(g.engines, u.ID)
 		g.pools.Add(u.Pool)
 		s.groupOf[u.ID] = g
@@ -86,13 +86,13 @@
 
 // groupNamed returns the group of that name among the fresh ones, with its
 // engines to be filled in again.
-func (s *owner) groupNamed(fresh map[GroupID]*group, id GroupID, model ModelID, region RegionID) *group {
+func (s *owner) groupNamed(n *Node, fresh map[GroupID]*group, id GroupID, model ModelID, region RegionID) *group {
 	if g, ok := fresh[id]; ok {
 		return g
 	}
 	g, ok := s.groups[id]
 	if !ok {
-		g = &group{id: id, model: model, region: region, queue: newFairQueue(), residence: initialResidence}
+		g = &group{id: id, model: model, region: region, queue: newFairQueue(n.Policy.NoFairShares), residence: initialResidence}
 	}
 	g.engines = nil
 	g.pools = SetOf[PoolID]()
@@ -115,11 +115,14 @@
 	for _, id := range sortedKeys(fresh) {
 		g := fresh[id]
 		slices.Sort(g.engines)
-		g.owner = n.members.ownerOf(n, g.region, "group/"+string(id))
+		g.owner = n.members.ownerOf(n, g.region, groupKeyPrefix+string(id))
 		s.byModel[g.model] = append(s.byModel[g.model], g)
 	}
 }
 
+// groupKeyPrefix makes a group's id the key by which its owner is chosen.
+const groupKeyPrefix = "group/"
+
 // groupOwner returns the node that owns a group.
 func (n *Node) groupOwner(g *group) NodeID {
 	if g.owner == "" {
