--- a/bench/capacity/node.go
+++ b/bench/capacity/node.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"daisyshed.dev/bench/world"
 	"daisyshed.dev/core"
 )
 
@@ -110,7 +109,7 @@
 func (n *node) sendPeer(c core.SendPeer) {
 	f := n.fleet
 	m := core.Peer{From: n.info.ID, Incarnation: n.core.Incarnation, Body: c.Body}
-	f.Usage.add(world.MessageSize(m))
+	f.Usage.add(messageSize(m))
 	to, ok := f.nodes[c.To]
 	if !ok || f.cut(n.info, to.info) {
 		return
--- a/bench/capacity/usage.go
+++ b/bench/capacity/usage.go
@@ -1,8 +1,14 @@
 package capacity
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/wire/peer"
+	"google.golang.org/protobuf/proto"
 )
 
 // Count is a number of messages and their bytes.
@@ -75,3 +81,14 @@
 }
 
 var platformKinds = []string{logReadKind, logAppendKind, vmListKind, engineReport, appendedRecord}
+
+// messageSize returns the name of a message's type and the size of its
+// envelope in bytes, or zero bytes for a body without a form on the wire.
+func messageSize(m core.Peer) (kind string, size int) {
+	kind = strings.TrimPrefix(fmt.Sprintf("%T", m.Body), "core.")
+	envelope, err := peer.ToEnvelope(m)
+	if err != nil {
+		return kind, 0
+	}
+	return kind, proto.Size(envelope)
+}
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -40,6 +40,11 @@
 	pools   map[core.PoolID]core.Revision
 	// disturbed is when each node was last cut off, frozen or stopped.
 	disturbed map[core.NodeID]core.Instant
+	// faultsEnd is when the last fault ends, byRequest the callers by request.
+	faultsEnd core.Instant
+	byRequest map[core.RequestID]*world.Caller
+	// late are the requests whose memory was found held for too long.
+	late map[core.RequestID]bool
 }
 
 // Failure is one violation of a promise.
@@ -79,6 +84,8 @@
 	r.Provoked = make(map[core.Promise]int)
 	r.Faults = make(map[string]int)
 	r.pools = make(map[core.PoolID]core.Revision)
+	r.byRequest = make(map[core.RequestID]*world.Caller)
+	r.late = make(map[core.RequestID]bool)
 	r.disturbed = make(map[core.NodeID]core.Instant)
 	r.build()
 	r.w.Open()
@@ -86,6 +93,7 @@
 	r.w.After(warmUp, r.nextFault)
 	r.w.Run(warmUp + r.Faulty)
 	r.heal()
+	r.watchMemory()
 	r.w.Run(warmUp + r.Faulty + quietTime)
 	r.judge()
 	r.Steps = r.w.Updates
@@ -104,3 +112,13 @@
 func (r *Run) between(a, b time.Duration) time.Duration {
 	return a + time.Duration(r.rng.Int64N(int64(b-a)))
 }
+
+// Plus adds two outcomes up.
+func (o Outcomes) Plus(p Outcomes) Outcomes {
+	return Outcomes{
+		Requests: o.Requests + p.Requests, Whole: o.Whole + p.Whole, Cancelled: o.Cancelled + p.Cancelled,
+		GivenUp: o.GivenUp + p.GivenUp, Calls: o.Calls + p.Calls, Ran: o.Ran + p.Ran, NotRun: o.NotRun + p.NotRun,
+		Unknown: o.Unknown + p.Unknown, Silent: o.Silent + p.Silent, Doubles: o.Doubles + p.Doubles,
+		FalseNotRun: o.FalseNotRun + p.FalseNotRun,
+	}
+}
--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -20,13 +20,18 @@
 
 	// Arrived is when the caller first asked, FirstAt and LastAt when tokens
 	// came, in the caller's own view.
-	Arrived  core.Instant
+	Arrived core.Instant
+	// AskedAt is when the caller first asked or last came back after a
+	// refusal.
+	AskedAt  core.Instant
 	FirstAt  core.Instant
 	LastAt   core.Instant
 	Received core.Tokens
 	// Refused counts refusals, Reason is that of the last.
 	Refused int
 	Reason  core.RefusalReason
+	// RefusedAfter is the longest time that the caller waited for a refusal.
+	RefusedAfter time.Duration
 	// Done is set once the whole answer has arrived, Answers counts ends of
 	// answers, Cancelled is set if the caller hung up, and GivenUp once no
 	// retry is left.
@@ -34,6 +39,8 @@
 	Answers   int
 	Cancelled bool
 	GivenUp   bool
+	// EndedAt is when one of these three came true.
+	EndedAt core.Instant
 	// Faults lists what was wrong with the answer.
 	Faults []string
 
@@ -60,6 +67,7 @@
 func (w *World) Ask(c *Caller, nodes ...core.NodeID) {
 	c.world = w
 	c.Arrived = w.Now
+	c.AskedAt = w.Now
 	c.nodes = nodes
 	if c.Patience > 0 {
 		w.After(c.Patience, c.hangUp)
@@ -128,6 +136,7 @@
 func (c *Caller) finish() {
 	c.Answers++
 	c.Done = true
+	c.EndedAt = c.world.Now
 	if c.Received != c.Output {
 		c.fault("the answer was cut short")
 	}
@@ -150,6 +159,7 @@
 func (c *Caller) comeBack(after time.Duration) {
 	if c.Retries <= 0 {
 		c.GivenUp = true
+		c.EndedAt = c.world.Now
 		return
 	}
 	c.Retries--
@@ -162,6 +172,7 @@
 		return
 	}
 	c.Cancelled = true
+	c.EndedAt = c.world.Now
 	c.connection.closed = true
 	n := c.node
 	if n == nil {
@@ -200,7 +211,9 @@
 		conn.closed = true
 		c.Refused++
 		c.Reason = m.Reason
+		c.RefusedAfter = max(c.RefusedAfter, c.world.Now.Sub(c.AskedAt))
 		c.next++
+		c.AskedAt = c.world.Now.Add(m.RetryAfter)
 		c.comeBack(m.RetryAfter)
 	})
 }
--- a/bench/world/count.go
+++ b/bench/world/count.go
@@ -4,30 +4,18 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 
 	"daisyshed.dev/core"
 	"daisyshed.dev/standin/engine"
 	wire "daisyshed.dev/wire/engine"
-	"daisyshed.dev/wire/peer"
-	"google.golang.org/protobuf/proto"
 )
 
 // countBytes adds up what nodes send each other.
 func (w *World) countBytes(m core.Peer) {
-	kind, size := MessageSize(m)
-	w.ControlBytes[kind] += uint64(size)
-}
-
-// MessageSize returns the name of a message's type and the size of its
-// envelope in bytes, or zero bytes for a body without a form on the wire.
-func MessageSize(m core.Peer) (kind string, size int) {
-	kind = strings.TrimPrefix(fmt.Sprintf("%T", m.Body), "core.")
-	envelope, err := peer.ToEnvelope(m)
-	if err != nil {
-		return kind, 0
+	if w.PeerSize == nil {
+		return
 	}
-	return kind, proto.Size(envelope)
+	w.ControlBytes[fmt.Sprintf("%T", m.Body)] += uint64(w.PeerSize(m))
 }
 
 // sorted returns a map's keys in ascending order.
--- a/bench/world/faults.go
+++ b/bench/world/faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/standin/fault"
 )
 
 // Kill ends a node at once and breaks its callers' connections.
@@ -34,8 +35,8 @@
 		n.frozen = false
 		inbox := n.inbox
 		n.inbox = nil
-		for _, m := range inbox {
-			n.receive(m)
+		for _, deliver := range inbox {
+			deliver()
 		}
 		n.receive(core.Tick{})
 	})
@@ -80,6 +81,15 @@
 	return status
 }
 
+// LoseEngine ends an engine at once; nothing reaches it until it is restored.
+func (w *World) LoseEngine(id core.EngineID) {
+	w.engines[id].removed = true
+	w.Inject(id, fault.Fault{Kind: fault.Crash})
+}
+
+// RestoreEngine lets a lost engine start again, with nothing in its memory.
+func (w *World) RestoreEngine(id core.EngineID) { w.engines[id].removed = false }
+
 // MendLinks ends all cuts.
 func (w *World) MendLinks() { clear(w.cuts) }
 
--- a/core/entry.go
+++ b/core/entry.go
@@ -27,10 +27,14 @@
 	group GroupID
 	owner NodeID
 	asked Instant
+	// watch numbers the latest watch over the placement.
+	watch uint64
 	// acknowledged is set when the owner said that it has queued the request.
 	acknowledged bool
 	// unreachable names owners that did not answer.
 	unreachable Set[NodeID]
+	// ownersLeft counts the owners that refused because they leave.
+	ownersLeft int
 	// crowded names groups that refused the request for lack of capacity.
 	crowded Set[GroupID]
 	avoid   []EngineID
@@ -45,6 +49,8 @@
 	// that it was placed with.
 	source           EngineID
 	sourceAllocation Allocation
+	// sourceLost is set if that engine fails meanwhile.
+	sourceLost bool
 }
 
 // moving reports whether a running stream is on its way to another engine.
@@ -112,7 +118,7 @@
 	if n.leaving {
 		return Leaving
 	}
-	if !n.config.fresh(n) {
+	if !n.config.fresh(n) || n.config.folded.Offset() == 0 {
 		return StaleConfiguration
 	}
 	return NoReason
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -12,12 +12,12 @@
 func (s *entry) place(n *Node, r *serving) {
 	profile, ok := n.config.profile(r.request.Profile)
 	if !ok {
-		s.giveUp(n, r, UnknownProfile, time.Minute)
+		s.unplaced(n, r, UnknownProfile, time.Minute)
 		return
 	}
 	g, ok := n.owner.groupFor(n, r, profile)
 	if !ok {
-		s.giveUp(n, r, NoUpstream, n.spread(noUpstreamRetryAfter))
+		s.unplaced(n, r, NoUpstream, n.spread(noUpstreamRetryAfter))
 		return
 	}
 	r.phase = waiting
@@ -42,6 +42,16 @@
 	s.watchPlacement(n, r, n.Settings.PlaceTimeout)
 }
 
+// unplaced ends a request for which there is no placement; a running stream
+// that should have moved goes on where it is.
+func (s *entry) unplaced(n *Node, r *serving, reason RefusalReason, after time.Duration) {
+	if r.moving() {
+		s.moveFailed(n, r)
+		return
+	}
+	s.giveUp(n, r, reason, after)
+}
+
 // noUpstreamRetryAfter is when to come back if no engine may serve a profile.
 const noUpstreamRetryAfter = 2 * time.Second
 
@@ -54,15 +64,17 @@
 	if !unreachable.Has(owner) {
 		return owner
 	}
-	return n.Self.ID
+	return n.members.deputyOf(n, g.region, groupKeyPrefix+string(g.id), unreachable)
 }
 
-// watchPlacement asks again if an owner stays silent.
+// watchPlacement asks again if an owner stays silent. A later watch replaces
+// an earlier one, so that one question is not found late twice.
 func (s *entry) watchPlacement(n *Node, r *serving, d time.Duration) {
-	allocation, asked := r.allocation, r.asked
+	r.watch++
+	allocation, watch := r.allocation, r.watch
 	n.afterFunc(d, func(n *Node) {
 		now, ok := n.entry.current(allocation)
-		if !ok || now.phase != waiting || now.asked != asked {
+		if !ok || now.phase != waiting || now.watch != watch {
 			return
 		}
 		n.entry.placementLate(n, now)
@@ -76,6 +88,11 @@
 		return
 	}
 	r.unreachable.Add(r.owner)
+	if r.moving() {
+		s.report(n, r.owner, AttemptEnded{Allocation: r.allocation, Reason: Expired})
+		s.moveFailed(n, r)
+		return
+	}
 	if len(r.unreachable) >= maxPlaceTries || r.owner == n.Self.ID {
 		s.end(n, r, Expired, "", 0)
 		s.giveUp(n, r, OwnerUnreachable, n.spread(time.Second))
@@ -142,7 +159,7 @@
 
 // decline gives a promise back that is no longer wanted.
 func (s *entry) decline(n *Node, from NodeID, b Placed) {
-	if r, ok := s.serving[b.Allocation.Request]; ok && r.allocation == b.Allocation {
+	if s.live(b.Allocation) {
 		return
 	}
 	s.report(n, from, AttemptEnded{Allocation: b.Allocation, Reason: Expired})
@@ -175,12 +192,7 @@
 	case r.moving():
 		s.moveFailed(n, r)
 	case b.Reason == Leaving:
-		r.unreachable.Add(r.owner)
-		s.nextAttempt(n, r)
-		s.place(n, r)
-	case b.Reason == NothingToResume:
-		s.nextAttempt(n, r)
-		s.place(n, r)
+		s.ownerLeft(n, r)
 	case b.Reason == NoCapacity && s.otherGroup(n, r):
 		s.nextAttempt(n, r)
 		s.place(n, r)
@@ -189,6 +201,24 @@
 	}
 }
 
+// ownerLeft places a request again that an owner refused because it leaves,
+// once the view of who owns the group may have changed.
+func (s *entry) ownerLeft(n *Node, r *serving) {
+	r.unreachable.Add(r.owner)
+	r.ownersLeft++
+	if r.ownersLeft > maxPlaceTries {
+		s.giveUp(n, r, Leaving, leavingRetryAfter)
+		return
+	}
+	s.nextAttempt(n, r)
+	allocation := r.allocation
+	n.afterFunc(2*regroupDelay, func(n *Node) {
+		if r, ok := n.entry.current(allocation); ok && r.phase == waiting {
+			n.entry.place(n, r)
+		}
+	})
+}
+
 // otherGroup notes that a group is crowded and reports whether another one
 // that has not refused the request is left.
 func (s *entry) otherGroup(n *Node, r *serving) bool {
@@ -209,16 +239,20 @@
 	}
 	r.source = r.placed.Decode
 	r.sourceAllocation = r.allocation
+	r.sourceLost = false
 	r.avoid = append(slices.Clone(r.avoid), r.source)
 	s.nextAttempt(n, r)
 	s.place(n, r)
 }
 
-// moveFailed lets a stream go on where it runs.
+// moveFailed lets a stream go on where it runs, or places it anew if its
+// engine has failed meanwhile.
 func (s *entry) moveFailed(n *Node, r *serving) {
 	r.allocation = r.sourceAllocation
 	r.placed = Placed{Allocation: r.allocation, Decode: r.source}
 	r.source = ""
 	r.phase = decoding
-	s.watchStep(n, r)
+	if r.sourceLost {
+		s.retry(n, r, r.placed.Decode)
+	}
 }
