Sample the check of held memory in daemons

Settings.CheckEvery bounds how often the whole state is checked: daemons take one second by DefaultSettings, and zero, which tests, soak and worlds use, still checks at every update. The detail is now built for a failure only. Ruled out: dropping the check, which the design wants sampled with a metric; checking only requests that an update touched, which needs a hook at each place where the entry changes a request.

--- a/core/checks.go
+++ b/core/checks.go
@@ -4,6 +4,8 @@
 type checks struct {
 	checked  [9]uint64
 	violated [9]uint64
+	// due is the earliest time of the next check of the whole state.
+	due Instant
 }
 
 // require notes one check of a promise and reports a violation if ok is false.
@@ -18,6 +20,10 @@
 
 // check runs the invariants that span the node's whole state.
 func (n *Node) check() {
+	if n.now < n.checks.due {
+		return
+	}
+	n.checks.due = n.now.Add(n.Settings.CheckEvery)
 	n.checkMemory()
 }
 
@@ -26,6 +32,10 @@
 func (n *Node) checkMemory() {
 	for key := range n.holds {
 		_, releasing := n.releases[key]
-		n.require(MemoryReleased, releasing || n.entry.live(key.allocation), "memory is held for an attempt that ended: "+string(key.engine)+" "+string(key.allocation.Request))
+		ok, detail := releasing || n.entry.live(key.allocation), ""
+		if !ok {
+			detail = "memory is held for an attempt that ended: " + string(key.engine) + " " + string(key.allocation.Request)
+		}
+		n.require(MemoryReleased, ok, detail)
 	}
 }
--- a/core/settings.go
+++ b/core/settings.go
@@ -6,7 +6,7 @@
 )
 
 // Settings holds the node's limits and periods. Zero fields take the values
-// of [DefaultSettings].
+// of [DefaultSettings], but for CheckEvery.
 type Settings struct {
 	// HeartbeatEvery is the period of heartbeats to one random member.
 	HeartbeatEvery time.Duration
@@ -49,6 +49,11 @@
 	// EngineRequests is the number of requests that a decode engine is
 	// expected to batch before its time per token passes the target.
 	EngineRequests int
+	// CheckEvery is the least time between two checks of the invariants that
+	// span the node's whole state. Zero stays zero and checks them at every
+	// update, as tests and randomised runs do. A daemon samples, because the
+	// cost of a check grows with the requests in progress.
+	CheckEvery time.Duration
 }
 
 // DefaultSettings returns the settings that a node uses where none are given.
@@ -73,6 +78,7 @@
 		KeyWritersPerRegion: 8,
 		MaxQueue:            64,
 		EngineRequests:      20,
+		CheckEvery:          time.Second,
 	}
 }
 
--- a/daisyshed/settings/core.go
+++ b/daisyshed/settings/core.go
@@ -51,5 +51,6 @@
 		KeyWritersPerRegion: s.Limits.KeyWritersPerRegion,
 		MaxQueue:            s.Limits.Queue,
 		EngineRequests:      s.Limits.EngineRequests,
+		CheckEvery:          core.DefaultSettings().CheckEvery,
 	}
 }
