Let one entry at a time answer a request

Cause: a caller that lost its connection without its entry noticing, and came back through another, was answered by both; the first one, once its stream broke, placed the request again and took it back. An owner now tells the earlier holder that it is superseded, refuses retries of an entry that the caller has left, and refuses to answer again what was answered unless the caller says how far it got. New fault: callers desert their nodes. In the world a token now belongs to the connection it was sent on.

--- a/bench/soak/build.go
+++ b/bench/soak/build.go
@@ -27,6 +27,7 @@
 		CallerDelay: 2 * time.Millisecond,
 		LogDelay:    5 * time.Millisecond,
 		Observe:     r.observe,
+		Parallel:    r.parallel,
 	}
 	for i := range 3 + r.rng.IntN(6) {
 		id := fmt.Sprintf("entry-%d", i)
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -36,6 +36,7 @@
 	{"domain-loss", (*Run).domainLoss},
 	{"service-down", (*Run).serviceDown},
 	{"service-lost-replies", (*Run).serviceLostReplies},
+	{"desert", (*Run).desert},
 }
 
 // Kinds returns the names of the faults.
@@ -287,6 +288,16 @@
 	r.w.LoseServiceReplies(r.anyService(), 1+r.rng.IntN(3))
 }
 
+// desert lets several callers lose their connections without their nodes
+// noticing.
+func (r *Run) desert() {
+	for _, c := range r.callers {
+		if c.Arrived != 0 && r.chance(0.3) && r.w.Desert(c) {
+			r.Provoked[core.AnsweredOnce]++
+		}
+	}
+}
+
 // heal ends all faults.
 func (r *Run) heal() {
 	r.lasts(0)
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -17,6 +17,18 @@
 	}
 }
 
+// parallel checks that a node which can hear everything does not answer a
+// request that another node answers.
+func (r *Run) parallel(id core.NodeID, c *world.Caller) {
+	if r.w.Now.Sub(r.disturbed[id]) > parallelBound && c.Parallel == 1 {
+		r.fail(core.AnsweredOnce, "%s is answered by %s and another node at once", c.Request.Request, id)
+	}
+}
+
+// parallelBound is the time after a disturbance in which a node may still
+// answer unawares.
+const parallelBound = 5 * time.Second
+
 // checkWithdrawn checks that a node which could hear of a withdrawal places
 // nothing on the pool once the bound has passed.
 func (r *Run) checkWithdrawn(d core.Decision) {
--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -44,9 +44,16 @@
 	// Faults lists what was wrong with the answer.
 	Faults []string
 
-	world      *World
-	node       *node
-	sent       core.Tokens
+	// Deserted counts connections that the caller left without its node
+	// noticing, Parallel the tokens that such a node still sent after another
+	// had begun to answer for longer than parallelBound.
+	Deserted int
+	Parallel int
+
+	world *World
+	node  *node
+	// beganAt is when the node of the present connection sent its first token.
+	beganAt    core.Instant
 	connection *connection
 	// Nodes to try, in order; the caller moves on when one is lost.
 	nodes []core.NodeID
@@ -58,6 +65,8 @@
 type connection struct {
 	caller *Caller
 	closed bool
+	// sent is the offset of the last token that the node sent on it.
+	sent core.Tokens
 }
 
 func (c *Caller) fault(what string) { c.Faults = append(c.Faults, what) }
@@ -87,7 +96,7 @@
 	c.connection = conn
 	id := c.nodes[c.next%len(c.nodes)]
 	m := c.Request
-	m.Resumed = c.Received > 0 || c.Refused == 0 && c.next > 0
+	m.Resumed = c.next > 0
 	m.ResumeAfter = c.Received
 	w.After(w.CallerDelay, func() {
 		n, ok := w.nodes[id]
@@ -99,8 +108,9 @@
 			return
 		}
 		c.node = n
-		c.sent = m.ResumeAfter
-		n.callers[m.Request] = c
+		c.beganAt = 0
+		conn.sent = m.ResumeAfter
+		n.callers[m.Request] = conn
 		n.receive(m)
 	})
 }
@@ -166,6 +176,37 @@
 	c.world.After(after, c.connect)
 }
 
+// parallelBound is how long an entry that was deserted may go on unawares.
+const parallelBound = time.Second
+
+// noteParallel notes that a node sends a token to a caller, which may have
+// gone to another node.
+func (n *node) noteParallel(c *Caller) {
+	now := n.world.Now
+	if c.node == n {
+		if c.beganAt == 0 {
+			c.beganAt = now
+		}
+		return
+	}
+	if c.beganAt != 0 && now.Sub(c.beganAt) > parallelBound {
+		c.Parallel++
+		n.world.parallel(n, c)
+	}
+}
+
+// Desert lets a caller lose its connection without its node noticing, and ask
+// another node.
+func (w *World) Desert(c *Caller) bool {
+	if c.ended() || c.node == nil || len(c.nodes) < 2 {
+		return false
+	}
+	c.Deserted++
+	c.next++
+	c.connect()
+	return true
+}
+
 // hangUp lets the caller cancel.
 func (c *Caller) hangUp() {
 	if c.ended() {
@@ -178,32 +219,35 @@
 	if n == nil {
 		return
 	}
-	c.world.After(c.world.CallerDelay, func() { n.callerGone(c) })
+	conn := c.connection
+	c.world.After(c.world.CallerDelay, func() { n.callerGone(conn) })
 }
 
-func (n *node) callerGone(c *Caller) {
-	if n.callers[c.Request.Request] != c {
+func (n *node) callerGone(conn *connection) {
+	request := conn.caller.Request.Request
+	if n.callers[request] != conn {
 		return
 	}
-	n.disconnect(c)
-	delete(n.streams, c.Request.Request)
-	n.receive(core.CallerGone{Request: c.Request.Request})
+	n.disconnect(conn)
+	delete(n.streams, request)
+	n.receive(core.CallerGone{Request: request})
 }
 
-func (n *node) disconnect(c *Caller) {
-	if n.callers[c.Request.Request] == c {
-		delete(n.callers, c.Request.Request)
+func (n *node) disconnect(conn *connection) {
+	request := conn.caller.Request.Request
+	if n.callers[request] == conn {
+		delete(n.callers, request)
 	}
 }
 
 func (n *node) refuseCaller(m core.RefuseCaller) {
-	c, ok := n.callers[m.Request]
+	conn, ok := n.callers[m.Request]
 	if !ok {
 		return
 	}
-	n.disconnect(c)
+	c := conn.caller
+	n.disconnect(conn)
 	delete(n.streams, m.Request)
-	conn := c.connection
 	n.world.After(n.world.CallerDelay, func() {
 		if conn.closed || c.ended() {
 			return
--- a/bench/world/faults.go
+++ b/bench/world/faults.go
@@ -16,7 +16,7 @@
 	}
 	n.stopped = true
 	for _, request := range sorted(n.callers) {
-		conn := n.callers[request].connection
+		conn := n.callers[request]
 		w.After(w.CallerDelay, conn.broken)
 	}
 	for _, c := range n.calls {
@@ -90,6 +90,12 @@
 // RestoreEngine lets a lost engine start again, with nothing in its memory.
 func (w *World) RestoreEngine(id core.EngineID) { w.engines[id].removed = false }
 
+func (w *World) parallel(n *node, c *Caller) {
+	if w.Parallel != nil {
+		w.Parallel(n.info.ID, c)
+	}
+}
+
 // MendLinks ends all cuts.
 func (w *World) MendLinks() { clear(w.cuts) }
 
--- a/bench/world/node.go
+++ b/bench/world/node.go
@@ -20,7 +20,7 @@
 	wakeSet bool
 	// callers are the callers that are connected, streams the streams that
 	// are sent on to them.
-	callers map[core.RequestID]*Caller
+	callers map[core.RequestID]*connection
 	streams map[core.RequestID]*stream
 	calls   map[core.CallID]*Call
 }
@@ -30,7 +30,7 @@
 	n := &node{
 		world:   w,
 		info:    info,
-		callers: make(map[core.RequestID]*Caller),
+		callers: make(map[core.RequestID]*connection),
 		streams: make(map[core.RequestID]*stream),
 		calls:   make(map[core.CallID]*Call),
 		core: &core.Node{
--- a/bench/world/steps.go
+++ b/bench/world/steps.go
@@ -26,6 +26,7 @@
 		m.Reason = r.Code
 		m.Full = r.Code == wire.CodeFull
 		m.Draining = r.Code == wire.CodeDraining
+		m.Superseded = r.Code == wire.CodeSuperseded
 	}
 	return m
 }
@@ -33,9 +34,9 @@
 func (n *node) startPrefill(c core.StartPrefill) {
 	emitted := c.Emitted
 	var output core.Tokens
-	if caller, ok := n.callers[c.Allocation.Request]; ok {
-		emitted = max(emitted, caller.Received)
-		output = caller.Output
+	if conn, ok := n.callers[c.Allocation.Request]; ok {
+		emitted = max(emitted, conn.sent)
+		output = conn.caller.Output
 	}
 	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
 		return engine.Prefill{Ticket: t, Output: output, Request: wire.PrefillRequest{
@@ -74,22 +75,22 @@
 }
 
 func (n *node) startDecode(c core.StartDecode) {
-	caller, ok := n.callers[c.Allocation.Request]
+	conn, ok := n.callers[c.Allocation.Request]
 	if !ok {
 		return
 	}
-	s := &stream{allocation: c.Allocation, engine: c.Engine, next: max(c.Emitted, caller.sent) + 1}
+	s := &stream{allocation: c.Allocation, engine: c.Engine, next: max(c.Emitted, conn.sent) + 1}
 	n.streams[c.Allocation.Request] = s
 	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
 		return engine.Decode{Ticket: t, Request: wire.DecodeRequest{
 			Allocation: tag(c.Allocation), After: s.next - 1, MaxTokens: c.MaxTokens, Priority: c.Priority,
 		}}
-	}, func(a engine.Command) { n.streamed(s, caller, a) })
+	}, func(a engine.Command) { n.streamed(s, conn, a) })
 }
 
-func (n *node) streamed(s *stream, caller *Caller, a engine.Command) {
+func (n *node) streamed(s *stream, conn *connection, a engine.Command) {
 	if n.frozen {
-		n.inbox = append(n.inbox, func() { n.streamed(s, caller, a) })
+		n.inbox = append(n.inbox, func() { n.streamed(s, conn, a) })
 		return
 	}
 	if n.stopped || n.streams[s.allocation.Request] != s {
@@ -98,23 +99,24 @@
 	switch a := a.(type) {
 	case engine.Opened:
 	case engine.Token:
-		n.token(s, caller, a)
+		n.token(s, conn, a)
 	default:
 		delete(n.streams, s.allocation.Request)
 		n.receive(failed(s.engine, s.allocation, core.DecodeStep, s.next-1, a))
 	}
 }
 
-func (n *node) token(s *stream, caller *Caller, t engine.Token) {
+func (n *node) token(s *stream, conn *connection, t engine.Token) {
 	if t.Offset < s.next {
 		return
 	}
 	if t.Offset > s.next {
-		caller.fault("a token was skipped")
+		conn.caller.fault("a token was skipped")
 	}
 	s.next++
-	caller.sent = t.Offset
-	caller.connection.deliver(t.Offset, t.Event.Last)
+	n.noteParallel(conn.caller)
+	conn.sent = t.Offset
+	conn.deliver(t.Offset, t.Event.Last)
 	if !s.first {
 		s.first = true
 		n.receive(core.FirstToken{Allocation: s.allocation})
@@ -122,7 +124,7 @@
 	if t.Event.Last {
 		delete(n.streams, s.allocation.Request)
 		n.receive(core.StreamEnded{Allocation: s.allocation, Tokens: t.Offset})
-		n.disconnect(caller)
+		n.disconnect(conn)
 	}
 }
 
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -36,6 +36,9 @@
 	PeerSize func(core.Peer) int
 	// Observe, if set, sees each decision.
 	Observe func(core.Decision)
+	// Parallel, if set, hears of a node that goes on answering a caller which
+	// another node has been answering for a while.
+	Parallel func(core.NodeID, *Caller)
 
 	// Now is the virtual time, Steps the number of events carried out.
 	Now   core.Instant
--- a/core/book.go
+++ b/core/book.go
@@ -261,6 +261,9 @@
 		return
 	}
 	s.ended[m.Allocation] = n.now
+	if m.Reason == Completed && m.Tokens > 0 {
+		s.noteCompleted(n, m.Allocation)
+	}
 	for _, g := range s.groups {
 		if it, ok := g.queue.find(m.Allocation); ok {
 			g.queue.remove(it)
--- a/core/compare.go
+++ b/core/compare.go
@@ -202,6 +202,11 @@
 			delete(s.ended, a)
 		}
 	}
+	for id, h := range s.history {
+		if _, running := s.byRequest[id]; !running && n.now.Sub(h.at) > endedFor {
+			delete(s.history, id)
+		}
+	}
 	ask := make(map[NodeID][]Allocation)
 	for _, j := range s.sortedJobs() {
 		if !j.decoding && s.wantsConfirmation(n, j) {
--- a/core/entry.go
+++ b/core/entry.go
@@ -51,6 +51,8 @@
 	sourceAllocation Allocation
 	// sourceLost is set if that engine fails meanwhile.
 	sourceLost bool
+	// retrying is set once an attempt of this connection has been placed.
+	retrying bool
 }
 
 // moving reports whether a running stream is on its way to another engine.
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -34,7 +34,8 @@
 		Prompt:     r.request.Prompt,
 		MaxTokens:  r.request.MaxTokens,
 		Emitted:    r.emitted,
-		Adopt:      r.request.Resumed && r.failures == 0,
+		Adopt:      r.request.Resumed,
+		Retry:      r.retrying,
 		Waited:     n.now.Sub(r.arrived),
 		Source:     r.source,
 		Avoid:      r.avoid,
@@ -141,6 +142,7 @@
 		return
 	}
 	r.allocation = b.Allocation
+	r.retrying = true
 	s.noteAttempt(n, r)
 	r.placed = b
 	r.owner = from
--- a/core/entry_step.go
+++ b/core/entry_step.go
@@ -191,6 +191,10 @@
 		return
 	}
 	r.emitted = max(r.emitted, m.Emitted)
+	if m.Superseded {
+		s.yieldTo(n, r)
+		return
+	}
 	if m.Step == ImportStep && m.Full && s.importAgain(n, r) {
 		return
 	}
--- a/core/message.go
+++ b/core/message.go
@@ -212,6 +212,8 @@
 	Full bool
 	// Draining is set when the engine refused because it takes no new work.
 	Draining bool
+	// Superseded is set when the engine holds a higher attempt of the request.
+	Superseded bool
 	// Emitted is how many tokens of the answer the caller has been sent, for
 	// DecodeStep.
 	Emitted Tokens
--- a/core/node.go
+++ b/core/node.go
@@ -206,6 +206,8 @@
 		n.owner.progress(n, b)
 	case AttemptEnded:
 		n.owner.attemptEnded(n, m.From, b)
+	case AttemptSuperseded:
+		n.entry.superseded(n, b)
 	case AttemptEndedAck:
 		n.entry.endedAck(n, b)
 	case HolderQuery:
--- a/core/owner.go
+++ b/core/owner.go
@@ -14,6 +14,7 @@
 	jobs      map[Allocation]*job
 	byRequest map[RequestID]Allocation
 	ended     map[Allocation]Instant
+	history   map[RequestID]history
 	lengths   map[ProfileID]*answerLength
 	// withdrawn remembers since when a pool is withdrawn, for one profile or
 	// for all, and leaving since when the VM list shows an engine as leaving.
@@ -46,6 +47,7 @@
 	s.jobs = make(map[Allocation]*job)
 	s.byRequest = make(map[RequestID]Allocation)
 	s.ended = make(map[Allocation]Instant)
+	s.history = make(map[RequestID]history)
 	s.lengths = make(map[ProfileID]*answerLength)
 	s.withdrawn = make(map[poolUse]Instant)
 	s.leaving = make(map[EngineID]Instant)
@@ -176,10 +178,14 @@
 		n.send(from, PlaceQueued{Allocation: b.Allocation, Expected: it.expected})
 		return
 	}
+	if reason := s.overtaken(b); reason != NoReason {
+		n.send(from, PlaceRefused{Allocation: b.Allocation, Reason: reason, RetryAfter: answeredFor})
+		return
+	}
+	s.supersede(n, g, b)
 	if b.Source == "" && s.adopt(n, from, b) {
 		return
 	}
-	g.queue.dropOlder(b.Allocation)
 	it := &queued{
 		place:          b,
 		from:           from,
--- a/core/peer.go
+++ b/core/peer.go
@@ -78,9 +78,12 @@
 	MaxTokens Tokens
 	// Emitted is how many tokens the caller already has.
 	Emitted Tokens
-	// Adopt asks first for a stream of this request that an engine still
-	// holds.
+	// Adopt says that the caller has come back for the rest of its answer, so
+	// that a stream which an engine still holds should go on.
 	Adopt bool
+	// Retry says that this follows an earlier attempt of the same entry, not
+	// a new connection of the caller.
+	Retry bool
 	// Waited is the time since the caller's request arrived.
 	Waited time.Duration
 	// Source is the decode engine that a running stream has to leave; the new
@@ -121,6 +124,10 @@
 	RetryAfter time.Duration
 }
 
+// AttemptSuperseded tells a holder that the caller of its request has come
+// back through another entry, which answers it from now on.
+type AttemptSuperseded struct{ Allocation Allocation }
+
 // EndReason says how an attempt ended.
 type EndReason int
 
@@ -216,22 +223,23 @@
 	Age  time.Duration
 }
 
-func (VMListQuery) isPeerBody()      {}
-func (VMListAnswer) isPeerBody()     {}
-func (Heartbeat) isPeerBody()        {}
-func (HeartbeatAck) isPeerBody()     {}
-func (HeartbeatRequest) isPeerBody() {}
-func (ConfigQuery) isPeerBody()      {}
-func (ConfigAnswer) isPeerBody()     {}
-func (Place) isPeerBody()            {}
-func (Placed) isPeerBody()           {}
-func (PlaceQueued) isPeerBody()      {}
-func (PlaceRefused) isPeerBody()     {}
-func (AttemptProgress) isPeerBody()  {}
-func (AttemptEnded) isPeerBody()     {}
-func (AttemptEndedAck) isPeerBody()  {}
-func (HolderQuery) isPeerBody()      {}
-func (HolderAnswer) isPeerBody()     {}
-func (MoveAway) isPeerBody()         {}
-func (KeyCall) isPeerBody()          {}
-func (KeyAnswer) isPeerBody()        {}
+func (VMListQuery) isPeerBody()       {}
+func (VMListAnswer) isPeerBody()      {}
+func (Heartbeat) isPeerBody()         {}
+func (HeartbeatAck) isPeerBody()      {}
+func (HeartbeatRequest) isPeerBody()  {}
+func (ConfigQuery) isPeerBody()       {}
+func (ConfigAnswer) isPeerBody()      {}
+func (Place) isPeerBody()             {}
+func (Placed) isPeerBody()            {}
+func (PlaceQueued) isPeerBody()       {}
+func (PlaceRefused) isPeerBody()      {}
+func (AttemptSuperseded) isPeerBody() {}
+func (AttemptProgress) isPeerBody()   {}
+func (AttemptEnded) isPeerBody()      {}
+func (AttemptEndedAck) isPeerBody()   {}
+func (HolderQuery) isPeerBody()       {}
+func (HolderAnswer) isPeerBody()      {}
+func (MoveAway) isPeerBody()          {}
+func (KeyCall) isPeerBody()           {}
+func (KeyAnswer) isPeerBody()         {}
--- a/core/queue.go
+++ b/core/queue.go
@@ -75,11 +75,18 @@
 	return nil, false
 }
 
-// dropOlder removes earlier attempts of the same request.
-func (q *fairQueue) dropOlder(a Allocation) {
-	q.items = slices.DeleteFunc(q.items, func(it *queued) bool {
-		return it.place.Allocation.Request == a.Request
-	})
+// takeOlder removes and returns earlier attempts of the same request.
+func (q *fairQueue) takeOlder(a Allocation) []*queued {
+	var older []*queued
+	for _, it := range q.items {
+		if it.place.Allocation.Request == a.Request {
+			older = append(older, it)
+		}
+	}
+	for _, it := range older {
+		q.remove(it)
+	}
+	return older
 }
 
 // ordered returns the items in the order in which they should be served.
--- a/daisyshed/engine/exchange.go
+++ b/daisyshed/engine/exchange.go
@@ -64,6 +64,7 @@
 		Step:       step,
 		Full:       hasCode(err, wire.CodeFull),
 		Draining:   hasCode(err, wire.CodeDraining),
+		Superseded: hasCode(err, wire.CodeSuperseded),
 		Reason:     err.Error(),
 	}
 }
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -51,6 +51,7 @@
 			Avoid:     list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
 			Group:     text[core.GroupID](t, "group"),
 			Source:    text[core.EngineID](t, "source"),
+			Retry:     rapid.Bool().Draw(t, "retry"),
 		}
 	},
 	"Placed": func(t *rapid.T) core.PeerBody {
@@ -67,6 +68,9 @@
 	"PlaceQueued": func(t *rapid.T) core.PeerBody {
 		return core.PlaceQueued{Allocation: allocation(t), Expected: span(t, "expected")}
 	},
+	"AttemptSuperseded": func(t *rapid.T) core.PeerBody {
+		return core.AttemptSuperseded{Allocation: allocation(t)}
+	},
 	"PlaceRefused": func(t *rapid.T) core.PeerBody {
 		return core.PlaceRefused{Allocation: allocation(t), Reason: enum(t, "reason", core.AlreadyAnswered), RetryAfter: span(t, "retry")}
 	},
--- a/wire/peer/convert_place.go
+++ b/wire/peer/convert_place.go
@@ -19,6 +19,7 @@
 		Avoid:       each(b.Avoid, func(id core.EngineID) string { return string(id) }),
 		Group:       string(b.Group),
 		Source:      string(b.Source),
+		Retry:       b.Retry,
 	}
 }
 
@@ -35,6 +36,7 @@
 		Avoid:      each(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }),
 		Group:      core.GroupID(b.GetGroup()),
 		Source:     core.EngineID(b.GetSource()),
+		Retry:      b.GetRetry(),
 	}
 }
 
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -46,6 +46,8 @@
 		return toPlaced(b.Placed), nil
 	case *Envelope_PlaceQueued:
 		return toPlaceQueued(b.PlaceQueued), nil
+	case *Envelope_AttemptSuperseded:
+		return core.AttemptSuperseded{Allocation: toAllocation(b.AttemptSuperseded.GetAllocation())}, nil
 	case *Envelope_PlaceRefused:
 		return toPlaceRefused(b.PlaceRefused)
 	case *Envelope_AttemptProgress:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -52,6 +52,8 @@
 		e.Body = &Envelope_PlaceQueued{&PlaceQueued{
 			Allocation: fromAllocation(b.Allocation), ExpectedNanos: int64(b.Expected),
 		}}
+	case core.AttemptSuperseded:
+		e.Body = &Envelope_AttemptSuperseded{&AttemptSuperseded{Allocation: fromAllocation(b.Allocation)}}
 	case core.PlaceRefused:
 		e.Body = &Envelope_PlaceRefused{fromPlaceRefused(b)}
 	case core.AttemptProgress:
