Tell a repeated call by the start that sent it

A duplicate from a sender's earlier start was not known as one once its later start had been heard of, because the writer looked up the sender's latest start.

--- a/core/node.go
+++ b/core/node.go
@@ -191,7 +191,7 @@
 	case VMListAnswer:
 		n.members.vmListAnswer(n, b)
 	case KeyCall:
-		n.once.keyCall(n, m.From, b)
+		n.once.keyCall(n, m.From, m.Incarnation, b)
 	case KeyAnswer:
 		n.once.keyAnswer(n, m.From, b)
 	case Place:
--- a/core/once_writer.go
+++ b/core/once_writer.go
@@ -66,8 +66,8 @@
 // pending reports whether the call may still be dispatched for the first time.
 func (r *keyRun) pending() bool { return r.step <= runLogged }
 
-func (s *onceOnly) keyCall(n *Node, from NodeID, m KeyCall) {
-	if s.repeated(n, from, m.Call) {
+func (s *onceOnly) keyCall(n *Node, from NodeID, incarnation Incarnation, m KeyCall) {
+	if s.repeated(n, takenCall{from: from, incarnation: incarnation, call: m.Call}) {
 		return
 	}
 	s.wantedAt = n.now
@@ -88,8 +88,7 @@
 }
 
 // repeated reports whether the message of a call came before.
-func (s *onceOnly) repeated(n *Node, from NodeID, call CallID) bool {
-	id := takenCall{from: from, incarnation: n.members.incarnation(n, from), call: call}
+func (s *onceOnly) repeated(n *Node, id takenCall) bool {
 	if _, dup := s.taken[id]; dup {
 		return true
 	}
