--- a/bench/world/faults.go
+++ b/bench/world/faults.go
@@ -1,9 +1,11 @@
 package world
 
 import (
+	"fmt"
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/standin/fault"
 )
 
 // Kill ends a node at once and breaks its callers' connections.
@@ -33,8 +35,8 @@
 		n.frozen = false
 		inbox := n.inbox
 		n.inbox = nil
-		for _, m := range inbox {
-			n.receive(m)
+		for _, deliver := range inbox {
+			deliver()
 		}
 		n.receive(core.Tick{})
 	})
@@ -78,3 +80,50 @@
 	n.setWake()
 	return status
 }
+
+// LoseEngine ends an engine at once; nothing reaches it until it is restored.
+func (w *World) LoseEngine(id core.EngineID) {
+	w.engines[id].removed = true
+	w.Inject(id, fault.Fault{Kind: fault.Crash})
+}
+
+// RestoreEngine lets a lost engine start again, with nothing in its memory.
+func (w *World) RestoreEngine(id core.EngineID) { w.engines[id].removed = false }
+
+// MendLinks ends all cuts.
+func (w *World) MendLinks() { clear(w.cuts) }
+
+// Streaming returns how many callers a node is connected to.
+func (w *World) Streaming(id core.NodeID) int {
+	if n, ok := w.nodes[id]; ok && !n.stopped {
+		return len(n.callers)
+	}
+	return 0
+}
+
+// Calling returns how many calls a node has not answered yet.
+func (w *World) Calling(id core.NodeID) int {
+	if n, ok := w.nodes[id]; ok && !n.stopped {
+		return len(n.calls)
+	}
+	return 0
+}
+
+// PoolOf returns an engine's pool.
+func (w *World) PoolOf(id core.EngineID) core.PoolID {
+	for _, e := range w.Engines {
+		if e.Upstream.ID == id {
+			return e.Upstream.Pool
+		}
+	}
+	return ""
+}
+
+// Describe says where a caller's request stands, for a failing run.
+func (w *World) Describe(c *Caller) string {
+	where := "no node"
+	if c.node != nil {
+		where = string(c.node.info.ID)
+	}
+	return fmt.Sprintf("received %d of %d, refused %d (%s), last at %s", c.Received, c.Output, c.Refused, c.Reason, where)
+}
--- a/core/entry.go
+++ b/core/entry.go
@@ -27,10 +27,14 @@
 	group GroupID
 	owner NodeID
 	asked Instant
+	// watch numbers the latest watch over the placement.
+	watch uint64
 	// acknowledged is set when the owner said that it has queued the request.
 	acknowledged bool
 	// unreachable names owners that did not answer.
 	unreachable Set[NodeID]
+	// ownersLeft counts the owners that refused because they leave.
+	ownersLeft int
 	// crowded names groups that refused the request for lack of capacity.
 	crowded Set[GroupID]
 	avoid   []EngineID
@@ -45,6 +49,8 @@
 	// that it was placed with.
 	source           EngineID
 	sourceAllocation Allocation
+	// sourceLost is set if that engine fails meanwhile.
+	sourceLost bool
 }
 
 // moving reports whether a running stream is on its way to another engine.
@@ -55,11 +61,23 @@
 	serving  map[RequestID]*serving
 	ending   map[Allocation]*ending
 	answered map[RequestID]Instant
+	// attempts remembers the latest attempt of each recent request, so that no
+	// allocation is ever used twice.
+	attempts map[RequestID]lastAttempt
 	// pressure remembers each group's recent time to first token.
 	pressure map[GroupID]time.Duration
 }
 
+// lastAttempt is the latest attempt of a request and when it was made.
+type lastAttempt struct {
+	attempt Attempt
+	at      Instant
+}
+
 const (
+	// attemptsFor is how long attempts are remembered; it is longer than
+	// owners remember ended ones.
+	attemptsFor = 2 * endedFor
 	// answeredFor is how long the entry remembers whole answers.
 	answeredFor = time.Minute
 	// maxFailures bounds the placements of one request that engines may fail.
@@ -77,6 +95,7 @@
 	s.serving = make(map[RequestID]*serving)
 	s.ending = make(map[Allocation]*ending)
 	s.answered = make(map[RequestID]Instant)
+	s.attempts = make(map[RequestID]lastAttempt)
 	s.pressure = make(map[GroupID]time.Duration)
 	n.every(answeredFor, func(n *Node) { n.entry.forgetAnswered(n) })
 }
@@ -87,6 +106,11 @@
 			delete(s.answered, id)
 		}
 	}
+	for id, last := range s.attempts {
+		if _, running := s.serving[id]; !running && n.now.Sub(last.at) > attemptsFor {
+			delete(s.attempts, id)
+		}
+	}
 }
 
 // refusesNew says why the node takes no new work, or NoReason if it does.
@@ -94,7 +118,7 @@
 	if n.leaving {
 		return Leaving
 	}
-	if !n.config.fresh(n) {
+	if !n.config.fresh(n) || n.config.folded.Offset() == 0 {
 		return StaleConfiguration
 	}
 	return NoReason
@@ -177,11 +201,16 @@
 func (s *entry) nextAttempt(n *Node, r *serving) {
 	r.allocation = Allocation{
 		Request:     r.request.Request,
-		Attempt:     r.allocation.Attempt + 1,
+		Attempt:     max(r.allocation.Attempt, s.attempts[r.request.Request].attempt) + 1,
 		Holder:      n.Self.ID,
 		Incarnation: n.Incarnation,
 	}
 	r.importTries = 0
+	s.noteAttempt(n, r)
+}
+
+func (s *entry) noteAttempt(n *Node, r *serving) {
+	s.attempts[r.request.Request] = lastAttempt{attempt: r.allocation.Attempt, at: n.now}
 }
 
 // current returns the request that an allocation serves now.
