--- a/wire/peer/convert_key.go
+++ b/wire/peer/convert_key.go
@@ -9,6 +9,7 @@
 func fromKeyCall(b core.KeyCall) *KeyCall {
 	return &KeyCall{
 		Call:      string(b.Call),
+		Writer:    uint64(b.Writer),
 		Profile:   string(b.Profile),
 		Customer:  string(b.Customer),
 		Key:       string(b.Key),
@@ -20,6 +21,7 @@
 func toKeyCall(b *KeyCall) core.PeerBody {
 	return core.KeyCall{
 		Call:      core.CallID(b.GetCall()),
+		Writer:    core.Incarnation(b.GetWriter()),
 		Profile:   core.ProfileID(b.GetProfile()),
 		Customer:  core.CustomerID(b.GetCustomer()),
 		Key:       core.IdempotencyKey(b.GetKey()),
