Read all YAML through one strict checker

New: inline and hidden fields, one fault for each field, one document only. Ruled out: a table of fields for settings as well; reflection needs none.

--- a/daisyctl/command/exit.go
+++ b/daisyctl/command/exit.go
@@ -5,7 +5,6 @@
 	"fmt"
 
 	"daisyshed.dev/daisyctl/configlog"
-	"daisyshed.dev/wire/profile"
 	"daisyshed.dev/wire/settings"
 	"github.com/jessevdk/go-flags"
 )
@@ -34,8 +33,7 @@
 func exitCode(err error) int {
 	var (
 		usage      *flags.Error
-		faults     profile.Faults
-		unreadable settings.Faults
+		faults     settings.Faults
 		invalid    *InvalidError
 		conflict   *ConflictError
 		notInForce *NotInForceError
@@ -52,7 +50,7 @@
 		return ExitNotInForce
 	case errors.As(err, &unknown):
 		return ExitUnknown
-	case errors.As(err, &usage), errors.As(err, &faults), errors.As(err, &unreadable), errors.As(err, &invalid):
+	case errors.As(err, &usage), errors.As(err, &faults), errors.As(err, &invalid):
 		return ExitInvalid
 	default:
 		return ExitFailed
--- a/wire/profile/change.go
+++ b/wire/profile/change.go
@@ -66,7 +66,7 @@
 func set[T any](fields []field[T], v *T, name, value string) error {
 	f, ok := find(fields, name)
 	if !ok {
-		return Faults{{Field: name, Problem: "is not known; the fields are " + names(fields)}}
+		return Faults{{Field: name, Problem: "is not known; known are " + strings.Join(names(fields), ", ")}}
 	}
 	tree, err := parser.ParseBytes([]byte(value), 0)
 	if err != nil || len(tree.Docs) != 1 || tree.Docs[0].Body == nil {
--- a/wire/settings/document_test.go
+++ b/wire/settings/document_test.go
@@ -64,6 +64,50 @@
 	is.Equal(got[0].Line, 2)
 }
 
+type outer struct {
+	Role   string
+	Hidden int `yaml:"-"`
+	inner  `yaml:",inline"`
+	Parts  []part
+	Group  part
+}
+
+type inner struct {
+	Pieces int
+	Role   int `yaml:"-"`
+}
+
+func TestInlineAndHiddenFields(t *testing.T) {
+	is := is.New(t)
+	var s outer
+	is.NoErr(settings.Parse("f", []byte("Role: r\nPieces: 3\n"), &s).Err())
+	is.Equal(s, outer{Role: "r", inner: inner{Pieces: 3}})
+	is.Equal(faults(t, settings.Parse("f", []byte("Hidden: 1\n"), &s).Err())[0].Problem,
+		"is not known; known are Role, Pieces, Parts, Group")
+	is.Equal(settings.Names(&s), []string{"Role", "Pieces", "Parts", "Parts[].Name", "Group.Name"})
+}
+
+func TestOneFaultForEachField(t *testing.T) {
+	is := is.New(t)
+	var s sheet
+	d := settings.Parse("f", []byte("Count: many\n"), &s)
+	d.Fault("Count", "must be positive")
+	d.Fault("Name", "is missing")
+	is.Equal(d.Err().Error(), "f:1: Count: must be a whole number\nf:1: Name: is missing")
+}
+
+func TestOneDocumentOnly(t *testing.T) {
+	for name, text := range map[string]string{
+		"two": "Name: a\n---\nName: b\n", "empty": "", "comment": "# nothing\n", "list": "- a\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var s sheet
+			is.Equal(len(faults(t, settings.Parse("f", []byte(text), &s).Err())), 1)
+		})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("Name: n\nParts:\n  - Name: a\n"))
 	f.Add([]byte("Name: &a [*a]\n? {}\n: 1\n"))
--- a/wire/settings/fault.go
+++ b/wire/settings/fault.go
@@ -1,13 +1,14 @@
-// Package settings reads YAML files strictly: every fault is reported at once,
-// with its file, line and field.
 package settings
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
-// Fault is one fault of a settings file.
+// Fault is one thing wrong with a file. File and Line are empty for a value
+// that was not read from a file.
 type Fault struct {
 	File    string
 	Line    int
@@ -15,15 +16,19 @@
 	Problem string
 }
 
-// Error describes the fault.
+// Error names the place and the problem.
 func (f Fault) Error() string {
-	if f.Field == "" {
-		return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Problem)
+	var parts []string
+	if f.File != "" {
+		parts = append(parts, fmt.Sprintf("%s:%d", f.File, f.Line))
 	}
-	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Field, f.Problem)
+	if f.Field != "" {
+		parts = append(parts, f.Field)
+	}
+	return strings.Join(append(parts, f.Problem), ": ")
 }
 
-// Faults are all faults of a settings file, in the order of their lines.
+// Faults are all that is wrong, in the order of the lines.
 type Faults []Fault
 
 // Error lists the faults, one a line.
@@ -34,3 +39,13 @@
 	}
 	return strings.Join(lines, "\n")
 }
+
+// Err returns the faults in the order of their lines, or nil where there are
+// none, which a nil Faults in an error would not be.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(f, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
+	return f
+}
--- /dev/null
+++ b/wire/settings/parse.go
@@ -0,0 +1,108 @@
+package settings
+
+import (
+	"errors"
+	"reflect"
+	"strconv"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+)
+
+// Parse reads data into the struct that into points to. Keys are the names of
+// the struct's fields; an embedded field that is tagged as inline adds its own.
+// Fields that the file does not name keep their values.
+func Parse(file string, data []byte, into any) *Document {
+	documents, err := Split(file, data)
+	var faults Faults
+	switch {
+	case errors.As(err, &faults):
+		d := newDocument(file, nil)
+		d.unread, d.faults = true, faults
+		return d
+	case len(documents) > 1:
+		documents[0].Add(1, "", "holds more than one document")
+		return documents[0]
+	case len(documents) == 0 || documents[0].Empty():
+		d := newDocument(file, nil)
+		d.Add(1, "", "is empty")
+		return d
+	}
+	d := documents[0]
+	d.value(d.body, "", reflect.ValueOf(into).Elem())
+	return d
+}
+
+// value reads node into v, which field names.
+func (d *Document) value(node ast.Node, field string, v reflect.Value) {
+	switch {
+	case v.Type() == reflect.TypeFor[time.Duration]():
+		d.duration(node, field, v)
+	case v.Kind() == reflect.Struct:
+		d.structure(node, field, v)
+	case v.Kind() == reflect.Slice:
+		d.list(node, field, v)
+	default:
+		d.scalar(node, field, v)
+	}
+}
+
+func (d *Document) structure(node ast.Node, field string, v reflect.Value) {
+	entries, ok := entriesOf(node)
+	if !ok {
+		d.Add(lineOf(node), field, "must be a mapping")
+		return
+	}
+	targets, names := fieldsOf(v)
+	d.Fields(entries, field, Keys{Names: names, Read: func(key, name string, value ast.Node) bool {
+		target, known := targets[key]
+		if known {
+			d.value(value, name, target)
+		}
+		return known
+	}})
+}
+
+func (d *Document) list(node ast.Node, field string, v reflect.Value) {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		d.Add(lineOf(node), field, "must be a list")
+		return
+	}
+	items := reflect.MakeSlice(v.Type(), len(sequence.Values), len(sequence.Values))
+	for i, item := range sequence.Values {
+		name := field + "[" + strconv.Itoa(i) + "]"
+		d.lines[name] = lineOf(item)
+		d.value(item, name, items.Index(i))
+	}
+	v.Set(items)
+}
+
+func (d *Document) duration(node ast.Node, field string, v reflect.Value) {
+	parsed, err := time.ParseDuration(node.GetToken().Value)
+	if err != nil {
+		d.Add(lineOf(node), field, "must be a duration with its unit, such as 250ms or 5s")
+		return
+	}
+	v.SetInt(int64(parsed))
+}
+
+func (d *Document) scalar(node ast.Node, field string, v reflect.Value) {
+	if err := yaml.NodeToValue(node, v.Addr().Interface()); err != nil {
+		d.Add(lineOf(node), field, "must be "+kindName(v.Kind()))
+	}
+}
+
+func kindName(k reflect.Kind) string {
+	switch k {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64, reflect.Uint64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a text"
+	}
+}
