--- /dev/null
+++ b/standin/page_test.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"daisyshed.dev/wire/settings"
+)
+
+func TestEverySettingIsOnThePage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("testdata/SETTINGS.md")
+	is.NoErr(err)
+	for program, settingsOf := range map[string]any{
+		"engine":  newEngineProgram(),
+		"log":     newLogProgram(),
+		"vms":     newVMsProgram(),
+		"weights": newWeightsProgram(),
+		"ledger":  newLedgerProgram(),
+	} {
+		is.Equal(strings.Join(settings.Unlisted(string(page), "### "+program, settingsOf), ", "), "")
+	}
+}
