Test daisyctl's unknown fate, folding, help and completion

Completion now goes through a handler, so that a test can run it in place of the library's exit. Counts of one are in the singular. watch stays on polls of /v1/status: /v1/watch sends nothing while nothing changes, so a frozen daemon would go unnoticed, and wire/sse bounds a line to 1 MiB, below a large system's status. No test was changed but for TestExplainRequest, which expects the decode candidate that was chosen too.

--- a/daisyctl/command/explain_profile.go
+++ b/daisyctl/command/explain_profile.go
@@ -104,7 +104,7 @@
 }
 
 func (h hypothetical) print(w io.Writer) {
-	line(w, "a request of %s with %d tokens (%d pieces) %s", h.Profile, h.Tokens, h.Pieces, h.Answer)
+	line(w, "a request of %s with %s (%s) %s", h.Profile, count(int(h.Tokens), "token"), count(h.Pieces, "piece"), h.Answer)
 	var rows [][]string
 	for _, u := range h.Upstreams {
 		verdict := "could serve"
--- a/daisyctl/command/fake_test.go
+++ b/daisyctl/command/fake_test.go
@@ -31,6 +31,8 @@
 	// beforeAppend runs once, before the next append takes effect.
 	beforeAppend func()
 	appends      int
+	// failRead answers reads once an append has taken effect, if set.
+	failRead func(w http.ResponseWriter)
 }
 
 func newFakeLog(t *testing.T) *fakeLog {
@@ -46,6 +48,10 @@
 func (l *fakeLog) read(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.failRead != nil && l.appends > 0 {
+		l.failRead(w)
+		return
+	}
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	end := core.Offset(len(l.entries))
 	_ = json.NewEncoder(w).Encode(platformlog.ReadResult{
--- a/daisyctl/command/list.go
+++ b/daisyctl/command/list.go
@@ -37,7 +37,7 @@
 	var rows [][]string
 	for _, e := range l.Profiles {
 		p := e.Profile
-		pools := fmt.Sprint(len(p.PrefillPools)+len(p.DecodePools)+len(p.ServicePools)-len(p.Withdrawn)) + " pools"
+		pools := count(len(p.PrefillPools)+len(p.DecodePools)+len(p.ServicePools)-len(p.Withdrawn), "pool")
 		rows = append(rows, []string{
 			string(p.ID), p.Kind.String(), dash(string(p.Model)), fmt.Sprint(e.Revision), fmt.Sprint(e.Offset),
 			pools, short(p.FirstTokenTarget), short(p.PerTokenTarget), dash(e.Operator),
--- a/daisyctl/command/output.go
+++ b/daisyctl/command/output.go
@@ -64,6 +64,14 @@
 	return s
 }
 
+// count shows a number of things.
+func count(n int, thing string) string {
+	if n == 1 {
+		return "1 " + thing
+	}
+	return fmt.Sprintf("%d %ss", n, thing)
+}
+
 func yesNo(b bool) string {
 	if b {
 		return "yes"
--- a/daisyctl/command/publish_test.go
+++ b/daisyctl/command/publish_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 
 	"daisyshed.dev/core"
 	"daisyshed.dev/daisyctl/command"
+	"daisyshed.dev/wire/platformlog"
 	"github.com/matryer/is"
 )
 
@@ -95,6 +97,35 @@
 	is.True(strings.Contains(got.stderr, "nothing was published"))
 }
 
+func TestUnknownWhetherPublished(t *testing.T) {
+	is := is.New(t)
+	ctx, timeIsUp := context.WithCancel(t.Context())
+	log := newFakeLog(t)
+	log.loseReplies = 1
+	log.failRead = func(w http.ResponseWriter) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		timeIsUp()
+	}
+	got := runUntil(ctx, "--log", log.URL, "profile", "publish", "--no-wait", write(t, ledger))
+	is.Equal(got.code, command.ExitUnknown)
+	is.True(strings.Contains(got.stderr, "it is not known whether the log holds the publication"))
+	for _, entry := range log.entries {
+		is.True(strings.Contains(got.stderr, string(publicationOf(entry))))
+	}
+	is.Equal(log.appends, 1) // never sent again without knowing
+}
+
+func publicationOf(entry platformlog.Entry) core.PublicationID {
+	switch r := platformlog.Decode(entry.Data).(type) {
+	case core.ProfilePublished:
+		return r.Publication
+	case core.PoolPublished:
+		return r.Publication
+	default:
+		return "none"
+	}
+}
+
 func TestInvalidDocuments(t *testing.T) {
 	is := is.New(t)
 	log := newFakeLog(t)
--- a/daisyctl/command/run.go
+++ b/daisyctl/command/run.go
@@ -48,6 +48,7 @@
 	a := &app{ctx: ctx, stdout: stdout, http: &http.Client{Timeout: requestTimeout}}
 	parser, err := newParser(a)
 	if err == nil {
+		parser.CompletionHandler = a.complete
 		_, err = parser.ParseArgs(args)
 	}
 	var usage *flags.Error
@@ -60,6 +61,14 @@
 	return exitCode(err)
 }
 
+// complete prints the words that may come next, one a line. The library calls
+// it in place of a command where bashCompletion asks.
+func (a *app) complete(words []flags.Completion) {
+	for _, w := range words {
+		line(a.stdout, "%s", w.Item)
+	}
+}
+
 // deadline returns a context that ends after --timeout.
 func (a *app) deadline() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(a.ctx, a.Timeout)
--- a/daisyctl/command/show_test.go
+++ b/daisyctl/command/show_test.go
@@ -19,6 +19,43 @@
 	}
 }
 
+func TestEveryCommandHasHelp(t *testing.T) {
+	for _, group := range []string{"profile", "pool"} {
+		for _, name := range []string{"publish", "revise", "validate", "diff", "history", "list", "show"} {
+			helpOf(t, group, name)
+		}
+	}
+	helpOf(t, "upstream", "list")
+	for _, name := range []string{"status", "explain", "watch", "addresses", "completion"} {
+		helpOf(t, name)
+	}
+}
+
+func helpOf(t *testing.T, words ...string) {
+	t.Helper()
+	is := is.New(t)
+	name := strings.Join(words, " ")
+	all := run("--help").stdout
+	is.True(strings.Contains(all, "\n  "+name+" ")) // listed with the others
+	got := run(append(words, "--help")...)
+	is.Equal(got.code, command.ExitOK)
+	is.Equal(got.stderr, "")
+	is.True(strings.Contains(got.stdout, "daisyctl [OPTIONS] "+name))
+	is.True(strings.Contains(got.stdout, "Exit codes:"))
+}
+
+func TestCompletion(t *testing.T) {
+	is := is.New(t)
+	script := run("completion", "bash")
+	is.Equal(script.code, command.ExitOK)
+	is.True(strings.Contains(script.stdout, "GO_FLAGS_COMPLETION=1"))
+	t.Setenv("GO_FLAGS_COMPLETION", "1")
+	is.Equal(run("pro").stdout, "profile\n")
+	is.Equal(run("pool", "re").stdout, "revise\n")
+	is.Equal(run("profile", "publish", "--no").stdout, "--no-wait\n")
+	is.Equal(run("upstream", "").stdout, "list\n")
+}
+
 func TestInvalidUse(t *testing.T) {
 	settings := write(t, "Log: http://127.0.0.1:1\nNonsense: 1\nDaemons: 5\n")
 	for name, args := range map[string][]string{
@@ -89,7 +126,8 @@
 	got := run("--daemon", url, "--daemon", other, "explain", "r")
 	is.Equal(got.code, command.ExitOK)
 	is.True(strings.Index(got.stdout, "place r") < strings.Index(got.stdout, "finish r"))
-	is.True(strings.Contains(got.stdout, "d2, predicted 0s, passed over: full"))
+	is.True(strings.Contains(got.stdout, "candidate: d1, predicted 0s, chosen")) // decode engines as well
+	is.True(strings.Contains(got.stdout, "candidate: d2, predicted 0s, passed over: full"))
 	is.True(strings.Contains(got.stdout, "first token measured: 310ms"))
 	is.Equal(run("--daemon", url, "explain", "nothing").code, command.ExitFailed)
 }
