Soak the system as separate processes under failure

The proofs so far ran on the core and on fakes; nothing killed or froze real daemons while callers checked every token. bench/cmd/processes starts the stand-ins and four daemons on loopback, sends streamed requests and payments whose every answer it can check, and kills, freezes and replaces daemons and engines by process id, with faults of engines, log, ledger and VM list through the stand-ins. A bash script was ruled out: reading streams and checking tokens concurrently needs a program.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: all build test race demo soak bench generate format lint clean
+.PHONY: all build test race demo soak soak-processes bench generate format lint clean
 
 all: build test
 
@@ -29,6 +29,12 @@
 soak:
 	@cd core && $(GO) run ./cmd/soak --seed $(SEED) --steps $(STEPS)
 
+SECONDS ?= 60
+soak-processes: build
+	@mkdir -p $(BIN)
+	@cd bench && $(GO) build -o $(BIN)/processes ./cmd/processes
+	@$(BIN)/processes --bin $(BIN) --seconds $(SECONDS) --seed $(SEED) $(ARGS)
+
 bench: build
 	@$(BIN)/bench $(ARGS)
 
--- /dev/null
+++ b/bench/cmd/processes/judge.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"daisyshed.dev/standin/ledger"
+	wire "daisyshed.dev/wire/engine"
+)
+
+const (
+	// releaseWithin is the promise on memory after the last request's end.
+	releaseWithin = 5 * time.Second
+	// shownDetails bounds the failures that are printed for one check.
+	shownDetails = 8
+)
+
+// check is one thing that must hold.
+type check string
+
+const (
+	answerWhole     check = "every answer whole, in order, each token once"
+	answeredInTime  check = "every request answered before the time to give up"
+	healthyAfter    check = "every request answered once the faults are healed"
+	refusedProperly check = "every refusal typed, with a time to come back"
+	paidOnce        check = "no key in the ledger twice"
+	paidIfRan       check = "what was called Ran is in the ledger"
+	notRunTrue      check = "what was called NotRun is not in the ledger"
+	answerOwn       check = "every payment's answer is its own"
+	memoryReleased  check = "engines' lists empty within 5 s of the last request's end"
+	daemonsSurvive  check = "no daemon ended by itself"
+	noViolations    check = "no invariant violated inside a daemon"
+	stoppedCleanly  check = "every daemon finished its work after SIGTERM"
+	faultsInjected  check = "every fault was injected"
+)
+
+var checks = []check{
+	answerWhole, answeredInTime, healthyAfter, refusedProperly, paidOnce, paidIfRan, notRunTrue, answerOwn,
+	memoryReleased, daemonsSurvive, noViolations, stoppedCleanly, faultsInjected,
+}
+
+// judge collects what was checked and what was provoked.
+type judge struct {
+	mu      sync.Mutex
+	passed  map[check]int
+	failed  map[check][]string
+	counted map[string]int
+}
+
+// require notes one observation of a check.
+func (j *judge) require(c check, ok bool, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.passed == nil {
+		j.passed = map[check]int{}
+		j.failed = map[check][]string{}
+	}
+	if ok {
+		j.passed[c]++
+		return
+	}
+	j.failed[c] = append(j.failed[c], time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// count notes something that was provoked or seen.
+func (j *judge) count(what string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.counted == nil {
+		j.counted = map[string]int{}
+	}
+	j.counted[what]++
+}
+
+// memory requires that no engine holds memory.
+func (j *judge) memory(c *cluster) {
+	var held []string
+	empty := c.until(releaseWithin, func() bool {
+		held = c.held()
+		return len(held) == 0
+	})
+	j.require(memoryReleased, empty, "still held: %s", strings.Join(held, ", "))
+}
+
+// held lists what the engines hold.
+func (c *cluster) held() []string {
+	var held []string
+	for i, e := range c.engines {
+		var report wire.Report
+		if !c.getJSON("http://"+c.engineAddress(i)+wire.ReportPath, &report) {
+			held = append(held, e.name+" does not answer")
+		}
+		for _, h := range report.Held {
+			held = append(held, fmt.Sprintf("%s %+v", e.name, h))
+		}
+	}
+	return held
+}
+
+// ran returns how often each key is in the ledger.
+func (c *cluster) ran() (map[string]int, bool) {
+	var list ledger.List
+	if !c.getJSON("http://"+c.ledgerAddress()+"/v1/ran", &list) {
+		return nil, false
+	}
+	times := map[string]int{}
+	for _, e := range list.Ran {
+		times[e.Key]++
+	}
+	return times, true
+}
+
+// payments compares what payers were told with the ledger's list.
+func (j *judge) payments(c *cluster, l *load) {
+	times, ok := c.ran()
+	j.require(paidOnce, ok, "the ledger does not answer")
+	for key, n := range times {
+		if key != "" {
+			j.require(paidOnce, n == 1, "%s ran %d times", key, n)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, p := range l.payments {
+		switch {
+		case p.ran:
+			j.require(paidIfRan, times[key] == 1, "%s was called Ran and is in the ledger %d times", key, times[key])
+		case p.notRun:
+			j.require(notRunTrue, times[key] == 0, "%s was called NotRun for good and is in the ledger", key)
+		case times[key] > 0:
+			j.count("payments left Unknown that ran")
+		default:
+			j.count("payments left Unknown that did not run")
+		}
+	}
+}
+
+// daemons looks at the daemons' ends and at their logs.
+func (j *judge) daemons(c *cluster) {
+	for _, d := range c.daemons {
+		j.require(daemonsSurvive, d.alive(), "%s ended by itself", d.name)
+		d.signal(syscall.SIGTERM)
+	}
+	for _, d := range c.daemons {
+		code := d.stop()
+		j.require(stoppedCleanly, code == 0, "%s ended with exit code %d", d.name, code)
+		j.readLog(d)
+	}
+}
+
+func (j *judge) readLog(d *process) {
+	f, err := os.Open(d.logFile())
+	if err != nil {
+		j.require(noViolations, false, "%s: %v", d.name, err)
+		return
+	}
+	defer f.Close()
+	bad := 0
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		line := lines.Text()
+		if strings.Contains(line, `"Event":"Violation"`) || strings.HasPrefix(line, "panic:") {
+			bad++
+			j.require(noViolations, false, "%s: %s", d.name, line)
+		}
+	}
+	j.require(noViolations, bad == 0, "%s: %d lines", d.name, bad)
+}
+
+// print writes the verdict and returns the exit code.
+func (j *judge) print(w io.Writer) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	fmt.Fprintln(w, "provoked and seen:")
+	var names []string
+	for name := range j.counted {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(w, "  %6d  %s\n", j.counted[name], name)
+	}
+	passed, failed := 0, 0
+	for _, c := range checks {
+		bad := j.failed[c]
+		passed += j.passed[c]
+		failed += len(bad)
+		verdict := "ok  "
+		if len(bad) > 0 {
+			verdict = "FAIL"
+		}
+		if len(bad) == 0 && j.passed[c] == 0 {
+			verdict = "none"
+		}
+		fmt.Fprintf(w, "%s  %s: %d held, %d did not\n", verdict, c, j.passed[c], len(bad))
+		for _, detail := range bad[:min(len(bad), shownDetails)] {
+			fmt.Fprintf(w, "        %s\n", detail)
+		}
+	}
+	fmt.Fprintf(w, "%d passed, %d failed\n", passed, failed)
+	if failed > 0 {
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/bench/cmd/processes/main.go
@@ -0,0 +1,86 @@
+// Command processes soaks the system as separate processes on loopback: it
+// starts stand-ins and daemons, sends load whose every answer it can check,
+// injects faults, heals them and judges what must hold. Every process that it
+// starts is ended by its process id.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitSignal  = 130
+	exitStarted = 3
+)
+
+type options struct {
+	Seconds  int    `long:"seconds" value-name:"N" default:"60" description:"how long to send load under faults"`
+	Seed     uint64 `long:"seed" value-name:"N" default:"1" description:"seed of the load and the faults"`
+	Callers  int    `long:"callers" value-name:"N" default:"8" description:"callers of streamed answers"`
+	Payers   int    `long:"payers" value-name:"N" default:"4" description:"callers of payments"`
+	Daemons  int    `long:"daemons" value-name:"N" default:"4" description:"number of daemons"`
+	Bin      string `long:"bin" value-name:"DIR" default:"bin" description:"directory of the built programs"`
+	Profiles string `long:"profiles" value-name:"DIR" default:"examples/profiles" description:"directory of the profiles to publish"`
+	Keep     string `long:"keep" value-name:"DIR" description:"keep the processes' logs in this directory"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var opts options
+	if _, err := flags.NewParser(&opts, flags.Default).ParseArgs(args); err != nil {
+		var flagged *flags.Error
+		if errors.As(err, &flagged) && flagged.Type == flags.ErrHelp {
+			return exitOK
+		}
+		return exitUsage
+	}
+	c, closeCluster, err := openCluster(opts)
+	if err != nil {
+		fmt.Println(err)
+		return exitStarted
+	}
+	defer closeCluster()
+	result := make(chan int, 1)
+	go func() { result <- soak(c, opts) }()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case code := <-result:
+		return code
+	case <-signals:
+		return exitSignal
+	}
+}
+
+// soak runs load and faults for the given time and judges the outcome.
+func soak(c *cluster, opts options) int {
+	j := &judge{}
+	if err := c.start(); err != nil {
+		fmt.Println(err)
+		return exitStarted
+	}
+	l := &load{cluster: c, judge: j, seed: opts.Seed}
+	f := &faults{cluster: c, judge: j, seed: opts.Seed}
+	stopLoad := l.run(opts.Callers, opts.Payers)
+	stopFaults := f.run()
+	time.Sleep(time.Duration(opts.Seconds) * time.Second)
+	stopFaults()
+	stopLoad()
+	l.afterFaults()
+	j.memory(c)
+	j.payments(c, l)
+	j.daemons(c)
+	return j.print(os.Stdout)
+}
