Measure goodput, wasted prefill and books, with worked alert rules

Goodput was not measured at all, and prefill work only as tokens started. The caller package now tells a meter when an answer is whole, with the time to its first token and the mean time per token at the caller's connection; the metrics judge it by the profile's targets from the status. Prefills are followed by attempt until a token or an end, so that work without a token counts as wasted. Books are compared with reports per upstream before they are summed, so that a surplus at one engine does not hide a lack at another.

Tags' values lost their dashes (bill-summary was exposed as bill_summary), so that two ids could share a value: values now keep the characters of ids.

update_nanoseconds_total becomes control_busy_nanoseconds_total and covers the handing out of commands as well; it bounds the goroutine's CPU time from above. A lock of the goroutine to its thread, for its true CPU time, was ruled out for its cost at every message.

Gauges for each upstream were ruled out: 12,000 series, and stale ones when an owner changes.

examples/alerts.yaml holds rules; a test reads every metric and tag it names from a scrape.

--- a/daisyshed/caller/completion.go
+++ b/daisyshed/caller/completion.go
@@ -58,6 +58,13 @@
 	return &wholeAnswer{w: w, heading: h, timeout: s.Limits.WriteTimeout}
 }
 
+// measure tells the meter of an answer that its caller was sent whole.
+func (s *Server) measure(req *request, m core.CallerRequest) {
+	if s.Meter != nil && req.close() {
+		s.Meter.Answered(req.pace.answered(m))
+	}
+}
+
 // serve passes a request to the core and waits for its end.
 func (s *Server) serve(r *http.Request, req *request, m core.CallerRequest) {
 	if !s.requests.enter(req, m.Resumed) {
@@ -65,6 +72,7 @@
 		return
 	}
 	defer s.requests.leave(req)
+	defer s.measure(req, m)
 	s.Send(m)
 	select {
 	case p := <-req.refused:
--- a/daisyshed/caller/request.go
+++ b/daisyshed/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"daisyshed.dev/core"
 	"daisyshed.dev/daisyshed/engine"
@@ -35,6 +36,7 @@
 	mu     sync.Mutex
 	out    output
 	sent   core.Tokens
+	pace   pace
 	closed bool
 	// whole is set once the caller has been sent the last token.
 	whole bool
@@ -51,6 +53,7 @@
 		left:     make(chan struct{}),
 		out:      out,
 		sent:     sent,
+		pace:     pace{arrived: time.Now()},
 	}
 }
 
@@ -82,6 +85,7 @@
 		return engine.CallerGoneError{}
 	}
 	r.sent = offset
+	r.pace.token(time.Now())
 	if last {
 		r.closed = true
 		r.whole = true
--- a/daisyshed/caller/server.go
+++ b/daisyshed/caller/server.go
@@ -42,6 +42,8 @@
 	Incarnation core.Incarnation
 	Limits      Limits
 	Send        func(core.Message)
+	// Meter may be nil.
+	Meter Meter
 
 	requests  requests
 	calls     waiters[core.AnswerCall]
--- a/daisyshed/control/loop.go
+++ b/daisyshed/control/loop.go
@@ -24,7 +24,8 @@
 type Observer interface {
 	Message(m core.Message)
 	Command(c core.Command)
-	Updated(took time.Duration)
+	// Updated says how long the control goroutine was busy with one message.
+	Updated(busy time.Duration)
 }
 
 // Run passes messages to the node until it stops or ctx ends. It reports
@@ -61,8 +62,8 @@
 func (l *Loop) update(m core.Message) bool {
 	l.Observer.Message(m)
 	start := time.Now()
+	defer func() { l.Observer.Updated(time.Since(start)) }()
 	commands := l.Node.Update(l.Clock(), m)
-	l.Observer.Updated(time.Since(start))
 	stopped := false
 	for _, c := range commands {
 		l.Observer.Command(c)
--- a/daisyshed/daemon.go
+++ b/daisyshed/daemon.go
@@ -81,6 +81,7 @@
 
 func (d *daemon) build(metrics *operator.Metrics, incarnation core.Incarnation, clock func() core.Instant) {
 	callers := d.callers(incarnation)
+	callers.Meter = metrics
 	d.peers = d.transport(metrics, incarnation)
 	d.operators = d.operatorServer(metrics)
 	d.loop = &control.Loop{
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -1,6 +1,12 @@
 package operator
 
-import "daisyshed.dev/core"
+import (
+	"runtime"
+	"syscall"
+	"time"
+
+	"daisyshed.dev/core"
+)
 
 // Status notes what a node's status shows.
 func (m *Metrics) Status(s core.Status) {
@@ -14,6 +20,8 @@
 	m.members(s)
 	m.books(s)
 	m.checks(s)
+	m.setTargets(s.Profiles)
+	m.process()
 }
 
 func (m *Metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
@@ -34,18 +42,27 @@
 
 // books compares the owner's books with the engines' reports.
 func (m *Metrics) books(s core.Status) {
-	var owned, booked, held int
+	var owned, unreachable, booked, held, unbooked, unheld int
 	for _, u := range s.Upstreams {
 		if !u.Owned {
 			continue
 		}
 		owned++
 		booked += u.Booked
-		held += u.Pieces - u.FreePieces
+		used := u.Pieces - u.FreePieces
+		held += used
+		unbooked += max(0, used-u.Booked)
+		unheld += max(0, u.Booked-used)
+		if !u.Reachable {
+			unreachable++
+		}
 	}
 	m.gauge("upstreams_owned", float64(owned))
 	m.gauge("pieces_booked", float64(booked))
 	m.gauge("pieces_reported_held", float64(held))
+	m.gauge("pieces_held_not_booked", float64(unbooked))
+	m.gauge("pieces_booked_not_held", float64(unheld))
+	m.gauge("upstreams_unreachable", float64(unreachable))
 }
 
 func (m *Metrics) checks(s core.Status) {
@@ -56,6 +73,19 @@
 	}
 }
 
+// process notes what the whole process has used.
+func (m *Metrics) process() {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err == nil {
+		m.gauge("process_cpu_seconds", seconds(usage.Utime)+seconds(usage.Stime))
+	}
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	m.gauge("process_memory_bytes", float64(memory.Sys-memory.HeapReleased))
+}
+
+func seconds(t syscall.Timeval) float64 { return time.Duration(t.Nano()).Seconds() }
+
 func number(b bool) float64 {
 	if b {
 		return 1
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"daisyshed.dev/core"
@@ -22,7 +23,7 @@
 	fault   func(error)
 
 	updates       tally.Counter
-	updateNanos   tally.Counter
+	busyNanos     tally.Counter
 	requests      tally.Counter
 	resumed       tally.Counter
 	callersGone   tally.Counter
@@ -33,6 +34,8 @@
 	prefills      tally.Counter
 	prefillTokens tally.Counter
 	cachedTokens  tally.Counter
+	computed      tally.Counter
+	wasted        tally.Counter
 	engineFaults  tally.Counter
 	releaseFaults tally.Counter
 	logFaults     tally.Counter
@@ -42,6 +45,11 @@
 	peerDropped   tally.Counter
 	peerFaults    tally.Counter
 	linesDropped  tally.Counter
+
+	prefilling prefills
+
+	mu      sync.Mutex
+	targets map[core.ProfileID]targets
 }
 
 // OpenMetrics returns a Metrics; fault is told of faults in reporting and of
@@ -57,10 +65,10 @@
 		Prefix:                 "daisyshed",
 		CachedReporter:         r,
 		Separator:              reporter.DefaultSeparator,
-		SanitizeOptions:        &reporter.DefaultSanitizerOpts,
+		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportEvery)
-	m := &Metrics{scope: scope, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), fault: fault}
+	m := &Metrics{scope: scope, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), fault: fault, prefilling: newPrefills()}
 	m.register()
 	return m, func() {
 		if err := closer.Close(); err != nil {
@@ -69,9 +77,18 @@
 	}
 }
 
+// sanitizer returns the characters that names and tags may hold. Values of tags
+// keep the characters of ids, so that two ids never share a value.
+func sanitizer() *tally.SanitizeOptions {
+	opts := reporter.DefaultSanitizerOpts
+	opts.ValueCharacters.Ranges = tally.AlphanumericRange
+	opts.ValueCharacters.Characters = []rune("_-./:~")
+	return &opts
+}
+
 func (m *Metrics) register() {
 	m.updates = m.scope.Counter("updates_total")
-	m.updateNanos = m.scope.Counter("update_nanoseconds_total")
+	m.busyNanos = m.scope.Counter("control_busy_nanoseconds_total")
 	m.requests = m.scope.Counter("requests_total")
 	m.resumed = m.scope.Counter("requests_resumed_total")
 	m.callersGone = m.scope.Counter("callers_gone_total")
@@ -82,6 +99,8 @@
 	m.prefills = m.scope.Counter("prefills_started_total")
 	m.prefillTokens = m.scope.Counter("prefill_tokens_started_total")
 	m.cachedTokens = m.scope.Counter("prefill_tokens_cached_total")
+	m.computed = m.scope.Counter("prefill_tokens_computed_total")
+	m.wasted = m.scope.Counter("prefill_tokens_wasted_total")
 	m.engineFaults = m.scope.Counter("engine_steps_failed_total")
 	m.releaseFaults = m.scope.Counter("releases_failed_total")
 	m.logFaults = m.scope.Counter("log_failures_total")
@@ -93,10 +112,11 @@
 	m.linesDropped = m.scope.Counter("log_lines_dropped_total")
 }
 
-// Updated notes one update of the core and the time that it took.
+// Updated notes one update of the core and the time for which the control
+// goroutine was busy with it, which bounds its CPU time from above.
 func (m *Metrics) Updated(took time.Duration) {
 	m.updates.Inc(1)
-	m.updateNanos.Inc(int64(took))
+	m.busyNanos.Inc(int64(took))
 }
 
 // Message notes a message to the core.
@@ -109,17 +129,24 @@
 		}
 	case core.CallerGone:
 		m.callersGone.Inc(1)
+		m.waste(m.prefilling.end(b.Request))
 	case core.CallerCall:
 		m.calls.Inc(1)
 	case core.FirstToken:
 		m.firstTokens.Inc(1)
+		m.prefilling.used(b.Allocation)
 	case core.StreamEnded:
 		m.answers.Inc(1)
 		m.tokens.Inc(int64(b.Tokens))
+		m.prefilling.forget(b.Allocation.Request)
 	case core.PrefillDone:
 		m.cachedTokens.Inc(int64(b.Cached))
+		computed, wasted := m.prefilling.done(b)
+		m.computed.Inc(int64(computed))
+		m.waste(wasted)
 	case core.EngineFailed:
 		m.engineFaults.Inc(1)
+		m.prefilling.failed(b)
 	case core.ReleaseFailed:
 		m.releaseFaults.Inc(1)
 	case core.LogAppendFailed, core.LogReadFailed:
@@ -134,6 +161,7 @@
 	switch c := command.(type) {
 	case core.RefuseCaller:
 		m.refused(c.Reason)
+		m.waste(m.prefilling.end(c.Request))
 	case core.AnswerCall:
 		m.scope.Tagged(map[string]string{"outcome": c.Outcome.String()}).Counter("call_outcomes_total").Inc(1)
 		if c.Reason != core.NoReason {
@@ -141,12 +169,16 @@
 		}
 	case core.StartPrefill:
 		m.prefills.Inc(1)
+		m.waste(m.prefilling.started(c))
 		m.prefillTokens.Inc(int64(c.Prompt.Tokens + c.Emitted))
 	case core.LogDecision:
 		m.scope.Tagged(map[string]string{"step": c.Decision.Step}).Counter("decisions_total").Inc(1)
 	}
 }
 
+// waste notes prefill work whose attempt gave no token.
+func (m *Metrics) waste(tokens core.Tokens) { m.wasted.Inc(int64(tokens)) }
+
 func (m *Metrics) refused(reason core.RefusalReason) {
 	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("refusals_total").Inc(1)
 }
--- /dev/null
+++ b/daisyshed/operator/metrics_test.go
@@ -0,0 +1,174 @@
+package operator_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/caller"
+	"daisyshed.dev/daisyshed/operator"
+	"github.com/goccy/go-yaml"
+	"github.com/matryer/is"
+)
+
+// scrape returns what a node exposes after f.
+func scrape(t *testing.T, f func(m *operator.Metrics)) string {
+	t.Helper()
+	is := is.New(t)
+	m, closeMetrics := operator.OpenMetrics(func(err error) { t.Error(err) })
+	f(m)
+	// Closing reports all counts.
+	closeMetrics()
+	w := httptest.NewRecorder()
+	(&operator.Server{Metrics: m}).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.Equal(w.Code, http.StatusOK)
+	return w.Body.String()
+}
+
+func allocation(attempt core.Attempt) core.Allocation {
+	return core.Allocation{Request: "r", Attempt: attempt, Holder: "n", Incarnation: 1}
+}
+
+func prefill(m *operator.Metrics, attempt core.Attempt) {
+	m.Command(core.StartPrefill{Allocation: allocation(attempt), Prompt: core.Prompt{Tokens: 100}})
+}
+
+func prefilled(m *operator.Metrics, attempt core.Attempt) {
+	m.Message(core.PrefillDone{Allocation: allocation(attempt), Cached: 30})
+}
+
+func TestPrefillsWithoutATokenAreWasted(t *testing.T) {
+	for name, test := range map[string]struct {
+		wasted string
+		run    func(m *operator.Metrics)
+	}{
+		"used": {"0", func(m *operator.Metrics) {
+			prefill(m, 1)
+			prefilled(m, 1)
+			m.Message(core.FirstToken{Allocation: allocation(1)})
+			m.Message(core.CallerGone{Request: "r"})
+		}},
+		"placed again": {"70", func(m *operator.Metrics) {
+			prefill(m, 1)
+			prefilled(m, 1)
+			prefill(m, 2)
+			prefilled(m, 2)
+			m.Message(core.FirstToken{Allocation: allocation(2)})
+		}},
+		"cancelled while computing": {"70", func(m *operator.Metrics) {
+			prefill(m, 1)
+			m.Message(core.CallerGone{Request: "r"})
+			prefilled(m, 1)
+		}},
+		"refused": {"70", func(m *operator.Metrics) {
+			prefill(m, 1)
+			prefilled(m, 1)
+			m.Command(core.RefuseCaller{Request: "r"})
+		}},
+		"failed": {"0", func(m *operator.Metrics) {
+			prefill(m, 1)
+			m.Message(core.EngineFailed{Allocation: allocation(1), Step: core.PrefillStep})
+			m.Command(core.RefuseCaller{Request: "r"})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := scrape(t, test.run)
+			is.New(t).True(strings.Contains(text, "daisyshed_prefill_tokens_wasted_total "+test.wasted+"\n"))
+		})
+	}
+}
+
+// prairie is a status with one profile, one owned upstream and one member.
+func prairie() core.Status {
+	return core.Status{
+		Profiles: []core.ProfileEntry{{Profile: core.Profile{
+			ID: "bill-summary", FirstTokenTarget: 540 * time.Millisecond, PerTokenTarget: 55 * time.Millisecond,
+		}}},
+		Upstreams: []core.UpstreamStatus{{Owned: true, Pieces: 40, FreePieces: 30, Booked: 4}},
+		Members:   []core.MemberStatusEntry{{ConfigOffset: 7}},
+	}
+}
+
+func TestGoodputCountsBothTargets(t *testing.T) {
+	is := is.New(t)
+	text := scrape(t, func(m *operator.Metrics) {
+		m.Status(prairie())
+		for _, first := range []time.Duration{540 * time.Millisecond, 541 * time.Millisecond} {
+			for _, token := range []time.Duration{55 * time.Millisecond, 56 * time.Millisecond} {
+				m.Answered(caller.Answered{Profile: "bill-summary", FirstToken: first, PerToken: token})
+			}
+		}
+		m.Answered(caller.Answered{Profile: "bill-summary", Resumed: true})
+		m.Answered(caller.Answered{Profile: "unheard"})
+	})
+	for _, targets := range []string{"Met", "FirstTokenLate", "PerTokenLate", "BothLate", "NotJudged"} {
+		is.True(strings.Contains(text, `daisyshed_requests_finished_total{profile="bill-summary",targets="`+targets+`"} 1`))
+	}
+	is.True(strings.Contains(text, `daisyshed_requests_finished_total{profile="unheard",targets="NotJudged"} 1`))
+}
+
+func TestBooksAreComparedWithReports(t *testing.T) {
+	is := is.New(t)
+	text := scrape(t, func(m *operator.Metrics) { m.Status(prairie()) })
+	for _, line := range []string{
+		"pieces_booked 4", "pieces_reported_held 10", "pieces_held_not_booked 6", "pieces_booked_not_held 0",
+		"upstreams_unreachable 1", "config_lag_offsets 7", `members{status="Alive"} 1`,
+	} {
+		is.True(strings.Contains(text, "daisyshed_"+line+"\n"))
+	}
+}
+
+// alerts is a file of rules in Prometheus' format.
+type alerts struct {
+	Groups []struct {
+		Name  string `yaml:"name"`
+		Rules []struct {
+			Alert       string            `yaml:"alert"`
+			Record      string            `yaml:"record"`
+			Expr        string            `yaml:"expr"`
+			For         string            `yaml:"for"`
+			Labels      map[string]string `yaml:"labels"`
+			Annotations map[string]string `yaml:"annotations"`
+		} `yaml:"rules"`
+	} `yaml:"groups"`
+}
+
+var selector = regexp.MustCompile(`(daisyshed_[a-z_]+)(?:\{([a-z]+)!?="([A-Za-z]+)"\})?`)
+
+func TestAlertsNameExposedMetrics(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../examples/alerts.yaml")
+	is.NoErr(err)
+	var file alerts
+	is.NoErr(yaml.UnmarshalWithOptions(data, &file, yaml.Strict()))
+	text := scrape(t, func(m *operator.Metrics) {
+		m.Status(prairie())
+		m.Command(core.RefuseCaller{Reason: core.NoCapacity})
+		m.Answered(caller.Answered{Profile: "bill-summary"})
+		m.Answered(caller.Answered{Profile: "unheard"})
+	})
+	rules := 0
+	for _, group := range file.Groups {
+		for _, rule := range group.Rules {
+			rules++
+			is.True(rule.Alert != "" || rule.Record != "")
+			named := selector.FindAllStringSubmatch(rule.Expr, -1)
+			is.True(len(named) > 0)
+			for _, m := range named {
+				exposed := regexp.MustCompile("(?m)^" + m[1] + `[ {]`)
+				if m[2] != "" {
+					exposed = regexp.MustCompile("(?m)^" + m[1] + `\{.*` + m[2] + `="` + m[3] + `"`)
+				}
+				if !exposed.MatchString(text) {
+					t.Errorf("%s%s names %s, which is not exposed", rule.Alert, rule.Record, m[0])
+				}
+			}
+		}
+	}
+	is.True(rules > 0)
+}
