--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: all build test race demo soak soak-processes bench generate format lint clean
+.PHONY: all build test race demo soak soak-processes bench capacity generate format lint clean
 
 all: build test
 
@@ -27,7 +27,7 @@
 SEED ?= 1
 STEPS ?= 20000
 soak:
-	@cd core && $(GO) run ./cmd/soak --seed $(SEED) --steps $(STEPS)
+	@cd bench && $(GO) run ./cmd/soak --seed $(SEED) --steps $(STEPS) $(ARGS)
 
 SECONDS ?= 60
 soak-processes: build
@@ -38,6 +38,11 @@
 bench: build
 	@$(BIN)/bench $(ARGS)
 
+# Measures the slopes that docs/CAPACITY.md is worked out from.
+CAPACITY ?=
+capacity:
+	@cd bench && $(GO) run ./cmd/capacity $(CAPACITY)
+
 generate:
 	@cd core && $(GO) generate ./...
 	@cd wire && $(GO) generate ./...
