--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: all build test race demo soak bench capacity generate format lint clean
+.PHONY: all build test race demo soak soak-processes bench capacity generate format lint clean
 
 all: build test
 
@@ -27,7 +27,13 @@
 SEED ?= 1
 STEPS ?= 20000
 soak:
-	@cd core && $(GO) run ./cmd/soak --seed $(SEED) --steps $(STEPS)
+	@cd bench && $(GO) run ./cmd/soak --seed $(SEED) --steps $(STEPS) $(ARGS)
+
+SECONDS ?= 60
+soak-processes: build
+	@mkdir -p $(BIN)
+	@cd bench && $(GO) build -o $(BIN)/processes ./cmd/processes
+	@$(BIN)/processes --bin $(BIN) --seconds $(SECONDS) --seed $(SEED) $(ARGS)
 
 bench: build
 	@$(BIN)/bench $(ARGS)
