Hash an engine's id once when it is assigned to a shard

Cause: shardOf hashed the id again for each of up to 32 shards, at each regrouping of all upstreams. The VM list's measure now lets the node hear of the others first, so that it does not own all groups, and averages ten reads.

--- a/bench/capacity/books.go
+++ b/bench/capacity/books.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"daisyshed.dev/core"
 	wire "daisyshed.dev/wire/engine"
 	"daisyshed.dev/wire/peer"
+	"daisyshed.dev/wire/vmlist"
 )
 
 const (
@@ -91,17 +93,15 @@
 	before := heap()
 	n := f.nodes[f.infos[0].ID]
 	n.receive(core.VMList{Nodes: f.infos, Upstreams: f.Upstreams})
+	n.hearAll()
 	f.Run(time.Second)
 	r.add(c, "memory of the list, groups and books", float64(heap()-before), "B")
 	r.add(c, "size of the list", float64(f.vmListSize()), "B")
 	r.add(c, "bytes of lists at one read a period", float64(f.vmListSize())/core.DefaultSettings().VMListEvery.Seconds(), "B/s")
-	took := n.timed(core.VMList{Nodes: f.infos, Upstreams: f.Upstreams})
-	r.add(c, "processor time to take a list in", took.Seconds()*1000, "ms")
-	f.Run(0)
-	r.add(c, "processor time to regroup", n.regroupTime().Seconds()*1000, "ms")
+	n.reads(r, c)
 	data, _ := json.Marshal(f.vmList())
 	began := time.Now()
-	var list map[string]any
+	var list vmlist.List
 	_ = json.Unmarshal(data, &list)
 	r.add(c, "processor time to decode a list", time.Since(began).Seconds()*1000, "ms")
 }
@@ -113,16 +113,51 @@
 	return n.fleet.Usage.UpdateTime - before
 }
 
-// regroupTime returns the processor time of the regrouping that a VM list sets
-// off shortly after.
-func (n *node) regroupTime() time.Duration {
-	before := n.fleet.Usage.UpdateTime
-	n.fleet.Run(regroupWithin)
-	return n.fleet.Usage.UpdateTime - before
+// hearAll lets the node hear of every other one.
+func (n *node) hearAll() {
+	for _, info := range n.fleet.infos {
+		if info.ID != n.info.ID {
+			n.receive(core.Peer{From: info.ID, Incarnation: 1, Body: core.HeartbeatAck{}})
+		}
+	}
+}
+
+const (
+	// listReads is the number of lists over which times are averaged.
+	listReads = 10
+	// regroupWithin is a little more than the core's delay before it regroups.
+	regroupWithin = 25 * time.Millisecond
+)
+
+// reads measures lists that show no change, and lists in which one upstream
+// has changed.
+func (n *node) reads(r Report, c string) {
+	f := n.fleet
+	for _, changed := range []bool{false, true} {
+		var took, later time.Duration
+		for i := range listReads {
+			list := slices.Clone(f.Upstreams)
+			if changed {
+				list[i].Leaving = true
+			}
+			took += n.timed(core.VMList{Nodes: f.infos, Upstreams: list})
+			later += f.timed(regroupWithin)
+		}
+		what := "an unchanged list"
+		if changed {
+			what = "a changed list"
+		}
+		r.add(c, "processor time to take in "+what, took.Seconds()/listReads*1000, "ms")
+		r.add(c, "processor time after "+what+", to regroup", later.Seconds()/listReads*1000, "ms")
+	}
 }
 
-// regroupWithin is a little more than the core's delay before it regroups.
-const regroupWithin = 25 * time.Millisecond
+// timed lets virtual time pass and returns the processor time of the cores.
+func (f *Fleet) timed(d time.Duration) time.Duration {
+	before := f.Usage.UpdateTime
+	f.Run(d)
+	return f.Usage.UpdateTime - before
+}
 
 // codecs measures the encoding of the messages that requests cost.
 func codecs(r Report) {
--- a/bench/capacity/row.go
+++ b/bench/capacity/row.go
@@ -24,6 +24,7 @@
 
 // heap returns the bytes of live objects.
 func heap() uint64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
--- a/core/group.go
+++ b/core/group.go
@@ -48,8 +48,9 @@
 // the number of shards moves few engines.
 func shardOf(id EngineID, shards int) int {
 	best, bestScore := 0, uint64(0)
+	hash := hash64(string(id))
 	for i := range shards {
-		if score := mix(hash64(string(id)), uint64(i)); score > bestScore {
+		if score := mix(hash, uint64(i)); score > bestScore {
 			best, bestScore = i, score
 		}
 	}
