Regroup upstreams only when the VM list shows other ones

Cause: each read of the VM list, every two seconds, rebuilt the groups of all upstreams whether anything had changed or not. The contacts in other regions, whose change was noticed only by that regrouping, now report it themselves. Ruled out: a longer period of reads, which would delay the news of leaving VMs. Conclusion: an unchanged list costs its decoding and comparison only.

--- a/core/membership_list.go
+++ b/core/membership_list.go
@@ -35,12 +35,14 @@
 	}
 }
 
-// vmList takes in the VM list. A list without any VM is taken for a fault of
-// the platform.
-func (s *members) vmList(n *Node, m VMList) {
+// vmList takes in the VM list and reports whether it shows other upstreams
+// than the one before. A list without any VM is taken for a fault of the
+// platform.
+func (s *members) vmList(n *Node, m VMList) (changed bool) {
 	if len(m.Nodes) == 0 && len(m.Upstreams) == 0 {
-		return
+		return false
 	}
+	before := s.list
 	s.list.have, s.list.readAt = true, n.now
 	s.list.list = VMList{Nodes: slices.Clone(m.Nodes), Upstreams: slices.Clone(m.Upstreams)}
 	slices.SortFunc(s.list.list.Upstreams, func(a, b Upstream) int {
@@ -54,6 +56,7 @@
 	}
 	s.propose(n)
 	n.config.begin(n)
+	return !before.have || !slices.Equal(before.list.Upstreams, s.list.list.Upstreams)
 }
 
 // propose makes members of the VM list's nodes: all of the own region and a
@@ -112,9 +115,11 @@
 			chosen = append(chosen, id)
 			continue
 		}
-		delete(s.byID, id)
+		if ok {
+			delete(s.byID, id)
+			s.changed(n)
+		}
 	}
-	s.ranks.clear()
 	return chosen
 }
 
--- a/core/node.go
+++ b/core/node.go
@@ -254,6 +254,7 @@
 }
 
 func (n *Node) vmList(m VMList) {
-	n.members.vmList(n, m)
-	n.owner.vmList(n, m)
+	if n.members.vmList(n, m) {
+		n.owner.reconcile(n)
+	}
 }
--- a/core/owner.go
+++ b/core/owner.go
@@ -54,8 +54,6 @@
 	n.every(sweepEvery, func(n *Node) { n.owner.sweep(n) })
 }
 
-func (s *owner) vmList(n *Node, _ VMList) { s.reconcile(n) }
-
 // reconcile takes in a change of configuration, membership or the VM list.
 func (s *owner) reconcile(n *Node) {
 	if s.dirty {
