--- a/bench/capacity/once.go
+++ b/bench/capacity/once.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"time"
 
 	"daisyshed.dev/core"
@@ -68,6 +69,7 @@
 		took += n.timed(keyRecords(i, batch))
 	}
 	each := float64(heap()-before) / keys
+	runtime.KeepAlive(n)
 	r.add("one writer", "memory per key", each, "B")
 	r.add("one writer", "keys that the memory budget holds", BudgetMemory/each, "")
 	r.add("one writer", "calls per second that fill it within the retention", BudgetMemory/each/retention.Seconds(), "1/s")
