--- /dev/null
+++ b/bench/cmd/mutants/main.go
@@ -0,0 +1,134 @@
+// Command mutants runs the randomised runs against cores that are broken on
+// purpose and prints which promise each run found broken. It fails if a broken
+// core passes.
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"daisyshed.dev/bench/mutants"
+	"github.com/jessevdk/go-flags"
+)
+
+// options are the command line's.
+type options struct {
+	Core  string   `long:"core" default:"../core" description:"folder of the core's source"`
+	Seed  uint64   `long:"seed" default:"1" description:"first seed"`
+	Seeds int      `long:"seeds" default:"6" description:"seeds to try for each mutant"`
+	Only  []string `long:"only" description:"run only this mutant (repeatable)"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var e *flags.Error
+		if errors.As(err, &e) && e.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	if err := o.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// SurvivedError says that broken cores passed.
+type SurvivedError struct{ Names []string }
+
+// Error names the mutants.
+func (e *SurvivedError) Error() string { return "broken cores passed: " + strings.Join(e.Names, ", ") }
+
+func (o options) run() error {
+	dir, err := os.MkdirTemp("", "mutants")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	coreDir, err := filepath.Abs(o.Core)
+	if err != nil {
+		return err
+	}
+	var survived []string
+	caught := 0
+	for _, m := range mutants.All {
+		if !o.wants(m.Name) {
+			continue
+		}
+		found, err := o.try(m, coreDir, dir)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%-26s breaks %-22s %s\n", m.Name, m.Promise, found)
+		if found == passed {
+			survived = append(survived, m.Name)
+			continue
+		}
+		caught++
+	}
+	fmt.Printf("%d passed, %d failed\n", caught, len(survived))
+	if len(survived) > 0 {
+		return &SurvivedError{Names: survived}
+	}
+	return nil
+}
+
+func (o options) wants(name string) bool {
+	if len(o.Only) == 0 {
+		return true
+	}
+	for _, only := range o.Only {
+		if only == name {
+			return true
+		}
+	}
+	return false
+}
+
+// passed is said of a mutant that no run noticed.
+const passed = "NOT NOTICED"
+
+// try builds the randomised runs with a broken core and looks for a violation
+// of the promise.
+func (o options) try(m mutants.Mutant, coreDir, dir string) (string, error) {
+	overlay, err := m.Overlay(coreDir, dir)
+	if err != nil {
+		return "", err
+	}
+	program := filepath.Join(dir, m.Name)
+	build := exec.Command("go", "build", "-overlay", overlay, "-o", program, "./cmd/soak")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return "", err
+	}
+	for i := range o.Seeds {
+		seed := strconv.FormatUint(o.Seed+uint64(i), 10)
+		out, err := exec.Command(program, "--seed", seed, "--steps", "1", "--faulty", "30s").Output()
+		var exit *exec.ExitError
+		if err != nil && !errors.As(err, &exit) {
+			return "", err
+		}
+		if line := violation(out, m.Promise.String()); line != "" {
+			return "seed " + seed + ": " + line, nil
+		}
+	}
+	return passed, nil
+}
+
+// violation returns the first line that names a promise as broken.
+func violation(out []byte, promise string) string {
+	for _, line := range bytes.Split(out, []byte("\n")) {
+		text := strings.TrimSpace(string(line))
+		if strings.Contains(text, " "+promise+": ") {
+			return text
+		}
+	}
+	return ""
+}
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -244,15 +244,18 @@
 	r.Provoked[core.ConfigurationMonotone]++
 	p := balanceRead()
 	base := r.pools["balance-read"] + 1
+	won := false
 	for i := range 2 {
 		p.Priority = r.rng.IntN(100)
-		r.w.TryPublish(core.ProfilePublished{
+		appended := r.w.TryPublish(core.ProfilePublished{
 			Publication: core.PublicationID(fmt.Sprintf("race-%d-%d-%d", base, i, r.rng.Int64())),
 			Operator:    fmt.Sprintf("operator-%d", i), Base: base, Profile: p,
 		})
-	}
-	if entry, ok := r.w.Folded().Profile("balance-read"); ok {
-		r.pools["balance-read"] = entry.Revision - 1
+		if appended && !won {
+			won = true
+			r.winner = p.Priority
+			r.pools["balance-read"] = base
+		}
 	}
 }
 
--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -20,8 +20,10 @@
 // parallel checks that a node which can hear everything does not answer a
 // request that another node answers.
 func (r *Run) parallel(id core.NodeID, c *world.Caller) {
-	if r.w.Now.Sub(r.disturbed[id]) > parallelBound && c.Parallel == 1 {
-		r.fail(core.AnsweredOnce, "%s is answered by %s and another node at once", c.Request.Request, id)
+	request := c.Request.Request
+	if r.w.Now.Sub(r.disturbed[id]) > parallelBound && !r.twice[request] {
+		r.twice[request] = true
+		r.fail(core.AnsweredOnce, "%s is answered by %s and another node at once", request, id)
 	}
 }
 
@@ -161,6 +163,16 @@
 	}
 }
 
+// judgeRaces checks that the publication which came first on its base is the
+// one in force.
+func (r *Run) judgeRaces(id core.NodeID, s core.Status) {
+	for _, e := range s.Profiles {
+		if e.Profile.ID == "balance-read" && e.Profile.Priority != r.winner {
+			r.fail(core.ConfigurationMonotone, "%s has priority %d in force, not %d", id, e.Profile.Priority, r.winner)
+		}
+	}
+}
+
 // judgeConfiguration checks that all nodes came to the same configuration.
 func (r *Run) judgeConfiguration() {
 	folded := r.w.Folded()
@@ -172,5 +184,6 @@
 		if s.ConfigOffset != folded.Offset() {
 			r.fail(core.ConfigurationMonotone, "%s is at offset %d of %d", n.ID, s.ConfigOffset, folded.Offset())
 		}
+		r.judgeRaces(n.ID, s)
 	}
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -43,6 +43,10 @@
 	// faultsEnd is when the last fault ends, byRequest the callers by request.
 	faultsEnd core.Instant
 	byRequest map[core.RequestID]*world.Caller
+	// winner is the priority of the profile that operators race about.
+	winner int
+	// twice are the requests found answered by two nodes at once.
+	twice map[core.RequestID]bool
 	// late are the requests whose memory was found held for too long.
 	late map[core.RequestID]bool
 }
@@ -85,6 +89,7 @@
 	r.Faults = make(map[string]int)
 	r.pools = make(map[core.PoolID]core.Revision)
 	r.byRequest = make(map[core.RequestID]*world.Caller)
+	r.twice = make(map[core.RequestID]bool)
 	r.late = make(map[core.RequestID]bool)
 	r.disturbed = make(map[core.NodeID]core.Instant)
 	r.build()
--- a/bench/world/service.go
+++ b/bench/world/service.go
@@ -1,6 +1,8 @@
 package world
 
 import (
+	"time"
+
 	"daisyshed.dev/core"
 )
 
@@ -56,7 +58,7 @@
 		s.run(m.Key)
 		if s.loseReplies > 0 {
 			s.loseReplies--
-			n.later(m.Timeout, core.ServiceFailed{Ticket: m.Ticket, Engine: m.Engine, Reason: "reply lost"})
+			n.later(w.lossNoticed(m.Timeout), core.ServiceFailed{Ticket: m.Ticket, Engine: m.Engine, Reason: "reply lost"})
 			return
 		}
 		w.After(s.spec.Time, func() {
@@ -65,6 +67,15 @@
 	})
 }
 
+// lossNoticed returns when a lost reply shows: at once where the connection
+// breaks, else at the timeout.
+func (w *World) lossNoticed(timeout time.Duration) time.Duration {
+	if w.rng.IntN(2) == 0 {
+		return w.LinkDelay
+	}
+	return timeout
+}
+
 func (s *service) run(key core.IdempotencyKey) {
 	if s.ran == nil {
 		s.ran = make(map[core.IdempotencyKey]int)
--- a/core/book.go
+++ b/core/book.go
@@ -42,6 +42,8 @@
 	askedAt    Instant
 	movedAt    Instant
 	orphanedAt Option[Instant]
+	// over is set once the holder said that the attempt has ended.
+	over bool
 }
 
 // book holds what an owner knows and has promised of one engine.
--- a/core/compare.go
+++ b/core/compare.go
@@ -127,9 +127,13 @@
 // holderAnswer releases what its holder says is over.
 func (s *owner) holderAnswer(n *Node, from NodeID, m HolderAnswer) {
 	for _, a := range m.Ended {
-		if a.Holder == from {
-			s.releaseOver(n, a)
+		if a.Holder != from {
+			continue
+		}
+		if j, ok := s.jobs[a]; ok {
+			j.over = true
 		}
+		s.releaseOver(n, a)
 	}
 }
 
@@ -141,6 +145,8 @@
 	if !ok {
 		return
 	}
+	_, orphaned := j.orphanedAt.Get()
+	n.require(DrainGraceful, j.over || orphaned, string(a.Request)+" is cut off though its holder serves it")
 	if j.prefill != "" {
 		n.release(j.prefill, a)
 	}
