Test calls that wait through a freeze or whose intent is never read back

Two broken variants had passed: a writer that runs what waited through its freeze, and one that calls an abandoned intent NotRun. Each has its test now.

--- a/core/once_test.go
+++ b/core/once_test.go
@@ -155,3 +155,29 @@
 	is.Equal(answer.Outcome, core.Unknown)
 	is.Equal(answer.Reason, core.InProgress)
 }
+
+func TestCallThatWaitedThroughAFreezeDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	w := newControlWorld(t, 21, 3)
+	w.advance(5 * time.Second)
+	w.freeze("node-0", false)
+	call := core.KeyCall{Call: "c", Writer: 1, Profile: payPost, Key: "k"}
+	w.send("node-0", core.Peer{From: "node-1", Incarnation: 1, Body: call})
+	w.advance(20 * time.Second)
+	w.thaw("node-0")
+	w.advance(20 * time.Second)
+	is.Equal(len(w.services.ran["k"]), 0)
+}
+
+func TestCallWhoseIntentIsNotReadBackIsUnknown(t *testing.T) {
+	is := is.New(t)
+	w := newControlWorld(t, 22, 3)
+	w.advance(5 * time.Second)
+	w.log.fault.late = 1
+	answer := w.callers.send("node-0", "k", payPost).answerAfter(w, 9*time.Second)
+	is.Equal(answer.Outcome, core.Unknown)
+	w.advance(20 * time.Second)
+	is.Equal(len(w.services.ran["k"]), 0)
+	again := w.callers.send("node-0", "k", payPost).answerAfter(w, 9*time.Second)
+	is.Equal(again.Outcome, core.NotRun)
+}
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -97,6 +97,7 @@
 	"KeyCall": func(t *rapid.T) core.PeerBody {
 		return core.KeyCall{
 			Call:      text[core.CallID](t, "call"),
+			Writer:    core.Incarnation(rapid.Uint64().Draw(t, "writer")),
 			Profile:   text[core.ProfileID](t, "profile"),
 			Customer:  text[core.CustomerID](t, "customer"),
 			Key:       text[core.IdempotencyKey](t, "key"),
