--- a/bench/cmd/mutants/main.go
+++ b/bench/cmd/mutants/main.go
@@ -21,7 +21,7 @@
 type options struct {
 	Core  string   `long:"core" default:"../core" description:"folder of the core's source"`
 	Seed  uint64   `long:"seed" default:"1" description:"first seed"`
-	Seeds int      `long:"seeds" default:"6" description:"seeds to try for each mutant"`
+	Seeds int      `long:"seeds" default:"12" description:"seeds to try for each mutant"`
 	Only  []string `long:"only" description:"run only this mutant (repeatable)"`
 }
 
@@ -110,7 +110,11 @@
 	}
 	for i := range o.Seeds {
 		seed := strconv.FormatUint(o.Seed+uint64(i), 10)
-		out, err := exec.Command(program, "--seed", seed, "--steps", "1", "--faulty", "30s").Output()
+		args := []string{"--seed", seed, "--steps", "1", "--faulty", "30s"}
+		for _, kind := range m.Only {
+			args = append(args, "--only", kind)
+		}
+		out, err := exec.Command(program, args...).Output()
 		var exit *exec.ExitError
 		if err != nil && !errors.As(err, &exit) {
 			return "", err
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"daisyshed.dev/bench/world"
@@ -54,24 +55,20 @@
 	if r.w.Now >= world.Start.Add(warmUp+r.Faulty) {
 		return
 	}
-	k := kinds[r.rng.IntN(len(kinds))]
-	if r.allowed(k.name) {
-		r.Faults[k.name]++
-		k.inject(r)
-	}
+	k := r.anyKind()
+	r.Faults[k.name]++
+	k.inject(r)
 	r.w.After(r.between(50*time.Millisecond, 2*time.Second), r.nextFault)
 }
 
-func (r *Run) allowed(name string) bool {
+// anyKind returns one of the kinds of fault that the run may inject.
+func (r *Run) anyKind() kind {
 	if len(r.Only) == 0 {
-		return true
-	}
-	for _, only := range r.Only {
-		if only == name {
-			return true
-		}
+		return kinds[r.rng.IntN(len(kinds))]
 	}
-	return false
+	name := r.Only[r.rng.IntN(len(r.Only))]
+	i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == name })
+	return kinds[max(i, 0)]
 }
 
 func (r *Run) anyNode() core.NodeInfo { return r.w.Nodes[r.rng.IntN(len(r.w.Nodes))] }
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -28,7 +28,7 @@
 	for at := warmUp; at < warmUp+r.Faulty; at += time.Duration(r.rng.ExpFloat64() / payments * float64(time.Second)) {
 		p := &payment{key: core.IdempotencyKey(fmt.Sprintf("payment-%d", len(r.calls)))}
 		r.calls = append(r.calls, p)
-		attempts := 1 + r.rng.IntN(3)
+		attempts := 1 + r.rng.IntN(4)
 		r.w.After(at, func() { r.pay(p, attempts) })
 	}
 }
@@ -67,6 +67,15 @@
 	return c
 }
 
+// comeBack returns when a caller repeats a payment: at once, as a client that
+// races its own retry does, or later.
+func (r *Run) comeBack() time.Duration {
+	if r.chance(0.5) {
+		return r.between(0, 100*time.Millisecond)
+	}
+	return r.between(0, 5*time.Second)
+}
+
 // pay makes an attempt at a payment, and further ones while no answer is
 // final or simply because the caller is impatient.
 func (r *Run) pay(p *payment, attempts int) {
@@ -78,6 +87,6 @@
 	p.attempts = append(p.attempts, c)
 	r.w.AskCall(c, node)
 	if attempts > 1 {
-		r.w.After(r.between(0, 4*time.Second), func() { r.pay(p, attempts-1) })
+		r.w.After(r.comeBack(), func() { r.pay(p, attempts-1) })
 	}
 }
