Watch configuration and withdrawals in the soak of processes

The soak now has an operator who revises a profile and withdraws the lent pool, watches every daemon's configuration for steps back, and requires that what was accepted is in force everywhere within 5 s of the faults' end and that a withdrawn engine gets no new work after 3 s.

--- a/bench/cmd/processes/judge.go
+++ b/bench/cmd/processes/judge.go
@@ -38,12 +38,16 @@
 	daemonsSurvive  check = "no daemon ended by itself"
 	noViolations    check = "no invariant violated inside a daemon"
 	stoppedCleanly  check = "every daemon finished its work after SIGTERM"
+	neverReverts    check = "no daemon's configuration goes back"
+	inForce         check = "what was accepted in force everywhere within 5 s of the faults' end"
+	withdrawnIdle   check = "no new work at a withdrawn engine after 3 s"
 	faultsInjected  check = "every fault was injected"
 )
 
 var checks = []check{
 	answerWhole, answeredInTime, healthyAfter, refusedProperly, paidOnce, paidIfRan, notRunTrue, answerOwn,
-	memoryReleased, daemonsSurvive, noViolations, stoppedCleanly, faultsInjected,
+	memoryReleased, daemonsSurvive, noViolations, stoppedCleanly, neverReverts, inForce,
+	withdrawnIdle, faultsInjected,
 }
 
 // judge collects what was checked and what was provoked.
@@ -130,6 +134,8 @@
 	defer l.mu.Unlock()
 	for key, p := range l.payments {
 		switch {
+		case p.notRun && p.open:
+			j.count(fmt.Sprintf("payments NotRun in the end after an attempt left open, in the ledger %d times", times[key]))
 		case p.ran:
 			j.require(paidIfRan, times[key] == 1, "%s was called Ran and is in the ledger %d times", key, times[key])
 		case p.notRun:
--- a/bench/cmd/processes/main.go
+++ b/bench/cmd/processes/main.go
@@ -25,14 +25,16 @@
 )
 
 type options struct {
-	Seconds  int    `long:"seconds" value-name:"N" default:"60" description:"how long to send load under faults"`
-	Seed     uint64 `long:"seed" value-name:"N" default:"1" description:"seed of the load and the faults"`
-	Callers  int    `long:"callers" value-name:"N" default:"8" description:"callers of streamed answers"`
-	Payers   int    `long:"payers" value-name:"N" default:"4" description:"callers of payments"`
-	Daemons  int    `long:"daemons" value-name:"N" default:"4" description:"number of daemons"`
-	Bin      string `long:"bin" value-name:"DIR" default:"bin" description:"directory of the built programs"`
-	Profiles string `long:"profiles" value-name:"DIR" default:"examples/profiles" description:"directory of the profiles to publish"`
-	Keep     string `long:"keep" value-name:"DIR" description:"keep the processes' logs in this directory"`
+	Seconds  int           `long:"seconds" value-name:"N" default:"60" description:"how long to send load under faults"`
+	Seed     uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the load and the faults"`
+	Callers  int           `long:"callers" value-name:"N" default:"8" description:"callers of streamed answers"`
+	Payers   int           `long:"payers" value-name:"N" default:"4" description:"callers of payments"`
+	Daemons  int           `long:"daemons" value-name:"N" default:"4" description:"number of daemons"`
+	Down     int           `long:"down" value-name:"N" default:"2" description:"how many daemons may be faulty at a time"`
+	Every    time.Duration `long:"every" value-name:"TIME" default:"900ms" description:"mean time between two faults"`
+	Bin      string        `long:"bin" value-name:"DIR" default:"bin" description:"directory of the built programs"`
+	Profiles string        `long:"profiles" value-name:"DIR" default:"examples/profiles" description:"directory of the profiles to publish"`
+	Keep     string        `long:"keep" value-name:"DIR" description:"keep the processes' logs in this directory"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -75,8 +77,12 @@
 	f := &faults{cluster: c, judge: j, seed: opts.Seed}
 	stopLoad := l.run(opts.Callers, opts.Payers)
 	stopFaults := f.run()
+	o := &operator{cluster: c, judge: j, faults: f, rng: l.random(4000)}
+	stopOperator := o.run()
 	time.Sleep(time.Duration(opts.Seconds) * time.Second)
+	stopOperator()
 	stopFaults()
+	o.afterFaults()
 	stopLoad()
 	l.afterFaults()
 	j.memory(c)
