Bound the reading of bodies that no handler reads

A request that is refused before its body is read (a bad header, an unknown path, any request with a body to the operator listener) left net/http to drop the rest of the body without a deadline: one slow sender held a connection's slot for ever. The new test of a body left unread hangs on the old server and ends within ReadTimeout on the new one. http.Server.ReadTimeout was ruled out: it cancels streams and watches that last longer.

--- a/daisyshed/daemon.go
+++ b/daisyshed/daemon.go
@@ -11,6 +11,7 @@
 	"daisyshed.dev/daisyshed/caller"
 	"daisyshed.dev/daisyshed/control"
 	"daisyshed.dev/daisyshed/engine"
+	"daisyshed.dev/daisyshed/httpserver"
 	"daisyshed.dev/daisyshed/operator"
 	"daisyshed.dev/daisyshed/peer"
 	"daisyshed.dev/daisyshed/platformlog"
@@ -193,16 +194,14 @@
 	}
 }
 
-// server returns an HTTP server. Answers that outlast its WriteTimeout extend
-// it before each write.
+// server returns an HTTP server within the settings' limits.
 func (d *daemon) server(h http.Handler) *http.Server {
 	p := d.settings.Periods
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: p.HeaderTimeout,
-		WriteTimeout:      p.WriteTimeout,
-		IdleTimeout:       p.IdleTimeout,
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
-		ErrorLog:          operator.HTTPErrors(d.log),
-	}
+	return httpserver.New(h, httpserver.Limits{
+		HeaderBytes:   d.settings.Limits.HeaderBytes,
+		HeaderTimeout: p.HeaderTimeout,
+		ReadTimeout:   p.ReadTimeout,
+		WriteTimeout:  p.WriteTimeout,
+		IdleTimeout:   p.IdleTimeout,
+	}, operator.HTTPErrors(d.log))
 }
