End the answer of a caller that comes back with its last token

A caller that has every token but lost the last event asks again with the last offset. The engine then sends its last event again, which the caller package dropped as a repetition without ending the answer: the core took the stream as ended and the caller waited for ever. It now gets [DONE]; an offset beyond the answer's end gets a problem, and the core hears that the caller has gone, so that nothing stays held.

TestPrefillSendsTheText had five tokens cached of a prompt of none; its prompt now has ten, and the count sent is checked as well.

The soak of processes comes back at the end of one answer in ten.

--- a/bench/cmd/processes/answers.go
+++ b/bench/cmd/processes/answers.go
@@ -23,6 +23,12 @@
 	cancelShare = 0.1
 	// dropShare is the share of connections that the caller drops to resume.
 	dropShare = 0.1
+	// againShare is the share of whole answers whose caller comes back at the
+	// end, as one does that lost the last event.
+	againShare = 0.1
+	// againTries bounds the tries to come back at the end, since a daemon may
+	// be frozen.
+	againTries = 3
 	// longestAnswer and longestPrompt bound a request, in tokens.
 	longestAnswer = 90
 	longestPrompt = 1500
@@ -53,6 +59,32 @@
 		}
 		ok := r.follow(time.Now().Add(giveUpAfter))
 		l.judge.require(answeredInTime, ok, "%s: %s", r.name, r.history())
+		if ok && rng.Float64() < againShare {
+			r.again()
+		}
+	}
+}
+
+// again comes back at the end of the answer, and requires an end or a refusal.
+func (r *request) again() {
+	var p *problem
+	var err error
+	ended := false
+	for try := 0; try < againTries && !ended; try++ {
+		address, _ := r.load.address(r.rng)
+		p, err = r.attempt(context.Background(), address, core.Tokens(-1))
+		var silent silentError
+		ended = !errors.As(err, &silent)
+		r.events.add("at the end: %s: %v", address, err)
+	}
+	r.load.judge.require(endedAgain, ended, "%s: %s", r.name, r.history())
+	switch {
+	case p != nil:
+		r.load.judge.count("answers asked for at their end, refused " + p.Reason)
+	case errors.Is(err, io.EOF):
+		r.load.judge.count("answers asked for at their end, ended")
+	default:
+		r.load.judge.count("answers asked for at their end, broken off")
 	}
 }
 
--- a/bench/cmd/processes/judge.go
+++ b/bench/cmd/processes/judge.go
@@ -28,6 +28,7 @@
 const (
 	answerWhole     check = "every answer whole, in order, each token once"
 	answeredInTime  check = "every request answered before the time to give up"
+	endedAgain      check = "a caller that has the whole answer is not left waiting"
 	healthyAfter    check = "every request answered once the faults are healed"
 	refusedProperly check = "every refusal typed, with a time to come back"
 	paidOnce        check = "no key in the ledger twice"
@@ -45,7 +46,7 @@
 )
 
 var checks = []check{
-	answerWhole, answeredInTime, healthyAfter, refusedProperly, paidOnce, paidIfRan, notRunTrue, answerOwn,
+	answerWhole, answeredInTime, endedAgain, healthyAfter, refusedProperly, paidOnce, paidIfRan, notRunTrue, answerOwn,
 	memoryReleased, daemonsSurvive, noViolations, stoppedCleanly, neverReverts, inForce,
 	withdrawnIdle, faultsInjected,
 }
--- a/daisyshed/caller/completion_test.go
+++ b/daisyshed/caller/completion_test.go
@@ -235,3 +235,33 @@
 		is.Equal(err, io.EOF)
 	})
 }
+
+func TestACallerAtTheEndIsToldSo(t *testing.T) {
+	run(t, func(t *testing.T, n *node) {
+		is := is.New(t)
+		responses := n.start(t.Context(), completions, streamed, "X-Request-Id", "r1", "Last-Event-ID", "7")
+		m, a := n.request()
+		is.True(m.Resumed)
+		is.NoErr(a.Token(7, "", true))
+		resp := <-responses
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(read(t, resp), "data: [DONE]\n\n")
+		synctest.Wait()
+		is.Equal(len(n.messages), 0)
+	})
+}
+
+func TestACallerBeyondTheEndIsRefused(t *testing.T) {
+	run(t, func(t *testing.T, n *node) {
+		is := is.New(t)
+		responses := n.start(t.Context(), completions, streamed, "X-Request-Id", "r1", "Last-Event-ID", "9")
+		m, a := n.request()
+		is.True(a.Token(7, "", true) != nil)
+		resp := <-responses
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+		is.True(strings.Contains(read(t, resp), `"Reason":"BadHeader"`))
+		synctest.Wait()
+		// The core frees what the request holds.
+		is.Equal(<-n.messages, core.CallerGone{Request: m.Request})
+	})
+}
--- a/daisyshed/caller/meter.go
+++ b/daisyshed/caller/meter.go
@@ -42,7 +42,10 @@
 
 // answered returns the figures of a whole answer.
 func (p *pace) answered(m core.CallerRequest) Answered {
-	a := Answered{Profile: m.Profile, Resumed: m.Resumed, FirstToken: p.first.Sub(p.arrived)}
+	a := Answered{Profile: m.Profile, Resumed: m.Resumed}
+	if p.tokens > 0 {
+		a.FirstToken = p.first.Sub(p.arrived)
+	}
 	if p.tokens > 1 {
 		a.PerToken = p.last.Sub(p.first) / time.Duration(p.tokens-1)
 	}
--- a/daisyshed/caller/output.go
+++ b/daisyshed/caller/output.go
@@ -30,9 +30,15 @@
 		return err
 	}
 	if last {
-		if err := sse.Write(s.w, sse.Event{Data: "[DONE]"}); err != nil {
-			return err
-		}
+		return s.end()
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+func (s *eventStream) end() error {
+	s.begin()
+	if err := sse.Write(s.w, sse.Event{Data: "[DONE]"}); err != nil {
+		return err
 	}
 	return http.NewResponseController(s.w).Flush()
 }
@@ -77,4 +83,7 @@
 	return json.NewEncoder(a.w).Encode(a.heading.whole(a.text.String(), offset))
 }
 
+// end is not reached: only a streamed answer is resumed at its end.
+func (a *wholeAnswer) end() error { return nil }
+
 func (a *wholeAnswer) problem(p Problem) { p.write(a.w) }
--- a/daisyshed/caller/request.go
+++ b/daisyshed/caller/request.go
@@ -12,6 +12,8 @@
 type output interface {
 	// token writes one token of the answer.
 	token(offset core.Tokens, text string, last bool) error
+	// end ends an answer whose every token the caller has.
+	end() error
 	// problem ends the answer with a problem.
 	problem(p Problem)
 }
@@ -74,26 +76,52 @@
 	switch {
 	case r.closed:
 		return engine.CallerGoneError{}
+	case offset <= r.sent && last:
+		return r.endAt(offset)
 	case offset <= r.sent:
 		return nil
 	case offset > r.sent+1:
 		return &engine.GapError{Want: r.sent + 1, Got: offset}
 	}
 	if err := r.out.token(offset, text, last); err != nil {
-		r.closed = true
-		close(r.broken)
-		return engine.CallerGoneError{}
+		return r.breakOff()
 	}
 	r.sent = offset
 	r.pace.token(time.Now())
 	if last {
-		r.closed = true
-		r.whole = true
-		close(r.finished)
+		r.finish()
+	}
+	return nil
+}
+
+// endAt ends the answer to a caller that came back with its last token, or
+// with one that the answer does not have.
+func (r *request) endAt(length core.Tokens) error {
+	if r.sent > length {
+		r.out.problem(*badHeader("Last-Event-ID is beyond the end of the answer"))
+		return r.breakOff()
+	}
+	if err := r.out.end(); err != nil {
+		return r.breakOff()
 	}
+	r.finish()
 	return nil
 }
 
+// finish notes that the caller has been sent the whole answer.
+func (r *request) finish() {
+	r.closed = true
+	r.whole = true
+	close(r.finished)
+}
+
+// breakOff ends the request before its answer is whole.
+func (r *request) breakOff() error {
+	r.closed = true
+	close(r.broken)
+	return engine.CallerGoneError{}
+}
+
 // refuse ends the request with a problem, which the handler writes.
 func (r *request) refuse(p Problem) {
 	select {
--- a/daisyshed/engine/client.go
+++ b/daisyshed/engine/client.go
@@ -74,7 +74,8 @@
 	if err := c.post(c.StepTimeout, address, wire.PrefillPath, request, &result); err != nil {
 		return fail(err)
 	}
-	return core.PrefillDone{Engine: s.Engine, Allocation: s.Allocation, Cached: result.Cached}
+	cached := min(max(result.Cached, 0), s.Prompt.Tokens+s.Emitted)
+	return core.PrefillDone{Engine: s.Engine, Allocation: s.Allocation, Cached: cached}
 }
 
 // Import asks a decode engine to fetch a KV cache.
--- a/daisyshed/engine/client_test.go
+++ b/daisyshed/engine/client_test.go
@@ -14,11 +14,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newEngines()
-		e.client.Prefill("p1", core.StartPrefill{Engine: "p1", Allocation: allocation(1), Model: "m", Emitted: 4})
+		prompt := core.Prompt{Tokens: 10}
+		e.client.Prefill("p1", core.StartPrefill{Engine: "p1", Allocation: allocation(1), Prompt: prompt, Model: "m", Emitted: 4})
 		is.Equal(<-e.messages, core.PrefillDone{Engine: "p1", Allocation: allocation(1), Cached: 5})
 		var asked wire.PrefillRequest
 		is.NoErr(json.Unmarshal([]byte(e.requests["p1"+wire.PrefillPath]), &asked))
 		is.Equal(asked.Text, "a prompt")
+		is.Equal(asked.Tokens, core.Tokens(10))
 		is.Equal(asked.Emitted, core.Tokens(4))
 		is.Equal(asked.Allocation, wire.Allocation(allocation(1)))
 	})
--- a/daisyshed/engine/errors.go
+++ b/daisyshed/engine/errors.go
@@ -56,6 +56,12 @@
 // Error describes the fault.
 func (StalledStreamError) Error() string { return "engine: no token within the timeout" }
 
+// OffsetError says that an event's id is no offset of a token.
+type OffsetError struct{ Offset int }
+
+// Error describes the fault.
+func (e *OffsetError) Error() string { return fmt.Sprintf("offset %d is below one", e.Offset) }
+
 // BadEventError says that an event of a stream could not be read.
 type BadEventError struct{ Cause error }
 
--- a/daisyshed/engine/pump.go
+++ b/daisyshed/engine/pump.go
@@ -160,6 +160,9 @@
 	if err != nil {
 		return false, &BadEventError{Cause: err}
 	}
+	if offset < 1 {
+		return false, &BadEventError{Cause: &OffsetError{Offset: offset}}
+	}
 	var token wire.TokenEvent
 	if err := json.Unmarshal([]byte(e.Data), &token); err != nil {
 		return false, &BadEventError{Cause: err}
--- a/wire/engine/report.go
+++ b/wire/engine/report.go
@@ -1,6 +1,10 @@
 package engine
 
-import "daisyshed.dev/core"
+import (
+	"fmt"
+
+	"daisyshed.dev/core"
+)
 
 // UnknownWordError says that a report names a state or role that the protocol
 // does not know.
@@ -12,6 +16,15 @@
 // Error names the word.
 func (e *UnknownWordError) Error() string { return "report: unknown " + e.Field + " " + e.Word }
 
+// RangeError says that a report gives a figure that cannot be.
+type RangeError struct {
+	Field string
+	Value int
+}
+
+// Error names the figure.
+func (e *RangeError) Error() string { return fmt.Sprintf("report: impossible %s %d", e.Field, e.Value) }
+
 // Core returns the report as the core takes it.
 func (r Report) Core(id core.EngineID) (core.EngineReport, error) {
 	state, err := parseState(r.State)
@@ -22,6 +35,9 @@
 	if err != nil {
 		return core.EngineReport{}, err
 	}
+	if err := r.checkFigures(); err != nil {
+		return core.EngineReport{}, err
+	}
 	m := core.EngineReport{
 		Engine:        id,
 		State:         state,
@@ -46,6 +62,20 @@
 	return m, nil
 }
 
+func (r Report) checkFigures() error {
+	switch {
+	case r.Pieces < 0:
+		return &RangeError{Field: "Pieces", Value: r.Pieces}
+	case r.FreePieces < 0, r.FreePieces > r.Pieces:
+		return &RangeError{Field: "FreePieces", Value: r.FreePieces}
+	case r.Queued < 0:
+		return &RangeError{Field: "Queued", Value: int(r.Queued)}
+	case r.Running < 0:
+		return &RangeError{Field: "Running", Value: r.Running}
+	}
+	return nil
+}
+
 func parseState(word string) (core.EngineState, error) {
 	for _, s := range []core.EngineState{core.Serving, core.Draining} {
 		if s.String() == word {
