Ask again about streams whose holder has not answered

Cause: an owner that restarted found a stream on an engine's list whose holder was down; its one question was lost, and as it had never heard of the holder's earlier start, the holder's return did not tell it of a death. Each report now compares the holder's start with the view, and a question about a stream that another owner placed is repeated every 2 s until answered.

--- a/core/book.go
+++ b/core/book.go
@@ -42,6 +42,8 @@
 	askedAt    Instant
 	movedAt    Instant
 	orphanedAt Option[Instant]
+	// confirmed is set once the holder has answered for a discovered job.
+	confirmed bool
 	// over is set once the holder said that the attempt has ended.
 	over bool
 }
--- a/core/compare.go
+++ b/core/compare.go
@@ -41,6 +41,9 @@
 			j = s.discover(n, b, h)
 		}
 		j.missing = 0
+		if !s.holderAlive(n, h.Allocation) {
+			s.orphan(n, j)
+		}
 		if s.wantsConfirmation(n, j) {
 			j.askedAt = n.now
 			ask[j.entry] = append(ask[j.entry], h.Allocation)
@@ -84,9 +87,6 @@
 		b.jobs[h.Allocation] = j
 	}
 	s.remember(j)
-	if !s.holderAlive(n, h.Allocation) {
-		s.orphan(n, j)
-	}
 	return j
 }
 
@@ -104,6 +104,9 @@
 	if _, orphaned := j.orphanedAt.Get(); orphaned {
 		return false
 	}
+	if j.discovered && !j.confirmed {
+		return since > askHolderEvery
+	}
 	if j.decoding {
 		return since > confirmEvery
 	}
@@ -126,6 +129,11 @@
 
 // holderAnswer releases what its holder says is over.
 func (s *owner) holderAnswer(n *Node, from NodeID, m HolderAnswer) {
+	for _, a := range m.Asked {
+		if j, ok := s.jobs[a]; ok && a.Holder == from {
+			j.confirmed = true
+		}
+	}
 	for _, a := range m.Ended {
 		if a.Holder != from {
 			continue
