--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -38,6 +38,7 @@
 	{"service-down", (*Run).serviceDown},
 	{"service-lost-replies", (*Run).serviceLostReplies},
 	{"desert", (*Run).desert},
+	{"partition", (*Run).partition},
 }
 
 // Kinds returns the names of the faults.
@@ -135,6 +136,39 @@
 	})
 }
 
+// partition cuts the nodes into two parts that do not hear each other; both
+// still reach the platform and the engines.
+func (r *Run) partition() {
+	d := r.between(2*time.Second, 12*time.Second)
+	var one, other []core.NodeID
+	for _, n := range r.w.Nodes {
+		if r.chance(0.4) {
+			one = append(one, n.ID)
+		} else {
+			other = append(other, n.ID)
+		}
+	}
+	r.Provoked[core.AtMostOnce]++
+	r.disturbAll(d + time.Second)
+	r.parted = r.w.Now.Add(d + longestAnswer)
+	r.cutAll(one, other, true)
+	r.w.After(d, func() { r.cutAll(one, other, false) })
+}
+
+// longestAnswer is the time that the longest answer of a run takes. Two owners
+// that could not hear each other may both have placed a request whose caller
+// changed its entry; the deserted stream ends by itself at the latest then.
+const longestAnswer = 256 * 55 * time.Millisecond
+
+func (r *Run) cutAll(one, other []core.NodeID, on bool) {
+	for _, a := range one {
+		for _, b := range other {
+			r.w.Cut(a, b, on)
+			r.w.Cut(b, a, on)
+		}
+	}
+}
+
 func (r *Run) unreliable() {
 	r.w.Unreliable(0.1*r.rng.Float64(), 0.2*r.rng.Float64())
 	r.w.After(r.between(time.Second, 10*time.Second), func() { r.w.Unreliable(0, 0) })
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -43,6 +43,8 @@
 	// faultsEnd is when the last fault ends, byRequest the callers by request.
 	faultsEnd core.Instant
 	byRequest map[core.RequestID]*world.Caller
+	// parted is until when streams from a partition may still run.
+	parted core.Instant
 	// winner is the priority of the profile that operators race about.
 	winner int
 	// twice are the requests found answered by two nodes at once.
--- a/core/entry.go
+++ b/core/entry.go
@@ -51,6 +51,8 @@
 	sourceAllocation Allocation
 	// sourceLost is set if that engine fails meanwhile.
 	sourceLost bool
+	// firstAttempt is the first attempt for the caller's present connection.
+	firstAttempt Attempt
 	// retrying is set once an attempt of this connection has been placed.
 	retrying bool
 }
@@ -154,6 +156,7 @@
 	}
 	s.serving[m.Request] = r
 	s.nextAttempt(n, r)
+	r.firstAttempt = r.allocation.Attempt
 	s.place(n, r)
 }
 
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -142,6 +142,9 @@
 		return
 	}
 	r.allocation = b.Allocation
+	if !r.retrying {
+		r.firstAttempt = b.Allocation.Attempt
+	}
 	r.retrying = true
 	s.noteAttempt(n, r)
 	r.placed = b
--- a/core/node.go
+++ b/core/node.go
@@ -207,7 +207,7 @@
 	case AttemptEnded:
 		n.owner.attemptEnded(n, m.From, b)
 	case AttemptSuperseded:
-		n.entry.superseded(n, b)
+		n.entry.superseded(n, m.From, b)
 	case AttemptEndedAck:
 		n.entry.endedAck(n, b)
 	case HolderQuery:
--- a/core/supersede.go
+++ b/core/supersede.go
@@ -37,19 +37,36 @@
 func (s *owner) supersede(n *Node, g *group, b Place) {
 	for _, it := range g.queue.takeOlder(b.Allocation) {
 		if !sameHolder(it.place.Allocation, b.Allocation) {
-			n.send(it.from, AttemptSuperseded{Allocation: it.place.Allocation})
+			s.tellSuperseded(n, it.from, it.place.Allocation, supersedeTries)
 		}
 	}
 	newest := b.Allocation
 	if last, ok := s.byRequest[b.Allocation.Request]; ok {
 		newest.Attempt = max(newest.Attempt, last.Attempt+1)
 		if j, running := s.jobs[last]; running && !sameHolder(last, b.Allocation) {
-			n.send(j.entry, AttemptSuperseded{Allocation: last})
+			s.tellSuperseded(n, j.entry, last, supersedeTries)
 		}
 	}
 	s.history[b.Allocation.Request] = history{newest: newest, at: n.now}
 }
 
+const (
+	// supersedeTries bounds how often a holder is told that it is superseded.
+	supersedeTries = 20
+	// supersedeAgainAfter is the time between repetitions.
+	supersedeAgainAfter = 250 * time.Millisecond
+)
+
+// tellSuperseded tells a holder that it is superseded and repeats it until the
+// holder has ended the attempt.
+func (s *owner) tellSuperseded(n *Node, holder NodeID, a Allocation, tries int) {
+	if _, over := s.ended[a]; over || tries == 0 || !s.holderAlive(n, a) {
+		return
+	}
+	n.send(holder, AttemptSuperseded{Allocation: a})
+	n.afterFunc(supersedeAgainAfter, func(n *Node) { n.owner.tellSuperseded(n, holder, a, tries-1) })
+}
+
 // noteCompleted remembers that a request had its whole answer.
 func (s *owner) noteCompleted(n *Node, a Allocation) {
 	h := s.history[a.Request]
@@ -62,11 +79,20 @@
 }
 
 // superseded ends a request whose caller is served by another entry now.
-func (s *entry) superseded(n *Node, b AttemptSuperseded) {
+func (s *entry) superseded(n *Node, from NodeID, b AttemptSuperseded) {
 	r, ok := s.serving[b.Allocation.Request]
-	if ok && s.live(b.Allocation) {
+	if ok && r.covers(b.Allocation) {
 		s.yieldTo(n, r)
 	}
+	if !s.live(b.Allocation) {
+		s.report(n, from, AttemptEnded{Allocation: b.Allocation, Reason: Cancelled})
+	}
+}
+
+// covers reports whether an allocation was an attempt for the caller's present
+// connection to this node.
+func (r *serving) covers(a Allocation) bool {
+	return a.Attempt >= r.firstAttempt && a.Attempt <= r.allocation.Attempt
 }
 
 // yieldTo gives a request up in favour of the entry that its caller has gone
