Settle a request that two owners placed for two entries

An owner that finds the other placement on an engine's list now tells the holder of the lower attempt.

--- a/core/compare.go
+++ b/core/compare.go
@@ -86,6 +86,7 @@
 		j.prefill = b.upstream.ID
 		b.jobs[h.Allocation] = j
 	}
+	s.settleTwo(n, j)
 	s.remember(j)
 	return j
 }
--- a/core/supersede.go
+++ b/core/supersede.go
@@ -50,6 +50,23 @@
 	s.history[b.Allocation.Request] = history{newest: newest, at: n.now}
 }
 
+// settleTwo lets one entry go on if an engine's list shows that another owner
+// has placed a request which this owner's books have with another entry. The
+// higher attempt is the caller's later one.
+func (s *owner) settleTwo(n *Node, found *job) {
+	known, ok := s.jobs[s.byRequest[found.allocation.Request]]
+	if !ok || sameHolder(known.allocation, found.allocation) {
+		return
+	}
+	loser := known
+	if found.allocation.Attempt < known.allocation.Attempt {
+		loser = found
+	}
+	if known.allocation.Attempt != found.allocation.Attempt {
+		s.tellSuperseded(n, loser.entry, loser.allocation, supersedeTries)
+	}
+}
+
 const (
 	// supersedeTries bounds how often a holder is told that it is superseded.
 	supersedeTries = 20
