--- a/bench/experiment/measure.go
+++ b/bench/experiment/measure.go
@@ -126,9 +126,13 @@
 	demands := r.Scenario.Demands(r.measured)
 	supply := r.Scenario.Supply(r.Window)
 	cheapest := bound.Cheapest(demands, supply)
+	profile := bound.Cheapest(r.Scenario.MeanDemands(r.measured), supply)
 	mix := bound.InMix(demands, supply)
 	offered := float64(max(t.offered, 1))
 	out.Bound = cheapest / offered
+	out.BoundWithTail = bound.Cheapest(demands, r.Scenario.Supply(r.Window+r.Scenario.LongestAnswer())) / offered
+	out.BoundByProfile = profile / offered
+	out.GoodputOfBoundByProfile = float64(t.good) / max(profile, 1)
 	out.BoundInMix = mix / offered
 	out.GoodputOfBound = float64(t.good) / max(cheapest, 1)
 	out.GoodputOfBoundInMix = float64(t.good) / max(mix, 1)
@@ -141,11 +145,7 @@
 	if counters.Prefilled > 0 {
 		out.WastedPrefill = 1 - float64(counters.Used)/float64(counters.Prefilled)
 	}
-	bytes := uint64(0)
-	for _, n := range w.ControlBytes {
-		bytes += n
-	}
-	out.ControlBytesPerNodePerSecond = float64(bytes) / float64(out.Nodes) / ran.Seconds()
+	out.ControlBytesPerNodePerSecond = float64(r.controlBytes) / float64(out.Nodes) / (ran - drain).Seconds()
 	out.CPUMicrosPerDecision = float64(w.UpdateTime.Microseconds()) / float64(max(r.decisions, 1))
 	for _, e := range w.Engines {
 		out.HeldAtEnd += len(w.Held(e.Upstream.ID))
--- a/bench/experiment/result.go
+++ b/bench/experiment/result.go
@@ -20,7 +20,8 @@
 	// FirstTokenP95Ms and PerTokenP95Ms are over callers with a whole answer.
 	FirstTokenP95Ms float64
 	PerTokenP95Ms   float64
-	// ControlBytesPerNodePerSecond counts the messages between nodes.
+	// ControlBytesPerNodePerSecond counts the messages between nodes as the
+	// daemons frame them, while callers arrive.
 	ControlBytesPerNodePerSecond float64
 	// CPUMicrosPerDecision is the processor time of all updates of all nodes
 	// over the number of placements and refusals.
@@ -34,11 +35,18 @@
 	// asked, waits between retries included.
 	GoodputFirstAsked float64
 	// Bound is the share of callers that a clairvoyant choice of the cheapest
-	// could answer, BoundInMix that without a choice by size.
-	Bound               float64
-	GoodputOfBound      float64
-	BoundInMix          float64
-	GoodputOfBoundInMix float64
+	// could answer in the engines' time of the window, GoodputOfBound what
+	// part of it was reached. BoundByProfile is the same for a scheduler that
+	// knows only the means of each profile, BoundInMix for one that does not
+	// choose by size. BoundWithTail adds all the time after the window for
+	// which its callers may still be served.
+	Bound                   float64
+	GoodputOfBound          float64
+	BoundByProfile          float64
+	GoodputOfBoundByProfile float64
+	BoundInMix              float64
+	GoodputOfBoundInMix     float64
+	BoundWithTail           float64
 	// AdmittedOnTime is the share of callers with a whole answer that had it
 	// within both targets.
 	AdmittedOnTime float64
--- a/bench/experiment/run.go
+++ b/bench/experiment/run.go
@@ -38,7 +38,9 @@
 	arrivals  []scenario.Arrival
 	measured  []scenario.Arrival
 	decisions int
-	borrowed  borrowedUse
+	// controlBytes counts messages between nodes until the last arrival.
+	controlBytes uint64
+	borrowed     borrowedUse
 }
 
 // Result carries out the run.
@@ -55,6 +57,10 @@
 	}
 	r.Scenario.Schedule(r.world, from, r.Window)
 	r.borrowed.watch(r)
+	r.world.Run(end)
+	for _, n := range r.world.ControlBytes {
+		r.controlBytes += n
+	}
 	r.world.Run(end + drain)
 	return r.result(end + drain)
 }
--- a/bench/scenario/demand.go
+++ b/bench/scenario/demand.go
@@ -34,10 +34,45 @@
 	return d, fits && first <= FirstTokenLimit(profile).Seconds()
 }
 
+// MeanDemands is like Demands, with the demand of each request replaced by the
+// mean of its profile, which is what a router can know before the answer.
+func (s Scenario) MeanDemands(arrivals []Arrival) []bound.Demand {
+	var profiles []core.ProfileID
+	sums := make(map[core.ProfileID]bound.Demand)
+	counts := make(map[core.ProfileID]float64)
+	for _, a := range arrivals {
+		d, ok := s.demand(a)
+		if !ok {
+			continue
+		}
+		id := a.Caller.Request.Profile
+		sum := sums[id]
+		sums[id] = bound.Demand{Prefill: sum.Prefill + d.Prefill, Decode: sum.Decode + d.Decode}
+		counts[id]++
+		profiles = append(profiles, id)
+	}
+	means := make([]bound.Demand, 0, len(profiles))
+	for _, id := range profiles {
+		sum := sums[id]
+		means = append(means, bound.Demand{Prefill: sum.Prefill / counts[id], Decode: sum.Decode / counts[id]})
+	}
+	return means
+}
+
 // FirstTokenLimit is the time within which the first token must come: the
 // profile's target and the wait that its operator allows on top.
 func FirstTokenLimit(p core.Profile) time.Duration { return p.FirstTokenTarget + p.MaxWait }
 
+// LongestAnswer is the longest time after its arrival for which a request that
+// meets its targets may be served.
+func (s Scenario) LongestAnswer() time.Duration {
+	longest := time.Duration(0)
+	for _, p := range s.Profiles {
+		longest = max(longest, FirstTokenLimit(p)+time.Duration(p.MaxTokens)*p.PerTokenTarget)
+	}
+	return longest
+}
+
 // Supply returns the engines' time in the measured window, less what faults
 // take away.
 func (s Scenario) Supply(window time.Duration) bound.Supply {
--- a/core/placement.go
+++ b/core/placement.go
@@ -16,7 +16,7 @@
 	stepSafety = 0.95
 	// overlapShare is the share of the expected releases that may be promised
 	// before they happen.
-	overlapShare = 0.2
+	overlapShare = 0.4
 	// maxCandidates bounds the candidates in a decision's record.
 	maxCandidates = 6
 	// wasteMatters is the weight on wasted prefill from which no memory is
