Benchmark one decision, and make it cheaper where many engines are in view

go test ./decision -bench . Engines of one profile are kept by value, pools are looked up once a run of like engines, and planned times live in the books.

--- /dev/null
+++ b/bench/decision/doc.go
@@ -0,0 +1,2 @@
+// Package decision holds benchmarks of the cost of one decision.
+package decision
--- a/core/baseline.go
+++ b/core/baseline.go
@@ -20,7 +20,11 @@
 	var books []*book
 	for _, id := range g.engines {
 		b, ok := s.books[id]
-		if ok && s.usable(n, b, profile, role) && !slices.Contains(avoid, id) {
+		if !ok || b.role != role || slices.Contains(avoid, id) {
+			continue
+		}
+		pool, _ := n.config.pool(b.upstream.Pool)
+		if s.usable(n, b, pool, profile) {
 			books = append(books, b)
 		}
 	}
--- a/core/book.go
+++ b/core/book.go
@@ -62,6 +62,9 @@
 	// pending are the prefills given to this engine, in order.
 	pending []*job
 	lastEnd Instant
+	// planned is when the engine is free by the plan of a walk.
+	planned Instant
+	walk    uint64
 	booked  int
 	batch   int
 	// transfers counts running imports to or from the engine.
--- a/core/eligible.go
+++ b/core/eligible.go
@@ -8,8 +8,8 @@
 // eligible holds the engines of a group that may serve a profile, and what the
 // profile uses of the borrowed ones among them.
 type eligible struct {
-	prefill []*engineOption
-	decode  []*engineOption
+	prefill []engineOption
+	decode  []engineOption
 	// largest is the memory of the largest decode engine, in pieces.
 	largest int
 	// lentPrefills and lentPieces are the borrowed prefill engines and the
@@ -34,7 +34,7 @@
 
 // readyAt ranks prefill engines; a borrowed engine counts as somewhat later,
 // so that it is used only where it helps.
-func (o *engineOption) readyAt(c choice) Instant {
+func (o engineOption) readyAt(c choice) Instant {
 	at := c.start.Add(c.took)
 	if o.borrowed {
 		at = at.Add(borrowedPenalty)
@@ -43,7 +43,7 @@
 }
 
 // rank orders decode engines: own before borrowed, then by batch.
-func (o *engineOption) rank() int {
+func (o engineOption) rank() int {
 	if o.borrowed {
 		return o.book.batch + borrowedRank
 	}
@@ -57,31 +57,47 @@
 	if e, ok := p.eligible[id]; ok {
 		return e
 	}
+	e := s.eligibleFor(n, g, &it.profile)
+	p.eligible[id] = e
+	return e
+}
+
+func (s *owner) eligibleFor(n *Node, g *group, profile *Profile) *eligible {
 	e := &eligible{}
+	var pool Pool
 	for _, id := range g.engines {
 		b, ok := s.books[id]
 		if !ok {
 			continue
 		}
-		o := &engineOption{book: b, borrowed: s.borrowed(n, b)}
-		if o.borrowed {
-			e.countBorrowed(b, it.profile.ID)
+		if pool.ID != b.upstream.Pool {
+			pool, _ = n.config.pool(b.upstream.Pool)
 		}
-		switch {
-		case s.usable(n, b, &it.profile, Prefill):
-			e.prefill = append(e.prefill, o)
-		case s.usable(n, b, &it.profile, Decode):
-			e.decode = append(e.decode, o)
-			e.largest = max(e.largest, b.pieces)
+		if pool.Borrowed {
+			e.countBorrowed(b, profile.ID)
 		}
+		e.add(engineOption{book: b, borrowed: pool.Borrowed}, len(g.engines), s.usable(n, b, pool, profile))
 	}
-	p.eligible[id] = e
 	return e
 }
 
-func (s *owner) borrowed(n *Node, b *book) bool {
-	pool, ok := n.config.pool(b.upstream.Pool)
-	return ok && pool.Borrowed
+// add enters an engine among those of its role; most is the number of engines
+// that there may be.
+func (e *eligible) add(o engineOption, most int, usable bool) {
+	switch {
+	case !usable:
+	case o.book.role == Prefill:
+		if e.prefill == nil {
+			e.prefill = make([]engineOption, 0, most)
+		}
+		e.prefill = append(e.prefill, o)
+	case o.book.role == Decode:
+		if e.decode == nil {
+			e.decode = make([]engineOption, 0, most)
+		}
+		e.decode = append(e.decode, o)
+		e.largest = max(e.largest, o.book.pieces)
+	}
 }
 
 // countBorrowed adds a borrowed engine and the profile's use of it. What was
@@ -115,34 +131,3 @@
 func (e *eligible) fitsShare(share float64, need int) bool {
 	return float64(e.usedPieces+need) <= share*float64(e.lentPieces)
 }
-
-// tightestAt returns the tightest target per token among the requests that an
-// engine decodes.
-func (p *plan) tightestAt(b *book) time.Duration {
-	id := b.upstream.ID
-	t, ok := p.tightest[id]
-	if !ok {
-		t = b.minStep(math.MaxInt64)
-		p.tightest[id] = t
-	}
-	return t
-}
-
-// dispatched takes a placement into account for the rest of the walk.
-func (p *plan) dispatched(e *eligible, c choice, need int) {
-	delete(p.freeAt, c.prefill.upstream.ID)
-	for _, o := range e.prefill {
-		if o.book == c.prefill && o.borrowed {
-			e.usedPrefills++
-		}
-	}
-	if c.decode == nil {
-		return
-	}
-	delete(p.tightest, c.decode.upstream.ID)
-	for _, o := range e.decode {
-		if o.book == c.decode && o.borrowed {
-			e.usedPieces += need
-		}
-	}
-}
--- a/core/owner.go
+++ b/core/owner.go
@@ -20,6 +20,8 @@
 	withdrawn map[poolUse]Instant
 	leaving   map[EngineID]Instant
 	dirty     bool
+	// walks counts walks through queues.
+	walks uint64
 }
 
 // poolUse is the use of a pool by a profile, or by all if Profile is empty.
--- a/core/placement.go
+++ b/core/placement.go
@@ -26,37 +26,6 @@
 	reportFresh = 4 * time.Second
 )
 
-// plan is a walk through a group's queue: it hands out the engines' time in
-// advance, so that each request sees what those before it will take.
-type plan struct {
-	now    Instant
-	freeAt map[EngineID]Instant
-	// short is the decode memory, in pieces, that requests earlier in the
-	// queue wait for.
-	short int
-	// next is when the queue has to be looked at again.
-	next Instant
-	// eligible remembers the engines for each profile, and tightest the
-	// tightest target per token at each decode engine.
-	eligible map[ProfileID]*eligible
-	tightest map[EngineID]time.Duration
-}
-
-func newPlan(now Instant) *plan {
-	return &plan{
-		now:      now,
-		freeAt:   make(map[EngineID]Instant),
-		eligible: make(map[ProfileID]*eligible),
-		tightest: make(map[EngineID]time.Duration),
-	}
-}
-
-func (p *plan) lookAgain(at Instant) {
-	if p.next == 0 || at < p.next {
-		p.next = at
-	}
-}
-
 // choice is a placement that was found for a request.
 type choice struct {
 	prefill    *book
@@ -80,7 +49,7 @@
 	if g.queue.len() == 0 {
 		return
 	}
-	p := newPlan(n.now)
+	p := s.newPlan(n.now)
 	for i, it := range g.queue.ordered() {
 		switch {
 		case i >= n.Settings.MaxQueue:
@@ -143,12 +112,12 @@
 	}
 	if c.decode == nil {
 		// Memory comes free by messages; only the deadline comes by itself.
-		p.freeAt[c.prefill.upstream.ID] = c.start.Add(c.took)
+		p.occupy(c.prefill, c.start.Add(c.took))
 		p.lookAgain(p.now.Add(max(deadline.Sub(c.firstToken), shortestLook)))
 		return
 	}
 	if c.start > p.now.Add(dispatchLead) {
-		p.freeAt[c.prefill.upstream.ID] = c.start.Add(c.took)
+		p.occupy(c.prefill, c.start.Add(c.took))
 		p.lookAgain(max(c.start.Add(-dispatchLead), p.now.Add(time.Millisecond)))
 		return
 	}
@@ -231,20 +200,20 @@
 // engine.
 func memoryFor(b Place) Tokens { return b.Prompt.Tokens + b.MaxTokens }
 
-// usable reports whether an engine may get new work of a profile.
-func (s *owner) usable(n *Node, b *book, profile *Profile, role Role) bool {
-	if !b.reported || !b.reachable || b.state != Serving || b.role != role || b.upstream.Leaving {
+// usable reports whether an engine of a pool may get new work of a profile, in
+// the role that it reports.
+func (s *owner) usable(n *Node, b *book, pool Pool, profile *Profile) bool {
+	if !b.reported || !b.reachable || b.state != Serving || b.upstream.Leaving {
 		return false
 	}
 	if n.now.Sub(b.heardAt) > reportFresh {
 		return false
 	}
-	pool, ok := n.config.pool(b.upstream.Pool)
-	if !ok || pool.Withdrawn || (b.model != "" && b.model != profile.Model) {
+	if pool.ID != b.upstream.Pool || pool.Withdrawn || (b.model != "" && b.model != profile.Model) {
 		return false
 	}
 	allowed := profile.PrefillPools
-	if role == Decode {
+	if b.role == Decode {
 		allowed = profile.DecodePools
 	}
 	return slices.Contains(allowed, pool.ID) && !slices.Contains(profile.Withdrawn, pool.ID)
@@ -278,12 +247,7 @@
 }
 
 func (s *owner) prefillChoice(n *Node, b *book, it *queued, p *plan) choice {
-	start, planned := p.freeAt[b.upstream.ID]
-	if !planned {
-		start = b.freeAt(p.now)
-		p.freeAt[b.upstream.ID] = start
-	}
-	c := choice{prefill: b, start: start, uncached: it.place.Prompt.Tokens + it.place.Emitted}
+	c := choice{prefill: b, start: p.freeAt(b), uncached: it.place.Prompt.Tokens + it.place.Emitted}
 	if !n.Policy.NoPrefixLocality {
 		c.believed = b.cache.hit(it.place.Prompt)
 		c.uncached -= Tokens(b.cache.confidence * float64(c.believed))
@@ -296,22 +260,20 @@
 // that have memory for the request, or will have when its prefill is done, and
 // that stay within the targets per token of all that they serve.
 func (s *owner) chooseDecode(n *Node, g *group, e *eligible, it *queued, p *plan, ready time.Duration) *book {
-	var best *engineOption
+	var best engineOption
 	for _, o := range e.decode {
-		if slices.Contains(it.place.Avoid, o.book.upstream.ID) || !s.hasRoom(n, g, e, o, it, p, ready) {
+		if best.book != nil && o.rank() >= best.rank() {
 			continue
 		}
-		if best == nil || o.rank() < best.rank() {
-			best = o
+		if slices.Contains(it.place.Avoid, o.book.upstream.ID) || !s.hasRoom(n, g, e, o, it, p, ready) {
+			continue
 		}
-	}
-	if best == nil {
-		return nil
+		best = o
 	}
 	return best.book
 }
 
-func (s *owner) hasRoom(n *Node, g *group, e *eligible, o *engineOption, it *queued, p *plan, ready time.Duration) bool {
+func (s *owner) hasRoom(n *Node, g *group, e *eligible, o engineOption, it *queued, p *plan, ready time.Duration) bool {
 	need := memoryFor(it.place).Pieces()
 	if n.Policy.NoDecodePromise {
 		return true
@@ -324,9 +286,11 @@
 	if free < need {
 		return false
 	}
-	target := time.Duration(stepSafety * float64(min(p.tightestAt(b), it.profile.PerTokenTarget)))
-	if b.batch > 0 && s.ratesOf(b.upstream.Pool).stepTime(b.batch+1) > target {
-		return false
+	if b.batch > 0 {
+		target := time.Duration(stepSafety * float64(min(p.tightestAt(b), it.profile.PerTokenTarget)))
+		if s.ratesOf(b.upstream.Pool).stepTime(b.batch+1) > target {
+			return false
+		}
 	}
 	return !o.borrowed || e.fitsShare(it.profile.BorrowedShare, need)
 }
