--- a/core/node.go
+++ b/core/node.go
@@ -191,7 +191,7 @@
 	case VMListAnswer:
 		n.members.vmListAnswer(n, b)
 	case KeyCall:
-		n.once.keyCall(n, m.From, b)
+		n.once.keyCall(n, m.From, m.Incarnation, b)
 	case KeyAnswer:
 		n.once.keyAnswer(n, m.From, b)
 	case Place:
@@ -206,6 +206,8 @@
 		n.owner.progress(n, b)
 	case AttemptEnded:
 		n.owner.attemptEnded(n, m.From, b)
+	case AttemptSuperseded:
+		n.entry.superseded(n, b)
 	case AttemptEndedAck:
 		n.entry.endedAck(n, b)
 	case HolderQuery:
