--- a/bench/command.go
+++ b/bench/command.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"io"
 	"strings"
-	"sync"
 	"time"
 
 	"daisyshed.dev/bench/experiment"
@@ -115,26 +114,28 @@
 // carryOut carries out the runs, a few at a time, and writes their results in
 // order.
 func (c *command) carryOut(runs []*experiment.Run, out *json.Encoder) ([]experiment.Result, error) {
-	results := make([]experiment.Result, len(runs))
-	done := make([]chan struct{}, len(runs))
 	slots := make(chan struct{}, max(c.Workers, 1))
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for i, r := range runs {
-		done[i] = make(chan struct{})
-		wg.Go(func() {
+	done := make(chan chan experiment.Result, len(runs))
+	go func() {
+		defer close(done)
+		for i, r := range runs {
+			runs[i] = nil
 			slots <- struct{}{}
-			results[i] = r.Result()
-			<-slots
-			close(done[i])
-		})
-	}
-	for i := range runs {
-		<-done[i]
-		if err := out.Encode(results[i]); err != nil {
+			result := make(chan experiment.Result, 1)
+			go func() {
+				result <- r.Result()
+				<-slots
+			}()
+			done <- result
+		}
+	}()
+	var results []experiment.Result
+	for result := range done {
+		r := <-result
+		results = append(results, r)
+		if err := out.Encode(r); err != nil {
 			return nil, err
 		}
-		runs[i] = nil
 	}
 	return results, nil
 }
