--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"daisyshed.dev/bench/world"
@@ -54,24 +55,20 @@
 	if r.w.Now >= world.Start.Add(warmUp+r.Faulty) {
 		return
 	}
-	k := kinds[r.rng.IntN(len(kinds))]
-	if r.allowed(k.name) {
-		r.Faults[k.name]++
-		k.inject(r)
-	}
+	k := r.anyKind()
+	r.Faults[k.name]++
+	k.inject(r)
 	r.w.After(r.between(50*time.Millisecond, 2*time.Second), r.nextFault)
 }
 
-func (r *Run) allowed(name string) bool {
+// anyKind returns one of the kinds of fault that the run may inject.
+func (r *Run) anyKind() kind {
 	if len(r.Only) == 0 {
-		return true
-	}
-	for _, only := range r.Only {
-		if only == name {
-			return true
-		}
+		return kinds[r.rng.IntN(len(kinds))]
 	}
-	return false
+	name := r.Only[r.rng.IntN(len(r.Only))]
+	i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == name })
+	return kinds[max(i, 0)]
 }
 
 func (r *Run) anyNode() core.NodeInfo { return r.w.Nodes[r.rng.IntN(len(r.w.Nodes))] }
@@ -244,15 +241,18 @@
 	r.Provoked[core.ConfigurationMonotone]++
 	p := balanceRead()
 	base := r.pools["balance-read"] + 1
+	won := false
 	for i := range 2 {
 		p.Priority = r.rng.IntN(100)
-		r.w.TryPublish(core.ProfilePublished{
+		appended := r.w.TryPublish(core.ProfilePublished{
 			Publication: core.PublicationID(fmt.Sprintf("race-%d-%d-%d", base, i, r.rng.Int64())),
 			Operator:    fmt.Sprintf("operator-%d", i), Base: base, Profile: p,
 		})
-	}
-	if entry, ok := r.w.Folded().Profile("balance-read"); ok {
-		r.pools["balance-read"] = entry.Revision - 1
+		if appended && !won {
+			won = true
+			r.winner = p.Priority
+			r.pools["balance-read"] = base
+		}
 	}
 }
 
