Secure nodes and operators with mutual TLS

Whoever reached a peer or operator port could speak as any node. A node's certificate names its id and is for servers too: a message from another id, or from an operator's certificate, ends the connection.

Callers connect without certificates; the platform and upstreams stay plain.

Not tried: two whole daemons and daisyctl with TLS.

--- a/daisyctl/command/run.go
+++ b/daisyctl/command/run.go
@@ -33,6 +33,8 @@
 	Operator string        `long:"operator" value-name:"NAME" description:"name that publications carry; else $USER"`
 	JSON     bool          `long:"json" description:"print JSON for programs instead of tables"`
 	Timeout  time.Duration `long:"timeout" value-name:"TIME" default:"19s" description:"bound on the whole command, and on the wait until a publication is in force"`
+
+	http *http.Client
 }
 
 // app is what the commands share.
@@ -40,12 +42,12 @@
 	global
 	ctx    context.Context
 	stdout io.Writer
-	http   *http.Client
 }
 
 // Run runs the command that args name and returns the exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	a := &app{ctx: ctx, stdout: stdout, http: &http.Client{Timeout: requestTimeout}}
+	a := &app{ctx: ctx, stdout: stdout}
+	a.http = &http.Client{Timeout: requestTimeout}
 	parser, err := newParser(a)
 	if err == nil {
 		_, err = parser.ParseArgs(args)
--- a/daisyctl/command/settings.go
+++ b/daisyctl/command/settings.go
@@ -1,10 +1,12 @@
 package command
 
 import (
+	"net/http"
 	"net/url"
 	"os"
 	"strings"
 
+	"daisyshed.dev/wire/mutualtls"
 	"daisyshed.dev/wire/settings"
 )
 
@@ -17,6 +19,9 @@
 	Daemons []string
 	// Operator is the name that publications carry.
 	Operator string
+	// TLS names the files of the operator's certificate, which daemons with
+	// mutual TLS ask for at https URLs.
+	TLS mutualtls.Files
 }
 
 // readSettings reads the file, if one is named, and lets flags override it.
@@ -43,7 +48,10 @@
 	if s.Operator == "" {
 		s.Operator = os.Getenv("USER")
 	}
-	return s, s.check()
+	if err := s.check(); err != nil {
+		return s, err
+	}
+	return s, g.useTLS(s.TLS)
 }
 
 func (s *Settings) check() error {
@@ -60,6 +68,22 @@
 	return nil
 }
 
+// useTLS makes the connections to daemons present the operator's certificate.
+func (g *global) useTLS(files mutualtls.Files) error {
+	if !files.Given() {
+		return nil
+	}
+	if !files.Whole() {
+		return &InvalidError{What: "TLS", Problem: "must name Certificate, Key and Authority, or none of them"}
+	}
+	source, err := mutualtls.Open(files, func(error) {})
+	if err != nil {
+		return &InvalidError{What: "TLS", Problem: err.Error()}
+	}
+	g.http.Transport = &http.Transport{TLSClientConfig: source.Client("")}
+	return nil
+}
+
 func isBase(text string) bool {
 	u, err := url.Parse(text)
 	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
--- a/daisyshed/daemon.go
+++ b/daisyshed/daemon.go
@@ -18,6 +18,7 @@
 	"daisyshed.dev/daisyshed/service"
 	"daisyshed.dev/daisyshed/settings"
 	"daisyshed.dev/daisyshed/vmlist"
+	"daisyshed.dev/wire/mutualtls"
 	wirelog "daisyshed.dev/wire/platformlog"
 	wirevms "daisyshed.dev/wire/vmlist"
 	"github.com/rs/zerolog"
@@ -37,6 +38,7 @@
 	operators *operator.Server
 	listeners listeners
 	servers   []*http.Server
+	tls       *mutualtls.Source
 	failed    chan error
 }
 
@@ -50,6 +52,11 @@
 	}
 	d := &daemon{settings: s, listeners: l, failed: make(chan error, 3)}
 	closeLog := d.openLog(started)
+	if d.tls, err = openTLS(s, d.noteFault); err != nil {
+		closeLog()
+		l.close()
+		return nil, nil, oops.In("daisyshed").With("Node", s.Node).Wrap(err)
+	}
 	metrics, closeMetrics := operator.OpenMetrics(d.noteFault)
 	inbox, closeInbox := control.OpenInbox(s.Limits.Inbox)
 	d.inbox = inbox
@@ -167,6 +174,7 @@
 		Incarnation: incarnation,
 		Send:        d.inbox.Send,
 		Meter:       meter,
+		TLS:         d.tls,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			var dialer net.Dialer
 			return dialer.DialContext(ctx, "tcp", address)
--- a/daisyshed/main.go
+++ b/daisyshed/main.go
@@ -8,6 +8,7 @@
 
 	"daisyshed.dev/daisyshed/settings"
 	"daisyshed.dev/daisyshed/tcp"
+	"daisyshed.dev/wire/mutualtls"
 	wire "daisyshed.dev/wire/settings"
 	"github.com/jessevdk/go-flags"
 )
@@ -62,6 +63,9 @@
 	if err != nil {
 		return fail(err)
 	}
+	if err := checkTLS(s); err != nil {
+		return fail(err)
+	}
 	if opts.Check {
 		fmt.Println(opts.Settings + ": no faults")
 		return exitOK
@@ -93,14 +97,16 @@
 
 func exitCode(err error) int {
 	var (
-		flagged *flags.Error
-		extra   *ExtraArgumentError
-		unread  *settings.ReadError
-		faults  wire.Faults
-		inUse   *tcp.InUseError
+		flagged  *flags.Error
+		extra    *ExtraArgumentError
+		unread   *settings.ReadError
+		faults   wire.Faults
+		unusable *mutualtls.LoadError
+		inUse    *tcp.InUseError
 	)
 	switch {
-	case errors.As(err, &flagged), errors.As(err, &extra), errors.As(err, &unread), errors.As(err, &faults):
+	case errors.As(err, &flagged), errors.As(err, &extra), errors.As(err, &unread), errors.As(err, &faults),
+		errors.As(err, &unusable):
 		return exitSettings
 	case errors.As(err, &inUse):
 		return exitInUse
--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -89,6 +89,11 @@
 	}
 	conn = &countedConn{Conn: conn, meter: l.transport.Meter}
 	l.closeConn = l.transport.track(conn)
+	conn, err = l.transport.secureTo(ctx, conn, l.to)
+	if err != nil {
+		l.disconnect()
+		return err
+	}
 	if err := l.open(conn); err != nil {
 		l.disconnect()
 		return err
--- a/daisyshed/peer/serve.go
+++ b/daisyshed/peer/serve.go
@@ -30,6 +30,11 @@
 func (t *Transport) ServeConn(conn net.Conn) {
 	conn = &countedConn{Conn: conn, meter: t.Meter}
 	defer t.track(conn)()
+	conn, check, err := t.secureFrom(conn)
+	if err != nil {
+		t.Meter.PeerFault(err)
+		return
+	}
 	session, err := yamux.Server(conn, t.sessionConfig())
 	if err != nil {
 		t.Meter.PeerFault(err)
@@ -42,13 +47,14 @@
 		t.Meter.PeerFault(&NoStreamError{Cause: err})
 		return
 	}
-	if err := t.receive(stream); !errors.Is(err, io.EOF) {
+	if err := t.receive(stream, check); !errors.Is(err, io.EOF) {
 		t.Meter.PeerFault(err)
 	}
 }
 
-// receive takes in the messages of a stream until its end.
-func (t *Transport) receive(stream *yamux.Stream) error {
+// receive takes in the messages of a stream until its end, or until one claims
+// another sender than the connection's.
+func (t *Transport) receive(stream *yamux.Stream, check identityCheck) error {
 	frames := bufio.NewReader(stream)
 	for {
 		// Twice the sender's own idle time, so that the sender closes first.
@@ -59,6 +65,9 @@
 		if err != nil {
 			return err
 		}
+		if err := check(m.From); err != nil {
+			return err
+		}
 		t.Send(m)
 	}
 }
--- a/daisyshed/peer/transport.go
+++ b/daisyshed/peer/transport.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/wire/mutualtls"
 	"github.com/hashicorp/yamux"
 )
 
@@ -22,7 +23,9 @@
 	Send        func(core.Message)
 	Dial        func(ctx context.Context, address string) (net.Conn, error)
 	Meter       Meter
-	Limits      Limits
+	// TLS gives the certificates for connections; they are plain if it is nil.
+	TLS    *mutualtls.Source
+	Limits Limits
 
 	mu     sync.Mutex
 	links  map[core.NodeID]*link
--- a/daisyshed/run.go
+++ b/daisyshed/run.go
@@ -27,6 +27,7 @@
 	defer cancel()
 	finished := d.start(ctx)
 	d.log.Info().Str("Event", "Started").Send()
+	logTLS(d.log, d.tls)
 	select {
 	case <-signals:
 		return d.leave(signals, finished)
@@ -52,7 +53,7 @@
 	go d.operators.Run(ctx)
 	go d.serve(func() error { return d.peers.Serve(d.listeners.peer) })
 	go d.serve(func() error { return d.servers[0].Serve(d.listeners.caller) })
-	go d.serve(func() error { return d.servers[1].Serve(d.listeners.operator) })
+	go d.serve(func() error { return d.servers[1].Serve(secured(d.listeners.operator, d.tls)) })
 	return finished
 }
 
--- a/daisyshed/settings/read.go
+++ b/daisyshed/settings/read.go
@@ -46,6 +46,9 @@
 	base(d, "Log", s.Log)
 	base(d, "VMList", s.VMList)
 	s.checkDistinct(d)
+	if !s.TLS.Whole() {
+		d.Fault("TLS", "must name Certificate, Key and Authority, or none of them")
+	}
 	for i, seed := range s.Seeds {
 		seed.check(d, "Seeds["+strconv.Itoa(i)+"].")
 	}
--- a/daisyshed/settings/settings.go
+++ b/daisyshed/settings/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/wire/mutualtls"
 )
 
 // Settings is a daemon's settings file. Keys are the names of the fields.
@@ -18,8 +19,9 @@
 	Log             string        `help:"base URL of the platform's log"`
 	VMList          string        `help:"base URL of the platform's VM list"`
 	Seeds           []Seed        `help:"nodes known at the start"`
-	Limits          Limits        `help:"bounds on sizes and counts"`
-	Periods         Periods       `help:"periods and times"`
+	TLS             mutualtls.Files
+	Limits          Limits  `help:"bounds on sizes and counts"`
+	Periods         Periods `help:"periods and times"`
 }
 
 // Seed is a node that is known before the VM list has been read.
