--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"daisyshed.dev/bench/world"
@@ -37,6 +38,7 @@
 	{"service-down", (*Run).serviceDown},
 	{"service-lost-replies", (*Run).serviceLostReplies},
 	{"desert", (*Run).desert},
+	{"partition", (*Run).partition},
 }
 
 // Kinds returns the names of the faults.
@@ -54,24 +56,20 @@
 	if r.w.Now >= world.Start.Add(warmUp+r.Faulty) {
 		return
 	}
-	k := kinds[r.rng.IntN(len(kinds))]
-	if r.allowed(k.name) {
-		r.Faults[k.name]++
-		k.inject(r)
-	}
+	k := r.anyKind()
+	r.Faults[k.name]++
+	k.inject(r)
 	r.w.After(r.between(50*time.Millisecond, 2*time.Second), r.nextFault)
 }
 
-func (r *Run) allowed(name string) bool {
+// anyKind returns one of the kinds of fault that the run may inject.
+func (r *Run) anyKind() kind {
 	if len(r.Only) == 0 {
-		return true
-	}
-	for _, only := range r.Only {
-		if only == name {
-			return true
-		}
+		return kinds[r.rng.IntN(len(kinds))]
 	}
-	return false
+	name := r.Only[r.rng.IntN(len(r.Only))]
+	i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == name })
+	return kinds[max(i, 0)]
 }
 
 func (r *Run) anyNode() core.NodeInfo { return r.w.Nodes[r.rng.IntN(len(r.w.Nodes))] }
@@ -138,6 +136,39 @@
 	})
 }
 
+// partition cuts the nodes into two parts that do not hear each other; both
+// still reach the platform and the engines.
+func (r *Run) partition() {
+	d := r.between(2*time.Second, 12*time.Second)
+	var one, other []core.NodeID
+	for _, n := range r.w.Nodes {
+		if r.chance(0.4) {
+			one = append(one, n.ID)
+		} else {
+			other = append(other, n.ID)
+		}
+	}
+	r.Provoked[core.AtMostOnce]++
+	r.disturbAll(d + time.Second)
+	r.parted = r.w.Now.Add(d + longestAnswer)
+	r.cutAll(one, other, true)
+	r.w.After(d, func() { r.cutAll(one, other, false) })
+}
+
+// longestAnswer is the time that the longest answer of a run takes. Two owners
+// that could not hear each other may both have placed a request whose caller
+// changed its entry; the deserted stream ends by itself at the latest then.
+const longestAnswer = 256 * 55 * time.Millisecond
+
+func (r *Run) cutAll(one, other []core.NodeID, on bool) {
+	for _, a := range one {
+		for _, b := range other {
+			r.w.Cut(a, b, on)
+			r.w.Cut(b, a, on)
+		}
+	}
+}
+
 func (r *Run) unreliable() {
 	r.w.Unreliable(0.1*r.rng.Float64(), 0.2*r.rng.Float64())
 	r.w.After(r.between(time.Second, 10*time.Second), func() { r.w.Unreliable(0, 0) })
@@ -244,15 +275,18 @@
 	r.Provoked[core.ConfigurationMonotone]++
 	p := balanceRead()
 	base := r.pools["balance-read"] + 1
+	won := false
 	for i := range 2 {
 		p.Priority = r.rng.IntN(100)
-		r.w.TryPublish(core.ProfilePublished{
+		appended := r.w.TryPublish(core.ProfilePublished{
 			Publication: core.PublicationID(fmt.Sprintf("race-%d-%d-%d", base, i, r.rng.Int64())),
 			Operator:    fmt.Sprintf("operator-%d", i), Base: base, Profile: p,
 		})
-	}
-	if entry, ok := r.w.Folded().Profile("balance-read"); ok {
-		r.pools["balance-read"] = entry.Revision - 1
+		if appended && !won {
+			won = true
+			r.winner = p.Priority
+			r.pools["balance-read"] = base
+		}
 	}
 }
 
--- a/core/book.go
+++ b/core/book.go
@@ -42,6 +42,10 @@
 	askedAt    Instant
 	movedAt    Instant
 	orphanedAt Option[Instant]
+	// confirmed is set once the holder has answered for a discovered job.
+	confirmed bool
+	// over is set once the holder said that the attempt has ended.
+	over bool
 }
 
 // book holds what an owner knows and has promised of one engine.
@@ -62,6 +66,9 @@
 	// pending are the prefills given to this engine, in order.
 	pending []*job
 	lastEnd Instant
+	// planned is when the engine is free by the plan of a walk.
+	planned Instant
+	walk    uint64
 	booked  int
 	batch   int
 	// transfers counts running imports to or from the engine.
--- a/daisyshed/daemon.go
+++ b/daisyshed/daemon.go
@@ -11,12 +11,14 @@
 	"daisyshed.dev/daisyshed/caller"
 	"daisyshed.dev/daisyshed/control"
 	"daisyshed.dev/daisyshed/engine"
+	"daisyshed.dev/daisyshed/httpserver"
 	"daisyshed.dev/daisyshed/operator"
 	"daisyshed.dev/daisyshed/peer"
 	"daisyshed.dev/daisyshed/platformlog"
 	"daisyshed.dev/daisyshed/service"
 	"daisyshed.dev/daisyshed/settings"
 	"daisyshed.dev/daisyshed/vmlist"
+	"daisyshed.dev/wire/mutualtls"
 	wirelog "daisyshed.dev/wire/platformlog"
 	wirevms "daisyshed.dev/wire/vmlist"
 	"github.com/rs/zerolog"
@@ -36,6 +38,7 @@
 	operators *operator.Server
 	listeners listeners
 	servers   []*http.Server
+	tls       *mutualtls.Source
 	failed    chan error
 }
 
@@ -49,6 +52,11 @@
 	}
 	d := &daemon{settings: s, listeners: l, failed: make(chan error, 3)}
 	closeLog := d.openLog(started)
+	if d.tls, err = openTLS(s, d.noteFault); err != nil {
+		closeLog()
+		l.close()
+		return nil, nil, oops.In("daisyshed").With("Node", s.Node).Wrap(err)
+	}
 	metrics, closeMetrics := operator.OpenMetrics(d.noteFault)
 	inbox, closeInbox := control.OpenInbox(s.Limits.Inbox)
 	d.inbox = inbox
@@ -166,6 +174,7 @@
 		Incarnation: incarnation,
 		Send:        d.inbox.Send,
 		Meter:       meter,
+		TLS:         d.tls,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			var dialer net.Dialer
 			return dialer.DialContext(ctx, "tcp", address)
@@ -193,16 +202,14 @@
 	}
 }
 
-// server returns an HTTP server. Answers that outlast its WriteTimeout extend
-// it before each write.
+// server returns an HTTP server within the settings' limits.
 func (d *daemon) server(h http.Handler) *http.Server {
 	p := d.settings.Periods
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: p.HeaderTimeout,
-		WriteTimeout:      p.WriteTimeout,
-		IdleTimeout:       p.IdleTimeout,
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
-		ErrorLog:          operator.HTTPErrors(d.log),
-	}
+	return httpserver.New(h, httpserver.Limits{
+		HeaderBytes:   d.settings.Limits.HeaderBytes,
+		HeaderTimeout: p.HeaderTimeout,
+		ReadTimeout:   p.ReadTimeout,
+		WriteTimeout:  p.WriteTimeout,
+		IdleTimeout:   p.IdleTimeout,
+	}, operator.HTTPErrors(d.log))
 }
