Say NotRun of a key only when nothing ran under it

Such a refusal now says Unknown, unless the caller says with Idempotency-First that it has never sent the key. The harness and the soak now fail on any NotRun of a key that ran: stricter than before, when only a final NotRun counted. TestLogOutageRefusesPromptly expected NotRun of a call that did not say it was the first; it now expects Unknown there and NotRun of one that does.

--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -105,6 +105,10 @@
 				unknown++
 			}
 		}
+		if c.FalseNotRun {
+			r.Outcomes.FalseNotRun++
+			r.fail(core.NotRunTrue, "%s was called not run after it had run", c.Call.Call)
+		}
 		if len(c.Answers) > 1 {
 			r.fail(core.AnsweredOnce, "%s got %d answers", c.Call.Call, len(c.Answers))
 		}
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -84,6 +84,7 @@
 		Call:    core.CallID(fmt.Sprintf("%s/%d", p.key, len(p.attempts))),
 		Profile: "pay-post", Customer: "plot-1", Key: p.key, Body: []byte(p.key),
 	}}
+	c.Call.First = len(p.attempts) == 0 && attempts == 1
 	p.attempts = append(p.attempts, c)
 	r.w.AskCall(c, node)
 	if attempts > 1 {
--- a/bench/world/service.go
+++ b/bench/world/service.go
@@ -21,6 +21,8 @@
 	Call core.CallerCall
 	// Answers are the final answers that the caller got, in order.
 	Answers []core.AnswerCall
+	// FalseNotRun is set if an answer said NotRun of a key that had run.
+	FalseNotRun bool
 	// Lost counts connections lost before an answer.
 	Lost int
 }
@@ -44,6 +46,9 @@
 		return
 	}
 	delete(n.calls, m.Call)
+	if m.Outcome == core.NotRun && n.world.Ran(c.Call.Key) > 0 {
+		c.FalseNotRun = true
+	}
 	n.world.After(n.world.CallerDelay, func() { c.Answers = append(c.Answers, m) })
 }
 
--- a/core/harness_platform_test.go
+++ b/core/harness_platform_test.go
@@ -159,10 +159,19 @@
 }
 
 func (c *callers) send(id core.NodeID, key core.IdempotencyKey, profile core.ProfileID) *sentCall {
+	return c.sendCall(id, key, profile, false)
+}
+
+// sendFirst sends a call whose caller says that it has never sent the key.
+func (c *callers) sendFirst(id core.NodeID, key core.IdempotencyKey, profile core.ProfileID) *sentCall {
+	return c.sendCall(id, key, profile, true)
+}
+
+func (c *callers) sendCall(id core.NodeID, key core.IdempotencyKey, profile core.ProfileID, first bool) *sentCall {
 	h := c.w.hosts[id]
 	call := core.CallerCall{
 		Call:    core.CallID(fmt.Sprintf("%s/%d/%d", id, h.incarnation, len(c.byID))),
-		Profile: profile, Customer: "gardener", Key: key, Body: []byte("body of " + key),
+		Profile: profile, Customer: "gardener", Key: key, First: first, Body: []byte("body of " + key),
 	}
 	sent := &sentCall{call: call, node: id, sentAt: c.w.now, incarnation: h.incarnation}
 	c.byID[call.Call] = sent
@@ -182,9 +191,9 @@
 	if a.Outcome == core.Ran && !ran {
 		c.w.t.Fatalf("call %s is called Ran but its key %s never ran", a.Call, sent.call.Key)
 	}
-	final := a.Outcome == core.NotRun && a.Reason == core.UpstreamFailed
-	if final && ran {
-		c.w.t.Fatalf("call %s is called NotRun for good but its key %s ran", a.Call, sent.call.Key)
+	keyed := sent.call.Key != "" && a.Reason != core.KeyReused
+	if keyed && a.Outcome == core.NotRun && ran {
+		c.w.t.Fatalf("call %s is called NotRun but its key %s ran", a.Call, sent.call.Key)
 	}
 }
 
--- a/core/message.go
+++ b/core/message.go
@@ -43,7 +43,11 @@
 	// KeyMinted is the log's time at which the caller got the epoch that it
 	// sends with the key, in Unix nanoseconds; zero if it sent none.
 	KeyMinted int64
-	Body      []byte
+	// First is the caller's word that it has never sent the key before.
+	// Without it nobody but the key's writer can say NotRun, because an
+	// earlier call under the key may have run.
+	First bool
+	Body  []byte
 }
 
 // AddressQuery asks which nodes a caller should use.
--- a/core/once.go
+++ b/core/once.go
@@ -31,11 +31,11 @@
 // intent in the log leaves the call alone, for ever. The result follows into
 // the log, so that a repeated call gets the same answer.
 //
-// NotRun speaks of the call that it answers. It is said in three cases: the
-// call was refused before its intent was sent to the log and the writer knows
-// of no other intent; the writer won the key and then a result in the log
-// makes it final that the key never runs; or the key was used for another
-// call.
+// NotRun speaks of whatever ran under the key. It is said in three cases: the
+// call was refused before its intent was sent to the log, and its caller said
+// that it had never sent the key before; the writer won the key and then a
+// result in the log makes it final that the key never runs; or the key was
+// used for another call.
 type onceOnly struct {
 	reader logReader
 	keys   map[IdempotencyKey]*keyState
@@ -99,11 +99,11 @@
 	profile, known := n.config.profile(m.Profile)
 	switch {
 	case n.leaving:
-		refuseCall(n, m.Call, Leaving, leavingRetryAfter)
+		refuseKeyed(n, m, Leaving, leavingRetryAfter)
 	case !n.config.fresh(n):
-		refuseCall(n, m.Call, StaleConfiguration, leavingRetryAfter)
+		refuseKeyed(n, m, StaleConfiguration, leavingRetryAfter)
 	case !known || profile.Kind != Service:
-		refuseCall(n, m.Call, UnknownProfile, 0)
+		refuseKeyed(n, m, UnknownProfile, 0)
 	case profile.Repeatable:
 		s.dispatchPlain(n, &plainCall{call: m.Call, profile: m.Profile, customer: m.Customer, body: m.Body})
 	case m.Key == "":
@@ -113,6 +113,24 @@
 	}
 }
 
+// refuseKeyed answers a call that may have a key, without having asked the
+// key's writer. An earlier call under the key may have run, unless the caller
+// says that there was none.
+func refuseKeyed(n *Node, m CallerCall, reason RefusalReason, after time.Duration) {
+	n.do(AnswerCall{
+		Call: m.Call, Outcome: unsent(m.Key == "" || m.First), Reason: reason, RetryAfter: n.spread(after),
+	})
+}
+
+// unsent returns what is certain of a call whose intent was not sent to the
+// log: the call did not run, but an earlier one under its key may have.
+func unsent(first bool) Outcome {
+	if first {
+		return NotRun
+	}
+	return Unknown
+}
+
 // refuseCall answers a call that was not sent anywhere.
 func refuseCall(n *Node, call CallID, reason RefusalReason, after time.Duration) {
 	n.do(AnswerCall{Call: call, Outcome: NotRun, Reason: reason, RetryAfter: n.spread(after)})
--- a/core/once_append.go
+++ b/core/once_append.go
@@ -137,7 +137,7 @@
 	case r.step == runAppending:
 		s.open--
 		s.forget(r)
-		answerAll(n, r, KeyAnswer{Outcome: s.unsent(), Reason: LogUnavailable, RetryAfter: n.spread(callRetryAfter)})
+		answerAll(n, r, KeyAnswer{Outcome: unsent(r.call.First), Reason: LogUnavailable, RetryAfter: n.spread(callRetryAfter)})
 	case r.step == runAbandoned:
 		s.forget(r)
 	}
--- a/core/once_entry.go
+++ b/core/once_entry.go
@@ -13,7 +13,7 @@
 	s.forwarded[m.Call] = forward{to: to}
 	n.send(to, KeyCall{
 		Call: m.Call, Writer: n.members.incarnation(n, to), Profile: m.Profile, Customer: m.Customer,
-		Key: m.Key, KeyMinted: m.KeyMinted, Body: m.Body,
+		Key: m.Key, KeyMinted: m.KeyMinted, First: m.First, Body: m.Body,
 	})
 	wait := intentTimeout + n.Settings.CallTimeout + answerMargin
 	n.afterFunc(wait, func(n *Node) { s.giveUp(n, m.Call) })
--- a/core/once_test.go
+++ b/core/once_test.go
@@ -62,7 +62,10 @@
 	w.advance(5 * time.Second)
 	w.log.fault.down = true
 	w.advance(2 * time.Second)
-	answer := w.callers.send("node-0", "k", payPost).answerAfter(w, 100*time.Millisecond)
+	repeated := w.callers.send("node-0", "k2", payPost).answerAfter(w, 100*time.Millisecond)
+	is.Equal(repeated.Outcome, core.Unknown)
+	is.Equal(repeated.Reason, core.LogUnavailable)
+	answer := w.callers.sendFirst("node-0", "k", payPost).answerAfter(w, 100*time.Millisecond)
 	is.Equal(answer.Outcome, core.NotRun)
 	is.Equal(answer.Reason, core.LogUnavailable)
 	is.True(answer.RetryAfter > 0)
--- a/core/once_writer.go
+++ b/core/once_writer.go
@@ -110,30 +110,20 @@
 	case s.expired(n, m.KeyMinted):
 		return KeyExpired, Unknown, true
 	case s.logDown(n):
-		return LogUnavailable, s.unsent(), true
+		return LogUnavailable, unsent(m.First), true
 	case n.resumedAt != 0 && n.now.Sub(n.resumedAt) < resumedFor:
-		return OwnerUnreachable, s.unsent(), true
+		return OwnerUnreachable, unsent(m.First), true
 	case !known || profile.Kind != Service || profile.Repeatable:
-		return UnknownProfile, s.unsent(), true
+		return UnknownProfile, unsent(m.First), true
 	case !usable:
-		return NoUpstream, s.unsent(), true
+		return NoUpstream, unsent(m.First), true
 	case s.open >= maxOpen:
-		return NoCapacity, s.unsent(), true
+		return NoCapacity, unsent(m.First), true
 	default:
 		return NoReason, NotRun, false
 	}
 }
 
-// unsent returns what is certain of a call whose intent was not sent to the
-// log: it did not run, unless the log may hold an intent of its key that this
-// node has not read.
-func (s *onceOnly) unsent() Outcome {
-	if s.reader.caughtUp {
-		return NotRun
-	}
-	return Unknown
-}
-
 // logDown reports whether the last thing heard of the log was a failure.
 func (s *onceOnly) logDown(n *Node) bool {
 	return !s.reader.reachable || n.now < s.batch.notBefore && s.batch.failed
@@ -179,7 +169,7 @@
 	s.open--
 	if r.step == runQueued && !r.doubtful {
 		s.forget(r)
-		answerAll(n, r, KeyAnswer{Outcome: s.unsent(), Reason: LogUnavailable, RetryAfter: n.spread(callRetryAfter)})
+		answerAll(n, r, KeyAnswer{Outcome: unsent(r.call.First), Reason: LogUnavailable, RetryAfter: n.spread(callRetryAfter)})
 		return
 	}
 	s.abandon(n, r)
--- a/core/peer.go
+++ b/core/peer.go
@@ -201,6 +201,8 @@
 	Key       IdempotencyKey
 	KeyMinted int64
 	Body      []byte
+	// First is the caller's word that it has never sent the key before.
+	First bool
 }
 
 // KeyAnswer is the final answer to a KeyCall.
--- a/daisyshed/caller/call.go
+++ b/daisyshed/caller/call.go
@@ -47,6 +47,13 @@
 		}
 		m.KeyMinted = minted
 	}
+	switch first := r.Header.Get(firstHeader); first {
+	case "":
+	case "true":
+		m.First = true
+	default:
+		return m, badHeader(firstHeader + " must be true or absent")
+	}
 	body, problem := s.readBody(w, r)
 	m.Body = body
 	return m, problem
--- a/daisyshed/caller/refusal_test.go
+++ b/daisyshed/caller/refusal_test.go
@@ -44,6 +44,7 @@
 		"bad event id":   {completions, streamed, []string{"Last-Event-ID", "x"}, 400, caller.BadHeader},
 		"resumes whole":  {completions, whole, []string{"Last-Event-ID", "1"}, 400, caller.BadHeader},
 		"long id":        {completions, whole, []string{"X-Request-Id", strings.Repeat("x", 201)}, 400, caller.BadHeader},
+		"bad first":      {calls, "{}", []string{"Idempotency-First", "x"}, 400, caller.BadHeader},
 		"bad epoch":      {calls, "{}", []string{"Idempotency-Epoch", "x"}, 400, caller.BadHeader},
 		"bad key":        {calls, "{}", []string{"Idempotency-Key", "a b"}, 400, caller.BadHeader},
 		"call not JSON":  {calls, "x", nil, 400, caller.BodyNotJSON},
--- a/daisyshed/caller/server.go
+++ b/daisyshed/caller/server.go
@@ -17,6 +17,7 @@
 	requestIDHeader = "X-Request-Id"
 	keyHeader       = "Idempotency-Key"
 	epochHeader     = "Idempotency-Epoch"
+	firstHeader     = "Idempotency-First"
 )
 
 // MaxID bounds the bytes of a request id or an idempotency key.
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -106,6 +106,7 @@
 			Customer:  text[core.CustomerID](t, "customer"),
 			Key:       text[core.IdempotencyKey](t, "key"),
 			KeyMinted: rapid.Int64().Draw(t, "minted"),
+			First:     rapid.Bool().Draw(t, "first"),
 			Body:      list(t, "body", func(t *rapid.T) byte { return rapid.Byte().Draw(t, "byte") }),
 		}
 	},
--- a/wire/peer/convert_key.go
+++ b/wire/peer/convert_key.go
@@ -14,6 +14,7 @@
 		Customer:  string(b.Customer),
 		Key:       string(b.Key),
 		KeyMinted: b.KeyMinted,
+		First:     b.First,
 		Body:      b.Body,
 	}
 }
@@ -26,6 +27,7 @@
 		Customer:  core.CustomerID(b.GetCustomer()),
 		Key:       core.IdempotencyKey(b.GetKey()),
 		KeyMinted: b.GetKeyMinted(),
+		First:     b.GetFirst(),
 		Body:      b.GetBody(),
 	}
 }
