Count what was sent on the caller's present connection

A runtime now always takes its own count for the present connection, in the daemon's pump as in the world.

--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -107,14 +107,28 @@
 			w.After(w.CallerDelay, conn.broken)
 			return
 		}
-		c.node = n
-		c.beganAt = 0
-		conn.sent = m.ResumeAfter
-		n.callers[m.Request] = conn
-		n.receive(m)
+		n.whenAwake(func() { n.accept(conn, m) })
 	})
 }
 
+// accept takes in a request on a connection of its caller. The newest
+// connection of a request replaces an earlier one.
+func (n *node) accept(conn *connection, m core.CallerRequest) {
+	if conn.closed {
+		return
+	}
+	if n.stopped {
+		n.world.After(n.world.CallerDelay, conn.broken)
+		return
+	}
+	c := conn.caller
+	c.node = n
+	c.beganAt = 0
+	conn.sent = m.ResumeAfter
+	n.callers[m.Request] = conn
+	n.receive(m)
+}
+
 // ended reports whether the caller wants nothing more.
 func (c *Caller) ended() bool { return c.Done || c.Cancelled || c.GivenUp }
 
--- a/bench/world/node.go
+++ b/bench/world/node.go
@@ -53,6 +53,15 @@
 	return h
 }
 
+// whenAwake calls f now, or once the node thaws.
+func (n *node) whenAwake(f func()) {
+	if n.frozen {
+		n.inbox = append(n.inbox, f)
+		return
+	}
+	f()
+}
+
 // receive passes a message to the core and carries out what follows.
 func (n *node) receive(m core.Message) {
 	if n.stopped {
--- a/bench/world/steps.go
+++ b/bench/world/steps.go
@@ -79,7 +79,7 @@
 	if !ok {
 		return
 	}
-	s := &stream{allocation: c.Allocation, engine: c.Engine, next: max(c.Emitted, conn.sent) + 1}
+	s := &stream{allocation: c.Allocation, engine: c.Engine, next: conn.sent + 1}
 	n.streams[c.Allocation.Request] = s
 	n.askEngine(c.Engine, func(t engine.Ticket) engine.Message {
 		return engine.Decode{Ticket: t, Request: wire.DecodeRequest{
--- a/core/command.go
+++ b/core/command.go
@@ -142,8 +142,9 @@
 }
 
 // StartDecode opens the stream of an answer and sends it on to the caller,
-// from the token after Emitted or after what the caller has already been sent,
-// whichever is more. It ends an earlier stream of the same request.
+// from the token after what was sent on the caller's present connection; the
+// runtime's own count goes before Emitted, which may stem from an earlier
+// connection. It ends an earlier stream of the same request.
 type StartDecode struct {
 	Engine     EngineID
 	Allocation Allocation
--- a/daisyshed/engine/pump.go
+++ b/daisyshed/engine/pump.go
@@ -128,7 +128,7 @@
 	defer stall.Stop()
 	resp, err := p.client.open(ctx, p.address, wire.DecodePath, wire.DecodeRequest{
 		Allocation: tag(p.start.Allocation),
-		After:      max(p.start.Emitted, p.answer.Sent()),
+		After:      p.answer.Sent(),
 		MaxTokens:  p.start.MaxTokens,
 		Priority:   p.start.Priority,
 	})
