--- a/core/orders.go
+++ b/core/orders.go
@@ -45,7 +45,8 @@
 // the claims. An order of the earlier one that is in flight is not recalled.
 func (s *orders) want(n *Node, o Order, published bool) {
 	o.Fencing = 0
-	w := &want{order: o, published: published}
+	pool, _ := n.config.folded.Pool(n.owner.upstreams[o.Engine].Pool)
+	w := &want{order: o, published: published, revision: pool.Revision}
 	s.wants[o.key()] = w
 	s.begin(n)
 }
--- a/core/orders_report.go
+++ b/core/orders_report.go
@@ -52,21 +52,21 @@
 	}
 	for _, kind := range []OrderKind{SetRole, LoadModel} {
 		o := Order{Engine: m.Engine, Kind: kind, Role: pool.Role, Model: pool.Model}
-		if !o.shownBy(m) && s.replaces(o) {
+		if !o.shownBy(m) && s.replaces(n, o) {
 			s.want(n, o, true)
 		}
 	}
 }
 
-// replaces reports whether no order that asks for the same is known.
-func (s *orders) replaces(o Order) bool {
+// replaces reports whether no order of the same kind is known that is as late
+// as the published pool. One that is in flight is waited for.
+func (s *orders) replaces(n *Node, o Order) bool {
 	w, ok := s.wants[o.key()]
 	if !ok {
 		return true
 	}
-	known := w.order
-	known.Fencing = 0
-	return w.published && w.step != wantSent && known != o
+	pool, _ := n.config.folded.Pool(n.owner.upstreams[o.Engine].Pool)
+	return w.step != wantSent && w.revision < pool.Revision
 }
 
 // ownedPool returns the published pool of an engine whose books this node
--- a/core/orders_step.go
+++ b/core/orders_step.go
@@ -38,7 +38,10 @@
 	order Order
 	// published says that the order follows from a published pool.
 	published bool
-	step      wantStep
+	// revision is that of the engine's pool when the order was wanted. A later
+	// one takes the order's place.
+	revision Revision
+	step     wantStep
 	// at is when the want reached its step.
 	at    Instant
 	tries int
