--- a/core/orders_test.go
+++ b/core/orders_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+func TestAClaimMadeWhileAnothersLeaseRunsIsVoid(t *testing.T) {
+	is := is.New(t)
+	w, e := newOrdersWorld(t, 11, 2)
+	e.adapter("node-0", "fenced", "peas")
+	for e.steps["claim/NoReason"] == 0 {
+		w.advance(100 * time.Microsecond)
+	}
+	w.log.put(core.ClaimStream, core.EngineClaim{Engine: "fenced", Holder: "elsewhere", Lease: 10 * time.Second})
+	w.advance(9 * time.Second)
+	is.Equal(len(e.byID["fenced"].ran), 0)
+	w.advance(4 * time.Second)
+	is.Equal(len(e.byID["fenced"].ran), 1)
+}
+
 func TestAFrozenHolderThawsAndDoesNotActUnderItsOldClaim(t *testing.T) {
 	for _, id := range []core.EngineID{"fenced", "ignoring"} {
 		for ms := range 12 {
