--- a/bench/world/caller.go
+++ b/bench/world/caller.go
@@ -209,6 +209,10 @@
 	}
 }
 
+// lossNoticedAfter is when a node's writes to a connection that is no more
+// begin to fail.
+const lossNoticedAfter = 3 * time.Second
+
 // Desert lets a caller lose its connection without its node noticing, and ask
 // another node.
 func (w *World) Desert(c *Caller) bool {
@@ -217,6 +221,8 @@
 	}
 	c.Deserted++
 	c.next++
+	n, conn := c.node, c.connection
+	w.After(lossNoticedAfter, func() { n.whenAwake(func() { n.callerGone(conn) }) })
 	c.connect()
 	return true
 }
