--- a/core/entry.go
+++ b/core/entry.go
@@ -169,12 +169,16 @@
 	r.emitted = m.ResumeAfter
 	r.request.Resumed = m.Resumed
 	r.request.ResumeAfter = m.ResumeAfter
-	if r.phase != decoding {
+	engine, allocation := r.placed.Decode, r.allocation
+	switch {
+	case r.moving():
+		engine, allocation = r.source, r.sourceAllocation
+	case r.phase != decoding:
 		return
 	}
 	n.do(StartDecode{
-		Engine:     r.placed.Decode,
-		Allocation: r.allocation,
+		Engine:     engine,
+		Allocation: allocation,
 		Emitted:    r.emitted,
 		MaxTokens:  r.request.MaxTokens,
 		Priority:   n.priority(r.request.Profile),
--- a/core/settings.go
+++ b/core/settings.go
@@ -66,7 +66,7 @@
 		VMListEvery:         2 * time.Second,
 		PollEvery:           500 * time.Millisecond,
 		StaleAfter:          15 * time.Second,
-		ResumeWithin:        3 * time.Second,
+		ResumeWithin:        2 * time.Second,
 		PromiseValid:        time.Second,
 		StepTimeout:         5 * time.Second,
 		PlaceTimeout:        250 * time.Millisecond,
