Ask an owner again with the same words

The repetition of a Place was written out a second time and left out that the caller resumes and that the entry retries; both go through one function now.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: all build test race demo soak soak-processes bench capacity generate format lint clean
+.PHONY: all build test race demo soak mutants soak-processes bench capacity generate format lint clean
 
 all: build test
 
@@ -29,6 +29,10 @@
 soak:
 	@cd bench && $(GO) run ./cmd/soak --seed $(SEED) --steps $(STEPS) $(ARGS)
 
+# Runs the soak against cores that are broken on purpose; each must be noticed.
+mutants:
+	@cd bench && $(GO) run ./cmd/mutants $(ARGS)
+
 SECONDS ?= 60
 soak-processes: build
 	@mkdir -p $(BIN)
--- a/core/entry_place.go
+++ b/core/entry_place.go
@@ -26,21 +26,7 @@
 	r.acknowledged = false
 	r.placed = Placed{}
 	r.owner = n.placer(g, r.unreachable)
-	n.send(r.owner, Place{
-		Allocation: r.allocation,
-		Group:      r.group,
-		Profile:    r.request.Profile,
-		Customer:   r.request.Customer,
-		Prompt:     r.request.Prompt,
-		MaxTokens:  r.request.MaxTokens,
-		Emitted:    r.emitted,
-		Adopt:      r.request.Resumed,
-		Retry:      r.retrying,
-		Waited:     n.now.Sub(r.arrived),
-		Source:     r.source,
-		Avoid:      r.avoid,
-	})
-	s.watchPlacement(n, r, n.Settings.PlaceTimeout)
+	s.ask(n, r)
 }
 
 // unplaced ends a request for which there is no placement; a running stream
@@ -85,7 +71,7 @@
 func (s *entry) placementLate(n *Node, r *serving) {
 	if r.acknowledged && n.groupOwnerAlive(r.owner) {
 		r.acknowledged = false
-		s.askAgain(n, r)
+		s.ask(n, r)
 		return
 	}
 	r.unreachable.Add(r.owner)
@@ -104,12 +90,22 @@
 	s.place(n, r)
 }
 
-// askAgain repeats a Place for the same allocation; owners answer it alike.
-func (s *entry) askAgain(n *Node, r *serving) {
+// ask sends the request's Place to the owner. Owners answer a repeated one
+// alike.
+func (s *entry) ask(n *Node, r *serving) {
 	n.send(r.owner, Place{
-		Allocation: r.allocation, Group: r.group, Profile: r.request.Profile, Customer: r.request.Customer,
-		Prompt: r.request.Prompt, MaxTokens: r.request.MaxTokens, Emitted: r.emitted,
-		Waited: n.now.Sub(r.arrived), Source: r.source, Avoid: r.avoid,
+		Allocation: r.allocation,
+		Group:      r.group,
+		Profile:    r.request.Profile,
+		Customer:   r.request.Customer,
+		Prompt:     r.request.Prompt,
+		MaxTokens:  r.request.MaxTokens,
+		Emitted:    r.emitted,
+		Adopt:      r.request.Resumed,
+		Retry:      r.retrying,
+		Waited:     n.now.Sub(r.arrived),
+		Source:     r.source,
+		Avoid:      r.avoid,
 	})
 	s.watchPlacement(n, r, n.Settings.PlaceTimeout)
 }
