--- a/bench/cmd/processes/main.go
+++ b/bench/cmd/processes/main.go
@@ -33,7 +33,7 @@
 	Down     int           `long:"down" value-name:"N" default:"2" description:"how many daemons may be faulty at a time"`
 	Every    time.Duration `long:"every" value-name:"TIME" default:"900ms" description:"mean time between two faults"`
 	Bin      string        `long:"bin" value-name:"DIR" default:"bin" description:"directory of the built programs"`
-	Profiles string        `long:"profiles" value-name:"DIR" default:"examples/profiles" description:"directory of the profiles to publish"`
+	Profiles string        `long:"profiles" value-name:"DIR" default:"examples/prairie" description:"directory of the profiles to publish"`
 	Keep     string        `long:"keep" value-name:"DIR" description:"keep the processes' logs in this directory"`
 }
 
--- a/bench/cmd/processes/payments.go
+++ b/bench/cmd/processes/payments.go
@@ -36,6 +36,8 @@
 	epoch string
 	// ran and notRun are what the payer was told in the end.
 	ran, notRun bool
+	// sent is set once the key was sent to any daemon.
+	sent bool
 	// open is set once an attempt ended without a sure outcome.
 	open    bool
 	refused int
@@ -110,6 +112,10 @@
 	if p.epoch != "" {
 		req.Header.Set("Idempotency-Epoch", p.epoch)
 	}
+	if !p.sent {
+		req.Header.Set("Idempotency-First", "true")
+	}
+	p.sent = true
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	return client.Do(req)
 }
--- a/bench/mutants/mutants.go
+++ b/bench/mutants/mutants.go
@@ -58,7 +58,7 @@
 		{"once_fold.go", "	case st.run != nil:\n		s.lost(n, st)\n", ""},
 	}},
 	{Name: "withdrawn-pool-used", Promise: core.WithdrawnIdle, Edits: []Edit{
-		{"placement.go", "!ok || pool.Withdrawn ||", "!ok ||"},
+		{"placement.go", "pool.ID != b.upstream.Pool || pool.Withdrawn ||", "pool.ID != b.upstream.Pool ||"},
 		{"entry_step.go", "	return !n.owner.withdrawnFor(n, engine, profile, withdrawalGrace)\n", "	return true\n"},
 	}},
 	{Name: "drain-cuts-streams", Promise: core.DrainGraceful, Edits: []Edit{{
--- /dev/null
+++ b/bench/mutants/mutants_test.go
@@ -0,0 +1,22 @@
+package mutants_test
+
+import (
+	"testing"
+
+	"daisyshed.dev/bench/mutants"
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+func TestEveryMutantFitsTheCore(t *testing.T) {
+	is := is.New(t)
+	broken := make(map[core.Promise]bool)
+	for _, m := range mutants.All {
+		_, err := m.Overlay("../../core", t.TempDir())
+		is.NoErr(err)
+		broken[m.Promise] = true
+	}
+	for p := core.MemoryReleased; p <= core.ConfigurationMonotone; p++ {
+		is.True(broken[p]) // each promise has a core that breaks it
+	}
+}
