--- a/bench/soak/build.go
+++ b/bench/soak/build.go
@@ -17,6 +17,8 @@
 	lentDecode   core.PoolID   = "lent-decode"
 	ledgerPool   core.PoolID   = "plot-ledger"
 	returnWithin               = 8 * time.Second
+	// clockSpread is the stated bound on the rates of nodes' clocks.
+	clockSpread = 0.005
 )
 
 // build makes a world of random size.
@@ -26,6 +28,7 @@
 		LinkDelay:   500 * time.Microsecond,
 		CallerDelay: 2 * time.Millisecond,
 		LogDelay:    5 * time.Millisecond,
+		ClockSpread: clockSpread,
 		Observe:     r.observe,
 		Parallel:    r.parallel,
 	}
--- a/bench/world/faults.go
+++ b/bench/world/faults.go
@@ -70,7 +70,7 @@
 // Status returns a node's view.
 func (w *World) Status(id core.NodeID) (status core.Status) {
 	n := w.nodes[id]
-	for _, c := range n.core.Update(w.Now, core.StatusQuery{}) {
+	for _, c := range n.core.Update(n.clock(), core.StatusQuery{}) {
 		if a, ok := c.(core.AnswerStatus); ok {
 			status = a.Status
 			continue
--- a/bench/world/node.go
+++ b/bench/world/node.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"strconv"
 	"time"
 
 	"daisyshed.dev/core"
@@ -16,6 +17,8 @@
 	stopped bool
 	frozen  bool
 	inbox   []func()
+	// rate is the speed of the node's clock against the world's.
+	rate    float64
 	wakeAt  core.Instant
 	wakeSet bool
 	// callers are the callers that are connected, streams the streams that
@@ -30,6 +33,7 @@
 	n := &node{
 		world:   w,
 		info:    info,
+		rate:    w.clockRate(info.ID),
 		callers: make(map[core.RequestID]*connection),
 		streams: make(map[core.RequestID]*stream),
 		calls:   make(map[core.CallID]*Call),
@@ -45,6 +49,12 @@
 	n.receive(core.VMList{Nodes: w.Nodes})
 }
 
+// clockRate returns the rate of a node's clock, within ClockSpread of one.
+func (w *World) clockRate(id core.NodeID) float64 {
+	share := float64(hash(string(id)+strconv.FormatUint(w.Seed, 10))%2001)/1000 - 1
+	return 1 + share*w.ClockSpread
+}
+
 func hash(s string) uint64 {
 	h := uint64(14695981039346656037)
 	for _, c := range []byte(s) {
@@ -77,7 +87,7 @@
 	if w.MeasureTime {
 		began = time.Now()
 	}
-	commands := n.core.Update(w.Now, m)
+	commands := n.core.Update(n.clock(), m)
 	if w.MeasureTime {
 		w.UpdateTime += time.Since(began)
 	}
@@ -87,9 +97,24 @@
 	n.setWake()
 }
 
+// clock returns the time by the node's own clock.
+func (n *node) clock() core.Instant {
+	return Start.Add(time.Duration(n.rate * float64(n.world.Now.Sub(Start))))
+}
+
+// worldTime returns the first time of the world at which the node's clock has
+// reached an instant.
+func (n *node) worldTime(at core.Instant) core.Instant {
+	if n.rate == 1 {
+		return at
+	}
+	return Start.Add(time.Duration(float64(at.Sub(Start))/n.rate) + time.Nanosecond)
+}
+
 // setWake makes sure that the core gets a tick when it wants one.
 func (n *node) setWake() {
-	at, ok := n.core.Wake()
+	due, ok := n.core.Wake()
+	at := n.worldTime(due)
 	if !ok || (n.wakeSet && n.wakeAt <= at) {
 		return
 	}
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -30,6 +30,8 @@
 	// CallerDelay that between a caller and a node.
 	LinkDelay   time.Duration
 	CallerDelay time.Duration
+	// ClockSpread bounds how far the rates of the nodes' clocks are from one.
+	ClockSpread float64
 	// LogDelay is the time that the log takes for an answer.
 	LogDelay time.Duration
 	// PeerSize, if set, returns the bytes of a message between nodes.
