Log a move of a running stream as a move

The step was named in the core's comment but logged as a second place, so that explain could not tell the two apart, and the soak's check of withdrawn pools did not name it.

--- a/bench/soak/judge.go
+++ b/bench/soak/judge.go
@@ -12,7 +12,7 @@
 	if d.Step == "finish" && d.Attempt > 1 {
 		r.Provoked[core.AnsweredOnce]++
 	}
-	if d.Step == "place" {
+	if d.Step == "place" || d.Step == "move" {
 		r.checkWithdrawn(d)
 	}
 }
--- a/core/decision.go
+++ b/core/decision.go
@@ -20,7 +20,9 @@
 	Attempt  Attempt
 	Profile  ProfileID
 	Customer CustomerID
-	// Step names the decision: place, refuse, adopt, move, finish, call.
+	// Step names the decision: place, move, refuse, adopt and finish for
+	// requests, call for calls, drain and returned for engines, and claim,
+	// order, ordered and order-refused for exclusive orders.
 	Step       string
 	Prefill    EngineID
 	Decode     EngineID
--- a/core/placement.go
+++ b/core/placement.go
@@ -341,7 +341,11 @@
 func (s *owner) promise(n *Node, j *job, it *queued) {
 	s.remember(j)
 	n.send(it.from, j.placed)
-	d := s.jobDecision(n, j, "place")
+	step := "place"
+	if it.moves() {
+		step = "move"
+	}
+	d := s.jobDecision(n, j, step)
 	d.Waited = n.now.Sub(it.arrived)
 	d.Candidates = it.candidates
 	n.do(LogDecision{Decision: d})
