--- a/core/entry_step.go
+++ b/core/entry_step.go
@@ -89,7 +89,7 @@
 	if began == waiting {
 		return
 	}
-	n.afterFunc(n.stepTimeout(r), func(n *Node) {
+	n.afterFunc(n.Settings.StepTimeout, func(n *Node) {
 		r, ok := n.entry.current(allocation)
 		if !ok || r.phase != began {
 			return
@@ -101,25 +101,6 @@
 	})
 }
 
-const (
-	// stepPatience is how many times its predicted time to first token a step
-	// may take before it is given up.
-	stepPatience = 3
-	// leastStepTimeout is the least time that a step is given.
-	leastStepTimeout = time.Second
-)
-
-// stepTimeout returns when a step counts as stalled: soon where it was
-// predicted to be short, so that a caller does not wait long for an engine
-// that was lost.
-func (n *Node) stepTimeout(r *serving) time.Duration {
-	expected := stepPatience * r.placed.FirstToken
-	if expected == 0 {
-		return n.Settings.StepTimeout
-	}
-	return min(max(expected, leastStepTimeout), n.Settings.StepTimeout)
-}
-
 // stepEngine returns the engine that works on the request now.
 func (s *entry) stepEngine(r *serving) EngineID {
 	if r.phase == prefilling {
