Drop a setting that nothing reads

Limits.EngineRequests was offered, checked and documented, but no decision used it: the batch that keeps to a per-token target is learned from what runs. An operator who set it would have been misled. Behaviour is unchanged.

--- a/core/settings.go
+++ b/core/settings.go
@@ -46,9 +46,6 @@
 	KeyWritersPerRegion int
 	// MaxQueue bounds the requests that wait at one owner for one profile.
 	MaxQueue int
-	// EngineRequests is the number of requests that a decode engine is
-	// expected to batch before its time per token passes the target.
-	EngineRequests int
 	// CheckEvery is the least time between two checks of the invariants that
 	// span the node's whole state. Zero stays zero and checks them at every
 	// update, as tests and randomised runs do. A daemon samples, because the
@@ -77,7 +74,6 @@
 		OrderFlight:         5 * time.Second,
 		KeyWritersPerRegion: 8,
 		MaxQueue:            64,
-		EngineRequests:      20,
 		CheckEvery:          time.Second,
 	}
 }
@@ -103,6 +99,5 @@
 	s.OrderFlight = cmp.Or(s.OrderFlight, d.OrderFlight)
 	s.KeyWritersPerRegion = cmp.Or(s.KeyWritersPerRegion, d.KeyWritersPerRegion)
 	s.MaxQueue = cmp.Or(s.MaxQueue, d.MaxQueue)
-	s.EngineRequests = cmp.Or(s.EngineRequests, d.EngineRequests)
 	return s
 }
--- a/daisyshed/settings/core.go
+++ b/daisyshed/settings/core.go
@@ -50,7 +50,6 @@
 		OrderFlight:         p.OrderFlight,
 		KeyWritersPerRegion: s.Limits.KeyWritersPerRegion,
 		MaxQueue:            s.Limits.Queue,
-		EngineRequests:      s.Limits.EngineRequests,
 		CheckEvery:          core.DefaultSettings().CheckEvery,
 	}
 }
--- a/daisyshed/settings/settings.go
+++ b/daisyshed/settings/settings.go
@@ -47,7 +47,6 @@
 	Decisions           int `help:"latest decisions kept for operators"`
 	KeyWritersPerRegion int `help:"nodes of a region that write once-only keys"`
 	Queue               int `help:"requests that wait at one owner for one profile"`
-	EngineRequests      int `help:"requests that a decode engine batches within its target"`
 }
 
 // Periods holds periods and times.
@@ -98,7 +97,6 @@
 			Decisions:           4096,
 			KeyWritersPerRegion: d.KeyWritersPerRegion,
 			Queue:               d.MaxQueue,
-			EngineRequests:      d.EngineRequests,
 		},
 		Periods: Periods{
 			HeartbeatEvery:  d.HeartbeatEvery,
