Send owners and entries nothing that they do not read

Placed carried how long the promise holds, and AttemptEnded the time to the first token; no core read either. What guards against a late promise is the check for a pause of the process.

--- a/core/owner.go
+++ b/core/owner.go
@@ -244,7 +244,7 @@
 	j.orphanedAt = None[Instant]()
 	j.prefill = ""
 	j.discovered = false
-	j.placed = Placed{Allocation: j.allocation, Decode: j.decode, Memory: j.memory, Valid: n.Settings.PromiseValid}
+	j.placed = Placed{Allocation: j.allocation, Decode: j.decode, Memory: j.memory}
 	s.remember(j)
 	n.send(from, j.placed)
 	n.do(LogDecision{Decision: s.jobDecision(n, j, "adopt")})
--- a/core/peer.go
+++ b/core/peer.go
@@ -104,8 +104,6 @@
 	Source EngineID
 	// Memory is the number of tokens to hold at the decode engine.
 	Memory Tokens
-	// Valid is how long the promise holds unless the entry begins.
-	Valid time.Duration
 	// FirstToken is the predicted time until the first token.
 	FirstToken time.Duration
 }
@@ -164,9 +162,6 @@
 	// first token to the last.
 	Tokens  Tokens
 	Decoded time.Duration
-	// FirstToken is the time from the request's arrival to its first token;
-	// zero if there was none.
-	FirstToken time.Duration
 	// FailedEngine names the engine that failed the attempt, if one did.
 	FailedEngine EngineID
 }
--- a/core/placement.go
+++ b/core/placement.go
@@ -334,7 +334,7 @@
 		perStep:    it.profile.PerTokenTarget,
 		placedAt:   n.now,
 		askedAt:    n.now,
-		placed:     Placed{Allocation: a, Memory: memory, Valid: n.Settings.PromiseValid},
+		placed:     Placed{Allocation: a, Memory: memory},
 	}
 }
 
--- a/core/release.go
+++ b/core/release.go
@@ -31,7 +31,6 @@
 	}
 	body := AttemptEnded{Allocation: r.allocation, Reason: reason, Tokens: tokens, FailedEngine: failed}
 	if at, ok := r.firstAt.Get(); ok {
-		body.FirstToken = at.Sub(r.arrived)
 		body.Decoded = n.now.Sub(at)
 	}
 	s.report(n, r.owner, body)
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -61,7 +61,6 @@
 			Decode:     text[core.EngineID](t, "decode"),
 			Source:     text[core.EngineID](t, "source"),
 			Memory:     tokens(t, "memory"),
-			Valid:      span(t, "valid"),
 			FirstToken: span(t, "first"),
 		}
 	},
@@ -89,7 +88,6 @@
 			Tokens:       tokens(t, "tokens"),
 			Decoded:      span(t, "decoded"),
 			FailedEngine: text[core.EngineID](t, "failed"),
-			FirstToken:   span(t, "first"),
 		}
 	},
 	"AttemptEndedAck": func(t *rapid.T) core.PeerBody { return core.AttemptEndedAck{Allocation: allocation(t)} },
--- a/wire/peer/convert_attempt.go
+++ b/wire/peer/convert_attempt.go
@@ -30,12 +30,11 @@
 
 func fromAttemptEnded(b core.AttemptEnded) *AttemptEnded {
 	return &AttemptEnded{
-		Allocation:      fromAllocation(b.Allocation),
-		Reason:          uint32(b.Reason),
-		Tokens:          int64(b.Tokens),
-		DecodedNanos:    int64(b.Decoded),
-		FailedEngine:    string(b.FailedEngine),
-		FirstTokenNanos: int64(b.FirstToken),
+		Allocation:   fromAllocation(b.Allocation),
+		Reason:       uint32(b.Reason),
+		Tokens:       int64(b.Tokens),
+		DecodedNanos: int64(b.Decoded),
+		FailedEngine: string(b.FailedEngine),
 	}
 }
 
@@ -50,7 +49,6 @@
 		Tokens:       core.Tokens(b.GetTokens()),
 		Decoded:      time.Duration(b.GetDecodedNanos()),
 		FailedEngine: core.EngineID(b.GetFailedEngine()),
-		FirstToken:   time.Duration(b.GetFirstTokenNanos()),
 	}, nil
 }
 
--- a/wire/peer/convert_place.go
+++ b/wire/peer/convert_place.go
@@ -47,7 +47,6 @@
 		Decode:          string(b.Decode),
 		Source:          string(b.Source),
 		Memory:          int64(b.Memory),
-		ValidNanos:      int64(b.Valid),
 		FirstTokenNanos: int64(b.FirstToken),
 	}
 }
@@ -59,7 +58,6 @@
 		Decode:     core.EngineID(b.GetDecode()),
 		Source:     core.EngineID(b.GetSource()),
 		Memory:     core.Tokens(b.GetMemory()),
-		Valid:      time.Duration(b.GetValidNanos()),
 		FirstToken: time.Duration(b.GetFirstTokenNanos()),
 	}
 }
