Serve on the users' platform: desired state, upstreams, leases, streams

Cause: the callers' requests on the platform are opaque, routed by host and path, and run once or repeatedly by their route's kind; the core knew neither. Decode memory is leased at the engine before a prompt is read.

Ruled out: owners' books for placement. An engine's own lease is exact and needs no message between nodes.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 SHELL := /bin/bash
-MODULES := core wire daisyshed daisyctl standin bench
+MODULES := core wire platform daisyshed daisyctl standin bench
 BIN := $(CURDIR)/bin
 GO := go
 
--- a/core/addresses.go
+++ b/core/addresses.go
@@ -48,6 +48,10 @@
 // new work, prefers near ones and those with spare capacity, and spreads
 // callers by drawing among equals at random.
 func (n *Node) addresses(m AddressQuery) {
+	if n.Hosted {
+		n.hostedAddresses(m)
+		return
+	}
 	near := n.addressees(m.Domain)
 	n.rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	slices.SortStableFunc(near, func(a, b addressee) int { return cmp.Compare(a.distance, b.distance) })
@@ -169,7 +173,9 @@
 }
 
 // requests returns the number of requests and calls that this node serves.
-func (n *Node) requests() int { return len(n.entry.serving) + n.once.running() }
+func (n *Node) requests() int {
+	return len(n.entry.serving) + n.once.running() + len(n.forward.live)
+}
 
 // status returns the node's view, for operators.
 func (n *Node) status() Status {
--- /dev/null
+++ b/core/admission.go
@@ -0,0 +1,113 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// returnShare is the part of a caller's remaining time within which it
+	// honours a time to come back: callers ignore more than a third.
+	returnShare = 1.0 / 3
+	// returnSpread is the lowest part of returnShare that a refusal names, so
+	// that callers who were refused together do not come back together.
+	returnSpread = 0.5
+	// lateWait bounds, in multiples of the route's objective, how long a
+	// request waits that cannot be on time any more. Callers leave a stream
+	// that shows nothing for four objectives.
+	lateWait = 2.0
+	// grantWindow is the time over which the rate of placements is counted.
+	grantWindow = 2 * time.Second
+	// minGrantRate is the rate of placements, a second, assumed where none
+	// was seen: a node that has just started must not refuse everything.
+	minGrantRate = 4.0
+)
+
+// queueEntry is what admission knows of a request that waits for decode memory.
+type queueEntry struct {
+	rank int
+	// arrived is when the request came, onTimeBy until when it must be placed
+	// to be on time, and goneBy until when its caller waits at all.
+	arrived  Instant
+	onTimeBy Instant
+	goneBy   Instant
+	// objective is the route's.
+	objective time.Duration
+}
+
+// late reports whether the request cannot be on time any more.
+func (w queueEntry) late(now Instant) bool { return now > w.onTimeBy }
+
+// compareWaiters orders waiting requests. The more urgent rank goes first.
+// Within a rank, those that can still be on time go before those that cannot,
+// because under a burst a late answer in front of an on-time one makes both
+// late. Among equals the oldest goes first, so that nobody starves.
+func compareWaiters(now Instant, a, b queueEntry) int {
+	if a.rank != b.rank {
+		return cmp.Compare(a.rank, b.rank)
+	}
+	if la, lb := a.late(now), b.late(now); la != lb {
+		if la {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.arrived, b.arrived)
+}
+
+// expired reports whether a waiting request is to be refused now: a newcomer
+// once it cannot be on time, one that came late already after lateWait.
+func (w queueEntry) expired(now Instant) bool {
+	if w.arrived > w.onTimeBy {
+		return now > min(w.goneBy, w.arrived.Add(time.Duration(lateWait*float64(w.objective))))
+	}
+	return w.late(now)
+}
+
+// grants counts placements, to predict how long a queue takes.
+type grants struct{ at []Instant }
+
+func (g *grants) note(now Instant) {
+	g.at = append(since(g.at, now.Add(-grantWindow)), now)
+}
+
+// rate returns the placements a second that a queue can count on.
+func (g *grants) rate(now Instant) float64 {
+	g.at = since(g.at, now.Add(-grantWindow))
+	return max(float64(len(g.at))/grantWindow.Seconds(), minGrantRate)
+}
+
+// hopeless reports whether a new request would wait past its time behind the
+// requests ahead of it, at the present rate of placements. It is then refused
+// at once: waiting would cost the caller time and gain it nothing.
+func hopeless(now Instant, w queueEntry, ahead int, rate float64) bool {
+	left := w.onTimeBy.Sub(now)
+	if w.late(now) {
+		left = time.Duration(lateWait * float64(w.objective))
+	}
+	return float64(ahead) > rate*left.Seconds()
+}
+
+// ahead counts the waiting requests that go before w.
+func ahead(now Instant, queue []queueEntry, w queueEntry) int {
+	count := 0
+	for _, q := range queue {
+		if compareWaiters(now, q, w) <= 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// comeBack returns when a refused caller should return: within the time that
+// it honours, spread by draw (0 to 1) over its upper half.
+func comeBack(patience time.Duration, draw float64) time.Duration {
+	most := time.Duration(returnShare * float64(patience))
+	return time.Duration(float64(most) * (returnSpread + (1-returnSpread)*draw))
+}
+
+// sortQueue puts waiting requests into the order in which they are placed.
+func sortQueue(now Instant, queue []*forwarded) {
+	slices.SortStableFunc(queue, func(a, b *forwarded) int { return compareWaiters(now, a.queueEntry, b.queueEntry) })
+}
--- a/core/command.go
+++ b/core/command.go
@@ -64,6 +64,10 @@
 	// AlreadyAnswered means that the request has had its whole answer. A
 	// caller that lost the answer asks again with the offset it has reached.
 	AlreadyAnswered
+	// NoRoute means that no route of the desired state fits the request.
+	NoRoute
+	// DeadlinePassed means that the request's time was over.
+	DeadlinePassed
 )
 
 // SendPeer sends a message to another node. Delivery is not assured.
--- a/core/decision.go
+++ b/core/decision.go
@@ -33,6 +33,8 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Tokens     Tokens
+	// Version is that of the desired state which the decision rests on.
+	Version int64
 }
 
 // Promise is one of the eight properties that must always hold.
--- /dev/null
+++ b/core/desired.go
@@ -0,0 +1,140 @@
+package core
+
+import (
+	"strings"
+	"time"
+)
+
+// ServiceID names a set of upstreams that serve the same routes.
+type ServiceID string
+
+// RouteID names a route of the desired state.
+type RouteID string
+
+// Repeat says whether a forwarded request may run more than once.
+type Repeat int
+
+// The ways in which a request may be repeated.
+const (
+	// Once requests run at most once.
+	Once Repeat = iota
+	// Repeatable requests may run any number of times.
+	Repeatable
+	// ResumeOnly streams may go on at another upstream after the last event
+	// that the caller got.
+	ResumeOnly
+)
+
+// DesiredState is what operators want in force, whole. A later version
+// replaces an earlier one.
+type DesiredState struct {
+	Version int64
+	// Offset is where the store keeps this state; it grows with the version.
+	Offset   Offset
+	Routes   []Route
+	Services map[ServiceID]ServiceSpec
+	Limits   CallerLimits
+	// Record is the state as the store holds it, for peers that cannot reach
+	// the store.
+	Record []byte
+}
+
+// Route sends requests of a host and path prefix to services.
+type Route struct {
+	ID     RouteID
+	Host   string
+	Prefix string
+	Repeat Repeat
+	Stream bool
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or the first event of a
+	// stream, is on time.
+	Objective time.Duration
+	// Rank orders routes under load; zero is the most urgent.
+	Rank int
+	// MaxRuns is how many upstreams may run one attempt of a caller.
+	MaxRuns int
+	Split   []Share
+}
+
+// Share is one service's part of a route.
+type Share struct {
+	Service ServiceID
+	Weight  float64
+}
+
+// ServiceSpec describes a service.
+type ServiceSpec struct {
+	ID ServiceID
+	// MaxConnections is what one upstream accepts from all nodes together.
+	MaxConnections int
+	// Engine is present for services of model engines.
+	Engine Option[EngineSpec]
+}
+
+// EngineSpec describes the model engines of a service.
+type EngineSpec struct {
+	// Slots is the number of streams in one decode batch.
+	Slots int
+	// Memory is the KV cache memory of one engine.
+	Memory Tokens
+	// LeaseMax is the longest reservation of memory that an engine grants;
+	// zero if it grants none.
+	LeaseMax time.Duration
+	// HandleTTL is how long an engine keeps a prompt that was read for
+	// another engine.
+	HandleTTL time.Duration
+	// RoleChange is how long an engine is away while it changes its role.
+	RoleChange time.Duration
+}
+
+// CallerLimits bounds what callers may send and how long they may take.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// routeTable finds the route of a request.
+type routeTable map[string][]Route
+
+func newRouteTable(routes []Route) routeTable {
+	t := routeTable{}
+	for _, r := range routes {
+		t[r.Host] = append(t[r.Host], r)
+	}
+	return t
+}
+
+// find returns the route of host with the longest prefix that begins path.
+func (t routeTable) find(host, path string) (Route, bool) {
+	var best Route
+	found := false
+	for _, r := range t[host] {
+		if strings.HasPrefix(path, r.Prefix) && (!found || len(r.Prefix) > len(best.Prefix)) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+// pick draws a service of the route by weight, for a draw from 0 to 1.
+func (r Route) pick(draw float64) ServiceID {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	draw *= total
+	for _, s := range r.Split {
+		if draw < s.Weight {
+			return s.Service
+		}
+		draw -= s.Weight
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/core/forward.go
@@ -0,0 +1,333 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+// forwardPhase is how far a forwarded request has come.
+type forwardPhase int
+
+const (
+	// forwardWaiting requests wait for decode memory.
+	forwardWaiting forwardPhase = iota
+	// forwardLeasing requests have asked an engine for memory.
+	forwardLeasing
+	// forwardReading requests have their prompt read.
+	forwardReading
+	// forwardRunning requests were sent to an upstream that runs them.
+	forwardRunning
+	// forwardAnswering requests have sent their caller a part of the answer.
+	forwardAnswering
+)
+
+// forwarded is a request in progress.
+type forwarded struct {
+	Forward
+	queueEntry
+	route    Route
+	spec     ServiceSpec
+	deadline Instant
+	phase    forwardPhase
+	// step counts the steps taken, so that timers know whether theirs is over.
+	step int
+
+	decode   *upstream
+	lease    LeaseID
+	reserved Tokens
+	prefill  *upstream
+	handle   HandleID
+	placedAt Instant
+
+	// runs counts the upstreams that may have run the request, and sends all
+	// that were asked to, also those that refused.
+	runs  int
+	sends int
+	reads int
+	tried Set[EngineID]
+	// failure is set while the runtime keeps an upstream's failure answer.
+	failure bool
+	emitted bool
+}
+
+// forwards serves opaque requests by the desired state.
+type forwards struct {
+	state     DesiredState
+	known     bool
+	routes    routeTable
+	upstreams upstreams
+	live      map[ForwardID]*forwarded
+	queue     []*forwarded
+	budgets   map[ServiceID]*repeatBudget
+	grants    grants
+	// pipeline is the usual time from a lease to the first event.
+	pipeline time.Duration
+	// longest is the longest patience seen on each route. A caller with less
+	// has spent the difference on an earlier attempt.
+	longest map[RouteID]time.Duration
+	// pumpDue is set while a later look at the queue is scheduled, inPump while
+	// one goes on.
+	pumpDue  bool
+	inPump   bool
+	counters ForwardCounters
+}
+
+// ForwardCounters counts what became of forwarded requests, for metrics and
+// status.
+type ForwardCounters struct {
+	Taken, Answered, Refused, Failed, Gone, Retried, Resumed uint64
+}
+
+func (s *forwards) start() {
+	s.live = map[ForwardID]*forwarded{}
+	s.budgets = map[ServiceID]*repeatBudget{}
+	s.longest = map[RouteID]time.Duration{}
+	s.pipeline = firstEventGuess
+}
+
+// desired takes in a desired state. A node never goes back to an older one.
+func (s *forwards) desired(n *Node, d DesiredState) {
+	if s.known && d.Version <= s.state.Version {
+		return
+	}
+	s.state, s.known = d, true
+	s.routes = newRouteTable(d.Routes)
+	n.do(LogDecision{Decision: Decision{
+		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
+	}})
+}
+
+// instances takes in the list of upstreams and drops queued work's hold on
+// those that left.
+func (s *forwards) instances(n *Node, list InstanceList) {
+	before := len(s.upstreams.byID)
+	s.upstreams.take(list)
+	if before != len(list.Instances) {
+		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "upstreams", Tokens: Tokens(len(list.Instances))}})
+	}
+	s.pump(n)
+}
+
+// request takes in a caller's request.
+func (s *forwards) request(n *Node, m Forward) {
+	s.counters.Taken++
+	f := &forwarded{Forward: m, tried: Set[EngineID]{}}
+	f.arrived = n.now
+	s.live[m.ID] = f
+	if !s.known {
+		s.refuse(n, f, StaleConfiguration, stateWait)
+		return
+	}
+	route, ok := s.routes.find(m.Host, m.Path)
+	if !ok {
+		s.refuse(n, f, NoRoute, 0)
+		return
+	}
+	service := route.pick(n.rng.Float64())
+	spec, ok := s.state.Services[service]
+	if !ok {
+		spec = ServiceSpec{ID: service}
+	}
+	f.route, f.spec = route, spec
+	s.schedule(n, f)
+	s.budget(service).arrived(n.now, n.Settings.Retries.Window)
+	if _, engine := spec.Engine.Get(); engine {
+		s.admit(n, f)
+		return
+	}
+	s.runPlain(n, f)
+}
+
+// schedule works out until when the request can be on time and until when its
+// caller waits.
+func (s *forwards) schedule(n *Node, f *forwarded) {
+	patience := min(f.Patience, f.route.Timeout)
+	f.deadline = n.now.Add(patience)
+	s.longest[f.route.ID] = max(s.longest[f.route.ID], f.Patience)
+	spent := s.longest[f.route.ID] - f.Patience
+	f.queueEntry = queueEntry{
+		rank:      f.route.Rank,
+		arrived:   n.now,
+		onTimeBy:  n.now.Add(f.route.Objective - spent - s.pipeline),
+		goneBy:    f.deadline,
+		objective: f.route.Objective,
+	}
+	n.afterFunc(patience, func(n *Node) { s.expire(n, f) })
+}
+
+// expire ends a request whose time is over. A stream that has begun goes on:
+// its caller is not kept waiting any more.
+func (s *forwards) expire(n *Node, f *forwarded) {
+	if s.live[f.ID] != f || f.phase == forwardAnswering {
+		return
+	}
+	s.end(n, f, DeadlinePassed, 0)
+}
+
+func (s *forwards) budget(id ServiceID) *repeatBudget {
+	b, ok := s.budgets[id]
+	if !ok {
+		b = &repeatBudget{}
+		s.budgets[id] = b
+	}
+	return b
+}
+
+// mayRepeat takes one extra arrival from the budget.
+func (s *forwards) mayRepeat(n *Node, f *forwarded) bool {
+	return s.budget(f.spec.ID).take(n.now, n.Settings.Retries, n.members.widest)
+}
+
+// mayRunAgain reports whether the request may be sent to one more upstream
+// after one that may have run it.
+func (s *forwards) mayRunAgain(f *forwarded) bool {
+	switch f.route.Repeat {
+	case Repeatable, ResumeOnly:
+		return f.runs < f.route.MaxRuns
+	default:
+		return f.runs == 0
+	}
+}
+
+// gone takes in that the caller left.
+func (s *forwards) gone(n *Node, m ForwardGone) {
+	f, ok := s.live[m.ID]
+	if !ok {
+		return
+	}
+	s.counters.Gone++
+	s.decide(n, f, "gone", NoReason)
+	s.close(n, f)
+}
+
+// refuse ends a request that no upstream has run, with a time to come back.
+func (s *forwards) refuse(n *Node, f *forwarded, reason RefusalReason, after time.Duration) {
+	s.counters.Refused++
+	s.decide(n, f, "refuse", reason)
+	n.do(EndForward{ID: f.ID, Reason: reason, NotRun: true, RetryAfter: after})
+	s.close(n, f)
+}
+
+// end ends a request without a whole answer: as refused if it has provably not
+// run, with the upstream's own failure if there is one, else as failed.
+func (s *forwards) end(n *Node, f *forwarded, reason RefusalReason, after time.Duration) {
+	switch {
+	case f.runs == 0 && !f.emitted:
+		if after == 0 {
+			after = comeBack(f.deadline.Sub(n.now), n.rng.Float64())
+		}
+		s.refuse(n, f, reason, after)
+		return
+	case f.failure && !f.emitted:
+		s.decide(n, f, "relay-failure", reason)
+		n.do(RelayFailure{ID: f.ID})
+	default:
+		s.decide(n, f, "fail", reason)
+		n.do(EndForward{ID: f.ID, Reason: reason})
+	}
+	s.counters.Failed++
+	s.close(n, f)
+}
+
+// answering takes in that the caller got the first bytes of its answer.
+func (s *forwards) answering(n *Node, m ForwardAnswering) {
+	f, ok := s.live[m.ID]
+	if !ok || f.phase != forwardRunning {
+		return
+	}
+	f.phase = forwardAnswering
+	f.emitted = true
+	if f.decode != nil {
+		f.decode.succeeded()
+	}
+	if f.placedAt != 0 {
+		took := n.now.Sub(f.placedAt)
+		s.pipeline += (took - s.pipeline) / pipelineWeight
+	}
+}
+
+// ended takes in that the caller got its whole answer.
+func (s *forwards) ended(n *Node, m ForwardEnded) {
+	f, ok := s.live[m.ID]
+	if !ok {
+		return
+	}
+	s.counters.Answered++
+	if f.decode != nil {
+		f.decode.succeeded()
+	}
+	s.decide(n, f, "answered", NoReason)
+	s.close(n, f)
+}
+
+// close forgets a request and gives back what it holds at upstreams.
+func (s *forwards) close(n *Node, f *forwarded) {
+	delete(s.live, f.ID)
+	s.unqueue(f)
+	s.release(n, f)
+	s.pump(n)
+}
+
+// release gives back what the request holds at upstreams.
+func (s *forwards) release(n *Node, f *forwarded) {
+	f.step++
+	if f.lease != "" {
+		n.do(DropLease{Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease})
+	}
+	if f.handle != "" {
+		n.do(FreeHandle{Engine: f.prefill.ID, Address: f.prefill.Address, Handle: f.handle})
+	}
+	s.leavePrefill(f)
+	s.leaveDecode(f)
+}
+
+func (s *forwards) leavePrefill(f *forwarded) {
+	if f.prefill != nil {
+		f.prefill.requests--
+		f.prefill.reading -= f.prompt()
+	}
+	f.prefill, f.handle = nil, ""
+}
+
+func (s *forwards) leaveDecode(f *forwarded) {
+	if f.decode != nil {
+		f.decode.requests--
+		f.decode.tokens -= f.reserved
+		f.decode.fullUntil = 0
+	}
+	f.decode, f.lease, f.reserved = nil, "", 0
+}
+
+func (s *forwards) unqueue(f *forwarded) {
+	if i := slices.Index(s.queue, f); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+}
+
+// prompt returns the length of the request's prompt.
+func (f *forwarded) prompt() Tokens {
+	g, _ := f.Generation.Get()
+	return g.Prompt
+}
+
+// waited returns the time since the request came.
+func (f *forwarded) waited(now Instant) time.Duration { return now.Sub(f.arrived) }
+
+// patienceLeft returns how long an upstream may work on the request.
+func (f *forwarded) patienceLeft(now Instant) time.Duration { return f.deadline.Sub(now) }
+
+// decide logs one decision on a request.
+func (s *forwards) decide(n *Node, f *forwarded, step string, reason RefusalReason) {
+	d := Decision{
+		At: n.now, Node: n.Self.ID, Request: RequestID(f.Attempt), Attempt: Attempt(f.sends),
+		Profile: ProfileID(f.route.ID), Step: step, Reason: reason, Waited: f.waited(n.now),
+		Version: s.state.Version, Tokens: f.reserved,
+	}
+	if f.prefill != nil {
+		d.Prefill = f.prefill.ID
+	}
+	if f.decode != nil {
+		d.Decode = f.decode.ID
+	}
+	n.do(LogDecision{Decision: d})
+}
--- /dev/null
+++ b/core/forward_message.go
@@ -0,0 +1,200 @@
+package core
+
+import "time"
+
+// ForwardID names one caller's request at the node that took it.
+type ForwardID uint64
+
+// LeaseID names a reservation of memory at an engine.
+type LeaseID string
+
+// HandleID names a prompt's KV cache at the engine that computed it.
+type HandleID string
+
+// Forward is an opaque request that goes unchanged to an upstream.
+type Forward struct {
+	ID ForwardID
+	// Attempt is the caller's own id of this attempt.
+	Attempt string
+	Host    string
+	Path    string
+	// Patience is how long the caller still waits.
+	Patience time.Duration
+	// Generation is present for requests to model engines.
+	Generation Option[Generation]
+}
+
+// Generation is what a caller says of the model work it asks for.
+type Generation struct {
+	Prompt Tokens
+	// MaxOutput bounds the output, and ExpectedOutput is the caller's
+	// estimate of it; either is zero if unknown.
+	MaxOutput      Tokens
+	ExpectedOutput Tokens
+	// Resumed says that the caller has part of the answer already.
+	Resumed bool
+}
+
+// ForwardGone says that the caller of a request has left.
+type ForwardGone struct{ ID ForwardID }
+
+// ForwardStep is a step of serving a forwarded request.
+type ForwardStep int
+
+// The steps of a forwarded request.
+const (
+	// LeaseStep reserves decode memory.
+	LeaseStep ForwardStep = iota
+	// ReadPromptStep has the prompt read at a prefill engine.
+	ReadPromptStep
+	// RunStep runs the request.
+	RunStep
+)
+
+// LeaseGranted says that an engine reserved decode memory.
+type LeaseGranted struct {
+	ID     ForwardID
+	Engine EngineID
+	Lease  LeaseID
+}
+
+// PromptRead says that a prefill engine holds the prompt's KV cache.
+type PromptRead struct {
+	ID     ForwardID
+	Engine EngineID
+	Handle HandleID
+	Tokens Tokens
+}
+
+// StepRefused says that an upstream provably did not take a step. Elsewhere is
+// set if another upstream has the address now.
+type StepRefused struct {
+	ID        ForwardID
+	Engine    EngineID
+	Step      ForwardStep
+	Elsewhere bool
+}
+
+// StepFailed says that a step got no usable answer; the upstream may have
+// carried it out. Unsent is set if nothing of the request left this node.
+// Status is the upstream's own failure status, or zero. Emitted is set once
+// part of the answer has gone to the caller.
+type StepFailed struct {
+	ID      ForwardID
+	Engine  EngineID
+	Step    ForwardStep
+	Unsent  bool
+	Status  int
+	Emitted bool
+	Reason  string
+}
+
+// ForwardAnswering says that the first bytes of the answer went to the caller.
+type ForwardAnswering struct {
+	ID     ForwardID
+	Engine EngineID
+}
+
+// ForwardEnded says that the whole answer went to the caller.
+type ForwardEnded struct {
+	ID     ForwardID
+	Engine EngineID
+}
+
+// ForwardCommand is the sealed set of commands about forwarded requests.
+type ForwardCommand interface {
+	Command
+	isForwardCommand()
+}
+
+// TakeLease asks an engine to reserve memory for a request.
+type TakeLease struct {
+	ID      ForwardID
+	Engine  EngineID
+	Address string
+	Tokens  Tokens
+	TTL     time.Duration
+}
+
+// DropLease gives a reservation back. It is not tied to a live request.
+type DropLease struct {
+	Engine  EngineID
+	Address string
+	Lease   LeaseID
+}
+
+// ReadPrompt has a prompt read at a prefill engine.
+type ReadPrompt struct {
+	ID      ForwardID
+	Engine  EngineID
+	Address string
+	Timeout time.Duration
+}
+
+// FreeHandle frees a KV cache that nobody will take. It is not tied to a live
+// request.
+type FreeHandle struct {
+	Engine  EngineID
+	Address string
+	Handle  HandleID
+}
+
+// RunForward sends the request to an upstream that runs it. It ends an earlier
+// run of the same request.
+type RunForward struct {
+	ID      ForwardID
+	Engine  EngineID
+	Address string
+	// Source and Handle name the engine that read the prompt; empty if none.
+	Source string
+	Handle HandleID
+	Lease  LeaseID
+	// Patience is how long the caller still waits.
+	Patience time.Duration
+	// FreshConnection asks for a connection that carried nothing before.
+	FreshConnection bool
+	// StallAfter is the longest pause between events before the run counts as
+	// failed; zero waits for as long as the caller does.
+	StallAfter time.Duration
+}
+
+// RelayFailure passes on the upstream's own failure answer, which the runtime
+// kept when it reported StepFailed with a Status.
+type RelayFailure struct{ ID ForwardID }
+
+// EndForward ends a request without a whole answer. If part of the answer has
+// gone to the caller, its connection is broken off.
+type EndForward struct {
+	ID     ForwardID
+	Reason RefusalReason
+	// NotRun says that no upstream ran the request or will.
+	NotRun     bool
+	RetryAfter time.Duration
+}
+
+func (Forward) isMessage()          {}
+func (ForwardGone) isMessage()      {}
+func (LeaseGranted) isMessage()     {}
+func (PromptRead) isMessage()       {}
+func (StepRefused) isMessage()      {}
+func (StepFailed) isMessage()       {}
+func (ForwardAnswering) isMessage() {}
+func (ForwardEnded) isMessage()     {}
+func (DesiredState) isMessage()     {}
+func (InstanceList) isMessage()     {}
+
+func (TakeLease) isCommand()    {}
+func (DropLease) isCommand()    {}
+func (ReadPrompt) isCommand()   {}
+func (FreeHandle) isCommand()   {}
+func (RunForward) isCommand()   {}
+func (RelayFailure) isCommand() {}
+func (EndForward) isCommand()   {}
+
+func (TakeLease) isForwardCommand()    {}
+func (DropLease) isForwardCommand()    {}
+func (ReadPrompt) isForwardCommand()   {}
+func (FreeHandle) isForwardCommand()   {}
+func (RunForward) isForwardCommand()   {}
+func (RelayFailure) isForwardCommand() {}
+func (EndForward) isForwardCommand()   {}
--- a/core/membership.go
+++ b/core/membership.go
@@ -62,6 +62,10 @@
 	// settled is set once every live node should have been heard of.
 	settled bool
 
+	// widest is the largest number of nodes that the VM list has shown, with
+	// this one. Shares of a common budget are cut by it, because nodes that
+	// cannot be seen may still spend theirs.
+	widest         int
 	own            NodeID
 	ownIncarnation Incarnation
 	// pendingChange is set while a call of the owner's reconcile is due.
--- a/core/membership_list.go
+++ b/core/membership_list.go
@@ -19,6 +19,9 @@
 }
 
 func (l *vmListState) start(n *Node) {
+	if n.Hosted {
+		return
+	}
 	n.do(ReadVMList{})
 	n.every(n.Settings.VMListEvery, func(n *Node) { l.refresh(n) })
 }
@@ -54,8 +57,11 @@
 			s.known[node.ID] = node
 		}
 	}
+	s.widest = max(s.widest, len(s.known)+1)
 	s.propose(n)
-	n.config.begin(n)
+	if !n.Hosted {
+		n.config.begin(n)
+	}
 	return !before.have || !slices.Equal(before.list.Upstreams, s.list.list.Upstreams)
 }
 
--- a/core/node.go
+++ b/core/node.go
@@ -19,6 +19,9 @@
 	Settings Settings
 	// Policy selects how requests are placed; the zero value is the product's.
 	Policy Policy
+	// Hosted nodes get the desired state and the upstreams whole from the
+	// platform's store, and keep no log of their own.
+	Hosted bool
 
 	now Instant
 	// resumedAt is when the node last came back from a pause.
@@ -41,6 +44,7 @@
 	orders  orders
 	entry   entry
 	owner   owner
+	forward forwards
 	checks  checks
 }
 
@@ -71,11 +75,15 @@
 	n.releases = make(map[releaseKey]time.Duration)
 	n.holds = make(map[releaseKey]struct{})
 	n.members.start(n)
+	n.entry.start(n)
+	n.owner.start(n)
+	n.forward.start()
+	if n.Hosted {
+		return
+	}
 	n.config.start(n)
 	n.once.start(n)
 	n.orders.start(n)
-	n.entry.start(n)
-	n.owner.start(n)
 }
 
 // PeerAddress returns where another node takes connections from its peers.
@@ -166,6 +174,28 @@
 		n.addresses(m)
 	case StatusQuery:
 		n.do(AnswerStatus{Query: m.Query, Status: n.status()})
+	case RetriesChanged:
+		n.Settings.Retries = m.Retries
+	case DesiredState:
+		n.forward.desired(n, m)
+	case InstanceList:
+		n.forward.instances(n, m)
+	case Forward:
+		n.forward.request(n, m)
+	case ForwardGone:
+		n.forward.gone(n, m)
+	case LeaseGranted:
+		n.forward.leaseGranted(n, m)
+	case PromptRead:
+		n.forward.promptRead(n, m)
+	case StepRefused:
+		n.forward.refused(n, m)
+	case StepFailed:
+		n.forward.failed(n, m)
+	case ForwardAnswering:
+		n.forward.answering(n, m)
+	case ForwardEnded:
+		n.forward.ended(n, m)
 	case Shutdown:
 		n.shutdown()
 	case Peer:
--- a/core/settings.go
+++ b/core/settings.go
@@ -51,6 +51,11 @@
 	// update, as tests and randomised runs do. A daemon samples, because the
 	// cost of a check grows with the requests in progress.
 	CheckEvery time.Duration
+	// Retries bounds what all nodes together send beyond the first arrival of
+	// each forwarded request.
+	Retries RetryBudget
+	// AddressLifetime is how long callers may keep an answer with addresses.
+	AddressLifetime time.Duration
 }
 
 // DefaultSettings returns the settings that a node uses where none are given.
@@ -75,6 +80,8 @@
 		KeyWritersPerRegion: 8,
 		MaxQueue:            64,
 		CheckEvery:          time.Second,
+		Retries:             RetryBudget{Ratio: 0.1, Window: 10 * time.Second, Slack: 10},
+		AddressLifetime:     addressLifetime,
 	}
 }
 
@@ -99,5 +106,7 @@
 	s.OrderFlight = cmp.Or(s.OrderFlight, d.OrderFlight)
 	s.KeyWritersPerRegion = cmp.Or(s.KeyWritersPerRegion, d.KeyWritersPerRegion)
 	s.MaxQueue = cmp.Or(s.MaxQueue, d.MaxQueue)
+	s.Retries = cmp.Or(s.Retries, d.Retries)
+	s.AddressLifetime = cmp.Or(s.AddressLifetime, d.AddressLifetime)
 	return s
 }
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -30,5 +30,5 @@
 
 // idle reports whether nothing is left to finish.
 func (n *Node) idle() bool {
-	return len(n.entry.serving) == 0 && len(n.releases) == 0 && !n.once.busy()
+	return len(n.entry.serving) == 0 && len(n.releases) == 0 && !n.once.busy() && len(n.forward.live) == 0
 }
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -12,6 +12,12 @@
 	Log       Log
 	VMs       VMs
 	Operators Operators
+	Forwards  Forwards
+}
+
+// Forwards carries out the steps of opaque requests.
+type Forwards interface {
+	Do(c core.ForwardCommand)
 }
 
 // Callers ends callers' requests.
@@ -62,6 +68,8 @@
 
 func (e Executor) carryOut(n *core.Node, c core.Command) {
 	switch c := c.(type) {
+	case core.ForwardCommand:
+		e.Forwards.Do(c)
 	case core.SendPeer:
 		e.send(n, c)
 	case core.RefuseCaller:
--- a/daisyshed/main.go
+++ b/daisyshed/main.go
@@ -8,6 +8,7 @@
 
 	"daisyshed.dev/daisyshed/settings"
 	"daisyshed.dev/daisyshed/tcp"
+	"daisyshed.dev/platform"
 	"daisyshed.dev/wire/mutualtls"
 	wire "daisyshed.dev/wire/settings"
 	"github.com/jessevdk/go-flags"
@@ -34,7 +35,8 @@
 )
 
 type options struct {
-	Settings string `long:"settings" value-name:"FILE" description:"read settings from this YAML file" required:"true"`
+	Settings string `long:"settings" value-name:"FILE" description:"read settings from this YAML file"`
+	Hosted   bool   `long:"hosted" description:"run on the platform, with the settings file that DAISYSHED_SETTINGS names"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 }
 
@@ -59,6 +61,12 @@
 	if len(rest) > 0 {
 		return fail(&ExtraArgumentError{Argument: rest[0]})
 	}
+	if opts.Hosted {
+		return runHosted(opts.Check)
+	}
+	if opts.Settings == "" {
+		return fail(&MissingSettingsError{})
+	}
 	s, err := settings.Read(opts.Settings)
 	if err != nil {
 		return fail(err)
@@ -80,6 +88,14 @@
 // Error names the argument.
 func (e *ExtraArgumentError) Error() string { return "daisyshed: unknown argument " + e.Argument }
 
+// MissingSettingsError says that the command line names no settings.
+type MissingSettingsError struct{}
+
+// Error describes the fault.
+func (*MissingSettingsError) Error() string {
+	return "daisyshed: one of --settings FILE and --hosted is required"
+}
+
 func serve(s settings.Settings) int {
 	d, closeDaemon, err := openDaemon(s)
 	if err != nil {
@@ -99,13 +115,15 @@
 	var (
 		flagged  *flags.Error
 		extra    *ExtraArgumentError
+		missing  *MissingSettingsError
+		hosted   *platform.SettingsError
 		unread   *settings.ReadError
 		faults   wire.Faults
 		unusable *mutualtls.LoadError
 		inUse    *tcp.InUseError
 	)
 	switch {
-	case errors.As(err, &flagged), errors.As(err, &extra), errors.As(err, &unread), errors.As(err, &faults),
+	case errors.As(err, &flagged), errors.As(err, &extra), errors.As(err, &unread), errors.As(err, &missing), errors.As(err, &hosted), errors.As(err, &faults),
 		errors.As(err, &unusable):
 		return exitSettings
 	case errors.As(err, &inUse):
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	peerDropped   tally.Counter
 	peerFaults    tally.Counter
 	linesDropped  tally.Counter
+	firstBytes    tally.Histogram
+	totalTimes    tally.Histogram
 
 	prefilling prefills
 
@@ -110,6 +113,19 @@
 	m.peerDropped = m.scope.Counter("peer_messages_dropped_total")
 	m.peerFaults = m.scope.Counter("peer_faults_total")
 	m.linesDropped = m.scope.Counter("log_lines_dropped_total")
+	m.firstBytes = m.scope.Histogram("forward_first_bytes_seconds", latencyBuckets)
+	m.totalTimes = m.scope.Histogram("forward_seconds", latencyBuckets)
+}
+
+// latencyBuckets spans calls of a few milliseconds to long streams.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 14)
+
+// Forwarded notes the end of an opaque request: its status and its time, to
+// the first bytes and in all.
+func (m *Metrics) Forwarded(status int, first, total time.Duration) {
+	m.scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("forwards_total").Inc(1)
+	m.firstBytes.RecordDuration(first)
+	m.totalTimes.RecordDuration(total)
 }
 
 // Updated notes one update of the core and the time for which the control
--- a/daisyshed/settings/core.go
+++ b/daisyshed/settings/core.go
@@ -51,5 +51,7 @@
 		KeyWritersPerRegion: s.Limits.KeyWritersPerRegion,
 		MaxQueue:            s.Limits.Queue,
 		CheckEvery:          core.DefaultSettings().CheckEvery,
+		Retries:             core.DefaultSettings().Retries,
+		AddressLifetime:     core.DefaultSettings().AddressLifetime,
 	}
 }
