Change engines' roles by measured costs, under one claim at a time

Cause: a third of the engines read prompts where a fifth would do, so decode memory binds early. Claims are conditional appends; the offset is the fencing number; a node that met another's claim waits it out.

--- a/core/decision.go
+++ b/core/decision.go
@@ -33,6 +33,10 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Tokens     Tokens
+	// Expected and Output are the estimated and the actual length of an answer,
+	// where a stream has ended.
+	Expected Tokens
+	Output   Tokens
 	// Version is that of the desired state which the decision rests on.
 	Version int64
 }
--- a/core/desired.go
+++ b/core/desired.go
@@ -85,6 +85,9 @@
 	// HandleTTL is how long an engine keeps a prompt that was read for
 	// another engine.
 	HandleTTL time.Duration
+	// EventTokens is the number of tokens in one event of a stream; zero if
+	// unknown.
+	EventTokens Tokens
 	// RoleChange is how long an engine is away while it changes its role.
 	RoleChange time.Duration
 }
--- a/core/forward.go
+++ b/core/forward.go
@@ -38,6 +38,7 @@
 	prefill  *upstream
 	handle   HandleID
 	placedAt Instant
+	readAt   Instant
 
 	// runs counts the upstreams that may have run the request, and sends all
 	// that were asked to, also those that refused.
@@ -67,9 +68,13 @@
 	longest map[RouteID]time.Duration
 	// pumpDue is set while a later look at the queue is scheduled, inPump while
 	// one goes on.
-	pumpDue  bool
-	inPump   bool
-	counters ForwardCounters
+	pumpDue bool
+	inPump  bool
+	// announced is set once the node was ready, and askedAt is when a peer was
+	// last asked for the desired state.
+	announced bool
+	askedAt   Instant
+	counters  ForwardCounters
 }
 
 // ForwardCounters counts what became of forwarded requests, for metrics and
@@ -92,6 +97,7 @@
 	}
 	s.state, s.known = d, true
 	s.routes = newRouteTable(d.Routes)
+	s.announceReady(n)
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
 	}})
@@ -102,6 +108,8 @@
 func (s *forwards) instances(n *Node, list InstanceList) {
 	before := len(s.upstreams.byID)
 	s.upstreams.take(list)
+	n.roles.listed(n)
+	s.announceReady(n)
 	if before != len(list.Instances) {
 		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "upstreams", Tokens: Tokens(len(list.Instances))}})
 	}
@@ -173,9 +181,9 @@
 	return b
 }
 
-// mayRepeat takes one extra arrival from the budget.
-func (s *forwards) mayRepeat(n *Node, f *forwarded) bool {
-	return s.budget(f.spec.ID).take(n.now, n.Settings.Retries, n.members.widest)
+// mayRepeat takes extra arrivals from the budget.
+func (s *forwards) mayRepeat(n *Node, f *forwarded, arrivals int) bool {
+	return s.budget(f.spec.ID).take(n.now, arrivals, n.Settings.Retries, n.members.widest)
 }
 
 // mayRunAgain reports whether the request may be sent to one more upstream
@@ -256,7 +264,12 @@
 	if f.decode != nil {
 		f.decode.succeeded()
 	}
-	s.decide(n, f, "answered", NoReason)
+	d := s.decision(n, f, "answered", NoReason)
+	if engine, ok := f.spec.Engine.Get(); ok {
+		d.Expected = f.reserve() - f.prompt()
+		d.Output = Tokens(m.Events) * engine.EventTokens
+	}
+	n.do(LogDecision{Decision: d})
 	s.close(n, f)
 }
 
@@ -318,6 +331,11 @@
 
 // decide logs one decision on a request.
 func (s *forwards) decide(n *Node, f *forwarded, step string, reason RefusalReason) {
+	n.do(LogDecision{Decision: s.decision(n, f, step, reason)})
+}
+
+// decision returns the record of a decision on a request.
+func (s *forwards) decision(n *Node, f *forwarded, step string, reason RefusalReason) Decision {
 	d := Decision{
 		At: n.now, Node: n.Self.ID, Request: RequestID(f.Attempt), Attempt: Attempt(f.sends),
 		Profile: ProfileID(f.route.ID), Step: step, Reason: reason, Waited: f.waited(n.now),
@@ -329,5 +347,5 @@
 	if f.decode != nil {
 		d.Decode = f.decode.ID
 	}
-	n.do(LogDecision{Decision: d})
+	return d
 }
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -99,6 +99,8 @@
 type ForwardEnded struct {
 	ID     ForwardID
 	Engine EngineID
+	// Events is the number of events of a stream.
+	Events int
 }
 
 // ForwardCommand is the sealed set of commands about forwarded requests.
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -65,7 +65,7 @@
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
-		if f.runs >= f.route.MaxRuns || len(s.upstreams.byService[f.spec.ID]) < 2 || !s.mayRepeat(n, f) {
+		if f.runs >= f.route.MaxRuns || len(s.upstreams.byService[f.spec.ID]) < 2 || !s.mayRepeat(n, f, 1) {
 			return
 		}
 		f.decode.failed(n.now)
@@ -79,7 +79,7 @@
 func (s *forwards) plainRefused(n *Node, f *forwarded) {
 	f.runs--
 	s.release(n, f)
-	if f.sends < maxSends && s.mayRepeat(n, f) {
+	if f.sends < maxSends && s.mayRepeat(n, f, 1) {
 		s.counters.Retried++
 		s.runPlain(n, f)
 		return
@@ -92,7 +92,7 @@
 	f.failure = m.Status != 0
 	s.release(n, f)
 	again := s.mayRunAgain(f) && !f.emitted && f.sends < maxSends
-	if again && s.mayRepeat(n, f) {
+	if again && s.mayRepeat(n, f, 1) {
 		s.counters.Retried++
 		s.runPlain(n, f)
 		return
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -11,6 +11,12 @@
 	// fullFor is how long an engine that refused a lease is taken to be full;
 	// streams of other nodes end there meanwhile.
 	fullFor = 120 * time.Millisecond
+	// busyReaderFor is how long a prefill engine that refused a prompt is left
+	// alone: it is full, or changes its role.
+	busyReaderFor = time.Second
+	// rerunArrivals is what a stream that is run again costs of the retry
+	// budget: its prompt is read again too.
+	rerunArrivals = 2
 	// pumpEvery is the period at which waiting requests look for memory.
 	pumpEvery = 40 * time.Millisecond
 	// remoteRead is the cost, in prompt tokens, of a prefill engine in another
@@ -20,6 +26,8 @@
 	// outputGuess is the part of the bound on the output that is reserved
 	// where the caller gives no estimate.
 	outputGuess = 0.5
+	// outputMargin is the part of the estimated output that is reserved.
+	outputMargin = 1.15
 	// firstEventWait is how many objectives a resumable stream may stay
 	// without its first event before it is tried elsewhere.
 	firstEventWait = 1.5
@@ -86,7 +94,7 @@
 // reservations among those not known to be full.
 func (s *forwards) chooseDecode(n *Node, f *forwarded) *upstream {
 	skip := func(u *upstream) bool {
-		return u.Role != Decode || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID)
+		return n.roles.roleOf(n, u) != Decode || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID)
 	}
 	return cheapest(n, s.upstreams.byService[f.spec.ID], skip, func(u *upstream) float64 { return float64(u.tokens) })
 }
@@ -98,6 +106,7 @@
 	if out == 0 {
 		out = Tokens(outputGuess * float64(g.MaxOutput))
 	}
+	out = Tokens(outputMargin * float64(out))
 	if g.MaxOutput > 0 {
 		out = min(out, g.MaxOutput)
 	}
@@ -147,6 +156,7 @@
 	f.step++
 	f.reads++
 	f.prefill = u
+	f.readAt = n.now
 	u.requests++
 	u.reading += f.prompt()
 	s.decide(n, f, "place", NoReason)
@@ -162,7 +172,7 @@
 // prompts, near the decode engine where that costs no queue.
 func (s *forwards) choosePrefill(n *Node, f *forwarded) *upstream {
 	skip := func(u *upstream) bool {
-		return u.Role != Prefill || u.avoidUntil > n.now || f.tried.Has(u.ID)
+		return n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID)
 	}
 	return cheapest(n, s.upstreams.byService[f.spec.ID], skip, func(u *upstream) float64 {
 		cost := float64(u.reading)
@@ -173,6 +183,13 @@
 	})
 }
 
+// progress passes on a stream's pace.
+func (s *forwards) progress(n *Node, m ForwardProgress) {
+	if f, ok := s.live[m.ID]; ok {
+		n.roles.progress(n, f, m)
+	}
+}
+
 // promptRead runs the request at its decode engine.
 func (s *forwards) promptRead(n *Node, m PromptRead) {
 	f, ok := s.live[m.ID]
@@ -183,6 +200,7 @@
 		return
 	}
 	f.prefill.succeeded()
+	n.roles.promptRead(f, n.now.Sub(f.readAt))
 	f.handle = m.Handle
 	s.runStream(n, f)
 }
@@ -225,7 +243,7 @@
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
-		if f.runs >= f.route.MaxRuns || !s.mayRepeat(n, f) {
+		if f.runs >= f.route.MaxRuns || !s.mayRepeat(n, f, rerunArrivals) {
 			return
 		}
 		f.decode.failed(n.now)
@@ -259,10 +277,11 @@
 		s.readElsewhere(n, f)
 	case RunStep:
 		f.runs--
-		f.tried.Remove(f.decode.ID)
-		if f.sends < maxSends && s.mayRepeat(n, f) {
+		u := f.decode
+		if f.sends < maxSends && s.mayRepeat(n, f, rerunArrivals) {
 			s.counters.Retried++
 			s.release(n, f)
+			u.fullUntil = n.now.Add(n.jitter(busyReaderFor))
 			s.enqueue(n, f)
 			return
 		}
@@ -276,8 +295,9 @@
 		return
 	}
 	f.tried.Add(f.prefill.ID)
+	f.prefill.fullUntil = n.now.Add(n.jitter(busyReaderFor))
 	s.leavePrefill(f)
-	if f.reads < maxSends && s.mayRepeat(n, f) {
+	if f.reads < maxSends && s.mayRepeat(n, f, 1) {
 		s.counters.Retried++
 		s.readPrompt(n, f)
 		return
@@ -297,7 +317,7 @@
 		s.readElsewhere(n, f)
 	case RunStep:
 		f.failure = m.Status != 0
-		if s.mayRunAgain(f) && f.sends < maxSends && s.mayRepeat(n, f) {
+		if s.mayRunAgain(f) && f.sends < maxSends && s.mayRepeat(n, f, rerunArrivals) {
 			s.again(n, f)
 			return
 		}
--- a/core/instance.go
+++ b/core/instance.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// InstanceAddress returns where an instance takes requests; empty if it is not
+// known.
+func (n *Node) InstanceAddress(id EngineID) string {
+	if u, ok := n.forward.upstreams.byID[id]; ok {
+		return u.Address
+	}
+	return ""
+}
+
 // upstreams is the view of all instances.
 type upstreams struct {
 	byID      map[EngineID]*upstream
--- a/core/membership_detector.go
+++ b/core/membership_detector.go
@@ -73,7 +73,7 @@
 func (d *detector) send(n *Node, to NodeID) uint64 {
 	d.sequence++
 	n.send(to, Heartbeat{
-		Sequence: d.sequence, Updates: n.members.updates(n, to), ConfigOffset: n.config.folded.Offset(),
+		Sequence: d.sequence, Updates: n.members.updates(n, to), ConfigOffset: n.stateOffset(),
 	})
 	return d.sequence
 }
@@ -127,11 +127,11 @@
 
 func (s *members) heartbeat(n *Node, from NodeID, m Heartbeat) {
 	s.take(n, m.Updates)
-	n.config.hear(n, from, m.ConfigOffset)
+	n.hearState(from, m.ConfigOffset)
 	s.noteOffset(from, m.ConfigOffset)
 	n.send(from, HeartbeatAck{
 		Sequence: m.Sequence, OnBehalfOf: m.OnBehalfOf, Updates: s.updates(n, from),
-		ConfigOffset: n.config.folded.Offset(), Spare: n.spare(),
+		ConfigOffset: n.stateOffset(), Spare: n.spare(),
 	})
 }
 
@@ -141,7 +141,7 @@
 		n.send(m.OnBehalfOf, m)
 		return
 	}
-	n.config.hear(n, from, m.ConfigOffset)
+	n.hearState(from, m.ConfigOffset)
 	s.answered(from, m)
 }
 
@@ -175,7 +175,7 @@
 func (s *members) relay(n *Node, from NodeID, m HeartbeatRequest) {
 	n.send(m.Target, Heartbeat{
 		Sequence: m.Sequence, OnBehalfOf: from,
-		Updates: s.updates(n, m.Target), ConfigOffset: n.config.folded.Offset(),
+		Updates: s.updates(n, m.Target), ConfigOffset: n.stateOffset(),
 	})
 }
 
--- a/core/node.go
+++ b/core/node.go
@@ -45,6 +45,7 @@
 	entry   entry
 	owner   owner
 	forward forwards
+	roles   roles
 	checks  checks
 }
 
@@ -79,6 +80,7 @@
 	n.owner.start(n)
 	n.forward.start()
 	if n.Hosted {
+		n.roles.start(n)
 		return
 	}
 	n.config.start(n)
@@ -174,6 +176,12 @@
 		n.addresses(m)
 	case StatusQuery:
 		n.do(AnswerStatus{Query: m.Query, Status: n.status()})
+	case OrdersClaimed:
+		n.roles.claimed(n, m)
+	case OrdersNotClaimed:
+		n.roles.notClaimed(n, m)
+	case ForwardProgress:
+		n.forward.progress(n, m)
 	case RetriesChanged:
 		n.Settings.Retries = m.Retries
 	case DesiredState:
@@ -246,6 +254,12 @@
 		n.owner.holderAnswer(n, m.From, b)
 	case MoveAway:
 		n.entry.moveAway(n, b)
+	case RolesOrdered:
+		n.roles.rolesOrdered(n, b)
+	case StateQuery:
+		n.forward.stateQuery(n, m.From)
+	case StateAnswer:
+		n.forward.stateAnswer(n, b)
 	}
 }
 
--- a/core/retry_budget.go
+++ b/core/retry_budget.go
@@ -29,14 +29,16 @@
 	b.requests = append(b.requests, now)
 }
 
-// take notes one extra arrival if the share has room for it.
-func (b *repeatBudget) take(now Instant, limit RetryBudget, nodes int) bool {
+// take notes extra arrivals if the share has room for all of them.
+func (b *repeatBudget) take(now Instant, arrivals int, limit RetryBudget, nodes int) bool {
 	b.trim(now, limit.Window)
 	room := budgetMargin * (limit.Ratio*float64(len(b.requests)) + limit.Slack/float64(max(nodes, 1)))
-	if float64(len(b.extras)+1) > room {
+	if float64(len(b.extras)+arrivals) > room {
 		return false
 	}
-	b.extras = append(b.extras, now)
+	for range arrivals {
+		b.extras = append(b.extras, now)
+	}
 	return true
 }
 
--- /dev/null
+++ b/core/roles.go
@@ -0,0 +1,322 @@
+package core
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// rolesEvery is the period at which the roles of engines are looked at.
+	rolesEvery = 500 * time.Millisecond
+	// rolesSamples is how many prompts and streams must have been measured
+	// before roles are changed.
+	rolesSamples = 3
+	// sampleWeight is the number of samples over which costs are averaged.
+	sampleWeight = 8
+	// bestDrift is the part by which the lowest value rises to each later one,
+	// so that an engine that became slower is noticed.
+	bestDrift = 0.02
+	// readHeadroom is the capacity to read prompts that is kept beyond the
+	// mean need: prompts arrive in clumps, and a prompt that waits delays a
+	// stream whose memory is reserved already.
+	readHeadroom = 1.5
+	// readShortage is the factor on the mean need below which a decode engine
+	// is made a prefill engine. It is lower than readHeadroom, so that engines
+	// do not change to and fro.
+	readShortage = 1.1
+	// minReaders keeps one prefill engine when another dies, in services with
+	// enough engines.
+	minReaders       = 2
+	enoughForReaders = 6
+	// changeEvery is the least time between two changes by one holder: the
+	// costs have to show the effect of the first.
+	changeEvery = 8 * time.Second
+	// claimValid is how long after its claim was sent a holder may give orders.
+	claimValid = 1500 * time.Millisecond
+	// claimMargin is added to the lease before another node claims: clocks of
+	// machines run apart, and orders take time to arrive.
+	claimMargin = 1500 * time.Millisecond
+	// orderSettles is how long after an order its engine is left alone: an
+	// unanswered order may be carried out many seconds later.
+	orderSettles = 16 * time.Second
+)
+
+// ClaimOrders asks the store for the right to order engines about: a record
+// appended only if the claims end at At, so that no two nodes get it.
+type ClaimOrders struct {
+	Ticket Ticket
+	At     Offset
+}
+
+// OrdersClaimed confirms a claim. Its offset makes the fencing number.
+type OrdersClaimed struct {
+	Ticket Ticket
+	Offset Offset
+}
+
+// OrdersNotClaimed says that a claim failed. Known is set if the store said
+// where the claims end, which is then End.
+type OrdersNotClaimed struct {
+	Ticket Ticket
+	Known  bool
+	End    Offset
+}
+
+// ForwardProgress reports the pace of a stream once, some events after the
+// first.
+type ForwardProgress struct {
+	ID     ForwardID
+	Events int
+	// Took is the time from the first event to the last counted.
+	Took time.Duration
+}
+
+func (ClaimOrders) isCommand()      {}
+func (OrdersClaimed) isMessage()    {}
+func (OrdersNotClaimed) isMessage() {}
+func (ForwardProgress) isMessage()  {}
+
+// sample is a running mean.
+type sample struct {
+	mean  float64
+	count int
+}
+
+func (s *sample) add(v float64) {
+	s.count++
+	s.mean += (v - s.mean) / float64(min(s.count, sampleWeight))
+}
+
+// best is the lowest of recent values: the cost without the waits that others
+// cause, which no node sees by itself.
+type best struct {
+	low   float64
+	count int
+}
+
+func (b *best) add(v float64) {
+	b.count++
+	if b.count == 1 || v < b.low {
+		b.low = v
+		return
+	}
+	b.low += (v - b.low) * bestDrift
+}
+
+// engineCosts are the measured costs of a service's requests.
+type engineCosts struct {
+	// readSeconds is a prefill engine's time for a prompt, and holdSeconds the
+	// time for which a request holds the whole memory of a decode engine: its
+	// share of the memory times its duration.
+	readSeconds best
+	holdSeconds sample
+	// tokenSeconds is the time for an output token.
+	tokenSeconds sample
+}
+
+// readers returns how many of total engines should read prompts, with a
+// headroom: prefill and decode engines are then as busy as each other.
+func (c *engineCosts) readers(total int, headroom float64) int {
+	read := headroom * c.readSeconds.low
+	share := read / (read + c.holdSeconds.mean)
+	least := 1
+	if total >= enoughForReaders {
+		least = minReaders
+	}
+	return min(max(int(math.Ceil(share*float64(total)-0.5)), least), total-1)
+}
+
+// roles keeps the engines of each service divided between prefill and decode
+// as the measured costs ask. The platform starts them with a fixed division;
+// where decode memory binds, prefill engines beyond the need are wasted, and
+// where prefill engines die, prompts wait while memory is reserved for them.
+//
+// One node gives all orders at a time, by a claim in the store: engines do not
+// check who orders them. The claim is a conditional append, valid for
+// claimValid from when it was sent. A node whose append met another's claim
+// waits for that claim, a lease and a margin before it tries again.
+type roles struct {
+	costs map[ServiceID]*engineCosts
+	// end is where the claims end as far as this node knows.
+	end       Offset
+	ticket    Ticket
+	claiming  bool
+	sentAt    Instant
+	notBefore Instant
+	// ordered holds when engines were ordered, and to which role.
+	ordered map[EngineID]roleOrder
+}
+
+type roleOrder struct {
+	role Role
+	at   Instant
+}
+
+func (s *roles) start(n *Node) {
+	s.costs = map[ServiceID]*engineCosts{}
+	s.ordered = map[EngineID]roleOrder{}
+	n.every(rolesEvery, func(n *Node) { s.look(n) })
+}
+
+func (s *roles) cost(id ServiceID) *engineCosts {
+	c, ok := s.costs[id]
+	if !ok {
+		c = &engineCosts{}
+		s.costs[id] = c
+	}
+	return c
+}
+
+// promptRead notes how long a prompt took.
+func (s *roles) promptRead(f *forwarded, took time.Duration) {
+	s.cost(f.spec.ID).readSeconds.add(took.Seconds())
+}
+
+// progress notes a stream's pace, and from it for how long its request will
+// hold memory.
+func (s *roles) progress(n *Node, f *forwarded, m ForwardProgress) {
+	engine, ok := f.spec.Engine.Get()
+	if !ok || engine.Memory == 0 || m.Events < 2 {
+		return
+	}
+	c := s.cost(f.spec.ID)
+	c.tokenSeconds.add(m.Took.Seconds() / float64(Tokens(m.Events-1)*max(engine.EventTokens, 1)))
+	duration := n.forward.pipeline.Seconds() + c.tokenSeconds.mean*float64(f.reserve()-f.prompt())
+	c.holdSeconds.add(duration * float64(f.reserve()) / float64(engine.Memory))
+}
+
+// look claims the right to give orders if some service's roles are off. One
+// node does so for all, the first of those it believes alive, so that nodes do
+// not meet at the store.
+func (s *roles) look(n *Node) {
+	if s.claiming || n.now < s.notBefore || n.leaving || !n.first() || len(s.plan(n)) == 0 {
+		return
+	}
+	s.claiming = true
+	s.ticket = n.nextTicket()
+	s.sentAt = n.now
+	n.do(ClaimOrders{Ticket: s.ticket, At: s.end})
+}
+
+// first reports whether this node is the first of those it believes alive.
+func (n *Node) first() bool {
+	for id, m := range n.members.byID {
+		if m.serving() && m.status == Alive && id < n.Self.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// plan returns the orders that bring the roles of all services to what their
+// costs ask.
+func (s *roles) plan(n *Node) []Order {
+	var orders []Order
+	for _, id := range sortedKeys(s.costs) {
+		c := s.costs[id]
+		if c.readSeconds.count < rolesSamples || c.holdSeconds.count < rolesSamples {
+			continue
+		}
+		orders = append(orders, s.planService(n, id, c)...)
+	}
+	return orders
+}
+
+func (s *roles) planService(n *Node, id ServiceID, c *engineCosts) []Order {
+	var readers, decoders []*upstream
+	for _, u := range n.forward.upstreams.byService[id] {
+		if !u.usable() {
+			continue
+		}
+		if s.roleOf(n, u) == Prefill {
+			readers = append(readers, u)
+		} else {
+			decoders = append(decoders, u)
+		}
+	}
+	total := len(readers) + len(decoders)
+	if total < 2 {
+		return nil
+	}
+	if surplus := len(readers) - c.readers(total, readHeadroom); surplus > 0 {
+		return s.change(n, readers, Decode, surplus)
+	}
+	if shortage := c.readers(total, readShortage) - len(readers); shortage > 0 {
+		return s.change(n, decoders, Prefill, shortage)
+	}
+	return nil
+}
+
+// roleOf returns the role that an engine has, or will have once its order is
+// carried out.
+func (s *roles) roleOf(n *Node, u *upstream) Role {
+	if o, ok := s.ordered[u.ID]; ok && n.now.Sub(o.at) < orderSettles {
+		return o.role
+	}
+	return u.Role
+}
+
+// change chooses engines to change, from the failure domains that have most of
+// them, so that each domain keeps both roles as far as possible.
+func (s *roles) change(n *Node, from []*upstream, to Role, count int) []Order {
+	var orders []Order
+	taken := Set[EngineID]{}
+	for range count {
+		perDomain := map[DomainID]int{}
+		for _, u := range from {
+			if !taken.Has(u.ID) {
+				perDomain[u.Domain]++
+			}
+		}
+		var best *upstream
+		for _, u := range from {
+			if _, settling := s.ordered[u.ID]; taken.Has(u.ID) || settling && n.now.Sub(s.ordered[u.ID].at) < orderSettles {
+				continue
+			}
+			if best == nil || perDomain[u.Domain] > perDomain[best.Domain] {
+				best = u
+			}
+		}
+		if best == nil {
+			return orders
+		}
+		taken.Add(best.ID)
+		orders = append(orders, Order{Engine: best.ID, Kind: SetRole, Role: to})
+	}
+	return orders
+}
+
+// claimed gives the orders that are due, if the claim is fresh: after a pause
+// of this node its lease may be over.
+func (s *roles) claimed(n *Node, m OrdersClaimed) {
+	if !s.claiming || m.Ticket != s.ticket {
+		return
+	}
+	s.claiming = false
+	s.end = m.Offset + 1
+	s.notBefore = n.now.Add(changeEvery)
+	if n.now.Sub(s.sentAt) > claimValid || n.resumedAt > s.sentAt {
+		return
+	}
+	orders := s.plan(n)
+	s.tell(n, orders)
+	for _, o := range orders {
+		o.Fencing = m.Offset + 1
+		s.note(n, o)
+		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "order", Decode: o.Engine, Tokens: Tokens(o.Role)}})
+		n.do(SendOrder{Order: o})
+	}
+}
+
+// notClaimed waits until whoever claimed has finished. A claim without an
+// answer may be in the log too.
+func (s *roles) notClaimed(n *Node, m OrdersNotClaimed) {
+	if !s.claiming || m.Ticket != s.ticket {
+		return
+	}
+	s.claiming = false
+	if m.Known {
+		s.end = m.End
+	}
+	s.notBefore = n.now.Add(claimValid + n.Settings.OrderLease + claimMargin)
+}
--- a/core/settings.go
+++ b/core/settings.go
@@ -54,6 +54,9 @@
 	// Retries bounds what all nodes together send beyond the first arrival of
 	// each forwarded request.
 	Retries RetryBudget
+	// OrderLease is how long the holder of orders keeps its right: no two nodes
+	// give orders within it of each other.
+	OrderLease time.Duration
 	// AddressLifetime is how long callers may keep an answer with addresses.
 	AddressLifetime time.Duration
 }
@@ -81,6 +84,7 @@
 		MaxQueue:            64,
 		CheckEvery:          time.Second,
 		Retries:             RetryBudget{Ratio: 0.1, Window: 10 * time.Second, Slack: 10},
+		OrderLease:          5 * time.Second,
 		AddressLifetime:     addressLifetime,
 	}
 }
@@ -107,6 +111,7 @@
 	s.KeyWritersPerRegion = cmp.Or(s.KeyWritersPerRegion, d.KeyWritersPerRegion)
 	s.MaxQueue = cmp.Or(s.MaxQueue, d.MaxQueue)
 	s.Retries = cmp.Or(s.Retries, d.Retries)
+	s.OrderLease = cmp.Or(s.OrderLease, d.OrderLease)
 	s.AddressLifetime = cmp.Or(s.AddressLifetime, d.AddressLifetime)
 	return s
 }
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -13,11 +13,23 @@
 	VMs       VMs
 	Operators Operators
 	Forwards  Forwards
+	Host      Host
+}
+
+// Host is what a hosted node asks of its runtime.
+type Host interface {
+	// Claim asks the platform's store for the right to give orders.
+	Claim(c core.ClaimOrders)
+	// Adopt decodes a desired state that came from a peer.
+	Adopt(c core.AdoptState)
+	// Ready makes the node count as ready.
+	Ready()
 }
 
 // Forwards carries out the steps of opaque requests.
 type Forwards interface {
 	Do(c core.ForwardCommand)
+	Order(address string, c core.SendOrder)
 }
 
 // Callers ends callers' requests.
@@ -88,6 +100,12 @@
 		e.Log.Append(c)
 	case core.ReadLog:
 		e.Log.Read(c)
+	case core.ClaimOrders:
+		e.Host.Claim(c)
+	case core.AdoptState:
+		e.Host.Adopt(c)
+	case core.NodeReady:
+		e.Host.Ready()
 	case core.ReadVMList:
 		e.VMs.Read()
 	default:
@@ -119,6 +137,10 @@
 	case core.PollEngine:
 		e.Engines.Poll(address(c.Engine), c)
 	case core.SendOrder:
+		if n.Hosted {
+			e.Forwards.Order(n.InstanceAddress(c.Order.Engine), c)
+			return
+		}
 		e.Engines.Order(address(c.Order.Engine), c)
 	case core.CallService:
 		e.Services.Call(address(c.Engine), c)
--- a/daisyshed/directory/server.go
+++ b/daisyshed/directory/server.go
@@ -27,8 +27,7 @@
 	Send func(core.Message)
 
 	leaving atomic.Bool
-	desired atomic.Bool
-	listed  atomic.Bool
+	ready   atomic.Bool
 	last    atomic.Uint64
 	mu      sync.Mutex
 	waiting map[core.CallID]chan core.AnswerAddresses
@@ -37,22 +36,14 @@
 // Leave makes the node count as not ready from now on.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Note takes in what makes the node ready: a desired state and a list of
-// upstreams.
-func (s *Server) Note(m core.Message) {
-	switch m.(type) {
-	case core.DesiredState:
-		s.desired.Store(true)
-	case core.InstanceList:
-		s.listed.Store(true)
-	}
-}
+// SetReady makes the node count as ready until it leaves.
+func (s *Server) SetReady() { s.ready.Store(true) }
 
 // Ready returns the handler of readiness checks.
 func (s *Server) Ready() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if s.leaving.Load() || !s.desired.Load() || !s.listed.Load() {
+		if s.leaving.Load() || !s.ready.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -108,7 +108,7 @@
 	h.metrics = metrics
 	inbox, closeInbox := control.OpenInbox(hostedInbox)
 	h.inbox = inbox
-	h.build(core.Incarnation(started.UnixNano()), control.MonotonicClock(started))
+	h.build(core.Incarnation(started.UnixNano()), control.BootClock())
 	return h, func() {
 		closeInbox()
 		h.peers.Close()
@@ -128,15 +128,27 @@
 func (h *hosted) build(incarnation core.Incarnation, clock func() core.Instant) {
 	s := h.settings
 	h.upstreams = &upstream.Client{DialTimeout: hostedDial}
-	h.ingress = &ingress.Server{Upstreams: h.upstreams, Send: h.inbox.Send, Log: h.log, Meter: h.metrics}
+	h.ingress = &ingress.Server{Upstreams: h.upstreams, Send: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node}
 	h.directory = &directory.Server{Send: h.inbox.Send}
 	h.peers = h.transport(incarnation)
 	h.operators = &operator.Server{
 		Log: h.log, Metrics: h.metrics, Decisions: operator.NewDecisions(hostedDecisions),
 		Send: h.inbox.Send, StatusEvery: time.Second, WatchEvery: time.Second, WriteTimeout: peerWrite,
 	}
+	h.watcher = &store.Watcher{
+		Store: &platform.Store{
+			Address: s.Store, Timeout: storeTimeout,
+			HTTP: &http.Client{Transport: &http.Transport{
+				DialContext:        (&net.Dialer{Timeout: hostedDial}).DialContext,
+				DisableCompression: true, MaxIdleConnsPerHost: 4,
+			}},
+		},
+		Send: h.take, Log: h.log, Self: h.self(),
+		StateDelay: s.Bounds.StateDelay, DrainDelay: s.Bounds.DrainDelay,
+	}
 	settings := core.DefaultSettings()
 	settings.Retries = s.Bounds.Retries
+	settings.OrderLease = s.Bounds.Lease
 	settings.AddressLifetime = min(s.Bounds.AddressLifetime, directory.Lifetime)
 	h.loop = &control.Loop{
 		Node: &core.Node{
@@ -145,24 +157,35 @@
 		Inbox: h.inbox, Clock: clock, Observer: h.metrics,
 		Executor: control.Executor{
 			Callers: h.directory, Peers: h.peers, Operators: h.operators, Forwards: h.ingress,
-			VMs: noList{}, Log: noLog{},
-		},
-	}
-	h.watcher = &store.Watcher{
-		Store: &platform.Store{
-			Address: s.Store, Timeout: storeTimeout,
-			HTTP: &http.Client{Transport: &http.Transport{
-				DialContext:        (&net.Dialer{Timeout: hostedDial}).DialContext,
-				DisableCompression: true, MaxIdleConnsPerHost: 4,
-			}},
+			VMs: noList{}, Log: noLog{}, Host: host{h},
 		},
-		Send: h.take, Log: h.log, Self: h.self(),
-		StateDelay: s.Bounds.StateDelay, DrainDelay: s.Bounds.DrainDelay,
 	}
 	h.front = h.server(h.ingress)
 	h.front.MaxHeaderBytes = hostedHeaderBytes
 }
 
+// host carries out what the core asks of the runtime.
+type host struct{ *hosted }
+
+// Claim asks the store for the right to give orders.
+func (h host) Claim(c core.ClaimOrders) { h.watcher.Claim(c) }
+
+// Adopt decodes a desired state that came from a peer. It does not block.
+func (h host) Adopt(c core.AdoptState) {
+	go func() {
+		d, err := platform.DecodeDesired(c.Record, c.Offset)
+		if err != nil {
+			h.log.Error().Str("Event", "Unreadable").Int64("Offset", int64(c.Offset)).Err(err).Send()
+			return
+		}
+		h.log.Info().Str("Event", "Adopted").Int64("Version", d.Version).Send()
+		h.take(d)
+	}()
+}
+
+// Ready makes the node count as ready.
+func (h host) Ready() { h.directory.SetReady() }
+
 // noList and noLog stand for the VM list and the log of unhosted deployments.
 type (
 	noList struct{}
@@ -179,7 +202,6 @@
 	if d, ok := m.(core.DesiredState); ok {
 		h.ingress.LimitBodies(d.Limits.BodyBytes)
 	}
-	h.directory.Note(m)
 	h.inbox.Send(m)
 }
 
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -42,7 +42,10 @@
 	// the last event that did.
 	started bool
 	event   string
+	events  int
 	firstAt time.Time
+	// paceAt is when the first event came, from which the pace is measured.
+	paceAt time.Time
 }
 
 // kept is an answer that was read whole.
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -21,6 +21,8 @@
 	// commandQueue bounds the commands that wait for one request's goroutine.
 	// The core gives one at a time and an end.
 	commandQueue = 16
+	// orderTimeout bounds an order to an engine.
+	orderTimeout = time.Second
 	// releaseTimeout bounds a call that gives memory back.
 	releaseTimeout = time.Second
 	// leaseTimeout bounds a call that reserves memory. An engine answers at
@@ -34,6 +36,8 @@
 	Send      func(core.Message)
 	Log       zerolog.Logger
 	Meter     Meter
+	// Node is the name under which orders are given.
+	Node core.NodeID
 
 	last    atomic.Uint64
 	closing atomic.Bool
@@ -152,6 +156,23 @@
 	}
 }
 
+// Order gives an engine an order. The claim that allows it runs out soon, so
+// neither does the call outlast it nor is it repeated.
+func (s *Server) Order(address string, c core.SendOrder) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		call, err := platform.OrderCall(c.Order, s.Node)
+		if err != nil {
+			s.Log.Error().Str("Event", "Order").Err(err).Send()
+			return
+		}
+		status, _, err := s.call(ctx, c.Order.Engine, address, call)
+		s.Log.Info().Str("Event", "Ordered").Str("Engine", string(c.Order.Engine)).
+			Str("Role", c.Order.Role.String()).Int64("Fencing", int64(c.Order.Fencing)).Int("Status", status).Err(err).Send()
+	}()
+}
+
 // release gives memory back at an engine. What cannot be given back expires by
 // itself.
 func (s *Server) release(id core.EngineID, address string, c platform.Call) {
--- /dev/null
+++ b/daisyshed/store/claim.go
@@ -0,0 +1,28 @@
+package store
+
+import (
+	"context"
+	"errors"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/platform"
+)
+
+// Claim asks the store for the right to give orders, without blocking.
+func (w *Watcher) Claim(c core.ClaimOrders) {
+	go func() {
+		err := w.Store.Claim(context.Background(), w.Self.ID, c.At)
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			w.Log.Info().Str("Event", "OrdersClaimed").Int64("Offset", int64(c.At)).Send()
+			w.Send(core.OrdersClaimed{Ticket: c.Ticket, Offset: c.At})
+		case errors.As(err, &conflict):
+			w.Log.Info().Str("Event", "OrdersNotClaimed").Int64("Offset", int64(c.At)).Int64("End", int64(conflict.End)).Send()
+			w.Send(core.OrdersNotClaimed{Ticket: c.Ticket, Known: true, End: conflict.End})
+		default:
+			w.Log.Warn().Str("Event", "OrdersNotClaimed").Int64("Offset", int64(c.At)).Err(err).Send()
+			w.Send(core.OrdersNotClaimed{Ticket: c.Ticket})
+		}
+	}()
+}
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -29,7 +29,27 @@
 	},
 	"ConfigQuery":  func(t *rapid.T) core.PeerBody { return core.ConfigQuery{After: offset(t, "after")} },
 	"ConfigAnswer": configAnswer,
-	"VMListQuery":  func(*rapid.T) core.PeerBody { return core.VMListQuery{} },
+	"RolesOrdered": func(t *rapid.T) core.PeerBody {
+		return core.RolesOrdered{Orders: list(t, "orders", func(t *rapid.T) core.Order {
+			return core.Order{Engine: text[core.EngineID](t, "engine"), Kind: core.SetRole, Role: enum(t, "role", core.Plain), Fencing: offset(t, "fencing")}
+		})}
+	},
+	"StateQuery": func(*rapid.T) core.PeerBody { return core.StateQuery{} },
+	"StateAnswer": func(t *rapid.T) core.PeerBody {
+		return core.StateAnswer{
+			Offset: offset(t, "offset"),
+			Record: rapid.SliceOfN(rapid.Byte(), 1, 9).Draw(t, "record"),
+			Instances: core.InstanceList{Offset: offset(t, "instances"), Instances: list(t, "list", func(t *rapid.T) core.Instance {
+				return core.Instance{
+					ID: text[core.EngineID](t, "id"), Service: text[core.ServiceID](t, "service"),
+					Domain: text[core.DomainID](t, "domain"), Address: text[string](t, "address"),
+					Born: rapid.Int64().Draw(t, "born"), Slots: rapid.IntRange(0, 99).Draw(t, "slots"),
+					Draining: rapid.Bool().Draw(t, "draining"), Role: enum(t, "role", core.Plain),
+				}
+			})},
+		}
+	},
+	"VMListQuery": func(*rapid.T) core.PeerBody { return core.VMListQuery{} },
 	"VMListAnswer": func(t *rapid.T) core.PeerBody {
 		return core.VMListAnswer{
 			List: core.VMList{Nodes: list(t, "nodes", node), Upstreams: list(t, "upstreams", upstream)},
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -69,6 +69,12 @@
 		return toKeyCall(b.KeyCall), nil
 	case *Envelope_KeyAnswer:
 		return toKeyAnswer(b.KeyAnswer)
+	case *Envelope_RolesOrdered:
+		return toRolesOrdered(b.RolesOrdered)
+	case *Envelope_StateQuery:
+		return core.StateQuery{}, nil
+	case *Envelope_StateAnswer:
+		return toStateAnswer(b.StateAnswer)
 	case *Envelope_VMListQuery:
 		return core.VMListQuery{}, nil
 	case *Envelope_VMListAnswer:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -74,6 +74,12 @@
 		e.Body = &Envelope_KeyCall{fromKeyCall(b)}
 	case core.KeyAnswer:
 		e.Body = &Envelope_KeyAnswer{fromKeyAnswer(b)}
+	case core.RolesOrdered:
+		e.Body = &Envelope_RolesOrdered{fromRolesOrdered(b)}
+	case core.StateQuery:
+		e.Body = &Envelope_StateQuery{&StateQuery{}}
+	case core.StateAnswer:
+		e.Body = &Envelope_StateAnswer{fromStateAnswer(b)}
 	case core.VMListQuery:
 		e.Body = &Envelope_VMListQuery{&VMListQuery{}}
 	case core.VMListAnswer:
