--- /dev/null
+++ b/core/dispatch.go
@@ -0,0 +1,378 @@
+package core
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+)
+
+const (
+	// groupEngines bounds the engines of one group on average. One owner keeps
+	// the books of a group, so this bounds an owner's work, whatever the number
+	// of engines and nodes.
+	groupEngines = 64
+	// askTimeout is how long an entry waits for an owner's first answer. It
+	// costs a request that much when the owner has died or stands still.
+	askTimeout = 80 * time.Millisecond
+	// ownerMuted is how long an owner that did not answer is not asked.
+	ownerMuted = 2 * time.Second
+	// jobLife is how long an owner keeps a job that it hears no more of. Streams
+	// are shorter by far; the entry's death is noticed sooner.
+	jobLife = 60 * time.Second
+	// deniedFor is how long an engine counts as full for its owner after it
+	// denied a lease: somebody unknown holds memory there.
+	deniedFor = 250 * time.Millisecond
+)
+
+// DispatchGroup is a part of a service's engines that one node places for.
+type DispatchGroup struct {
+	Service ServiceID
+	Index   int
+}
+
+// PlaceForward asks the owner of a group to place a request. Times are given as
+// what is left of them, since nodes do not compare clocks.
+type PlaceForward struct {
+	ID     ForwardID
+	Group  DispatchGroup
+	Prompt Tokens
+	// Memory is what the request is expected to need at its end.
+	Memory Tokens
+	Rank   int
+	// OnTime is how long the request may wait and still be on time; negative
+	// if it is late already. Patience is how long its caller waits at all.
+	OnTime    time.Duration
+	Patience  time.Duration
+	Objective time.Duration
+	// Again says that the request has been sent to an engine before, so that
+	// it is not refused any more for want of time.
+	Again bool
+	Avoid []EngineID
+}
+
+// ForwardQueued tells an entry that its request waits at the owner.
+type ForwardQueued struct{ ID ForwardID }
+
+// ForwardPlaced is an owner's choice of engines. Prefill may be empty.
+type ForwardPlaced struct {
+	ID      ForwardID
+	Decode  EngineID
+	Prefill EngineID
+}
+
+// ForwardTurnedAway is an owner's refusal: the request would wait in vain.
+type ForwardTurnedAway struct{ ID ForwardID }
+
+// ForwardDenied tells an owner that an engine denied the lease.
+type ForwardDenied struct {
+	ID     ForwardID
+	Engine EngineID
+}
+
+// ForwardPromptRead tells an owner that a prompt has been read.
+type ForwardPromptRead struct{ ID ForwardID }
+
+// ForwardReleased tells an owner that a request holds nothing any more.
+type ForwardReleased struct{ ID ForwardID }
+
+// ForwardHeld tells a new owner what a request holds at an engine.
+type ForwardHeld struct {
+	ID     ForwardID
+	Group  DispatchGroup
+	Decode EngineID
+	Memory Tokens
+}
+
+func (PlaceForward) isPeerBody()      {}
+func (ForwardQueued) isPeerBody()     {}
+func (ForwardPlaced) isPeerBody()     {}
+func (ForwardTurnedAway) isPeerBody() {}
+func (ForwardDenied) isPeerBody()     {}
+func (ForwardPromptRead) isPeerBody() {}
+func (ForwardReleased) isPeerBody()   {}
+func (ForwardHeld) isPeerBody()       {}
+
+// groupsOf returns how many groups a service's engines form.
+func (s *forwards) groupsOf(id ServiceID) int {
+	return max(1, (len(s.upstreams.byService[id])+groupEngines-1)/groupEngines)
+}
+
+// inGroup reports whether an engine belongs to a group.
+func (s *forwards) inGroup(g DispatchGroup, id EngineID) bool {
+	groups := s.groupsOf(g.Service)
+	return groups == 1 || int(hashOf(string(id))%uint64(groups)) == g.Index
+}
+
+// groupOwner returns the live node that places for a group: the one with the
+// highest score, so that a change of one node moves only its own groups.
+func (s *forwards) groupOwner(n *Node, g DispatchGroup) NodeID {
+	key := fmt.Sprintf("%s/%d/", g.Service, g.Index)
+	best, score := n.Self.ID, hashOf(key+string(n.Self.ID))
+	if n.leaving {
+		best, score = "", 0
+	}
+	for id, m := range n.members.byID {
+		if !m.serving() || m.status != Alive {
+			continue
+		}
+		if h := hashOf(key + string(id)); h > score || h == score && id < best {
+			best, score = id, h
+		}
+	}
+	return best
+}
+
+func hashOf(s string) uint64 {
+	h := fnv.New64a()
+	// A hash takes every write.
+	_, _ = h.Write([]byte(s))
+	// The last bytes of similar names barely reach fnv's high bits.
+	v := h.Sum64()
+	v ^= v >> 33
+	v *= 0xff51afd7ed558ccd
+	return v ^ v>>33
+}
+
+// jobKey names a request of a node.
+type jobKey struct {
+	node NodeID
+	id   ForwardID
+}
+
+// dispatchJob is a request that this node places for another, or for itself.
+type dispatchJob struct {
+	queueEntry
+	key    jobKey
+	group  DispatchGroup
+	prompt Tokens
+	memory Tokens
+	again  bool
+	avoid  Set[EngineID]
+	// decode and prefill are the engines in whose books the job stands.
+	decode  EngineID
+	prefill EngineID
+	waiting bool
+	since   Instant
+}
+
+// engineBook is what an owner has promised of one engine.
+type engineBook struct {
+	memory  Tokens
+	reading Tokens
+	// deniedUntil is until when the engine counts as full although the book
+	// says otherwise.
+	deniedUntil Instant
+}
+
+// dispatcher places requests at the engines of the groups that this node owns.
+// Its books are exact for what it placed; what others placed shows in denied
+// leases, because an engine itself is the last guard of its memory.
+type dispatcher struct {
+	jobs    map[jobKey]*dispatchJob
+	queue   []*dispatchJob
+	books   map[EngineID]*engineBook
+	grants  map[DispatchGroup]*grants
+	pumpDue bool
+}
+
+func (d *dispatcher) start(n *Node) {
+	d.jobs = map[jobKey]*dispatchJob{}
+	d.books = map[EngineID]*engineBook{}
+	d.grants = map[DispatchGroup]*grants{}
+	n.every(jobLife/4, func(n *Node) { d.sweep(n) })
+}
+
+func (d *dispatcher) book(id EngineID) *engineBook {
+	b, ok := d.books[id]
+	if !ok {
+		b = &engineBook{}
+		d.books[id] = b
+	}
+	return b
+}
+
+func (d *dispatcher) rate(g DispatchGroup) *grants {
+	r, ok := d.grants[g]
+	if !ok {
+		r = &grants{}
+		d.grants[g] = r
+	}
+	return r
+}
+
+// place takes in a request: it is placed, queued, or turned away at once if it
+// would wait in vain.
+func (d *dispatcher) place(n *Node, from NodeID, m PlaceForward) {
+	key := jobKey{node: from, id: m.ID}
+	if old, ok := d.jobs[key]; ok {
+		d.drop(n, old)
+	}
+	j := &dispatchJob{
+		queueEntry: queueEntry{
+			rank: m.Rank, arrived: n.now, onTimeBy: n.now.Add(m.OnTime), goneBy: n.now.Add(m.Patience), objective: m.Objective,
+		},
+		key: key, group: m.Group, prompt: m.Prompt, memory: m.Memory, again: m.Again, avoid: SetOf(m.Avoid...),
+		waiting: true, since: n.now,
+	}
+	entries := make([]queueEntry, 0, len(d.queue))
+	for _, q := range d.queue {
+		if q.group == j.group {
+			entries = append(entries, q.queueEntry)
+		}
+	}
+	if !j.again && hopeless(n.now, j.queueEntry, ahead(n.now, entries, j.queueEntry), d.rate(j.group).rate(n.now)) {
+		n.send(from, ForwardTurnedAway{ID: m.ID})
+		return
+	}
+	d.jobs[key] = j
+	d.queue = append(d.queue, j)
+	d.pump(n)
+	if j.waiting && d.jobs[key] == j {
+		n.send(from, ForwardQueued{ID: m.ID})
+	}
+}
+
+// pump places waiting jobs in order, as far as engines have memory.
+func (d *dispatcher) pump(n *Node) {
+	sortDispatch(n.now, d.queue)
+	rest := d.queue[:0]
+	for _, j := range d.queue {
+		switch {
+		case !j.again && j.expired(n.now):
+			delete(d.jobs, j.key)
+			n.send(j.key.node, ForwardTurnedAway{ID: j.key.id})
+		case !d.assign(n, j):
+			rest = append(rest, j)
+		}
+	}
+	clear(d.queue[len(rest):])
+	d.queue = rest
+	if len(d.queue) > 0 && !d.pumpDue {
+		d.pumpDue = true
+		n.afterFunc(pumpEvery, func(n *Node) {
+			d.pumpDue = false
+			d.pump(n)
+		})
+	}
+}
+
+// assign chooses engines for a job, decode first: a prompt is read only where
+// there is memory for what follows. It reports whether there was any.
+func (d *dispatcher) assign(n *Node, j *dispatchJob) bool {
+	s := &n.forward
+	engine, _ := s.state.Services[j.group.Service].Engine.Get()
+	list := s.upstreams.byService[j.group.Service]
+	mine := func(u *upstream) bool { return s.inGroup(j.group, u.ID) && !j.avoid.Has(u.ID) && u.avoidUntil <= n.now }
+	decode := cheapest(n, list, func(u *upstream) bool {
+		b := d.book(u.ID)
+		return !mine(u) || n.roles.roleOf(n, u) != Decode || u.fullUntil > n.now || b.deniedUntil > n.now ||
+			engine.Memory > 0 && b.memory+j.memory > engine.Memory
+	}, func(u *upstream) float64 { return float64(d.book(u.ID).memory) })
+	if decode == nil {
+		return false
+	}
+	prefill := cheapest(n, list, func(u *upstream) bool {
+		return !mine(u) || n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now
+	}, func(u *upstream) float64 {
+		cost := float64(d.book(u.ID).reading)
+		if u.Domain != decode.Domain {
+			cost += remoteRead
+		}
+		return cost
+	})
+	j.waiting = false
+	j.decode = decode.ID
+	d.book(decode.ID).memory += j.memory
+	if prefill != nil {
+		j.prefill = prefill.ID
+		d.book(prefill.ID).reading += j.prompt
+	}
+	d.rate(j.group).note(n.now)
+	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill})
+	return true
+}
+
+// denied takes in that an engine denied a lease that this node promised.
+func (d *dispatcher) denied(n *Node, from NodeID, m ForwardDenied) {
+	d.book(m.Engine).deniedUntil = n.now.Add(n.jitter(deniedFor))
+	d.released(n, from, m.ID)
+}
+
+// promptRead takes in that a prefill engine is done with a prompt.
+func (d *dispatcher) promptRead(from NodeID, m ForwardPromptRead) {
+	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
+		d.leavePrefill(j)
+	}
+}
+
+func (d *dispatcher) leavePrefill(j *dispatchJob) {
+	if j.prefill != "" {
+		d.book(j.prefill).reading -= j.prompt
+		j.prefill = ""
+	}
+}
+
+// released takes in that a request holds nothing any more.
+func (d *dispatcher) released(n *Node, from NodeID, id ForwardID) {
+	if j, ok := d.jobs[jobKey{node: from, id: id}]; ok {
+		d.drop(n, j)
+		d.pump(n)
+	}
+}
+
+// drop takes a job out of the books and the queue.
+func (d *dispatcher) drop(_ *Node, j *dispatchJob) {
+	delete(d.jobs, j.key)
+	d.leavePrefill(j)
+	if j.decode != "" {
+		d.book(j.decode).memory -= j.memory
+		j.decode = ""
+	}
+	if j.waiting {
+		rest := d.queue[:0]
+		for _, q := range d.queue {
+			if q != j {
+				rest = append(rest, q)
+			}
+		}
+		clear(d.queue[len(rest):])
+		d.queue = rest
+	}
+}
+
+// held takes in what a request holds that an earlier owner placed.
+func (d *dispatcher) held(n *Node, from NodeID, m ForwardHeld) {
+	key := jobKey{node: from, id: m.ID}
+	if _, ok := d.jobs[key]; ok {
+		return
+	}
+	d.jobs[key] = &dispatchJob{key: key, group: m.Group, memory: m.Memory, decode: m.Decode, since: n.now}
+	d.book(m.Decode).memory += m.Memory
+}
+
+// memberDied drops the jobs of a node that died or restarted.
+func (d *dispatcher) memberDied(n *Node, id NodeID) {
+	for key, j := range d.jobs {
+		if key.node == id {
+			d.drop(n, j)
+		}
+	}
+	d.pump(n)
+}
+
+// sweep drops jobs that nobody has spoken of for too long.
+func (d *dispatcher) sweep(n *Node) {
+	for _, j := range d.jobs {
+		if n.now.Sub(j.since) > jobLife {
+			d.drop(n, j)
+		}
+	}
+}
+
+// memberDied lets everything that a start of a node held be released.
+func (n *Node) memberDied(id NodeID, incarnation Incarnation) {
+	n.owner.memberDied(n, id, incarnation)
+	if n.Hosted {
+		n.dispatcher.memberDied(n, id)
+	}
+}
--- a/core/forward.go
+++ b/core/forward.go
@@ -11,6 +11,8 @@
 const (
 	// forwardWaiting requests wait for decode memory.
 	forwardWaiting forwardPhase = iota
+	// forwardAsking requests wait for the owner of the engines.
+	forwardAsking
 	// forwardLeasing requests have asked an engine for memory.
 	forwardLeasing
 	// forwardReading requests have their prompt read.
@@ -32,6 +34,13 @@
 	// step counts the steps taken, so that timers know whether theirs is over.
 	step int
 
+	// group and owner are set while an owner has the request in its books;
+	// acked once it answered, and advised is the prefill engine that it chose.
+	group   DispatchGroup
+	owner   NodeID
+	acked   bool
+	advised EngineID
+
 	decode   *upstream
 	lease    LeaseID
 	reserved Tokens
@@ -70,6 +79,8 @@
 	// one goes on.
 	pumpDue bool
 	inPump  bool
+	// muted holds until when owners that did not answer are not asked.
+	muted map[NodeID]Instant
 	// announced is set once the node was ready, and askedAt is when a peer was
 	// last asked for the desired state.
 	announced bool
@@ -85,6 +96,7 @@
 
 func (s *forwards) start() {
 	s.live = map[ForwardID]*forwarded{}
+	s.muted = map[NodeID]Instant{}
 	s.budgets = map[ServiceID]*repeatBudget{}
 	s.longest = map[RouteID]time.Duration{}
 	s.pipeline = firstEventGuess
@@ -140,7 +152,7 @@
 	s.schedule(n, f)
 	s.budget(service).arrived(n.now, n.Settings.Retries.Window)
 	if _, engine := spec.Engine.Get(); engine {
-		s.admit(n, f)
+		s.ask(n, f)
 		return
 	}
 	s.runPlain(n, f)
@@ -292,6 +304,7 @@
 	}
 	s.leavePrefill(f)
 	s.leaveDecode(f)
+	s.leaveOwner(n, f)
 }
 
 func (s *forwards) leavePrefill(f *forwarded) {
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -44,7 +44,7 @@
 	for i, q := range s.queue {
 		w[i] = q.queueEntry
 	}
-	if hopeless(n.now, f.queueEntry, ahead(n.now, w, f.queueEntry), s.grants.rate(n.now)) {
+	if f.sends == 0 && hopeless(n.now, f.queueEntry, ahead(n.now, w, f.queueEntry), s.grants.rate(n.now)) {
 		s.refuse(n, f, NoCapacity, comeBack(f.Patience, n.rng.Float64()))
 		return
 	}
@@ -147,7 +147,10 @@
 // readPrompt has the prompt read, or runs the request at the decode engine
 // alone if no prefill engine is to be had.
 func (s *forwards) readPrompt(n *Node, f *forwarded) {
-	u := s.choosePrefill(n, f)
+	u := s.advisedPrefill(n, f)
+	if u == nil {
+		u = s.choosePrefill(n, f)
+	}
 	if u == nil {
 		s.runStream(n, f)
 		return
@@ -168,6 +171,17 @@
 	n.do(ReadPrompt{ID: f.ID, Engine: u.ID, Address: u.Address, Timeout: patience})
 }
 
+// advisedPrefill returns the owner's choice of prefill engine, if it still can
+// take the prompt.
+func (s *forwards) advisedPrefill(n *Node, f *forwarded) *upstream {
+	u, ok := s.upstreams.byID[f.advised]
+	f.advised = ""
+	if !ok || !u.usable() || f.tried.Has(u.ID) || u.fullUntil > n.now || n.roles.roleOf(n, u) != Prefill {
+		return nil
+	}
+	return u
+}
+
 // choosePrefill returns the prefill engine with the least of this node's own
 // prompts, near the decode engine where that costs no queue.
 func (s *forwards) choosePrefill(n *Node, f *forwarded) *upstream {
@@ -200,6 +214,9 @@
 		return
 	}
 	f.prefill.succeeded()
+	if f.owner != "" {
+		n.send(f.owner, ForwardPromptRead{ID: f.ID})
+	}
 	n.roles.promptRead(f, n.now.Sub(f.readAt))
 	f.handle = m.Handle
 	s.runStream(n, f)
@@ -210,7 +227,7 @@
 func (s *forwards) runStream(n *Node, f *forwarded) {
 	if !f.decode.usable() {
 		s.release(n, f)
-		s.enqueue(n, f)
+		s.ask(n, f)
 		return
 	}
 	run := RunForward{
@@ -259,7 +276,7 @@
 	}
 	f.tried.Add(f.decode.ID)
 	s.release(n, f)
-	s.enqueue(n, f)
+	s.ask(n, f)
 }
 
 // streamRefused takes in that an engine did not take a step.
@@ -270,9 +287,13 @@
 			return
 		}
 		u := f.decode
+		if f.owner != "" {
+			n.send(f.owner, ForwardDenied{ID: f.ID, Engine: u.ID})
+			f.owner = ""
+		}
 		s.release(n, f)
 		u.fullUntil = n.now.Add(n.jitter(fullFor))
-		s.enqueue(n, f)
+		s.ask(n, f)
 	case ReadPromptStep:
 		s.readElsewhere(n, f)
 	case RunStep:
@@ -282,7 +303,7 @@
 			s.counters.Retried++
 			s.release(n, f)
 			u.fullUntil = n.now.Add(n.jitter(busyReaderFor))
-			s.enqueue(n, f)
+			s.ask(n, f)
 			return
 		}
 		s.end(n, f, NoCapacity, 0)
@@ -311,7 +332,7 @@
 	case LeaseStep:
 		if f.phase == forwardLeasing && m.Engine == f.decode.ID {
 			s.release(n, f)
-			s.enqueue(n, f)
+			s.ask(n, f)
 		}
 	case ReadPromptStep:
 		s.readElsewhere(n, f)
--- a/core/membership.go
+++ b/core/membership.go
@@ -118,7 +118,7 @@
 	m.node.Leaving = s.known[m.node.ID].Leaving
 	s.set(n, m, leftOrAlive(m.node))
 	if lived {
-		n.owner.memberDied(n, m.node.ID, earlier)
+		n.memberDied(m.node.ID, earlier)
 	}
 }
 
@@ -132,7 +132,7 @@
 	case Suspect:
 		s.expireSuspicion(n, m)
 	case Dead:
-		n.owner.memberDied(n, m.node.ID, m.incarnation)
+		n.memberDied(m.node.ID, m.incarnation)
 	}
 }
 
@@ -146,6 +146,7 @@
 	n.afterFunc(0, func(n *Node) {
 		s.pendingChange = false
 		n.owner.reconcile(n)
+		n.forward.ownersChanged(n)
 	})
 }
 
--- a/core/node.go
+++ b/core/node.go
@@ -22,6 +22,9 @@
 	// Hosted nodes get the desired state and the upstreams whole from the
 	// platform's store, and keep no log of their own.
 	Hosted bool
+	// Alone has a hosted node place requests by itself instead of asking the
+	// owner of the engines; it is the baseline of measurements.
+	Alone bool
 
 	now Instant
 	// resumedAt is when the node last came back from a pause.
@@ -38,15 +41,16 @@
 	releases map[releaseKey]time.Duration
 	holds    map[releaseKey]struct{}
 
-	members members
-	config  configuration
-	once    onceOnly
-	orders  orders
-	entry   entry
-	owner   owner
-	forward forwards
-	roles   roles
-	checks  checks
+	members    members
+	config     configuration
+	once       onceOnly
+	orders     orders
+	entry      entry
+	owner      owner
+	forward    forwards
+	roles      roles
+	dispatcher dispatcher
+	checks     checks
 }
 
 // Update takes in one message at the given time and returns the commands that
@@ -81,6 +85,7 @@
 	n.forward.start()
 	if n.Hosted {
 		n.roles.start(n)
+		n.dispatcher.start(n)
 		return
 	}
 	n.config.start(n)
@@ -254,6 +259,22 @@
 		n.owner.holderAnswer(n, m.From, b)
 	case MoveAway:
 		n.entry.moveAway(n, b)
+	case PlaceForward:
+		n.dispatcher.place(n, m.From, b)
+	case ForwardDenied:
+		n.dispatcher.denied(n, m.From, b)
+	case ForwardPromptRead:
+		n.dispatcher.promptRead(m.From, b)
+	case ForwardReleased:
+		n.dispatcher.released(n, m.From, b.ID)
+	case ForwardHeld:
+		n.dispatcher.held(n, m.From, b)
+	case ForwardQueued:
+		n.forward.queued(m.From, b)
+	case ForwardPlaced:
+		n.forward.placed(n, m.From, b)
+	case ForwardTurnedAway:
+		n.forward.turnedAway(n, m.From, b)
 	case RolesOrdered:
 		n.roles.rolesOrdered(n, b)
 	case StateQuery:
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -29,6 +29,27 @@
 	},
 	"ConfigQuery":  func(t *rapid.T) core.PeerBody { return core.ConfigQuery{After: offset(t, "after")} },
 	"ConfigAnswer": configAnswer,
+	"PlaceForward": func(t *rapid.T) core.PeerBody {
+		return core.PlaceForward{
+			ID: forwardID(t), Group: dispatchGroup(t),
+			Prompt: tokens(t, "prompt"), Memory: tokens(t, "memory"), Rank: rapid.IntRange(0, 9).Draw(t, "rank"),
+			OnTime: span(t, "on time"), Patience: span(t, "patience"), Objective: span(t, "objective"),
+			Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
+		}
+	},
+	"ForwardQueued": func(t *rapid.T) core.PeerBody { return core.ForwardQueued{ID: forwardID(t)} },
+	"ForwardPlaced": func(t *rapid.T) core.PeerBody {
+		return core.ForwardPlaced{ID: forwardID(t), Decode: text[core.EngineID](t, "decode"), Prefill: text[core.EngineID](t, "prefill")}
+	},
+	"ForwardTurnedAway": func(t *rapid.T) core.PeerBody { return core.ForwardTurnedAway{ID: forwardID(t)} },
+	"ForwardDenied": func(t *rapid.T) core.PeerBody {
+		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine")}
+	},
+	"ForwardPromptRead": func(t *rapid.T) core.PeerBody { return core.ForwardPromptRead{ID: forwardID(t)} },
+	"ForwardReleased":   func(t *rapid.T) core.PeerBody { return core.ForwardReleased{ID: forwardID(t)} },
+	"ForwardHeld": func(t *rapid.T) core.PeerBody {
+		return core.ForwardHeld{ID: forwardID(t), Group: dispatchGroup(t), Decode: text[core.EngineID](t, "decode"), Memory: tokens(t, "memory")}
+	},
 	"RolesOrdered": func(t *rapid.T) core.PeerBody {
 		return core.RolesOrdered{Orders: list(t, "orders", func(t *rapid.T) core.Order {
 			return core.Order{Engine: text[core.EngineID](t, "engine"), Kind: core.SetRole, Role: enum(t, "role", core.Plain), Fencing: offset(t, "fencing")}
@@ -139,3 +160,9 @@
 		}
 	},
 }
+
+func forwardID(t *rapid.T) core.ForwardID { return core.ForwardID(rapid.Uint64().Draw(t, "id")) }
+
+func dispatchGroup(t *rapid.T) core.DispatchGroup {
+	return core.DispatchGroup{Service: text[core.ServiceID](t, "service"), Index: rapid.IntRange(0, 99).Draw(t, "index")}
+}
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -1,6 +1,10 @@
 package peer
 
-import "daisyshed.dev/core"
+import (
+	"time"
+
+	"daisyshed.dev/core"
+)
 
 func fromRolesOrdered(b core.RolesOrdered) *RolesOrdered {
 	return &RolesOrdered{Orders: each(b.Orders, func(o core.Order) *RoleOrder {
@@ -51,3 +55,44 @@
 	}
 	return out, nil
 }
+
+func fromPlaceForward(b core.PlaceForward) *PlaceForward {
+	return &PlaceForward{
+		ID: uint64(b.ID), Service: string(b.Group.Service), Index: uint32(b.Group.Index),
+		Prompt: int64(b.Prompt), Memory: int64(b.Memory), Rank: int64(b.Rank),
+		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective),
+		Again: b.Again, Avoid: each(b.Avoid, func(id core.EngineID) string { return string(id) }),
+	}
+}
+
+func toPlaceForward(b *PlaceForward) core.PeerBody {
+	return core.PlaceForward{
+		ID:     core.ForwardID(b.GetID()),
+		Group:  core.DispatchGroup{Service: core.ServiceID(b.GetService()), Index: int(b.GetIndex())},
+		Prompt: core.Tokens(b.GetPrompt()), Memory: core.Tokens(b.GetMemory()), Rank: int(b.GetRank()),
+		OnTime: time.Duration(b.GetOnTimeNanos()), Patience: time.Duration(b.GetPatienceNanos()),
+		Objective: time.Duration(b.GetObjectiveNanos()), Again: b.GetAgain(),
+		Avoid: each(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }),
+	}
+}
+
+func toForwardPlaced(b *ForwardPlaced) core.PeerBody {
+	return core.ForwardPlaced{
+		ID: core.ForwardID(b.GetID()), Decode: core.EngineID(b.GetDecode()), Prefill: core.EngineID(b.GetPrefill()),
+	}
+}
+
+func fromForwardHeld(b core.ForwardHeld) *ForwardHeld {
+	return &ForwardHeld{
+		ID: uint64(b.ID), Service: string(b.Group.Service), Index: uint32(b.Group.Index),
+		Decode: string(b.Decode), Memory: int64(b.Memory),
+	}
+}
+
+func toForwardHeld(b *ForwardHeld) core.PeerBody {
+	return core.ForwardHeld{
+		ID:     core.ForwardID(b.GetID()),
+		Group:  core.DispatchGroup{Service: core.ServiceID(b.GetService()), Index: int(b.GetIndex())},
+		Decode: core.EngineID(b.GetDecode()), Memory: core.Tokens(b.GetMemory()),
+	}
+}
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -69,6 +69,24 @@
 		return toKeyCall(b.KeyCall), nil
 	case *Envelope_KeyAnswer:
 		return toKeyAnswer(b.KeyAnswer)
+	case *Envelope_PlaceForward:
+		return toPlaceForward(b.PlaceForward), nil
+	case *Envelope_ForwardQueued:
+		return core.ForwardQueued{ID: core.ForwardID(b.ForwardQueued.GetID())}, nil
+	case *Envelope_ForwardPlaced:
+		return toForwardPlaced(b.ForwardPlaced), nil
+	case *Envelope_ForwardTurnedAway:
+		return core.ForwardTurnedAway{ID: core.ForwardID(b.ForwardTurnedAway.GetID())}, nil
+	case *Envelope_ForwardDenied:
+		return core.ForwardDenied{
+			ID: core.ForwardID(b.ForwardDenied.GetID()), Engine: core.EngineID(b.ForwardDenied.GetEngine()),
+		}, nil
+	case *Envelope_ForwardPromptRead:
+		return core.ForwardPromptRead{ID: core.ForwardID(b.ForwardPromptRead.GetID())}, nil
+	case *Envelope_ForwardReleased:
+		return core.ForwardReleased{ID: core.ForwardID(b.ForwardReleased.GetID())}, nil
+	case *Envelope_ForwardHeld:
+		return toForwardHeld(b.ForwardHeld), nil
 	case *Envelope_RolesOrdered:
 		return toRolesOrdered(b.RolesOrdered)
 	case *Envelope_StateQuery:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -74,6 +74,22 @@
 		e.Body = &Envelope_KeyCall{fromKeyCall(b)}
 	case core.KeyAnswer:
 		e.Body = &Envelope_KeyAnswer{fromKeyAnswer(b)}
+	case core.PlaceForward:
+		e.Body = &Envelope_PlaceForward{fromPlaceForward(b)}
+	case core.ForwardQueued:
+		e.Body = &Envelope_ForwardQueued{&ForwardQueued{ID: uint64(b.ID)}}
+	case core.ForwardPlaced:
+		e.Body = &Envelope_ForwardPlaced{&ForwardPlaced{ID: uint64(b.ID), Decode: string(b.Decode), Prefill: string(b.Prefill)}}
+	case core.ForwardTurnedAway:
+		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID)}}
+	case core.ForwardDenied:
+		e.Body = &Envelope_ForwardDenied{&ForwardDenied{ID: uint64(b.ID), Engine: string(b.Engine)}}
+	case core.ForwardPromptRead:
+		e.Body = &Envelope_ForwardPromptRead{&ForwardPromptRead{ID: uint64(b.ID)}}
+	case core.ForwardReleased:
+		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID)}}
+	case core.ForwardHeld:
+		e.Body = &Envelope_ForwardHeld{fromForwardHeld(b)}
 	case core.RolesOrdered:
 		e.Body = &Envelope_RolesOrdered{fromRolesOrdered(b)}
 	case core.StateQuery:
