--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -19,6 +19,10 @@
 	// jobLife is how long an owner keeps a job that it hears no more of. Streams
 	// are shorter by far; the entry's death is noticed sooner.
 	jobLife = 60 * time.Second
+	// readAhead is how much reading may wait at a prefill engine when another
+	// prompt is sent there: enough to keep it busy. Prompts beyond it wait with
+	// the owner, where the urgent ones go first and no memory is held for them.
+	readAhead = 150 * time.Millisecond
 	// deniedFor is how long an engine counts as full for its owner after it
 	// denied a lease: somebody unknown holds memory there.
 	deniedFor = 250 * time.Millisecond
@@ -153,6 +157,10 @@
 	prefill EngineID
 	waiting bool
 	since   Instant
+	// placedAt is when the job was placed, and undisturbed says that its
+	// prefill engine had no other prompt then.
+	placedAt    Instant
+	undisturbed bool
 }
 
 // engineBook is what an owner has promised of one engine.
@@ -268,11 +276,19 @@
 		return !mine(u) || n.roles.roleOf(n, u) != Decode || u.fullUntil > n.now || b.deniedUntil > n.now ||
 			engine.Memory > 0 && b.memory+j.memory > engine.Memory
 	}, func(u *upstream) float64 { return float64(d.book(u.ID).memory) })
+	c := n.roles.cost(j.group)
 	if decode == nil {
+		c.lackedMemory = n.now
 		return false
 	}
+	readers := 0
 	prefill := cheapest(n, list, func(u *upstream) bool {
-		return !mine(u) || n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now
+		if !mine(u) || n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now {
+			return true
+		}
+		readers++
+		reading := d.book(u.ID).reading
+		return reading > 0 && c.tokenRate > 0 && float64(reading)/c.tokenRate > readAhead.Seconds()
 	}, func(u *upstream) float64 {
 		cost := float64(d.book(u.ID).reading)
 		if u.Domain != decode.Domain {
@@ -280,11 +296,17 @@
 		}
 		return cost
 	})
+	if prefill == nil && readers > 0 {
+		c.lackedRead = n.now
+		return false
+	}
 	j.waiting = false
+	j.placedAt = n.now
 	j.decode = decode.ID
 	d.book(decode.ID).memory += j.memory
 	if prefill != nil {
 		j.prefill = prefill.ID
+		j.undisturbed = d.book(prefill.ID).reading == 0
 		d.book(prefill.ID).reading += j.prompt
 	}
 	d.rate(j.group).note(n.now)
@@ -299,9 +321,13 @@
 }
 
 // promptRead takes in that a prefill engine is done with a prompt.
-func (d *dispatcher) promptRead(from NodeID, m ForwardPromptRead) {
+func (d *dispatcher) promptRead(n *Node, from NodeID, m ForwardPromptRead) {
 	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
+		if j.undisturbed && j.prefill != "" {
+			n.roles.cost(j.group).promptRead(j.prompt, n.now.Sub(j.placedAt))
+		}
 		d.leavePrefill(j)
+		d.pump(n)
 	}
 }
 
@@ -315,11 +341,21 @@
 // released takes in that a request holds nothing any more.
 func (d *dispatcher) released(n *Node, from NodeID, id ForwardID) {
 	if j, ok := d.jobs[jobKey{node: from, id: id}]; ok {
+		d.measure(n, j)
 		d.drop(n, j)
 		d.pump(n)
 	}
 }
 
+// measure notes for how long a job held memory, if it got as far as decoding.
+func (d *dispatcher) measure(n *Node, j *dispatchJob) {
+	if j.decode == "" || j.placedAt == 0 || j.prefill != "" {
+		return
+	}
+	engine, _ := n.forward.state.Services[j.group.Service].Engine.Get()
+	n.roles.cost(j.group).released(j.memory, engine.Memory, n.now.Sub(j.placedAt))
+}
+
 // drop takes a job out of the books and the queue.
 func (d *dispatcher) drop(_ *Node, j *dispatchJob) {
 	delete(d.jobs, j.key)
--- a/core/forward.go
+++ b/core/forward.go
@@ -47,7 +47,6 @@
 	prefill  *upstream
 	handle   HandleID
 	placedAt Instant
-	readAt   Instant
 
 	// runs counts the upstreams that may have run the request, and sends all
 	// that were asked to, also those that refused.
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -159,7 +159,6 @@
 	f.step++
 	f.reads++
 	f.prefill = u
-	f.readAt = n.now
 	u.requests++
 	u.reading += f.prompt()
 	s.decide(n, f, "place", NoReason)
@@ -197,13 +196,6 @@
 	})
 }
 
-// progress passes on a stream's pace.
-func (s *forwards) progress(n *Node, m ForwardProgress) {
-	if f, ok := s.live[m.ID]; ok {
-		n.roles.progress(n, f, m)
-	}
-}
-
 // promptRead runs the request at its decode engine.
 func (s *forwards) promptRead(n *Node, m PromptRead) {
 	f, ok := s.live[m.ID]
@@ -217,7 +209,6 @@
 	if f.owner != "" {
 		n.send(f.owner, ForwardPromptRead{ID: f.ID})
 	}
-	n.roles.promptRead(f, n.now.Sub(f.readAt))
 	f.handle = m.Handle
 	s.runStream(n, f)
 }
--- a/core/node.go
+++ b/core/node.go
@@ -185,8 +185,6 @@
 		n.roles.claimed(n, m)
 	case OrdersNotClaimed:
 		n.roles.notClaimed(n, m)
-	case ForwardProgress:
-		n.forward.progress(n, m)
 	case RetriesChanged:
 		n.Settings.Retries = m.Retries
 	case DesiredState:
@@ -264,7 +262,7 @@
 	case ForwardDenied:
 		n.dispatcher.denied(n, m.From, b)
 	case ForwardPromptRead:
-		n.dispatcher.promptRead(m.From, b)
+		n.dispatcher.promptRead(n, m.From, b)
 	case ForwardReleased:
 		n.dispatcher.released(n, m.From, b.ID)
 	case ForwardHeld:
--- a/core/roles.go
+++ b/core/roles.go
@@ -1,7 +1,10 @@
 package core
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -10,7 +13,7 @@
 	rolesEvery = 500 * time.Millisecond
 	// rolesSamples is how many prompts and streams must have been measured
 	// before roles are changed.
-	rolesSamples = 3
+	rolesSamples = 6
 	// sampleWeight is the number of samples over which costs are averaged.
 	sampleWeight = 8
 	// bestDrift is the part by which the lowest value rises to each later one,
@@ -28,6 +31,8 @@
 	// enough engines.
 	minReaders       = 2
 	enoughForReaders = 6
+	// lackShown is how long a request's wait for engines of a role counts.
+	lackShown = 3 * time.Second
 	// changeEvery is the least time between two changes by one holder: the
 	// costs have to show the effect of the first.
 	changeEvery = 8 * time.Second
@@ -62,19 +67,9 @@
 	End    Offset
 }
 
-// ForwardProgress reports the pace of a stream once, some events after the
-// first.
-type ForwardProgress struct {
-	ID     ForwardID
-	Events int
-	// Took is the time from the first event to the last counted.
-	Took time.Duration
-}
-
 func (ClaimOrders) isCommand()      {}
 func (OrdersClaimed) isMessage()    {}
 func (OrdersNotClaimed) isMessage() {}
-func (ForwardProgress) isMessage()  {}
 
 // sample is a running mean.
 type sample struct {
@@ -103,15 +98,36 @@
 	b.low += (v - b.low) * bestDrift
 }
 
-// engineCosts are the measured costs of a service's requests.
+// engineCosts are the measured costs of the requests of a group of engines, as
+// its owner sees them.
 type engineCosts struct {
 	// readSeconds is a prefill engine's time for a prompt, and holdSeconds the
 	// time for which a request holds the whole memory of a decode engine: its
 	// share of the memory times its duration.
 	readSeconds best
 	holdSeconds sample
-	// tokenSeconds is the time for an output token.
-	tokenSeconds sample
+	// tokenRate is the number of prompt tokens that an engine reads a second.
+	tokenRate float64
+	// lackedRead and lackedMemory are when a request last waited for a prefill
+	// engine, and for decode memory.
+	lackedRead   Instant
+	lackedMemory Instant
+}
+
+// promptRead notes how long a prompt took at an engine that had no other.
+func (c *engineCosts) promptRead(prompt Tokens, took time.Duration) {
+	if prompt == 0 || took <= 0 {
+		return
+	}
+	c.readSeconds.add(took.Seconds())
+	c.tokenRate = float64(prompt) / c.readSeconds.low
+}
+
+// released notes for how long a request held its memory.
+func (c *engineCosts) released(memory, all Tokens, held time.Duration) {
+	if all > 0 {
+		c.holdSeconds.add(held.Seconds() * float64(memory) / float64(all))
+	}
 }
 
 // readers returns how many of total engines should read prompts, with a
@@ -136,7 +152,7 @@
 // claimValid from when it was sent. A node whose append met another's claim
 // waits for that claim, a lease and a margin before it tries again.
 type roles struct {
-	costs map[ServiceID]*engineCosts
+	costs map[DispatchGroup]*engineCosts
 	// end is where the claims end as far as this node knows.
 	end       Offset
 	ticket    Ticket
@@ -153,43 +169,24 @@
 }
 
 func (s *roles) start(n *Node) {
-	s.costs = map[ServiceID]*engineCosts{}
+	s.costs = map[DispatchGroup]*engineCosts{}
 	s.ordered = map[EngineID]roleOrder{}
 	n.every(rolesEvery, func(n *Node) { s.look(n) })
 }
 
-func (s *roles) cost(id ServiceID) *engineCosts {
-	c, ok := s.costs[id]
+func (s *roles) cost(g DispatchGroup) *engineCosts {
+	c, ok := s.costs[g]
 	if !ok {
 		c = &engineCosts{}
-		s.costs[id] = c
+		s.costs[g] = c
 	}
 	return c
 }
 
-// promptRead notes how long a prompt took.
-func (s *roles) promptRead(f *forwarded, took time.Duration) {
-	s.cost(f.spec.ID).readSeconds.add(took.Seconds())
-}
-
-// progress notes a stream's pace, and from it for how long its request will
-// hold memory.
-func (s *roles) progress(n *Node, f *forwarded, m ForwardProgress) {
-	engine, ok := f.spec.Engine.Get()
-	if !ok || engine.Memory == 0 || m.Events < 2 {
-		return
-	}
-	c := s.cost(f.spec.ID)
-	c.tokenSeconds.add(m.Took.Seconds() / float64(Tokens(m.Events-1)*max(engine.EventTokens, 1)))
-	duration := n.forward.pipeline.Seconds() + c.tokenSeconds.mean*float64(f.reserve()-f.prompt())
-	c.holdSeconds.add(duration * float64(f.reserve()) / float64(engine.Memory))
-}
-
-// look claims the right to give orders if some service's roles are off. One
-// node does so for all, the first of those it believes alive, so that nodes do
-// not meet at the store.
+// look claims the right to give orders if the roles of some group that this
+// node owns are off.
 func (s *roles) look(n *Node) {
-	if s.claiming || n.now < s.notBefore || n.leaving || !n.first() || len(s.plan(n)) == 0 {
+	if s.claiming || n.now < s.notBefore || n.leaving || len(s.plan(n)) == 0 {
 		return
 	}
 	s.claiming = true
@@ -198,34 +195,31 @@
 	n.do(ClaimOrders{Ticket: s.ticket, At: s.end})
 }
 
-// first reports whether this node is the first of those it believes alive.
-func (n *Node) first() bool {
-	for id, m := range n.members.byID {
-		if m.serving() && m.status == Alive && id < n.Self.ID {
-			return false
-		}
-	}
-	return true
-}
-
-// plan returns the orders that bring the roles of all services to what their
-// costs ask.
+// plan returns the orders that bring the roles of the groups that this node
+// owns to what their costs ask.
 func (s *roles) plan(n *Node) []Order {
 	var orders []Order
-	for _, id := range sortedKeys(s.costs) {
-		c := s.costs[id]
-		if c.readSeconds.count < rolesSamples || c.holdSeconds.count < rolesSamples {
+	for _, g := range s.groups() {
+		c := s.costs[g]
+		if c.readSeconds.count < rolesSamples || c.holdSeconds.count < rolesSamples || n.forward.groupOwner(n, g) != n.Self.ID {
 			continue
 		}
-		orders = append(orders, s.planService(n, id, c)...)
+		orders = append(orders, s.planGroup(n, g, c)...)
 	}
 	return orders
 }
 
-func (s *roles) planService(n *Node, id ServiceID, c *engineCosts) []Order {
+// groups returns the measured groups in a fixed order.
+func (s *roles) groups() []DispatchGroup {
+	return slices.SortedFunc(maps.Keys(s.costs), func(a, b DispatchGroup) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Index, b.Index))
+	})
+}
+
+func (s *roles) planGroup(n *Node, g DispatchGroup, c *engineCosts) []Order {
 	var readers, decoders []*upstream
-	for _, u := range n.forward.upstreams.byService[id] {
-		if !u.usable() {
+	for _, u := range n.forward.upstreams.byService[g.Service] {
+		if !u.usable() || !n.forward.inGroup(g, u.ID) {
 			continue
 		}
 		if s.roleOf(n, u) == Prefill {
@@ -238,13 +232,18 @@
 	if total < 2 {
 		return nil
 	}
-	if surplus := len(readers) - c.readers(total, readHeadroom); surplus > 0 {
+	lacksRead := c.lackedRead != 0 && n.now.Sub(c.lackedRead) < lackShown
+	lacksMemory := c.lackedMemory != 0 && n.now.Sub(c.lackedMemory) < lackShown
+	surplus := len(readers) - c.readers(total, readHeadroom)
+	shortage := c.readers(total, readShortage) - len(readers)
+	switch {
+	case surplus > 0 && !lacksRead:
 		return s.change(n, readers, Decode, surplus)
+	case shortage > 0 && lacksRead && !lacksMemory, len(readers) == 0:
+		return s.change(n, decoders, Prefill, max(shortage, 1))
+	default:
+		return nil
 	}
-	if shortage := c.readers(total, readShortage) - len(readers); shortage > 0 {
-		return s.change(n, decoders, Prefill, shortage)
-	}
-	return nil
 }
 
 // roleOf returns the role that an engine has, or will have once its order is
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -44,8 +44,6 @@
 	event   string
 	events  int
 	firstAt time.Time
-	// paceAt is when the first event came, from which the pace is measured.
-	paceAt time.Time
 }
 
 // kept is an answer that was read whole.
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -146,7 +146,6 @@
 		if id != "" {
 			x.event = id
 			x.events++
-			x.reportPace()
 		}
 		if !x.writeEvent(event) {
 			return x.streamBroke(a, stalled, x.ctx.Err())
@@ -154,19 +153,6 @@
 	}
 }
 
-// paceEvents is the number of events after which a stream's pace is reported.
-const paceEvents = 8
-
-// reportPace tells the core once how fast a stream goes.
-func (x *exchange) reportPace() {
-	switch x.events {
-	case 1:
-		x.paceAt = time.Now()
-	case paceEvents:
-		x.server.Send(core.ForwardProgress{ID: x.forward.ID, Events: x.events, Took: time.Since(x.paceAt)})
-	}
-}
-
 func (x *exchange) writeEvent(event []byte) bool {
 	if _, err := x.w.Write(event); err != nil {
 		return false
