Measure lateness from a request's own coming, not from its caller's deadline

Cause: callers' deadlines differ by 15% of themselves, so half of the fresh requests were taken for late ones and served last.

--- a/core/decision.go
+++ b/core/decision.go
@@ -33,6 +33,9 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Tokens     Tokens
+	// Slack is how long the request could wait, when it came, and still be on
+	// time; it is negative for one that came late.
+	Slack time.Duration
 	// Expected and Output are the estimated and the actual length of an answer,
 	// where a stream has ended.
 	Expected Tokens
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -23,6 +23,8 @@
 	// prompt is sent there: enough to keep it busy. Prompts beyond it wait with
 	// the owner, where the urgent ones go first and no memory is held for them.
 	readAhead = 150 * time.Millisecond
+	// maxTurned bounds the prompts of refused callers that are remembered.
+	maxTurned = 4096
 	// deniedFor is how long an engine counts as full for its owner after it
 	// denied a lease: somebody unknown holds memory there.
 	deniedFor = 250 * time.Millisecond
@@ -48,6 +50,8 @@
 	OnTime    time.Duration
 	Patience  time.Duration
 	Objective time.Duration
+	// Prompted identifies the prompt, to know a caller who comes back.
+	Prompted PromptKey
 	// Again says that the request has been sent to an engine before, so that
 	// it is not refused any more for want of time.
 	Again bool
@@ -146,12 +150,16 @@
 // dispatchJob is a request that this node places for another, or for itself.
 type dispatchJob struct {
 	queueEntry
-	key    jobKey
-	group  DispatchGroup
-	prompt Tokens
-	memory Tokens
-	again  bool
-	avoid  Set[EngineID]
+	key jobKey
+	// prompted identifies the prompt, and first is when a request with it first
+	// came.
+	prompted PromptKey
+	first    Instant
+	group    DispatchGroup
+	prompt   Tokens
+	memory   Tokens
+	again    bool
+	avoid    Set[EngineID]
 	// decode and prefill are the engines in whose books the job stands.
 	decode  EngineID
 	prefill EngineID
@@ -176,10 +184,13 @@
 // Its books are exact for what it placed; what others placed shows in denied
 // leases, because an engine itself is the last guard of its memory.
 type dispatcher struct {
-	jobs    map[jobKey]*dispatchJob
-	queue   []*dispatchJob
-	books   map[EngineID]*engineBook
-	grants  map[DispatchGroup]*grants
+	jobs   map[jobKey]*dispatchJob
+	queue  []*dispatchJob
+	books  map[EngineID]*engineBook
+	grants map[DispatchGroup]*grants
+	// turned holds when prompts first came whose requests were turned away, so
+	// that their callers are known when they come back.
+	turned  map[PromptKey]Instant
 	pumpDue bool
 }
 
@@ -187,6 +198,7 @@
 	d.jobs = map[jobKey]*dispatchJob{}
 	d.books = map[EngineID]*engineBook{}
 	d.grants = map[DispatchGroup]*grants{}
+	d.turned = map[PromptKey]Instant{}
 	n.every(jobLife/4, func(n *Node) { d.sweep(n) })
 }
 
@@ -219,9 +231,10 @@
 		queueEntry: queueEntry{
 			rank: m.Rank, arrived: n.now, onTimeBy: n.now.Add(m.OnTime), goneBy: n.now.Add(m.Patience), objective: m.Objective,
 		},
-		key: key, group: m.Group, prompt: m.Prompt, memory: m.Memory, again: m.Again, avoid: SetOf(m.Avoid...),
+		key: key, group: m.Group, prompt: m.Prompt, memory: m.Memory, prompted: m.Prompted, first: n.now, again: m.Again, avoid: SetOf(m.Avoid...),
 		waiting: true, since: n.now,
 	}
+	d.recognise(n, j, m)
 	entries := make([]queueEntry, 0, len(d.queue))
 	for _, q := range d.queue {
 		if q.group == j.group {
@@ -229,7 +242,7 @@
 		}
 	}
 	if !j.again && hopeless(n.now, j.queueEntry, ahead(n.now, entries, j.queueEntry), d.rate(j.group).rate(n.now)) {
-		n.send(from, ForwardTurnedAway{ID: m.ID})
+		d.turnAway(n, j)
 		return
 	}
 	d.jobs[key] = j
@@ -240,6 +253,27 @@
 	}
 }
 
+// recognise counts a request that was turned away before from when it first
+// came. Its caller's deadline does not tell, since callers wait differently
+// long.
+func (d *dispatcher) recognise(n *Node, j *dispatchJob, m PlaceForward) {
+	first, ok := d.turned[m.Prompted]
+	if !ok || m.Prompted == 0 {
+		return
+	}
+	delete(d.turned, m.Prompted)
+	j.first = first
+	j.onTimeBy = j.onTimeBy.Add(-n.now.Sub(first))
+}
+
+// turnAway refuses a job.
+func (d *dispatcher) turnAway(n *Node, j *dispatchJob) {
+	if j.prompted != 0 && len(d.turned) < maxTurned {
+		d.turned[j.prompted] = j.first
+	}
+	n.send(j.key.node, ForwardTurnedAway{ID: j.key.id})
+}
+
 // pump places waiting jobs in order, as far as engines have memory.
 func (d *dispatcher) pump(n *Node) {
 	sortDispatch(n.now, d.queue)
@@ -248,7 +282,7 @@
 		switch {
 		case !j.again && j.expired(n.now):
 			delete(d.jobs, j.key)
-			n.send(j.key.node, ForwardTurnedAway{ID: j.key.id})
+			d.turnAway(n, j)
 		case !d.assign(n, j):
 			rest = append(rest, j)
 		}
@@ -396,13 +430,19 @@
 	d.pump(n)
 }
 
-// sweep drops jobs that nobody has spoken of for too long.
+// sweep drops jobs that nobody has spoken of for too long, and prompts whose
+// callers did not come back.
 func (d *dispatcher) sweep(n *Node) {
 	for _, j := range d.jobs {
 		if n.now.Sub(j.since) > jobLife {
 			d.drop(n, j)
 		}
 	}
+	for key, first := range d.turned {
+		if n.now.Sub(first) > jobLife {
+			delete(d.turned, key)
+		}
+	}
 }
 
 // memberDied lets everything that a start of a node held be released.
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -11,6 +11,7 @@
 		s.admit(n, f)
 		return
 	}
+	g, _ := f.Generation.Get()
 	f.phase = forwardAsking
 	f.step++
 	f.owner = owner
@@ -18,7 +19,7 @@
 	n.send(owner, PlaceForward{
 		ID: f.ID, Group: f.group, Prompt: f.prompt(), Memory: f.reserve(), Rank: f.rank,
 		OnTime: f.onTimeBy.Sub(n.now), Patience: f.goneBy.Sub(n.now), Objective: f.objective,
-		Again: f.sends > 0, Avoid: f.tried.Sorted(),
+		Prompted: g.Prompted, Again: f.sends > 0, Avoid: f.tried.Sorted(),
 	})
 	step := f.step
 	n.afterFunc(askTimeout, func(n *Node) {
--- a/core/forward.go
+++ b/core/forward.go
@@ -71,9 +71,6 @@
 	grants    grants
 	// pipeline is the usual time from a lease to the first event.
 	pipeline time.Duration
-	// longest is the longest patience seen on each route. A caller with less
-	// has spent the difference on an earlier attempt.
-	longest map[RouteID]time.Duration
 	// pumpDue is set while a later look at the queue is scheduled, inPump while
 	// one goes on.
 	pumpDue bool
@@ -97,7 +94,6 @@
 	s.live = map[ForwardID]*forwarded{}
 	s.muted = map[NodeID]Instant{}
 	s.budgets = map[ServiceID]*repeatBudget{}
-	s.longest = map[RouteID]time.Duration{}
 	s.pipeline = firstEventGuess
 }
 
@@ -162,12 +158,10 @@
 func (s *forwards) schedule(n *Node, f *forwarded) {
 	patience := min(f.Patience, f.route.Timeout)
 	f.deadline = n.now.Add(patience)
-	s.longest[f.route.ID] = max(s.longest[f.route.ID], f.Patience)
-	spent := s.longest[f.route.ID] - f.Patience
 	f.queueEntry = queueEntry{
 		rank:      f.route.Rank,
 		arrived:   n.now,
-		onTimeBy:  n.now.Add(f.route.Objective - spent - s.pipeline),
+		onTimeBy:  n.now.Add(f.route.Objective - s.pipeline),
 		goneBy:    f.deadline,
 		objective: f.route.Objective,
 	}
@@ -351,7 +345,7 @@
 	d := Decision{
 		At: n.now, Node: n.Self.ID, Request: RequestID(f.Attempt), Attempt: Attempt(f.sends),
 		Profile: ProfileID(f.route.ID), Step: step, Reason: reason, Waited: f.waited(n.now),
-		Version: s.state.Version, Tokens: f.reserved,
+		Version: s.state.Version, Tokens: f.reserved, Slack: f.onTimeBy.Sub(f.arrived),
 	}
 	if f.prefill != nil {
 		d.Prefill = f.prefill.ID
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -5,6 +5,9 @@
 // ForwardID names one caller's request at the node that took it.
 type ForwardID uint64
 
+// PromptKey identifies a prompt by its parts.
+type PromptKey uint64
+
 // LeaseID names a reservation of memory at an engine.
 type LeaseID string
 
@@ -31,6 +34,9 @@
 	// estimate of it; either is zero if unknown.
 	MaxOutput      Tokens
 	ExpectedOutput Tokens
+	// Prompted identifies the prompt, so that a caller who comes back with the
+	// same one is known again; zero if unknown.
+	Prompted PromptKey
 	// Resumed says that the caller has part of the answer already.
 	Resumed bool
 }
--- a/daisyshed/operator/log.go
+++ b/daisyshed/operator/log.go
@@ -24,6 +24,7 @@
 		Dur("RetryAfterMs", d.RetryAfter).
 		Dur("WaitedMs", d.Waited).
 		Int("Tokens", int(d.Tokens)).
+		Dur("SlackMs", d.Slack).
 		Int("Expected", int(d.Expected)).
 		Int("Output", int(d.Output)).
 		Int64("Version", d.Version).
