--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -23,6 +23,11 @@
 	// prompt is sent there: enough to keep it busy. Prompts beyond it wait with
 	// the owner, where the urgent ones go first and no memory is held for them.
 	readAhead = 150 * time.Millisecond
+	// slotsPerSpare is how many slots of a plain upstream allow one request more.
+	slotsPerSpare = 4
+	// minSuccess keeps an upstream that failed all its requests from being left
+	// out for good.
+	minSuccess = 0.01
 	// maxTurned bounds the prompts of refused callers that are remembered.
 	maxTurned = 4096
 	// deniedFor is how long an engine counts as full for its owner after it
@@ -80,8 +85,27 @@
 // ForwardPromptRead tells an owner that a prompt has been read.
 type ForwardPromptRead struct{ ID ForwardID }
 
+// RunOutcome says how a request's run went, as far as it tells of the upstream.
+type RunOutcome int
+
+// The outcomes of runs.
+const (
+	// RunUnknown tells nothing: the request did not get as far as that, or its
+	// caller left.
+	RunUnknown RunOutcome = iota
+	// RunSucceeded means that the upstream answered.
+	RunSucceeded
+	// RunErred means that it answered with a failure of its own.
+	RunErred
+	// RunFailed means that it gave no usable answer.
+	RunFailed
+)
+
 // ForwardReleased tells an owner that a request holds nothing any more.
-type ForwardReleased struct{ ID ForwardID }
+type ForwardReleased struct {
+	ID      ForwardID
+	Outcome RunOutcome
+}
 
 // ForwardHeld tells a new owner what a request holds at an engine.
 type ForwardHeld struct {
@@ -241,7 +265,7 @@
 			entries = append(entries, q.queueEntry)
 		}
 	}
-	if !j.again && hopeless(n.now, j.queueEntry, ahead(n.now, entries, j.queueEntry), d.rate(j.group).rate(n.now)) {
+	if !j.again && hopeless(n.now, j.queueEntry, ahead(n.now, entries, j.queueEntry), d.capacity(n, j.group)) {
 		d.turnAway(n, j)
 		return
 	}
@@ -298,31 +322,31 @@
 	}
 }
 
-// assign chooses engines for a job, decode first: a prompt is read only where
-// there is memory for what follows. It reports whether there was any.
+// assign chooses upstreams for a job, and reports whether there was room. For
+// model engines, decode comes first: a prompt is read only where there is memory
+// for what follows.
 func (d *dispatcher) assign(n *Node, j *dispatchJob) bool {
-	s := &n.forward
-	engine, _ := s.state.Services[j.group.Service].Engine.Get()
-	list := s.upstreams.byService[j.group.Service]
-	mine := func(u *upstream) bool { return s.inGroup(j.group, u.ID) && !j.avoid.Has(u.ID) && u.avoidUntil <= n.now }
-	decode := cheapest(n, list, func(u *upstream) bool {
-		b := d.book(u.ID)
-		return !mine(u) || n.roles.roleOf(n, u) != Decode || u.fullUntil > n.now || b.deniedUntil > n.now ||
-			engine.Memory > 0 && b.memory+j.memory > engine.Memory
-	}, func(u *upstream) float64 { return float64(d.book(u.ID).memory) })
+	spec := n.forward.state.Services[j.group.Service]
+	engine, generates := spec.Engine.Get()
+	if !generates {
+		return d.assignPlain(n, j)
+	}
 	c := n.roles.cost(j.group)
+	decode := d.cheapest(n, j, func(u *upstream) bool {
+		return n.roles.roleOf(n, u) == Decode && u.avoidUntil <= n.now && d.fits(n, u, j.memory, engine.Memory)
+	}, func(u *upstream) float64 { return float64(d.book(u.ID).memory) })
 	if decode == nil {
 		c.lackedMemory = n.now
 		return false
 	}
 	readers := 0
-	prefill := cheapest(n, list, func(u *upstream) bool {
-		if !mine(u) || n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now {
-			return true
+	prefill := d.cheapest(n, j, func(u *upstream) bool {
+		if n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now || u.avoidUntil > n.now {
+			return false
 		}
 		readers++
 		reading := d.book(u.ID).reading
-		return reading > 0 && c.tokenRate > 0 && float64(reading)/c.tokenRate > readAhead.Seconds()
+		return reading == 0 || c.tokenRate == 0 || float64(reading)/c.tokenRate <= readAhead.Seconds()
 	}, func(u *upstream) float64 {
 		cost := float64(d.book(u.ID).reading)
 		if u.Domain != decode.Domain {
@@ -334,24 +358,87 @@
 		c.lackedRead = n.now
 		return false
 	}
-	j.waiting = false
-	j.placedAt = n.now
-	j.decode = decode.ID
-	d.book(decode.ID).memory += j.memory
 	if prefill != nil {
 		j.prefill = prefill.ID
 		j.undisturbed = d.book(prefill.ID).reading == 0
 		d.book(prefill.ID).reading += j.prompt
 	}
+	d.promise(n, j, decode)
+	return true
+}
+
+// assignPlain chooses an upstream of a plain service, by its free slots and its
+// success. Requests beyond the slots wait with the owner, where the urgent and
+// the timely go first.
+func (d *dispatcher) assignPlain(n *Node, j *dispatchJob) bool {
+	j.memory = 1
+	cost := func(u *upstream) float64 {
+		return float64(d.book(u.ID).memory+1) / float64(max(u.Slots, 1)) / max(u.success*u.success, minSuccess)
+	}
+	u := d.cheapest(n, j, func(u *upstream) bool {
+		return u.avoidUntil <= n.now && d.fits(n, u, j.memory, slotRoom(u))
+	}, cost)
+	if u == nil {
+		u = d.cheapest(n, j, func(u *upstream) bool { return d.fits(n, u, j.memory, slotRoom(u)) }, cost)
+	}
+	if u == nil {
+		return false
+	}
+	d.promise(n, j, u)
+	return true
+}
+
+// slotRoom returns how many requests one plain upstream gets at once: its slots
+// and a few more, so that none stands idle while an answer and the next request
+// are on their way.
+func slotRoom(u *upstream) Tokens { return Tokens(u.Slots + (u.Slots+slotsPerSpare-1)/slotsPerSpare) }
+
+// fits reports whether an upstream has room for a job by the books.
+func (d *dispatcher) fits(n *Node, u *upstream, need, room Tokens) bool {
+	b := d.book(u.ID)
+	return u.fullUntil <= n.now && b.deniedUntil <= n.now && (room == 0 || b.memory+need <= room)
+}
+
+// cheapest returns the best upstream of a job's group that may take it.
+func (d *dispatcher) cheapest(n *Node, j *dispatchJob, may func(*upstream) bool, cost func(*upstream) float64) *upstream {
+	s := &n.forward
+	return cheapest(n, s.upstreams.byService[j.group.Service], func(u *upstream) bool {
+		return !s.inGroup(j.group, u.ID) || j.avoid.Has(u.ID) || !may(u)
+	}, cost)
+}
+
+// promise enters a job into the books and tells its entry.
+func (d *dispatcher) promise(n *Node, j *dispatchJob, u *upstream) {
+	j.waiting = false
+	j.placedAt = n.now
+	j.decode = u.ID
+	d.book(u.ID).memory += j.memory
 	d.rate(j.group).note(n.now)
 	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill})
-	return true
+}
+
+// capacity returns how many requests a second a group can serve: what it served
+// of late, or what its upstreams can by the measured costs. The first falls
+// short when a burst begins, the second when upstreams are slow.
+func (d *dispatcher) capacity(n *Node, g DispatchGroup) float64 {
+	seen := d.rate(g).rate(n.now)
+	c := n.roles.cost(g)
+	if c.holdSeconds.count < rolesSamples || c.holdSeconds.mean <= 0 {
+		return seen
+	}
+	able := 0
+	for _, u := range n.forward.upstreams.byService[g.Service] {
+		if u.usable() && u.avoidUntil <= n.now && n.forward.inGroup(g, u.ID) && n.roles.roleOf(n, u) != Prefill {
+			able++
+		}
+	}
+	return max(seen, float64(able)/c.holdSeconds.mean)
 }
 
 // denied takes in that an engine denied a lease that this node promised.
 func (d *dispatcher) denied(n *Node, from NodeID, m ForwardDenied) {
 	d.book(m.Engine).deniedUntil = n.now.Add(n.jitter(deniedFor))
-	d.released(n, from, m.ID)
+	d.released(n, from, ForwardReleased{ID: m.ID})
 }
 
 // promptRead takes in that a prefill engine is done with a prompt.
@@ -373,21 +460,37 @@
 }
 
 // released takes in that a request holds nothing any more.
-func (d *dispatcher) released(n *Node, from NodeID, id ForwardID) {
-	if j, ok := d.jobs[jobKey{node: from, id: id}]; ok {
+func (d *dispatcher) released(n *Node, from NodeID, m ForwardReleased) {
+	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
+		d.judge(n, from, j, m.Outcome)
 		d.measure(n, j)
 		d.drop(n, j)
 		d.pump(n)
 	}
 }
 
-// measure notes for how long a job held memory, if it got as far as decoding.
+// judge notes how another node's run went at an upstream; this node's own runs
+// are noted as they end.
+func (d *dispatcher) judge(n *Node, from NodeID, j *dispatchJob, outcome RunOutcome) {
+	u, ok := n.forward.upstreams.byID[j.decode]
+	if !ok || from == n.Self.ID {
+		return
+	}
+	u.note(n, outcome)
+}
+
+// measure notes for how long a job held its place, if it got as far as a run.
 func (d *dispatcher) measure(n *Node, j *dispatchJob) {
 	if j.decode == "" || j.placedAt == 0 || j.prefill != "" {
 		return
 	}
-	engine, _ := n.forward.state.Services[j.group.Service].Engine.Get()
-	n.roles.cost(j.group).released(j.memory, engine.Memory, n.now.Sub(j.placedAt))
+	room := Tokens(0)
+	if engine, ok := n.forward.state.Services[j.group.Service].Engine.Get(); ok {
+		room = engine.Memory
+	} else if u, ok := n.forward.upstreams.byID[j.decode]; ok {
+		room = slotRoom(u)
+	}
+	n.roles.cost(j.group).released(j.memory, room, n.now.Sub(j.placedAt))
 }
 
 // drop takes a job out of the books and the queue.
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -36,9 +36,10 @@
 // leaveOwner tells the owner that the request holds nothing any more.
 func (s *forwards) leaveOwner(n *Node, f *forwarded) {
 	if f.owner != "" {
-		n.send(f.owner, ForwardReleased{ID: f.ID})
+		n.send(f.owner, ForwardReleased{ID: f.ID, Outcome: f.outcome})
 		f.owner = ""
 	}
+	f.outcome = RunUnknown
 }
 
 // queued notes that the owner has the request.
@@ -63,6 +64,10 @@
 		s.admit(n, f)
 		return
 	}
+	if _, engine := f.spec.Engine.Get(); !engine {
+		s.runPlainAt(n, f, u)
+		return
+	}
 	f.advised = m.Prefill
 	s.takeLease(n, f, u)
 }
--- a/core/forward.go
+++ b/core/forward.go
@@ -39,6 +39,7 @@
 	group   DispatchGroup
 	owner   NodeID
 	acked   bool
+	outcome RunOutcome
 	advised EngineID
 
 	decode   *upstream
@@ -69,8 +70,9 @@
 	queue     []*forwarded
 	budgets   map[ServiceID]*repeatBudget
 	grants    grants
-	// pipeline is the usual time from a lease to the first event.
-	pipeline time.Duration
+	// pipelines holds each service's usual time from a placement to the first
+	// bytes of the answer.
+	pipelines map[ServiceID]time.Duration
 	// pumpDue is set while a later look at the queue is scheduled, inPump while
 	// one goes on.
 	pumpDue bool
@@ -94,7 +96,7 @@
 	s.live = map[ForwardID]*forwarded{}
 	s.muted = map[NodeID]Instant{}
 	s.budgets = map[ServiceID]*repeatBudget{}
-	s.pipeline = firstEventGuess
+	s.pipelines = map[ServiceID]time.Duration{}
 }
 
 // desired takes in a desired state. A node never goes back to an older one.
@@ -146,11 +148,7 @@
 	f.route, f.spec = route, spec
 	s.schedule(n, f)
 	s.budget(service).arrived(n.now, n.Settings.Retries.Window)
-	if _, engine := spec.Engine.Get(); engine {
-		s.ask(n, f)
-		return
-	}
-	s.runPlain(n, f)
+	s.ask(n, f)
 }
 
 // schedule works out until when the request can be on time and until when its
@@ -161,13 +159,22 @@
 	f.queueEntry = queueEntry{
 		rank:      f.route.Rank,
 		arrived:   n.now,
-		onTimeBy:  n.now.Add(f.route.Objective - s.pipeline),
+		onTimeBy:  n.now.Add(f.route.Objective - s.pipelineOf(f)),
 		goneBy:    f.deadline,
 		objective: f.route.Objective,
 	}
 	n.afterFunc(patience, func(n *Node) { s.expire(n, f) })
 }
 
+// pipelineOf returns the usual time from a placement to the first bytes of the
+// answer.
+func (s *forwards) pipelineOf(f *forwarded) time.Duration {
+	if p, ok := s.pipelines[f.spec.ID]; ok {
+		return p
+	}
+	return share(f.route.Objective, pipelineGuess)
+}
+
 // expire ends a request whose time is over. A stream that has begun goes on:
 // its caller is not kept waiting any more.
 func (s *forwards) expire(n *Node, f *forwarded) {
@@ -250,12 +257,13 @@
 	}
 	f.phase = forwardAnswering
 	f.emitted = true
+	f.outcome = RunSucceeded
 	if f.decode != nil {
 		f.decode.succeeded()
 	}
 	if f.placedAt != 0 {
-		took := n.now.Sub(f.placedAt)
-		s.pipeline += (took - s.pipeline) / pipelineWeight
+		usual := s.pipelineOf(f)
+		s.pipelines[f.spec.ID] = usual + (n.now.Sub(f.placedAt)-usual)/pipelineWeight
 	}
 }
 
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -189,7 +189,6 @@
 func (ForwardAnswering) isMessage() {}
 func (ForwardEnded) isMessage()     {}
 func (DesiredState) isMessage()     {}
-func (InstanceList) isMessage()     {}
 
 func (TakeLease) isCommand()    {}
 func (DropLease) isCommand()    {}
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -26,7 +26,13 @@
 		s.end(n, f, NoUpstream, 0)
 		return
 	}
+	s.runPlainAt(n, f, u)
+}
+
+// runPlainAt sends a request of a plain service to an upstream.
+func (s *forwards) runPlainAt(n *Node, f *forwarded, u *upstream) {
 	f.phase = forwardRunning
+	f.placedAt = n.now
 	f.decode = u
 	u.requests++
 	f.step++
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// firstEventGuess is the time from a lease to the first event that is
-	// assumed before any was measured.
-	firstEventGuess = 300 * time.Millisecond
+	// pipelineGuess is the part of the objective that a placed request is
+	// assumed to need before any was measured.
+	pipelineGuess = 1.0 / 3
 	// pipelineWeight is the number of streams over which that time is averaged.
 	pipelineWeight = 16
 	// fullFor is how long an engine that refused a lease is taken to be full;
@@ -37,9 +37,13 @@
 	stallAfter = time.Second
 )
 
-// admit queues a request to model engines, or refuses it at once if it would
-// wait in vain.
+// admit places a request by this node's own knowledge: it queues one to model
+// engines, or refuses it at once if it would wait in vain.
 func (s *forwards) admit(n *Node, f *forwarded) {
+	if _, engine := f.spec.Engine.Get(); !engine {
+		s.runPlain(n, f)
+		return
+	}
 	w := make([]queueEntry, len(s.queue))
 	for i, q := range s.queue {
 		w[i] = q.queueEntry
@@ -359,14 +363,19 @@
 
 // failed routes a StepFailed to the request's kind.
 func (s *forwards) failed(n *Node, m StepFailed) {
+	outcome := RunFailed
+	if m.Status != 0 {
+		outcome = RunErred
+	}
 	if u, ok := s.upstreams.byID[m.Engine]; ok {
-		u.failed(n.now)
+		u.note(n, outcome)
 	}
 	f, ok := s.live[m.ID]
 	if !ok {
 		return
 	}
 	f.emitted = f.emitted || m.Emitted
+	f.outcome = outcome
 	s.decide(n, f, "step-failed", UpstreamFailed)
 	if m.Step == RunStep && (f.decode == nil || f.decode.ID != m.Engine || f.phase < forwardRunning) {
 		return
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -76,9 +76,7 @@
 
 func (s *forwards) stateAnswer(n *Node, m StateAnswer) {
 	n.do(AdoptState{Offset: m.Offset, Record: m.Record})
-	if !s.upstreams.known {
-		s.instances(n, m.Instances)
-	}
+	n.feed.adopt(n, m.Instances)
 }
 
 // announceReady tells the runtime once that the node may take requests.
--- a/core/instance.go
+++ b/core/instance.go
@@ -37,9 +37,6 @@
 type InstanceList struct {
 	Offset    Offset
 	Instances []Instance
-	// AfterOutage says that the store was away a moment ago, so that entries
-	// of live upstreams may be missing.
-	AfterOutage bool
 }
 
 // upstream is what this node knows of one instance.
@@ -64,6 +61,19 @@
 // usable reports whether new work may go to the upstream.
 func (u *upstream) usable() bool { return !u.removed && !u.Draining }
 
+// note takes in how a run at the upstream went.
+func (u *upstream) note(n *Node, outcome RunOutcome) {
+	switch outcome {
+	case RunSucceeded:
+		u.succeeded()
+	case RunErred:
+		u.erred()
+	case RunFailed:
+		u.failed(n.now)
+	case RunUnknown:
+	}
+}
+
 // succeeded notes that the upstream answered.
 func (u *upstream) succeeded() {
 	u.failures = 0
@@ -71,6 +81,13 @@
 	u.success += successWeight * (1 - u.success)
 }
 
+// erred notes that the upstream answered with a failure of its own. It lives,
+// so it is not put aside, but others are preferred.
+func (u *upstream) erred() {
+	u.failures = 0
+	u.success -= successWeight * u.success
+}
+
 // failed notes that the upstream gave no usable answer.
 func (u *upstream) failed(now Instant) {
 	u.failures++
@@ -101,9 +118,6 @@
 // take replaces the view by a list, and keeps what is known of those that
 // stay. A new start under an old id begins afresh.
 func (s *upstreams) take(list InstanceList) {
-	if s.known && list.Offset < s.offset {
-		return
-	}
 	s.known, s.offset = true, list.Offset
 	old := s.byID
 	s.byID = make(map[EngineID]*upstream, len(list.Instances))
@@ -122,12 +136,7 @@
 		s.byService[i.Service] = append(s.byService[i.Service], u)
 	}
 	for id, u := range old {
-		switch {
-		case s.byID[id] == u:
-		case s.byID[id] == nil && list.AfterOutage:
-			s.byID[id] = u
-			s.byService[u.Service] = append(s.byService[u.Service], u)
-		default:
+		if s.byID[id] != u {
 			u.removed = true
 		}
 	}
--- /dev/null
+++ b/core/instance_feed.go
@@ -0,0 +1,246 @@
+package core
+
+import "time"
+
+const (
+	// feedReaders is how many nodes read the upstreams' entries from the store
+	// for all: calls are limited for all nodes together, and one reader alone
+	// would be missed when it dies.
+	feedReaders = 3
+	// feedReadShare, feedLookShare and feedStaleShare are the parts of the time
+	// within which a leaving upstream must get nothing new: a reader's period,
+	// the period of looking whether to read, and the silence of all readers
+	// after which a node reads by itself.
+	feedReadShare  = 0.4
+	feedLookShare  = 0.25
+	feedStaleShare = 0.4
+	// lapseGrace is how long after an outage of the store upstreams may take to
+	// renew entries that lapsed meanwhile.
+	lapseGrace = 2500 * time.Millisecond
+)
+
+// ReadInstances asks for the upstreams' entries after an offset, or for all of
+// them if Whole is set.
+type ReadInstances struct {
+	Whole bool
+	After Offset
+}
+
+// InstancesRead answers ReadInstances with the entries that changed or went.
+type InstancesRead struct {
+	Whole   bool
+	After   Offset
+	Offset  Offset
+	Changed []Instance
+	Removed []EngineID
+}
+
+// InstancesUnread says that reading the entries failed. Compacted is set if the
+// store no longer has the entries after the offset, so that all are to be read.
+type InstancesUnread struct{ Compacted bool }
+
+// InstancesChanged passes on to other nodes what a reader read.
+type InstancesChanged struct {
+	After   Offset
+	Offset  Offset
+	Changed []Instance
+	Removed []EngineID
+}
+
+func (ReadInstances) isCommand()     {}
+func (InstancesRead) isMessage()     {}
+func (InstancesUnread) isMessage()   {}
+func (InstancesChanged) isPeerBody() {}
+
+// instanceFeed keeps the list of upstreams. A few nodes read the store and pass
+// on what changed; the others read only when they hear of no reader.
+type instanceFeed struct {
+	entries map[EngineID]Instance
+	// lapsing holds entries that went during or right after an outage of the
+	// store, and until when they still count.
+	lapsing map[EngineID]Instant
+	offset  Offset
+	known   bool
+	reading bool
+	// readAt and heardAt are when this node last read, and when the list was
+	// last brought up to date by anyone.
+	readAt  Instant
+	heardAt Instant
+	lost    bool
+	lostAt  Instant
+	whole   bool
+}
+
+func (s *instanceFeed) start(n *Node) {
+	s.entries = map[EngineID]Instance{}
+	s.lapsing = map[EngineID]Instant{}
+	s.whole = true
+	s.read(n)
+	n.every(share(n.Settings.DrainDelay, feedLookShare), func(n *Node) { s.look(n) })
+}
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
+// look reads the store if this node is a reader or has heard of none.
+func (s *instanceFeed) look(n *Node) {
+	s.lapse(n)
+	delay := n.Settings.DrainDelay
+	stale := n.now.Sub(s.heardAt) > share(delay, feedStaleShare)
+	due := n.now.Sub(s.readAt) > share(delay, feedReadShare)
+	if stale || !s.known || due && n.reader() {
+		s.read(n)
+	}
+}
+
+func (s *instanceFeed) read(n *Node) {
+	if s.reading {
+		return
+	}
+	s.reading, s.readAt = true, n.now
+	n.do(ReadInstances{Whole: s.whole, After: s.offset})
+}
+
+// reader reports whether this node is among those that read for all.
+func (n *Node) reader() bool {
+	own := hashOf("reader/" + string(n.Self.ID))
+	before := 0
+	for id, m := range n.members.byID {
+		if m.serving() && m.status == Alive && hashOf("reader/"+string(id)) > own {
+			before++
+		}
+	}
+	return before < feedReaders
+}
+
+// answered takes in what this node read, and passes on what changed.
+func (s *instanceFeed) answered(n *Node, m InstancesRead) {
+	s.reading, s.whole = false, false
+	if s.lost {
+		s.lost, s.lostAt = false, n.now
+	}
+	changed := s.changes(m.Changed)
+	removed := m.Removed
+	if m.Whole {
+		removed = s.missing(m.Changed)
+	}
+	pass := !m.Whole && n.reader()
+	s.apply(n, m.Offset, changed, removed)
+	if !pass {
+		return
+	}
+	for _, id := range sortedKeys(n.members.byID) {
+		if n.members.byID[id].serving() {
+			n.send(id, InstancesChanged{After: m.After, Offset: m.Offset, Changed: changed, Removed: removed})
+		}
+	}
+}
+
+// changes returns the entries that differ from what is known: most records only
+// renew an entry.
+func (s *instanceFeed) changes(list []Instance) []Instance {
+	var changed []Instance
+	for _, i := range list {
+		if old, ok := s.entries[i.ID]; !ok || old != i {
+			changed = append(changed, i)
+			continue
+		}
+		delete(s.lapsing, i.ID)
+	}
+	return changed
+}
+
+// missing returns the known entries that a whole list lacks.
+func (s *instanceFeed) missing(list []Instance) []EngineID {
+	have := Set[EngineID]{}
+	for _, i := range list {
+		have.Add(i.ID)
+	}
+	var gone []EngineID
+	for _, id := range sortedKeys(s.entries) {
+		if !have.Has(id) {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// unread takes in that a read failed.
+func (s *instanceFeed) unread(n *Node, m InstancesUnread) {
+	s.reading = false
+	if m.Compacted {
+		s.whole = true
+		s.read(n)
+		return
+	}
+	s.lost, s.lostAt = true, n.now
+}
+
+// heard takes in what a reader passed on. A message that does not follow on
+// what this node has is left; the next look reads the store.
+func (s *instanceFeed) heard(n *Node, m InstancesChanged) {
+	if !s.known || m.After > s.offset {
+		return
+	}
+	s.heardAt = n.now
+	if m.Offset > s.offset {
+		s.apply(n, m.Offset, m.Changed, m.Removed)
+	}
+}
+
+// apply brings the list up to date. Entries that go in or right after an outage
+// of the store are kept for a while, since live upstreams renew them.
+func (s *instanceFeed) apply(n *Node, offset Offset, changed []Instance, removed []EngineID) {
+	for _, i := range changed {
+		s.entries[i.ID] = i
+		delete(s.lapsing, i.ID)
+	}
+	outage := s.lostAt != 0 && n.now.Sub(s.lostAt) < lapseGrace
+	for _, id := range removed {
+		if _, ok := s.entries[id]; !ok {
+			continue
+		}
+		if outage {
+			s.lapsing[id] = s.lostAt.Add(lapseGrace)
+			continue
+		}
+		delete(s.entries, id)
+	}
+	fresh := !s.known
+	s.known, s.offset, s.heardAt = true, offset, n.now
+	if fresh || len(changed)+len(removed) > 0 {
+		s.publish(n)
+	}
+}
+
+// lapse removes entries that were not renewed in time after an outage.
+func (s *instanceFeed) lapse(n *Node) {
+	gone := false
+	for id, until := range s.lapsing {
+		if n.now > until && !s.lost {
+			delete(s.lapsing, id)
+			delete(s.entries, id)
+			gone = true
+		}
+	}
+	if gone {
+		s.publish(n)
+	}
+}
+
+// publish hands the list to those who place requests.
+func (s *instanceFeed) publish(n *Node) {
+	list := InstanceList{Offset: s.offset}
+	for _, id := range sortedKeys(s.entries) {
+		list.Instances = append(list.Instances, s.entries[id])
+	}
+	n.forward.instances(n, list)
+}
+
+// adopt takes a whole list from a peer, for a node that cannot reach the store.
+func (s *instanceFeed) adopt(n *Node, list InstanceList) {
+	if s.known {
+		return
+	}
+	s.apply(n, list.Offset, list.Instances, nil)
+	s.whole = true
+}
--- a/core/node.go
+++ b/core/node.go
@@ -49,6 +49,7 @@
 	owner      owner
 	forward    forwards
 	roles      roles
+	feed       instanceFeed
 	dispatcher dispatcher
 	checks     checks
 }
@@ -84,6 +85,7 @@
 	n.owner.start(n)
 	n.forward.start()
 	if n.Hosted {
+		n.feed.start(n)
 		n.roles.start(n)
 		n.dispatcher.start(n)
 		return
@@ -189,8 +191,10 @@
 		n.Settings.Retries = m.Retries
 	case DesiredState:
 		n.forward.desired(n, m)
-	case InstanceList:
-		n.forward.instances(n, m)
+	case InstancesRead:
+		n.feed.answered(n, m)
+	case InstancesUnread:
+		n.feed.unread(n, m)
 	case Forward:
 		n.forward.request(n, m)
 	case ForwardGone:
@@ -264,7 +268,7 @@
 	case ForwardPromptRead:
 		n.dispatcher.promptRead(n, m.From, b)
 	case ForwardReleased:
-		n.dispatcher.released(n, m.From, b.ID)
+		n.dispatcher.released(n, m.From, b)
 	case ForwardHeld:
 		n.dispatcher.held(n, m.From, b)
 	case ForwardQueued:
@@ -273,6 +277,8 @@
 		n.forward.placed(n, m.From, b)
 	case ForwardTurnedAway:
 		n.forward.turnedAway(n, m.From, b)
+	case InstancesChanged:
+		n.feed.heard(n, b)
 	case RolesOrdered:
 		n.roles.rolesOrdered(n, b)
 	case StateQuery:
--- a/core/settings.go
+++ b/core/settings.go
@@ -54,6 +54,9 @@
 	// Retries bounds what all nodes together send beyond the first arrival of
 	// each forwarded request.
 	Retries RetryBudget
+	// DrainDelay is the time within which a leaving upstream must get nothing
+	// new.
+	DrainDelay time.Duration
 	// OrderLease is how long the holder of orders keeps its right: no two nodes
 	// give orders within it of each other.
 	OrderLease time.Duration
@@ -84,6 +87,7 @@
 		MaxQueue:            64,
 		CheckEvery:          time.Second,
 		Retries:             RetryBudget{Ratio: 0.1, Window: 10 * time.Second, Slack: 10},
+		DrainDelay:          2 * time.Second,
 		OrderLease:          5 * time.Second,
 		AddressLifetime:     addressLifetime,
 	}
@@ -111,6 +115,7 @@
 	s.KeyWritersPerRegion = cmp.Or(s.KeyWritersPerRegion, d.KeyWritersPerRegion)
 	s.MaxQueue = cmp.Or(s.MaxQueue, d.MaxQueue)
 	s.Retries = cmp.Or(s.Retries, d.Retries)
+	s.DrainDelay = cmp.Or(s.DrainDelay, d.DrainDelay)
 	s.OrderLease = cmp.Or(s.OrderLease, d.OrderLease)
 	s.AddressLifetime = cmp.Or(s.AddressLifetime, d.AddressLifetime)
 	return s
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -22,6 +22,8 @@
 	Claim(c core.ClaimOrders)
 	// Adopt decodes a desired state that came from a peer.
 	Adopt(c core.AdoptState)
+	// ReadInstances reads the upstreams' entries from the store.
+	ReadInstances(c core.ReadInstances)
 	// Ready makes the node count as ready.
 	Ready()
 }
@@ -104,6 +106,8 @@
 		e.Host.Claim(c)
 	case core.AdoptState:
 		e.Host.Adopt(c)
+	case core.ReadInstances:
+		e.Host.ReadInstances(c)
 	case core.NodeReady:
 		e.Host.Ready()
 	case core.ReadVMList:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -144,10 +144,11 @@
 			}},
 		},
 		Send: h.take, Log: h.log, Self: h.self(),
-		StateDelay: s.Bounds.StateDelay, DrainDelay: s.Bounds.DrainDelay,
+		StateDelay: s.Bounds.StateDelay,
 	}
 	settings := core.DefaultSettings()
 	settings.Retries = s.Bounds.Retries
+	settings.DrainDelay = s.Bounds.DrainDelay
 	settings.OrderLease = s.Bounds.Lease
 	settings.AddressLifetime = min(s.Bounds.AddressLifetime, directory.Lifetime)
 	h.loop = &control.Loop{
@@ -183,6 +184,9 @@
 	}()
 }
 
+// ReadInstances reads the upstreams' entries. It does not block.
+func (h host) ReadInstances(c core.ReadInstances) { h.watcher.ReadInstances(c) }
+
 // Ready makes the node count as ready.
 func (h host) Ready() { h.directory.SetReady() }
 
--- a/daisyshed/settings/core.go
+++ b/daisyshed/settings/core.go
@@ -52,6 +52,7 @@
 		MaxQueue:            s.Limits.Queue,
 		CheckEvery:          core.DefaultSettings().CheckEvery,
 		Retries:             core.DefaultSettings().Retries,
+		DrainDelay:          core.DefaultSettings().DrainDelay,
 		OrderLease:          core.DefaultSettings().OrderLease,
 		AddressLifetime:     core.DefaultSettings().AddressLifetime,
 	}
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -18,16 +18,15 @@
 	// priced and limited for all nodes together, also those that fail.
 	retryFirst   = 200 * time.Millisecond
 	retryLongest = time.Second
-	// stateShare and drainShare are the parts of the allowed delays that one
-	// wait for a change may take; the rest is for the call and its retry.
-	stateShare = 0.5
-	drainShare = 0.4
+	// stateWaits is how many of the time within which a new desired state is in
+	// force one read of it may wait. Peers tell of a newer state sooner, if this
+	// node's connection to the store has gone silent.
+	stateWaits = 2
 	// nodesEvery is the pause between two looks at the nodes' entries. Nodes
 	// find failures among themselves, so this only finds new ones.
-	nodesEvery = 2 * time.Second
-	// outageGrace is how long after an outage upstreams may take to renew
-	// entries that lapsed meanwhile.
-	outageGrace = 2500 * time.Millisecond
+	nodesEvery = 3 * time.Second
+	// nodesWait is how long a read of the nodes' entries waits for one.
+	nodesWait = 8 * time.Second
 )
 
 // Watcher follows the store. Its fields are set before Run.
@@ -36,21 +35,20 @@
 	Send  func(core.Message)
 	Log   zerolog.Logger
 	Self  core.NodeInfo
-	// StateDelay and DrainDelay are the times within which a new desired state
-	// and an upstream's leaving take effect.
+	// StateDelay is the time within which a new desired state takes effect.
 	StateDelay time.Duration
-	DrainDelay time.Duration
+
+	unreadable unreadable
+	// regain ends waiting reads once the store is back: they may wait on
+	// connections that died with it.
+	regain regain
 }
 
 // Run follows all topics until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	go w.announce(ctx)
-	go w.follow(ctx, &topic{
-		name: platform.Desired, wait: time.Duration(stateShare * float64(w.StateDelay)), apply: w.desired,
-	})
-	go w.follow(ctx, &topic{name: platform.Nodes, wait: nodesEvery, pause: nodesEvery, apply: w.nodes()})
-	pause := time.Duration(drainShare * float64(w.DrainDelay))
-	w.follow(ctx, &topic{name: platform.Instances, wait: pause, pause: pause, apply: w.instances()})
+	go w.follow(ctx, &topic{name: platform.Desired, wait: stateWaits * w.StateDelay, apply: w.desired})
+	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesWait, pause: nodesEvery, apply: w.nodes()})
 }
 
 // topic is one followed topic.
@@ -74,16 +72,21 @@
 	records []platform.Record
 	// whole says that the records are all there are, and end is the offset
 	// after them.
-	whole       bool
-	end         core.Offset
-	afterOutage bool
+	whole bool
+	end   core.Offset
 }
 
 // follow reads a topic again and again.
 func (w *Watcher) follow(ctx context.Context, t *topic) {
 	backoff := retryFirst
 	for ctx.Err() == nil {
-		u, err := w.read(ctx, t)
+		read, done := w.regain.wait(ctx)
+		u, err := w.read(read, t)
+		ended := read.Err() != nil
+		done()
+		if ended {
+			continue
+		}
 		if err != nil {
 			w.lost(t, err)
 			sleep(ctx, backoff)
@@ -92,7 +95,6 @@
 		}
 		w.regained(t)
 		backoff = retryFirst
-		u.afterOutage = !t.failedAt.IsZero() && time.Since(t.failedAt) < outageGrace
 		t.apply(u)
 		sleep(ctx, t.pause)
 	}
@@ -153,43 +155,6 @@
 	}
 }
 
-// instances returns a function that keeps the list of upstreams.
-func (w *Watcher) instances() func(update) {
-	entries := map[string]core.Instance{}
-	unreadable := map[string]bool{}
-	after := false
-	return func(u update) {
-		if u.whole {
-			clear(entries)
-		}
-		for _, r := range u.records {
-			delete(entries, r.Key)
-			if len(r.Value) == 0 {
-				continue
-			}
-			i, err := platform.DecodeInstance(r.Key, r.Value)
-			if err == nil {
-				entries[r.Key] = i
-				delete(unreadable, r.Key)
-				continue
-			}
-			if !unreadable[r.Key] {
-				unreadable[r.Key] = true
-				w.Log.Warn().Str("Event", "Unreadable").Int64("Offset", int64(r.Offset)).Err(err).Send()
-			}
-		}
-		if len(u.records) == 0 && !u.whole && !u.afterOutage && !after {
-			return
-		}
-		after = u.afterOutage
-		list := core.InstanceList{Offset: u.end, AfterOutage: u.afterOutage}
-		for _, i := range entries {
-			list.Instances = append(list.Instances, i)
-		}
-		w.Send(list)
-	}
-}
-
 // nodes returns a function that keeps the list of nodes.
 func (w *Watcher) nodes() func(update) {
 	entries := map[string]core.NodeInfo{}
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -46,10 +46,18 @@
 		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine")}
 	},
 	"ForwardPromptRead": func(t *rapid.T) core.PeerBody { return core.ForwardPromptRead{ID: forwardID(t)} },
-	"ForwardReleased":   func(t *rapid.T) core.PeerBody { return core.ForwardReleased{ID: forwardID(t)} },
+	"ForwardReleased": func(t *rapid.T) core.PeerBody {
+		return core.ForwardReleased{ID: forwardID(t), Outcome: enum(t, "outcome", core.RunFailed)}
+	},
 	"ForwardHeld": func(t *rapid.T) core.PeerBody {
 		return core.ForwardHeld{ID: forwardID(t), Group: dispatchGroup(t), Decode: text[core.EngineID](t, "decode"), Memory: tokens(t, "memory")}
 	},
+	"InstancesChanged": func(t *rapid.T) core.PeerBody {
+		return core.InstancesChanged{
+			After: offset(t, "after"), Offset: offset(t, "offset"), Changed: list(t, "changed", instance),
+			Removed: list(t, "removed", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "id") }),
+		}
+	},
 	"RolesOrdered": func(t *rapid.T) core.PeerBody {
 		return core.RolesOrdered{Orders: list(t, "orders", func(t *rapid.T) core.Order {
 			return core.Order{Engine: text[core.EngineID](t, "engine"), Kind: core.SetRole, Role: enum(t, "role", core.Plain), Fencing: offset(t, "fencing")}
@@ -58,16 +66,9 @@
 	"StateQuery": func(*rapid.T) core.PeerBody { return core.StateQuery{} },
 	"StateAnswer": func(t *rapid.T) core.PeerBody {
 		return core.StateAnswer{
-			Offset: offset(t, "offset"),
-			Record: rapid.SliceOfN(rapid.Byte(), 1, 9).Draw(t, "record"),
-			Instances: core.InstanceList{Offset: offset(t, "instances"), Instances: list(t, "list", func(t *rapid.T) core.Instance {
-				return core.Instance{
-					ID: text[core.EngineID](t, "id"), Service: text[core.ServiceID](t, "service"),
-					Domain: text[core.DomainID](t, "domain"), Address: text[string](t, "address"),
-					Born: rapid.Int64().Draw(t, "born"), Slots: rapid.IntRange(0, 99).Draw(t, "slots"),
-					Draining: rapid.Bool().Draw(t, "draining"), Role: enum(t, "role", core.Plain),
-				}
-			})},
+			Offset:    offset(t, "offset"),
+			Record:    rapid.SliceOfN(rapid.Byte(), 1, 9).Draw(t, "record"),
+			Instances: core.InstanceList{Offset: offset(t, "instances"), Instances: list(t, "list", instance)},
 		}
 	},
 	"VMListQuery": func(*rapid.T) core.PeerBody { return core.VMListQuery{} },
@@ -166,3 +167,12 @@
 func dispatchGroup(t *rapid.T) core.DispatchGroup {
 	return core.DispatchGroup{Service: text[core.ServiceID](t, "service"), Index: rapid.IntRange(0, 99).Draw(t, "index")}
 }
+
+func instance(t *rapid.T) core.Instance {
+	return core.Instance{
+		ID: text[core.EngineID](t, "id"), Service: text[core.ServiceID](t, "service"),
+		Domain: text[core.DomainID](t, "domain"), Address: text[string](t, "address"),
+		Born: rapid.Int64().Draw(t, "born"), Slots: rapid.IntRange(0, 99).Draw(t, "slots"),
+		Draining: rapid.Bool().Draw(t, "draining"), Role: enum(t, "role", core.Plain),
+	}
+}
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -26,29 +26,21 @@
 	return out, nil
 }
 
-func fromStateAnswer(b core.StateAnswer) *StateAnswer {
-	return &StateAnswer{
-		Offset: int64(b.Offset), Record: b.Record, InstancesOffset: int64(b.Instances.Offset),
-		Instances: each(b.Instances.Instances, func(i core.Instance) *Instance {
-			return &Instance{
-				ID: string(i.ID), Service: string(i.Service), Domain: string(i.Domain), Address: i.Address,
-				Born: i.Born, Slots: int64(i.Slots), Draining: i.Draining, Role: uint32(i.Role),
-			}
-		}),
+func fromInstance(i core.Instance) *Instance {
+	return &Instance{
+		ID: string(i.ID), Service: string(i.Service), Domain: string(i.Domain), Address: i.Address,
+		Born: i.Born, Slots: int64(i.Slots), Draining: i.Draining, Role: uint32(i.Role),
 	}
 }
 
-func toStateAnswer(b *StateAnswer) (core.PeerBody, error) {
-	out := core.StateAnswer{
-		Offset: core.Offset(b.GetOffset()), Record: b.GetRecord(),
-		Instances: core.InstanceList{Offset: core.Offset(b.GetInstancesOffset())},
-	}
-	for _, i := range b.GetInstances() {
+func toInstances(list []*Instance) ([]core.Instance, error) {
+	var out []core.Instance
+	for _, i := range list {
 		role, err := inRange("Instance.Role", i.GetRole(), core.Plain)
 		if err != nil {
 			return nil, err
 		}
-		out.Instances.Instances = append(out.Instances.Instances, core.Instance{
+		out = append(out, core.Instance{
 			ID: core.EngineID(i.GetID()), Service: core.ServiceID(i.GetService()), Domain: core.DomainID(i.GetDomain()),
 			Address: i.GetAddress(), Born: i.GetBorn(), Slots: int(i.GetSlots()), Draining: i.GetDraining(), Role: role,
 		})
@@ -56,6 +48,50 @@
 	return out, nil
 }
 
+func fromStateAnswer(b core.StateAnswer) *StateAnswer {
+	return &StateAnswer{
+		Offset: int64(b.Offset), Record: b.Record, InstancesOffset: int64(b.Instances.Offset),
+		Instances: each(b.Instances.Instances, fromInstance),
+	}
+}
+
+func toStateAnswer(b *StateAnswer) (core.PeerBody, error) {
+	list, err := toInstances(b.GetInstances())
+	if err != nil {
+		return nil, err
+	}
+	return core.StateAnswer{
+		Offset: core.Offset(b.GetOffset()), Record: b.GetRecord(),
+		Instances: core.InstanceList{Offset: core.Offset(b.GetInstancesOffset()), Instances: list},
+	}, nil
+}
+
+func fromInstancesChanged(b core.InstancesChanged) *InstancesChanged {
+	return &InstancesChanged{
+		After: int64(b.After), Offset: int64(b.Offset), Changed: each(b.Changed, fromInstance),
+		Removed: each(b.Removed, func(id core.EngineID) string { return string(id) }),
+	}
+}
+
+func toInstancesChanged(b *InstancesChanged) (core.PeerBody, error) {
+	list, err := toInstances(b.GetChanged())
+	if err != nil {
+		return nil, err
+	}
+	return core.InstancesChanged{
+		After: core.Offset(b.GetAfter()), Offset: core.Offset(b.GetOffset()), Changed: list,
+		Removed: each(b.GetRemoved(), func(id string) core.EngineID { return core.EngineID(id) }),
+	}, nil
+}
+
+func toForwardReleased(b *ForwardReleased) (core.PeerBody, error) {
+	outcome, err := inRange("ForwardReleased.Outcome", b.GetOutcome(), core.RunFailed)
+	if err != nil {
+		return nil, err
+	}
+	return core.ForwardReleased{ID: core.ForwardID(b.GetID()), Outcome: outcome}, nil
+}
+
 func fromPlaceForward(b core.PlaceForward) *PlaceForward {
 	return &PlaceForward{
 		ID: uint64(b.ID), Service: string(b.Group.Service), Index: uint32(b.Group.Index),
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -84,9 +84,11 @@
 	case *Envelope_ForwardPromptRead:
 		return core.ForwardPromptRead{ID: core.ForwardID(b.ForwardPromptRead.GetID())}, nil
 	case *Envelope_ForwardReleased:
-		return core.ForwardReleased{ID: core.ForwardID(b.ForwardReleased.GetID())}, nil
+		return toForwardReleased(b.ForwardReleased)
 	case *Envelope_ForwardHeld:
 		return toForwardHeld(b.ForwardHeld), nil
+	case *Envelope_InstancesChanged:
+		return toInstancesChanged(b.InstancesChanged)
 	case *Envelope_RolesOrdered:
 		return toRolesOrdered(b.RolesOrdered)
 	case *Envelope_StateQuery:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -87,9 +87,11 @@
 	case core.ForwardPromptRead:
 		e.Body = &Envelope_ForwardPromptRead{&ForwardPromptRead{ID: uint64(b.ID)}}
 	case core.ForwardReleased:
-		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID)}}
+		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID), Outcome: uint32(b.Outcome)}}
 	case core.ForwardHeld:
 		e.Body = &Envelope_ForwardHeld{fromForwardHeld(b)}
+	case core.InstancesChanged:
+		e.Body = &Envelope_InstancesChanged{fromInstancesChanged(b)}
 	case core.RolesOrdered:
 		e.Body = &Envelope_RolesOrdered{fromRolesOrdered(b)}
 	case core.StateQuery:
