--- a/core/admission.go
+++ b/core/admission.go
@@ -16,7 +16,11 @@
 	// lateWait bounds, in multiples of the route's objective, how long a
 	// request waits that cannot be on time any more. Callers leave a stream
 	// that shows nothing for four objectives.
-	lateWait = 2.0
+	lateWait = 3.0
+	// hopeShare is the part of a newcomer's time within which its turn must be
+	// expected. A queue that is as long as the time allows makes all its requests
+	// late by a hair; a shorter one serves as many, and in time.
+	hopeShare = 0.6
 	// grantWindow is the time over which the rate of placements is counted.
 	grantWindow = 2 * time.Second
 	// minGrantRate is the rate of placements, a second, assumed where none
@@ -82,7 +86,7 @@
 // requests ahead of it, at the present rate of placements. It is then refused
 // at once: waiting would cost the caller time and gain it nothing.
 func hopeless(now Instant, w queueEntry, ahead int, rate float64) bool {
-	left := w.onTimeBy.Sub(now)
+	left := share(w.onTimeBy.Sub(now), hopeShare)
 	if w.late(now) {
 		left = time.Duration(lateWait * float64(w.objective))
 	}
@@ -111,3 +115,32 @@
 func sortQueue(now Instant, queue []*forwarded) {
 	slices.SortStableFunc(queue, func(a, b *forwarded) int { return compareWaiters(now, a.queueEntry, b.queueEntry) })
 }
+
+const (
+	// spreadWeight is the number of values over which a spread is averaged.
+	spreadWeight = 16
+	// mostSpread is how many mean deviations above the mean most values lie.
+	mostSpread = 1.5
+)
+
+// spread is a running mean of times with their mean deviation.
+type spread struct {
+	mean, deviation float64
+	count           int
+}
+
+func (s *spread) add(d time.Duration) {
+	s.count++
+	weight := 1 / float64(min(s.count, spreadWeight))
+	off := float64(d) - s.mean
+	s.mean += off * weight
+	if off < 0 {
+		off = -off
+	}
+	if s.count > 1 {
+		s.deviation += (off - s.deviation) * weight
+	}
+}
+
+// most returns the time that most values lie below.
+func (s *spread) most() time.Duration { return time.Duration(s.mean + mostSpread*s.deviation) }
--- a/core/forward.go
+++ b/core/forward.go
@@ -72,7 +72,7 @@
 	grants    grants
 	// pipelines holds each service's usual time from a placement to the first
 	// bytes of the answer.
-	pipelines map[ServiceID]time.Duration
+	pipelines map[ServiceID]*spread
 	// pumpDue is set while a later look at the queue is scheduled, inPump while
 	// one goes on.
 	pumpDue bool
@@ -96,7 +96,7 @@
 	s.live = map[ForwardID]*forwarded{}
 	s.muted = map[NodeID]Instant{}
 	s.budgets = map[ServiceID]*repeatBudget{}
-	s.pipelines = map[ServiceID]time.Duration{}
+	s.pipelines = map[ServiceID]*spread{}
 }
 
 // desired takes in a desired state. A node never goes back to an older one.
@@ -166,11 +166,11 @@
 	n.afterFunc(patience, func(n *Node) { s.expire(n, f) })
 }
 
-// pipelineOf returns the usual time from a placement to the first bytes of the
-// answer.
+// pipelineOf returns the time from a placement to the first bytes of the answer
+// that most requests keep to.
 func (s *forwards) pipelineOf(f *forwarded) time.Duration {
 	if p, ok := s.pipelines[f.spec.ID]; ok {
-		return p
+		return p.most()
 	}
 	return share(f.route.Objective, pipelineGuess)
 }
@@ -262,8 +262,12 @@
 		f.decode.succeeded()
 	}
 	if f.placedAt != 0 {
-		usual := s.pipelineOf(f)
-		s.pipelines[f.spec.ID] = usual + (n.now.Sub(f.placedAt)-usual)/pipelineWeight
+		p, ok := s.pipelines[f.spec.ID]
+		if !ok {
+			p = &spread{}
+			s.pipelines[f.spec.ID] = p
+		}
+		p.add(n.now.Sub(f.placedAt))
 	}
 }
 
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -6,8 +6,6 @@
 	// pipelineGuess is the part of the objective that a placed request is
 	// assumed to need before any was measured.
 	pipelineGuess = 1.0 / 3
-	// pipelineWeight is the number of streams over which that time is averaged.
-	pipelineWeight = 16
 	// fullFor is how long an engine that refused a lease is taken to be full;
 	// streams of other nodes end there meanwhile.
 	fullFor = 120 * time.Millisecond
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -118,6 +118,12 @@
 	if s.lost {
 		s.lost, s.lostAt = false, n.now
 	}
+	if !m.Whole && m.Offset < s.offset {
+		return
+	}
+	// Others may have told of a part of this already. What is passed on leaves
+	// that part out, so it follows on where that part ends.
+	after := max(m.After, s.offset)
 	changed := s.changes(m.Changed)
 	removed := m.Removed
 	if m.Whole {
@@ -130,7 +136,7 @@
 	}
 	for _, id := range sortedKeys(n.members.byID) {
 		if n.members.byID[id].serving() {
-			n.send(id, InstancesChanged{After: m.After, Offset: m.Offset, Changed: changed, Removed: removed})
+			n.send(id, InstancesChanged{After: after, Offset: m.Offset, Changed: changed, Removed: removed})
 		}
 	}
 }
