Let one node give all orders, and estimate hold times without bias

Cause: owners of two groups waited for each other's claims; the first answers to end are the short ones, so too many engines were kept as readers.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -105,6 +105,8 @@
 type ForwardReleased struct {
 	ID      ForwardID
 	Outcome RunOutcome
+	// Output is the length of a whole answer of a model engine, else zero.
+	Output Tokens
 }
 
 // ForwardHeld tells a new owner what a request holds at an engine.
@@ -363,6 +365,9 @@
 		j.undisturbed = d.book(prefill.ID).reading == 0
 		d.book(prefill.ID).reading += j.prompt
 	}
+	if engine.Memory > 0 {
+		c.placed(j.memory-j.prompt, float64(j.memory)/float64(engine.Memory))
+	}
 	d.promise(n, j, decode)
 	return true
 }
@@ -463,7 +468,7 @@
 func (d *dispatcher) released(n *Node, from NodeID, m ForwardReleased) {
 	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
 		d.judge(n, from, j, m.Outcome)
-		d.measure(n, j)
+		d.measure(n, j, m.Output)
 		d.drop(n, j)
 		d.pump(n)
 	}
@@ -479,18 +484,21 @@
 	u.note(n, outcome)
 }
 
-// measure notes for how long a job held its place, if it got as far as a run.
-func (d *dispatcher) measure(n *Node, j *dispatchJob) {
+// measure notes what a job cost, if it got as far as a run.
+func (d *dispatcher) measure(n *Node, j *dispatchJob, output Tokens) {
 	if j.decode == "" || j.placedAt == 0 || j.prefill != "" {
 		return
 	}
-	room := Tokens(0)
-	if engine, ok := n.forward.state.Services[j.group.Service].Engine.Get(); ok {
-		room = engine.Memory
-	} else if u, ok := n.forward.upstreams.byID[j.decode]; ok {
-		room = slotRoom(u)
+	c, held := n.roles.cost(j.group), n.now.Sub(j.placedAt)
+	if _, generates := n.forward.state.Services[j.group.Service].Engine.Get(); generates {
+		if output > 0 {
+			c.generated(output, held)
+		}
+		return
+	}
+	if u, ok := n.forward.upstreams.byID[j.decode]; ok {
+		c.released(1/float64(max(slotRoom(u), 1)), held)
 	}
-	n.roles.cost(j.group).released(j.memory, room, n.now.Sub(j.placedAt))
 }
 
 // drop takes a job out of the books and the queue.
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -36,7 +36,7 @@
 // leaveOwner tells the owner that the request holds nothing any more.
 func (s *forwards) leaveOwner(n *Node, f *forwarded) {
 	if f.owner != "" {
-		n.send(f.owner, ForwardReleased{ID: f.ID, Outcome: f.outcome})
+		n.send(f.owner, ForwardReleased{ID: f.ID, Outcome: f.outcome, Output: f.output})
 		f.owner = ""
 	}
 	f.outcome = RunUnknown
--- a/core/forward.go
+++ b/core/forward.go
@@ -40,6 +40,7 @@
 	owner   NodeID
 	acked   bool
 	outcome RunOutcome
+	output  Tokens
 	advised EngineID
 
 	decode   *upstream
@@ -285,6 +286,7 @@
 	if engine, ok := f.spec.Engine.Get(); ok {
 		d.Expected = f.reserve() - f.prompt()
 		d.Output = Tokens(m.Events) * engine.EventTokens
+		f.output = d.Output
 	}
 	n.do(LogDecision{Decision: d})
 	s.close(n, f)
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -98,6 +98,11 @@
 // away until the change is done.
 func (s *roles) note(n *Node, o Order) {
 	s.ordered[o.Engine] = roleOrder{role: o.Role, at: n.now}
+	for g, c := range s.costs {
+		if n.forward.inGroup(g, o.Engine) {
+			c.changedAt = n.now
+		}
+	}
 	u, ok := n.forward.upstreams.byID[o.Engine]
 	if !ok {
 		return
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -11,9 +11,9 @@
 	// within which a leaving upstream must get nothing new: a reader's period,
 	// the period of looking whether to read, and the silence of all readers
 	// after which a node reads by itself.
-	feedReadShare  = 0.4
-	feedLookShare  = 0.25
-	feedStaleShare = 0.4
+	feedReadShare  = 0.3
+	feedLookShare  = 0.125
+	feedStaleShare = 0.5
 	// lapseGrace is how long after an outage of the store upstreams may take to
 	// renew entries that lapsed meanwhile.
 	lapseGrace = 2500 * time.Millisecond
--- a/core/node.go
+++ b/core/node.go
@@ -279,6 +279,8 @@
 		n.forward.turnedAway(n, m.From, b)
 	case InstancesChanged:
 		n.feed.heard(n, b)
+	case RolesWanted:
+		n.roles.rolesWanted(n, b)
 	case RolesOrdered:
 		n.roles.rolesOrdered(n, b)
 	case StateQuery:
--- a/core/roles.go
+++ b/core/roles.go
@@ -15,7 +15,7 @@
 	// before roles are changed.
 	rolesSamples = 6
 	// sampleWeight is the number of samples over which costs are averaged.
-	sampleWeight = 8
+	sampleWeight = 32
 	// bestDrift is the part by which the lowest value rises to each later one,
 	// so that an engine that became slower is noticed.
 	bestDrift = 0.02
@@ -33,8 +33,12 @@
 	enoughForReaders = 6
 	// lackShown is how long a request's wait for engines of a role counts.
 	lackShown = 3 * time.Second
-	// changeEvery is the least time between two changes by one holder: the
-	// costs have to show the effect of the first.
+	// wantedFor is how long a wish for an order counts unless it is repeated.
+	wantedFor = 2 * time.Second
+	// ordersKey stands for a service in the choice of the node that gives orders.
+	ordersKey = "/orders"
+	// changeEvery is the least time between two changes of one group: the costs
+	// have to show the effect of the first.
 	changeEvery = 8 * time.Second
 	// claimValid is how long after its claim was sent a holder may give orders.
 	claimValid = 1500 * time.Millisecond
@@ -71,6 +75,11 @@
 func (OrdersClaimed) isMessage()    {}
 func (OrdersNotClaimed) isMessage() {}
 
+// RolesWanted asks the node that gives orders to change engines' roles.
+type RolesWanted struct{ Orders []Order }
+
+func (RolesWanted) isPeerBody() {}
+
 // sample is a running mean.
 type sample struct {
 	mean  float64
@@ -101,16 +110,25 @@
 // engineCosts are the measured costs of the requests of a group of engines, as
 // its owner sees them.
 type engineCosts struct {
-	// readSeconds is a prefill engine's time for a prompt, and holdSeconds the
-	// time for which a request holds the whole memory of a decode engine: its
-	// share of the memory times its duration.
+	// readSeconds is a prefill engine's time for a prompt.
 	readSeconds best
+	// holdSeconds is the time for which a request holds the whole of its
+	// upstream: its share of the upstream times its duration.
 	holdSeconds sample
+	// tokenSeconds is the time for a token of output, and lengths and shares are
+	// the expected output and the share of an engine's memory of the requests
+	// that were placed. The first answers to end are the short ones, so the time
+	// for which a request holds memory is worked out from these.
+	tokenSeconds sample
+	lengths      sample
+	shares       sample
 	// tokenRate is the number of prompt tokens that an engine reads a second.
 	tokenRate float64
 	// lackedRead and lackedMemory are when a request last waited for a prefill
 	// engine, and for decode memory.
-	lackedRead   Instant
+	lackedRead Instant
+	// changedAt is when engines of the group were last ordered about.
+	changedAt    Instant
 	lackedMemory Instant
 }
 
@@ -123,11 +141,30 @@
 	c.tokenRate = float64(prompt) / c.readSeconds.low
 }
 
-// released notes for how long a request held its memory.
-func (c *engineCosts) released(memory, all Tokens, held time.Duration) {
-	if all > 0 {
-		c.holdSeconds.add(held.Seconds() * float64(memory) / float64(all))
+// released notes for how long a request held its share of a plain upstream.
+func (c *engineCosts) released(share float64, held time.Duration) {
+	c.holdSeconds.add(held.Seconds() * share)
+}
+
+// placed notes what a request to model engines is expected to need.
+func (c *engineCosts) placed(output Tokens, share float64) {
+	c.lengths.add(float64(output))
+	c.shares.add(share)
+	c.estimate()
+}
+
+// generated notes how long an answer of some length took.
+func (c *engineCosts) generated(output Tokens, took time.Duration) {
+	c.tokenSeconds.add((took.Seconds() - c.readSeconds.low) / float64(output))
+	c.estimate()
+}
+
+func (c *engineCosts) estimate() {
+	if c.tokenSeconds.count == 0 || c.lengths.count == 0 {
+		return
 	}
+	c.holdSeconds.mean = (c.readSeconds.low + c.tokenSeconds.mean*c.lengths.mean) * c.shares.mean
+	c.holdSeconds.count = min(c.tokenSeconds.count, c.lengths.count)
 }
 
 // readers returns how many of total engines should read prompts, with a
@@ -147,7 +184,7 @@
 // where decode memory binds, prefill engines beyond the need are wasted, and
 // where prefill engines die, prompts wait while memory is reserved for them.
 //
-// One node gives all orders at a time, by a claim in the store: engines do not
+// The owner of a group says what it wants; one node gives all orders, by a claim in the store: engines do not
 // check who orders them. The claim is a conditional append, valid for
 // claimValid from when it was sent. A node whose append met another's claim
 // waits for that claim, a lease and a margin before it tries again.
@@ -161,6 +198,8 @@
 	notBefore Instant
 	// ordered holds when engines were ordered, and to which role.
 	ordered map[EngineID]roleOrder
+	// wanted holds what owners of groups want, at the node that gives orders.
+	wanted map[EngineID]roleOrder
 }
 
 type roleOrder struct {
@@ -171,6 +210,7 @@
 func (s *roles) start(n *Node) {
 	s.costs = map[DispatchGroup]*engineCosts{}
 	s.ordered = map[EngineID]roleOrder{}
+	s.wanted = map[EngineID]roleOrder{}
 	n.every(rolesEvery, func(n *Node) { s.look(n) })
 }
 
@@ -183,10 +223,17 @@
 	return c
 }
 
-// look claims the right to give orders if the roles of some group that this
-// node owns are off.
+// look sends what this node's groups want to the node that gives all orders, and
+// claims the right to give them if that is this node.
 func (s *roles) look(n *Node) {
-	if s.claiming || n.now < s.notBefore || n.leaving || len(s.plan(n)) == 0 {
+	if n.leaving {
+		return
+	}
+	holder := n.ordersHolder()
+	if orders := s.plan(n); len(orders) > 0 && holder != "" {
+		n.send(holder, RolesWanted{Orders: orders})
+	}
+	if s.claiming || n.now < s.notBefore || len(s.due(n)) == 0 {
 		return
 	}
 	s.claiming = true
@@ -195,12 +242,46 @@
 	n.do(ClaimOrders{Ticket: s.ticket, At: s.end})
 }
 
+// ordersHolder returns the live node that gives all orders. Only one node asks
+// for the right, so that nodes need not wait for each other; the claim decides
+// if two nodes take themselves for it.
+func (n *Node) ordersHolder() NodeID {
+	return n.forward.groupOwner(n, DispatchGroup{Service: ordersKey})
+}
+
+// rolesWanted notes what the owner of a group wants.
+func (s *roles) rolesWanted(n *Node, m RolesWanted) {
+	for _, o := range m.Orders {
+		s.wanted[o.Engine] = roleOrder{role: o.Role, at: n.now}
+	}
+}
+
+// due returns the orders that are wanted now and not given yet.
+func (s *roles) due(n *Node) []Order {
+	var orders []Order
+	for _, id := range sortedKeys(s.wanted) {
+		w := s.wanted[id]
+		u, ok := n.forward.upstreams.byID[id]
+		if n.now.Sub(w.at) > wantedFor || !ok {
+			delete(s.wanted, id)
+			continue
+		}
+		if s.roleOf(n, u) != w.role {
+			orders = append(orders, Order{Engine: id, Kind: SetRole, Role: w.role})
+		}
+	}
+	return orders
+}
+
 // plan returns the orders that bring the roles of the groups that this node
 // owns to what their costs ask.
 func (s *roles) plan(n *Node) []Order {
 	var orders []Order
 	for _, g := range s.groups() {
 		c := s.costs[g]
+		if n.now.Sub(c.changedAt) < changeEvery && c.changedAt != 0 {
+			continue
+		}
 		if c.readSeconds.count < rolesSamples || c.holdSeconds.count < rolesSamples || n.forward.groupOwner(n, g) != n.Self.ID {
 			continue
 		}
@@ -293,11 +374,10 @@
 	}
 	s.claiming = false
 	s.end = m.Offset + 1
-	s.notBefore = n.now.Add(changeEvery)
 	if n.now.Sub(s.sentAt) > claimValid || n.resumedAt > s.sentAt {
 		return
 	}
-	orders := s.plan(n)
+	orders := s.due(n)
 	s.tell(n, orders)
 	for _, o := range orders {
 		o.Fencing = m.Offset + 1
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -47,7 +47,7 @@
 	},
 	"ForwardPromptRead": func(t *rapid.T) core.PeerBody { return core.ForwardPromptRead{ID: forwardID(t)} },
 	"ForwardReleased": func(t *rapid.T) core.PeerBody {
-		return core.ForwardReleased{ID: forwardID(t), Outcome: enum(t, "outcome", core.RunFailed)}
+		return core.ForwardReleased{ID: forwardID(t), Outcome: enum(t, "outcome", core.RunFailed), Output: tokens(t, "output")}
 	},
 	"ForwardHeld": func(t *rapid.T) core.PeerBody {
 		return core.ForwardHeld{ID: forwardID(t), Group: dispatchGroup(t), Decode: text[core.EngineID](t, "decode"), Memory: tokens(t, "memory")}
@@ -58,12 +58,9 @@
 			Removed: list(t, "removed", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "id") }),
 		}
 	},
-	"RolesOrdered": func(t *rapid.T) core.PeerBody {
-		return core.RolesOrdered{Orders: list(t, "orders", func(t *rapid.T) core.Order {
-			return core.Order{Engine: text[core.EngineID](t, "engine"), Kind: core.SetRole, Role: enum(t, "role", core.Plain), Fencing: offset(t, "fencing")}
-		})}
-	},
-	"StateQuery": func(*rapid.T) core.PeerBody { return core.StateQuery{} },
+	"RolesOrdered": func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
+	"RolesWanted":  func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
+	"StateQuery":   func(*rapid.T) core.PeerBody { return core.StateQuery{} },
 	"StateAnswer": func(t *rapid.T) core.PeerBody {
 		return core.StateAnswer{
 			Offset:    offset(t, "offset"),
@@ -176,3 +173,7 @@
 		Draining: rapid.Bool().Draw(t, "draining"), Role: enum(t, "role", core.Plain),
 	}
 }
+
+func roleOrder(t *rapid.T) core.Order {
+	return core.Order{Engine: text[core.EngineID](t, "engine"), Kind: core.SetRole, Role: enum(t, "role", core.Plain), Fencing: offset(t, "fencing")}
+}
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -6,20 +6,20 @@
 	"daisyshed.dev/core"
 )
 
-func fromRolesOrdered(b core.RolesOrdered) *RolesOrdered {
-	return &RolesOrdered{Orders: each(b.Orders, func(o core.Order) *RoleOrder {
+func fromRoleOrders(list []core.Order) *RolesOrdered {
+	return &RolesOrdered{Orders: each(list, func(o core.Order) *RoleOrder {
 		return &RoleOrder{Engine: string(o.Engine), Role: uint32(o.Role), Fencing: int64(o.Fencing)}
 	})}
 }
 
-func toRolesOrdered(b *RolesOrdered) (core.PeerBody, error) {
-	var out core.RolesOrdered
+func toRoleOrders(b *RolesOrdered) ([]core.Order, error) {
+	var out []core.Order
 	for _, o := range b.GetOrders() {
 		role, err := inRange("RoleOrder.Role", o.GetRole(), core.Plain)
 		if err != nil {
 			return nil, err
 		}
-		out.Orders = append(out.Orders, core.Order{
+		out = append(out, core.Order{
 			Engine: core.EngineID(o.GetEngine()), Kind: core.SetRole, Role: role, Fencing: core.Offset(o.GetFencing()),
 		})
 	}
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return core.ForwardReleased{ID: core.ForwardID(b.GetID()), Outcome: outcome}, nil
+	return core.ForwardReleased{ID: core.ForwardID(b.GetID()), Outcome: outcome, Output: core.Tokens(b.GetOutput())}, nil
 }
 
 func fromPlaceForward(b core.PlaceForward) *PlaceForward {
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -90,7 +90,11 @@
 	case *Envelope_InstancesChanged:
 		return toInstancesChanged(b.InstancesChanged)
 	case *Envelope_RolesOrdered:
-		return toRolesOrdered(b.RolesOrdered)
+		orders, err := toRoleOrders(b.RolesOrdered)
+		return core.RolesOrdered{Orders: orders}, err
+	case *Envelope_RolesWanted:
+		orders, err := toRoleOrders(b.RolesWanted)
+		return core.RolesWanted{Orders: orders}, err
 	case *Envelope_StateQuery:
 		return core.StateQuery{}, nil
 	case *Envelope_StateAnswer:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -87,13 +87,15 @@
 	case core.ForwardPromptRead:
 		e.Body = &Envelope_ForwardPromptRead{&ForwardPromptRead{ID: uint64(b.ID)}}
 	case core.ForwardReleased:
-		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID), Outcome: uint32(b.Outcome)}}
+		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID), Outcome: uint32(b.Outcome), Output: int64(b.Output)}}
 	case core.ForwardHeld:
 		e.Body = &Envelope_ForwardHeld{fromForwardHeld(b)}
 	case core.InstancesChanged:
 		e.Body = &Envelope_InstancesChanged{fromInstancesChanged(b)}
+	case core.RolesWanted:
+		e.Body = &Envelope_RolesWanted{fromRoleOrders(b.Orders)}
 	case core.RolesOrdered:
-		e.Body = &Envelope_RolesOrdered{fromRolesOrdered(b)}
+		e.Body = &Envelope_RolesOrdered{fromRoleOrders(b.Orders)}
 	case core.StateQuery:
 		e.Body = &Envelope_StateQuery{&StateQuery{}}
 	case core.StateAnswer:
