--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -334,16 +334,16 @@
 		return d.assignPlain(n, j)
 	}
 	c := n.roles.cost(j.group)
-	decode := d.cheapest(n, j, func(u *upstream) bool {
-		return n.roles.roleOf(n, u) == Decode && u.avoidUntil <= n.now && d.fits(n, u, j.memory, engine.Memory)
+	decode := d.eitherWay(n, j, func(u *upstream) bool {
+		return n.roles.roleOf(n, u) == Decode && d.fits(n, u, j.memory, engine.Memory)
 	}, func(u *upstream) float64 { return float64(d.book(u.ID).memory) })
 	if decode == nil {
 		c.lackedMemory = n.now
 		return false
 	}
 	readers := 0
-	prefill := d.cheapest(n, j, func(u *upstream) bool {
-		if n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now || u.avoidUntil > n.now {
+	prefill := d.eitherWay(n, j, func(u *upstream) bool {
+		if n.roles.roleOf(n, u) != Prefill || u.fullUntil > n.now {
 			return false
 		}
 		readers++
@@ -380,12 +380,7 @@
 	cost := func(u *upstream) float64 {
 		return float64(d.book(u.ID).memory+1) / float64(max(u.Slots, 1)) / max(u.success*u.success, minSuccess)
 	}
-	u := d.cheapest(n, j, func(u *upstream) bool {
-		return u.avoidUntil <= n.now && d.fits(n, u, j.memory, slotRoom(u))
-	}, cost)
-	if u == nil {
-		u = d.cheapest(n, j, func(u *upstream) bool { return d.fits(n, u, j.memory, slotRoom(u)) }, cost)
-	}
+	u := d.eitherWay(n, j, func(u *upstream) bool { return d.fits(n, u, j.memory, slotRoom(u)) }, cost)
 	if u == nil {
 		return false
 	}
@@ -404,6 +399,17 @@
 	return u.fullUntil <= n.now && b.deniedUntil <= n.now && (room == 0 || b.memory+need <= room)
 }
 
+// eitherWay returns the best upstream that is not put aside for its failures, or
+// else the best of those that are: when most lose answers, leaving them all out
+// would serve nobody.
+func (d *dispatcher) eitherWay(n *Node, j *dispatchJob, may func(*upstream) bool, cost func(*upstream) float64) *upstream {
+	u := d.cheapest(n, j, func(u *upstream) bool { return u.avoidUntil <= n.now && may(u) }, cost)
+	if u == nil {
+		u = d.cheapest(n, j, may, cost)
+	}
+	return u
+}
+
 // cheapest returns the best upstream of a job's group that may take it.
 func (d *dispatcher) cheapest(n *Node, j *dispatchJob, may func(*upstream) bool, cost func(*upstream) float64) *upstream {
 	s := &n.forward
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -9,6 +9,10 @@
 	// fullFor is how long an engine that refused a lease is taken to be full;
 	// streams of other nodes end there meanwhile.
 	fullFor = 120 * time.Millisecond
+	// leaseTimes and leaseLeast give the time of a lease: a multiple of the
+	// usual time to the first event, and what a prompt needs at least.
+	leaseTimes = 2
+	leaseLeast = 400 * time.Millisecond
 	// busyReaderFor is how long a prefill engine that refused a prompt is left
 	// alone: it is full, or changes its role.
 	busyReaderFor = time.Second
@@ -128,7 +132,14 @@
 		s.readPrompt(n, f)
 		return
 	}
-	n.do(TakeLease{ID: f.ID, Engine: u.ID, Address: u.Address, Tokens: f.reserved, TTL: engine.LeaseMax})
+	n.do(TakeLease{ID: f.ID, Engine: u.ID, Address: u.Address, Tokens: f.reserved, TTL: s.leaseTTL(f, engine)})
+}
+
+// leaseTTL returns how long a lease is asked for. It covers the reading of the
+// prompt and no more: a lease whose grant gets lost on the way blocks its memory
+// until it lapses.
+func (s *forwards) leaseTTL(f *forwarded, engine EngineSpec) time.Duration {
+	return min(engine.LeaseMax, max(leaseTimes*s.pipelineOf(f), leaseLeast))
 }
 
 // leaseGranted starts the reading of the prompt.
--- a/core/instance.go
+++ b/core/instance.go
@@ -13,7 +13,7 @@
 	// avoidBase and avoidMax bound how long a failing upstream is put aside.
 	// The time doubles with each further failure.
 	avoidBase = 500 * time.Millisecond
-	avoidMax  = 4 * time.Second
+	avoidMax  = 2 * time.Second
 	// successWeight is the weight of the latest outcome in an upstream's
 	// success rate: about the last ten count.
 	successWeight = 0.1
