--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -290,14 +290,7 @@
 		if m.Engine != f.decode.ID || f.phase != forwardLeasing {
 			return
 		}
-		u := f.decode
-		if f.owner != "" {
-			n.send(f.owner, ForwardDenied{ID: f.ID, Engine: u.ID})
-			f.owner = ""
-		}
-		s.release(n, f)
-		u.fullUntil = n.now.Add(n.jitter(fullFor))
-		s.ask(n, f)
+		s.denied(n, f)
 	case ReadPromptStep:
 		s.readElsewhere(n, f)
 	case RunStep:
@@ -314,6 +307,19 @@
 	}
 }
 
+// denied asks for another engine than the one that gave no lease, which is left
+// alone for a moment: a dead one would be tried as fast as it refuses.
+func (s *forwards) denied(n *Node, f *forwarded) {
+	u := f.decode
+	if f.owner != "" {
+		n.send(f.owner, ForwardDenied{ID: f.ID, Engine: u.ID})
+		f.owner = ""
+	}
+	s.release(n, f)
+	u.fullUntil = n.now.Add(n.jitter(fullFor))
+	s.ask(n, f)
+}
+
 // readElsewhere has the prompt read by another engine.
 func (s *forwards) readElsewhere(n *Node, f *forwarded) {
 	if f.phase != forwardReading {
@@ -335,8 +341,7 @@
 	switch m.Step {
 	case LeaseStep:
 		if f.phase == forwardLeasing && m.Engine == f.decode.ID {
-			s.release(n, f)
-			s.ask(n, f)
+			s.denied(n, f)
 		}
 	case ReadPromptStep:
 		s.readElsewhere(n, f)
