--- /dev/null
+++ b/core/forward_once_test.go
@@ -0,0 +1,221 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// ready returns a hosted node that knows the emulated desired state and these
+// upstreams, and places by itself.
+func readyAlone(instances ...core.Instance) *hostedNode {
+	h := newHosted("n1", core.Settings{Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
+	h.node.Alone = true
+	h.tell(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: instances})
+	return h
+}
+
+func forwardTo(id core.ForwardID, route string) core.Forward {
+	return core.Forward{ID: id, Attempt: "a", Host: "h", Path: "/" + route + "/x", Patience: 1500 * time.Millisecond}
+}
+
+// A node that does not know the desired state yet refuses with a time to come
+// back: whether a route exists is not known.
+func TestUnknownStateIsNoMissingRoute(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	out := h.tell(core.Tick{}, forwardTo(1, "pay"))
+	ends := of[core.EndForward](out)
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].Reason, core.StaleConfiguration)
+	is.True(ends[0].NotRun)
+	is.True(ends[0].RetryAfter > 0)
+}
+
+func TestMissingRouteIsRefusedForGood(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(plainInstance("e1"))
+	ends := of[core.EndForward](h.tell(forwardTo(1, "nothing")))
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].Reason, core.NoRoute)
+}
+
+// An older desired state never replaces a newer one.
+func TestDesiredStateNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(plainInstance("e1"))
+	newer := worldState()
+	newer.Version = 9
+	newer.Routes = newer.Routes[:1]
+	h.tell(newer, worldState())
+	ends := of[core.EndForward](h.tell(forwardTo(1, "pay")))
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].Reason, core.NoRoute)
+}
+
+// A request that may run once is not sent again after an upstream that may have
+// run it, and not called not run.
+func TestOnceIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(plainInstance("e1"), plainInstance("e2"))
+	runs := of[core.RunForward](h.tell(forwardTo(1, "pay")))
+	is.Equal(len(runs), 1)
+	out := h.tell(core.StepFailed{ID: 1, Engine: runs[0].Engine, Step: core.RunStep, Reason: "reset"})
+	is.Equal(len(of[core.RunForward](out)), 0)
+	ends := of[core.EndForward](out)
+	is.Equal(len(ends), 1)
+	is.True(!ends[0].NotRun)
+}
+
+// A refusal proves that nothing ran, so the request goes elsewhere.
+func TestRefusedOnceGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(plainInstance("e1"), plainInstance("e2"))
+	first := of[core.RunForward](h.tell(forwardTo(1, "pay")))[0]
+	again := of[core.RunForward](h.tell(core.StepRefused{ID: 1, Engine: first.Engine, Step: core.RunStep}))
+	is.Equal(len(again), 1)
+	is.True(again[0].Engine != first.Engine)
+}
+
+// A draining upstream gets nothing new, also from requests that came before.
+func TestDrainingUpstreamGetsNothing(t *testing.T) {
+	is := is.New(t)
+	draining := plainInstance("e1")
+	draining.Draining = true
+	h := readyAlone(plainInstance("e1"))
+	h.tell(core.InstancesRead{After: 1, Offset: 2, Changed: []core.Instance{draining}})
+	out := h.tell(forwardTo(1, "pay"))
+	is.Equal(len(of[core.RunForward](out)), 0)
+	is.Equal(of[core.EndForward](out)[0].Reason, core.NoUpstream)
+}
+
+// What a machine that was suspended believed of its right to give orders is
+// old: it gives none under a claim from before.
+func TestNoOrderUnderAClaimFromBeforeAPause(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 1, readers: 6, decoders: 6, seed: 9})
+	w.run(3 * time.Second)
+	w.load("draft", 8, 20*time.Second)
+	n := w.nodes[0]
+	for range 20000 {
+		w.run(time.Millisecond)
+		if w.claims > 0 {
+			break
+		}
+	}
+	is.Equal(w.claims, core.Offset(1))
+	is.Equal(len(w.orders), 0)
+	n.frozen = true
+	w.run(5 * time.Second)
+	n.frozen = false
+	n.tell(core.OrdersClaimed{Ticket: 1, Offset: 0})
+	is.Equal(len(w.orders), 0)
+}
+
+// Under every sequence of answers, a request that may run once reaches at most
+// one upstream that may have run it, ends exactly once, and is called not run
+// only if no upstream may have run it.
+func TestOnceUnderRandomAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]string{"pay", "read", "draft", "resumable"}).Draw(t, "kind")
+		h := readyAlone(
+			plainInstance("e1"), plainInstance("e2"), plainInstance("e3"),
+			core.Instance{ID: "p1", Service: "model", Address: "p1:1", Slots: 4, Role: core.Prefill, Born: 1},
+			core.Instance{ID: "p2", Service: "model", Address: "p2:1", Slots: 4, Role: core.Prefill, Born: 1},
+			core.Instance{ID: "d1", Service: "model", Address: "d1:1", Slots: 4, Role: core.Decode, Born: 1},
+			core.Instance{ID: "d2", Service: "model", Address: "d2:1", Slots: 4, Role: core.Decode, Born: 1},
+		)
+		m := forwardTo(1, kind)
+		if kind == "draft" || kind == "resumable" {
+			m.Patience = worldTimeout
+			m.Generation = core.Some(core.Generation{Prompt: 100, MaxOutput: 100})
+		}
+		mayHaveRun, ends := 0, 0
+		once := kind == "pay" || kind == "draft"
+		var answer func(out []core.Command)
+		answer = func(out []core.Command) {
+			for _, c := range out {
+				switch c := c.(type) {
+				case core.TakeLease:
+					answer(h.tell(leaseAnswer(t, c)))
+				case core.ReadPrompt:
+					answer(h.tell(readAnswer(t, c)))
+				case core.RunForward:
+					m, ran := runAnswer(t, c)
+					if ran {
+						mayHaveRun++
+					}
+					if _, answered := m.(core.ForwardEnded); answered {
+						ends++
+					}
+					answer(h.tell(m))
+				case core.EndForward:
+					ends++
+					if c.NotRun && mayHaveRun > 0 {
+						t.Fatalf("called not run after %d runs", mayHaveRun)
+					}
+				case core.RelayFailure:
+					ends++
+				}
+			}
+		}
+		answer(h.tell(m))
+		for range 200 {
+			answer(h.pass(100 * time.Millisecond))
+		}
+		limit := 2
+		if once {
+			limit = 1
+		}
+		if mayHaveRun > limit {
+			t.Fatalf("%s ran %d times", kind, mayHaveRun)
+		}
+		if ends != 1 {
+			t.Fatalf("%s ended %d times", kind, ends)
+		}
+	})
+}
+
+func leaseAnswer(t *rapid.T, c core.TakeLease) core.Message {
+	switch rapid.IntRange(0, 3).Draw(t, "lease") {
+	case 0:
+		return core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep}
+	case 1:
+		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep}
+	default:
+		return core.LeaseGranted{ID: c.ID, Engine: c.Engine, Lease: "l"}
+	}
+}
+
+func readAnswer(t *rapid.T, c core.ReadPrompt) core.Message {
+	switch rapid.IntRange(0, 3).Draw(t, "read") {
+	case 0:
+		return core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep, Elsewhere: true}
+	case 1:
+		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep}
+	default:
+		return core.PromptRead{ID: c.ID, Engine: c.Engine, Handle: "h", Tokens: 100}
+	}
+}
+
+// runAnswer returns what comes of a run, and whether the upstream may have run
+// the request.
+func runAnswer(t *rapid.T, c core.RunForward) (core.Message, bool) {
+	switch rapid.IntRange(0, 5).Draw(t, "run") {
+	case 0:
+		return core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep}, false
+	case 1:
+		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Unsent: true}, false
+	case 2:
+		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep}, true
+	case 3:
+		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Status: 500}, true
+	case 4:
+		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Emitted: true}, true
+	default:
+		return core.ForwardEnded{ID: c.ID, Engine: c.Engine}, true
+	}
+}
--- /dev/null
+++ b/core/forward_world_test.go
@@ -0,0 +1,455 @@
+package core_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// The figures of the emulated deployment. Engines and services behave like the
+// ones that the platform serves, on virtual time.
+const (
+	linkDelay    = time.Millisecond
+	promptTime   = 97 * time.Millisecond
+	decodeStep   = 4 * time.Millisecond
+	worldMemory  = core.Tokens(25000)
+	worldPrompt  = core.Tokens(3200)
+	worldOutput  = core.Tokens(860)
+	worldObject  = 900 * time.Millisecond
+	worldTimeout = 14 * time.Second
+)
+
+// happening is something that happens at a time.
+type happening struct {
+	at    core.Instant
+	order int
+	do    func()
+}
+
+type happenings []happening
+
+func (e happenings) Len() int { return len(e) }
+func (e happenings) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+func (e happenings) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *happenings) Push(x any)   { *e = append(*e, x.(happening)) }
+func (e *happenings) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// hostedWorld runs nodes, engines and plain services on virtual time.
+type hostedWorld struct {
+	now    core.Instant
+	queue  happenings
+	order  int
+	rng    *rand.Rand
+	nodes  []*worldNode
+	ups    map[core.EngineID]*worldUpstream
+	ids    []core.EngineID
+	offset core.Offset
+	// claims are the offsets at which claims to give orders were confirmed.
+	claims core.Offset
+	orders []worldOrder
+	asked  map[core.ForwardID]*worldRequest
+	next   core.ForwardID
+
+	served, onTime, refused, failed int
+	// inVain counts prompts that were read and whose run was refused.
+	inVain int
+	steps  map[core.EngineID]int
+}
+
+type worldOrder struct {
+	at   core.Instant
+	from core.NodeID
+	core.Order
+}
+
+type worldNode struct {
+	w      *hostedWorld
+	node   *core.Node
+	frozen bool
+	wakeAt core.Instant
+}
+
+// worldRequest is one attempt of a caller.
+type worldRequest struct {
+	node  *worldNode
+	began core.Instant
+	// came is when this attempt came; an attempt of a plain request cannot be
+	// told from a first one.
+	came   core.Instant
+	first  core.Instant
+	output core.Tokens
+	kind   core.RouteID
+	ended  bool
+	runs   int
+	// returned says that the caller has come back once already.
+	returned bool
+	goesOn   core.Instant
+}
+
+// worldUpstream is an engine or an instance of a plain service.
+type worldUpstream struct {
+	core.Instance
+	free    core.Tokens
+	leases  map[core.LeaseID]core.Tokens
+	readyAt core.Instant
+	running int
+	waiting []func()
+	dead    bool
+	// loses is the share of answers that get lost on the way.
+	loses float64
+	next  int
+}
+
+type worldOptions struct {
+	nodes, readers, decoders, plain int
+	slots                           int
+	alone                           bool
+	seed                            uint64
+}
+
+func newHostedWorld(o worldOptions) *hostedWorld {
+	w := &hostedWorld{
+		now: core.Instant(time.Hour), rng: rand.New(rand.NewPCG(o.seed, 1)), ups: map[core.EngineID]*worldUpstream{},
+		asked: map[core.ForwardID]*worldRequest{}, steps: map[core.EngineID]int{},
+	}
+	add := func(id string, service core.ServiceID, role core.Role, slots int) {
+		u := &worldUpstream{Instance: core.Instance{
+			ID: core.EngineID(id), Service: service, Domain: "d1", Address: id + ":1", Slots: slots, Role: role, Born: 1,
+		}, free: worldMemory, leases: map[core.LeaseID]core.Tokens{}}
+		w.ups[u.ID] = u
+		w.ids = append(w.ids, u.ID)
+	}
+	for i := range o.readers {
+		add(fmt.Sprintf("p%02d", i), "model", core.Prefill, 16)
+	}
+	for i := range o.decoders {
+		add(fmt.Sprintf("d%02d", i), "model", core.Decode, 16)
+	}
+	for i := range o.plain {
+		add(fmt.Sprintf("s%02d", i), "ledger", core.Plain, o.slots)
+	}
+	var list core.VMList
+	for i := range o.nodes {
+		id := fmt.Sprintf("n%02d", i)
+		list.Nodes = append(list.Nodes, core.NodeInfo{ID: core.NodeID(id), Domain: "d1", PeerAddress: id + ":1", CallerAddress: id + ":2"})
+	}
+	settings := core.DefaultSettings()
+	settings.Retries = core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
+	for i, info := range list.Nodes {
+		w.nodes = append(w.nodes, &worldNode{w: w, node: &core.Node{
+			Self: info, Incarnation: 1, Seed: o.seed + uint64(i), Settings: settings, Hosted: true, Alone: o.alone,
+		}})
+	}
+	for _, n := range w.nodes {
+		n.tell(core.Tick{})
+		n.tell(list)
+		n.tell(worldState())
+	}
+	return w
+}
+
+// worldState is the desired state of the emulated deployment.
+func worldState() core.DesiredState {
+	route := func(id core.RouteID, service core.ServiceID, repeat core.Repeat, objective, timeout time.Duration) core.Route {
+		return core.Route{
+			ID: id, Host: "h", Prefix: "/" + string(id) + "/", Repeat: repeat, Timeout: timeout, Objective: objective, MaxRuns: 2,
+			Split: []core.Share{{Service: service, Weight: 1}},
+		}
+	}
+	return core.DesiredState{
+		Version: 1,
+		Routes: []core.Route{
+			route("draft", "model", core.Once, worldObject, worldTimeout),
+			route("resumable", "model", core.ResumeOnly, worldObject, worldTimeout),
+			route("pay", "ledger", core.Once, 150*time.Millisecond, 1500*time.Millisecond),
+			route("read", "ledger", core.Repeatable, 150*time.Millisecond, 1500*time.Millisecond),
+		},
+		Services: map[core.ServiceID]core.ServiceSpec{
+			"model": {ID: "model", Engine: core.Some(core.EngineSpec{
+				Slots: 16, Memory: worldMemory, LeaseMax: 2 * time.Second, HandleTTL: 500 * time.Millisecond,
+				RoleChange: 6 * time.Second, EventTokens: 12,
+			})},
+			"ledger": {ID: "ledger"},
+		},
+	}
+}
+
+// after does something later.
+func (w *hostedWorld) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, happening{at: w.now.Add(d), order: w.order, do: do})
+}
+
+// run lets time pass.
+func (w *hostedWorld) run(d time.Duration) {
+	until := w.now.Add(d)
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(happening)
+		w.now = max(w.now, e.at)
+		e.do()
+	}
+	w.now = until
+}
+
+// tell passes a message to a node and carries out what it asks for.
+func (n *worldNode) tell(m core.Message) {
+	if n.frozen {
+		return
+	}
+	for _, c := range n.node.Update(n.w.now, m) {
+		n.carryOut(c)
+	}
+	at, ok := n.node.Wake()
+	if !ok || n.wakeAt > n.w.now && n.wakeAt <= at {
+		return
+	}
+	n.wakeAt = at
+	n.w.after(max(at.Sub(n.w.now), 0), func() { n.tell(core.Tick{}) })
+}
+
+func (n *worldNode) later(d time.Duration, m core.Message) { n.w.after(d, func() { n.tell(m) }) }
+
+func (n *worldNode) carryOut(c core.Command) {
+	w := n.w
+	switch c := c.(type) {
+	case core.SendPeer:
+		for _, to := range w.nodes {
+			if to.node.Self.ID == c.To {
+				to.later(linkDelay, core.Peer{From: n.node.Self.ID, Incarnation: 1, Body: c.Body})
+			}
+		}
+	case core.ReadInstances:
+		m := core.InstancesRead{Whole: true, After: c.After, Offset: w.offset}
+		for _, id := range w.ids {
+			m.Changed = append(m.Changed, w.ups[id].Instance)
+		}
+		n.later(4*time.Millisecond, m)
+	case core.ClaimOrders:
+		if c.At != w.claims {
+			n.later(4*time.Millisecond, core.OrdersNotClaimed{Ticket: c.Ticket, Known: true, End: w.claims})
+			return
+		}
+		w.claims++
+		n.later(4*time.Millisecond, core.OrdersClaimed{Ticket: c.Ticket, Offset: c.At})
+	case core.SendOrder:
+		w.orders = append(w.orders, worldOrder{at: w.now, from: n.node.Self.ID, Order: c.Order})
+		w.change(c.Order)
+	case core.TakeLease:
+		n.lease(c)
+	case core.DropLease:
+		w.ups[c.Engine].drop(c.Lease)
+	case core.ReadPrompt:
+		n.readPrompt(c)
+	case core.RunForward:
+		n.runForward(c)
+	case core.EndForward:
+		n.end(c.ID, c.NotRun, c.RetryAfter)
+	case core.RelayFailure:
+		n.end(c.ID, false, 0)
+	}
+}
+
+// change carries out an order: the engine is away for a while.
+func (w *hostedWorld) change(o core.Order) {
+	u := w.ups[o.Engine]
+	w.after(6*time.Second, func() {
+		u.Role = o.Role
+		w.offset++
+	})
+}
+
+func (u *worldUpstream) drop(id core.LeaseID) {
+	u.free += u.leases[id]
+	delete(u.leases, id)
+}
+
+func (n *worldNode) lease(c core.TakeLease) {
+	w, u := n.w, n.w.ups[c.Engine]
+	w.steps[u.ID]++
+	if u.dead {
+		n.later(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep, Unsent: true})
+		return
+	}
+	if u.Role != core.Decode || u.free < c.Tokens {
+		n.later(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep})
+		return
+	}
+	u.next++
+	id := core.LeaseID(fmt.Sprintf("%s-%d", u.ID, u.next))
+	u.leases[id] = c.Tokens
+	u.free -= c.Tokens
+	w.after(c.TTL, func() { u.drop(id) })
+	if w.rng.Float64() < u.loses {
+		n.later(2*linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep})
+		return
+	}
+	n.later(2*linkDelay, core.LeaseGranted{ID: c.ID, Engine: c.Engine, Lease: id})
+}
+
+func (n *worldNode) readPrompt(c core.ReadPrompt) {
+	w, u := n.w, n.w.ups[c.Engine]
+	if u.dead {
+		n.later(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep, Unsent: true})
+		return
+	}
+
+	u.readyAt = max(u.readyAt, w.now).Add(promptTime)
+	n.later(u.readyAt.Sub(w.now)+2*linkDelay, core.PromptRead{ID: c.ID, Engine: c.Engine, Handle: "h", Tokens: worldPrompt})
+}
+
+func (n *worldNode) runForward(c core.RunForward) {
+	w, u, r := n.w, n.w.ups[c.Engine], n.w.asked[c.ID]
+	w.steps[u.ID]++
+	r.runs++
+	switch {
+	case u.dead:
+		n.later(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Unsent: true})
+	case u.Service == "ledger":
+		n.runPlain(u, c, r)
+	default:
+		n.stream(u, c, r)
+	}
+}
+
+// runPlain serves a plain request in a slot, after those that wait.
+func (n *worldNode) runPlain(u *worldUpstream, c core.RunForward, r *worldRequest) {
+	w := n.w
+	const queue, work = 24, 30 * time.Millisecond
+	start := func() {
+		u.running++
+		w.after(work, func() {
+			u.running--
+			if len(u.waiting) > 0 {
+				next := u.waiting[0]
+				u.waiting = u.waiting[1:]
+				next()
+			}
+			if w.rng.Float64() < u.loses {
+				n.tell(core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+				return
+			}
+			w.after(linkDelay, func() { n.answer(c.ID, c.Engine, r) })
+		})
+	}
+	switch {
+	case u.running < u.Slots:
+		start()
+	case len(u.waiting) < queue:
+		u.waiting = append(u.waiting, start)
+	default:
+		n.later(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+	}
+}
+
+func (n *worldNode) stream(u *worldUpstream, c core.RunForward, r *worldRequest) {
+	w := n.w
+	need := worldPrompt + r.output
+	if held, ok := u.leases[c.Lease]; ok {
+		u.drop(c.Lease)
+		need = held
+	}
+	if u.Role != core.Decode || u.free < need {
+		w.inVain++
+		n.later(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+		return
+	}
+	u.free -= need
+	w.after(30*time.Millisecond, func() {
+		if !r.ended {
+			r.first = w.now
+			n.tell(core.ForwardAnswering{ID: c.ID, Engine: c.Engine})
+		}
+	})
+	w.after(30*time.Millisecond+time.Duration(r.output)*decodeStep, func() {
+		u.free += need
+		n.answer(c.ID, c.Engine, r)
+	})
+}
+
+// answer gives the caller its whole answer.
+func (n *worldNode) answer(id core.ForwardID, engine core.EngineID, r *worldRequest) {
+	w := n.w
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if r.first == 0 {
+		r.first = w.now
+		n.tell(core.ForwardAnswering{ID: id, Engine: engine})
+	}
+	n.tell(core.ForwardEnded{ID: id, Engine: engine, Events: int(r.output) / 12})
+	w.served++
+	limit, from := worldObject, r.began
+	if r.kind == "pay" || r.kind == "read" {
+		limit, from = 150*time.Millisecond, r.came
+	}
+	if r.first.Sub(from) <= limit {
+		w.onTime++
+	}
+}
+
+// end ends a request without an answer. Its caller comes back once if it was
+// told when.
+func (n *worldNode) end(id core.ForwardID, notRun bool, retryAfter time.Duration) {
+	w, r := n.w, n.w.asked[id]
+	if r == nil || r.ended {
+		return
+	}
+	r.ended = true
+	if notRun && retryAfter > 0 && !r.returned {
+		w.after(retryAfter, func() { w.ask(r.kind, r.output, r.began, true, core.PromptKey(r.goesOn)) })
+		return
+	}
+	if notRun {
+		w.refused++
+	} else {
+		w.failed++
+	}
+}
+
+// ask sends a caller's request to a random node.
+func (w *hostedWorld) ask(kind core.RouteID, output core.Tokens, began core.Instant, returned bool, prompted core.PromptKey) core.ForwardID {
+	w.next++
+	id := w.next
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if prompted == 0 {
+		prompted = core.PromptKey(id)
+	}
+	w.asked[id] = &worldRequest{
+		node: n, began: began, came: w.now, output: output, kind: kind, returned: returned, goesOn: core.Instant(prompted),
+	}
+	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond}
+	if kind == "draft" || kind == "resumable" {
+		m.Patience = worldTimeout
+		m.Generation = core.Some(core.Generation{
+			Prompt: worldPrompt, MaxOutput: 2 * output, ExpectedOutput: output, Prompted: prompted,
+		})
+	}
+	n.tell(m)
+	return id
+}
+
+// load asks for rate requests a second, at random, for a time.
+func (w *hostedWorld) load(kind core.RouteID, rate float64, d time.Duration) {
+	at := time.Duration(0)
+	for {
+		at += time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+		if at > d {
+			return
+		}
+		output := core.Tokens(float64(worldOutput) * (0.5 + w.rng.Float64()))
+		w.after(at, func() { w.ask(kind, output, w.now, false, 0) })
+	}
+}
