Soak real daemons on the platform's stand-ins under injected faults

Stand-ins of the store and of upstreams with faults; a run checks once-only, true refusals, whole answers, gapless streams, drains, and a calm end. The client of upstreams has tests against answers that are extra, foreign, early or lost.

--- /dev/null
+++ b/bench/cmd/hostedsoak/main.go
@@ -0,0 +1,70 @@
+// Command hostedsoak runs real daemons on one machine as the platform would,
+// under injected faults, for many seeds.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"daisyshed.dev/bench/hosted"
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Bin      string        `long:"bin" value-name:"FILE" description:"the daemon's program" required:"true"`
+	Seed     uint64        `long:"seed" value-name:"N" description:"first seed" default:"1"`
+	Seeds    int           `long:"seeds" value-name:"N" description:"number of seeds" default:"50"`
+	Length   time.Duration `long:"length" value-name:"TIME" description:"time for which faults are injected" default:"8s"`
+	Parallel int           `long:"parallel" value-name:"N" description:"runs at a time; each has some ten processes' load" default:"3"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		return 2
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	slots := make(chan struct{}, max(opts.Parallel, 1))
+	failed := 0
+	injected := map[string]int{}
+	for i := range opts.Seeds {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			result, err := hosted.Run(opts.Bin, opts.Seed+uint64(i), opts.Length)
+			mu.Lock()
+			defer mu.Unlock()
+			for kind, n := range result.Injected {
+				injected[kind] += n
+			}
+			if err != nil {
+				failed++
+				fmt.Println("seed", opts.Seed+uint64(i), "error:", err)
+				return
+			}
+			fmt.Println("seed", result.Seed, "faults:", len(result.Faults), result.Counts)
+			if len(result.Faults) == 0 {
+				return
+			}
+			failed++
+			fmt.Println("  logs:", result.LogDir)
+			for _, f := range result.Faults[:min(len(result.Faults), 8)] {
+				fmt.Println(" ", f)
+			}
+		}()
+	}
+	wait.Wait()
+	fmt.Println("injected:", injected)
+	fmt.Printf("%d seeds, %d failed\n", opts.Seeds, failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/bench/hosted/deployment.go
@@ -0,0 +1,319 @@
+// Package hosted runs real daemons on one machine as the platform would, against
+// stand-ins of its store and upstreams, under injected faults, and judges what
+// callers and upstreams see.
+package hosted
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"daisyshed.dev/standin/hostedworker"
+	"daisyshed.dev/standin/metastore"
+)
+
+const (
+	// nodes, readers, decoders and plains are the usual size of a run.
+	nodes    = 4
+	readers  = 2
+	decoders = 4
+	plains   = 3
+	// beatEvery is the period at which upstreams renew their entries, and
+	// lapseAfter how long the store keeps an entry without renewal.
+	beatEvery  = 400 * time.Millisecond
+	lapseAfter = 3 * beatEvery
+	// The ports of a node; nodes differ in their loopback address.
+	callerPort, readyPort, directoryPort, peerPort = 18149, 18141, 18143, 17380
+	storePort, workerPort                          = 18142, 18080
+	host                                           = "shop.example"
+	// Grace is the time from SIGTERM to SIGKILL.
+	grace = 8 * time.Second
+)
+
+// deployment is everything of one run.
+type deployment struct {
+	dir   string
+	net   int
+	bin   string
+	rng   *rand.Rand
+	store *metastore.Store
+	judge *judge
+
+	mu      sync.Mutex
+	nodes   []*process
+	workers map[string]*member
+	last    int
+	version int
+	closes  []func()
+	done    chan struct{}
+}
+
+// member is a worker and how to end it.
+type member struct {
+	worker  *hostedworker.Worker
+	service string
+	stop    func()
+	beats   chan struct{}
+}
+
+// process is one daemon.
+type process struct {
+	index int
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// open starts the stand-ins and the daemons of a run. The clean-up function ends
+// them, by their ids.
+func open(bin string, seed uint64) (*deployment, func(), error) {
+	dir, err := os.MkdirTemp("", "hosted")
+	if err != nil {
+		return nil, nil, err
+	}
+	d := &deployment{
+		dir: dir, bin: bin, net: int(seed % 200), rng: rand.New(rand.NewPCG(seed, 2)),
+		store: &metastore.Store{Delay: 2 * time.Millisecond}, judge: newJudge(),
+		workers: map[string]*member{}, done: make(chan struct{}),
+	}
+	if err := d.start(); err != nil {
+		d.close()
+		return nil, nil, err
+	}
+	return d, d.close, nil
+}
+
+func (d *deployment) start() error {
+	server := &http.Server{Addr: d.address(250, storePort), Handler: d.store, ReadHeaderTimeout: time.Second}
+	go func() {
+		// The clean-up function ends it.
+		_ = server.ListenAndServe()
+	}()
+	d.closes = append(d.closes, func() { _ = server.Close() })
+	d.publish(false)
+	for range readers {
+		d.addWorker("model", "prefill")
+	}
+	for range decoders {
+		d.addWorker("model", "decode")
+	}
+	for range plains {
+		d.addWorker("ledger", "")
+	}
+	for i := range nodes {
+		d.nodes = append(d.nodes, &process{index: i})
+		if err := d.startNode(d.nodes[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) close() {
+	close(d.done)
+	for _, p := range d.nodes {
+		d.kill(p)
+	}
+	d.mu.Lock()
+	members := make([]*member, 0, len(d.workers))
+	for _, m := range d.workers {
+		members = append(members, m)
+	}
+	d.mu.Unlock()
+	for _, m := range members {
+		m.stop()
+	}
+	for _, c := range d.closes {
+		c()
+	}
+	// What stays is in the system's folder for such files.
+	_ = os.RemoveAll(d.dir)
+}
+
+// address returns a loopback address of this run.
+func (d *deployment) address(last, port int) string {
+	return fmt.Sprintf("127.21.%d.%d:%d", d.net, last, port)
+}
+
+// addWorker starts a worker under a new id and address.
+func (d *deployment) addWorker(service, stage string) {
+	d.mu.Lock()
+	d.last++
+	n := d.last
+	d.mu.Unlock()
+	id := fmt.Sprintf("i-%03d", n)
+	w, stop, err := hostedworker.Start(hostedworker.Settings{
+		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
+		Slots: 6, Work: 10 * time.Millisecond, Events: 12, Memory: 4000,
+	}, d.address(100+n%100, workerPort+n/100), d.judge.ran)
+	if err != nil {
+		d.judge.fault(fmt.Sprintf("worker %s did not start: %v", id, err))
+		return
+	}
+	m := &member{worker: w, service: service, stop: stop, beats: make(chan struct{})}
+	d.mu.Lock()
+	d.workers[id] = m
+	d.mu.Unlock()
+	go d.beat(id, m)
+}
+
+// beat renews a worker's entry until it ends.
+func (d *deployment) beat(id string, m *member) {
+	for {
+		d.store.Put("keyed.servers", id, m.worker.Entry())
+		select {
+		case <-time.After(beatEvery):
+		case <-m.beats:
+			time.Sleep(lapseAfter)
+			d.store.Put("keyed.servers", id, nil)
+			return
+		case <-d.done:
+			return
+		}
+	}
+}
+
+// removeWorker ends a worker as a crash does; its entry lapses.
+func (d *deployment) removeWorker(id string) {
+	d.mu.Lock()
+	m := d.workers[id]
+	delete(d.workers, id)
+	d.mu.Unlock()
+	if m != nil {
+		close(m.beats)
+		m.stop()
+	}
+}
+
+// publish writes a desired state; with extra it has one route more.
+func (d *deployment) publish(extra bool) {
+	d.version++
+	route := func(name, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"Name": name, "Host": host, "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 4000, "SloMs": 600,
+			"Priority": 1, "Service": service, "MaxAttempts": 2, "Resumable": resumable,
+		}
+	}
+	routes := []any{
+		route("pay", "non_idempotent", "ledger", false), route("read", "idempotent", "ledger", false),
+		route("draft", "streaming", "model", false), route("resume", "streaming", "model", true),
+	}
+	if extra {
+		routes = append(routes, route(fmt.Sprintf("extra%d", d.version), "idempotent", "ledger", false))
+	}
+	raw, err := json.Marshal(map[string]any{
+		"Version": d.version, "Routes": routes,
+		"Services": []any{
+			map[string]any{"Name": "ledger", "MaxConns": 200},
+			map[string]any{"Name": "model", "MaxConns": 200, "Engine": map[string]any{
+				"Slots": 6, "KvCapacity": 4000, "HandleTtlS": 0.5, "SwitchS": 1.0, "HoldMs": 2000.0, "Stride": 12,
+			}},
+		},
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+	})
+	if err != nil {
+		d.judge.fault("the desired state did not encode: " + err.Error())
+		return
+	}
+	d.store.Put("keyed.op", "config", raw)
+}
+
+// startNode starts a daemon under its settings.
+func (d *deployment) startNode(p *process) error {
+	n := p.index + 1
+	ip := fmt.Sprintf("127.21.%d.%d", d.net, n)
+	settings := fmt.Sprintf(`NodeName = "n%d"
+Zone = "z%d"
+Region = "r"
+Ip = "%s"
+PortRange = [%d,%d]
+Seeds = []
+HeartbeatMs = %d
+[Listen]
+Front = "%s:%d"
+Ready = "%s:%d"
+Directory = "%s:%d"
+[Limits]
+MemoryMb = 150
+MaxFds = 1000
+[Bounds]
+BudgetRatio = 0.2
+BudgetWindowS = 10
+RetrySlack = 40
+GraceS = %d
+ConfigMs = 2000
+DrainMs = 2000
+LeaseMs = 3000
+ttl_max_s = 5
+[Platform]
+Address = "%s"
+`, n, n%2, ip, peerPort, peerPort+1, beatEvery.Milliseconds(), ip, callerPort, ip, readyPort, ip, directoryPort,
+		int(grace.Seconds()), d.address(250, storePort))
+	path := filepath.Join(d.dir, fmt.Sprintf("n%d.toml", n))
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(d.dir, fmt.Sprintf("n%d.log", n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(d.bin, "--hosted")
+	cmd.Env = append(os.Environ(), "DAISYSHED_SETTINGS="+path)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		// How it ended shows in its log and to its callers.
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	d.mu.Lock()
+	p.cmd, p.ended = cmd, ended
+	d.mu.Unlock()
+	return nil
+}
+
+// signal sends a signal to a daemon.
+func (d *deployment) signal(p *process, s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		// One that has ended already needs none.
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends a daemon at once and waits for its end.
+func (d *deployment) kill(p *process) {
+	d.signal(p, syscall.SIGKILL)
+	d.wait(p)
+}
+
+func (d *deployment) wait(p *process) {
+	d.mu.Lock()
+	ended := p.ended
+	d.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// ready reports whether a node says that it takes requests.
+func (d *deployment) ready(index int) bool {
+	c := http.Client{Timeout: 300 * time.Millisecond}
+	a, err := c.Get("http://" + d.address(index+1, readyPort) + "/-/ready")
+	if err != nil {
+		return false
+	}
+	defer a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/daisyshed/upstream/client_test.go
@@ -0,0 +1,203 @@
+package upstream_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"daisyshed.dev/daisyshed/upstream"
+	"github.com/matryer/is"
+)
+
+func request(address string, body []byte) *upstream.Request {
+	return &upstream.Request{
+		Key: "e1", Address: address, Method: http.MethodPost, Target: "/x?y=1", Host: "h",
+		Header: http.Header{"Attempt-Id": {"a"}}, Body: body,
+		Mine: func(h http.Header) bool { return h.Get("Attempt-Id") == "a" },
+	}
+}
+
+// serve answers connections by f and returns the address.
+func serve(t *testing.T, f func(c net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go f(c, bufio.NewReader(c))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readRequest reads one request and its body.
+func readRequest(r *bufio.Reader) bool {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, q.Body)
+	return err == nil
+}
+
+func TestBodiesOfAllSizesArriveWhole(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Attempt-Id", "a")
+		_, _ = w.Write(body)
+	}))
+	defer s.Close()
+	c := &upstream.Client{DialTimeout: time.Second}
+	defer c.Close()
+	for _, size := range []int{0, 1, 8 << 10, 8<<10 + 1, 20000, 1 << 20} {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		body := bytes.Repeat([]byte("x"), size)
+		a, err := c.Do(ctx, request(s.Listener.Addr().String(), body))
+		is.NoErr(err)
+		got, err := io.ReadAll(a.Body)
+		is.NoErr(err)
+		is.Equal(len(got), size)
+		a.Close()
+		cancel()
+	}
+}
+
+// A connection with an unasked answer on it is not used again.
+func TestExtraAnswerIsNobodys(t *testing.T) {
+	is := is.New(t)
+	const answer = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\nok"
+	connections := make(chan int, 8)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		connections <- 1
+		for readRequest(r) {
+			_, _ = c.Write([]byte(answer + strings.ReplaceAll(answer, "ok", "no")))
+		}
+	})
+	c := &upstream.Client{DialTimeout: time.Second}
+	for range 3 {
+		a, err := c.Do(t.Context(), request(address, nil))
+		is.NoErr(err)
+		got, err := io.ReadAll(a.Body)
+		is.NoErr(err)
+		is.Equal(string(got), "ok")
+		a.Close()
+	}
+	is.Equal(len(connections), 3)
+}
+
+// A late answer to another request stands before the right one.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 2\r\n\r\nno" +
+				"HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	})
+	c := &upstream.Client{DialTimeout: time.Second}
+	a, err := c.Do(t.Context(), request(address, nil))
+	is.NoErr(err)
+	defer a.Close()
+	got, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(string(got), "ok")
+}
+
+// A request whose connection breaks is not sent again.
+func TestBrokenRequestIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	arrivals := make(chan int, 8)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			arrivals <- 1
+		}
+		_ = c.Close()
+	})
+	c := &upstream.Client{DialTimeout: time.Second}
+	_, err := c.Do(t.Context(), request(address, nil))
+	var broken *upstream.BrokenError
+	is.True(errors.As(err, &broken))
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(len(arrivals), 1)
+}
+
+func TestUnreachableUpstreamGotNothing(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = (&upstream.Client{DialTimeout: time.Second}).Do(t.Context(), request(address, nil))
+	var unsent *upstream.UnsentError
+	is.True(errors.As(err, &unsent))
+}
+
+// An upstream may answer before it has read a long body. The connection is not
+// used again: what is due on it is the rest of that body.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	is := is.New(t)
+	connections := make(chan int, 8)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		connections <- 1
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = c.Write([]byte("HTTP/1.1 503 Busy\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+		}
+		time.Sleep(time.Second)
+	})
+	c := &upstream.Client{DialTimeout: time.Second}
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		a, err := c.Do(ctx, request(address, make([]byte, 16<<20)))
+		is.NoErr(err)
+		is.Equal(a.Status, http.StatusServiceUnavailable)
+		a.Close()
+		cancel()
+	}
+	is.Equal(len(connections), 2)
+}
+
+// The end of the context ends a request that waits for its answer.
+func TestContextEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		time.Sleep(3 * time.Second)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := (&upstream.Client{DialTimeout: time.Second}).Do(ctx, request(address, nil))
+	is.True(err != nil)
+	is.True(time.Since(began) < time.Second)
+}
+
+func TestEventsAreWhole(t *testing.T) {
+	is := is.New(t)
+	e := upstream.NewEvents(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"))
+	first, id, err := e.Next()
+	is.NoErr(err)
+	is.Equal(id, "1")
+	is.Equal(string(first), "id: 1\ndata: a\n\n")
+	_, id, err = e.Next()
+	is.NoErr(err)
+	is.Equal(id, "2")
+	_, _, err = e.Next()
+	is.Equal(err, io.ErrUnexpectedEOF)
+	_, _, err = upstream.NewEvents(strings.NewReader("")).Next()
+	is.Equal(err, io.EOF)
+}
