Stretch estimates of output by what was seen; wait longer for state and nodes

Cause: a fixed margin of 1.15 was fitted to two sites; store calls for nodes' entries and the desired state that bring nothing.

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -17,7 +17,7 @@
 	f.owner = owner
 	f.acked = false
 	n.send(owner, PlaceForward{
-		ID: f.ID, Group: f.group, Prompt: f.prompt(), Memory: f.reserve(), Rank: f.rank,
+		ID: f.ID, Group: f.group, Prompt: f.prompt(), Memory: s.reserve(f), Rank: f.rank,
 		OnTime: f.onTimeBy.Sub(n.now), Patience: f.goneBy.Sub(n.now), Objective: f.objective,
 		Prompted: g.Prompted, Again: f.sends > 0, Avoid: f.tried.Sorted(),
 	})
--- a/core/forward.go
+++ b/core/forward.go
@@ -78,6 +78,8 @@
 	// one goes on.
 	pumpDue bool
 	inPump  bool
+	// stretch holds each service's ratio of actual to estimated output.
+	stretch map[ServiceID]float64
 	// muted holds until when owners that did not answer are not asked.
 	muted map[NodeID]Instant
 	// announced is set once the node was ready, and askedAt is when a peer was
@@ -95,6 +97,7 @@
 
 func (s *forwards) start() {
 	s.live = map[ForwardID]*forwarded{}
+	s.stretch = map[ServiceID]float64{}
 	s.muted = map[NodeID]Instant{}
 	s.budgets = map[ServiceID]*repeatBudget{}
 	s.pipelines = map[ServiceID]*spread{}
@@ -284,9 +287,10 @@
 	}
 	d := s.decision(n, f, "answered", NoReason)
 	if engine, ok := f.spec.Engine.Get(); ok {
-		d.Expected = f.reserve() - f.prompt()
+		d.Expected = f.expectedOutput()
 		d.Output = Tokens(m.Events) * engine.EventTokens
 		f.output = d.Output
+		s.noteLength(f, d.Output)
 	}
 	n.do(LogDecision{Decision: d})
 	s.close(n, f)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -28,8 +28,10 @@
 	// outputGuess is the part of the bound on the output that is reserved
 	// where the caller gives no estimate.
 	outputGuess = 0.5
-	// outputMargin is the part of the estimated output that is reserved.
-	outputMargin = 1.15
+	// stretchWeight is the number of answers over which the ratio of actual to
+	// estimated output is averaged, and stretchMost bounds it.
+	stretchWeight = 32
+	stretchMost   = 2.0
 	// firstEventWait is how many objectives a resumable stream may stay
 	// without its first event before it is tried elsewhere.
 	firstEventWait = 1.5
@@ -105,26 +107,52 @@
 	return cheapest(n, s.upstreams.byService[f.spec.ID], skip, func(u *upstream) float64 { return float64(u.tokens) })
 }
 
+// expectedOutput returns the caller's estimate of the output, or one from its
+// bound.
+func (f *forwarded) expectedOutput() Tokens {
+	g, _ := f.Generation.Get()
+	if g.ExpectedOutput > 0 {
+		return g.ExpectedOutput
+	}
+	return Tokens(outputGuess * float64(g.MaxOutput))
+}
+
 // reserve returns the memory that a request is expected to need at its end.
-func (f *forwarded) reserve() Tokens {
+// Callers' estimates are right at the median, while memory goes by the mean, so
+// they are stretched by what was seen.
+func (s *forwards) reserve(f *forwarded) Tokens {
 	g, _ := f.Generation.Get()
-	out := g.ExpectedOutput
-	if out == 0 {
-		out = Tokens(outputGuess * float64(g.MaxOutput))
+	stretch, ok := s.stretch[f.spec.ID]
+	if !ok {
+		stretch = 1
 	}
-	out = Tokens(outputMargin * float64(out))
+	out := Tokens(stretch * float64(f.expectedOutput()))
 	if g.MaxOutput > 0 {
 		out = min(out, g.MaxOutput)
 	}
 	return g.Prompt + out
 }
 
+// noteLength takes in how long an answer was against the estimate.
+func (s *forwards) noteLength(f *forwarded, output Tokens) {
+	expected := f.expectedOutput()
+	if expected == 0 || output == 0 {
+		return
+	}
+	stretch, ok := s.stretch[f.spec.ID]
+	if !ok {
+		stretch = 1
+	}
+	ratio := min(float64(output)/float64(expected), 2*stretchMost)
+	s.stretch[f.spec.ID] = min(stretch+(ratio-stretch)/stretchWeight, stretchMost)
+}
+
 func (s *forwards) takeLease(n *Node, f *forwarded, u *upstream) {
 	s.unqueue(f)
 	f.phase = forwardLeasing
 	f.step++
 	f.decode = u
-	f.reserved = f.reserve()
+	f.reserved = s.reserve(f)
 	u.requests++
 	u.tokens += f.reserved
 	engine, _ := f.spec.Engine.Get()
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -21,12 +21,12 @@
 	// stateWaits is how many of the time within which a new desired state is in
 	// force one read of it may wait. Peers tell of a newer state sooner, if this
 	// node's connection to the store has gone silent.
-	stateWaits = 2
+	stateWaits = 4
 	// nodesEvery is the pause between two looks at the nodes' entries. Nodes
 	// find failures among themselves, so this only finds new ones.
-	nodesEvery = 3 * time.Second
+	nodesEvery = 4 * time.Second
 	// nodesWait is how long a read of the nodes' entries waits for one.
-	nodesWait = 8 * time.Second
+	nodesWait = 20 * time.Second
 )
 
 // Watcher follows the store. Its fields are set before Run.
