--- a/core/decision.go
+++ b/core/decision.go
@@ -33,6 +33,8 @@
 	RetryAfter time.Duration
 	Waited     time.Duration
 	Tokens     Tokens
+	// Detail holds what else decided: the fault of a step, or a queue's length.
+	Detail string
 	// Slack is how long the request could wait, when it came, and still be on
 	// time; it is negative for one that came late.
 	Slack time.Duration
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -57,6 +57,8 @@
 	Objective time.Duration
 	// Prompted identifies the prompt, to know a caller who comes back.
 	Prompted PromptKey
+	// Attempt is the caller's id of its attempt, for the owner's log.
+	Attempt string
 	// Again says that the request has been sent to an engine before, so that
 	// it is not refused any more for want of time.
 	Again bool
@@ -181,6 +183,7 @@
 	// came.
 	prompted PromptKey
 	first    Instant
+	attempt  string
 	group    DispatchGroup
 	prompt   Tokens
 	memory   Tokens
@@ -257,7 +260,7 @@
 		queueEntry: queueEntry{
 			rank: m.Rank, arrived: n.now, onTimeBy: n.now.Add(m.OnTime), goneBy: n.now.Add(m.Patience), objective: m.Objective,
 		},
-		key: key, group: m.Group, prompt: m.Prompt, memory: m.Memory, prompted: m.Prompted, first: n.now, again: m.Again, avoid: SetOf(m.Avoid...),
+		key: key, group: m.Group, prompt: m.Prompt, memory: m.Memory, prompted: m.Prompted, attempt: m.Attempt, first: n.now, again: m.Again, avoid: SetOf(m.Avoid...),
 		waiting: true, since: n.now,
 	}
 	d.recognise(n, j, m)
@@ -267,7 +270,9 @@
 			entries = append(entries, q.queueEntry)
 		}
 	}
-	if !j.again && hopeless(n.now, j.queueEntry, ahead(n.now, entries, j.queueEntry), d.capacity(n, j.group)) {
+	before, rate := ahead(n.now, entries, j.queueEntry), d.capacity(n, j.group)
+	if !j.again && hopeless(n.now, j.queueEntry, before, rate) {
+		d.log(n, j, fmt.Sprintf("hopeless: %d before it at %.1f/s, entry %s", before, rate, from))
 		d.turnAway(n, j)
 		return
 	}
@@ -292,6 +297,15 @@
 	j.onTimeBy = j.onTimeBy.Add(-n.now.Sub(first))
 }
 
+// log notes why a job is turned away.
+func (d *dispatcher) log(n *Node, j *dispatchJob, why string) {
+	n.do(LogDecision{Decision: Decision{
+		At: n.now, Node: n.Self.ID, Step: "turn-away", Request: RequestID(j.attempt), Profile: ProfileID(j.group.Service),
+		Reason: NoCapacity, Waited: n.now.Sub(j.arrived), Slack: j.onTimeBy.Sub(j.arrived), Detail: why,
+		Version: n.forward.state.Version,
+	}})
+}
+
 // turnAway refuses a job.
 func (d *dispatcher) turnAway(n *Node, j *dispatchJob) {
 	if j.prompted != 0 && len(d.turned) < maxTurned {
@@ -308,6 +322,7 @@
 		switch {
 		case !j.again && j.expired(n.now):
 			delete(d.jobs, j.key)
+			d.log(n, j, fmt.Sprintf("expired with %d waiting, entry %s", len(d.queue), j.key.node))
 			d.turnAway(n, j)
 		case !d.assign(n, j):
 			rest = append(rest, j)
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -19,7 +19,7 @@
 	n.send(owner, PlaceForward{
 		ID: f.ID, Group: f.group, Prompt: f.prompt(), Memory: s.reserve(f), Rank: f.rank,
 		OnTime: f.onTimeBy.Sub(n.now), Patience: f.goneBy.Sub(n.now), Objective: f.objective,
-		Prompted: g.Prompted, Again: f.sends > 0, Avoid: f.tried.Sorted(),
+		Prompted: g.Prompted, Attempt: f.Attempt, Again: f.sends > 0, Avoid: f.tried.Sorted(),
 	})
 	step := f.step
 	n.afterFunc(askTimeout, func(n *Node) {
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
 	// pipelineGuess is the part of the objective that a placed request is
@@ -418,7 +421,9 @@
 	}
 	f.emitted = f.emitted || m.Emitted
 	f.outcome = outcome
-	s.decide(n, f, "step-failed", UpstreamFailed)
+	d := s.decision(n, f, "step-failed", UpstreamFailed)
+	d.Detail = fmt.Sprintf("%s at %s, status %d, sent %t: %s", m.Step, m.Engine, m.Status, !m.Unsent, m.Reason)
+	n.do(LogDecision{Decision: d})
 	if m.Step == RunStep && (f.decode == nil || f.decode.ID != m.Engine || f.phase < forwardRunning) {
 		return
 	}
--- a/daisyshed/operator/log.go
+++ b/daisyshed/operator/log.go
@@ -25,6 +25,7 @@
 		Dur("WaitedMs", d.Waited).
 		Int("Tokens", int(d.Tokens)).
 		Dur("SlackMs", d.Slack).
+		Str("Detail", d.Detail).
 		Int("Expected", int(d.Expected)).
 		Int("Output", int(d.Output)).
 		Int64("Version", d.Version).
