--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -55,6 +55,9 @@
 	OnTime    time.Duration
 	Patience  time.Duration
 	Objective time.Duration
+	// Waited is the time since the request came. One that an engine denied a
+	// lease keeps its place in the queue.
+	Waited time.Duration
 	// Prompted identifies the prompt, to know a caller who comes back.
 	Prompted PromptKey
 	// Attempt is the caller's id of its attempt, for the owner's log.
@@ -258,7 +261,7 @@
 	}
 	j := &dispatchJob{
 		queueEntry: queueEntry{
-			rank: m.Rank, arrived: n.now, onTimeBy: n.now.Add(m.OnTime), goneBy: n.now.Add(m.Patience), objective: m.Objective,
+			rank: m.Rank, arrived: n.now.Add(-m.Waited), onTimeBy: n.now.Add(m.OnTime), goneBy: n.now.Add(m.Patience), objective: m.Objective,
 		},
 		key: key, group: m.Group, prompt: m.Prompt, memory: m.Memory, prompted: m.Prompted, attempt: m.Attempt, first: n.now, again: m.Again, avoid: SetOf(m.Avoid...),
 		waiting: true, since: n.now,
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -19,7 +19,7 @@
 	n.send(owner, PlaceForward{
 		ID: f.ID, Group: f.group, Prompt: f.prompt(), Memory: s.reserve(f), Rank: f.rank,
 		OnTime: f.onTimeBy.Sub(n.now), Patience: f.goneBy.Sub(n.now), Objective: f.objective,
-		Prompted: g.Prompted, Attempt: f.Attempt, Again: f.sends > 0, Avoid: f.tried.Sorted(),
+		Waited: f.waited(n.now), Prompted: g.Prompted, Attempt: f.Attempt, Again: f.sends > 0, Avoid: f.tried.Sorted(),
 	})
 	step := f.step
 	n.afterFunc(askTimeout, func(n *Node) {
@@ -95,6 +95,7 @@
 			continue
 		}
 		if f.phase == forwardAsking {
+			s.decide(n, f, "owner-changed", NoReason)
 			s.leaveOwner(n, f)
 			s.ask(n, f)
 			continue
--- a/core/forward_load_test.go
+++ b/core/forward_load_test.go
@@ -182,3 +182,28 @@
 	}
 	is.True(len(w.orders) > 0)
 }
+
+// A request that an engine denied a lease goes back to where it was in the
+// queue: before those that came later.
+func TestDeniedRequestKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.tell(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{
+		{ID: "p1", Service: "model", Address: "p1:1", Slots: 4, Role: core.Prefill, Born: 1},
+		{ID: "d1", Service: "model", Address: "d1:1", Slots: 4, Role: core.Decode, Born: 1},
+	}})
+	ask := func(id core.ForwardID, waited time.Duration) []core.Command {
+		return h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.PlaceForward{
+			ID: id, Group: core.DispatchGroup{Service: "model"}, Prompt: 3200, Memory: worldMemory - 100, Waited: waited,
+			OnTime: 600 * time.Millisecond, Patience: worldTimeout, Objective: worldObject,
+		}})
+	}
+	is.Equal(sentTo[core.ForwardPlaced](ask(1, 0), "n2")[0].ID, core.ForwardID(1))
+	h.pass(20 * time.Millisecond)
+	ask(2, 0)
+	h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.ForwardDenied{ID: 1, Engine: "d1"}})
+	ask(1, 25*time.Millisecond)
+	placed := sentTo[core.ForwardPlaced](h.pass(400*time.Millisecond), "n2")
+	is.Equal(len(placed), 1)
+	is.Equal(placed[0].ID, core.ForwardID(1))
+}
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -342,6 +342,7 @@
 // alone for a moment: a dead one would be tried as fast as it refuses.
 func (s *forwards) denied(n *Node, f *forwarded) {
 	u := f.decode
+	s.decide(n, f, "denied", NoCapacity)
 	if f.owner != "" {
 		n.send(f.owner, ForwardDenied{ID: f.ID, Engine: u.ID})
 		f.owner = ""
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -34,7 +34,7 @@
 			ID: forwardID(t), Group: dispatchGroup(t),
 			Prompt: tokens(t, "prompt"), Memory: tokens(t, "memory"), Rank: rapid.IntRange(0, 9).Draw(t, "rank"),
 			OnTime: span(t, "on time"), Patience: span(t, "patience"), Objective: span(t, "objective"),
-			Prompted: core.PromptKey(rapid.Uint64().Draw(t, "prompted")), Attempt: text[string](t, "attempt"), Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
+			Prompted: core.PromptKey(rapid.Uint64().Draw(t, "prompted")), Attempt: text[string](t, "attempt"), Waited: span(t, "waited"), Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
 		}
 	},
 	"ForwardQueued": func(t *rapid.T) core.PeerBody { return core.ForwardQueued{ID: forwardID(t)} },
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -97,7 +97,7 @@
 		ID: uint64(b.ID), Service: string(b.Group.Service), Index: uint32(b.Group.Index),
 		Prompt: int64(b.Prompt), Memory: int64(b.Memory), Rank: int64(b.Rank),
 		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective),
-		Prompted: uint64(b.Prompted), Attempt: b.Attempt, Again: b.Again, Avoid: each(b.Avoid, func(id core.EngineID) string { return string(id) }),
+		Prompted: uint64(b.Prompted), Attempt: b.Attempt, WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: each(b.Avoid, func(id core.EngineID) string { return string(id) }),
 	}
 }
 
@@ -107,7 +107,7 @@
 		Group:  core.DispatchGroup{Service: core.ServiceID(b.GetService()), Index: int(b.GetIndex())},
 		Prompt: core.Tokens(b.GetPrompt()), Memory: core.Tokens(b.GetMemory()), Rank: int(b.GetRank()),
 		OnTime: time.Duration(b.GetOnTimeNanos()), Patience: time.Duration(b.GetPatienceNanos()),
-		Objective: time.Duration(b.GetObjectiveNanos()), Prompted: core.PromptKey(b.GetPrompted()), Attempt: b.GetAttempt(), Again: b.GetAgain(),
+		Objective: time.Duration(b.GetObjectiveNanos()), Prompted: core.PromptKey(b.GetPrompted()), Attempt: b.GetAttempt(), Waited: time.Duration(b.GetWaitedNanos()), Again: b.GetAgain(),
 		Avoid: each(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }),
 	}
 }
