--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: all build test race demo soak mutants soak-processes bench capacity generate format lint clean
+.PHONY: all build test race demo soak mutants soak-processes hosted-soak bench capacity generate format lint clean
 
 all: build test
 
@@ -39,6 +39,12 @@
 	@cd bench && $(GO) build -o $(BIN)/processes ./cmd/processes
 	@$(BIN)/processes --bin $(BIN) --seconds $(SECONDS) --seed $(SEED) $(ARGS)
 
+# Runs real daemons on stand-ins of the platform, under faults.
+SEEDS ?= 50
+hosted-soak: build
+	@cd bench && $(GO) build -o $(BIN)/hostedsoak ./cmd/hostedsoak
+	@$(BIN)/hostedsoak --bin $(BIN)/daisyshed --seed $(SEED) --seeds $(SEEDS) $(ARGS)
+
 bench: build
 	@$(BIN)/bench $(ARGS)
 
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"time"
 )
 
@@ -448,12 +449,13 @@
 
 // capacity returns how many requests a second a group can serve: what it served
 // of late, or what its upstreams can by the measured costs. The first falls
-// short when a burst begins, the second when upstreams are slow.
+// short when a burst begins, the second when upstreams are slow. A node that has
+// just started knows neither, and must not refuse for want of knowledge.
 func (d *dispatcher) capacity(n *Node, g DispatchGroup) float64 {
 	seen := d.rate(g).rate(n.now)
 	c := n.roles.cost(g)
 	if c.holdSeconds.count < rolesSamples || c.holdSeconds.mean <= 0 {
-		return seen
+		return math.Inf(1)
 	}
 	able := 0
 	for _, u := range n.forward.upstreams.byService[g.Service] {
--- a/core/forward.go
+++ b/core/forward.go
@@ -136,7 +136,7 @@
 	f.arrived = n.now
 	s.live[m.ID] = f
 	if !s.known {
-		s.refuse(n, f, StaleConfiguration, stateWait)
+		s.refuse(n, f, StaleConfiguration, comeBack(f.Patience, n.rng.Float64()))
 		return
 	}
 	route, ok := s.routes.find(m.Host, m.Path)
--- a/core/forward_load_test.go
+++ b/core/forward_load_test.go
@@ -207,3 +207,17 @@
 	is.Equal(len(placed), 1)
 	is.Equal(placed[0].ID, core.ForwardID(1))
 }
+
+// Load pattern: all nodes have just started, and everybody comes at once, as
+// after an outage. The owner knows no cost yet; the slots can take all.
+func TestColdStartRefusesNobody(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 4, plain: 3, slots: 6, seed: 5})
+	w.run(time.Second)
+	for range 60 {
+		w.ask("pay", 0, w.now, true, 0)
+	}
+	w.run(5 * time.Second)
+	is.Equal(w.refused, 0)
+	is.Equal(w.served, 60)
+}
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -12,9 +12,6 @@
 	// remotePenalty is the cost, in requests, of an upstream in another failure
 	// domain: bytes between domains are dear, but a queue is worse.
 	remotePenalty = 0.5
-	// stateWait is when a caller should come back to a node that does not know
-	// the desired state yet.
-	stateWait = 500 * time.Millisecond
 )
 
 // runPlain sends a request of a plain service to the upstream with the least
