--- a/core/forward.go
+++ b/core/forward.go
@@ -86,13 +86,6 @@
 	// last asked for the desired state.
 	announced bool
 	askedAt   Instant
-	counters  ForwardCounters
-}
-
-// ForwardCounters counts what became of forwarded requests, for metrics and
-// status.
-type ForwardCounters struct {
-	Taken, Answered, Refused, Failed, Gone, Retried, Resumed uint64
 }
 
 func (s *forwards) start() {
@@ -131,7 +124,6 @@
 
 // request takes in a caller's request.
 func (s *forwards) request(n *Node, m Forward) {
-	s.counters.Taken++
 	f := &forwarded{Forward: m, tried: Set[EngineID]{}}
 	f.arrived = n.now
 	s.live[m.ID] = f
@@ -219,14 +211,12 @@
 	if !ok {
 		return
 	}
-	s.counters.Gone++
 	s.decide(n, f, "gone", NoReason)
 	s.close(n, f)
 }
 
 // refuse ends a request that no upstream has run, with a time to come back.
 func (s *forwards) refuse(n *Node, f *forwarded, reason RefusalReason, after time.Duration) {
-	s.counters.Refused++
 	s.decide(n, f, "refuse", reason)
 	n.do(EndForward{ID: f.ID, Reason: reason, NotRun: true, RetryAfter: after})
 	s.close(n, f)
@@ -249,7 +239,6 @@
 		s.decide(n, f, "fail", reason)
 		n.do(EndForward{ID: f.ID, Reason: reason})
 	}
-	s.counters.Failed++
 	s.close(n, f)
 }
 
@@ -281,7 +270,6 @@
 	if !ok {
 		return
 	}
-	s.counters.Answered++
 	if f.decode != nil {
 		f.decode.succeeded()
 	}
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -72,7 +72,6 @@
 			return
 		}
 		f.decode.failed(n.now)
-		s.counters.Retried++
 		s.release(n, f)
 		s.runPlain(n, f)
 	})
@@ -83,7 +82,6 @@
 	f.runs--
 	s.release(n, f)
 	if f.sends < maxSends && s.mayRepeat(n, f, 1) {
-		s.counters.Retried++
 		s.runPlain(n, f)
 		return
 	}
@@ -96,7 +94,6 @@
 	s.release(n, f)
 	again := s.mayRunAgain(f) && !f.emitted && f.sends < maxSends
 	if again && s.mayRepeat(n, f, 1) {
-		s.counters.Retried++
 		s.runPlain(n, f)
 		return
 	}
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -305,10 +305,6 @@
 
 // again queues a stream for another engine than the one it was at.
 func (s *forwards) again(n *Node, f *forwarded) {
-	s.counters.Retried++
-	if f.emitted {
-		s.counters.Resumed++
-	}
 	f.tried.Add(f.decode.ID)
 	s.release(n, f)
 	s.ask(n, f)
@@ -328,7 +324,6 @@
 		f.runs--
 		u := f.decode
 		if f.sends < maxSends && s.mayRepeat(n, f, rerunArrivals) {
-			s.counters.Retried++
 			s.release(n, f)
 			u.fullUntil = n.now.Add(n.jitter(busyReaderFor))
 			s.ask(n, f)
@@ -361,7 +356,6 @@
 	f.prefill.fullUntil = n.now.Add(n.jitter(busyReaderFor))
 	s.leavePrefill(f)
 	if f.reads < maxSends && s.mayRepeat(n, f, 1) {
-		s.counters.Retried++
 		s.readPrompt(n, f)
 		return
 	}
--- a/core/retry_budget.go
+++ b/core/retry_budget.go
@@ -42,9 +42,6 @@
 	return true
 }
 
-// spend notes an extra arrival that has happened whatever the share says.
-func (b *repeatBudget) spend(now Instant) { b.extras = append(b.extras, now) }
-
 func (b *repeatBudget) trim(now Instant, window time.Duration) {
 	b.requests = since(b.requests, now.Add(-window))
 	b.extras = since(b.extras, now.Add(-window))
