End every daemon that the soak starts

Traced: a daemon of an earlier run was still at the seed's addresses (seen in its environment and by 'address in use' in the node's log) and followed the new run's store from an offset of the old one. Overlapping faults had started a node twice and forgotten the first process. Ruled out: the product's feed; with the leftovers ended the three seeds pass.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -54,8 +54,10 @@
 	workers map[string]*member
 	last    int
 	version int
-	closes  []func()
-	done    chan struct{}
+	// closed is set once no process may be started any more.
+	closed bool
+	closes []func()
+	done   chan struct{}
 }
 
 // member is a worker and how to end it.
@@ -120,6 +122,9 @@
 
 func (d *deployment) close() {
 	close(d.done)
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
 	for _, p := range d.nodes {
 		d.kill(p)
 	}
@@ -267,6 +272,11 @@
 		return err
 	}
 	defer out.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || p.running() {
+		return nil
+	}
 	cmd := exec.Command(d.bin, "--hosted")
 	cmd.Env = append(os.Environ(), "DAISYSHED_SETTINGS="+path)
 	cmd.Stdout, cmd.Stderr = out, out
@@ -279,12 +289,25 @@
 		_ = cmd.Wait()
 		close(ended)
 	}()
-	d.mu.Lock()
 	p.cmd, p.ended = cmd, ended
-	d.mu.Unlock()
 	return nil
 }
 
+// running reports whether the daemon has been started and has not ended. Faults
+// overlap, so two of them may want to start it again; a second process would be
+// left over at the end and serve later runs at its addresses.
+func (p *process) running() bool {
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to a daemon.
 func (d *deployment) signal(p *process, s syscall.Signal) {
 	d.mu.Lock()
--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -32,7 +32,12 @@
 }
 
 // regressions are seeds that once broke a promise, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	// Daemons that an earlier run had left over at the same addresses followed
+	// another store: two faults had started one node twice, and only one process
+	// was ended. Seeds 12, 15 and 24 saw drained workers used and foreign answers.
+	12, 15, 24,
+}
 
 // A short seeded soak; longer ones are run by hand with cmd/hostedsoak.
 func TestShortSoak(t *testing.T) {
@@ -40,8 +45,9 @@
 		t.Skip("the soak takes a while")
 	}
 	bin := build(t)
-	for _, seed := range append([]uint64{11, 12}, regressions...) {
+	for _, seed := range append([]uint64{11}, regressions...) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			result, err := hosted.Run(bin, seed, 8*time.Second)
 			is.NoErr(err)
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -162,7 +162,7 @@
 			return false
 		}
 		if !bytes.Equal(out, hostedworker.Answer(attempt, body)) {
-			j.fault(attempt + ": the body is not the worker's")
+			j.fault(fmt.Sprintf("%s: the body is not the worker's: %d bytes %.40q", attempt, len(out), out))
 		}
 		return true
 	}
