--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -31,8 +32,10 @@
 	lapseAfter = 3 * beatEvery
 	// The ports of a node; nodes differ in their loopback address.
 	callerPort, readyPort, directoryPort, peerPort = 18149, 18141, 18143, 17380
-	storePort, workerPort                          = 18142, 18080
-	host                                           = "shop.example"
+	storePort, workerPort, guardPort               = 18142, 18080, 18000
+	// nets is the number of blocks of loopback addresses for runs.
+	nets = 200
+	host = "shop.example"
 	// Grace is the time from SIGTERM to SIGKILL.
 	grace = 8 * time.Second
 )
@@ -83,7 +86,7 @@
 		return nil, nil, err
 	}
 	d := &deployment{
-		dir: dir, bin: bin, net: int(seed % 200), rng: rand.New(rand.NewPCG(seed, 2)), upstreamsOnly: seed%3 == 0,
+		dir: dir, bin: bin, net: int(seed % nets), rng: rand.New(rand.NewPCG(seed, 2)), upstreamsOnly: seed%3 == 0,
 		store: &metastore.Store{Delay: 2 * time.Millisecond}, judge: newJudge(),
 		workers: map[string]*member{}, done: make(chan struct{}),
 	}
@@ -95,6 +98,9 @@
 }
 
 func (d *deployment) start() error {
+	if err := d.claimNet(); err != nil {
+		return err
+	}
 	server := &http.Server{Addr: d.address(250, storePort), Handler: d.store, ReadHeaderTimeout: time.Second}
 	go func() {
 		// The clean-up function ends it.
@@ -120,6 +126,21 @@
 	return nil
 }
 
+// claimNet takes loopback addresses that no other run on this machine uses now,
+// beginning with those of the seed.
+func (d *deployment) claimNet() error {
+	var err error
+	for range nets {
+		var l net.Listener
+		if l, err = net.Listen("tcp", d.address(251, guardPort)); err == nil {
+			d.closes = append(d.closes, func() { _ = l.Close() })
+			return nil
+		}
+		d.net = (d.net + 1) % nets
+	}
+	return err
+}
+
 func (d *deployment) close() {
 	close(d.done)
 	d.mu.Lock()
