--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -111,8 +111,7 @@
 		x.note(http.StatusBadGateway)
 		panic(http.ErrAbortHandler)
 	}
-	platform.WriteEnd(x.w, x.forward.Attempt, c)
-	x.note(http.StatusBadGateway)
+	x.note(platform.WriteEnd(x.w, x.forward.Attempt, c))
 }
 
 func (x *exchange) note(status int) {
--- /dev/null
+++ b/daisyshed/ingress/server_test.go
@@ -0,0 +1,152 @@
+package ingress_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/ingress"
+	"daisyshed.dev/daisyshed/upstream"
+	"daisyshed.dev/standin/hostedworker"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// meter keeps the statuses that the server noted.
+type meter struct {
+	mu       sync.Mutex
+	statuses []int
+}
+
+func (m *meter) Forwarded(status int, _, _ time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.statuses = append(m.statuses, status)
+}
+
+// open returns a server whose core is decide: it gets each message and returns
+// the commands that follow.
+func open(t *testing.T, decide func(m core.Message) []core.ForwardCommand) (*httptest.Server, *meter) {
+	m := &meter{}
+	s := &ingress.Server{Upstreams: &upstream.Client{DialTimeout: time.Second}, Log: zerolog.New(io.Discard), Meter: m}
+	s.Send = func(m core.Message) {
+		go func() {
+			for _, c := range decide(m) {
+				s.Do(c)
+			}
+		}()
+	}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return server, m
+}
+
+func ask(t *testing.T, url, attempt string, body []byte) *http.Response {
+	r, err := http.NewRequest(http.MethodPost, url+"/x/", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Attempt-Id", attempt)
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = a.Body.Close() })
+	return a
+}
+
+func worker(t *testing.T, s hostedworker.Settings) (*hostedworker.Worker, string) {
+	s.ID = "e1"
+	w, stop, err := hostedworker.Start(s, "127.0.0.1:0", func(hostedworker.Run) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	entry := string(w.Entry())
+	_, after, _ := strings.Cut(entry, `"Address":"`)
+	address, _, _ := strings.Cut(after, `"`)
+	return w, address
+}
+
+func TestRefusalIsToldWithItsTime(t *testing.T) {
+	is := is.New(t)
+	s, m := open(t, func(m core.Message) []core.ForwardCommand {
+		if f, ok := m.(core.Forward); ok {
+			return []core.ForwardCommand{core.EndForward{ID: f.ID, Reason: core.NoCapacity, NotRun: true, RetryAfter: 2 * time.Second}}
+		}
+		return nil
+	})
+	a := ask(t, s.URL, "a", nil)
+	is.Equal(a.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(a.Header.Get("Retry-After"), "2.00")
+	is.Equal(m.statuses, []int{http.StatusServiceUnavailable})
+}
+
+func TestAnswerIsRelayedUnchanged(t *testing.T) {
+	is := is.New(t)
+	_, address := worker(t, hostedworker.Settings{Slots: 2})
+	s, _ := open(t, func(m core.Message) []core.ForwardCommand {
+		if f, ok := m.(core.Forward); ok {
+			return []core.ForwardCommand{core.RunForward{ID: f.ID, Engine: "e1", Address: address, Patience: time.Second}}
+		}
+		return nil
+	})
+	body := bytes.Repeat([]byte("b"), 50000)
+	a := ask(t, s.URL, "a", body)
+	got, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(got, hostedworker.Answer("a", body))
+	is.Equal(a.Header.Get("Server-Seal"), hostedworker.Seal("a", body))
+}
+
+// A stream that breaks off in the middle of an event goes on, in the same
+// answer, after the last whole event.
+func TestBrokenStreamGoesOnInOneAnswer(t *testing.T) {
+	is := is.New(t)
+	w, address := worker(t, hostedworker.Settings{Slots: 2, Stage: "decode", Events: 6, Work: time.Millisecond})
+	w.SetFault(hostedworker.CutShort, 1)
+	s, _ := open(t, func(m core.Message) []core.ForwardCommand {
+		switch m := m.(type) {
+		case core.Forward:
+			return []core.ForwardCommand{core.RunForward{ID: m.ID, Engine: "e1", Address: address, Patience: time.Second}}
+		case core.StepFailed:
+			w.SetFault(hostedworker.NoFault, 0)
+			return []core.ForwardCommand{core.RunForward{ID: m.ID, Engine: "e1", Address: address, Patience: time.Second}}
+		}
+		return nil
+	})
+	a := ask(t, s.URL, "a", nil)
+	got, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	want := ""
+	for i := range 6 {
+		want += string(hostedworker.Event("a", i+1))
+	}
+	is.Equal(string(got), want)
+}
+
+// A stream that cannot go on is broken off: it must not look complete.
+func TestUnfinishedStreamDoesNotLookComplete(t *testing.T) {
+	is := is.New(t)
+	w, address := worker(t, hostedworker.Settings{Slots: 2, Stage: "decode", Events: 6, Work: 20 * time.Millisecond})
+	s, _ := open(t, func(m core.Message) []core.ForwardCommand {
+		switch m := m.(type) {
+		case core.Forward:
+			return []core.ForwardCommand{core.RunForward{ID: m.ID, Engine: "e1", Address: address, Patience: time.Second}}
+		case core.ForwardAnswering:
+			return []core.ForwardCommand{core.EndForward{ID: m.ID, Reason: core.UpstreamFailed}}
+		}
+		return nil
+	})
+	_ = w
+	a := ask(t, s.URL, "a", nil)
+	is.Equal(a.StatusCode, http.StatusOK)
+	_, err := io.ReadAll(a.Body)
+	is.True(err != nil)
+}
