--- a/core/admission.go
+++ b/core/admission.go
@@ -23,12 +23,12 @@
 	hopeShare = 0.6
 	// grantWindow is the time over which the rate of placements is counted.
 	grantWindow = 2 * time.Second
-	// minGrantRate is the rate of placements, a second, assumed where none
-	// was seen: a node that has just started must not refuse everything.
+	// minGrantRate is the least rate of placements, a second, that a node which
+	// places by itself counts on, so that it does not refuse everything.
 	minGrantRate = 4.0
 )
 
-// queueEntry is what admission knows of a request that waits for decode memory.
+// queueEntry is what admission knows of a request that waits for its place.
 type queueEntry struct {
 	rank int
 	// arrived is when the request came, onTimeBy until when it must be placed
--- a/core/forward.go
+++ b/core/forward.go
@@ -109,8 +109,8 @@
 	}})
 }
 
-// instances takes in the list of upstreams and drops queued work's hold on
-// those that left.
+// instances takes in the list of upstreams, and looks whether it has room for
+// requests that wait.
 func (s *forwards) instances(n *Node, list InstanceList) {
 	before := len(s.upstreams.byID)
 	s.upstreams.take(list)
--- a/core/roles.go
+++ b/core/roles.go
@@ -126,10 +126,10 @@
 	tokenRate float64
 	// lackedRead and lackedMemory are when a request last waited for a prefill
 	// engine, and for decode memory.
-	lackedRead Instant
-	// changedAt is when engines of the group were last ordered about.
-	changedAt    Instant
+	lackedRead   Instant
 	lackedMemory Instant
+	// changedAt is when engines of the group were last ordered about.
+	changedAt Instant
 }
 
 // promptRead notes how long a prompt took at an engine that had no other.
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -70,10 +70,8 @@
 // update is what a read brought.
 type update struct {
 	records []platform.Record
-	// whole says that the records are all there are, and end is the offset
-	// after them.
+	// whole says that the records are all there are.
 	whole bool
-	end   core.Offset
 }
 
 // follow reads a topic again and again.
@@ -107,7 +105,7 @@
 			return update{}, err
 		}
 		t.listed, t.from = true, end
-		return update{records: records, whole: true, end: end}, nil
+		return update{records: records, whole: true}, nil
 	}
 	records, end, err := w.Store.Read(ctx, t.name, t.from, t.wait)
 	if errors.Is(err, platform.ErrCompacted) {
@@ -119,7 +117,7 @@
 		return update{}, err
 	}
 	t.from = end
-	return update{records: records, end: end}, nil
+	return update{records: records}, nil
 }
 
 // lost logs the loss of the store once for each outage.
