Sort both queues by one function; drop a list that nothing reads

The entry's and the owner's queue had a sorting function each, of the same shape. Parts of durations go through share, as elsewhere. The daemon kept its servers and never used the list.

--- a/core/admission.go
+++ b/core/admission.go
@@ -64,7 +64,7 @@
 // once it cannot be on time, one that came late already after lateWait.
 func (w queueEntry) expired(now Instant) bool {
 	if w.arrived > w.onTimeBy {
-		return now > min(w.goneBy, w.arrived.Add(time.Duration(lateWait*float64(w.objective))))
+		return now > min(w.goneBy, w.arrived.Add(share(w.objective, lateWait)))
 	}
 	return w.late(now)
 }
@@ -88,7 +88,7 @@
 func hopeless(now Instant, w queueEntry, ahead int, rate float64) bool {
 	left := share(w.onTimeBy.Sub(now), hopeShare)
 	if w.late(now) {
-		left = time.Duration(lateWait * float64(w.objective))
+		left = share(w.objective, lateWait)
 	}
 	return float64(ahead) > rate*left.Seconds()
 }
@@ -107,13 +107,15 @@
 // comeBack returns when a refused caller should return: within the time that
 // it honours, spread by draw (0 to 1) over its upper half.
 func comeBack(patience time.Duration, draw float64) time.Duration {
-	most := time.Duration(returnShare * float64(patience))
-	return time.Duration(float64(most) * (returnSpread + (1-returnSpread)*draw))
+	return share(share(patience, returnShare), returnSpread+(1-returnSpread)*draw)
 }
 
-// sortQueue puts waiting requests into the order in which they are placed.
-func sortQueue(now Instant, queue []*forwarded) {
-	slices.SortStableFunc(queue, func(a, b *forwarded) int { return compareWaiters(now, a.queueEntry, b.queueEntry) })
+// entry returns what admission knows of the request that embeds it.
+func (w queueEntry) entry() queueEntry { return w }
+
+// sortWaiting puts waiting requests into the order in which they are placed.
+func sortWaiting[T interface{ entry() queueEntry }](now Instant, queue []T) {
+	slices.SortStableFunc(queue, func(a, b T) int { return compareWaiters(now, a.entry(), b.entry()) })
 }
 
 const (
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -320,7 +320,7 @@
 
 // pump places waiting jobs in order, as far as engines have memory.
 func (d *dispatcher) pump(n *Node) {
-	sortDispatch(n.now, d.queue)
+	sortWaiting(n.now, d.queue)
 	rest := d.queue[:0]
 	for _, j := range d.queue {
 		switch {
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -1,7 +1,5 @@
 package core
 
-import "slices"
-
 // ask asks the owner of a group of engines to place a request. Where there is
 // no owner, or it does not answer, this node places the request by itself.
 func (s *forwards) ask(n *Node, f *forwarded) {
@@ -107,8 +105,3 @@
 		}
 	}
 }
-
-// sortDispatch puts waiting jobs into the order in which they are placed.
-func sortDispatch(now Instant, queue []*dispatchJob) {
-	slices.SortStableFunc(queue, func(a, b *dispatchJob) int { return compareWaiters(now, a.queueEntry, b.queueEntry) })
-}
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -78,7 +78,7 @@
 	}
 	s.inPump = true
 	defer func() { s.inPump = false }()
-	sortQueue(n.now, s.queue)
+	sortWaiting(n.now, s.queue)
 	for _, f := range append([]*forwarded(nil), s.queue...) {
 		if f.phase != forwardWaiting || s.live[f.ID] != f {
 			continue
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -75,7 +75,6 @@
 	directory *directory.Server
 	upstreams *upstream.Client
 	watcher   *store.Watcher
-	servers   []*http.Server
 	front     *http.Server
 	failed    chan error
 }
@@ -280,7 +279,6 @@
 		if err != nil {
 			return oops.In("daisyshed").With("Node", s.Node).Wrap(err)
 		}
-		h.servers = append(h.servers, p.server)
 		go h.note(func() error { return p.server.Serve(l) })
 	}
 	return nil
