Read no further ahead while the rate of engines is unknown

Cause: an owner that has just started does not know how fast engines read, and took that for no limit.

Ruled out: too few prefill engines (16, as before the outage); engines that still ran streams of dead nodes (denials rise later, as a consequence).

An engine whose rate is unknown gets one prompt at a time; the first answer tells the rate.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -367,7 +367,7 @@
 		}
 		readers++
 		reading := d.book(u.ID).reading
-		return reading == 0 || c.tokenRate == 0 || float64(reading)/c.tokenRate <= readAhead.Seconds()
+		return reading == 0 || c.tokenRate > 0 && float64(reading)/c.tokenRate <= readAhead.Seconds()
 	}, func(u *upstream) float64 {
 		cost := float64(d.book(u.ID).reading)
 		if u.Domain != decode.Domain {
--- a/core/forward_load_test.go
+++ b/core/forward_load_test.go
@@ -222,6 +222,19 @@
 	is.Equal(w.served, 60)
 }
 
+// Load pattern: all nodes have just started and streams come at once, as after
+// an outage. The owner does not know yet how fast engines read. Prompts wait
+// with it and not at the engines, where they would hold memory meanwhile: one
+// waits there for no more than 150 ms before it is read.
+func TestColdOwnerReadsNoFurtherAhead(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 4, readers: 2, decoders: 8, seed: 5})
+	w.run(time.Second)
+	w.load("draft", 60, 500*time.Millisecond)
+	w.run(10 * time.Second)
+	is.True(w.longestRead <= 150*time.Millisecond+promptTime)
+}
+
 // Load pattern: orders get no answer and are carried out many seconds later. An
 // engine that was ordered to decode still reads prompts meanwhile; requests that
 // are run there are refused, and their prompts were read in vain.
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -67,7 +67,10 @@
 	served, onTime, refused, failed int
 	// inVain counts prompts that were read and whose run was refused.
 	inVain int
-	steps  map[core.EngineID]int
+	// longestRead is the longest time from a prompt's arrival at an engine until
+	// it was read.
+	longestRead time.Duration
+	steps       map[core.EngineID]int
 }
 
 type worldOrder struct {
@@ -308,6 +311,7 @@
 	}
 
 	u.readyAt = max(u.readyAt, w.now).Add(promptTime)
+	w.longestRead = max(w.longestRead, u.readyAt.Sub(w.now))
 	n.later(u.readyAt.Sub(w.now)+2*linkDelay, core.PromptRead{ID: c.ID, Engine: c.Engine, Handle: "h", Tokens: worldPrompt})
 }
 
