--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -36,6 +36,8 @@
 	// nets is the number of blocks of loopback addresses for runs.
 	nets = 200
 	host = "shop.example"
+	// firstRatio is the ratio of the retry budget at a daemon's start.
+	firstRatio = 0.2
 	// Grace is the time from SIGTERM to SIGKILL.
 	grace = 8 * time.Second
 )
@@ -74,6 +76,8 @@
 // process is one daemon.
 type process struct {
 	index int
+	// ratio is the ratio of the retry budget in the daemon's settings.
+	ratio float64
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -118,7 +122,7 @@
 		d.addWorker("ledger", "")
 	}
 	for i := range nodes {
-		d.nodes = append(d.nodes, &process{index: i})
+		d.nodes = append(d.nodes, &process{index: i, ratio: firstRatio})
 		if err := d.startNode(d.nodes[i]); err != nil {
 			return err
 		}
@@ -253,8 +257,10 @@
 	d.store.Put("keyed.op", "config", raw)
 }
 
-// startNode starts a daemon under its settings.
-func (d *deployment) startNode(p *process) error {
+// writeSettings writes a daemon's settings file.
+func (d *deployment) writeSettings(p *process) (path string, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	n := p.index + 1
 	ip := fmt.Sprintf("127.21.%d.%d", d.net, n)
 	settings := fmt.Sprintf(`NodeName = "n%d"
@@ -272,7 +278,7 @@
 MemoryMb = 150
 MaxFds = 1000
 [Bounds]
-BudgetRatio = 0.2
+BudgetRatio = %g
 BudgetWindowS = 10
 RetrySlack = 40
 GraceS = %d
@@ -283,11 +289,22 @@
 [Platform]
 Address = "%s"
 `, n, n%2, ip, peerPort, peerPort+1, beatEvery.Milliseconds(), ip, callerPort, ip, readyPort, ip, directoryPort,
-		int(grace.Seconds()), d.address(250, storePort))
-	path := filepath.Join(d.dir, fmt.Sprintf("n%d.toml", n))
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		p.ratio, int(grace.Seconds()), d.address(250, storePort))
+	path = filepath.Join(d.dir, fmt.Sprintf("n%d.toml", n))
+	// Renamed into place, so that no daemon reads half a file.
+	if err := os.WriteFile(path+".new", []byte(settings), 0o600); err != nil {
+		return "", err
+	}
+	return path, os.Rename(path+".new", path)
+}
+
+// startNode starts a daemon under its settings.
+func (d *deployment) startNode(p *process) error {
+	path, err := d.writeSettings(p)
+	if err != nil {
 		return err
 	}
+	n := p.index + 1
 	out, err := os.OpenFile(filepath.Join(d.dir, fmt.Sprintf("n%d.log", n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"maps"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -24,6 +26,9 @@
 	calmFor = 2 * time.Second
 	// calmShare is the share of requests that has to be answered then.
 	calmShare = 0.95
+	// reloadWithin is how long a daemon may take to notice changed settings: it
+	// looks once a second.
+	reloadWithin = 3 * time.Second
 )
 
 // Result is what a run showed.
@@ -101,10 +106,13 @@
 		"node killed": d.killNode, "node stopped": d.stopNode, "node frozen": d.freezeNode,
 		"store away": d.storeAway, "store loses answers": d.storeLoses, "store compacted": d.storeCompacted,
 		"worker crashed": d.crashWorker, "worker faulty": d.faultyWorker, "worker drained": d.drainWorker,
-		"state changed": func() { d.publish(d.rng.IntN(2) == 0) },
+		"settings changed": d.changeSettings,
+		"state changed":    func() { d.publish(d.rng.IntN(2) == 0) },
 	}
 	if d.upstreamsOnly {
-		maps.DeleteFunc(kinds, func(name string, _ func()) bool { return !strings.HasPrefix(name, "worker") && name != "state changed" })
+		maps.DeleteFunc(kinds, func(name string, _ func()) bool {
+			return !strings.HasPrefix(name, "worker") && !strings.HasSuffix(name, "changed")
+		})
 	}
 	names := slices.Sorted(maps.Keys(kinds))
 	injected := map[string]int{}
@@ -188,6 +196,33 @@
 	})
 }
 
+// changeSettings changes a node's settings without a signal. Where nodes are
+// left alone, the change has to be in force soon.
+func (d *deployment) changeSettings() {
+	p := d.node()
+	d.mu.Lock()
+	p.ratio += 0.01
+	ratio := p.ratio
+	d.mu.Unlock()
+	if _, err := d.writeSettings(p); err != nil {
+		d.judge.fault("the settings were not written: " + err.Error())
+		return
+	}
+	if !d.upstreamsOnly {
+		return
+	}
+	want, log := fmt.Sprintf(`"RetryRatio":%g`, ratio), filepath.Join(d.dir, fmt.Sprintf("n%d.log", p.index+1))
+	until := time.Now().Add(reloadWithin)
+	for time.Now().Before(until) {
+		raw, err := os.ReadFile(log)
+		if err == nil && strings.Contains(string(raw), want) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	d.judge.fault(fmt.Sprintf("n%d: changed settings were not in force after %v", p.index+1, reloadWithin))
+}
+
 func (d *deployment) storeAway() {
 	end := d.judge.disturb()
 	d.store.SetMode(metastore.Mode(1 + d.rng.IntN(int(metastore.Silent))))
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -76,7 +76,15 @@
 	s.lapsing = map[EngineID]Instant{}
 	s.whole = true
 	s.read(n)
-	n.every(share(n.Settings.DrainDelay, feedLookShare), func(n *Node) { s.look(n) })
+	s.lookLater(n)
+}
+
+// lookLater schedules the next look. The delay may have changed since the last.
+func (s *instanceFeed) lookLater(n *Node) {
+	n.afterFunc(share(n.Settings.DrainDelay, feedLookShare), func(n *Node) {
+		s.look(n)
+		s.lookLater(n)
+	})
 }
 
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
--- a/core/node.go
+++ b/core/node.go
@@ -187,8 +187,8 @@
 		n.roles.claimed(n, m)
 	case OrdersNotClaimed:
 		n.roles.notClaimed(n, m)
-	case RetriesChanged:
-		n.Settings.Retries = m.Retries
+	case BoundsChanged:
+		n.Settings = m.apply(n.Settings)
 	case DesiredState:
 		n.forward.desired(n, m)
 	case InstancesRead:
--- a/core/retry_budget.go
+++ b/core/retry_budget.go
@@ -55,8 +55,3 @@
 	}
 	return list[i:]
 }
-
-// RetriesChanged replaces the retry budget's bounds.
-type RetriesChanged struct{ Retries RetryBudget }
-
-func (RetriesChanged) isMessage() {}
--- a/core/settings.go
+++ b/core/settings.go
@@ -120,3 +120,23 @@
 	s.AddressLifetime = cmp.Or(s.AddressLifetime, d.AddressLifetime)
 	return s
 }
+
+// BoundsChanged replaces the bounds of a hosted node that its platform may
+// change while it runs.
+type BoundsChanged struct {
+	Retries         RetryBudget
+	DrainDelay      time.Duration
+	OrderLease      time.Duration
+	AddressLifetime time.Duration
+}
+
+func (BoundsChanged) isMessage() {}
+
+// apply returns the settings with the changed bounds.
+func (m BoundsChanged) apply(s Settings) Settings {
+	s.Retries = m.Retries
+	s.DrainDelay = m.DrainDelay
+	s.OrderLease = m.OrderLease
+	s.AddressLifetime = m.AddressLifetime
+	return s
+}
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -64,7 +64,11 @@
 
 // hosted is a daemon on the platform.
 type hosted struct {
-	settings  platform.Settings
+	settings platform.Settings
+	// raw is the settings file as it was last read, and unread says that the
+	// last try failed.
+	raw       []byte
+	unread    bool
 	log       zerolog.Logger
 	metrics   *operator.Metrics
 	inbox     *control.Inbox
@@ -82,7 +86,11 @@
 // runHosted runs the daemon on the platform and returns the exit code.
 func runHosted(check bool) int {
 	path := os.Getenv(platform.SettingsVariable)
-	s, err := platform.ReadSettings(path)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return fail(err)
+	}
+	s, err := platform.ParseSettings(path, raw)
 	if err != nil {
 		return fail(err)
 	}
@@ -91,16 +99,16 @@
 		return exitOK
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	h, closeHosted := openHosted(s)
+	h, closeHosted := openHosted(s, raw)
 	defer closeHosted()
 	return h.run(path)
 }
 
 // openHosted builds everything that one process holds. The clean-up function
 // closes it.
-func openHosted(s platform.Settings) (*hosted, func()) {
+func openHosted(s platform.Settings, raw []byte) (*hosted, func()) {
 	started := time.Now()
-	h := &hosted{settings: s, failed: make(chan error, 8)}
+	h := &hosted{settings: s, raw: raw, failed: make(chan error, 8)}
 	writer, closeWriter := operator.OpenWriter(os.Stdout, func(n int) { h.metrics.LinesDropped(n) })
 	h.log = zerolog.New(writer).With().Timestamp().Str("Node", string(s.Node)).Logger()
 	metrics, closeMetrics := operator.OpenMetrics(func(err error) { h.log.Warn().Str("Event", "Fault").Err(err).Send() })
@@ -146,10 +154,9 @@
 		StateDelay: s.Bounds.StateDelay,
 	}
 	settings := core.DefaultSettings()
-	settings.Retries = s.Bounds.Retries
-	settings.DrainDelay = s.Bounds.DrainDelay
-	settings.OrderLease = s.Bounds.Lease
-	settings.AddressLifetime = min(s.Bounds.AddressLifetime, directory.Lifetime)
+	b := bounds(s)
+	settings.Retries, settings.DrainDelay = b.Retries, b.DrainDelay
+	settings.OrderLease, settings.AddressLifetime = b.OrderLease, b.AddressLifetime
 	h.loop = &control.Loop{
 		Node: &core.Node{
 			Self: h.self(), Incarnation: incarnation, Seed: uint64(incarnation), Settings: settings, Hosted: true,
@@ -241,11 +248,15 @@
 	go h.watcher.Run(ctx)
 	go h.sweep(ctx)
 	h.log.Info().Str("Event", "Started").Send()
+	changes := time.NewTicker(settingsEvery)
+	defer changes.Stop()
 	for {
 		select {
+		case <-changes.C:
+			h.reloadChanged(path)
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				h.reload(path)
+				h.reloadNow(path)
 				continue
 			}
 			return h.leave()
@@ -304,19 +315,6 @@
 	}
 }
 
-// reload reads the settings file again. Addresses stay as they are until the
-// next start; a file with a fault changes nothing.
-func (h *hosted) reload(path string) {
-	s, err := platform.ReadSettings(path)
-	if err != nil {
-		h.log.Error().Str("Event", "Reload").Err(err).Send()
-		return
-	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	h.inbox.Send(core.RetriesChanged{Retries: s.Bounds.Retries})
-	h.log.Info().Str("Event", "Reload").Float64("RetryRatio", s.Bounds.Retries.Ratio).Send()
-}
-
 // leave stops taking work, finishes what is running and returns the exit code.
 func (h *hosted) leave() int {
 	began := time.Now()
--- /dev/null
+++ b/daisyshed/hosted_reload.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/directory"
+	"daisyshed.dev/platform"
+)
+
+// settingsEvery is the period at which the settings file is compared with what
+// is in force. The platform may change it without a signal, and nodes that keep
+// different bounds for long spend a shared retry budget by different rules.
+const settingsEvery = time.Second
+
+// bounds returns the part of the settings that may change while a node runs.
+func bounds(s platform.Settings) core.BoundsChanged {
+	return core.BoundsChanged{
+		Retries:         s.Bounds.Retries,
+		DrainDelay:      s.Bounds.DrainDelay,
+		OrderLease:      s.Bounds.Lease,
+		AddressLifetime: min(s.Bounds.AddressLifetime, directory.Lifetime),
+	}
+}
+
+// reloadChanged reloads the settings file if it changed without a signal.
+func (h *hosted) reloadChanged(path string) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		if !h.unread {
+			h.log.Error().Str("Event", "Reload").Err(err).Send()
+		}
+		h.unread = true
+		return
+	}
+	h.unread = false
+	if !bytes.Equal(raw, h.raw) {
+		h.reload(path, raw)
+	}
+}
+
+// reloadNow reloads the settings file at a signal, changed or not.
+func (h *hosted) reloadNow(path string) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		h.log.Error().Str("Event", "Reload").Err(err).Send()
+		return
+	}
+	h.reload(path, raw)
+}
+
+// reload takes over the bounds of a settings file. Addresses stay as they are
+// until the next start; a file with a fault changes nothing and is not tried
+// again until it changes.
+func (h *hosted) reload(path string, raw []byte) {
+	h.raw = raw
+	s, err := platform.ParseSettings(path, raw)
+	if err != nil {
+		h.log.Error().Str("Event", "Reload").Err(err).Send()
+		return
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	h.settings.Bounds = s.Bounds
+	h.inbox.Send(bounds(s))
+	h.log.Info().Str("Event", "Reload").Float64("RetryRatio", s.Bounds.Retries.Ratio).Send()
+}
