Predict output by a line through the logarithms of estimates

Cause: callers' estimates of their output are right at the median and far off at the ends.

The owner of a group, which hears of all its answers, now fits a line through the logarithms of estimate and output and reserves the mean that follows; it tells the entry what to lease.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -48,9 +48,10 @@
 	ID     ForwardID
 	Group  DispatchGroup
 	Prompt Tokens
-	// Memory is what the request is expected to need at its end.
-	Memory Tokens
-	Rank   int
+	// Expected is the caller's estimate of the output and MaxOutput its bound.
+	Expected  Tokens
+	MaxOutput Tokens
+	Rank      int
 	// OnTime is how long the request may wait and still be on time; negative
 	// if it is late already. Patience is how long its caller waits at all.
 	OnTime    time.Duration
@@ -72,11 +73,13 @@
 // ForwardQueued tells an entry that its request waits at the owner.
 type ForwardQueued struct{ ID ForwardID }
 
-// ForwardPlaced is an owner's choice of engines. Prefill may be empty.
+// ForwardPlaced is an owner's choice of engines. Prefill may be empty. Memory is
+// what is to be leased at the decode engine.
 type ForwardPlaced struct {
 	ID      ForwardID
 	Decode  EngineID
 	Prefill EngineID
+	Memory  Tokens
 }
 
 // ForwardTurnedAway is an owner's refusal: the request would wait in vain.
@@ -190,6 +193,9 @@
 	attempt  string
 	group    DispatchGroup
 	prompt   Tokens
+	// expected is the caller's estimate of the output, and memory what the
+	// request is expected to need at its end.
+	expected Tokens
 	memory   Tokens
 	again    bool
 	avoid    Set[EngineID]
@@ -264,9 +270,10 @@
 		queueEntry: queueEntry{
 			rank: m.Rank, arrived: n.now.Add(-m.Waited), onTimeBy: n.now.Add(m.OnTime), goneBy: n.now.Add(m.Patience), objective: m.Objective,
 		},
-		key: key, group: m.Group, prompt: m.Prompt, memory: m.Memory, prompted: m.Prompted, attempt: m.Attempt, first: n.now, again: m.Again, avoid: SetOf(m.Avoid...),
+		key: key, group: m.Group, prompt: m.Prompt, expected: m.Expected, prompted: m.Prompted, attempt: m.Attempt, first: n.now, again: m.Again, avoid: SetOf(m.Avoid...),
 		waiting: true, since: n.now,
 	}
+	j.memory = n.roles.cost(j.group).outputs.reserve(m.Prompt, m.Expected, m.MaxOutput)
 	d.recognise(n, j, m)
 	entries := make([]queueEntry, 0, len(d.queue))
 	for _, q := range d.queue {
@@ -444,7 +451,7 @@
 	j.decode = u.ID
 	d.book(u.ID).memory += j.memory
 	d.rate(j.group).note(n.now)
-	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill})
+	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill, Memory: j.memory})
 }
 
 // capacity returns how many requests a second a group can serve: what it served
@@ -519,6 +526,7 @@
 	if _, generates := n.forward.state.Services[j.group.Service].Engine.Get(); generates {
 		if output > 0 {
 			c.generated(output, held)
+			c.outputs.note(j.expected, output)
 		}
 		return
 	}
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -15,7 +15,7 @@
 	f.owner = owner
 	f.acked = false
 	n.send(owner, PlaceForward{
-		ID: f.ID, Group: f.group, Prompt: f.prompt(), Memory: s.reserve(f), Rank: f.rank,
+		ID: f.ID, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
 		OnTime: f.onTimeBy.Sub(n.now), Patience: f.goneBy.Sub(n.now), Objective: f.objective,
 		Waited: f.waited(n.now), Prompted: g.Prompted, Attempt: f.Attempt, Again: f.sends > 0, Avoid: f.tried.Sorted(),
 	})
@@ -67,7 +67,7 @@
 		return
 	}
 	f.advised = m.Prefill
-	s.takeLease(n, f, u)
+	s.takeLease(n, f, u, m.Memory)
 }
 
 // turnedAway refuses a request that the owner cannot place in time.
--- a/core/forward.go
+++ b/core/forward.go
@@ -78,8 +78,9 @@
 	// one goes on.
 	pumpDue bool
 	inPump  bool
-	// stretch holds each service's ratio of actual to estimated output.
-	stretch map[ServiceID]float64
+	// outputs predict the output of each service's requests, as far as this node
+	// saw them itself.
+	outputs map[ServiceID]*outputModel
 	// muted holds until when owners that did not answer are not asked.
 	muted map[NodeID]Instant
 	// announced is set once the node was ready, and askedAt is when a peer was
@@ -90,7 +91,7 @@
 
 func (s *forwards) start() {
 	s.live = map[ForwardID]*forwarded{}
-	s.stretch = map[ServiceID]float64{}
+	s.outputs = map[ServiceID]*outputModel{}
 	s.muted = map[NodeID]Instant{}
 	s.budgets = map[ServiceID]*repeatBudget{}
 	s.pipelines = map[ServiceID]*spread{}
@@ -278,7 +279,7 @@
 		d.Expected = f.expectedOutput()
 		d.Output = Tokens(m.Events) * engine.EventTokens
 		f.output = d.Output
-		s.noteLength(f, d.Output)
+		s.outputsOf(f).note(f.expectedOutput(), d.Output)
 	}
 	n.do(LogDecision{Decision: d})
 	s.close(n, f)
--- a/core/forward_load_test.go
+++ b/core/forward_load_test.go
@@ -194,7 +194,7 @@
 	}})
 	ask := func(id core.ForwardID, waited time.Duration) []core.Command {
 		return h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.PlaceForward{
-			ID: id, Group: core.DispatchGroup{Service: "model"}, Prompt: 3200, Memory: worldMemory - 100, Waited: waited,
+			ID: id, Group: core.DispatchGroup{Service: "model"}, Prompt: 3200, Expected: worldMemory - 100 - 3200, Waited: waited,
 			OnTime: 600 * time.Millisecond, Patience: worldTimeout, Objective: worldObject,
 		}})
 	}
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -31,10 +31,6 @@
 	// outputGuess is the part of the bound on the output that is reserved
 	// where the caller gives no estimate.
 	outputGuess = 0.5
-	// stretchWeight is the number of answers over which the ratio of actual to
-	// estimated output is averaged, and stretchMost bounds it.
-	stretchWeight = 32
-	stretchMost   = 2.0
 	// firstEventWait is how many objectives a resumable stream may stay
 	// without its first event before it is tried elsewhere.
 	firstEventWait = 1.5
@@ -89,7 +85,7 @@
 			continue
 		}
 		if u := s.chooseDecode(n, f); u != nil {
-			s.takeLease(n, f, u)
+			s.takeLease(n, f, u, s.reserve(f))
 		}
 	}
 	if len(s.queue) > 0 && !s.pumpDue {
@@ -120,42 +116,30 @@
 	return Tokens(outputGuess * float64(g.MaxOutput))
 }
 
-// reserve returns the memory that a request is expected to need at its end.
-// Callers' estimates are right at the median, while memory goes by the mean, so
-// they are stretched by what was seen.
-func (s *forwards) reserve(f *forwarded) Tokens {
-	g, _ := f.Generation.Get()
-	stretch, ok := s.stretch[f.spec.ID]
+// outputsOf returns the model of the output of a request's service.
+func (s *forwards) outputsOf(f *forwarded) *outputModel {
+	m, ok := s.outputs[f.spec.ID]
 	if !ok {
-		stretch = 1
-	}
-	out := Tokens(stretch * float64(f.expectedOutput()))
-	if g.MaxOutput > 0 {
-		out = min(out, g.MaxOutput)
+		m = &outputModel{}
+		s.outputs[f.spec.ID] = m
 	}
-	return g.Prompt + out
+	return m
 }
 
-// noteLength takes in how long an answer was against the estimate.
-func (s *forwards) noteLength(f *forwarded, output Tokens) {
-	expected := f.expectedOutput()
-	if expected == 0 || output == 0 {
-		return
-	}
-	stretch, ok := s.stretch[f.spec.ID]
-	if !ok {
-		stretch = 1
-	}
-	ratio := min(float64(output)/float64(expected), 2*stretchMost)
-	s.stretch[f.spec.ID] = min(stretch+(ratio-stretch)/stretchWeight, stretchMost)
+// reserve returns the memory that a request is expected to need at its end, by
+// what this node saw itself.
+func (s *forwards) reserve(f *forwarded) Tokens {
+	g, _ := f.Generation.Get()
+	return s.outputsOf(f).reserve(g.Prompt, f.expectedOutput(), g.MaxOutput)
 }
 
-func (s *forwards) takeLease(n *Node, f *forwarded, u *upstream) {
+// takeLease asks an engine for a slot and memory.
+func (s *forwards) takeLease(n *Node, f *forwarded, u *upstream, memory Tokens) {
 	s.unqueue(f)
 	f.phase = forwardLeasing
 	f.step++
 	f.decode = u
-	f.reserved = s.reserve(f)
+	f.reserved = memory
 	u.requests++
 	u.tokens += f.reserved
 	engine, _ := f.spec.Engine.Get()
--- a/core/roles.go
+++ b/core/roles.go
@@ -122,6 +122,8 @@
 	tokenSeconds sample
 	lengths      sample
 	shares       sample
+	// outputs predicts the output of requests.
+	outputs outputModel
 	// tokenRate is the number of prompt tokens that an engine reads a second.
 	tokenRate float64
 	// lackedRead and lackedMemory are when a request last waited for a prefill
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -79,7 +79,7 @@
 	case core.ForwardQueued:
 		e.Body = &Envelope_ForwardQueued{&ForwardQueued{ID: uint64(b.ID)}}
 	case core.ForwardPlaced:
-		e.Body = &Envelope_ForwardPlaced{&ForwardPlaced{ID: uint64(b.ID), Decode: string(b.Decode), Prefill: string(b.Prefill)}}
+		e.Body = &Envelope_ForwardPlaced{&ForwardPlaced{ID: uint64(b.ID), Decode: string(b.Decode), Prefill: string(b.Prefill), Memory: int64(b.Memory)}}
 	case core.ForwardTurnedAway:
 		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID)}}
 	case core.ForwardDenied:
