Let leaving nodes serve on while idle, and while nobody else does

First, a leaving hosted node's core stopped at the first moment without requests, though the node took connections for 2.5 s: whoever came after got no answer until the node was killed. Second, a node closed 2.5 s after its signal even if no other took callers, and nodes answered questions for addresses with their own that was closed already.

The core now says when a leaving node closes to callers (CloseCallers): after 2.5 s once another node serves, else 2 s before it is killed. Meanwhile it refuses at once what may outlive it, and addresses name the leaving nodes that still take callers. Ruled out: taking streams until the end, which are cut if they outlast the node.

TestIdleLeavingNodeStillServes failed before; the others of hosted_leave_test.go describe what is new.

--- a/core/forward.go
+++ b/core/forward.go
@@ -143,6 +143,10 @@
 		spec = ServiceSpec{ID: service}
 	}
 	f.route, f.spec = route, spec
+	if n.outlivesNode(min(f.Patience, route.Timeout)) {
+		s.refuse(n, f, Leaving, comeBack(f.Patience, n.rng.Float64()))
+		return
+	}
 	s.schedule(n, f)
 	s.budget(service).arrived(n.now, n.Settings.Retries.Window)
 	s.ask(n, f)
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -84,6 +84,10 @@
 	node   *core.Node
 	frozen bool
 	wakeAt core.Instant
+	// closedAt is when it closed to callers, as it left.
+	closedAt core.Instant
+	// addresses is its last answer to a question for addresses.
+	addresses []core.NodeAddress
 }
 
 // worldRequest is one attempt of a caller.
@@ -152,6 +156,7 @@
 	}
 	settings := core.DefaultSettings()
 	settings.Retries = core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
+	settings.Grace = leaveGrace
 	for i, info := range list.Nodes {
 		w.nodes = append(w.nodes, &worldNode{w: w, node: &core.Node{
 			Self: info, Incarnation: 1, Seed: o.seed + uint64(i), Settings: settings, Hosted: true, Alone: o.alone,
@@ -263,6 +268,10 @@
 		n.end(c.ID, c.NotRun, c.RetryAfter)
 	case core.RelayFailure:
 		n.end(c.ID, false, 0)
+	case core.CloseCallers:
+		n.closedAt = w.now
+	case core.AnswerAddresses:
+		n.addresses = c.Addresses
 	}
 }
 
--- a/core/hosted_addresses.go
+++ b/core/hosted_addresses.go
@@ -28,6 +28,9 @@
 			add(m.node)
 		}
 	}
+	if len(all) == 0 {
+		n.standIns(add)
+	}
 	if len(all) == 0 {
 		add(n.Self)
 	}
@@ -41,3 +44,17 @@
 // ready reports whether a hosted node may take new work: it knows what is
 // desired and who serves it.
 func (n *Node) ready() bool { return n.forward.known && n.forward.upstreams.known }
+
+// standIns adds the leaving nodes that still take callers while nobody else
+// does.
+func (n *Node) standIns(add func(NodeInfo)) {
+	if !n.left.closed && n.ready() {
+		add(n.Self)
+	}
+	for _, id := range sortedKeys(n.members.byID) {
+		m := n.members.byID[id]
+		if m.alive() && m.status == Left && n.now.Sub(m.changedAt) < n.Settings.Grace-aloneReserve {
+			add(m.node)
+		}
+	}
+}
--- /dev/null
+++ b/core/hosted_leave_test.go
@@ -0,0 +1,100 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+const leaveGrace = 8 * time.Second
+
+// leavingAlone returns a hosted node that is about to leave and knows of no
+// other.
+func leavingAlone() *hostedNode {
+	h := newHosted("n1", core.Settings{Grace: leaveGrace, Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
+	h.node.Alone = true
+	h.tell(core.Tick{}, worldState(), core.InstancesRead{
+		Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("e1")},
+	})
+	return h
+}
+
+// A leaving node that has nothing to do at the moment still serves who comes
+// while it takes connections. It must not stop before.
+func TestIdleLeavingNodeStillServes(t *testing.T) {
+	is := is.New(t)
+	h := leavingAlone()
+	out := append(h.tell(core.Shutdown{}), h.pass(time.Second)...)
+	is.Equal(len(of[core.StopNode](out)), 0)
+	is.Equal(len(of[core.RunForward](h.tell(forwardTo(1, "pay")))), 1)
+}
+
+// Callers may use an answer with the node's address for two seconds and more.
+func TestLeavingNodeClosesOnceOthersServe(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 2, plain: 1, slots: 6, seed: 1})
+	w.run(time.Second)
+	began := w.now
+	w.nodes[0].tell(core.Shutdown{})
+	w.run(leaveGrace)
+	after := w.nodes[0].closedAt.Sub(began)
+	is.True(after >= 2500*time.Millisecond)
+	is.True(after <= 2700*time.Millisecond)
+}
+
+// Load pattern: planned work stops all nodes within a few seconds. The last ones
+// go on for as long as what they take can still end.
+func TestLastNodesServeOnWhileAllLeave(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 4, plain: 1, slots: 6, seed: 1})
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		n.tell(core.Shutdown{})
+		w.run(500 * time.Millisecond)
+	}
+	began := w.now
+	w.run(leaveGrace)
+	after := w.nodes[3].closedAt.Sub(began)
+	is.True(after >= leaveGrace-2500*time.Millisecond)
+	is.True(after < leaveGrace-1500*time.Millisecond)
+}
+
+// A node that stands in for others while all leave refuses at once what may
+// outlive it, and truly says that it has not run.
+func TestStandInRefusesWhatOutlivesIt(t *testing.T) {
+	is := is.New(t)
+	h := leavingAlone()
+	h.tell(core.Shutdown{})
+	h.pass(4 * time.Second)
+	is.Equal(len(of[core.RunForward](h.tell(forwardTo(1, "pay")))), 1)
+	long := forwardTo(2, "draft")
+	long.Patience = worldTimeout
+	ends := of[core.EndForward](h.tell(long))
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].Reason, core.Leaving)
+	is.True(ends[0].NotRun)
+	is.True(ends[0].RetryAfter > 0)
+}
+
+// While all leave, callers learn of those that still take them, and not of one
+// that has closed.
+func TestAddressesNameStandIns(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 3, plain: 1, slots: 6, seed: 1})
+	w.run(time.Second)
+	for _, n := range w.nodes {
+		n.tell(core.Shutdown{})
+		w.run(1500 * time.Millisecond)
+	}
+	w.run(2 * time.Second)
+	first := w.nodes[0]
+	is.True(first.closedAt > 0)
+	is.Equal(w.nodes[2].closedAt, core.Instant(0))
+	first.tell(core.AddressQuery{Query: "q", Domain: "d1"})
+	is.True(len(first.addresses) > 0)
+	for _, a := range first.addresses {
+		is.True(a.Node != first.node.Self.ID)
+	}
+}
--- a/core/node.go
+++ b/core/node.go
@@ -35,6 +35,7 @@
 	timers    timerHeap
 	ticket    Ticket
 	leaving   bool
+	left      leaving
 
 	// releases are the allocations being released, with the time until the
 	// next repetition. holds are those that engines may hold for this node.
@@ -188,7 +189,7 @@
 	case OrdersNotClaimed:
 		n.roles.notClaimed(n, m)
 	case BoundsChanged:
-		n.Settings = m.apply(n.Settings)
+		n.Settings = m.Apply(n.Settings)
 	case DesiredState:
 		n.forward.desired(n, m)
 	case InstancesRead:
--- a/core/settings.go
+++ b/core/settings.go
@@ -62,6 +62,8 @@
 	OrderLease time.Duration
 	// AddressLifetime is how long callers may keep an answer with addresses.
 	AddressLifetime time.Duration
+	// Grace is the time from a hosted node's shutdown until it is killed.
+	Grace time.Duration
 }
 
 // DefaultSettings returns the settings that a node uses where none are given.
@@ -128,15 +130,17 @@
 	DrainDelay      time.Duration
 	OrderLease      time.Duration
 	AddressLifetime time.Duration
+	Grace           time.Duration
 }
 
 func (BoundsChanged) isMessage() {}
 
-// apply returns the settings with the changed bounds.
-func (m BoundsChanged) apply(s Settings) Settings {
+// Apply returns the settings with the changed bounds.
+func (m BoundsChanged) Apply(s Settings) Settings {
 	s.Retries = m.Retries
 	s.DrainDelay = m.DrainDelay
 	s.OrderLease = m.OrderLease
 	s.AddressLifetime = m.AddressLifetime
+	s.Grace = m.Grace
 	return s
 }
--- a/core/shutdown.go
+++ b/core/shutdown.go
@@ -13,6 +13,10 @@
 	}
 	n.leaving = true
 	n.members.leave(n)
+	if n.Hosted {
+		n.leaveHosted()
+		return
+	}
 	for _, id := range sortedKeys(n.owner.groups) {
 		n.owner.refuseAll(n, n.owner.groups[id], Leaving)
 	}
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -26,6 +26,8 @@
 	ReadInstances(c core.ReadInstances)
 	// Ready makes the node count as ready.
 	Ready()
+	// CloseCallers ends the taking of callers' connections.
+	CloseCallers()
 }
 
 // Forwards carries out the steps of opaque requests.
@@ -110,6 +112,8 @@
 		e.Host.ReadInstances(c)
 	case core.NodeReady:
 		e.Host.Ready()
+	case core.CloseCallers:
+		e.Host.CloseCallers()
 	case core.ReadVMList:
 		e.VMs.Read()
 	default:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -51,9 +51,6 @@
 	// operators set, so that callers within the limits are never cut off.
 	hostedHeaderTime = 10 * time.Second
 	hostedIdle       = 5 * time.Minute
-	// acceptAfterTerm is how long a stopping node still takes connections:
-	// callers may use an answer with its address for that long.
-	acceptAfterTerm = 2500 * time.Millisecond
 	// killMargin is the time before SIGKILL at which a stopping node ends.
 	killMargin = 300 * time.Millisecond
 	// sweepEvery is the period at which unused upstream connections are closed.
@@ -81,6 +78,8 @@
 	watcher   *store.Watcher
 	front     *http.Server
 	failed    chan error
+	// closeCallers is closed once a leaving node takes no more connections.
+	closeCallers chan struct{}
 }
 
 // runHosted runs the daemon on the platform and returns the exit code.
@@ -108,7 +107,7 @@
 // closes it.
 func openHosted(s platform.Settings, raw []byte) (*hosted, func()) {
 	started := time.Now()
-	h := &hosted{settings: s, raw: raw, failed: make(chan error, 8)}
+	h := &hosted{settings: s, raw: raw, failed: make(chan error, 8), closeCallers: make(chan struct{})}
 	writer, closeWriter := operator.OpenWriter(os.Stdout, func(n int) { h.metrics.LinesDropped(n) })
 	h.log = zerolog.New(writer).With().Timestamp().Str("Node", string(s.Node)).Logger()
 	metrics, closeMetrics := operator.OpenMetrics(func(err error) { h.log.Warn().Str("Event", "Fault").Err(err).Send() })
@@ -153,10 +152,7 @@
 		Send: h.take, Log: h.log, Self: h.self(),
 		StateDelay: s.Bounds.StateDelay,
 	}
-	settings := core.DefaultSettings()
-	b := bounds(s)
-	settings.Retries, settings.DrainDelay = b.Retries, b.DrainDelay
-	settings.OrderLease, settings.AddressLifetime = b.OrderLease, b.AddressLifetime
+	settings := bounds(s).Apply(core.DefaultSettings())
 	h.loop = &control.Loop{
 		Node: &core.Node{
 			Self: h.self(), Incarnation: incarnation, Seed: uint64(incarnation), Settings: settings, Hosted: true,
@@ -196,6 +192,9 @@
 // Ready makes the node count as ready.
 func (h host) Ready() { h.directory.SetReady() }
 
+// CloseCallers lets the leaving node close to callers.
+func (h host) CloseCallers() { close(h.closeCallers) }
+
 // noList and noLog stand for the VM list and the log of unhosted deployments.
 type (
 	noList struct{}
@@ -322,9 +321,13 @@
 	h.directory.Leave()
 	h.ingress.Leave()
 	h.inbox.Send(core.Shutdown{})
-	time.Sleep(acceptAfterTerm)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.settings.Bounds.Grace-killMargin))
 	defer cancel()
+	select {
+	case <-h.closeCallers:
+		h.log.Info().Str("Event", "ClosedToCallers").Int("Requests", h.ingress.Live()).Send()
+	case <-ctx.Done():
+	}
 	err := h.front.Shutdown(ctx)
 	h.log.Info().Str("Event", "Stopped").Int("Requests", h.ingress.Live()).Err(err).Send()
 	if err != nil {
--- a/daisyshed/hosted_reload.go
+++ b/daisyshed/hosted_reload.go
@@ -23,6 +23,7 @@
 		DrainDelay:      s.Bounds.DrainDelay,
 		OrderLease:      s.Bounds.Lease,
 		AddressLifetime: min(s.Bounds.AddressLifetime, directory.Lifetime),
+		Grace:           s.Bounds.Grace - killMargin,
 	}
 }
 
