Set costly requests back in the queue; name the parts of the placement that can be left out

Cause: when decode memory is short, a request with a long answer takes the place of several short ones for several times as long, and the queue served both by age alone.

A request now counts as younger by 0.4 objectives times its expected output over the mean one, by at most three times that: among those who wait together the short go first, and a long one is passed only by who comes within about an objective after it.

--without leaves a mechanism out, so that one program measures what each gives; it replaces Node.Alone, which only tests could set.

--- a/core/admission.go
+++ b/core/admission.go
@@ -36,6 +36,9 @@
 	arrived  Instant
 	onTimeBy Instant
 	goneBy   Instant
+	// setBack is by how much later than it came a request counts, for what it
+	// takes from others.
+	setBack time.Duration
 	// objective is the route's.
 	objective time.Duration
 }
@@ -46,7 +49,8 @@
 // compareWaiters orders waiting requests. The more urgent rank goes first.
 // Within a rank, those that can still be on time go before those that cannot,
 // because under a burst a late answer in front of an on-time one makes both
-// late. Among equals the oldest goes first, so that nobody starves.
+// late. Among equals the oldest goes first, so that nobody starves, but costly
+// ones count as somewhat younger.
 func compareWaiters(now Instant, a, b queueEntry) int {
 	if a.rank != b.rank {
 		return cmp.Compare(a.rank, b.rank)
@@ -57,7 +61,7 @@
 		}
 		return -1
 	}
-	return cmp.Compare(a.arrived, b.arrived)
+	return cmp.Compare(a.arrived.Add(a.setBack), b.arrived.Add(b.setBack))
 }
 
 // expired reports whether a waiting request is to be refused now: a newcomer
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -273,7 +273,9 @@
 		key: key, group: m.Group, prompt: m.Prompt, expected: m.Expected, prompted: m.Prompted, attempt: m.Attempt, first: n.now, again: m.Again, avoid: SetOf(m.Avoid...),
 		waiting: true, since: n.now,
 	}
-	j.memory = n.roles.cost(j.group).outputs.reserve(m.Prompt, m.Expected, m.MaxOutput)
+	c := n.roles.cost(j.group)
+	j.memory = c.outputs.reserve(n, m.Prompt, m.Expected, m.MaxOutput)
+	j.setBack = c.setBack(n, j.memory-j.prompt, m.Objective)
 	d.recognise(n, j, m)
 	entries := make([]queueEntry, 0, len(d.queue))
 	for _, q := range d.queue {
@@ -282,7 +284,7 @@
 		}
 	}
 	before, rate := ahead(n.now, entries, j.queueEntry), d.capacity(n, j.group)
-	if !j.again && hopeless(n.now, j.queueEntry, before, rate) {
+	if !j.again && n.uses(EarlyRefusal) && hopeless(n.now, j.queueEntry, before, rate) {
 		d.log(n, j, fmt.Sprintf("hopeless: %d before it at %.1f/s, entry %s", before, rate, from))
 		d.turnAway(n, j)
 		return
@@ -300,7 +302,7 @@
 // long.
 func (d *dispatcher) recognise(n *Node, j *dispatchJob, m PlaceForward) {
 	first, ok := d.turned[m.Prompted]
-	if !ok || m.Prompted == 0 {
+	if !ok || m.Prompted == 0 || !n.uses(KnownReturners) {
 		return
 	}
 	delete(d.turned, m.Prompted)
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -5,7 +5,7 @@
 func (s *forwards) ask(n *Node, f *forwarded) {
 	f.group = DispatchGroup{Service: f.spec.ID, Index: n.rng.IntN(s.groupsOf(f.spec.ID))}
 	owner := s.groupOwner(n, f.group)
-	if owner == "" || n.Alone || s.muted[owner] > n.now {
+	if owner == "" || !n.uses(OwnedGroups) || s.muted[owner] > n.now {
 		s.admit(n, f)
 		return
 	}
--- a/core/forward_load_test.go
+++ b/core/forward_load_test.go
@@ -12,8 +12,8 @@
 // can decode: five fit one engine at a time, for three and a half seconds.
 const modelCapacity = 8 * 5 / 3.5
 
-func streamWorld(alone bool) *hostedWorld {
-	w := newHostedWorld(worldOptions{nodes: 8, readers: 4, decoders: 8, alone: alone, seed: 3})
+func streamWorld(without ...core.Mechanism) *hostedWorld {
+	w := newHostedWorld(worldOptions{nodes: 8, readers: 4, decoders: 8, without: core.SetOf(without...), seed: 3})
 	w.run(3 * time.Second)
 	return w
 }
@@ -24,7 +24,7 @@
 // The brief asks for nine tenths of that.
 func TestBurstOfStreamsIsServedOnTime(t *testing.T) {
 	is := is.New(t)
-	w := streamWorld(false)
+	w := streamWorld()
 	w.load("draft", 2*modelCapacity, 5*time.Second)
 	w.run(30 * time.Second)
 	const places, freed = 8 * 5, modelCapacity * (5 + 0.9 - 3.5)
@@ -39,22 +39,40 @@
 // whoever finds room first.
 func TestOwnersServeMoreOnTimeThanNodesAlone(t *testing.T) {
 	is := is.New(t)
-	play := func(alone bool) *hostedWorld {
-		w := streamWorld(alone)
+	play := func(without ...core.Mechanism) *hostedWorld {
+		w := streamWorld(without...)
 		w.load("draft", 1.5*modelCapacity, 20*time.Second)
 		w.run(40 * time.Second)
 		return w
 	}
-	joint, alone := play(false), play(true)
+	joint, alone := play(), play(core.OwnedGroups)
 	t.Logf("on time: owners %d, alone %d; served %d, %d", joint.onTime, alone.onTime, joint.served, alone.served)
 	is.True(float64(joint.onTime) >= 1.3*float64(alone.onTime))
 }
 
+// Load pattern: one and a half times what the engines can decode, with answers
+// that differ in length as callers' do. Short ones go first, so more callers are
+// served on time; the long ones are still served at least half as often as all.
+func TestShortAnswersGoFirst(t *testing.T) {
+	is := is.New(t)
+	play := func(without ...core.Mechanism) *hostedWorld {
+		w := streamWorld(without...)
+		w.loadSpread("draft", 1.5*modelCapacity, 40*time.Second)
+		w.run(70 * time.Second)
+		return w
+	}
+	with, without := play(), play(core.ShortFirst)
+	share := func(w *hostedWorld) float64 { return float64(w.longServed) / float64(w.long) }
+	t.Logf("on time %d and %d without, of %d; long ones served %.2f and %.2f", with.onTime, without.onTime, with.asks, share(with), share(without))
+	is.True(with.onTime > without.onTime)
+	is.True(share(with) >= 0.5*float64(with.served)/float64(with.asks))
+}
+
 // Load pattern: the same burst. A prompt is read only once its memory is leased,
 // so none is read in vain.
 func TestNoPromptIsReadInVain(t *testing.T) {
 	is := is.New(t)
-	w := streamWorld(false)
+	w := streamWorld()
 	w.load("draft", 3*modelCapacity, 5*time.Second)
 	w.run(30 * time.Second)
 	is.Equal(w.inVain, 0)
@@ -64,7 +82,7 @@
 // places are free, and nobody waits.
 func TestCalmStreamsAreAllOnTime(t *testing.T) {
 	is := is.New(t)
-	w := streamWorld(false)
+	w := streamWorld()
 	w.load("draft", modelCapacity/2, 10*time.Second)
 	w.run(30 * time.Second)
 	is.Equal(w.refused+w.failed, 0)
@@ -78,14 +96,14 @@
 // node chooses alone.
 func TestBurstOfPlainRequestsIsServedOnTime(t *testing.T) {
 	is := is.New(t)
-	play := func(alone bool) *hostedWorld {
-		w := newHostedWorld(worldOptions{nodes: 8, plain: 3, slots: 6, alone: alone, seed: 5})
+	play := func(without ...core.Mechanism) *hostedWorld {
+		w := newHostedWorld(worldOptions{nodes: 8, plain: 3, slots: 6, without: core.SetOf(without...), seed: 5})
 		w.run(3 * time.Second)
 		w.load("pay", 1.3*600, 5*time.Second)
 		w.run(10 * time.Second)
 		return w
 	}
-	joint, alone := play(false), play(true)
+	joint, alone := play(), play(core.OwnedGroups)
 	t.Logf("on time: owners %d of %d, alone %d of %d", joint.onTime, joint.served, alone.onTime, alone.served)
 	const slots, second = 3 * 6, 1 / 0.030
 	is.True(float64(joint.onTime) >= 0.9*slots*second*5)
@@ -97,7 +115,7 @@
 // that are put aside for their failures are used when there are no others.
 func TestLostGrantsDoNotStarveStreams(t *testing.T) {
 	is := is.New(t)
-	w := streamWorld(false)
+	w := streamWorld()
 	w.load("draft", modelCapacity/2, 4*time.Second)
 	w.run(8 * time.Second)
 	for _, id := range w.ids {
@@ -115,7 +133,7 @@
 // once, and must not be tried as fast as it refuses.
 func TestDeadEnginesAreNotHammered(t *testing.T) {
 	is := is.New(t)
-	w := streamWorld(false)
+	w := streamWorld()
 	w.load("draft", modelCapacity, 4*time.Second)
 	w.run(2 * time.Second)
 	dead := []core.EngineID{"d00", "d01", "d02", "d03"}
@@ -135,7 +153,7 @@
 // themselves after one short wait.
 func TestSilentOwnerCostsOneShortWait(t *testing.T) {
 	is := is.New(t)
-	w := streamWorld(false)
+	w := streamWorld()
 	for _, n := range w.nodes[1:] {
 		n.frozen = true
 	}
--- a/core/forward_once_test.go
+++ b/core/forward_once_test.go
@@ -13,7 +13,7 @@
 // upstreams, and places by itself.
 func readyAlone(instances ...core.Instance) *hostedNode {
 	h := newHosted("n1", core.Settings{Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
-	h.node.Alone = true
+	h.node.Without = core.SetOf(core.OwnedGroups)
 	h.tell(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: instances})
 	return h
 }
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		if u := s.chooseDecode(n, f); u != nil {
-			s.takeLease(n, f, u, s.reserve(f))
+			s.takeLease(n, f, u, s.reserve(n, f))
 		}
 	}
 	if len(s.queue) > 0 && !s.pumpDue {
@@ -128,9 +128,9 @@
 
 // reserve returns the memory that a request is expected to need at its end, by
 // what this node saw itself.
-func (s *forwards) reserve(f *forwarded) Tokens {
+func (s *forwards) reserve(n *Node, f *forwarded) Tokens {
 	g, _ := f.Generation.Get()
-	return s.outputsOf(f).reserve(g.Prompt, f.expectedOutput(), g.MaxOutput)
+	return s.outputsOf(f).reserve(n, g.Prompt, f.expectedOutput(), g.MaxOutput)
 }
 
 // takeLease asks an engine for a slot and memory.
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -18,6 +19,7 @@
 	worldMemory  = core.Tokens(25000)
 	worldPrompt  = core.Tokens(3200)
 	worldOutput  = core.Tokens(860)
+	longOutput   = 2 * worldOutput
 	worldObject  = 900 * time.Millisecond
 	worldTimeout = 14 * time.Second
 )
@@ -65,6 +67,9 @@
 	next       core.ForwardID
 
 	served, onTime, refused, failed int
+	// asks counts callers, and long and longServed those who asked for twice the
+	// mean output or more.
+	asks, long, longServed int
 	// inVain counts prompts that were read and whose run was refused.
 	inVain int
 	// longestRead is the longest time from a prompt's arrival at an engine until
@@ -124,7 +129,7 @@
 type worldOptions struct {
 	nodes, readers, decoders, plain int
 	slots                           int
-	alone                           bool
+	without                         core.Set[core.Mechanism]
 	seed                            uint64
 }
 
@@ -159,7 +164,7 @@
 	settings.Grace = leaveGrace
 	for i, info := range list.Nodes {
 		w.nodes = append(w.nodes, &worldNode{w: w, node: &core.Node{
-			Self: info, Incarnation: 1, Seed: o.seed + uint64(i), Settings: settings, Hosted: true, Alone: o.alone,
+			Self: info, Incarnation: 1, Seed: o.seed + uint64(i), Settings: settings, Hosted: true, Without: o.without,
 		}})
 	}
 	for _, n := range w.nodes {
@@ -406,6 +411,9 @@
 	}
 	n.tell(core.ForwardEnded{ID: id, Engine: engine, Events: int(r.output) / 12})
 	w.served++
+	if r.output >= longOutput {
+		w.longServed++
+	}
 	limit, from := worldObject, r.began
 	if r.kind == "pay" || r.kind == "read" {
 		limit, from = 150*time.Millisecond, r.came
@@ -442,6 +450,12 @@
 	if prompted == 0 {
 		prompted = core.PromptKey(id)
 	}
+	if !returned {
+		w.asks++
+		if output >= longOutput {
+			w.long++
+		}
+	}
 	w.asked[id] = &worldRequest{
 		node: n, began: began, came: w.now, output: output, kind: kind, returned: returned, goesOn: core.Instant(prompted),
 	}
@@ -458,13 +472,26 @@
 
 // load asks for rate requests a second, at random, for a time.
 func (w *hostedWorld) load(kind core.RouteID, rate float64, d time.Duration) {
+	w.arrive(kind, rate, d, func() float64 { return 0.5 + w.rng.Float64() })
+}
+
+// loadSpread does the same with outputs as spread as callers' are: most are
+// short, and some take many times as long.
+func (w *hostedWorld) loadSpread(kind core.RouteID, rate float64, d time.Duration) {
+	const sigma = 0.7
+	w.arrive(kind, rate, d, func() float64 { return min(math.Exp(w.rng.NormFloat64()*sigma-sigma*sigma/2), 5) })
+}
+
+// arrive asks at random times for a time; factor draws outputs as parts of the
+// mean.
+func (w *hostedWorld) arrive(kind core.RouteID, rate float64, d time.Duration, factor func() float64) {
 	at := time.Duration(0)
 	for {
 		at += time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
 		if at > d {
 			return
 		}
-		output := core.Tokens(float64(worldOutput) * (0.5 + w.rng.Float64()))
+		output := core.Tokens(float64(worldOutput) * factor())
 		w.after(at, func() { w.ask(kind, output, w.now, false, 0) })
 	}
 }
--- a/core/hosted_leave_test.go
+++ b/core/hosted_leave_test.go
@@ -14,7 +14,7 @@
 // other.
 func leavingAlone() *hostedNode {
 	h := newHosted("n1", core.Settings{Grace: leaveGrace, Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
-	h.node.Alone = true
+	h.node.Without = core.SetOf(core.OwnedGroups)
 	h.tell(core.Tick{}, worldState(), core.InstancesRead{
 		Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("e1")},
 	})
--- a/core/node.go
+++ b/core/node.go
@@ -22,9 +22,9 @@
 	// Hosted nodes get the desired state and the upstreams whole from the
 	// platform's store, and keep no log of their own.
 	Hosted bool
-	// Alone has a hosted node place requests by itself instead of asking the
-	// owner of the engines; it is the baseline of measurements.
-	Alone bool
+	// Without names what a hosted node leaves out of its placement, for
+	// measurements.
+	Without Set[Mechanism]
 
 	now Instant
 	// resumedAt is when the node last came back from a pause.
--- a/core/output_model.go
+++ b/core/output_model.go
@@ -56,8 +56,11 @@
 }
 
 // reserve returns the memory that a request is expected to need at its end.
-func (m *outputModel) reserve(prompt, expected, most Tokens) Tokens {
-	output := m.predict(expected)
+func (m *outputModel) reserve(n *Node, prompt, expected, most Tokens) Tokens {
+	output := expected
+	if n.uses(LearnedOutput) {
+		output = m.predict(expected)
+	}
 	if most > 0 {
 		output = min(output, most)
 	}
--- a/core/roles.go
+++ b/core/roles.go
@@ -37,6 +37,12 @@
 	wantedFor = 2 * time.Second
 	// ordersKey stands for a service in the choice of the node that gives orders.
 	ordersKey = "/orders"
+	// setBackShare is by how much later, in objectives, a request of the mean
+	// expected output counts, and setBackMost how many times that at most. The
+	// longest is set back by little more than an objective, so that among those
+	// who are late it is served after all who came a second later.
+	setBackShare = 0.4
+	setBackMost  = 3
 	// changeEvery is the least time between two changes of one group: the costs
 	// have to show the effect of the first.
 	changeEvery = 8 * time.Second
@@ -169,6 +175,16 @@
 	c.holdSeconds.count = min(c.tokenSeconds.count, c.lengths.count)
 }
 
+// setBack returns by how much later than it came a request of some expected
+// output counts. Where memory is short, a long answer takes the place of several
+// short ones for longer; served after them it costs fewer callers their time.
+func (c *engineCosts) setBack(n *Node, output Tokens, objective time.Duration) time.Duration {
+	if c.lengths.count < rolesSamples || c.lengths.mean <= 0 || !n.uses(ShortFirst) {
+		return 0
+	}
+	return share(objective, setBackShare*min(float64(output)/c.lengths.mean, setBackMost))
+}
+
 // readers returns how many of total engines should read prompts, with a
 // headroom: prefill and decode engines are then as busy as each other.
 func (c *engineCosts) readers(total int, headroom float64) int {
@@ -228,7 +244,7 @@
 // look sends what this node's groups want to the node that gives all orders, and
 // claims the right to give them if that is this node.
 func (s *roles) look(n *Node) {
-	if n.leaving {
+	if n.leaving || !n.uses(RoleChanges) {
 		return
 	}
 	holder := n.ordersHolder()
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -65,6 +65,7 @@
 	// raw is the settings file as it was last read, and unread says that the
 	// last try failed.
 	raw       []byte
+	without   core.Set[core.Mechanism]
 	unread    bool
 	log       zerolog.Logger
 	metrics   *operator.Metrics
@@ -83,11 +84,11 @@
 }
 
 // runHosted runs the daemon on the platform and returns the exit code.
-func runHosted(check bool) int {
+func runHosted(check bool, without core.Set[core.Mechanism]) int {
 	path := os.Getenv(platform.SettingsVariable)
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return fail(err)
+		return fail(&platform.SettingsError{File: path, Cause: err})
 	}
 	s, err := platform.ParseSettings(path, raw)
 	if err != nil {
@@ -98,16 +99,16 @@
 		return exitOK
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-	h, closeHosted := openHosted(s, raw)
+	h, closeHosted := openHosted(s, raw, without)
 	defer closeHosted()
 	return h.run(path)
 }
 
 // openHosted builds everything that one process holds. The clean-up function
 // closes it.
-func openHosted(s platform.Settings, raw []byte) (*hosted, func()) {
+func openHosted(s platform.Settings, raw []byte, without core.Set[core.Mechanism]) (*hosted, func()) {
 	started := time.Now()
-	h := &hosted{settings: s, raw: raw, failed: make(chan error, 8), closeCallers: make(chan struct{})}
+	h := &hosted{settings: s, raw: raw, without: without, failed: make(chan error, 8), closeCallers: make(chan struct{})}
 	writer, closeWriter := operator.OpenWriter(os.Stdout, func(n int) { h.metrics.LinesDropped(n) })
 	h.log = zerolog.New(writer).With().Timestamp().Str("Node", string(s.Node)).Logger()
 	metrics, closeMetrics := operator.OpenMetrics(func(err error) { h.log.Warn().Str("Event", "Fault").Err(err).Send() })
@@ -155,7 +156,7 @@
 	settings := bounds(s).Apply(core.DefaultSettings())
 	h.loop = &control.Loop{
 		Node: &core.Node{
-			Self: h.self(), Incarnation: incarnation, Seed: uint64(incarnation), Settings: settings, Hosted: true,
+			Self: h.self(), Incarnation: incarnation, Seed: uint64(incarnation), Settings: settings, Hosted: true, Without: h.without,
 		},
 		Inbox: h.inbox, Clock: clock, Observer: h.metrics,
 		Executor: control.Executor{
--- a/daisyshed/main.go
+++ b/daisyshed/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"daisyshed.dev/core"
 	"daisyshed.dev/daisyshed/settings"
 	"daisyshed.dev/daisyshed/tcp"
 	"daisyshed.dev/platform"
@@ -35,9 +36,10 @@
 )
 
 type options struct {
-	Settings string `long:"settings" value-name:"FILE" description:"read settings from this YAML file"`
-	Hosted   bool   `long:"hosted" description:"run on the platform, with the settings file that DAISYSHED_SETTINGS names"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
+	Settings string   `long:"settings" value-name:"FILE" description:"read settings from this YAML file"`
+	Hosted   bool     `long:"hosted" description:"run on the platform, with the settings file that DAISYSHED_SETTINGS names"`
+	Without  []string `long:"without" value-name:"MECHANISM" description:"with --hosted, leave a part of the placement out, to measure what it gives; may be repeated: OwnedGroups, ShortFirst, LearnedOutput, RoleChanges, KnownReturners, EarlyRefusal"`
+	Check    bool     `long:"check" description:"check the settings and exit"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -62,7 +64,11 @@
 		return fail(&ExtraArgumentError{Argument: rest[0]})
 	}
 	if opts.Hosted {
-		return runHosted(opts.Check)
+		without, err := mechanisms(opts.Without)
+		if err != nil {
+			return fail(err)
+		}
+		return runHosted(opts.Check, without)
 	}
 	if opts.Settings == "" {
 		return fail(&MissingSettingsError{})
@@ -96,6 +102,19 @@
 	return "daisyshed: one of --settings FILE and --hosted is required"
 }
 
+// mechanisms returns the mechanisms of the given names.
+func mechanisms(names []string) (core.Set[core.Mechanism], error) {
+	set := core.Set[core.Mechanism]{}
+	for _, name := range names {
+		m, err := core.MechanismNamed(name)
+		if err != nil {
+			return nil, err
+		}
+		set.Add(m)
+	}
+	return set, nil
+}
+
 func serve(s settings.Settings) int {
 	d, closeDaemon, err := openDaemon(s)
 	if err != nil {
@@ -117,13 +136,15 @@
 		extra    *ExtraArgumentError
 		missing  *MissingSettingsError
 		hosted   *platform.SettingsError
+		unknown  *core.UnknownMechanismError
 		unread   *settings.ReadError
 		faults   wire.Faults
 		unusable *mutualtls.LoadError
 		inUse    *tcp.InUseError
 	)
 	switch {
-	case errors.As(err, &flagged), errors.As(err, &extra), errors.As(err, &unread), errors.As(err, &missing), errors.As(err, &hosted), errors.As(err, &faults),
+	case errors.As(err, &flagged), errors.As(err, &extra), errors.As(err, &unread), errors.As(err, &missing), errors.As(err, &hosted),
+		errors.As(err, &unknown), errors.As(err, &faults),
 		errors.As(err, &unusable):
 		return exitSettings
 	case errors.As(err, &inUse):
