Rank nodes by one hash; split the dispatcher by what its parts do

Cause: owners of groups and readers of the store were ranked by a hash of their own beside the one of core/ownership.go, and core/dispatch.go held messages, groups, books, placement and queue in 591 lines. Both now use bestScore and mix.

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -1,5 +1,15 @@
 package core
 
+import "time"
+
+const (
+	// askTimeout is how long an entry waits for an owner's first answer. It
+	// costs a request that much when the owner has died or stands still.
+	askTimeout = 80 * time.Millisecond
+	// ownerMuted is how long an owner that did not answer is not asked.
+	ownerMuted = 2 * time.Second
+)
+
 // ask asks the owner of a group of engines to place a request. Where there is
 // no owner, or it does not answer, this node places the request by itself.
 func (s *forwards) ask(n *Node, f *forwarded) {
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -14,6 +14,8 @@
 	feedReadShare  = 0.3
 	feedLookShare  = 0.125
 	feedStaleShare = 0.5
+	// feedReader is the key by which the nodes that read are chosen.
+	feedReader = "reader"
 	// lapseGrace is how long after an outage of the store upstreams may take to
 	// renew entries that lapsed meanwhile.
 	lapseGrace = 2500 * time.Millisecond
@@ -110,10 +112,10 @@
 
 // reader reports whether this node is among those that read for all.
 func (n *Node) reader() bool {
-	own := hashOf("reader/" + string(n.Self.ID))
-	before := 0
-	for id, m := range n.members.byID {
-		if m.serving() && m.status == Alive && hashOf("reader/"+string(id)) > own {
+	key, before := hash64(feedReader), 0
+	own := mix(hash64(string(n.Self.ID)), key)
+	for _, id := range n.staying() {
+		if mix(hash64(string(id)), key) > own {
 			before++
 		}
 	}
