Ask peers for missed changes of the list of upstreams; let few stand-ins read

A node that missed a reader's message, or had started before the reader, read the store from its own offset; with 2,500 records a second one who is seconds behind reads megabytes, all reads share the store's 80 MB/s, and so all fell further behind: 23,495 calls against 2,249 at 98 nodes, a third of them.

A gap is now filled by its sender, who remembers at which offset entries changed and went. If readers fall silent, three stand-ins read and pass on, before every node reads for itself. One who lacks more records than there are entries reads the newest of all; a reader whose answer was full reads on at once. Ruled out: the watch of the desired state itself, whose reads only wait behind the others.

Found on the way, with a test: an entry that went in an outage and was renewed after it was not passed on to nodes that had dropped it.

Tests of instance_feed_test.go failed before.

--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -61,6 +61,8 @@
 	// claims are the offsets at which claims to give orders were confirmed.
 	claims core.Offset
 	orders []worldOrder
+	// reads counts reads of the upstreams' entries.
+	reads int
 	// lateOrders is how much later orders are carried out.
 	lateOrders time.Duration
 	asked      map[core.ForwardID]*worldRequest
@@ -89,6 +91,7 @@
 	node   *core.Node
 	frozen bool
 	wakeAt core.Instant
+	reads  int
 	// closedAt is when it closed to callers, as it left.
 	closedAt core.Instant
 	// addresses is its last answer to a question for addresses.
@@ -246,7 +249,9 @@
 			}
 		}
 	case core.ReadInstances:
-		m := core.InstancesRead{Whole: true, After: c.After, Offset: w.offset}
+		w.reads++
+		n.reads++
+		m := core.InstancesRead{Whole: c.Whole, After: c.After, Offset: w.offset}
 		for _, id := range w.ids {
 			m.Changed = append(m.Changed, w.ups[id].Instance)
 		}
--- a/core/instance_feed_test.go
+++ b/core/instance_feed_test.go
@@ -1,11 +1,13 @@
 package core_test
 
 import (
+	"maps"
 	"testing"
 	"time"
 
 	"daisyshed.dev/core"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // hostedNode is a hosted node on virtual time with what it was told to do.
@@ -156,3 +158,106 @@
 	h.tell(core.InstancesRead{After: 10, Offset: 12, Removed: []core.EngineID{"e1"}})
 	is.Equal(h.node.InstanceAddress("e1"), "")
 }
+
+// An entry that went in an outage and is renewed after it is passed on again:
+// nodes that were not touched by the outage have dropped it.
+func TestRenewedEntryIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.tell(core.Tick{})
+	meet(h, "n2")
+	h.tell(core.InstancesRead{Whole: true, Offset: 10, Changed: []core.Instance{plainInstance("e1")}})
+	h.tell(core.InstancesUnread{})
+	h.pass(time.Second)
+	meet(h, "n2")
+	out := h.tell(core.InstancesRead{After: 10, Offset: 12, Removed: []core.EngineID{"e1"}})
+	is.Equal(sentTo[core.InstancesChanged](out, "n2")[0].Removed, []core.EngineID{"e1"})
+	out = h.tell(core.InstancesRead{After: 12, Offset: 13, Changed: []core.Instance{plainInstance("e1")}})
+	is.Equal(sentTo[core.InstancesChanged](out, "n2")[0].Changed, []core.Instance{plainInstance("e1")})
+}
+
+// A node that missed a message asks its sender for what it lacks, and does not
+// read the store for it.
+func TestMissedChangesAreAskedOfThePeer(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.tell(core.Tick{})
+	h.tell(core.InstancesRead{Whole: true, Offset: 10, Changed: []core.Instance{plainInstance("e1")}})
+	out := h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.InstancesChanged{
+		After: 14, Offset: 16, Changed: []core.Instance{plainInstance("e3")},
+	}})
+	is.Equal(sentTo[core.InstancesQuery](out, "n2"), []core.InstancesQuery{{After: 10}})
+	is.Equal(len(of[core.ReadInstances](out)), 0)
+	h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.InstancesChanged{
+		After: 10, Offset: 16, Changed: []core.Instance{plainInstance("e2"), plainInstance("e3")}, Removed: []core.EngineID{"e1"},
+	}})
+	is.Equal(h.node.InstanceAddress("e1"), "")
+	is.Equal(h.node.InstanceAddress("e2"), "e2:80")
+	is.Equal(h.node.InstanceAddress("e3"), "e3:80")
+}
+
+// What a node answers leads from any offset since its first read to its list,
+// whatever changed, went and came back in between; before that it does not know,
+// and does not answer.
+func TestMissedChangesLeadToTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		id := rapid.SampledFrom([]core.EngineID{"a", "b", "c", "d"})
+		h := newHosted("n1", core.Settings{})
+		h.tell(core.Tick{})
+		list := map[core.EngineID]core.Instance{}
+		offset := core.Offset(10)
+		h.tell(core.InstancesRead{Whole: true, Offset: offset})
+		lists := []map[core.EngineID]core.Instance{maps.Clone(list)}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			m := core.InstancesRead{After: offset, Offset: offset + 1}
+			i := plainInstance(id.Draw(t, "id"))
+			if rapid.Bool().Draw(t, "goes") {
+				m.Removed = []core.EngineID{i.ID}
+				delete(list, i.ID)
+			} else {
+				i.Born = rapid.Int64Range(1, 2).Draw(t, "born")
+				m.Changed = []core.Instance{i}
+				list[i.ID] = i
+			}
+			offset++
+			h.tell(m)
+			lists = append(lists, maps.Clone(list))
+		}
+		for back, before := range lists {
+			out := h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.InstancesQuery{After: 10 + core.Offset(back)}})
+			answers := sentTo[core.InstancesChanged](out, "n2")
+			is.Equal(len(answers), 1)
+			for _, i := range answers[0].Changed {
+				before[i.ID] = i
+			}
+			for _, gone := range answers[0].Removed {
+				delete(before, gone)
+			}
+			is.Equal(before, list)
+		}
+		out := h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.InstancesQuery{After: 9}})
+		is.Equal(len(sentTo[core.InstancesChanged](out, "n2")), 0)
+	})
+}
+
+// Load pattern: all readers stop at once among many nodes. A few stand-ins read
+// in their place; if every node did, the store would be read as often as there
+// are nodes, and all would fall further behind.
+func TestFewNodesReadWhereReadersFallSilent(t *testing.T) {
+	is := is.New(t)
+	const nodes = 40
+	w := newHostedWorld(worldOptions{nodes: nodes, plain: 3, slots: 6, seed: 1})
+	w.run(5 * time.Second)
+	before := w.reads
+	w.run(2 * time.Second)
+	calm := w.reads - before
+	for _, n := range w.nodes {
+		n.frozen = n.reads > 3
+	}
+	is.True(calm < nodes/2)
+	before = w.reads
+	w.run(2 * time.Second)
+	t.Logf("%d reads in 2 s, %d after the readers had stopped", calm, w.reads-before)
+	is.True(w.reads-before < nodes/2)
+}
--- a/core/node.go
+++ b/core/node.go
@@ -279,7 +279,9 @@
 	case ForwardTurnedAway:
 		n.forward.turnedAway(n, m.From, b)
 	case InstancesChanged:
-		n.feed.heard(n, b)
+		n.feed.heard(n, m.From, b)
+	case InstancesQuery:
+		n.feed.query(n, m.From, b)
 	case RolesWanted:
 		n.roles.rolesWanted(n, b)
 	case RolesOrdered:
--- a/daisyshed/store/instances.go
+++ b/daisyshed/store/instances.go
@@ -38,7 +38,7 @@
 	if c.Whole {
 		records, m.Offset, err = w.Store.Newest(ctx, platform.Instances)
 	} else {
-		records, m.Offset, err = w.Store.Read(ctx, platform.Instances, c.After, 0)
+		records, m.Offset, m.More, err = w.Store.Read(ctx, platform.Instances, c.After, 0)
 	}
 	if err != nil {
 		return m, err
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -107,7 +107,7 @@
 		t.listed, t.from = true, end
 		return update{records: records, whole: true}, nil
 	}
-	records, end, err := w.Store.Read(ctx, t.name, t.from, t.wait)
+	records, end, _, err := w.Store.Read(ctx, t.name, t.from, t.wait)
 	if errors.Is(err, platform.ErrCompacted) {
 		t.listed = false
 		w.Log.Info().Str("Event", "Compacted").Str("Topic", string(t.name)).Int64("Offset", int64(t.from)).Send()
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -58,9 +58,10 @@
 			Removed: list(t, "removed", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "id") }),
 		}
 	},
-	"RolesOrdered": func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
-	"RolesWanted":  func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
-	"StateQuery":   func(*rapid.T) core.PeerBody { return core.StateQuery{} },
+	"RolesOrdered":   func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
+	"RolesWanted":    func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
+	"InstancesQuery": func(t *rapid.T) core.PeerBody { return core.InstancesQuery{After: offset(t, "after")} },
+	"StateQuery":     func(*rapid.T) core.PeerBody { return core.StateQuery{} },
 	"StateAnswer": func(t *rapid.T) core.PeerBody {
 		return core.StateAnswer{
 			Offset:    offset(t, "offset"),
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -95,6 +95,8 @@
 	case *Envelope_RolesWanted:
 		orders, err := toRoleOrders(b.RolesWanted)
 		return core.RolesWanted{Orders: orders}, err
+	case *Envelope_InstancesQuery:
+		return core.InstancesQuery{After: core.Offset(b.InstancesQuery.GetAfter())}, nil
 	case *Envelope_StateQuery:
 		return core.StateQuery{}, nil
 	case *Envelope_StateAnswer:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -96,6 +96,8 @@
 		e.Body = &Envelope_RolesWanted{fromRoleOrders(b.Orders)}
 	case core.RolesOrdered:
 		e.Body = &Envelope_RolesOrdered{fromRoleOrders(b.Orders)}
+	case core.InstancesQuery:
+		e.Body = &Envelope_InstancesQuery{&InstancesQuery{After: int64(b.After)}}
 	case core.StateQuery:
 		e.Body = &Envelope_StateQuery{&StateQuery{}}
 	case core.StateAnswer:
