Set the longest requests back by less

Three times the set-back of the mean request put the longest tenth behind all who came a second later.

--- a/core/roles.go
+++ b/core/roles.go
@@ -38,11 +38,10 @@
 	// ordersKey stands for a service in the choice of the node that gives orders.
 	ordersKey = "/orders"
 	// setBackShare is by how much later, in objectives, a request of the mean
-	// expected output counts, and setBackMost how many times that at most. The
-	// longest is set back by little more than an objective, so that among those
-	// who are late it is served after all who came a second later.
+	// expected output counts, and setBackMost how many times that at most: the
+	// longest is passed only by those who came within an objective after it.
 	setBackShare = 0.4
-	setBackMost  = 3
+	setBackMost  = 2
 	// changeEvery is the least time between two changes of one group: the costs
 	// have to show the effect of the first.
 	changeEvery = 8 * time.Second
