Harm links in the soak: delay, silence, cuts one way, resets

Daemons now reach the store and the workers through loopback proxies. A harmed link delays what it carries, loses it both ways or one way, or resets its connections; a connection that lost something stays silent for good, as on the platform. Ruled out for now: links between nodes, whose address is the node's.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -6,12 +6,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,7 +34,7 @@
 	lapseAfter = 3 * beatEvery
 	// The ports of a node; nodes differ in their loopback address.
 	callerPort, readyPort, directoryPort, peerPort = 18149, 18141, 18143, 17380
-	storePort, workerPort, guardPort               = 18142, 18080, 18000
+	storePort, workerPort, guardPort, linkPort     = 18142, 18080, 18000, 18180
 	// nets is the number of blocks of loopback addresses for runs.
 	nets = 200
 	host = "shop.example"
@@ -57,6 +59,8 @@
 	mu      sync.Mutex
 	nodes   []*process
 	workers map[string]*member
+	// links are the nodes' links to the store.
+	links   []*proxy
 	last    int
 	version int
 	// closed is set once no process may be started any more.
@@ -68,6 +72,7 @@
 // member is a worker and how to end it.
 type member struct {
 	worker  *hostedworker.Worker
+	link    *proxy
 	service string
 	stop    func()
 	beats   chan struct{}
@@ -122,6 +127,12 @@
 		d.addWorker("ledger", "")
 	}
 	for i := range nodes {
+		link, closeLink, err := openProxy(d.address(240+i, storePort), d.address(250, storePort))
+		if err != nil {
+			return err
+		}
+		d.links = append(d.links, link)
+		d.closes = append(d.closes, closeLink)
 		d.nodes = append(d.nodes, &process{index: i, ratio: firstRatio})
 		if err := d.startNode(d.nodes[i]); err != nil {
 			return err
@@ -183,13 +194,22 @@
 	id := fmt.Sprintf("i-%03d", n)
 	w, stop, err := hostedworker.Start(hostedworker.Settings{
 		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
-		Slots: 6, Work: 10 * time.Millisecond, Events: 12, Memory: 4000,
+		Slots: 6, Work: 10 * time.Millisecond, Events: 12, Memory: 4000, Advertised: d.address(100+n%100, linkPort+n/100),
 	}, d.address(100+n%100, workerPort+n/100), d.judge.ran)
 	if err != nil {
 		d.judge.fault(fmt.Sprintf("worker %s did not start: %v", id, err))
 		return
 	}
-	m := &member{worker: w, service: service, stop: stop, beats: make(chan struct{})}
+	link, closeLink, err := openProxy(d.address(100+n%100, linkPort+n/100), d.address(100+n%100, workerPort+n/100))
+	if err != nil {
+		stop()
+		d.judge.fault(fmt.Sprintf("the link to worker %s did not open: %v", id, err))
+		return
+	}
+	m := &member{worker: w, link: link, service: service, beats: make(chan struct{}), stop: func() {
+		stop()
+		closeLink()
+	}}
 	d.mu.Lock()
 	d.workers[id] = m
 	d.mu.Unlock()
@@ -212,6 +232,9 @@
 	}
 }
 
+// workerIDs returns the workers' ids in order. The caller holds the lock.
+func (d *deployment) workerIDs() []string { return slices.Sorted(maps.Keys(d.workers)) }
+
 // removeWorker ends a worker as a crash does; its entry lapses.
 func (d *deployment) removeWorker(id string) {
 	d.mu.Lock()
@@ -289,7 +312,7 @@
 [Platform]
 Address = "%s"
 `, n, n%2, ip, peerPort, peerPort+1, beatEvery.Milliseconds(), ip, callerPort, ip, readyPort, ip, directoryPort,
-		p.ratio, int(grace.Seconds()), d.address(250, storePort))
+		p.ratio, int(grace.Seconds()), d.address(240+p.index, storePort))
 	path = filepath.Join(d.dir, fmt.Sprintf("n%d.toml", n))
 	// Renamed into place, so that no daemon reads half a file.
 	if err := os.WriteFile(path+".new", []byte(settings), 0o600); err != nil {
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -106,8 +106,8 @@
 		"node killed": d.killNode, "node stopped": d.stopNode, "node frozen": d.freezeNode,
 		"store away": d.storeAway, "store loses answers": d.storeLoses, "store compacted": d.storeCompacted,
 		"worker crashed": d.crashWorker, "worker faulty": d.faultyWorker, "worker drained": d.drainWorker,
-		"settings changed": d.changeSettings,
-		"state changed":    func() { d.publish(d.rng.IntN(2) == 0) },
+		"settings changed": d.changeSettings, "link harmed": d.breakLink,
+		"state changed": func() { d.publish(d.rng.IntN(2) == 0) },
 	}
 	if d.upstreamsOnly {
 		maps.DeleteFunc(kinds, func(name string, _ func()) bool {
@@ -134,6 +134,10 @@
 	defer d.mu.Unlock()
 	for _, m := range d.workers {
 		m.worker.SetFault(hostedworker.NoFault, 0)
+		m.link.set(linkSound)
+	}
+	for _, l := range d.links {
+		l.set(linkSound)
 	}
 }
 
@@ -250,7 +254,7 @@
 func (d *deployment) worker() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ids := slices.Sorted(maps.Keys(d.workers))
+	ids := d.workerIDs()
 	return ids[d.rng.IntN(len(ids))]
 }
 
@@ -277,7 +281,7 @@
 
 func (d *deployment) faultyWorker() {
 	d.mu.Lock()
-	ids := slices.Sorted(maps.Keys(d.workers))
+	ids := d.workerIDs()
 	w := d.workers[ids[d.rng.IntN(len(ids))]].worker
 	d.mu.Unlock()
 	w.SetFault(hostedworker.Fault(1+d.rng.IntN(int(hostedworker.AnswerTwice))), 0.3)
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -3,6 +3,7 @@
 package hostedworker
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -52,6 +53,8 @@
 	Events int
 	// Memory is the KV cache memory in tokens.
 	Memory int
+	// Advertised is the address in the worker's entry, if not its own.
+	Advertised string
 }
 
 // Run is one request that a worker began to work on.
@@ -125,7 +128,7 @@
 		state = "draining"
 	}
 	entry := map[string]any{
-		"Service": w.settings.Service, "Address": w.listener.Addr().String(), "Zone": w.settings.Zone,
+		"Service": w.settings.Service, "Address": cmp.Or(w.settings.Advertised, w.listener.Addr().String()), "Zone": w.settings.Zone,
 		"Version": "v1", "Slots": w.settings.Slots, "State": state, "ColdLeftMs": 0, "SeqNo": w.next, "born": w.born,
 	}
 	if w.settings.Stage != "" {
