Ask peers for the list of upstreams only if there is none

Cause: a node that heard of a newer desired state got the whole list of upstreams with it, some 360 KB for 3,000, and asked again four times a second while it had none. All nodes lack a new state for a moment.

StateQuery now says whether the list is asked for; a node without one asks at most every two seconds, or at once if its peer had none either. TestPeersAreAskedForWhatIsLacking failed before.

--- a/core/forward.go
+++ b/core/forward.go
@@ -83,10 +83,11 @@
 	outputs map[ServiceID]*outputModel
 	// muted holds until when owners that did not answer are not asked.
 	muted map[NodeID]Instant
-	// announced is set once the node was ready, and askedAt is when a peer was
-	// last asked for the desired state.
-	announced bool
-	askedAt   Instant
+	// announced is set once the node was ready. askedAt and listAskedAt are when
+	// a peer was last asked for the desired state, and for the upstreams.
+	announced   bool
+	askedAt     Instant
+	listAskedAt Instant
 }
 
 func (s *forwards) start() {
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -2,20 +2,25 @@
 
 import "time"
 
-// stateQueryEvery is the least time between two questions to peers for the
-// desired state.
-const stateQueryEvery = 250 * time.Millisecond
+const (
+	// stateQueryEvery is the least time between two questions to peers for the
+	// desired state.
+	stateQueryEvery = 250 * time.Millisecond
+	// listQueryEvery is the same for the list of upstreams, which takes hundreds
+	// of kilobytes where there are thousands, and seconds on the slowest links.
+	listQueryEvery = 2 * time.Second
+)
 
 // RolesOrdered tells other nodes which engines were ordered to change their
 // role, so that they send nothing there that would be refused.
 type RolesOrdered struct{ Orders []Order }
 
-// StateQuery asks a peer for the desired state and the list of upstreams, for
-// a node that cannot reach the store.
-type StateQuery struct{}
+// StateQuery asks a peer for the desired state, for a node that lacks the newest,
+// and for the list of upstreams if that node has none.
+type StateQuery struct{ Upstreams bool }
 
 // StateAnswer passes on what a peer has: the desired state as the store holds
-// it, and the list of upstreams.
+// it, and the list of upstreams if it was asked for.
 type StateAnswer struct {
 	Offset    Offset
 	Record    []byte
@@ -54,20 +59,29 @@
 		return
 	}
 	s := &n.forward
-	behind := offset > n.stateOffset() || offset > 0 && !s.upstreams.known
-	if !behind || s.askedAt != 0 && n.now.Sub(s.askedAt) < stateQueryEvery {
+	list := offset > 0 && !s.upstreams.known && (s.listAskedAt == 0 || n.now.Sub(s.listAskedAt) >= listQueryEvery)
+	state := offset > n.stateOffset() && (s.askedAt == 0 || n.now.Sub(s.askedAt) >= stateQueryEvery)
+	if !list && !state {
 		return
 	}
 	s.askedAt = n.now
-	n.send(from, StateQuery{})
+	if list {
+		s.listAskedAt = n.now
+	}
+	n.send(from, StateQuery{Upstreams: list})
 }
 
-// stateQuery answers a peer that cannot reach the store.
-func (s *forwards) stateQuery(n *Node, from NodeID) {
+// stateQuery answers a peer that lacks something.
+func (s *forwards) stateQuery(n *Node, from NodeID, m StateQuery) {
 	if !s.known {
 		return
 	}
-	answer := StateAnswer{Offset: s.state.Offset, Record: s.state.Record, Instances: InstanceList{Offset: s.upstreams.offset}}
+	answer := StateAnswer{Offset: s.state.Offset, Record: s.state.Record}
+	if !m.Upstreams {
+		n.send(from, answer)
+		return
+	}
+	answer.Instances.Offset = s.upstreams.offset
 	for _, id := range sortedKeys(s.upstreams.byID) {
 		answer.Instances.Instances = append(answer.Instances.Instances, s.upstreams.byID[id].Instance)
 	}
@@ -76,6 +90,11 @@
 
 func (s *forwards) stateAnswer(n *Node, m StateAnswer) {
 	n.do(AdoptState{Offset: m.Offset, Record: m.Record})
+	if len(m.Instances.Instances) == 0 {
+		// The peer has no list either, so that another one may be asked.
+		s.listAskedAt = 0
+		return
+	}
 	n.feed.adopt(n, m.Instances)
 }
 
--- a/core/instance_feed_test.go
+++ b/core/instance_feed_test.go
@@ -261,3 +261,27 @@
 	t.Logf("%d reads in 2 s, %d after the readers had stopped", calm, w.reads-before)
 	is.True(w.reads-before < nodes/2)
 }
+
+// A node that lacks the newest desired state asks for that alone: the list of
+// upstreams is many times as long, and all nodes lack a new state for a moment.
+// One that has no list asks for it, but not with each heartbeat.
+func TestPeersAreAskedForWhatIsLacking(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.tell(core.Tick{})
+	meet(h, "n2")
+	beat := func(offset core.Offset) []core.StateQuery {
+		return sentTo[core.StateQuery](h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.Heartbeat{ConfigOffset: offset, Sequence: 2}}), "n2")
+	}
+	is.Equal(beat(1), []core.StateQuery{{Upstreams: true}})
+	h.pass(300 * time.Millisecond)
+	is.Equal(beat(1), []core.StateQuery{{}})
+	h.tell(worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("e1")}})
+	h.pass(3 * time.Second)
+	is.Equal(len(beat(1)), 0)
+	is.Equal(beat(2), []core.StateQuery{{}})
+	answers := sentTo[core.StateAnswer](h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.StateQuery{}}), "n2")
+	is.Equal(len(answers[0].Instances.Instances), 0)
+	answers = sentTo[core.StateAnswer](h.tell(core.Peer{From: "n2", Incarnation: 1, Body: core.StateQuery{Upstreams: true}}), "n2")
+	is.Equal(len(answers[0].Instances.Instances), 1)
+}
--- a/core/node.go
+++ b/core/node.go
@@ -287,7 +287,7 @@
 	case RolesOrdered:
 		n.roles.rolesOrdered(n, b)
 	case StateQuery:
-		n.forward.stateQuery(n, m.From)
+		n.forward.stateQuery(n, m.From, b)
 	case StateAnswer:
 		n.forward.stateAnswer(n, b)
 	}
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -61,7 +61,7 @@
 	"RolesOrdered":   func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
 	"RolesWanted":    func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
 	"InstancesQuery": func(t *rapid.T) core.PeerBody { return core.InstancesQuery{After: offset(t, "after")} },
-	"StateQuery":     func(*rapid.T) core.PeerBody { return core.StateQuery{} },
+	"StateQuery":     func(t *rapid.T) core.PeerBody { return core.StateQuery{Upstreams: rapid.Bool().Draw(t, "upstreams")} },
 	"StateAnswer": func(t *rapid.T) core.PeerBody {
 		return core.StateAnswer{
 			Offset:    offset(t, "offset"),
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -98,7 +98,7 @@
 	case *Envelope_InstancesQuery:
 		return core.InstancesQuery{After: core.Offset(b.InstancesQuery.GetAfter())}, nil
 	case *Envelope_StateQuery:
-		return core.StateQuery{}, nil
+		return core.StateQuery{Upstreams: b.StateQuery.GetUpstreams()}, nil
 	case *Envelope_StateAnswer:
 		return toStateAnswer(b.StateAnswer)
 	case *Envelope_VMListQuery:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -99,7 +99,7 @@
 	case core.InstancesQuery:
 		e.Body = &Envelope_InstancesQuery{&InstancesQuery{After: int64(b.After)}}
 	case core.StateQuery:
-		e.Body = &Envelope_StateQuery{&StateQuery{}}
+		e.Body = &Envelope_StateQuery{&StateQuery{Upstreams: b.Upstreams}}
 	case core.StateAnswer:
 		e.Body = &Envelope_StateAnswer{fromStateAnswer(b)}
 	case core.VMListQuery:
