--- /dev/null
+++ b/core/retry_budget_test.go
@@ -0,0 +1,41 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+// Load pattern: every upstream fails every request, so that each asks to be sent
+// again. In any window no more extra sends arrive than the budget allows, and
+// once the failures end the budget is free again.
+func TestExtraSendsStayWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(plainInstance("e1"), plainInstance("e2"), plainInstance("e3"))
+	var extras []core.Instant
+	for i := range 300 {
+		id := core.ForwardID(i + 1)
+		runs := of[core.RunForward](h.tell(forwardTo(id, "read")))
+		is.Equal(len(runs), 1)
+		for len(runs) > 0 {
+			runs = of[core.RunForward](h.tell(core.StepFailed{ID: id, Engine: runs[0].Engine, Step: core.RunStep, Status: 500}))
+			if len(runs) > 0 {
+				extras = append(extras, h.now)
+			}
+		}
+		h.pass(100 * time.Millisecond)
+	}
+	is.True(len(extras) > 0)
+	const window, perWindow = 10 * time.Second, 10 * 10
+	for i, from := range extras {
+		count := 0
+		for _, at := range extras[i:] {
+			if at.Sub(from) < window {
+				count++
+			}
+		}
+		is.True(float64(count) <= 0.2*perWindow+50)
+	}
+}
