Let the owner's books keep to engines' slots

Cause: the books counted an engine's memory only. Where engines have few slots for their memory, streams beyond them would be sent to be denied a lease, come back and be sent again.

TestSlotsBoundStreamsToo failed before (three of three were placed in two slots).

--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -48,6 +48,8 @@
 type engineBook struct {
 	memory  Tokens
 	reading Tokens
+	// placed is how many requests it has, for engines with few slots.
+	placed int
 	// deniedUntil is until when the engine counts as full although the book
 	// says otherwise.
 	deniedUntil Instant
@@ -161,6 +163,7 @@
 	d.leavePrefill(j)
 	if j.decode != "" {
 		d.book(j.decode).memory -= j.memory
+		d.book(j.decode).placed--
 		j.decode = ""
 	}
 	if j.waiting {
@@ -183,6 +186,7 @@
 	}
 	d.jobs[key] = &dispatchJob{key: key, group: m.Group, memory: m.Memory, decode: m.Decode, since: n.now}
 	d.book(m.Decode).memory += m.Memory
+	d.book(m.Decode).placed++
 }
 
 // memberDied drops the jobs of a node that died or restarted.
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -28,7 +28,8 @@
 	}
 	c := n.roles.cost(j.group)
 	decode := d.eitherWay(n, j, func(u *upstream) bool {
-		return n.roles.serves(n, u, Decode) && d.fits(n, u, j.memory, engine.Memory)
+		free := u.Slots == 0 || d.book(u.ID).placed < u.Slots
+		return free && n.roles.serves(n, u, Decode) && d.fits(n, u, j.memory, engine.Memory)
 	}, func(u *upstream) float64 { return float64(d.book(u.ID).memory) })
 	if decode == nil {
 		c.lackedMemory = n.now
@@ -117,6 +118,7 @@
 	j.placedAt = n.now
 	j.decode = u.ID
 	d.book(u.ID).memory += j.memory
+	d.book(u.ID).placed++
 	d.rate(j.group).note(n.now)
 	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill, Memory: j.memory})
 }
--- a/core/forward_load_test.go
+++ b/core/forward_load_test.go
@@ -226,6 +226,30 @@
 	is.Equal(placed[0].ID, core.ForwardID(1))
 }
 
+// Load pattern: more streams than an engine has slots, with memory for all. Those
+// beyond the slots wait with the owner, where the urgent ones go first, and are
+// not sent to be denied again and again.
+func TestSlotsBoundStreamsToo(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.tell(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{
+		{ID: "d1", Service: "model", Address: "d1:1", Slots: 2, Role: core.Decode, Born: 1},
+	}})
+	tell := func(body core.PeerBody) []core.Command {
+		return h.tell(core.Peer{From: "n2", Incarnation: 1, Body: body})
+	}
+	placed := 0
+	for id := range core.ForwardID(3) {
+		placed += len(sentTo[core.ForwardPlaced](tell(core.PlaceForward{
+			ID: id, Group: core.DispatchGroup{Service: "model"}, Prompt: 100, Expected: 100,
+			OnTime: time.Second, Patience: worldTimeout, Objective: worldObject,
+		}), "n2"))
+	}
+	is.Equal(placed, 2)
+	out := tell(core.ForwardReleased{ID: 0, Outcome: core.RunSucceeded, Output: 100})
+	is.Equal(sentTo[core.ForwardPlaced](out, "n2")[0].ID, core.ForwardID(2))
+}
+
 // Load pattern: all nodes have just started, and everybody comes at once, as
 // after an outage. The owner knows no cost yet; the slots can take all.
 func TestColdStartRefusesNobody(t *testing.T) {
