Reach a replaced node at its new address

Its messages made it known as alive by its new incarnation, but the address stayed the old one: the list from the store sets addresses of nodes that were never heard of only, and what members tell of the same incarnation at the same sequence number counted as known. For 26 s all 74 nodes dialled the old address each time they asked it as an owner, waited 80 ms and placed alone: 60 to 166 owner-silent and up to 25,747 denied leases in two seconds. The directory gave callers the old address, too.

A change of a node's addresses in the list is now taken over, and after a start was heard of by its messages alone, the first that tells of it is believed. Ruled out: the node itself (it ran and answered whom it asked), lossy links (all failed dials went to the one address).

--- a/core/membership.go
+++ b/core/membership.go
@@ -28,6 +28,9 @@
 	incarnation Incarnation
 	status      MemberStatus
 	sequence    uint64
+	// unplaced is set when a later start was heard of by its messages alone: it may
+	// have other addresses than the one before.
+	unplaced bool
 	// heard is set once the member was heard of, directly or through others.
 	// Before that it is a mere candidate of the VM list.
 	heard     bool
@@ -98,6 +101,7 @@
 		return
 	}
 	s.restarted(n, m, incarnation)
+	m.unplaced = true
 }
 
 // leftOrAlive returns the status of a live node.
@@ -177,8 +181,8 @@
 	if u.Incarnation != m.incarnation {
 		return u.Incarnation > m.incarnation
 	}
-	if u.Sequence != m.sequence {
-		return u.Sequence > m.sequence
+	if u.Sequence != m.sequence || m.unplaced {
+		return u.Sequence >= m.sequence
 	}
 	return statusRank(u.Status) > statusRank(m.status)
 }
@@ -193,6 +197,7 @@
 		s.restarted(n, m, u.Incarnation)
 	}
 	m.sequence = u.Sequence
+	m.unplaced = false
 	leaving := m.node.Leaving
 	m.node = u.Node
 	m.node.Leaving = u.Node.Leaving || u.Status == Left || leaving
--- a/core/membership_list.go
+++ b/core/membership_list.go
@@ -51,10 +51,12 @@
 	slices.SortFunc(s.list.list.Upstreams, func(a, b Upstream) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
+	old := s.known
 	s.known = make(map[NodeID]NodeInfo, len(m.Nodes))
 	for _, node := range m.Nodes {
 		if node.ID != n.Self.ID {
 			s.known[node.ID] = node
+			s.moved(n, old[node.ID], node)
 		}
 	}
 	s.widest = max(s.widest, len(s.known)+1)
@@ -65,6 +67,20 @@
 	return !before.have || !slices.Equal(before.list.Upstreams, s.list.list.Upstreams)
 }
 
+// moved takes in that the list shows a node at other addresses than before: it was
+// replaced by a machine of the same name. Only a change in the list counts, since
+// members may have told of a later start already.
+func (s *members) moved(n *Node, old, node NodeInfo) {
+	m, ok := s.byID[node.ID]
+	if !ok || old.ID == "" || old.PeerAddress == node.PeerAddress && old.CallerAddress == node.CallerAddress {
+		return
+	}
+	leaving := m.node.Leaving
+	m.node = node
+	m.node.Leaving = leaving
+	s.changed(n)
+}
+
 // propose makes members of the VM list's nodes: all of the own region and a
 // few contacts of each other region.
 func (s *members) propose(n *Node) {
