--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -1,14 +1,10 @@
 package core
 
-import (
-	"time"
-)
-
-const (
-	// jobLife is how long an owner keeps a job that it hears no more of. Streams
-	// are shorter by far; the entry's death is noticed sooner.
-	jobLife = 60 * time.Second
-)
+import "time"
+
+// jobLife is how long an owner keeps a job that it hears no more of. Streams are
+// shorter by far; the entry's death is noticed sooner.
+const jobLife = 60 * time.Second
 
 // jobKey names a request of a node.
 type jobKey struct {
--- a/core/dispatch_group.go
+++ b/core/dispatch_group.go
@@ -1,8 +1,6 @@
 package core
 
-import (
-	"strconv"
-)
+import "strconv"
 
 const (
 	// groupEngines bounds the engines of one group on average. One owner keeps
--- a/core/dispatch_message.go
+++ b/core/dispatch_message.go
@@ -1,8 +1,6 @@
 package core
 
-import (
-	"time"
-)
+import "time"
 
 // DispatchGroup is a part of a service's engines that one node places for.
 type DispatchGroup struct {
--- a/core/node.go
+++ b/core/node.go
@@ -35,7 +35,8 @@
 	timers    timerHeap
 	ticket    Ticket
 	leaving   bool
-	left      leaving
+	// left is what a hosted node that leaves knows of it.
+	left leaving
 
 	// releases are the allocations being released, with the time until the
 	// next repetition. holds are those that engines may hold for this node.
