Call what exists: one table of waiting answers, one ranking, one get-or-make

Read once more: directory and operator kept waiting answers each in their own way though caller had a generic one; it moves to daisyshed/control and serves all three. readerRank walked members with the hash of bestScore; countBefore stands beside it now. Five accessors made a map's missing value by the same lines (made). Sending to all members stood twice (sendAll), the test for a live member four times (present), and othersServe was staying without this node. The settings file was read by two functions that differed in when they log.

Off the path of each request: the list of nodes that own groups is kept until a member changes instead of being walked anew, and the queue is counted in place instead of being copied first.

--- a/core/addresses.go
+++ b/core/addresses.go
@@ -72,7 +72,7 @@
 		all = append(all, addressee{node: n.Self, distance: distanceOf(n.Self, domain, region), spare: n.spare()})
 	}
 	for _, id := range sortedKeys(n.members.byID) {
-		if m := n.members.byID[id]; m.serving() && m.status == Alive {
+		if m := n.members.byID[id]; m.present() {
 			all = append(all, addressee{node: m.node, distance: distanceOf(m.node, domain, region), spare: m.spare})
 		}
 	}
--- a/core/admission.go
+++ b/core/admission.go
@@ -97,11 +97,12 @@
 	return float64(ahead) > rate*left.Seconds()
 }
 
-// ahead counts the waiting requests that go before w.
-func ahead(now Instant, queue []queueEntry, w queueEntry) int {
+// ahead counts those waiting requests of a queue that go before w, among the ones
+// that counts names.
+func ahead[T admitting](now Instant, queue []T, w queueEntry, counts func(T) bool) int {
 	count := 0
 	for _, q := range queue {
-		if compareWaiters(now, q, w) <= 0 {
+		if counts(q) && compareWaiters(now, q.entry(), w) <= 0 {
 			count++
 		}
 	}
@@ -114,11 +115,14 @@
 	return share(share(patience, returnShare), returnSpread+(1-returnSpread)*draw)
 }
 
+// admitting is a request that waits for its place.
+type admitting interface{ entry() queueEntry }
+
 // entry returns what admission knows of the request that embeds it.
 func (w queueEntry) entry() queueEntry { return w }
 
 // sortWaiting puts waiting requests into the order in which they are placed.
-func sortWaiting[T interface{ entry() queueEntry }](now Instant, queue []T) {
+func sortWaiting[T admitting](now Instant, queue []T) {
 	slices.SortStableFunc(queue, func(a, b T) int { return compareWaiters(now, a.entry(), b.entry()) })
 }
 
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -31,13 +31,8 @@
 	j.memory = c.outputs.reserve(n, m.Prompt, m.Expected, m.MaxOutput)
 	j.setBack = c.setBack(n, j.memory-j.prompt, m.Objective)
 	d.recognise(n, j, m)
-	entries := make([]queueEntry, 0, len(d.queue))
-	for _, q := range d.queue {
-		if q.group == j.group {
-			entries = append(entries, q.queueEntry)
-		}
-	}
-	before, rate := ahead(n.now, entries, j.queueEntry), d.capacity(n, j.group)
+	before := ahead(n.now, d.queue, j.queueEntry, func(q *dispatchJob) bool { return q.group == j.group })
+	rate := d.capacity(n, j.group)
 	if !j.again && n.uses(EarlyRefusal) && hopeless(n.now, j.queueEntry, before, rate) {
 		d.log(n, j, fmt.Sprintf("hopeless: %d before it at %.1f/s, entry %s", before, rate, from))
 		d.turnAway(n, j)
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -73,23 +73,9 @@
 	n.every(jobLife/4, func(n *Node) { d.sweep(n) })
 }
 
-func (d *dispatcher) book(id EngineID) *engineBook {
-	b, ok := d.books[id]
-	if !ok {
-		b = &engineBook{}
-		d.books[id] = b
-	}
-	return b
-}
+func (d *dispatcher) book(id EngineID) *engineBook { return made(d.books, id) }
 
-func (d *dispatcher) rate(g DispatchGroup) *grants {
-	r, ok := d.grants[g]
-	if !ok {
-		r = &grants{}
-		d.grants[g] = r
-	}
-	return r
-}
+func (d *dispatcher) rate(g DispatchGroup) *grants { return made(d.grants, g) }
 
 // denied takes in that an engine denied a lease that this node promised.
 func (d *dispatcher) denied(n *Node, from NodeID, m ForwardDenied) {
--- a/core/dispatch_group.go
+++ b/core/dispatch_group.go
@@ -30,16 +30,20 @@
 }
 
 // staying returns the live nodes that take new work, this one included unless it
-// leaves.
+// leaves. Each request asks for it, so it is kept until a member changes.
 func (n *Node) staying() []NodeID {
-	ids := make([]NodeID, 0, len(n.members.byID)+1)
-	for id, m := range n.members.byID {
-		if m.serving() && m.status == Alive {
-			ids = append(ids, id)
+	kept := &n.members.ranks.staying
+	if *kept != nil {
+		return *kept
+	}
+	*kept = make([]NodeID, 0, len(n.members.byID)+1)
+	for _, id := range sortedKeys(n.members.byID) {
+		if n.members.byID[id].present() {
+			*kept = append(*kept, id)
 		}
 	}
 	if !n.leaving {
-		ids = append(ids, n.Self.ID)
+		*kept = append(*kept, n.Self.ID)
 	}
-	return ids
+	return *kept
 }
--- a/core/forward.go
+++ b/core/forward.go
@@ -186,14 +186,7 @@
 	s.end(n, f, DeadlinePassed, 0)
 }
 
-func (s *forwards) budget(id ServiceID) *repeatBudget {
-	b, ok := s.budgets[id]
-	if !ok {
-		b = &repeatBudget{}
-		s.budgets[id] = b
-	}
-	return b
-}
+func (s *forwards) budget(id ServiceID) *repeatBudget { return made(s.budgets, id) }
 
 // mayRepeat takes extra arrivals from the budget.
 func (s *forwards) mayRepeat(n *Node, f *forwarded, arrivals int) bool {
@@ -261,12 +254,7 @@
 		f.decode.succeeded()
 	}
 	if f.placedAt != 0 {
-		p, ok := s.pipelines[f.spec.ID]
-		if !ok {
-			p = &spread{}
-			s.pipelines[f.spec.ID] = p
-		}
-		p.add(n.now.Sub(f.placedAt))
+		made(s.pipelines, f.spec.ID).add(n.now.Sub(f.placedAt))
 	}
 }
 
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -47,11 +47,8 @@
 		s.runPlain(n, f)
 		return
 	}
-	w := make([]queueEntry, len(s.queue))
-	for i, q := range s.queue {
-		w[i] = q.queueEntry
-	}
-	if f.sends == 0 && hopeless(n.now, f.queueEntry, ahead(n.now, w, f.queueEntry), s.grants.rate(n.now)) {
+	before := ahead(n.now, s.queue, f.queueEntry, func(*forwarded) bool { return true })
+	if f.sends == 0 && hopeless(n.now, f.queueEntry, before, s.grants.rate(n.now)) {
 		s.refuse(n, f, NoCapacity, comeBack(f.Patience, n.rng.Float64()))
 		return
 	}
@@ -117,14 +114,7 @@
 }
 
 // outputsOf returns the model of the output of a request's service.
-func (s *forwards) outputsOf(f *forwarded) *outputModel {
-	m, ok := s.outputs[f.spec.ID]
-	if !ok {
-		m = &outputModel{}
-		s.outputs[f.spec.ID] = m
-	}
-	return m
-}
+func (s *forwards) outputsOf(f *forwarded) *outputModel { return made(s.outputs, f.spec.ID) }
 
 // reserve returns the memory that a request is expected to need at its end, by
 // what this node saw itself.
--- a/core/hosted_addresses.go
+++ b/core/hosted_addresses.go
@@ -24,7 +24,7 @@
 		add(n.Self)
 	}
 	for _, id := range sortedKeys(n.members.byID) {
-		if m := n.members.byID[id]; m.serving() && m.status == Alive && m.node.CallerAddress != "" {
+		if m := n.members.byID[id]; m.present() && m.node.CallerAddress != "" {
 			add(m.node)
 		}
 	}
--- a/core/hosted_leave.go
+++ b/core/hosted_leave.go
@@ -45,17 +45,7 @@
 // no time left.
 func (n *Node) mayClose() bool {
 	since := n.now.Sub(n.left.at)
-	return since >= acceptAfterLeave && n.othersServe() || since >= max(n.Settings.Grace-aloneReserve, acceptAfterLeave)
-}
-
-// othersServe reports whether another node takes callers, as far as is known.
-func (n *Node) othersServe() bool {
-	for _, m := range n.members.byID {
-		if m.serving() && m.status == Alive {
-			return true
-		}
-	}
-	return false
+	return since >= acceptAfterLeave && len(n.staying()) > 0 || since >= max(n.Settings.Grace-aloneReserve, acceptAfterLeave)
 }
 
 // outlivesNode reports whether a request may last longer than this node, which
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -123,11 +123,11 @@
 	}
 }
 
-// tell sends orders to all other nodes.
-func (s *roles) tell(n *Node, orders []Order) {
+// sendAll sends a message to all members that take new work.
+func (n *Node) sendAll(body PeerBody) {
 	for _, id := range sortedKeys(n.members.byID) {
 		if n.members.byID[id].serving() {
-			n.send(id, RolesOrdered{Orders: orders})
+			n.send(id, body)
 		}
 	}
 }
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -150,16 +150,7 @@
 
 // readerRank returns how many live nodes come before this one in the order of
 // those that read for all.
-func (n *Node) readerRank() int {
-	key, before := hash64(feedReader), 0
-	own := mix(hash64(string(n.Self.ID)), key)
-	for _, id := range n.staying() {
-		if mix(hash64(string(id)), key) > own {
-			before++
-		}
-	}
-	return before
-}
+func (n *Node) readerRank() int { return countBefore(n.staying(), feedReader, n.Self.ID) }
 
 // answered takes in what this node read, and passes on what changed.
 func (s *instanceFeed) answered(n *Node, m InstancesRead) {
@@ -186,11 +177,7 @@
 	if !pass {
 		return
 	}
-	for _, id := range sortedKeys(n.members.byID) {
-		if n.members.byID[id].serving() {
-			n.send(id, InstancesChanged{After: after, Offset: m.Offset, Changed: changed, Removed: removed})
-		}
-	}
+	n.sendAll(InstancesChanged{After: after, Offset: m.Offset, Changed: changed, Removed: removed})
 }
 
 // changes returns the entries that differ from what is known: most records only
--- a/core/membership.go
+++ b/core/membership.go
@@ -47,6 +47,9 @@
 	return m.alive() && m.status != Left && !m.node.Leaving
 }
 
+// present reports whether the member may take new work and is not suspected.
+func (m *member) present() bool { return m.serving() && m.status == Alive }
+
 // spreading is an update that is still to be passed on.
 type spreading struct {
 	node NodeID
--- a/core/option.go
+++ b/core/option.go
@@ -47,6 +47,16 @@
 // Sorted returns the values in ascending order.
 func (s Set[T]) Sorted() []T { return sortedKeys(s) }
 
+// made returns a map's value for a key, which it makes if there is none.
+func made[K comparable, V any](m map[K]*V, key K) *V {
+	v, ok := m[key]
+	if !ok {
+		v = new(V)
+		m[key] = v
+	}
+	return v
+}
+
 // sortedKeys returns a map's keys in ascending order, so that decisions never
 // depend on the order in which Go walks a map.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
--- a/core/orders_claim.go
+++ b/core/orders_claim.go
@@ -43,14 +43,7 @@
 	return max(n.Settings.ClaimLease, 2*n.Settings.OrderFlight)
 }
 
-func (s *orders) ownLease(id EngineID) *ownLease {
-	l, ok := s.leases[id]
-	if !ok {
-		l = &ownLease{}
-		s.leases[id] = l
-	}
-	return l
-}
+func (s *orders) ownLease(id EngineID) *ownLease { return made(s.leases, id) }
 
 // fold takes in a claim. A claim made while another's lease runs is void.
 func (s *orders) fold(n *Node, r LogRecord, c EngineClaim) {
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -9,12 +9,14 @@
 // keyWriterRole is the key by which the writers of a region are chosen.
 const keyWriterRole = "key-writers"
 
-// ranks caches, for each region, the members that may own keys.
+// ranks caches, for each region, the members that may own keys, and the nodes
+// that take new work.
 type ranks struct {
 	serving map[RegionID][]NodeID
+	staying []NodeID
 }
 
-func (r *ranks) clear() { r.serving = nil }
+func (r *ranks) clear() { r.serving, r.staying = nil, nil }
 
 // serving returns the members of a region that may own keys, this node
 // included unless it leaves.
@@ -79,7 +81,7 @@
 	var bestScore uint64
 	k := hash64(key)
 	for _, id := range ids {
-		score := mix(hash64(string(id)), k)
+		score := scoreOf(id, k)
 		if best == "" || score > bestScore || (score == bestScore && id < best) {
 			best, bestScore = id, score
 		}
@@ -87,11 +89,27 @@
 	return best
 }
 
+// countBefore counts the ids with a higher score for a key than one of them has, or
+// would have.
+func countBefore(ids []NodeID, key string, id NodeID) int {
+	k, count := hash64(key), 0
+	own := scoreOf(id, k)
+	for _, other := range ids {
+		if scoreOf(other, k) > own {
+			count++
+		}
+	}
+	return count
+}
+
+// scoreOf returns a node's score for a hashed key.
+func scoreOf(id NodeID, key uint64) uint64 { return mix(hash64(string(id)), key) }
+
 // byScore sorts ids by descending score for a key.
 func byScore(ids []NodeID, key string) {
 	k := hash64(key)
 	slices.SortFunc(ids, func(a, b NodeID) int {
-		x, y := mix(hash64(string(a)), k), mix(hash64(string(b)), k)
+		x, y := scoreOf(a, k), scoreOf(b, k)
 		if c := cmp.Compare(y, x); c != 0 {
 			return c
 		}
--- a/core/roles.go
+++ b/core/roles.go
@@ -231,14 +231,7 @@
 	n.every(rolesEvery, func(n *Node) { s.look(n) })
 }
 
-func (s *roles) cost(g DispatchGroup) *engineCosts {
-	c, ok := s.costs[g]
-	if !ok {
-		c = &engineCosts{}
-		s.costs[g] = c
-	}
-	return c
-}
+func (s *roles) cost(g DispatchGroup) *engineCosts { return made(s.costs, g) }
 
 // look sends what this node's groups want to the node that gives all orders, and
 // claims the right to give them if that is this node.
@@ -405,7 +398,7 @@
 		return
 	}
 	orders := s.due(n)
-	s.tell(n, orders)
+	n.sendAll(RolesOrdered{Orders: orders})
 	for _, o := range orders {
 		o.Fencing = m.Offset + 1
 		s.note(n, o)
--- a/daisyshed/caller/address.go
+++ b/daisyshed/caller/address.go
@@ -25,7 +25,7 @@
 // addressList answers which nodes a caller should use.
 func (s *Server) addressList(w http.ResponseWriter, r *http.Request) {
 	query := core.AddressQuery{Query: s.nextCall(), Domain: core.DomainID(r.URL.Query().Get("domain"))}
-	answers, done := s.addresses.wait(query.Query)
+	answers, done := s.addresses.Wait(query.Query)
 	defer done()
 	s.Send(query)
 	timeout := time.NewTimer(addressTimeout)
--- a/daisyshed/caller/call.go
+++ b/daisyshed/caller/call.go
@@ -15,7 +15,7 @@
 		problem.write(w)
 		return
 	}
-	answers, done := s.calls.wait(m.Call)
+	answers, done := s.calls.Wait(m.Call)
 	defer done()
 	s.Send(m)
 	timeout := time.NewTimer(s.Limits.CallTimeout)
--- a/daisyshed/caller/server.go
+++ b/daisyshed/caller/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/control"
 )
 
 // The headers of daisyshed's own.
@@ -47,8 +48,8 @@
 	Meter Meter
 
 	requests  requests
-	calls     waiters[core.AnswerCall]
-	addresses waiters[core.AnswerAddresses]
+	calls     control.Waiters[core.AnswerCall]
+	addresses control.Waiters[core.AnswerAddresses]
 	busy      atomic.Int64
 	lastCall  atomic.Uint64
 }
@@ -101,7 +102,7 @@
 }
 
 // AnswerCall ends a plain call. It does not block.
-func (s *Server) AnswerCall(c core.AnswerCall) { s.calls.answer(c.Call, c) }
+func (s *Server) AnswerCall(c core.AnswerCall) { s.calls.Answer(c.Call, c) }
 
 // AnswerAddresses answers a query for addresses. It does not block.
-func (s *Server) AnswerAddresses(c core.AnswerAddresses) { s.addresses.answer(c.Query, c) }
+func (s *Server) AnswerAddresses(c core.AnswerAddresses) { s.addresses.Answer(c.Query, c) }
--- a/daisyshed/caller/waiters.go
+++ b/daisyshed/control/waiters.go
@@ -1,4 +1,4 @@
-package caller
+package control
 
 import (
 	"sync"
@@ -6,15 +6,16 @@
 	"daisyshed.dev/core"
 )
 
-// waiters ties the core's answers to the handlers that wait for them.
-type waiters[T any] struct {
+// Waiters ties the core's answers to the handlers that wait for them. Its zero
+// value is ready for use.
+type Waiters[T any] struct {
 	mu   sync.Mutex
 	byID map[core.CallID]chan T
 }
 
-// wait returns a channel on which the answer comes, and a function that ends
+// Wait returns a channel on which the answer comes, and a function that ends
 // the wait.
-func (w *waiters[T]) wait(id core.CallID) (<-chan T, func()) {
+func (w *Waiters[T]) Wait(id core.CallID) (<-chan T, func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.byID == nil {
@@ -25,7 +26,7 @@
 	return answer, func() { w.take(id) }
 }
 
-func (w *waiters[T]) take(id core.CallID) (chan T, bool) {
+func (w *Waiters[T]) take(id core.CallID) (chan T, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	answer, ok := w.byID[id]
@@ -33,8 +34,8 @@
 	return answer, ok
 }
 
-// answer delivers the first answer to id; others are dropped.
-func (w *waiters[T]) answer(id core.CallID, value T) {
+// Answer delivers the first answer to id; others are dropped.
+func (w *Waiters[T]) Answer(id core.CallID, value T) {
 	if answer, ok := w.take(id); ok {
 		answer <- value
 	}
--- a/daisyshed/directory/server.go
+++ b/daisyshed/directory/server.go
@@ -5,11 +5,11 @@
 import (
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/control"
 	"daisyshed.dev/platform"
 )
 
@@ -29,8 +29,7 @@
 	leaving atomic.Bool
 	ready   atomic.Bool
 	last    atomic.Uint64
-	mu      sync.Mutex
-	waiting map[core.CallID]chan core.AnswerAddresses
+	waiting control.Waiters[core.AnswerAddresses]
 }
 
 // Leave makes the node count as not ready from now on.
@@ -59,14 +58,8 @@
 
 func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
 	id := core.CallID("addresses-" + strconv.FormatUint(s.last.Add(1), 10))
-	answer := make(chan core.AnswerAddresses, 1)
-	s.mu.Lock()
-	if s.waiting == nil {
-		s.waiting = map[core.CallID]chan core.AnswerAddresses{}
-	}
-	s.waiting[id] = answer
-	s.mu.Unlock()
-	defer s.forget(id)
+	answer, done := s.waiting.Wait(id)
+	defer done()
 	s.Send(core.AddressQuery{Query: id, Domain: platform.CallerDomain(r)})
 	timeout := time.NewTimer(answerTimeout)
 	defer timeout.Stop()
@@ -79,22 +72,9 @@
 	}
 }
 
-func (s *Server) forget(id core.CallID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.waiting, id)
-}
-
 // AnswerAddresses passes the core's answer on to whoever asked. It does not
 // block.
-func (s *Server) AnswerAddresses(c core.AnswerAddresses) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if answer, ok := s.waiting[c.Query]; ok {
-		answer <- c
-		delete(s.waiting, c.Query)
-	}
-}
+func (s *Server) AnswerAddresses(c core.AnswerAddresses) { s.waiting.Answer(c.Query, c) }
 
 // Refuse does nothing: a hosted node has no requests of the other kind.
 func (s *Server) Refuse(core.RefuseCaller) {}
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -98,7 +97,7 @@
 		fmt.Println(path + ": no faults")
 		return exitOK
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	limitMemory(s)
 	h, closeHosted := openHosted(s, raw, without)
 	defer closeHosted()
 	return h.run(path)
@@ -253,10 +252,10 @@
 	for {
 		select {
 		case <-changes.C:
-			h.reloadChanged(path)
+			h.look(path, false)
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				h.reloadNow(path)
+				h.look(path, true)
 				continue
 			}
 			return h.leave()
--- a/daisyshed/hosted_reload.go
+++ b/daisyshed/hosted_reload.go
@@ -16,6 +16,11 @@
 // different bounds for long spend a shared retry budget by different rules.
 const settingsEvery = time.Second
 
+// limitMemory has Go's collector keep to its part of the process's memory.
+func limitMemory(s platform.Settings) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+}
+
 // bounds returns the part of the settings that may change while a node runs.
 func bounds(s platform.Settings) core.BoundsChanged {
 	return core.BoundsChanged{
@@ -27,32 +32,19 @@
 	}
 }
 
-// reloadChanged reloads the settings file if it changed without a signal.
-func (h *hosted) reloadChanged(path string) {
+// look reads the settings file and reloads it if it changed, or if a signal asks
+// for that. A file that cannot be read is logged once, and at each signal.
+func (h *hosted) look(path string, signalled bool) {
 	raw, err := os.ReadFile(path)
-	if err != nil {
-		if !h.unread {
-			h.log.Error().Str("Event", "Reload").Err(err).Send()
-		}
-		h.unread = true
-		return
+	if err != nil && (signalled || !h.unread) {
+		h.log.Error().Str("Event", "Reload").Err(err).Send()
 	}
-	h.unread = false
-	if !bytes.Equal(raw, h.raw) {
+	h.unread = err != nil
+	if err == nil && (signalled || !bytes.Equal(raw, h.raw)) {
 		h.reload(path, raw)
 	}
 }
 
-// reloadNow reloads the settings file at a signal, changed or not.
-func (h *hosted) reloadNow(path string) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		h.log.Error().Str("Event", "Reload").Err(err).Send()
-		return
-	}
-	h.reload(path, raw)
-}
-
 // reload takes over the bounds of a settings file. Addresses stay as they are
 // until the next start; a file with a fault changes nothing and is not tried
 // again until it changes.
@@ -63,7 +55,7 @@
 		h.log.Error().Str("Event", "Reload").Err(err).Send()
 		return
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	limitMemory(s)
 	h.settings.Bounds = s.Bounds
 	h.inbox.Send(bounds(s))
 	h.log.Info().Str("Event", "Reload").Float64("RetryRatio", s.Bounds.Retries.Ratio).Send()
--- a/daisyshed/operator/server.go
+++ b/daisyshed/operator/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/control"
 	"github.com/rs/zerolog"
 )
 
@@ -34,7 +35,7 @@
 	WriteTimeout time.Duration
 
 	last    atomic.Uint64
-	waiting waiting
+	waiting control.Waiters[core.Status]
 }
 
 // Handler returns the routes that operators use.
@@ -57,15 +58,15 @@
 
 // AnswerStatus passes the core's answer on to whoever asked. It does not
 // block.
-func (s *Server) AnswerStatus(c core.AnswerStatus) { s.waiting.answer(c) }
+func (s *Server) AnswerStatus(c core.AnswerStatus) { s.waiting.Answer(c.Query, c.Status) }
 
 // query asks the core for its status.
 func (s *Server) query(ctx context.Context) (core.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	id := core.CallID("status-" + strconv.FormatUint(s.last.Add(1), 10))
-	answer := s.waiting.add(id)
-	defer s.waiting.remove(id)
+	answer, done := s.waiting.Wait(id)
+	defer done()
 	go s.Send(core.StatusQuery{Query: id})
 	select {
 	case status := <-answer:
