--- /dev/null
+++ b/core/forward_world_caller_test.go
@@ -0,0 +1,124 @@
+package core_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// worldRequest is one attempt of a caller.
+type worldRequest struct {
+	node  *worldNode
+	began core.Instant
+	// came is when this attempt came; an attempt of a plain request cannot be
+	// told from a first one.
+	came   core.Instant
+	first  core.Instant
+	output core.Tokens
+	kind   core.RouteID
+	ended  bool
+	runs   int
+	// returned says that the caller has come back once already.
+	returned bool
+	goesOn   core.Instant
+}
+
+// answer gives the caller its whole answer.
+func (n *worldNode) answer(id core.ForwardID, engine core.EngineID, r *worldRequest) {
+	w := n.w
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if r.first == 0 {
+		r.first = w.now
+		n.tell(core.ForwardAnswering{ID: id, Engine: engine})
+	}
+	n.tell(core.ForwardEnded{ID: id, Engine: engine, Events: int(r.output) / 12})
+	w.served++
+	if r.output >= longOutput {
+		w.longServed++
+	}
+	limit, from := worldObject, r.began
+	if r.kind == "pay" || r.kind == "read" {
+		limit, from = 150*time.Millisecond, r.came
+	}
+	if r.first.Sub(from) <= limit {
+		w.onTime++
+	}
+}
+
+// end ends a request without an answer. Its caller comes back once if it was
+// told when.
+func (n *worldNode) end(id core.ForwardID, notRun bool, retryAfter time.Duration) {
+	w, r := n.w, n.w.asked[id]
+	if r == nil || r.ended {
+		return
+	}
+	r.ended = true
+	if notRun && retryAfter > 0 && !r.returned {
+		w.after(retryAfter, func() { w.ask(r.kind, r.output, r.began, true, core.PromptKey(r.goesOn)) })
+		return
+	}
+	if notRun {
+		w.refused++
+	} else {
+		w.failed++
+	}
+}
+
+// ask sends a caller's request to a random node.
+func (w *hostedWorld) ask(kind core.RouteID, output core.Tokens, began core.Instant, returned bool, prompted core.PromptKey) core.ForwardID {
+	w.next++
+	id := w.next
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if prompted == 0 {
+		prompted = core.PromptKey(id)
+	}
+	if !returned {
+		w.asks++
+		if output >= longOutput {
+			w.long++
+		}
+	}
+	w.asked[id] = &worldRequest{
+		node: n, began: began, came: w.now, output: output, kind: kind, returned: returned, goesOn: core.Instant(prompted),
+	}
+	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond}
+	if kind == "draft" || kind == "resumable" {
+		m.Patience = worldTimeout
+		m.Generation = core.Some(core.Generation{
+			Prompt: worldPrompt, MaxOutput: 2 * output, ExpectedOutput: output, Prompted: prompted,
+		})
+	}
+	n.tell(m)
+	return id
+}
+
+// load asks for rate requests a second, at random, for a time.
+func (w *hostedWorld) load(kind core.RouteID, rate float64, d time.Duration) {
+	w.arrive(kind, rate, d, func() float64 { return 0.5 + w.rng.Float64() })
+}
+
+// loadSpread does the same with outputs as spread as callers' are: most are
+// short, and some take many times as long.
+func (w *hostedWorld) loadSpread(kind core.RouteID, rate float64, d time.Duration) {
+	const sigma = 0.7
+	w.arrive(kind, rate, d, func() float64 { return min(math.Exp(w.rng.NormFloat64()*sigma-sigma*sigma/2), 5) })
+}
+
+// arrive asks at random times for a time; factor draws outputs as parts of the
+// mean.
+func (w *hostedWorld) arrive(kind core.RouteID, rate float64, d time.Duration, factor func() float64) {
+	at := time.Duration(0)
+	for {
+		at += time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+		if at > d {
+			return
+		}
+		output := core.Tokens(float64(worldOutput) * factor())
+		w.after(at, func() { w.ask(kind, output, w.now, false, 0) })
+	}
+}
--- /dev/null
+++ b/core/forward_world_upstream_test.go
@@ -0,0 +1,140 @@
+package core_test
+
+import (
+	"fmt"
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// worldUpstream is an engine or an instance of a plain service.
+type worldUpstream struct {
+	core.Instance
+	free    core.Tokens
+	leases  map[core.LeaseID]core.Tokens
+	readyAt core.Instant
+	running int
+	waiting []func()
+	dead    bool
+	// loses is the share of answers that get lost on the way.
+	loses float64
+	next  int
+}
+
+// change carries out an order: the engine is away for a while.
+func (w *hostedWorld) change(o core.Order) {
+	u := w.ups[o.Engine]
+	w.after(w.lateOrders+6*time.Second, func() {
+		u.Role = o.Role
+		w.offset++
+	})
+}
+
+func (u *worldUpstream) drop(id core.LeaseID) {
+	u.free += u.leases[id]
+	delete(u.leases, id)
+}
+
+func (n *worldNode) lease(c core.TakeLease) {
+	w, u := n.w, n.w.ups[c.Engine]
+	w.steps[u.ID]++
+	if u.dead {
+		n.later(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep, Unsent: true})
+		return
+	}
+	if u.free < c.Tokens {
+		n.later(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep})
+		return
+	}
+	u.next++
+	id := core.LeaseID(fmt.Sprintf("%s-%d", u.ID, u.next))
+	u.leases[id] = c.Tokens
+	u.free -= c.Tokens
+	w.after(c.TTL, func() { u.drop(id) })
+	if w.rng.Float64() < u.loses {
+		n.later(2*linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep})
+		return
+	}
+	n.later(2*linkDelay, core.LeaseGranted{ID: c.ID, Engine: c.Engine, Lease: id})
+}
+
+func (n *worldNode) readPrompt(c core.ReadPrompt) {
+	w, u := n.w, n.w.ups[c.Engine]
+	if u.dead {
+		n.later(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep, Unsent: true})
+		return
+	}
+
+	u.readyAt = max(u.readyAt, w.now).Add(promptTime)
+	w.longestRead = max(w.longestRead, u.readyAt.Sub(w.now))
+	n.later(u.readyAt.Sub(w.now)+2*linkDelay, core.PromptRead{ID: c.ID, Engine: c.Engine, Handle: "h", Tokens: worldPrompt})
+}
+
+func (n *worldNode) runForward(c core.RunForward) {
+	w, u, r := n.w, n.w.ups[c.Engine], n.w.asked[c.ID]
+	w.steps[u.ID]++
+	r.runs++
+	switch {
+	case u.dead:
+		n.later(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Unsent: true})
+	case u.Service == "ledger":
+		n.runPlain(u, c, r)
+	default:
+		n.stream(u, c, r)
+	}
+}
+
+// runPlain serves a plain request in a slot, after those that wait.
+func (n *worldNode) runPlain(u *worldUpstream, c core.RunForward, r *worldRequest) {
+	w := n.w
+	const queue, work = 24, 30 * time.Millisecond
+	start := func() {
+		u.running++
+		w.after(work, func() {
+			u.running--
+			if len(u.waiting) > 0 {
+				next := u.waiting[0]
+				u.waiting = u.waiting[1:]
+				next()
+			}
+			if w.rng.Float64() < u.loses {
+				n.tell(core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+				return
+			}
+			w.after(linkDelay, func() { n.answer(c.ID, c.Engine, r) })
+		})
+	}
+	switch {
+	case u.running < u.Slots:
+		start()
+	case len(u.waiting) < queue:
+		u.waiting = append(u.waiting, start)
+	default:
+		n.later(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+	}
+}
+
+func (n *worldNode) stream(u *worldUpstream, c core.RunForward, r *worldRequest) {
+	w := n.w
+	need := worldPrompt + r.output
+	if held, ok := u.leases[c.Lease]; ok {
+		u.drop(c.Lease)
+		need = held
+	}
+	if u.Role != core.Decode || u.free < need {
+		w.inVain++
+		n.later(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+		return
+	}
+	u.free -= need
+	w.after(30*time.Millisecond, func() {
+		if !r.ended {
+			r.first = w.now
+			n.tell(core.ForwardAnswering{ID: c.ID, Engine: c.Engine})
+		}
+	})
+	w.after(30*time.Millisecond+time.Duration(r.output)*decodeStep, func() {
+		u.free += need
+		n.answer(c.ID, c.Engine, r)
+	})
+}
