--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -137,7 +137,7 @@
 	case status == http.StatusOK:
 		lease, err := platform.DecodeLease(body)
 		if err != nil || lease == "" {
-			x.failed(c.Engine, core.LeaseStep, errUnreadable, status)
+			x.failed(c.Engine, core.LeaseStep, &UnreadableError{Cause: err}, status)
 			return
 		}
 		x.server.Send(core.LeaseGranted{ID: c.ID, Engine: c.Engine, Lease: lease})
@@ -148,12 +148,6 @@
 	}
 }
 
-var (
-	errUnreadable = errors.New("the upstream's answer could not be read")
-	errUnsealed   = errors.New("the upstream's answer has no signature")
-	errStalled    = errors.New("the upstream paused for too long")
-)
-
 func (x *exchange) readPrompt(c core.ReadPrompt) {
 	ctx, cancel := context.WithTimeout(x.ctx, c.Timeout)
 	defer cancel()
@@ -171,12 +165,12 @@
 		return
 	}
 	if err != nil || a.Status != http.StatusOK {
-		x.failed(c.Engine, core.ReadPromptStep, errors.Join(errUnreadable, err), a.Status)
+		x.failed(c.Engine, core.ReadPromptStep, &UnreadableError{Cause: err}, a.Status)
 		return
 	}
 	handle, tokens, err := platform.DecodePromptRead(body)
 	if err != nil || handle == "" {
-		x.failed(c.Engine, core.ReadPromptStep, errUnreadable, a.Status)
+		x.failed(c.Engine, core.ReadPromptStep, &UnreadableError{Cause: err}, a.Status)
 		return
 	}
 	x.server.Send(core.PromptRead{ID: c.ID, Engine: c.Engine, Handle: handle, Tokens: tokens})
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,7 +34,7 @@
 	success := a.answer.Status >= 200 && a.answer.Status < 300
 	switch {
 	case success && !platform.Sealed(a.answer.Header):
-		x.failed(a.run.Engine, core.RunStep, errUnsealed, 0)
+		x.failed(a.run.Engine, core.RunStep, UnsealedError{}, 0)
 		return false
 	case success && isStream(a.answer.Header):
 		return x.relayEvents(a)
@@ -67,7 +66,7 @@
 	k := kept{status: a.answer.Status, header: a.answer.Header, body: body}
 	if !success && a.answer.Status >= http.StatusInternalServerError {
 		x.failure = &k
-		x.failed(a.run.Engine, core.RunStep, errors.New("the upstream failed"), a.answer.Status)
+		x.failed(a.run.Engine, core.RunStep, &FailedError{Status: a.answer.Status}, a.answer.Status)
 		return false
 	}
 	x.server.Send(core.ForwardAnswering{ID: x.forward.ID, Engine: a.run.Engine})
@@ -193,7 +192,7 @@
 		x.server.Send(core.ForwardGone{ID: x.forward.ID})
 		return true
 	case stalled.Load():
-		err = errStalled
+		err = StalledError{}
 	case a.ctx.Err() != nil:
 		return false
 	}
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -86,7 +85,13 @@
 // Unwrap returns the fault.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
-var errForeign = errors.New("the answers on the connection belong to other requests")
+// ForeignError says that a connection brought answers to other requests only.
+type ForeignError struct{}
+
+// Error describes the fault.
+func (ForeignError) Error() string {
+	return "the answers on the connection belong to other requests"
+}
 
 // Client sends requests. Its fields are set before the first use.
 type Client struct {
@@ -188,13 +193,13 @@
 			return answer, nil
 		}
 		if answer.Close || answer.ContentLength < 0 && !isChunked(answer) {
-			return nil, errForeign
+			return nil, ForeignError{}
 		}
 		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
 			return nil, err
 		}
 	}
-	return nil, errForeign
+	return nil, ForeignError{}
 }
 
 // writeRequest writes a request and returns how many bytes went out.
--- a/daisyshed/upstream/events.go
+++ b/daisyshed/upstream/events.go
@@ -10,8 +10,11 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 256 << 10
 
-// ErrEventTooLong says that an upstream sent an event beyond the bound.
-var ErrEventTooLong = errors.New("upstream: event too long")
+// EventTooLongError says that an upstream sent an event beyond the bound.
+type EventTooLongError struct{}
+
+// Error describes the fault.
+func (EventTooLongError) Error() string { return "upstream: event too long" }
 
 // Events reads a stream event by event, so that a stream which breaks off in
 // the middle of an event leaves no part of it with the caller.
@@ -29,7 +32,7 @@
 		event = append(event, line...)
 		switch {
 		case len(event) > maxEventBytes:
-			return nil, "", ErrEventTooLong
+			return nil, "", EventTooLongError{}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF && len(event) > 0:
