Keep the platform's names of the soak in the stand-ins

bench/hosted wrote settings, desired states and callers' headers in the platform's words. These are in standin/hostedsite now, with the topics in metastore and the stages in hostedworker; the soak calls them by what they hold.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -4,7 +4,6 @@
 package hosted
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -18,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"daisyshed.dev/standin/hostedsite"
 	"daisyshed.dev/standin/hostedworker"
 	"daisyshed.dev/standin/metastore"
 )
@@ -118,13 +118,13 @@
 	d.closes = append(d.closes, func() { _ = server.Close() })
 	d.publish(false)
 	for range readers {
-		d.addWorker("model", "prefill")
+		d.addWorker(hostedsite.Model, hostedworker.Prefill)
 	}
 	for range decoders {
-		d.addWorker("model", "decode")
+		d.addWorker(hostedsite.Model, hostedworker.Decode)
 	}
 	for range plains {
-		d.addWorker("ledger", "")
+		d.addWorker(hostedsite.Plain, "")
 	}
 	for i := range nodes {
 		link, closeLink, err := openProxy(d.address(240+i, storePort), d.address(250, storePort))
@@ -219,12 +219,12 @@
 // beat renews a worker's entry until it ends.
 func (d *deployment) beat(id string, m *member) {
 	for {
-		d.store.Put("keyed.servers", id, m.worker.Entry())
+		d.store.Put(metastore.Upstreams, id, m.worker.Entry())
 		select {
 		case <-time.After(beatEvery):
 		case <-m.beats:
 			time.Sleep(lapseAfter)
-			d.store.Put("keyed.servers", id, nil)
+			d.store.Put(metastore.Upstreams, id, nil)
 			return
 		case <-d.done:
 			return
@@ -250,34 +250,12 @@
 // publish writes a desired state; with extra it has one route more.
 func (d *deployment) publish(extra bool) {
 	d.version++
-	route := func(name, kind, service string, resumable bool) map[string]any {
-		return map[string]any{
-			"Name": name, "Host": host, "PathPrefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 4000, "SloMs": 600,
-			"Priority": 1, "Service": service, "MaxAttempts": 2, "Resumable": resumable,
-		}
-	}
-	routes := []any{
-		route("pay", "non_idempotent", "ledger", false), route("read", "idempotent", "ledger", false),
-		route("draft", "streaming", "model", false), route("resume", "streaming", "model", true),
-	}
-	if extra {
-		routes = append(routes, route(fmt.Sprintf("extra%d", d.version), "idempotent", "ledger", false))
-	}
-	raw, err := json.Marshal(map[string]any{
-		"Version": d.version, "Routes": routes,
-		"Services": []any{
-			map[string]any{"Name": "ledger", "MaxConns": 200},
-			map[string]any{"Name": "model", "MaxConns": 200, "Engine": map[string]any{
-				"Slots": 6, "KvCapacity": 4000, "HandleTtlS": 0.5, "SwitchS": 1.0, "HoldMs": 2000.0, "Stride": 12,
-			}},
-		},
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	})
+	raw, err := hostedsite.State(d.version, host, extra)
 	if err != nil {
 		d.judge.fault("the desired state did not encode: " + err.Error())
 		return
 	}
-	d.store.Put("keyed.op", "config", raw)
+	d.store.Put(metastore.Operators, metastore.StateKey, raw)
 }
 
 // writeSettings writes a daemon's settings file.
@@ -285,34 +263,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n := p.index + 1
-	ip := fmt.Sprintf("127.21.%d.%d", d.net, n)
-	settings := fmt.Sprintf(`NodeName = "n%d"
-Zone = "z%d"
-Region = "r"
-Ip = "%s"
-PortRange = [%d,%d]
-Seeds = []
-HeartbeatMs = %d
-[Listen]
-Front = "%s:%d"
-Ready = "%s:%d"
-Directory = "%s:%d"
-[Limits]
-MemoryMb = 150
-MaxFds = 1000
-[Bounds]
-BudgetRatio = %g
-BudgetWindowS = 10
-RetrySlack = 40
-GraceS = %d
-ConfigMs = 2000
-DrainMs = 2000
-LeaseMs = 3000
-ttl_max_s = 5
-[Platform]
-Address = "%s"
-`, n, n%2, ip, peerPort, peerPort+1, beatEvery.Milliseconds(), ip, callerPort, ip, readyPort, ip, directoryPort,
-		p.ratio, int(grace.Seconds()), d.address(240+p.index, storePort))
+	settings := hostedsite.Node{
+		Name: fmt.Sprintf("n%d", n), Domain: fmt.Sprintf("z%d", n%2), IP: fmt.Sprintf("127.21.%d.%d", d.net, n),
+		CallerPort: callerPort, ReadyPort: readyPort, AddressesPort: directoryPort, PeerPort: peerPort,
+		BeatEvery: beatEvery, RetryRatio: p.ratio, Grace: grace, Store: d.address(240+p.index, storePort),
+	}.Settings()
 	path = filepath.Join(d.dir, fmt.Sprintf("n%d.toml", n))
 	// Renamed into place, so that no daemon reads half a file.
 	if err := os.WriteFile(path+".new", []byte(settings), 0o600); err != nil {
@@ -339,7 +294,7 @@
 		return nil
 	}
 	cmd := exec.Command(d.bin, "--hosted")
-	cmd.Env = append(os.Environ(), "DAISYSHED_SETTINGS="+path)
+	cmd.Env = append(os.Environ(), hostedsite.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -397,7 +352,7 @@
 // ready reports whether a node says that it takes requests.
 func (d *deployment) ready(index int) bool {
 	c := http.Client{Timeout: 300 * time.Millisecond}
-	a, err := c.Get("http://" + d.address(index+1, readyPort) + "/-/ready")
+	a, err := c.Get(hostedsite.ReadyURL(d.address(index+1, readyPort)))
 	if err != nil {
 		return false
 	}
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"daisyshed.dev/standin/hostedsite"
 	"daisyshed.dev/standin/hostedworker"
 )
 
@@ -86,16 +86,16 @@
 
 func (c *caller) resolve(node int) bool {
 	q := http.Client{Timeout: time.Second}
-	a, err := q.Get("http://" + c.load.d.address(node+1, directoryPort) + "/-/resolve?Name=" + host + "&Zone=z0&Region=r")
+	a, err := q.Get(hostedsite.AddressesURL(c.load.d.address(node+1, directoryPort), host))
 	if err != nil {
 		return false
 	}
 	defer a.Body.Close()
-	var answer struct{ Addresses []string }
-	if json.NewDecoder(a.Body).Decode(&answer) != nil || len(answer.Addresses) == 0 {
+	addresses, err := hostedsite.DecodeAddresses(a.Body)
+	if err != nil || len(addresses) == 0 {
 		return false
 	}
-	c.addresses, c.until = answer.Addresses, time.Now().Add(addressesFor)
+	c.addresses, c.until = addresses, time.Now().Add(addressesFor)
 	return true
 }
 
@@ -105,9 +105,9 @@
 	if address == "" {
 		return
 	}
-	kind := []string{"pay", "read", "draft", "resume"}[c.rng.IntN(4)]
+	kind := []string{hostedsite.Once, hostedsite.Again, hostedsite.Draft, hostedsite.Resumable}[c.rng.IntN(4)]
 	attempt := fmt.Sprintf("%s-%d-%d", kind, c.load.d.net, c.load.next.Add(1))
-	if kind == "pay" || kind == "draft" {
+	if kind == hostedsite.Once || kind == hostedsite.Draft {
 		c.load.d.judge.asked(attempt)
 	}
 	body := []byte(strings.Repeat("x", 1+c.rng.IntN(20000)))
@@ -119,12 +119,9 @@
 	// A body that cannot be sent anew keeps net/http from sending it anew.
 	r.GetBody = nil
 	r.Host = host
-	r.Header.Set("Attempt-Id", attempt)
-	r.Header.Set("Deadline-Ms", "4000")
-	r.Header.Set("Kv-Source", "1.2.3.4:5/forged")
-	if kind == "draft" || kind == "resume" {
-		r.Header.Set("Token-Count", "100,200")
-		r.Header.Set("Prompt-Prefix", "aa:50,"+strconv.FormatUint(c.rng.Uint64(), 16)+":50")
+	hostedsite.SetAttempt(r.Header, attempt)
+	if kind == hostedsite.Draft || kind == hostedsite.Resumable {
+		hostedsite.SetPrompt(r.Header, c.rng.Uint64())
 	}
 	calm := c.load.calm.Load()
 	good := c.send(r, kind, attempt, body)
@@ -152,10 +149,10 @@
 		_, _ = io.Copy(io.Discard, a.Body)
 		return false
 	}
-	if got := a.Header.Get("Server-Seal"); got != hostedworker.Seal(attempt, body) {
+	if got := hostedsite.Seal(a.Header); got != hostedworker.Seal(attempt, body) {
 		j.fault(attempt + ": the signature is another request's")
 	}
-	if kind == "pay" || kind == "read" {
+	if kind == hostedsite.Once || kind == hostedsite.Again {
 		out, err := io.ReadAll(a.Body)
 		if err != nil {
 			j.count("answer cut")
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"daisyshed.dev/standin/hostedsite"
 	"daisyshed.dev/standin/hostedworker"
 	"daisyshed.dev/standin/metastore"
 )
@@ -42,6 +43,17 @@
 	LogDir string
 }
 
+// NotReadyError says that a run's daemons did not start in time.
+type NotReadyError struct {
+	Seed uint64
+	Logs string
+}
+
+// Error says where their logs are.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("seed %d: not all nodes are ready after %v; logs in %s", e.Seed, startWithin, e.Logs)
+}
+
 // Run plays one seed for a time: load, faults in series and overlapping, then a
 // calm end. bin is the daemon's program.
 func Run(bin string, seed uint64, length time.Duration) (Result, error) {
@@ -56,7 +68,7 @@
 		}
 	}()
 	if !d.allReady(startWithin) {
-		return Result{}, fmt.Errorf("seed %d: not all nodes are ready after %v; logs in %s", seed, startWithin, d.dir)
+		return Result{}, &NotReadyError{Seed: seed, Logs: d.dir}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{d: d}
@@ -246,8 +258,8 @@
 }
 
 func (d *deployment) storeCompacted() {
-	d.store.Compact("keyed.servers")
-	d.store.Compact("keyed.op")
+	d.store.Compact(metastore.Upstreams)
+	d.store.Compact(metastore.Operators)
 }
 
 // worker returns a random worker's id.
@@ -263,10 +275,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	service, stage := d.workers[id].service, ""
-	if service == "model" {
-		stage = "decode"
+	if service == hostedsite.Model {
+		stage = hostedworker.Decode
 		if d.rng.IntN(3) == 0 {
-			stage = "prefill"
+			stage = hostedworker.Prefill
 		}
 	}
 	return func() { d.addWorker(service, stage) }
@@ -297,7 +309,7 @@
 	m := d.workers[id]
 	d.mu.Unlock()
 	m.worker.Drain()
-	d.store.Put("keyed.servers", id, m.worker.Entry())
+	d.store.Put(metastore.Upstreams, id, m.worker.Entry())
 	go func() {
 		time.Sleep(4 * time.Second)
 		d.removeWorker(id)
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -39,12 +39,18 @@
 	AnswerTwice
 )
 
+// The stages of model engines.
+const (
+	Prefill = "prefill"
+	Decode  = "decode"
+)
+
 // Settings describe one worker.
 type Settings struct {
 	ID      string
 	Service string
 	Zone    string
-	// Stage is "prefill" or "decode", or empty for a plain service.
+	// Stage is Prefill or Decode, or empty for a plain service.
 	Stage string
 	Slots int
 	// Work is the time for a plain request, or for one event of a stream.
@@ -161,7 +167,7 @@
 	case strings.HasPrefix(r.URL.Path, "/-/kv-handle/"):
 	case r.URL.Path == "/-/order":
 		w.order(rw, body)
-	case r.Header.Get("Serving-Stage") == "prefill":
+	case r.Header.Get("Serving-Stage") == Prefill:
 		w.prefill(rw)
 	default:
 		w.run(rw, r, body)
@@ -178,7 +184,7 @@
 		return
 	}
 	w.mu.Lock()
-	if w.settings.Stage != "decode" || w.memory < ask.Tokens {
+	if w.settings.Stage != Decode || w.memory < ask.Tokens {
 		w.mu.Unlock()
 		shed(rw)
 		return
@@ -220,7 +226,7 @@
 	w.next++
 	id := fmt.Sprintf("k%d", w.next)
 	w.mu.Unlock()
-	if stage != "prefill" {
+	if stage != Prefill {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -236,7 +242,7 @@
 	if rand.Float64() < w.share {
 		fault = w.fault
 	}
-	full := w.running >= w.settings.Slots+2 || w.settings.Stage == "prefill"
+	full := w.running >= w.settings.Slots+2 || w.settings.Stage == Prefill
 	if !full && fault != Shed {
 		w.running++
 	}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -13,6 +13,14 @@
 	"time"
 )
 
+// The topics that nodes may only read: the operators' desired state under the key
+// StateKey, and the upstreams' entries by their ids.
+const (
+	Operators = "keyed.op"
+	StateKey  = "config"
+	Upstreams = "keyed.servers"
+)
+
 // longestWait bounds the wait of a read for a record.
 const longestWait = 30 * time.Second
 
@@ -171,7 +179,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if name == "keyed.op" || name == "keyed.servers" {
+	if name == Operators || name == Upstreams {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
