--- /dev/null
+++ b/core/roles_short_test.go
@@ -0,0 +1,75 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+// ordersAfter returns how many engines change their role after a dozen streams of
+// equal prompts, of which the first may be a third as long.
+func ordersAfter(first core.Tokens) int {
+	h := newHosted("n1", core.Settings{})
+	list := core.InstancesRead{Whole: true, Offset: 1}
+	for i := range 18 {
+		role := core.Decode
+		if i < 7 {
+			role = core.Prefill
+		}
+		id := core.EngineID(fmt.Sprintf("e%02d", i))
+		list.Changed = append(list.Changed, core.Instance{ID: id, Service: "model", Domain: "d1", Address: string(id) + ":1", Slots: 32, Role: role, Born: 1})
+	}
+	h.tell(core.Tick{}, worldState(), list)
+	tell := func(body core.PeerBody) { h.tell(core.Peer{From: "n2", Incarnation: 1, Body: body}) }
+	orders := 0
+	// pass lets time pass and confirms claims soon, while they are valid.
+	pass := func(d time.Duration) {
+		const step = time.Millisecond
+		for range d / step {
+			for _, c := range of[core.ClaimOrders](h.pass(step)) {
+				orders += len(of[core.SendOrder](h.tell(core.OrdersClaimed{Ticket: c.Ticket, Offset: c.At})))
+			}
+		}
+	}
+	const batch, output = 6, 700
+	for b := range core.ForwardID(2) {
+		prompt := func(i core.ForwardID) core.Tokens {
+			if b == 0 && i == 0 {
+				return first
+			}
+			return worldPrompt
+		}
+		for i := range core.ForwardID(batch) {
+			tell(core.PlaceForward{
+				ID: b*batch + i, Group: core.DispatchGroup{Service: "model"}, Prompt: prompt(i), Expected: output,
+				OnTime: time.Second, Patience: worldTimeout, Objective: worldObject,
+			})
+		}
+		// Reading takes time by the token.
+		short := time.Duration(float64(promptTime) * float64(prompt(0)) / float64(worldPrompt))
+		pass(short)
+		tell(core.ForwardPromptRead{ID: b * batch})
+		pass(promptTime - short)
+		for i := range core.ForwardID(batch - 1) {
+			tell(core.ForwardPromptRead{ID: b*batch + i + 1})
+		}
+		pass(output * decodeStep)
+		for i := range core.ForwardID(batch) {
+			tell(core.ForwardReleased{ID: b*batch + i, Outcome: core.RunSucceeded, Output: output})
+		}
+	}
+	pass(2 * time.Second)
+	return orders
+}
+
+// Load pattern: prompts of one length but for a single shorter one. The division of
+// engines follows what prompts take on the whole, so that one does not change it.
+func TestOneShortPromptDoesNotMoveEngines(t *testing.T) {
+	is := is.New(t)
+	short, equal := ordersAfter(worldPrompt/3), ordersAfter(worldPrompt)
+	t.Logf("%d engines ordered, %d without the short prompt", short, equal)
+	is.Equal(short, equal)
+}
