--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -120,8 +120,9 @@
 func (d *deployment) injectFaults(length time.Duration) map[string]int {
 	kinds := map[string]func(){
 		"node killed": d.killNode, "node stopped": d.stopNode, "node frozen": d.freezeNode,
-		"store away": d.interruptStore, "store loses answers": d.loseStoreAnswers, "store compacted": d.compactStore,
+		"store away": d.interruptStore, "store restored": d.restoreStore, "store loses answers": d.loseStoreAnswers, "store compacted": d.compactStore,
 		"worker crashed": d.crashWorker, "worker faulty": d.injectWorkerFault, "worker drained": d.drainWorker,
+		"worker wants quiet": d.wantQuiet,
 		"settings changed": d.changeSettings, "link harmed": d.injectLinkFault,
 		"state changed": func() { d.publishState(d.rng.IntN(2) == 0) },
 	}
@@ -255,6 +256,26 @@
 	})
 }
 
+// restoreStore returns the store from a copy that is up to three seconds old, in half of
+// the cases after an outage. Operators and workers write again what was lost.
+func (d *deployment) restoreStore() {
+	end := d.judge.beginDisturbance()
+	age := time.Duration(d.rng.Int64N(int64(3 * time.Second)))
+	outage := time.Duration(0)
+	if d.rng.IntN(2) == 0 {
+		d.store.SetMode(metastore.Unavailable)
+		outage = 500 * time.Millisecond
+	}
+	go func() {
+		defer end()
+		time.Sleep(outage)
+		rewrite := d.store.Restore(age)
+		d.store.SetMode(metastore.Serving)
+		time.Sleep(300 * time.Millisecond)
+		rewrite()
+	}()
+}
+
 func (d *deployment) loseStoreAnswers() {
 	end := d.judge.beginDisturbance()
 	d.store.SetLostReplyShare(0.4)
@@ -308,6 +329,16 @@
 	d.afterRandomDelay(3*time.Second, func() { w.SetFault(hostedworker.NoFault, 0) })
 }
 
+// wantQuiet has a random worker reject all requests and ask for quiet.
+func (d *deployment) wantQuiet() {
+	d.mu.Lock()
+	ids := d.workerIDs()
+	w := d.workers[ids[d.rng.IntN(len(ids))]].worker
+	d.mu.Unlock()
+	w.SetFault(hostedworker.RejectWithDelay, 1)
+	d.afterRandomDelay(3*time.Second, func() { w.SetFault(hostedworker.NoFault, 0) })
+}
+
 // drainWorker replaces a worker as planned: it starts a new one, announces that
 // the old one is draining, and ends that four seconds later.
 func (d *deployment) drainWorker() {
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -15,7 +15,11 @@
 // there is no owner, or it does not answer, this node places the request by
 // itself.
 func (s *forwards) requestPlacement(n *Node, f *forwardedRequest) {
-	f.group = DispatchGroup{Service: f.spec.ID, Index: n.rng.IntN(s.groupsOf(f.spec.ID))}
+	if quiet := s.quietFor(n, f); quiet > 0 {
+		s.end(n, f, NoCapacity, quiet)
+		return
+	}
+	f.group = s.openGroup(n, f.spec.ID)
 	owner := s.groupOwner(n, f.group)
 	if owner == "" || !n.uses(OwnedGroups) || s.unresponsiveUntil[owner] > n.now {
 		s.placeLocally(n, f)
@@ -29,7 +33,7 @@
 	n.send(owner, PlaceForward{
 		ID: f.ID, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
 		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective,
-		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Again: f.sends > 0, Avoid: f.tried.Sorted(),
+		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Again: f.sends > 0, Avoid: s.unwanted(n, f),
 	})
 	step := f.step
 	n.afterFunc(ownerTimeout, func(n *Node) {
@@ -70,6 +74,11 @@
 		return
 	}
 	u, ok := s.upstreams.byID[m.Decode]
+	if ok && (u.leaving() || u.quiet(n.now)) {
+		s.releaseAtOwner(n, f)
+		s.requestPlacement(n, f)
+		return
+	}
 	if !ok || !u.usable() {
 		s.releaseAtOwner(n, f)
 		s.placeLocally(n, f)
@@ -90,7 +99,7 @@
 		return
 	}
 	f.owner = ""
-	s.end(n, f, NoCapacity, 0)
+	s.end(n, f, NoCapacity, m.RetryAfter)
 }
 
 // ownersChanged notifies new owners of what requests hold at their engines, and
--- a/core/dispatch_message.go
+++ b/core/dispatch_message.go
@@ -52,8 +52,12 @@
 }
 
 // ForwardTurnedAway notifies an entry that the owner rejects its request, which
-// cannot expect to be served in time.
-type ForwardTurnedAway struct{ ID ForwardID }
+// cannot expect to be served in time. RetryAfter is when its caller should retry; zero
+// leaves that to the entry.
+type ForwardTurnedAway struct {
+	ID         ForwardID
+	RetryAfter time.Duration
+}
 
 // ForwardDenied notifies an owner that an engine denied the lease.
 type ForwardDenied struct {
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -46,7 +46,8 @@
 		}
 		prefillEngines++
 		backlog := d.allocation(u.ID).prefillTokens
-		return backlog == 0 || c.prefillRate > 0 && float64(backlog)/c.prefillRate <= maxPrefillBacklog.Seconds()
+		ahead, measured := c.backlogTime(backlog)
+		return backlog == 0 || measured && ahead <= maxPrefillBacklog
 	}, func(u *upstream) float64 {
 		cost := float64(d.allocation(u.ID).prefillTokens)
 		if u.Domain != decode.Domain {
@@ -64,7 +65,7 @@
 		d.allocation(prefill.ID).prefillTokens += j.prompt
 	}
 	if engine.KVCapacityTokens > 0 {
-		c.observePlacement(j.memory-j.prompt, float64(j.memory)/float64(engine.KVCapacityTokens))
+		c.observePlacement(j.prompt, j.memory-j.prompt, float64(j.memory)/float64(engine.KVCapacityTokens))
 	}
 	d.allocate(n, j, decode)
 	return true
--- a/core/forward.go
+++ b/core/forward.go
@@ -107,6 +107,7 @@
 	s.live = map[ForwardID]*forwardedRequest{}
 	s.outputModels = map[ServiceID]*outputModel{}
 	s.unresponsiveUntil = map[NodeID]Instant{}
+	s.upstreams.signals = map[EngineID]*upstreamSignals{}
 	s.budgets = map[ServiceID]*retryBudgetShare{}
 	s.firstByteTimes = map[ServiceID]*durationStats{}
 }
@@ -305,14 +306,15 @@
 	s.placeWaiting(n)
 }
 
-// release releases what the request holds at engines, and notifies its owner.
-// Timers that were set for earlier steps no longer apply.
+// release releases what the request holds at engines, and notifies its owner. At an
+// engine that asked for quiet, leases and handles expire by themselves. Timers that were
+// set for earlier steps no longer apply.
 func (s *forwards) release(n *Node, f *forwardedRequest) {
 	f.step++
-	if f.lease != "" {
+	if f.lease != "" && !f.decode.quiet(n.now) {
 		n.do(ReleaseLease{Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease})
 	}
-	if f.handle != "" {
+	if f.handle != "" && !f.prefill.quiet(n.now) {
 		n.do(ReleaseHandle{Engine: f.prefill.ID, Address: f.prefill.Address, Handle: f.handle})
 	}
 	s.releasePrefill(f)
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -21,7 +21,7 @@
 	list := s.upstreams.byService[f.spec.ID]
 	u := s.choosePlain(n, f, list)
 	if u == nil {
-		s.end(n, f, NoUpstream, 0)
+		s.end(n, f, NoUpstream, s.quietFor(n, f))
 		return
 	}
 	s.runPlainAt(n, f, u)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -49,6 +49,10 @@
 		s.runPlain(n, f)
 		return
 	}
+	if quiet := s.quietFor(n, f); quiet > 0 {
+		s.end(n, f, NoCapacity, quiet)
+		return
+	}
 	before := ahead(n.now, s.queue, f.queueEntry, func(*forwardedRequest) bool { return true })
 	if f.sends == 0 && exceedsDeadline(n.now, f.queueEntry, before, s.placementRate.rate(n.now)) {
 		s.reject(n, f, NoCapacity, retryAfter(f.Patience, n.rng.Float64()))
@@ -86,6 +90,9 @@
 		}
 		if u := s.chooseDecode(n, f); u != nil {
 			s.requestLease(n, f, u, s.expectedMemory(n, f))
+		} else if quiet := s.quietFor(n, f); quiet > 0 {
+			s.dequeue(f)
+			s.end(n, f, NoCapacity, quiet)
 		}
 	}
 	if len(s.queue) > 0 && !s.placeScheduled {
@@ -200,7 +207,7 @@
 func (s *forwards) takeAdvisedPrefill(n *Node, f *forwardedRequest) *upstream {
 	u, ok := s.upstreams.byID[f.advisedPrefill]
 	f.advisedPrefill = ""
-	if !ok || !u.usable() || f.tried.Has(u.ID) || u.fullUntil > n.now || !n.roles.canServe(n, u, Prefill) {
+	if !ok || !u.open(n.now) || f.tried.Has(u.ID) || u.fullUntil > n.now || !n.roles.canServe(n, u, Prefill) {
 		return nil
 	}
 	return u
@@ -243,7 +250,7 @@
 // runStream sends the request to its decode engine. A draining engine accepts
 // nothing new, so whether it is usable is checked once more here.
 func (s *forwards) runStream(n *Node, f *forwardedRequest) {
-	if !f.decode.usable() {
+	if !f.decode.mayFinish(n.now) {
 		s.release(n, f)
 		s.requestPlacement(n, f)
 		return
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -60,6 +60,8 @@
 	offset core.Offset
 	// claims is the offset at which the confirmed claims to give orders end.
 	claims core.Offset
+	// era is the store's era; zero if its responses do not name it.
+	era    core.StoreEra
 	orders []worldOrder
 	// reads counts reads of the list of upstreams.
 	reads int
@@ -92,7 +94,9 @@
 	node   *core.Node
 	frozen bool
 	wakeAt core.Instant
-	reads  int
+	// era is the store's era that the node has seen last.
+	era   core.StoreEra
+	reads int
 	// closedAt is when the node stopped accepting callers because it was
 	// leaving.
 	closedAt core.Instant
@@ -212,6 +216,49 @@
 	n.w.after(d, func() { n.deliver(m) })
 }
 
+// deliverFromStore delivers a response of the store, preceded by a new era of the store
+// if it is the first response that names it.
+func (n *worldNode) deliverFromStore(m core.Message) {
+	era := n.w.era
+	n.w.after(4*time.Millisecond, func() {
+		if era > n.era {
+			n.era = era
+			n.deliver(core.StoreEraObserved{Era: era})
+		}
+		n.deliver(m)
+	})
+}
+
+// restore returns the store from a copy that lacks the latest claims to send orders.
+func (w *hostedWorld) restore(lostClaims int) {
+	w.era++
+	w.claims = max(w.claims-core.Offset(lostClaims), 0)
+}
+
+// resetRoles gives the engines the roles that they started with, so that roles have to be
+// changed again.
+func (w *hostedWorld) resetRoles() {
+	for id, u := range w.ups {
+		if u.Role = core.Decode; id[0] == 'p' {
+			u.Role = core.Prefill
+		}
+	}
+	w.offset++
+}
+
+// freeze stops a node for a time. It does not notice what happens meanwhile.
+func (w *hostedWorld) freeze(id core.NodeID, d time.Duration) {
+	for _, n := range w.nodes {
+		if n.node.Self.ID == id {
+			n.frozen = true
+			w.after(d, func() {
+				n.frozen = false
+				n.deliver(core.Tick{})
+			})
+		}
+	}
+}
+
 func (n *worldNode) carryOut(c core.Command) {
 	w := n.w
 	switch c := c.(type) {
@@ -224,18 +271,18 @@
 	case core.ReadInstances:
 		w.reads++
 		n.reads++
-		m := core.InstancesRead{Whole: c.Whole, After: c.After, Offset: w.offset}
+		m := core.InstancesRead{Whole: c.Whole, After: c.After, Era: w.era, Offset: w.offset}
 		for _, id := range w.ids {
 			m.Changed = append(m.Changed, w.ups[id].Instance)
 		}
-		n.deliverAfter(4*time.Millisecond, m)
+		n.deliverFromStore(m)
 	case core.ClaimOrders:
 		if c.At != w.claims {
-			n.deliverAfter(4*time.Millisecond, core.OrdersNotClaimed{Ticket: c.Ticket, Known: true, End: w.claims})
+			n.deliverFromStore(core.OrdersNotClaimed{Ticket: c.Ticket, Known: true, End: w.claims})
 			return
 		}
 		w.claims++
-		n.deliverAfter(4*time.Millisecond, core.OrdersClaimed{Ticket: c.Ticket, Offset: c.At})
+		n.deliverFromStore(core.OrdersClaimed{Ticket: c.Ticket, Offset: c.At, Era: w.era})
 	case core.SendOrder:
 		w.orders = append(w.orders, worldOrder{at: w.now, from: n.node.Self.ID, Order: c.Order})
 		w.carryOutOrder(c.Order)
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -85,7 +85,7 @@
 		n.send(from, answer)
 		return
 	}
-	answer.Instances.Offset = s.upstreams.offset
+	answer.Instances.Era, answer.Instances.Offset = s.upstreams.era, s.upstreams.offset
 	for _, id := range sortedKeys(s.upstreams.byID) {
 		answer.Instances.Instances = append(answer.Instances.Instances, s.upstreams.byID[id].Instance)
 	}
--- a/core/ids.go
+++ b/core/ids.go
@@ -51,6 +51,11 @@
 // offset one, so zero means that nothing has been read.
 type Offset int64
 
+// StoreEra counts how often the store of a hosted deployment has been restored from a
+// copy. Each time, records that it had acknowledged may be lost and their offsets given
+// out again. Zero means that the store does not say.
+type StoreEra int64
+
 // Revision counts the accepted publications of one profile or pool, starting at one.
 type Revision int64
 
--- a/core/instance.go
+++ b/core/instance.go
@@ -34,8 +34,9 @@
 	Role Role
 }
 
-// InstanceList is the complete list of upstreams as of the store's Offset.
+// InstanceList is the complete list of upstreams as of the store's Offset in its Era.
 type InstanceList struct {
+	Era       StoreEra
 	Offset    Offset
 	Instances []Instance
 }
@@ -58,10 +59,12 @@
 	avoidUntil Instant
 	// successRate is the exponentially weighted success rate.
 	successRate float64
+	// signals is what the upstream's responses have said about it; nil if nothing.
+	signals *upstreamSignals
 }
 
-// usable reports whether new requests may go to the upstream.
-func (u *upstream) usable() bool { return !u.removed && !u.Draining }
+// usable reports whether the upstream accepts new requests, as far as this node knows.
+func (u *upstream) usable() bool { return !u.removed && !u.Draining && !u.leaving() }
 
 // recordOutcome records how a run at the upstream ended.
 func (u *upstream) recordOutcome(n *Node, outcome RunOutcome) {
@@ -113,14 +116,17 @@
 type upstreams struct {
 	byID      map[EngineID]*upstream
 	byService map[ServiceID][]*upstream
-	offset    Offset
-	loaded    bool
+	// signals holds what upstreams' responses have said about them.
+	signals map[EngineID]*upstreamSignals
+	era     StoreEra
+	offset  Offset
+	loaded  bool
 }
 
 // replaceAll replaces the view by a list and keeps what is known of instances in both.
 // A new incarnation under an old id starts without history.
 func (s *upstreams) replaceAll(list InstanceList) {
-	s.loaded, s.offset = true, list.Offset
+	s.loaded, s.era, s.offset = true, list.Era, list.Offset
 	old := s.byID
 	s.byID = make(map[EngineID]*upstream, len(list.Instances))
 	s.byService = map[ServiceID][]*upstream{}
@@ -132,7 +138,7 @@
 			if ok {
 				u.removed = true
 			}
-			u = &upstream{Instance: i, successRate: 1}
+			u = &upstream{Instance: i, successRate: 1, signals: s.signals[i.ID]}
 		}
 		s.byID[i.ID] = u
 		s.byService[i.Service] = append(s.byService[i.Service], u)
@@ -147,13 +153,13 @@
 	}
 }
 
-// cheapest returns the usable upstream with the lowest cost among those that skip
+// cheapest returns the open upstream with the lowest cost among those that skip
 // does not exclude. Ties are broken at random.
 func cheapest(n *Node, list []*upstream, skip func(*upstream) bool, cost func(*upstream) float64) *upstream {
 	var best *upstream
 	lowest, ties := 0.0, 0
 	for _, u := range list {
-		if !u.usable() || skip(u) {
+		if !u.open(n.now) || skip(u) {
 			continue
 		}
 		c := cost(u)
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -19,6 +19,9 @@
 	feedCheckFraction  = 0.125
 	feedBackupFraction = 0.45
 	feedStaleFraction  = 0.7
+	// feedRelistFraction is, as a fraction of DrainDelay too, the time over which nodes
+	// read all entries again after the store was restored from a copy.
+	feedRelistFraction = 0.25
 	// feedQueryEvery is the least time between two queries for missed changes.
 	feedQueryEvery = 100 * time.Millisecond
 	// feedReaderKey is the key by which readers are ranked.
@@ -31,6 +34,18 @@
 	renewalGrace = 2500 * time.Millisecond
 )
 
+// feedPosition is a position in the store's log of upstreams' entries. Offsets of
+// different eras cannot be compared: after the store was restored from a copy, it gives
+// some of them out again.
+type feedPosition struct {
+	era    StoreEra
+	offset Offset
+}
+
+func (p feedPosition) before(q feedPosition) bool {
+	return p.era < q.era || p.era == q.era && p.offset < q.offset
+}
+
 // ReadInstances reads the upstreams' entries from the store after an offset, or all of
 // them if Whole is set.
 type ReadInstances struct {
@@ -39,11 +54,13 @@
 }
 
 // InstancesRead answers ReadInstances with the entries that were changed or removed.
-// More is set if the store has later ones.
+// More is set if the store has later ones. Era is the store's era of the entries and of
+// Offset.
 type InstancesRead struct {
 	Whole   bool
 	More    bool
 	After   Offset
+	Era     StoreEra
 	Offset  Offset
 	Changed []Instance
 	Removed []EngineID
@@ -53,18 +70,28 @@
 // store no longer has the changes after the offset, so that all entries must be read.
 type InstancesReadFailed struct{ Compacted bool }
 
-// InstancesChanged forwards to other nodes the changes that a reader read.
+// InstancesChanged forwards to other nodes the changes that a reader read: those after
+// the offset After, up to the offset Offset, both of the store's era Era.
 type InstancesChanged struct {
+	Era     StoreEra
 	After   Offset
 	Offset  Offset
 	Changed []Instance
 	Removed []EngineID
 }
 
-// InstancesQuery asks a node for the changes after an offset. A node that does not
-// know all of them does not answer.
-type InstancesQuery struct{ After Offset }
+// InstancesQuery asks a node for the changes after an offset of an era of the store. A
+// node that does not know all of them does not answer.
+type InstancesQuery struct {
+	Era   StoreEra
+	After Offset
+}
+
+// StoreEraObserved reports that a response of the store named a higher era than all
+// responses before: the store was restored from a copy, or this is the first response.
+type StoreEraObserved struct{ Era StoreEra }
 
+func (StoreEraObserved) isMessage()    {}
 func (InstancesQuery) isPeerBody()     {}
 func (ReadInstances) isCommand()       {}
 func (InstancesRead) isMessage()       {}
@@ -77,15 +104,20 @@
 	entries map[EngineID]Instance
 	// expiring holds entries that were removed from the store during or right after an
 	// outage of it, with the time until which they still count.
-	expiring     map[EngineID]Instant
-	offset       Offset
+	expiring map[EngineID]Instant
+	// position is where the list is up to date, and latestEra the store's latest era
+	// that this node knows of.
+	position     feedPosition
+	latestEra    StoreEra
 	loaded       bool
 	readInFlight bool
-	// changedAt and removedAt are the offsets at which entries were last changed and
-	// removed. They are complete for all changes after historyStart.
-	changedAt    map[EngineID]Offset
-	removedAt    map[EngineID]Offset
-	historyStart Offset
+	// changedAt and removedAt are the positions at which entries were last changed and
+	// removed. They are complete for all changes after historyStart. left holds the
+	// incarnations of those in removedAt that were draining before.
+	changedAt    map[EngineID]feedPosition
+	removedAt    map[EngineID]feedPosition
+	left         map[EngineID]int64
+	historyStart feedPosition
 	// missedRecords is how many records this node is known to lack, and queriedAt is
 	// when it last asked a peer for them.
 	missedRecords Offset
@@ -105,8 +137,9 @@
 func (s *instanceFeed) start(n *Node) {
 	s.entries = map[EngineID]Instance{}
 	s.expiring = map[EngineID]Instant{}
-	s.changedAt = map[EngineID]Offset{}
-	s.removedAt = map[EngineID]Offset{}
+	s.changedAt = map[EngineID]feedPosition{}
+	s.removedAt = map[EngineID]feedPosition{}
+	s.left = map[EngineID]int64{}
 	s.readAll = true
 	s.read(n)
 	s.scheduleCheck(n)
@@ -155,7 +188,29 @@
 	// reading all entries.
 	s.readAll = s.readAll || s.missedRecords > Offset(len(s.entries))
 	s.readInFlight, s.readAt = true, n.now
-	n.do(ReadInstances{Whole: s.readAll, After: s.offset})
+	n.do(ReadInstances{Whole: s.readAll, After: s.position.offset})
+}
+
+// handleEra handles a new era of the store, which was restored from a copy: records that
+// this node has read may be lost, and offsets are given out again. Every node reads all
+// entries once more, at a random time soon, because nodes may have read different lost
+// records, so that changes relative to the list of one are wrong for another.
+func (s *instanceFeed) handleEra(n *Node, era StoreEra) {
+	if era <= s.latestEra {
+		return
+	}
+	s.latestEra = era
+	if !s.loaded || s.position.era == era {
+		return
+	}
+	s.readAll = true
+	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "store-restored", Tokens: Tokens(era)}})
+	spread := fractionOf(n.Settings.DrainDelay, feedRelistFraction*n.rng.Float64())
+	n.afterFunc(spread, func(n *Node) {
+		if s.position.era < s.latestEra {
+			s.read(n)
+		}
+	})
 }
 
 // readerRank returns this node's rank among the live nodes that could read on behalf
@@ -164,30 +219,65 @@
 
 // applyRead applies the result of this node's read, and forwards the changes.
 func (s *instanceFeed) applyRead(n *Node, m InstancesRead) {
-	s.readInFlight, s.readAll = false, false
+	s.readInFlight = false
 	if s.storeUnreachable {
 		s.storeUnreachable, s.outageAt = false, n.now
 	}
-	if !m.Whole && m.Offset < s.offset {
+	if m.Era == 0 {
+		m.Era = s.latestEra
+	}
+	s.handleEra(n, m.Era)
+	to := feedPosition{m.Era, m.Offset}
+	switch {
+	case m.Era < s.latestEra:
+		// The store was restored while this read was in flight.
+		s.readAll = true
+		return
+	case !m.Whole && s.loaded && (m.Era != s.position.era || m.After > s.position.offset):
+		// The offset from which the store was read is of an earlier era.
+		s.readAll = true
+		s.read(n)
+		return
+	case !m.Whole && to.before(s.position):
 		return
 	}
+	s.readAll = false
 	// Another reader may have sent some of these changes already. They are left out of
 	// what is forwarded, so the forwarded range starts where they end.
-	after := max(m.After, s.offset)
+	after := s.position.offset
 	changed := s.changedEntries(m.Changed)
 	removed := m.Removed
 	if m.Whole {
 		removed = s.missingEntries(m.Changed)
 	}
+	if s.loaded && s.position.era != m.Era {
+		s.outageAt, s.historyStart = n.now, to
+		changed = s.notYetLeft(changed)
+	}
 	forward := !m.Whole && n.readerRank() < feedReaders+feedBackupReaders
-	s.apply(n, m.Offset, changed, removed)
+	s.apply(n, to, changed, removed)
 	if m.More {
 		s.read(n)
 	}
-	if !forward {
-		return
+	if forward {
+		n.broadcast(InstancesChanged{Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed})
 	}
-	n.broadcast(InstancesChanged{After: after, Offset: m.Offset, Changed: changed, Removed: removed})
+}
+
+// notYetLeft returns the entries of a restored store without what this node knows to be
+// out of date in them: an incarnation that was draining is draining still, or has left.
+func (s *instanceFeed) notYetLeft(restored []Instance) []Instance {
+	var list []Instance
+	for _, i := range restored {
+		if born, ok := s.left[i.ID]; ok && born == i.Born {
+			continue
+		}
+		if old, ok := s.entries[i.ID]; ok && old.Born == i.Born {
+			i.Draining = i.Draining || old.Draining
+		}
+		list = append(list, i)
+	}
+	return list
 }
 
 // changedEntries returns the entries that differ from the known ones: most records
@@ -232,69 +322,80 @@
 }
 
 // handleChanges applies the changes that a reader forwarded. If they start after this
-// node's offset, it asks that reader for those in between. Reading the store instead
-// is expensive, and while many nodes do so, all of them fall further behind.
+// node's position, it asks that reader for those in between. Reading the store instead
+// is expensive, and while many nodes do so, all of them fall further behind. Changes of
+// another era than the list's do not apply to it.
 func (s *instanceFeed) handleChanges(n *Node, from NodeID, m InstancesChanged) {
 	if !s.loaded {
 		return
 	}
-	if m.After > s.offset {
-		s.missedRecords = m.Offset - s.offset
+	s.handleEra(n, m.Era)
+	if m.Era != s.position.era {
+		return
+	}
+	if m.After > s.position.offset {
+		s.missedRecords = m.Offset - s.position.offset
 		if s.queriedAt == 0 || n.now.Sub(s.queriedAt) > feedQueryEvery {
 			s.queriedAt = n.now
-			n.send(from, InstancesQuery{After: s.offset})
+			n.send(from, InstancesQuery{Era: s.position.era, After: s.position.offset})
 		}
 		return
 	}
 	s.updatedAt = n.now
-	if m.Offset > s.offset {
-		s.apply(n, m.Offset, m.Changed, m.Removed)
+	if m.Offset > s.position.offset {
+		s.apply(n, feedPosition{m.Era, m.Offset}, m.Changed, m.Removed)
 	}
 }
 
 // handleQuery answers a node that missed changes.
 func (s *instanceFeed) handleQuery(n *Node, from NodeID, m InstancesQuery) {
-	if !s.loaded || m.After < s.historyStart || m.After > s.offset {
+	after := feedPosition{m.Era, m.After}
+	if !s.loaded || m.Era != s.position.era || after.before(s.historyStart) || s.position.before(after) {
 		return
 	}
-	missed := InstancesChanged{After: m.After, Offset: s.offset}
+	missed := InstancesChanged{Era: m.Era, After: m.After, Offset: s.position.offset}
 	for _, id := range sortedKeys(s.changedAt) {
-		if s.changedAt[id] > m.After {
+		if after.before(s.changedAt[id]) {
 			missed.Changed = append(missed.Changed, s.entries[id])
 		}
 	}
 	for _, id := range sortedKeys(s.removedAt) {
-		if s.removedAt[id] > m.After {
+		if after.before(s.removedAt[id]) {
 			missed.Removed = append(missed.Removed, id)
 		}
 	}
 	n.send(from, missed)
 }
 
-// recordHistory records the offset at which entries were changed and removed.
-func (s *instanceFeed) recordHistory(offset Offset, changed []Instance, removed []EngineID) {
+// recordHistory records the position at which entries were changed and removed.
+func (s *instanceFeed) recordHistory(at feedPosition, changed []Instance, removed []EngineID) {
 	if !s.loaded {
-		s.historyStart = offset
+		s.historyStart = at
 		return
 	}
 	for _, i := range changed {
-		s.changedAt[i.ID] = offset
+		s.changedAt[i.ID] = at
 		delete(s.removedAt, i.ID)
+		delete(s.left, i.ID)
 	}
 	for _, id := range removed {
-		s.removedAt[id] = offset
+		s.removedAt[id] = at
+		if old, ok := s.entries[id]; ok && old.Draining {
+			s.left[id] = old.Born
+		}
 		delete(s.changedAt, id)
 	}
 	if len(s.removedAt) > feedMaxRemovals {
 		clear(s.removedAt)
-		s.historyStart = offset
+		clear(s.left)
+		s.historyStart = at
 	}
 }
 
 // apply applies changes to the list. Entries removed during or right after an outage of
 // the store are kept for renewalGrace, since live upstreams renew them.
-func (s *instanceFeed) apply(n *Node, offset Offset, changed []Instance, removed []EngineID) {
-	s.recordHistory(offset, changed, removed)
+func (s *instanceFeed) apply(n *Node, to feedPosition, changed []Instance, removed []EngineID) {
+	s.recordHistory(to, changed, removed)
 	s.missedRecords = 0
 	for _, i := range changed {
 		s.entries[i.ID] = i
@@ -312,7 +413,7 @@
 		delete(s.entries, id)
 	}
 	firstList := !s.loaded
-	s.loaded, s.offset, s.updatedAt = true, offset, n.now
+	s.loaded, s.position, s.updatedAt = true, to, n.now
 	if firstList || len(changed)+len(removed) > 0 {
 		s.publish(n)
 	}
@@ -336,7 +437,7 @@
 
 // publish passes the list to the forwarding of requests, which selects upstreams from it.
 func (s *instanceFeed) publish(n *Node) {
-	list := InstanceList{Offset: s.offset}
+	list := InstanceList{Era: s.position.era, Offset: s.position.offset}
 	for _, id := range sortedKeys(s.entries) {
 		list.Instances = append(list.Instances, s.entries[id])
 	}
@@ -349,6 +450,7 @@
 	if s.loaded {
 		return
 	}
-	s.apply(n, list.Offset, list.Instances, nil)
+	s.latestEra = max(s.latestEra, list.Era)
+	s.apply(n, feedPosition{list.Era, list.Offset}, list.Instances, nil)
 	s.readAll = true
 }
--- a/core/node.go
+++ b/core/node.go
@@ -194,6 +194,11 @@
 		n.Settings = m.Apply(n.Settings)
 	case DesiredState:
 		n.forward.applyDesiredState(n, m)
+	case UpstreamSignal:
+		n.forward.upstreams.handleSignal(n, m)
+	case StoreEraObserved:
+		n.feed.handleEra(n, m.Era)
+		n.roles.handleEra(n, m.Era)
 	case InstancesRead:
 		n.feed.applyRead(n, m)
 	case InstancesReadFailed:
--- a/core/roles.go
+++ b/core/roles.go
@@ -69,10 +69,12 @@
 	At     Offset
 }
 
-// OrdersClaimed confirms a claim. The fencing token is derived from its offset.
+// OrdersClaimed confirms a claim. The fencing token is derived from its offset and from
+// the store's era in which it was appended.
 type OrdersClaimed struct {
 	Ticket Ticket
 	Offset Offset
+	Era    StoreEra
 }
 
 // OrdersNotClaimed reports that a claim failed. Known is set if the store returned
@@ -123,8 +125,10 @@
 // engineCosts are the costs of the requests of a group of engines, as measured by
 // the owner of the group.
 type engineCosts struct {
-	// prefillSeconds is the time that a prefill engine takes for a prompt.
-	prefillSeconds runningMinimum
+	// promptTokenSeconds is the time that a prefill engine takes for a prompt token,
+	// and promptLengths the length of the prompts that were placed.
+	promptTokenSeconds runningMinimum
+	promptLengths      runningMean
 	// holdSeconds is the upstream time that a request uses: its share of the
 	// upstream times its duration.
 	holdSeconds runningMean
@@ -137,9 +141,6 @@
 	memoryShares  runningMean
 	// outputs predicts the output length of requests.
 	outputs outputModel
-	// prefillRate is the number of prompt tokens that a prefill engine processes per
-	// second.
-	prefillRate float64
 	// prefillShortAt and memoryShortAt are when a request last had to wait for a
 	// prefill engine and for decode memory.
 	prefillShortAt Instant
@@ -154,8 +155,22 @@
 	if prompt == 0 || took <= 0 {
 		return
 	}
-	c.prefillSeconds.add(took.Seconds())
-	c.prefillRate = float64(prompt) / c.prefillSeconds.low
+	c.promptTokenSeconds.add(took.Seconds() / float64(prompt))
+}
+
+// prefillSeconds returns the time that a prefill engine takes for a prompt of mean
+// length.
+func (c *engineCosts) prefillSeconds() float64 {
+	return c.promptTokenSeconds.low * c.promptLengths.mean
+}
+
+// backlogTime returns the time that a prefill engine takes for a number of prompt
+// tokens, and false if it was not measured yet.
+func (c *engineCosts) backlogTime(tokens Tokens) (time.Duration, bool) {
+	if c.promptTokenSeconds.count == 0 {
+		return 0, false
+	}
+	return time.Duration(float64(tokens) * c.promptTokenSeconds.low * float64(time.Second)), true
 }
 
 // observeHold records for how long a request held its share of a plain upstream.
@@ -163,9 +178,10 @@
 	c.holdSeconds.add(held.Seconds() * share)
 }
 
-// observePlacement records the expected output and memory share of a request to model
-// engines.
-func (c *engineCosts) observePlacement(output Tokens, share float64) {
+// observePlacement records the prompt, the expected output and the memory share of a
+// request to model engines.
+func (c *engineCosts) observePlacement(prompt, output Tokens, share float64) {
+	c.promptLengths.add(float64(prompt))
 	c.outputLengths.add(float64(output))
 	c.memoryShares.add(share)
 	c.updateHoldSeconds()
@@ -173,7 +189,7 @@
 
 // observeOutput records the duration of an answer of the given length.
 func (c *engineCosts) observeOutput(output Tokens, took time.Duration) {
-	c.tokenSeconds.add((took.Seconds() - c.prefillSeconds.low) / float64(output))
+	c.tokenSeconds.add((took.Seconds() - c.prefillSeconds()) / float64(output))
 	c.updateHoldSeconds()
 }
 
@@ -181,7 +197,7 @@
 	if c.tokenSeconds.count == 0 || c.outputLengths.count == 0 {
 		return
 	}
-	c.holdSeconds.mean = (c.prefillSeconds.low + c.tokenSeconds.mean*c.outputLengths.mean) * c.memoryShares.mean
+	c.holdSeconds.mean = (c.prefillSeconds() + c.tokenSeconds.mean*c.outputLengths.mean) * c.memoryShares.mean
 	c.holdSeconds.count = min(c.tokenSeconds.count, c.outputLengths.count)
 }
 
@@ -199,7 +215,7 @@
 // prefillTarget returns how many of total engines should be prefill engines, with
 // some headroom. At that ratio prefill and decode engines are equally loaded.
 func (c *engineCosts) prefillTarget(total int, headroom float64) int {
-	prefill := headroom * c.prefillSeconds.low
+	prefill := headroom * c.prefillSeconds()
 	share := prefill / (prefill + c.holdSeconds.mean)
 	least := 1
 	if total >= minPrefillGroupSize {
@@ -217,7 +233,8 @@
 // a claim in the store, because engines do not check who sends an order. The claim
 // is a conditional append, valid for claimValid from when it was sent. A node whose
 // append conflicts with another claim waits for claimValid, a lease and claimMargin
-// before it retries.
+// before it retries. So does every node when the store's era has risen, because the
+// store may have lost a claim that is still valid.
 type roles struct {
 	costs map[DispatchGroup]*engineCosts
 	// claimsEnd is the end of the claim stream as far as this node knows.
@@ -226,6 +243,8 @@
 	claiming  bool
 	sentAt    Instant
 	notBefore Instant
+	// storeEra is the latest era of the store that this node knows of.
+	storeEra StoreEra
 	// ordered holds the latest role order sent to each engine.
 	ordered map[EngineID]roleOrder
 	// requested holds the role changes requested by owners of groups. It is used
@@ -291,6 +310,9 @@
 			delete(s.requested, id)
 			continue
 		}
+		if !u.open(n.now) {
+			continue
+		}
 		if s.expectedRole(n, u) != r.role {
 			orders = append(orders, Order{Engine: id, Kind: SetRole, Role: r.role})
 		}
@@ -307,7 +329,7 @@
 		if n.now.Sub(c.roleChangedAt) < roleChangeInterval && c.roleChangedAt != 0 {
 			continue
 		}
-		if c.prefillSeconds.count < minCostSamples || c.holdSeconds.count < minCostSamples || n.forward.groupOwner(n, g) != n.Self.ID {
+		if c.promptTokenSeconds.count < minCostSamples || c.holdSeconds.count < minCostSamples || n.forward.groupOwner(n, g) != n.Self.ID {
 			continue
 		}
 		orders = append(orders, s.planGroup(n, g, c)...)
@@ -410,13 +432,13 @@
 	}
 	s.claiming = false
 	s.claimsEnd = m.Offset + 1
-	if n.now.Sub(s.sentAt) > claimValid || n.resumedAt > s.sentAt {
+	if n.now.Sub(s.sentAt) > claimValid || n.resumedAt > s.sentAt || m.Era > s.storeEra {
 		return
 	}
 	orders := s.pendingOrders(n)
 	n.broadcast(RolesOrdered{Orders: orders})
 	for _, o := range orders {
-		o.Fencing = m.Offset + 1
+		o.Fencing = fencingToken(s.storeEra, m.Offset)
 		s.recordOrder(n, o)
 		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "order", Decode: o.Engine, Tokens: Tokens(o.Role)}})
 		n.do(SendOrder{Order: o})
@@ -433,5 +455,32 @@
 	if m.Known {
 		s.claimsEnd = m.End
 	}
+	s.awaitOtherClaims(n)
+}
+
+// awaitOtherClaims delays the next claim until every claim made so far, and the orders
+// issued under it, have expired.
+func (s *roles) awaitOtherClaims(n *Node) {
 	s.notBefore = n.now.Add(claimValid + n.Settings.OrderLease + claimMargin)
 }
+
+// handleEra handles a new era of the store. A claim of this node that has not been
+// confirmed is abandoned.
+func (s *roles) handleEra(n *Node, era StoreEra) {
+	if era <= s.storeEra {
+		return
+	}
+	s.storeEra = era
+	s.claiming = false
+	s.awaitOtherClaims(n)
+}
+
+// eraShift is the position of the store's era in a fencing token. Offsets of claims
+// stay far below it.
+const eraShift = 32
+
+// fencingToken returns the fencing token of a claim. It increases with each claim: the
+// offset within an era of the store, and across eras, where offsets go back, by the era.
+func fencingToken(era StoreEra, claim Offset) Offset {
+	return Offset(era)<<eraShift | (claim + 1)
+}
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 
@@ -72,6 +73,8 @@
 	settingsText []byte
 	// disabled has the mechanisms that --without disables.
 	disabled core.Set[core.Mechanism]
+	// invalidRetryAfter logs the first invalid retry delay of an upstream.
+	invalidRetryAfter sync.Once
 	// readFailed says that the last read of the settings file failed.
 	readFailed   bool
 	log          zerolog.Logger
@@ -145,7 +148,7 @@
 // build creates the servers, the clients and the control loop.
 func (h *hosted) build(incarnation core.Incarnation, clock func() core.Instant) {
 	s := h.settings
-	h.upstreams = &upstream.Client{DialTimeout: hostedDialTimeout}
+	h.upstreams = &upstream.Client{DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream}
 	h.ingress = &ingress.Server{Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node}
 	h.directory = &directory.Server{SendToCore: h.inbox.Send}
 	h.peers = h.newPeerTransport(incarnation)
@@ -222,6 +225,20 @@
 func (noLog) Append(core.AppendLog) {}
 func (noLog) Read(core.ReadLog)     {}
 
+// observeUpstream passes on to the core what a response says about its upstream. The
+// first invalid retry delay is logged.
+func (h *hosted) observeUpstream(key string, status int, header http.Header) {
+	signal, err := platform.DecodeSignal(core.EngineID(key), status, header)
+	if err != nil {
+		h.invalidRetryAfter.Do(func() {
+			h.log.Warn().Str("Event", "RetryAfterInvalid").Str("Engine", key).Err(err).Send()
+		})
+	}
+	if signal.Leaving || signal.QuietFor > 0 {
+		h.inbox.Send(signal)
+	}
+}
+
 // receive sends a message from the store, or a desired state from a peer, to the
 // core. The body limit of a desired state is applied to the ingress server first.
 func (h *hosted) receive(m core.Message) {
--- a/daisyshed/store/claim.go
+++ b/daisyshed/store/claim.go
@@ -14,12 +14,12 @@
 // claims end now; it may also be unknown. Claim does not block.
 func (w *Watcher) Claim(c core.ClaimOrders) {
 	go func() {
-		err := w.Store.Claim(context.Background(), w.Self.ID, c.At)
+		era, err := w.Store.Claim(context.Background(), w.Self.ID, c.At)
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
-			w.Log.Info().Str("Event", "OrdersClaimed").Int64("Offset", int64(c.At)).Send()
-			w.SendToCore(core.OrdersClaimed{Ticket: c.Ticket, Offset: c.At})
+			w.Log.Info().Str("Event", "OrdersClaimed").Int64("Offset", int64(c.At)).Int64("Era", int64(era)).Send()
+			w.SendToCore(core.OrdersClaimed{Ticket: c.Ticket, Offset: c.At, Era: era})
 		case errors.As(err, &conflict):
 			w.Log.Info().Str("Event", "OrdersNotClaimed").Int64("Offset", int64(c.At)).Int64("End", int64(conflict.End)).Send()
 			w.SendToCore(core.OrdersNotClaimed{Ticket: c.Ticket, Known: true, End: conflict.End})
--- a/daisyshed/store/instances.go
+++ b/daisyshed/store/instances.go
@@ -34,18 +34,20 @@
 
 func (w *Watcher) readInstances(ctx context.Context, c core.ReadInstances) (core.InstancesRead, error) {
 	m := core.InstancesRead{Whole: c.Whole, After: c.After}
-	var records []platform.Record
+	known := w.era.latest()
+	var p platform.Page
 	var err error
 	if c.Whole {
-		records, m.Offset, err = w.Store.ReadLatest(ctx, platform.Instances)
+		p, err = w.Store.ReadLatest(ctx, platform.Instances)
 	} else {
-		records, m.Offset, m.More, err = w.Store.Read(ctx, platform.Instances, c.After, 0)
+		p, err = w.Store.Read(ctx, platform.Instances, c.After, 0)
 	}
 	if err != nil {
 		return m, err
 	}
+	m.Offset, m.More, m.Era = p.Next, p.More, max(p.Era, known)
 	newest := map[string]platform.Record{}
-	for _, r := range records {
+	for _, r := range p.Records {
 		newest[r.Key] = r
 	}
 	for key, r := range newest {
@@ -87,52 +89,3 @@
 	k.keys[key] = true
 	return true
 }
-
-// outage tracks whether calls of ReadInstances fail, and cancels the long reads of
-// other topics once they succeed again.
-type outage struct {
-	mu      sync.Mutex
-	ongoing bool
-	cancels map[*context.CancelFunc]struct{}
-}
-
-// untilRecovery returns a context that is cancelled when the current or the next
-// outage ends, and a function that releases its resources.
-func (o *outage) untilRecovery(ctx context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.cancels == nil {
-		o.cancels = map[*context.CancelFunc]struct{}{}
-	}
-	o.cancels[&cancel] = struct{}{}
-	return ctx, func() {
-		o.mu.Lock()
-		delete(o.cancels, &cancel)
-		o.mu.Unlock()
-		cancel()
-	}
-}
-
-// callFailed records a failed call and reports whether it begins an outage.
-func (o *outage) callFailed() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	changed := !o.ongoing
-	o.ongoing = true
-	return changed
-}
-
-// callSucceeded records a successful call and reports whether it ends an outage.
-func (o *outage) callSucceeded() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	changed := o.ongoing
-	o.ongoing = false
-	if changed {
-		for cancel := range o.cancels {
-			(*cancel)()
-		}
-	}
-	return changed
-}
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -30,6 +30,9 @@
 	nodesReadPause = 4 * time.Second
 	// nodesReadWait is how long a read of the nodes' entries waits for a change.
 	nodesReadWait = 20 * time.Second
+	// announceSpread is the time over which nodes write their entries again after the
+	// store was restored from a copy.
+	announceSpread = time.Second
 )
 
 // Watcher watches the store. Its fields must be set before Run.
@@ -42,6 +45,11 @@
 	StateDelay time.Duration
 
 	loggedUnreadable loggedKeys
+	era              eraTracker
+	// announced is signalled when this node's entry was written, and announceAgain when
+	// the entry may have been lost.
+	announced     chan struct{}
+	announceAgain chan struct{}
 	// outage cancels waiting reads once the store has recovered, since they may
 	// wait on connections that broke during the outage.
 	outage outage
@@ -50,22 +58,28 @@
 // Run writes this node's entry, and watches the desired state and the nodes'
 // entries until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	go w.announce(ctx)
+	w.announced, w.announceAgain = make(chan struct{}, 1), make(chan struct{}, 1)
+	w.WatchEra()
+	go w.keepAnnounced(ctx)
 	go w.follow(ctx, &topic{name: platform.Desired, wait: desiredWaitFactor * w.StateDelay, apply: w.applyDesired})
-	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesReadWait, pause: nodesReadPause, apply: w.nodesApplier()})
+	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesReadWait, pause: nodesReadPause, endPause: w.announced, apply: w.nodesApplier()})
 }
 
 // topic is a topic of the store with the progress of reading it.
 type topic struct {
 	name platform.Topic
 	// wait is how long a read waits for a record. pause is the time between two
-	// reads, so that one read returns the records of that time together.
-	wait  time.Duration
-	pause time.Duration
-	apply func(u update)
+	// reads, so that one read returns the records of that time together. It ends early
+	// when endPause is signalled; endPause may be nil.
+	wait     time.Duration
+	pause    time.Duration
+	endPause <-chan struct{}
+	apply    func(u update)
 
-	// from is the offset of the next read, and listed is set while from is valid.
+	// from is the offset of the next read, in the store's era, and listed is set while
+	// from is valid.
 	from   core.Offset
+	era    core.StoreEra
 	listed bool
 	// failedAt is when a read last failed, and down is set while reads fail.
 	failedAt time.Time
@@ -93,39 +107,43 @@
 		}
 		if err != nil {
 			w.readFailed(t, err)
-			sleepWithJitter(ctx, backoff)
+			sleepWithJitter(ctx, backoff, nil)
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		w.readSucceeded(t)
 		backoff = minBackoff
 		t.apply(u)
-		sleepWithJitter(ctx, t.pause)
+		sleepWithJitter(ctx, t.pause, t.endPause)
 	}
 }
 
 // read reads the newest record of each key first, and then the records after the
-// last read. It starts over if the store has compacted those.
+// last read. It starts over if the store has compacted those, or was restored from a
+// copy: then the offset may be that of another record.
 func (w *Watcher) read(ctx context.Context, t *topic) (update, error) {
-	if !t.listed {
-		records, end, err := w.Store.ReadLatest(ctx, t.name)
+	known := w.era.latest()
+	if !t.listed || t.era != known {
+		p, err := w.Store.ReadLatest(ctx, t.name)
 		if err != nil {
 			return update{}, err
 		}
-		t.listed, t.from = true, end
-		return update{records: records, snapshot: true}, nil
+		t.listed, t.from, t.era = true, p.Next, max(p.Era, known)
+		return update{records: p.Records, snapshot: true}, nil
 	}
-	records, end, _, err := w.Store.Read(ctx, t.name, t.from, t.wait)
-	if errors.Is(err, platform.ErrCompacted) {
+	p, err := w.Store.Read(ctx, t.name, t.from, t.wait)
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
 		t.listed = false
 		w.Log.Info().Str("Event", "Compacted").Str("Topic", string(t.name)).Int64("Offset", int64(t.from)).Send()
 		return w.read(ctx, t)
-	}
-	if err != nil {
+	case err != nil:
 		return update{}, err
+	case p.Era > t.era:
+		return w.read(ctx, t)
 	}
-	t.from = end
-	return update{records: records}, nil
+	t.from = p.Next
+	return update{records: p.Records}, nil
 }
 
 // readFailed records a failed read. It logs the first one of an outage and reports
@@ -172,6 +190,9 @@
 			clear(entries)
 		}
 		for _, r := range u.records {
+			if r.Key == string(w.Self.ID) {
+				w.dropAnnounced()
+			}
 			delete(entries, r.Key)
 			if len(r.Value) == 0 {
 				continue
@@ -194,7 +215,32 @@
 	}
 }
 
-// announce writes this node's entry, and retries until the store accepts it.
+// keepAnnounced writes this node's entry, and writes it again each time the store may
+// have lost it.
+func (w *Watcher) keepAnnounced(ctx context.Context) {
+	w.announce(ctx)
+	for {
+		select {
+		case <-w.announceAgain:
+			sleepWithJitter(ctx, time.Duration(rand.Float64()*float64(announceSpread)), nil)
+			w.announce(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// dropAnnounced drops the signal that this node's entry was written, because the entry
+// was read.
+func (w *Watcher) dropAnnounced() {
+	select {
+	case <-w.announced:
+	default:
+	}
+}
+
+// announce writes this node's entry, and retries until the store accepts it. The
+// nodes' entries are read soon afterwards, so that this node is among those it knows.
 func (w *Watcher) announce(ctx context.Context) {
 	value, err := platform.EncodeNode(w.Self)
 	if err != nil {
@@ -205,16 +251,18 @@
 	for ctx.Err() == nil {
 		if err := w.Store.Append(ctx, platform.Nodes, string(w.Self.ID), value); err == nil {
 			w.Log.Info().Str("Event", "Announced").Send()
+			signal(w.announced)
 			return
 		}
-		sleepWithJitter(ctx, backoff)
+		sleepWithJitter(ctx, backoff, nil)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
 // sleepWithJitter waits for d, plus or minus up to 25 percent of jitter, so that
-// nodes do not call the store at the same time. It returns early if ctx ends.
-func sleepWithJitter(ctx context.Context, d time.Duration) {
+// nodes do not call the store at the same time. It returns early if ctx ends or end is
+// signalled.
+func sleepWithJitter(ctx context.Context, d time.Duration, end <-chan struct{}) {
 	if d == 0 {
 		return
 	}
@@ -223,6 +271,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-end:
 	case <-ctx.Done():
 	}
 }
--- a/daisyshed/store/watch_test.go
+++ b/daisyshed/store/watch_test.go
@@ -143,3 +143,27 @@
 	w.Claim(core.ClaimOrders{Ticket: 1})
 	is.True(!nextMessage[core.OrdersNotClaimed](t, messages).Known)
 }
+
+// The nodes' entries are first read before the store has accepted this node's own, as
+// when its write is slow. They must be read again soon after it is written, and not only
+// after the pause between two reads.
+func TestNodesAreReadAgainOnceThisNodeIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	s, w, messages := newWatcher(t)
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			time.Sleep(200 * time.Millisecond)
+		}
+		s.ServeHTTP(rw, r)
+	}))
+	defer server.Close()
+	w.Store.Address = server.Listener.Addr().String()
+	s.Put("keyed.status", "n0", []byte(`{"PeerAddress":"127.0.0.1:3"}`))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	started := time.Now()
+	go w.Run(ctx)
+	is.Equal(len(nextMessage[core.VMList](t, messages).Nodes), 1)
+	is.Equal(len(nextMessage[core.VMList](t, messages).Nodes), 2)
+	is.True(time.Since(started) < time.Second)
+}
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -104,6 +104,9 @@
 type Client struct {
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
+	// OnResponse is called with the head of each response that belongs to its request.
+	// It may be nil.
+	OnResponse func(key string, status int, h http.Header)
 
 	mu sync.Mutex
 	// idle holds the unused connections of each upstream, the last used at the
@@ -160,6 +163,9 @@
 	if err != nil {
 		return nil, &NoResponseError{Cause: err}
 	}
+	if c.OnResponse != nil {
+		c.OnResponse(r.Key, response.StatusCode, response.Header)
+	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
 	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
 	out.Body = &completionReader{r: response.Body, complete: &out.complete}
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -37,11 +37,17 @@
 	Hang
 	// CutShort closes the connection in the middle of the response.
 	CutShort
+	// RejectWithDelay rejects the request and asks the caller for QuietTime without
+	// requests.
+	RejectWithDelay
 	// RespondTwice sends a second response, for another attempt, shortly after the
 	// right one. It does not affect streams.
 	RespondTwice
 )
 
+// QuietTime is how long a worker that rejects with RejectWithDelay wants no requests.
+const QuietTime = 2 * time.Second
+
 // The stages (roles) of model engines.
 const (
 	Prefill = "prefill"
@@ -128,8 +134,8 @@
 	w.fault, w.faultShare = f, share
 }
 
-// Drain sets the state in the worker's entry to draining. The worker still accepts
-// requests.
+// Drain sets the state in the worker's entry to draining and says so in all responses.
+// The worker still accepts requests.
 func (w *Worker) Drain() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -164,6 +170,11 @@
 	if attempt := r.Header.Get("Attempt-Id"); attempt != "" {
 		rw.Header().Set("Attempt-Id", attempt)
 	}
+	w.mu.Lock()
+	if !w.drainingSince.IsZero() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
+	w.mu.Unlock()
 	if id := r.Header.Get("Expect-Instance"); id != "" && id != w.settings.ID {
 		rw.Header().Set("Instance-Id", w.settings.ID)
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -263,7 +274,7 @@
 		fault = w.fault
 	}
 	full := w.running >= w.settings.Slots+2 || w.settings.Stage == Prefill
-	if !full && fault != Reject {
+	if !full && fault != Reject && fault != RejectWithDelay {
 		w.running++
 	}
 	draining := time.Duration(0)
@@ -271,7 +282,10 @@
 		draining = time.Since(w.drainingSince)
 	}
 	w.mu.Unlock()
-	if full || fault == Reject {
+	if full || fault == Reject || fault == RejectWithDelay {
+		if fault == RejectWithDelay {
+			rw.Header().Set("Retry-After", strconv.FormatFloat(QuietTime.Seconds(), 'f', -1, 64))
+		}
 		reject(rw)
 		return
 	}
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -1,6 +1,6 @@
 // Package metastore is an in-memory stand-in for the platform's metadata store:
 // append-only topics that keep the newest record of each key after compaction. It
-// can inject faults.
+// can inject faults, among them a return from a copy that is some seconds old.
 package metastore
 
 import (
@@ -55,6 +55,8 @@
 	mode           Mode
 	lostReplyShare float64
 	calls          int
+	// restores counts the returns from a copy.
+	restores int64
 }
 
 // record is one record of a topic. data is the length of the key in one byte, the
@@ -62,6 +64,15 @@
 type record struct {
 	offset int64
 	data   []byte
+	at     time.Time
+}
+
+// key returns the record's key, or an empty string if it has none.
+func (r record) key() string {
+	if len(r.data) <= int(r.data[0]) {
+		return ""
+	}
+	return string(r.data[1 : 1+int(r.data[0])])
 }
 
 // topic is the log of one topic. end is the offset of the next record, and first
@@ -70,6 +81,8 @@
 	end     int64
 	first   int64
 	records []record
+	// history holds all records, also after compaction.
+	history []record
 	// newest holds the newest record of each key, also after compaction.
 	newest map[string]record
 	// changed is closed and replaced at each append.
@@ -111,7 +124,54 @@
 	data := append([]byte{byte(len(key))}, key...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.topic(name).append(append(data, value...))
+	s.topic(name).append(append(data, value...), time.Now())
+}
+
+// Restore returns the store from a copy that is the given time old: all records since
+// then are lost, their offsets are given out again, and the era rises. Waiting reads
+// respond at once. The returned function writes the newest lost records of operators
+// and upstreams again.
+func (s *Store) Restore(age time.Duration) (rewrite func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restores++
+	cut := time.Now().Add(-age)
+	type lostRecord struct {
+		topic string
+		record
+	}
+	var lost []lostRecord
+	for name, t := range s.topics {
+		history := t.history
+		t.end, t.records, t.history = 0, nil, nil
+		t.newest = map[string]record{}
+		changed := t.changed
+		t.changed = make(chan struct{})
+		first := t.first
+		for _, r := range history {
+			if r.at.After(cut) {
+				lost = append(lost, lostRecord{topic: name, record: r})
+				continue
+			}
+			t.append(r.data, r.at)
+		}
+		t.first = min(first, t.end)
+		t.records = t.records[t.first:]
+		close(changed)
+	}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		newest := map[string]lostRecord{}
+		for _, l := range lost {
+			newest[l.topic+"/"+l.key()] = l
+		}
+		for _, l := range newest {
+			if l.topic == OperatorTopic || l.topic == UpstreamTopic {
+				s.topic(l.topic).append(l.data, time.Now())
+			}
+		}
+	}
 }
 
 // Len returns the number of records ever appended to a topic.
@@ -136,12 +196,12 @@
 
 // append appends a record, updates the newest record of its key and wakes the
 // waiting reads. A record that is shorter than its key is only added to the log.
-func (t *topic) append(data []byte) {
-	r := record{offset: t.end, data: data}
+func (t *topic) append(data []byte, at time.Time) {
+	r := record{offset: t.end, data: data, at: at}
 	t.records = append(t.records, r)
+	t.history = append(t.history, r)
 	t.end++
-	if len(data) > int(data[0]) {
-		key := string(data[1 : 1+int(data[0])])
+	if key := r.key(); key != "" {
 		t.newest[key] = r
 		if len(data) == len(key)+1 {
 			delete(t.newest, key)
@@ -156,7 +216,9 @@
 	s.mu.Lock()
 	s.calls++
 	mode, loseReply := s.mode, r.Method == http.MethodPost && rand.Float64() < s.lostReplyShare
+	era := 1 + s.restores
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	time.Sleep(s.Delay)
 	switch mode {
 	case Unavailable:
@@ -206,7 +268,7 @@
 		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"EndOffset": end})
 		return
 	}
-	t.append(body[4:])
+	t.append(body[4:], time.Now())
 	end := t.end
 	s.mu.Unlock()
 	if loseReply {
@@ -229,7 +291,7 @@
 	for {
 		s.mu.Lock()
 		t := s.topic(name)
-		if from < t.first {
+		if from < t.first || from > t.end {
 			first := t.first
 			s.mu.Unlock()
 			writeJSON(w, http.StatusGone, map[string]any{"FirstOffset": first})
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -42,7 +42,7 @@
 	"ForwardPlaced": func(t *rapid.T) core.PeerBody {
 		return core.ForwardPlaced{ID: forwardID(t), Decode: text[core.EngineID](t, "decode"), Prefill: text[core.EngineID](t, "prefill"), Memory: tokens(t, "memory")}
 	},
-	"ForwardTurnedAway": func(t *rapid.T) core.PeerBody { return core.ForwardTurnedAway{ID: forwardID(t)} },
+	"ForwardTurnedAway": func(t *rapid.T) core.PeerBody { return core.ForwardTurnedAway{ID: forwardID(t), RetryAfter: duration(t, "retry after")} },
 	"ForwardDenied": func(t *rapid.T) core.PeerBody {
 		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine")}
 	},
@@ -55,19 +55,19 @@
 	},
 	"InstancesChanged": func(t *rapid.T) core.PeerBody {
 		return core.InstancesChanged{
-			After: offset(t, "after"), Offset: offset(t, "offset"), Changed: list(t, "changed", instance),
+			After: offset(t, "after"), Era: era(t, "era"), Offset: offset(t, "offset"), Changed: list(t, "changed", instance),
 			Removed: list(t, "removed", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "id") }),
 		}
 	},
 	"RolesOrdered":   func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
 	"RolesWanted":    func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
-	"InstancesQuery": func(t *rapid.T) core.PeerBody { return core.InstancesQuery{After: offset(t, "after")} },
+	"InstancesQuery": func(t *rapid.T) core.PeerBody { return core.InstancesQuery{Era: era(t, "era"), After: offset(t, "after")} },
 	"StateQuery":     func(t *rapid.T) core.PeerBody { return core.StateQuery{Upstreams: rapid.Bool().Draw(t, "upstreams")} },
 	"StateAnswer": func(t *rapid.T) core.PeerBody {
 		return core.StateAnswer{
 			Offset:    offset(t, "offset"),
 			Record:    rapid.SliceOfN(rapid.Byte(), 1, 9).Draw(t, "record"),
-			Instances: core.InstanceList{Offset: offset(t, "instances"), Instances: list(t, "list", instance)},
+			Instances: core.InstanceList{Era: era(t, "list era"), Offset: offset(t, "instances"), Instances: list(t, "list", instance)},
 		}
 	},
 	"VMListQuery": func(*rapid.T) core.PeerBody { return core.VMListQuery{} },
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -51,7 +51,7 @@
 func fromStateAnswer(b core.StateAnswer) *StateAnswer {
 	return &StateAnswer{
 		Offset: int64(b.Offset), Record: b.Record, InstancesOffset: int64(b.Instances.Offset),
-		Instances: convertAll(b.Instances.Instances, fromInstance),
+		Instances: convertAll(b.Instances.Instances, fromInstance), InstancesEra: int64(b.Instances.Era),
 	}
 }
 
@@ -62,13 +62,16 @@
 	}
 	return core.StateAnswer{
 		Offset: core.Offset(b.GetOffset()), Record: b.GetRecord(),
-		Instances: core.InstanceList{Offset: core.Offset(b.GetInstancesOffset()), Instances: list},
+		Instances: core.InstanceList{
+			Era: core.StoreEra(b.GetInstancesEra()), Offset: core.Offset(b.GetInstancesOffset()), Instances: list,
+		},
 	}, nil
 }
 
 func fromInstancesChanged(b core.InstancesChanged) *InstancesChanged {
 	return &InstancesChanged{
-		After: int64(b.After), Offset: int64(b.Offset), Changed: convertAll(b.Changed, fromInstance),
+		After: int64(b.After), Era: int64(b.Era), Offset: int64(b.Offset),
+		Changed: convertAll(b.Changed, fromInstance),
 		Removed: convertAll(b.Removed, func(id core.EngineID) string { return string(id) }),
 	}
 }
@@ -79,7 +82,8 @@
 		return nil, err
 	}
 	return core.InstancesChanged{
-		After: core.Offset(b.GetAfter()), Offset: core.Offset(b.GetOffset()), Changed: list,
+		After: core.Offset(b.GetAfter()),
+		Era: core.StoreEra(b.GetEra()), Offset: core.Offset(b.GetOffset()), Changed: list,
 		Removed: convertAll(b.GetRemoved(), func(id string) core.EngineID { return core.EngineID(id) }),
 	}, nil
 }
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"daisyshed.dev/core"
 	"google.golang.org/protobuf/proto"
 )
@@ -77,7 +79,9 @@
 	case *Envelope_ForwardPlaced:
 		return toForwardPlaced(b.ForwardPlaced), nil
 	case *Envelope_ForwardTurnedAway:
-		return core.ForwardTurnedAway{ID: core.ForwardID(b.ForwardTurnedAway.GetID())}, nil
+		return core.ForwardTurnedAway{
+			ID: core.ForwardID(b.ForwardTurnedAway.GetID()), RetryAfter: time.Duration(b.ForwardTurnedAway.GetRetryAfterNanos()),
+		}, nil
 	case *Envelope_ForwardDenied:
 		return core.ForwardDenied{
 			ID: core.ForwardID(b.ForwardDenied.GetID()), Engine: core.EngineID(b.ForwardDenied.GetEngine()),
@@ -97,7 +101,7 @@
 		orders, err := toRoleOrders(b.RolesWanted)
 		return core.RolesWanted{Orders: orders}, err
 	case *Envelope_InstancesQuery:
-		return core.InstancesQuery{After: core.Offset(b.InstancesQuery.GetAfter())}, nil
+		return core.InstancesQuery{Era: core.StoreEra(b.InstancesQuery.GetEra()), After: core.Offset(b.InstancesQuery.GetAfter())}, nil
 	case *Envelope_StateQuery:
 		return core.StateQuery{Upstreams: b.StateQuery.GetUpstreams()}, nil
 	case *Envelope_StateAnswer:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -82,7 +82,7 @@
 	case core.ForwardPlaced:
 		e.Body = &Envelope_ForwardPlaced{&ForwardPlaced{ID: uint64(b.ID), Decode: string(b.Decode), Prefill: string(b.Prefill), Memory: int64(b.Memory)}}
 	case core.ForwardTurnedAway:
-		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID)}}
+		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID), RetryAfterNanos: int64(b.RetryAfter)}}
 	case core.ForwardDenied:
 		e.Body = &Envelope_ForwardDenied{&ForwardDenied{ID: uint64(b.ID), Engine: string(b.Engine)}}
 	case core.ForwardPromptRead:
@@ -98,7 +98,7 @@
 	case core.RolesOrdered:
 		e.Body = &Envelope_RolesOrdered{fromRoleOrders(b.Orders)}
 	case core.InstancesQuery:
-		e.Body = &Envelope_InstancesQuery{&InstancesQuery{After: int64(b.After)}}
+		e.Body = &Envelope_InstancesQuery{&InstancesQuery{Era: int64(b.Era), After: int64(b.After)}}
 	case core.StateQuery:
 		e.Body = &Envelope_StateQuery{&StateQuery{Upstreams: b.Upstreams}}
 	case core.StateAnswer:
--- a/wire/peer/generate_test.go
+++ b/wire/peer/generate_test.go
@@ -23,6 +23,10 @@
 	return core.Offset(rapid.Int64Min(0).Draw(t, name))
 }
 
+func era(t *rapid.T, name string) core.StoreEra {
+	return core.StoreEra(rapid.Int64Min(0).Draw(t, name))
+}
+
 // list draws a slice. An empty one is nil, as the decoder returns it.
 func list[T any](t *rapid.T, name string, draw func(t *rapid.T) T) []T {
 	items := rapid.SliceOfN(rapid.Custom(draw), 0, 4).Draw(t, name)
