--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -123,7 +123,7 @@
 		"store away": d.interruptStore, "store restored": d.restoreStore, "store loses answers": d.loseStoreAnswers, "store compacted": d.compactStore,
 		"worker crashed": d.crashWorker, "worker faulty": d.injectWorkerFault, "worker drained": d.drainWorker,
 		"worker wants quiet": d.wantQuiet,
-		"settings changed": d.changeSettings, "link harmed": d.injectLinkFault,
+		"settings changed":   d.changeSettings, "link harmed": d.injectLinkFault,
 		"state changed": func() { d.publishState(d.rng.IntN(2) == 0) },
 	}
 	if d.upstreamsOnly {
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -42,7 +42,9 @@
 	"ForwardPlaced": func(t *rapid.T) core.PeerBody {
 		return core.ForwardPlaced{ID: forwardID(t), Decode: text[core.EngineID](t, "decode"), Prefill: text[core.EngineID](t, "prefill"), Memory: tokens(t, "memory")}
 	},
-	"ForwardTurnedAway": func(t *rapid.T) core.PeerBody { return core.ForwardTurnedAway{ID: forwardID(t), RetryAfter: duration(t, "retry after")} },
+	"ForwardTurnedAway": func(t *rapid.T) core.PeerBody {
+		return core.ForwardTurnedAway{ID: forwardID(t), RetryAfter: duration(t, "retry after")}
+	},
 	"ForwardDenied": func(t *rapid.T) core.PeerBody {
 		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine")}
 	},
@@ -59,10 +61,12 @@
 			Removed: list(t, "removed", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "id") }),
 		}
 	},
-	"RolesOrdered":   func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
-	"RolesWanted":    func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
-	"InstancesQuery": func(t *rapid.T) core.PeerBody { return core.InstancesQuery{Era: era(t, "era"), After: offset(t, "after")} },
-	"StateQuery":     func(t *rapid.T) core.PeerBody { return core.StateQuery{Upstreams: rapid.Bool().Draw(t, "upstreams")} },
+	"RolesOrdered": func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
+	"RolesWanted":  func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
+	"InstancesQuery": func(t *rapid.T) core.PeerBody {
+		return core.InstancesQuery{Era: era(t, "era"), After: offset(t, "after")}
+	},
+	"StateQuery": func(t *rapid.T) core.PeerBody { return core.StateQuery{Upstreams: rapid.Bool().Draw(t, "upstreams")} },
 	"StateAnswer": func(t *rapid.T) core.PeerBody {
 		return core.StateAnswer{
 			Offset:    offset(t, "offset"),
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -83,7 +83,7 @@
 	}
 	return core.InstancesChanged{
 		After: core.Offset(b.GetAfter()),
-		Era: core.StoreEra(b.GetEra()), Offset: core.Offset(b.GetOffset()), Changed: list,
+		Era:   core.StoreEra(b.GetEra()), Offset: core.Offset(b.GetOffset()), Changed: list,
 		Removed: convertAll(b.GetRemoved(), func(id string) core.EngineID { return core.EngineID(id) }),
 	}, nil
 }
