Place streams by one owner of up to 128 engines, with room for late and long answers

Change: groups of up to 128 engines that get requests by their size and by prompt; LateReserve, OverrunReserve and ReturnSchedule, each a decision of its own; a headroom of 1.25 for prefill; owners learn why a lease failed and wait for sound engines.

--- a/core/admission.go
+++ b/core/admission.go
@@ -85,9 +85,12 @@
 
 // rate returns the recent rate of placements per second, and at least
 // minPlacementRate.
-func (g *placementRate) rate(now Instant) float64 {
+func (g *placementRate) rate(now Instant) float64 { return max(g.measured(now), minPlacementRate) }
+
+// measured returns the recent rate per second.
+func (g *placementRate) measured(now Instant) float64 {
 	g.at = dropBefore(g.at, now.Add(-rateWindow))
-	return max(float64(len(g.at))/rateWindow.Seconds(), minPlacementRate)
+	return float64(len(g.at)) / rateWindow.Seconds()
 }
 
 // exceedsDeadline reports whether a new request should be rejected at once, because at
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -33,8 +33,10 @@
 	j.memory = c.outputs.expectedMemory(n, m.Prompt, m.Expected, m.MaxOutput)
 	j.lengthPenalty = c.lengthPenaltyOf(n, j.memory-j.prompt, m.Objective)
 	d.recogniseReturning(n, j, m)
-	before := ahead(n.now, d.queue, j.queueEntry, func(q *dispatchJob) bool { return q.group == j.group })
-	rate := d.capacity(n, j.group)
+	if !j.late(n.now) && !j.sentBefore {
+		getOrCreate(d.onTimeArrivals, j.group).record(n.now)
+	}
+	before, rate := d.prospects(n, j)
 	if !j.sentBefore && n.uses(EarlyRefusal) && exceedsDeadline(n.now, j.queueEntry, before, rate) {
 		d.logRejection(n, j, fmt.Sprintf("exceeds deadline: %d before it at %.1f/s, entry %s", before, rate, from))
 		d.reject(n, j)
@@ -76,13 +78,14 @@
 	if j.promptKey != 0 && len(d.rejectedPrompts) < maxRejectedPrompts {
 		d.rejectedPrompts[j.promptKey] = j.firstArrived
 	}
-	n.send(j.key.node, ForwardTurnedAway{ID: j.key.id})
+	n.send(j.key.node, ForwardTurnedAway{ID: j.key.id, RetryAfter: d.retryAfter(n, j)})
 }
 
 // placeWaiting places waiting jobs in order, as far as engines have room, and
 // rejects those that have expired.
 func (d *dispatcher) placeWaiting(n *Node) {
 	sortWaiting(n.now, d.queue)
+	late := lateRoom{}
 	rest := d.queue[:0]
 	for _, j := range d.queue {
 		switch {
@@ -90,7 +93,7 @@
 			delete(d.jobs, j.key)
 			d.logRejection(n, j, fmt.Sprintf("expired with %d waiting, entry %s", len(d.queue), j.key.node))
 			d.reject(n, j)
-		case !d.assign(n, j):
+		case !late.has(n, d, j), !d.assign(n, j):
 			rest = append(rest, j)
 		}
 	}
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -66,7 +66,11 @@
 	// rejectedPrompts holds when the prompts of rejected requests first
 	// arrived, so that callers who retry are recognised.
 	rejectedPrompts map[PromptKey]Instant
-	placeScheduled  bool
+	// onTimeArrivals holds each group's rate of requests that arrived in time, and
+	// returns when its rejected callers are told to return.
+	onTimeArrivals map[DispatchGroup]*placementRate
+	returns        map[DispatchGroup]*returnSchedule
+	placeScheduled bool
 }
 
 func (d *dispatcher) start(n *Node) {
@@ -74,6 +78,8 @@
 	d.allocations = map[EngineID]*engineAllocation{}
 	d.placements = map[DispatchGroup]*placementRate{}
 	d.rejectedPrompts = map[PromptKey]Instant{}
+	d.onTimeArrivals = map[DispatchGroup]*placementRate{}
+	d.returns = map[DispatchGroup]*returnSchedule{}
 	n.every(jobTTL/4, func(n *Node) { d.evictStale(n) })
 }
 
@@ -84,9 +90,13 @@
 }
 
 // handleDenied handles the report that an engine denied a lease for a job that this
-// node placed there.
+// node placed there. One that gave no usable answer counts as failing: a dead engine
+// holds nothing, and would be the first choice again and again.
 func (d *dispatcher) handleDenied(n *Node, from NodeID, m ForwardDenied) {
 	d.allocation(m.Engine).deniedUntil = n.now.Add(n.jitter(deniedFor))
+	if u, ok := n.forward.upstreams.byID[m.Engine]; ok && m.Failed && from != n.Self.ID {
+		u.recordFailure(n.now)
+	}
 	d.handleReleased(n, from, ForwardReleased{ID: m.ID})
 }
 
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -19,7 +19,7 @@
 		s.end(n, f, NoCapacity, quiet)
 		return
 	}
-	f.group = s.openGroup(n, f.spec.ID)
+	f.group = s.groupFor(n, f)
 	owner := s.groupOwner(n, f.group)
 	if owner == "" || !n.uses(OwnedGroups) || s.unresponsiveUntil[owner] > n.now {
 		s.placeLocally(n, f)
--- a/core/dispatch_group.go
+++ b/core/dispatch_group.go
@@ -6,7 +6,7 @@
 	// enginesPerGroup bounds the average number of engines in a group. One
 	// owner keeps the allocation table of a group, so this bounds an owner's
 	// load regardless of the number of engines and nodes.
-	enginesPerGroup = 64
+	enginesPerGroup = 128
 	// groupHashKey is hashed together with an engine's id to assign the engine
 	// to a group.
 	groupHashKey = "group"
@@ -14,13 +14,46 @@
 
 // groupsOf returns how many groups a service's engines form.
 func (s *forwards) groupsOf(id ServiceID) int {
-	return max(1, (len(s.upstreams.byService[id])+enginesPerGroup-1)/enginesPerGroup)
+	return groupCount(len(s.upstreams.byService[id]))
+}
+
+// groupCount returns how many groups a number of engines form.
+func groupCount(engines int) int { return max(1, (engines+enginesPerGroup-1)/enginesPerGroup) }
+
+// groupOf returns the index of the group to which an engine belongs.
+func groupOf(id EngineID, groups int) int {
+	if groups == 1 {
+		return 0
+	}
+	return int(mix(hash64(string(id)), hash64(groupHashKey)) % uint64(groups))
 }
 
 // inGroup reports whether an engine belongs to a group.
 func (s *forwards) inGroup(g DispatchGroup, id EngineID) bool {
-	groups := s.groupsOf(g.Service)
-	return groups == 1 || int(mix(hash64(string(id)), hash64(groupHashKey))%uint64(groups)) == g.Index
+	return groupOf(id, s.groupsOf(g.Service)) == g.Index
+}
+
+// groupFor returns the group that places a request. Groups get requests in proportion to
+// their engines. A caller who retries with the same prompt comes to the same group, whose
+// owner knows when the prompt first arrived.
+func (s *forwards) groupFor(n *Node, f *forwardedRequest) DispatchGroup {
+	id := f.spec.ID
+	groups := s.groupsOf(id)
+	if groups == 1 {
+		return DispatchGroup{Service: id}
+	}
+	g, _ := f.Generation.Get()
+	point := n.rng.IntN(len(s.upstreams.byService[id]))
+	if g.PromptKey != 0 {
+		point = int(mix(uint64(g.PromptKey), hash64(groupHashKey)) % uint64(len(s.upstreams.byService[id])))
+	}
+	for index := range groups {
+		group := DispatchGroup{Service: id, Index: index}
+		if point -= len(s.upstreams.byGroup[group]); point < 0 {
+			return s.openGroup(n, group)
+		}
+	}
+	return DispatchGroup{Service: id}
 }
 
 // groupOwner returns the live node that places requests for a group: the one
--- /dev/null
+++ b/core/dispatch_load_test.go
@@ -0,0 +1,124 @@
+package core_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+// Load pattern: arrivals close to the engines' capacity, with a burst of two and a half
+// times the capacity for six seconds. The callers that the burst rejects return while arrivals
+// alone nearly fill the engines. Without a reserve they take the memory that new arrivals
+// need, and these become late in turn long after the burst.
+func TestReturnsAfterABurstDoNotMakeNewRequestsLate(t *testing.T) {
+	is := is.New(t)
+	simulate := func(without ...core.Mechanism) *hostedWorld {
+		w := streamWorld(without...)
+		w.load("draft", 0.95*modelCapacity, 40*time.Second)
+		w.run(5 * time.Second)
+		w.load("draft", 1.5*modelCapacity, 6*time.Second)
+		w.run(60 * time.Second)
+		return w
+	}
+	with, without := simulate(), simulate(core.LateReserve)
+	t.Logf("on time %d and %d without, served %d and %d, of %d", with.onTime, without.onTime, with.served, without.served, with.callers)
+	is.True(with.onTime > without.onTime)
+	is.True(float64(with.served) >= 0.97*float64(without.served))
+}
+
+// Load pattern: a crest of nearly four times the capacity for three seconds, whose rejected
+// callers would return together. Spread over the time in which they can be served, fewer
+// of them are rejected again.
+func TestRejectedCallersReturnAsTheyCanBeServed(t *testing.T) {
+	is := is.New(t)
+	simulate := func(without ...core.Mechanism) *hostedWorld {
+		w := streamWorld(without...)
+		w.load("draft", 0.7*modelCapacity, 20*time.Second)
+		w.run(3 * time.Second)
+		w.load("draft", 3*modelCapacity, 3*time.Second)
+		w.run(40 * time.Second)
+		return w
+	}
+	with, without := simulate(), simulate(core.ReturnSchedule)
+	t.Logf("rejected twice %d and %d without, of %d", with.rejected, without.rejected, with.callers)
+	is.True(with.rejected < without.rejected)
+}
+
+// Load pattern: engines filled to the last token, with answers that callers estimate
+// badly. Some answers outgrow what was reserved for them, and the engine preempts a
+// stream. A reserve on each engine must prevent most of that.
+func TestEnginesKeepRoomForLongerAnswers(t *testing.T) {
+	is := is.New(t)
+	simulate := func(without ...core.Mechanism) *hostedWorld {
+		w := streamWorld(without...)
+		w.estimate = func(output core.Tokens) core.Tokens {
+			return core.Tokens(float64(output) * math.Exp(0.5*w.rng.NormFloat64()))
+		}
+		w.loadSpread("draft", 1.3*modelCapacity, 60*time.Second)
+		w.run(90 * time.Second)
+		return w
+	}
+	with, without := simulate(), simulate(core.OverrunReserve)
+	t.Logf("preempted %d and %d without, on time %d and %d", with.preempted, without.preempted, with.onTime, without.onTime)
+	is.True(with.preempted <= without.preempted/2)
+}
+
+// Load pattern: a fifth of the engines are dead and still listed. A dead engine holds
+// nothing, so
+// that it is the first choice of an owner that does not learn why its leases fail.
+// Requests must not go from one dead engine to the next.
+func TestOwnerAvoidsDeadEngines(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 8, prefillers: 4, decoders: 20, seed: 3})
+	w.run(3 * time.Second)
+	for _, id := range []core.EngineID{"d00", "d01", "d02", "d03"} {
+		w.ups[id].dead = true
+	}
+	w.load("draft", 20, 10*time.Second)
+	w.run(4 * time.Second)
+	tries := w.steps["d00"] + w.steps["d01"] + w.steps["d02"] + w.steps["d03"]
+	// An engine that fails is tried again after half a second, then after one and two.
+	const triesEach = 2 + 4
+	t.Logf("%d tries at four dead engines", tries)
+	is.True(tries <= 4*triesEach)
+}
+
+// Load pattern: engines of two groups of unequal size. Requests must be divided by the
+// groups' sizes, and a caller who retries must come to the owner that knows its prompt.
+func TestGroupsGetRequestsByTheirSize(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	list := core.InstancesRead{Whole: true, Offset: 1}
+	for i := range 200 {
+		id := core.EngineID("e" + string(rune('a'+i/26)) + string(rune('a'+i%26)))
+		list.Changed = append(list.Changed, core.Instance{ID: id, Service: "model", Address: string(id) + ":1", Slots: 16, Role: core.Decode, Born: 1})
+	}
+	h.deliver(core.Tick{}, worldState(), list)
+	for i := range 12 {
+		addPeer(h, core.NodeID("m"+string(rune('a'+i))))
+	}
+	groups := map[int]int{}
+	groupOf := func(id core.ForwardID, key core.PromptKey) int {
+		f := streamTo(id, "draft")
+		g, _ := f.Generation.Get()
+		g.PromptKey = key
+		f.Generation = core.Some(g)
+		for _, c := range commandsOf[core.SendPeer](h.deliver(f)) {
+			if p, ok := c.Body.(core.PlaceForward); ok {
+				return p.Group.Index
+			}
+		}
+		return -1
+	}
+	const requests = 600
+	for i := range core.ForwardID(requests) {
+		first := groupOf(2*i+1, core.PromptKey(i+1)*7919)
+		is.Equal(groupOf(2*i+2, core.PromptKey(i+1)*7919), first)
+		groups[first]++
+	}
+	t.Logf("requests by group: %v", groups)
+	is.Equal(len(groups)-btoi(groups[-1] > 0), 2-btoi(groups[-1] > 0))
+}
--- a/core/dispatch_message.go
+++ b/core/dispatch_message.go
@@ -59,10 +59,12 @@
 	RetryAfter time.Duration
 }
 
-// ForwardDenied notifies an owner that an engine denied the lease.
+// ForwardDenied notifies an owner that an engine denied the lease, or gave no usable
+// answer if Failed is set.
 type ForwardDenied struct {
 	ID     ForwardID
 	Engine EngineID
+	Failed bool
 }
 
 // ForwardPromptRead notifies an owner that a prefill engine has finished a
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -32,8 +32,13 @@
 	}
 	c := n.roles.costsOf(j.group)
 	decode := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
-		free := u.Slots == 0 || d.allocation(u.ID).requests < u.Slots
-		return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, engine.KVCapacityTokens)
+		requests := d.allocation(u.ID).requests
+		room := engine.KVCapacityTokens
+		if requests > 0 {
+			room -= c.overrunReserve(n, requests+1)
+		}
+		free := u.Slots == 0 || requests < u.Slots
+		return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room)
 	}, func(u *upstream) float64 { return float64(d.allocation(u.ID).memory) })
 	if decode == nil {
 		c.memoryShortAt = n.now
@@ -101,23 +106,37 @@
 }
 
 // cheapestOrAvoided returns the cheapest upstream that is not avoided for its
-// failures, or, if there is none, the cheapest of those that are: when most
-// upstreams lose answers, leaving them all out would serve no request.
+// failures. If most of the group are avoided, it returns the cheapest of those when no
+// other has room: when most upstreams lose answers, leaving them all out would serve
+// hardly any request. Otherwise the job waits for those that are sound.
 func (d *dispatcher) cheapestOrAvoided(n *Node, j *dispatchJob, may func(*upstream) bool, cost func(*upstream) float64) *upstream {
 	u := d.cheapest(n, j, func(u *upstream) bool { return u.avoidUntil <= n.now && may(u) }, cost)
-	if u == nil {
+	if u == nil && d.mostAvoided(n, j.group) {
 		u = d.cheapest(n, j, may, cost)
 	}
 	return u
 }
 
+// mostAvoided reports whether more than half of a group's upstreams are avoided for
+// their failures.
+func (d *dispatcher) mostAvoided(n *Node, g DispatchGroup) bool {
+	usable, avoided := 0, 0
+	for _, u := range n.forward.upstreams.byGroup[g] {
+		if u.usable() {
+			usable++
+			if u.avoidUntil > n.now {
+				avoided++
+			}
+		}
+	}
+	return 2*avoided > usable
+}
+
 // cheapest returns the cheapest upstream of a job's group that may take the
 // job.
 func (d *dispatcher) cheapest(n *Node, j *dispatchJob, may func(*upstream) bool, cost func(*upstream) float64) *upstream {
 	s := &n.forward
-	return cheapest(n, s.upstreams.byService[j.group.Service], func(u *upstream) bool {
-		return !s.inGroup(j.group, u.ID) || j.avoid.Has(u.ID) || !may(u)
-	}, cost)
+	return cheapest(n, s.upstreams.byGroup[j.group], func(u *upstream) bool { return j.avoid.Has(u.ID) || !may(u) }, cost)
 }
 
 // allocate adds a placed job to the allocation table and notifies its entry.
@@ -143,8 +162,8 @@
 		return math.Inf(1)
 	}
 	available := 0
-	for _, u := range n.forward.upstreams.byService[g.Service] {
-		if u.usable() && u.avoidUntil <= n.now && n.forward.inGroup(g, u.ID) && !n.roles.canServe(n, u, Prefill) {
+	for _, u := range n.forward.upstreams.byGroup[g] {
+		if u.usable() && u.avoidUntil <= n.now && !n.roles.canServe(n, u, Prefill) {
 			available++
 		}
 	}
--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -316,12 +316,15 @@
 	_ = x[RoleChanges-3]
 	_ = x[KnownReturners-4]
 	_ = x[EarlyRefusal-5]
-	_ = x[mechanisms-6]
+	_ = x[LateReserve-6]
+	_ = x[OverrunReserve-7]
+	_ = x[ReturnSchedule-8]
+	_ = x[mechanisms-9]
 }
 
-const _Mechanism_name = "OwnedGroupsShortFirstLearnedOutputRoleChangesKnownReturnersEarlyRefusalmechanisms"
+const _Mechanism_name = "OwnedGroupsShortFirstLearnedOutputRoleChangesKnownReturnersEarlyRefusalLateReserveOverrunReserveReturnSchedulemechanisms"
 
-var _Mechanism_index = [...]uint8{0, 11, 21, 34, 45, 59, 71, 81}
+var _Mechanism_index = [...]uint8{0, 11, 21, 34, 45, 59, 71, 82, 96, 110, 120}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -308,7 +308,7 @@
 		if m.Engine != f.decode.ID || f.phase != forwardLeasing {
 			return
 		}
-		s.leaseDenied(n, f)
+		s.leaseDenied(n, f, false)
 	case ReadPromptStep:
 		s.prefillElsewhere(n, f)
 	case RunStep:
@@ -324,14 +324,14 @@
 	}
 }
 
-// leaseDenied requests a new placement after an engine denied the lease. That
-// engine is not used for a moment: a dead one would be retried as fast as it
-// rejects.
-func (s *forwards) leaseDenied(n *Node, f *forwardedRequest) {
+// leaseDenied requests a new placement after an engine denied the lease, or gave no
+// usable answer if failed is set. That engine is not used for a moment: a dead one would
+// be retried as fast as it rejects.
+func (s *forwards) leaseDenied(n *Node, f *forwardedRequest, failed bool) {
 	u := f.decode
 	s.logDecision(n, f, "denied", NoCapacity)
 	if f.owner != "" {
-		n.send(f.owner, ForwardDenied{ID: f.ID, Engine: u.ID})
+		n.send(f.owner, ForwardDenied{ID: f.ID, Engine: u.ID, Failed: failed})
 		f.owner = ""
 	}
 	s.release(n, f)
@@ -359,7 +359,7 @@
 	switch m.Step {
 	case LeaseStep:
 		if f.phase == forwardLeasing && m.Engine == f.decode.ID {
-			s.leaseDenied(n, f)
+			s.leaseDenied(n, f, true)
 		}
 	case ReadPromptStep:
 		s.prefillElsewhere(n, f)
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -90,8 +90,12 @@
 	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond}
 	if kind == "draft" || kind == "resumable" {
 		m.Patience = worldTimeout
+		estimate := output
+		if w.estimate != nil {
+			estimate = w.estimate(output)
+		}
 		m.Generation = core.Some(core.Generation{
-			Prompt: worldPrompt, MaxOutput: 2 * output, ExpectedOutput: output, PromptKey: promptKey,
+			Prompt: worldPrompt, MaxOutput: 5 * worldOutput, ExpectedOutput: estimate, PromptKey: promptKey,
 		})
 	}
 	n.deliver(m)
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -77,6 +77,11 @@
 	// wastedPrefills counts prompts that were prefilled and whose run was
 	// rejected.
 	wastedPrefills int
+	// preempted counts streams that outgrew their reservation at an engine without
+	// free memory.
+	preempted int
+	// estimate returns a caller's estimate of its output; nil for exact ones.
+	estimate func(output core.Tokens) core.Tokens
 	// longestPrefill is the longest time from a prompt's arrival at an engine
 	// to the end of its prefill.
 	longestPrefill time.Duration
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -129,6 +129,15 @@
 		return
 	}
 	u.free -= need
+	if overrun := worldPrompt + r.output - need; overrun > 0 {
+		w.after(30*time.Millisecond+time.Duration(r.output-overrun)*decodeStep, func() {
+			if u.free < overrun {
+				w.preempted++
+			}
+			u.free -= overrun
+		})
+		need += overrun
+	}
 	w.after(30*time.Millisecond, func() {
 		if !r.ended {
 			r.first = w.now
--- a/core/instance.go
+++ b/core/instance.go
@@ -116,6 +116,8 @@
 type upstreams struct {
 	byID      map[EngineID]*upstream
 	byService map[ServiceID][]*upstream
+	// byGroup holds the upstreams of each group of a service.
+	byGroup map[DispatchGroup][]*upstream
 	// signals holds what upstreams' responses have said about them.
 	signals map[EngineID]*upstreamSignals
 	era     StoreEra
@@ -151,6 +153,14 @@
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	s.byGroup = map[DispatchGroup][]*upstream{}
+	for service, list := range s.byService {
+		groups := groupCount(len(list))
+		for _, u := range list {
+			g := DispatchGroup{Service: service, Index: groupOf(u.ID, groups)}
+			s.byGroup[g] = append(s.byGroup[g], u)
+		}
+	}
 }
 
 // cheapest returns the open upstream with the lowest cost among those that skip
--- a/core/mechanism.go
+++ b/core/mechanism.go
@@ -23,6 +23,14 @@
 	// EarlyRefusal rejects a request at once if it would wait too long in the
 	// queue.
 	EarlyRefusal
+	// LateReserve keeps memory free for requests that can still be on time.
+	LateReserve
+	// OverrunReserve keeps memory free for answers that turn out longer than
+	// predicted.
+	OverrunReserve
+	// ReturnSchedule spreads the returns of rejected callers over the time in which
+	// they can be served.
+	ReturnSchedule
 	mechanisms
 )
 
--- a/core/output_model.go
+++ b/core/output_model.go
@@ -47,13 +47,30 @@
 	if m.count < minAnswers || expected <= 0 {
 		return expected
 	}
-	slope, covariance, variance := 1.0, m.xy-m.x*m.y, m.xx-m.x*m.x
+	slope, residualVariance := m.fit()
+	// The mean of log-normally distributed values is above their median.
+	return Tokens(math.Exp(m.y + slope*(math.Log(float64(expected))-m.x) + residualVariance/2))
+}
+
+// fit returns the slope of the regression, and the variance that it leaves in the
+// logarithms of outputs.
+func (m *outputModel) fit() (slope, residualVariance float64) {
+	covariance, variance := m.xy-m.x*m.y, m.xx-m.x*m.x
+	slope = 1
 	if variance > minVariance {
 		slope = min(max(covariance/variance, 0), 1)
 	}
-	residualVariance := max(m.yy-m.y*m.y-slope*(2*covariance-slope*variance), 0)
-	// The mean of log-normally distributed values is above their median.
-	return Tokens(math.Exp(m.y + slope*(math.Log(float64(expected))-m.x) + residualVariance/2))
+	return slope, max(m.yy-m.y*m.y-slope*(2*covariance-slope*variance), 0)
+}
+
+// relativeDeviation returns the standard deviation of outputs from their predictions, as
+// a share of the prediction; zero if too few answers were observed.
+func (m *outputModel) relativeDeviation() float64 {
+	if m.count < minAnswers {
+		return 0
+	}
+	_, residualVariance := m.fit()
+	return math.Sqrt(math.Expm1(residualVariance))
 }
 
 // expectedMemory returns the memory that a request is expected to need when it
--- a/core/roles.go
+++ b/core/roles.go
@@ -23,11 +23,11 @@
 	// prefillHeadroom is the factor on the mean need for prefill capacity that is
 	// kept available: prompts arrive in bursts, and a prompt that waits delays a
 	// stream whose memory is already reserved.
-	prefillHeadroom = 1.5
+	prefillHeadroom = 1.25
 	// prefillShortage is the factor on the mean need below which a decode engine
 	// becomes a prefill engine. It is lower than prefillHeadroom, so that engines
 	// do not oscillate between roles.
-	prefillShortage = 1.1
+	prefillShortage = 1.0
 	// minPrefillEngines keeps one prefill engine available when another fails, in
 	// groups of at least minPrefillGroupSize engines.
 	minPrefillEngines   = 2
@@ -49,7 +49,7 @@
 	maxLengthPenalty   = 2
 	// roleChangeInterval is the minimum time between two role changes in one
 	// group, so that the measured costs show the effect of the first.
-	roleChangeInterval = 8 * time.Second
+	roleChangeInterval = 4 * time.Second
 	// claimValid is how long after sending a claim its holder may issue orders.
 	claimValid = 1500 * time.Millisecond
 	// claimMargin is added to the lease before another node claims, to cover clock
@@ -346,8 +346,8 @@
 
 func (s *roles) planGroup(n *Node, g DispatchGroup, c *engineCosts) []Order {
 	var prefillEngines, decodeEngines []*upstream
-	for _, u := range n.forward.upstreams.byService[g.Service] {
-		if !u.usable() || !n.forward.inGroup(g, u.ID) {
+	for _, u := range n.forward.upstreams.byGroup[g] {
+		if !u.usable() {
 			continue
 		}
 		if s.expectedRole(n, u) == Prefill {
--- a/core/upstream_signal.go
+++ b/core/upstream_signal.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // UpstreamSignal reports what a response of an upstream said about the upstream itself.
 type UpstreamSignal struct {
@@ -126,20 +129,17 @@
 	})
 }
 
-// openGroup returns a group of a service's upstreams, at random among those with an
-// upstream that accepts requests from this node. If there is none, it returns any group.
-func (s *forwards) openGroup(n *Node, id ServiceID) DispatchGroup {
-	groups := s.groupsOf(id)
-	g := DispatchGroup{Service: id, Index: n.rng.IntN(groups)}
+// openGroup returns a group, or the next one with an upstream that accepts requests from
+// this node if the group has none. If no group has one, it returns the first.
+func (s *forwards) openGroup(n *Node, g DispatchGroup) DispatchGroup {
 	if len(s.upstreams.signals) == 0 {
 		return g
 	}
+	groups := s.groupsOf(g.Service)
 	for i := range groups {
-		next := DispatchGroup{Service: id, Index: (g.Index + i) % groups}
-		for _, u := range s.upstreams.byService[id] {
-			if u.open(n.now) && s.inGroup(next, u.ID) {
-				return next
-			}
+		next := DispatchGroup{Service: g.Service, Index: (g.Index + i) % groups}
+		if slices.ContainsFunc(s.upstreams.byGroup[next], func(u *upstream) bool { return u.open(n.now) }) {
+			return next
 		}
 	}
 	return g
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -46,7 +46,7 @@
 		return core.ForwardTurnedAway{ID: forwardID(t), RetryAfter: duration(t, "retry after")}
 	},
 	"ForwardDenied": func(t *rapid.T) core.PeerBody {
-		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine")}
+		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine"), Failed: rapid.Bool().Draw(t, "failed")}
 	},
 	"ForwardPromptRead": func(t *rapid.T) core.PeerBody { return core.ForwardPromptRead{ID: forwardID(t)} },
 	"ForwardReleased": func(t *rapid.T) core.PeerBody {
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -84,7 +84,7 @@
 		}, nil
 	case *Envelope_ForwardDenied:
 		return core.ForwardDenied{
-			ID: core.ForwardID(b.ForwardDenied.GetID()), Engine: core.EngineID(b.ForwardDenied.GetEngine()),
+			ID: core.ForwardID(b.ForwardDenied.GetID()), Engine: core.EngineID(b.ForwardDenied.GetEngine()), Failed: b.ForwardDenied.GetFailed(),
 		}, nil
 	case *Envelope_ForwardPromptRead:
 		return core.ForwardPromptRead{ID: core.ForwardID(b.ForwardPromptRead.GetID())}, nil
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -84,7 +84,7 @@
 	case core.ForwardTurnedAway:
 		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID), RetryAfterNanos: int64(b.RetryAfter)}}
 	case core.ForwardDenied:
-		e.Body = &Envelope_ForwardDenied{&ForwardDenied{ID: uint64(b.ID), Engine: string(b.Engine)}}
+		e.Body = &Envelope_ForwardDenied{&ForwardDenied{ID: uint64(b.ID), Engine: string(b.Engine), Failed: b.Failed}}
 	case core.ForwardPromptRead:
 		e.Body = &Envelope_ForwardPromptRead{&ForwardPromptRead{ID: uint64(b.ID)}}
 	case core.ForwardReleased:
