Have decode engines prefill short prompts at a crest

Engines are divided for the mean load; memory is what can absorb a crest.

Change: DecodePrefill. When no prefill engine can take a prompt soon, a decode engine with memory prefills it itself, if that fits into the pause that its streams may make, and for at most a fifth of its time.

--- a/core/desired.go
+++ b/core/desired.go
@@ -51,6 +51,9 @@
 	// Objective is the time within which an answer, or the first event of a
 	// stream, counts as on time.
 	Objective time.Duration
+	// MaxPause is the longest pause between two events of a stream that is on time; zero
+	// if unknown.
+	MaxPause time.Duration
 	// Rank is the priority of the route under load; zero is the most urgent.
 	Rank int
 	// MaxRuns is how many times upstreams may run one request of a caller. A send
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -40,6 +40,10 @@
 	// engine had no other prompt then.
 	placedAt    Instant
 	prefillIdle bool
+	// maxPause is the longest pause between two events of an answer that is on time; zero
+	// if unknown. prefillAtDecode says that the decode engine prefills the prompt itself.
+	maxPause        time.Duration
+	prefillAtDecode bool
 }
 
 // engineAllocation is what an owner has allocated on one engine.
@@ -49,6 +53,9 @@
 	// requests is the number of requests on the engine, for engines with few
 	// slots.
 	requests int
+	// prefillUntil is until when the engine, which decodes, prefills no further prompt
+	// itself.
+	prefillUntil Instant
 	// deniedUntil is until when the engine counts as full although the
 	// allocation table shows room, because it denied a lease.
 	deniedUntil Instant
@@ -141,7 +148,7 @@
 // recordCost records how long a job occupied its engine or slot, if it got as
 // far as a run.
 func (d *dispatcher) recordCost(n *Node, j *dispatchJob, output Tokens) {
-	if j.decode == "" || j.placedAt == 0 || j.prefill != "" {
+	if j.decode == "" || j.placedAt == 0 || j.prefill != "" || j.prefillAtDecode {
 		return
 	}
 	c, held := n.roles.costsOf(j.group), n.now.Sub(j.placedAt)
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -20,6 +20,7 @@
 		return
 	}
 	f.group = s.groupFor(n, f)
+	f.prefillAtDecode = false
 	owner := s.groupOwner(n, f.group)
 	if owner == "" || !n.uses(OwnedGroups) || s.unresponsiveUntil[owner] > n.now {
 		s.placeLocally(n, f)
@@ -32,7 +33,7 @@
 	f.ownerAcked = false
 	n.send(owner, PlaceForward{
 		ID: f.ID, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
-		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective,
+		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective, MaxPause: f.route.MaxPause,
 		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Again: f.sends > 0, Avoid: s.unwanted(n, f),
 	})
 	step := f.step
@@ -88,7 +89,7 @@
 		s.runPlainAt(n, f, u)
 		return
 	}
-	f.advisedPrefill = m.Prefill
+	f.advisedPrefill, f.prefillAtDecode = m.Prefill, m.PrefillAtDecode
 	s.requestLease(n, f, u, m.Memory)
 }
 
--- a/core/dispatch_load_test.go
+++ b/core/dispatch_load_test.go
@@ -54,6 +54,29 @@
 	is.True(float64(served[0]) >= 0.97*float64(served[1]))
 }
 
+// Load pattern: a crest of four times the mean load for one and a half seconds, which
+// begins while three quarters of the decode memory are free. There are as many prefill
+// engines as the mean load needs. Decode engines must prefill what these cannot in time,
+// but not so often that their streams are slowed by more than a fifth.
+func TestDecodeEnginesHelpWithPromptsOfACrest(t *testing.T) {
+	is := is.New(t)
+	simulate := func(without ...core.Mechanism) *hostedWorld {
+		w := newHostedWorld(worldOptions{nodes: 8, prefillers: 3, decoders: 24, without: core.SetOf(append(without, core.RoleChanges)...), seed: 3})
+		w.run(3 * time.Second)
+		w.load("draft", 18, 6*time.Second)
+		w.run(4 * time.Second)
+		w.load("draft", 54, 1500*time.Millisecond)
+		w.run(20 * time.Second)
+		return w
+	}
+	with, without := simulate(), simulate(core.DecodePrefill)
+	t.Logf("on time %d and %d without, of %d; %d prefilled by decode engines", with.onTime, without.onTime, with.callers, with.prefilledAtDecode)
+	is.True(with.onTime > without.onTime)
+	is.Equal(without.prefilledAtDecode, 0)
+	const engines, seconds, each = 24, 8, 0.194 / 0.2
+	is.True(float64(with.prefilledAtDecode) <= engines*seconds/each)
+}
+
 // Load pattern: engines filled to the last token, with answers that callers estimate
 // badly. Some answers outgrow what was reserved for them, and the engine preempts a
 // stream. A reserve on each engine must prevent most of that.
--- a/core/dispatch_message.go
+++ b/core/dispatch_message.go
@@ -25,6 +25,9 @@
 	OnTime    time.Duration
 	Patience  time.Duration
 	Objective time.Duration
+	// MaxPause is the longest pause between two events of an answer that is on time; zero
+	// if unknown.
+	MaxPause time.Duration
 	// Waited is the time since the request arrived. It lets a request whose
 	// lease was denied keep its position in the queue.
 	Waited time.Duration
@@ -42,13 +45,15 @@
 // ForwardQueued notifies an entry that its request is queued at the owner.
 type ForwardQueued struct{ ID ForwardID }
 
-// ForwardPlaced is an owner's choice of engines. Prefill may be empty. Memory
-// is the amount to lease at the decode engine.
+// ForwardPlaced is an owner's choice of engines. Prefill may be empty; if
+// PrefillAtDecode is set, the decode engine prefills the prompt itself. Memory is the
+// amount to lease at the decode engine.
 type ForwardPlaced struct {
-	ID      ForwardID
-	Decode  EngineID
-	Prefill EngineID
-	Memory  Tokens
+	ID              ForwardID
+	Decode          EngineID
+	Prefill         EngineID
+	PrefillAtDecode bool
+	Memory          Tokens
 }
 
 // ForwardTurnedAway notifies an entry that the owner rejects its request, which
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -62,7 +62,10 @@
 	})
 	if prefill == nil && prefillEngines > 0 {
 		c.prefillShortAt = n.now
-		return false
+		if !d.mayPrefillAtDecode(n, j, decode) {
+			return false
+		}
+		d.prefillAtDecode(n, j, decode)
 	}
 	if prefill != nil {
 		j.prefill = prefill.ID
@@ -147,7 +150,7 @@
 	d.allocation(u.ID).memory += j.memory
 	d.allocation(u.ID).requests++
 	d.placementsOf(j.group).record(n.now)
-	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill, Memory: j.memory})
+	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill, PrefillAtDecode: j.prefillAtDecode, Memory: j.memory})
 }
 
 // capacity returns how many requests a second a group can serve: the recent
--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -317,14 +317,15 @@
 	_ = x[KnownReturners-4]
 	_ = x[EarlyRefusal-5]
 	_ = x[LateReserve-6]
-	_ = x[OverrunReserve-7]
-	_ = x[ReturnSchedule-8]
-	_ = x[mechanisms-9]
+	_ = x[DecodePrefill-7]
+	_ = x[OverrunReserve-8]
+	_ = x[ReturnSchedule-9]
+	_ = x[mechanisms-10]
 }
 
-const _Mechanism_name = "OwnedGroupsShortFirstLearnedOutputRoleChangesKnownReturnersEarlyRefusalLateReserveOverrunReserveReturnSchedulemechanisms"
+const _Mechanism_name = "OwnedGroupsShortFirstLearnedOutputRoleChangesKnownReturnersEarlyRefusalLateReserveDecodePrefillOverrunReserveReturnSchedulemechanisms"
 
-var _Mechanism_index = [...]uint8{0, 11, 21, 34, 45, 59, 71, 82, 96, 110, 120}
+var _Mechanism_index = [...]uint8{0, 11, 21, 34, 45, 59, 71, 82, 95, 109, 123, 133}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
--- a/core/forward.go
+++ b/core/forward.go
@@ -48,6 +48,8 @@
 	outcome        RunOutcome
 	output         Tokens
 	advisedPrefill EngineID
+	// prefillAtDecode says that the owner wants the decode engine to prefill the prompt.
+	prefillAtDecode bool
 
 	decode   *upstream
 	lease    LeaseID
@@ -273,7 +275,7 @@
 	if f.decode != nil {
 		f.decode.recordSuccess()
 	}
-	if f.placedAt != 0 {
+	if f.placedAt != 0 && !f.prefillAtDecode {
 		getOrCreate(s.firstByteTimes, f.spec.ID).add(n.now.Sub(f.placedAt))
 	}
 }
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -180,7 +180,7 @@
 // request at the decode engine alone if no prefill engine is available.
 func (s *forwards) startPrefill(n *Node, f *forwardedRequest) {
 	u := s.takeAdvisedPrefill(n, f)
-	if u == nil {
+	if u == nil && !f.prefillAtDecode {
 		u = s.choosePrefill(n, f)
 	}
 	if u == nil {
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -20,6 +20,7 @@
 	worldOutput    = core.Tokens(860)
 	longOutput     = 2 * worldOutput
 	worldObjective = 900 * time.Millisecond
+	worldPause     = 400 * time.Millisecond
 	worldTimeout   = 14 * time.Second
 )
 
@@ -84,6 +85,8 @@
 	// preempted counts streams that outgrew their reservation at an engine without
 	// free memory.
 	preempted int
+	// prefilledAtDecode counts streams whose decode engine prefilled their prompt.
+	prefilledAtDecode int
 	// estimate returns a caller's estimate of its output; nil for exact ones.
 	estimate func(output core.Tokens) core.Tokens
 	// longestPrefill is the longest time from a prompt's arrival at an engine
@@ -166,7 +169,7 @@
 func worldState() core.DesiredState {
 	route := func(id core.RouteID, service core.ServiceID, policy core.RetryPolicy, objective, timeout time.Duration) core.Route {
 		return core.Route{
-			ID: id, Host: "h", Prefix: "/" + string(id) + "/", RetryPolicy: policy, Timeout: timeout, Objective: objective, MaxRuns: 2,
+			ID: id, Host: "h", Prefix: "/" + string(id) + "/", RetryPolicy: policy, Timeout: timeout, Objective: objective, MaxPause: worldPause, MaxRuns: 2,
 			Split: []core.Share{{Service: service, Weight: 1}},
 		}
 	}
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -129,8 +129,13 @@
 		return
 	}
 	u.free -= need
+	first := 30 * time.Millisecond
+	if c.Handle == "" {
+		w.prefilledAtDecode++
+		first += 2 * promptTime
+	}
 	if overrun := worldPrompt + r.output - need; overrun > 0 {
-		w.after(30*time.Millisecond+time.Duration(r.output-overrun)*decodeStep, func() {
+		w.after(first+time.Duration(r.output-overrun)*decodeStep, func() {
 			if u.free < overrun {
 				w.preempted++
 			}
@@ -138,13 +143,13 @@
 		})
 		need += overrun
 	}
-	w.after(30*time.Millisecond, func() {
+	w.after(first, func() {
 		if !r.ended {
 			r.first = w.now
 			n.deliver(core.ForwardResponseStarted{ID: c.ID, Engine: c.Engine})
 		}
 	})
-	w.after(30*time.Millisecond+time.Duration(r.output)*decodeStep, func() {
+	w.after(first+time.Duration(r.output)*decodeStep, func() {
 		u.free += need
 		n.answer(c.ID, c.Engine, r)
 	})
--- a/core/mechanism.go
+++ b/core/mechanism.go
@@ -25,6 +25,9 @@
 	EarlyRefusal
 	// LateReserve keeps memory free for requests that can still be on time.
 	LateReserve
+	// DecodePrefill has decode engines prefill short prompts when prefill engines are
+	// short and memory is not.
+	DecodePrefill
 	// OverrunReserve keeps memory free for answers that turn out longer than
 	// predicted.
 	OverrunReserve
--- a/core/overrun_reserve.go
+++ b/core/overrun_reserve.go
@@ -4,7 +4,7 @@
 
 // overrunDeviations is how many standard deviations of the sum of the answers on an
 // engine are kept free for answers that turn out longer than predicted.
-const overrunDeviations = 1.0
+const overrunDeviations = 1.25
 
 // overrunReserve returns the memory of an engine that is kept free when it decodes the
 // given number of streams.
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -34,13 +34,13 @@
 		return core.PlaceForward{
 			ID: forwardID(t), Group: dispatchGroup(t),
 			Prompt: tokens(t, "prompt"), Expected: tokens(t, "expected"), MaxOutput: tokens(t, "max output"), Rank: rapid.IntRange(0, 9).Draw(t, "rank"),
-			OnTime: duration(t, "on time"), Patience: duration(t, "patience"), Objective: duration(t, "objective"),
+			OnTime: duration(t, "on time"), Patience: duration(t, "patience"), Objective: duration(t, "objective"), MaxPause: duration(t, "pause"),
 			PromptKey: core.PromptKey(rapid.Uint64().Draw(t, "prompted")), Attempt: text[string](t, "attempt"), Waited: duration(t, "waited"), Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
 		}
 	},
 	"ForwardQueued": func(t *rapid.T) core.PeerBody { return core.ForwardQueued{ID: forwardID(t)} },
 	"ForwardPlaced": func(t *rapid.T) core.PeerBody {
-		return core.ForwardPlaced{ID: forwardID(t), Decode: text[core.EngineID](t, "decode"), Prefill: text[core.EngineID](t, "prefill"), Memory: tokens(t, "memory")}
+		return core.ForwardPlaced{ID: forwardID(t), Decode: text[core.EngineID](t, "decode"), Prefill: text[core.EngineID](t, "prefill"), PrefillAtDecode: rapid.Bool().Draw(t, "at decode"), Memory: tokens(t, "memory")}
 	},
 	"ForwardTurnedAway": func(t *rapid.T) core.PeerBody {
 		return core.ForwardTurnedAway{ID: forwardID(t), RetryAfter: duration(t, "retry after")}
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -100,7 +100,7 @@
 	return &PlaceForward{
 		ID: uint64(b.ID), Service: string(b.Group.Service), Index: uint32(b.Group.Index),
 		Prompt: int64(b.Prompt), Expected: int64(b.Expected), MaxOutput: int64(b.MaxOutput), Rank: int64(b.Rank),
-		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective),
+		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective), MaxPauseNanos: int64(b.MaxPause),
 		Prompted: uint64(b.PromptKey), Attempt: b.Attempt, WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: convertAll(b.Avoid, func(id core.EngineID) string { return string(id) }),
 	}
 }
@@ -111,7 +111,7 @@
 		Group:  core.DispatchGroup{Service: core.ServiceID(b.GetService()), Index: int(b.GetIndex())},
 		Prompt: core.Tokens(b.GetPrompt()), Expected: core.Tokens(b.GetExpected()), MaxOutput: core.Tokens(b.GetMaxOutput()), Rank: int(b.GetRank()),
 		OnTime: time.Duration(b.GetOnTimeNanos()), Patience: time.Duration(b.GetPatienceNanos()),
-		Objective: time.Duration(b.GetObjectiveNanos()), PromptKey: core.PromptKey(b.GetPrompted()), Attempt: b.GetAttempt(), Waited: time.Duration(b.GetWaitedNanos()), Again: b.GetAgain(),
+		Objective: time.Duration(b.GetObjectiveNanos()), MaxPause: time.Duration(b.GetMaxPauseNanos()), PromptKey: core.PromptKey(b.GetPrompted()), Attempt: b.GetAttempt(), Waited: time.Duration(b.GetWaitedNanos()), Again: b.GetAgain(),
 		Avoid: convertAll(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }),
 	}
 }
@@ -119,7 +119,7 @@
 func toForwardPlaced(b *ForwardPlaced) core.PeerBody {
 	return core.ForwardPlaced{
 		ID: core.ForwardID(b.GetID()), Decode: core.EngineID(b.GetDecode()), Prefill: core.EngineID(b.GetPrefill()),
-		Memory: core.Tokens(b.GetMemory()),
+		PrefillAtDecode: b.GetPrefillAtDecode(), Memory: core.Tokens(b.GetMemory()),
 	}
 }
 
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -80,7 +80,7 @@
 	case core.ForwardQueued:
 		e.Body = &Envelope_ForwardQueued{&ForwardQueued{ID: uint64(b.ID)}}
 	case core.ForwardPlaced:
-		e.Body = &Envelope_ForwardPlaced{&ForwardPlaced{ID: uint64(b.ID), Decode: string(b.Decode), Prefill: string(b.Prefill), Memory: int64(b.Memory)}}
+		e.Body = &Envelope_ForwardPlaced{&ForwardPlaced{ID: uint64(b.ID), Decode: string(b.Decode), Prefill: string(b.Prefill), PrefillAtDecode: b.PrefillAtDecode, Memory: int64(b.Memory)}}
 	case core.ForwardTurnedAway:
 		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID), RetryAfterNanos: int64(b.RetryAfter)}}
 	case core.ForwardDenied:
