--- a/core/dispatch_load_test.go
+++ b/core/dispatch_load_test.go
@@ -152,3 +152,39 @@
 	t.Logf("requests by group: %v", groups)
 	is.Equal(len(groups)-btoi(groups[-1] > 0), 2-btoi(groups[-1] > 0))
 }
+
+// Load pattern: a steady load far below capacity, from entries in two failure domains.
+// Streams must stay in the domain of their entry, because traffic between domains is
+// expensive.
+func TestStreamsStayInTheDomainOfTheirEntry(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	list := core.InstancesRead{Whole: true, Offset: 1}
+	for i := range 8 {
+		domain := core.DomainID("d1")
+		if i%2 == 1 {
+			domain = "d2"
+		}
+		id := core.EngineID("e" + string(rune('a'+i)))
+		list.Changed = append(list.Changed, core.Instance{ID: id, Service: "model", Domain: domain, Address: string(id) + ":1", Slots: 16, Role: core.Decode, Born: 1})
+	}
+	h.deliver(core.Tick{}, worldState(), list)
+	h.deliver(core.VMList{Nodes: []core.NodeInfo{{ID: "n2", Domain: "d2", PeerAddress: "n2:1", CallerAddress: "n2:2"}}})
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.Heartbeat{Sequence: 1}})
+	place := func(id core.ForwardID) core.EngineID {
+		out := h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.PlaceForward{
+			ID: id, Group: core.DispatchGroup{Service: "model"}, Prompt: worldPrompt, Expected: worldOutput,
+			OnTime: time.Second, Patience: worldTimeout, Objective: worldObjective,
+		}})
+		return sentTo[core.ForwardPlaced](out, "n2")[0].Decode
+	}
+	for id := range core.ForwardID(4) {
+		is.True((place(id)[1]-'a')%2 == 1)
+	}
+	// Once the engines of the domain hold much more than others, those are used.
+	elsewhere := 0
+	for id := range core.ForwardID(16) {
+		elsewhere += btoi((place(10 + id)[1]-'a')%2 == 0)
+	}
+	is.True(elsewhere >= 4)
+}
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -19,6 +19,10 @@
 	// its cost, so that one that failed all its requests is not left out for
 	// good.
 	minSuccess = 0.01
+	// remoteDecodeShare is the cost, as a share of an engine's memory, of a decode engine
+	// in another failure domain than the request's entry: request and answer cross
+	// domains, and so does the KV cache unless a prefill engine is beside it.
+	remoteDecodeShare = 0.1
 )
 
 // assign chooses upstreams for a job, and reports whether there was room. For
@@ -30,7 +34,7 @@
 	if !generates {
 		return d.assignPlain(n, j)
 	}
-	c := n.roles.costsOf(j.group)
+	c, domain := n.roles.costsOf(j.group), n.domainOf(j.key.node)
 	decode := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
 		requests := d.allocation(u.ID).requests
 		room := engine.KVCapacityTokens
@@ -39,7 +43,13 @@
 		}
 		free := u.Slots == 0 || requests < u.Slots
 		return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room)
-	}, func(u *upstream) float64 { return float64(d.allocation(u.ID).memory) })
+	}, func(u *upstream) float64 {
+		cost := float64(d.allocation(u.ID).memory)
+		if u.Domain != domain {
+			cost += remoteDecodeShare * float64(engine.KVCapacityTokens)
+		}
+		return cost
+	})
 	if decode == nil {
 		c.memoryShortAt = n.now
 		return false
@@ -84,8 +94,13 @@
 // and those that can still be on time go first.
 func (d *dispatcher) assignPlain(n *Node, j *dispatchJob) bool {
 	j.memory = 1
+	domain := n.domainOf(j.key.node)
 	cost := func(u *upstream) float64 {
-		return float64(d.allocation(u.ID).memory+1) / float64(max(u.Slots, 1)) / max(u.successRate*u.successRate, minSuccess)
+		requests := float64(d.allocation(u.ID).memory + 1)
+		if u.Domain != domain {
+			requests += remotePenalty
+		}
+		return requests / float64(max(u.Slots, 1)) / max(u.successRate*u.successRate, minSuccess)
 	}
 	u := d.cheapestOrAvoided(n, j, func(u *upstream) bool { return d.fits(n, u, j.memory, plainCapacity(u)) }, cost)
 	if u == nil {
@@ -102,6 +117,17 @@
 	return Tokens(u.Slots + (u.Slots+slotsPerExtra-1)/slotsPerExtra)
 }
 
+// domainOf returns the failure domain of a node, or an empty id if it is not known.
+func (n *Node) domainOf(id NodeID) DomainID {
+	if id == n.Self.ID {
+		return n.Self.Domain
+	}
+	if m, ok := n.members.byID[id]; ok {
+		return m.node.Domain
+	}
+	return ""
+}
+
 // fits reports whether an upstream has room for a job, by the allocation table.
 func (d *dispatcher) fits(n *Node, u *upstream, need, room Tokens) bool {
 	b := d.allocation(u.ID)
