Look at engines once for all jobs that need as much

One owner on a VM with a fifth of a core looked at all engines for each of a hundred queued jobs at every message.

Change: a job that needs at least as much as one that found no room in the same pass is not tried; allocations hang on upstreams.

--- a/core/decode_prefill.go
+++ b/core/decode_prefill.go
@@ -23,7 +23,7 @@
 // prefill short prompts themselves, each seldom enough that its streams go on in time.
 func (d *dispatcher) mayPrefillAtDecode(n *Node, j *dispatchJob, u *upstream) bool {
 	took, measured := d.decodePrefillTime(n, j)
-	return n.uses(DecodePrefill) && measured && d.allocation(u.ID).prefillUntil <= n.now &&
+	return n.uses(DecodePrefill) && measured && d.allocationOf(u).prefillUntil <= n.now &&
 		took <= fractionOf(j.maxPause, decodePrefillPause)
 }
 
@@ -38,6 +38,6 @@
 // prompt has to wait until prefills are a small enough share of the engine's time.
 func (d *dispatcher) prefillAtDecode(n *Node, j *dispatchJob, u *upstream) {
 	took, _ := d.decodePrefillTime(n, j)
-	d.allocation(u.ID).prefillUntil = n.now.Add(fractionOf(took, 1/decodePrefillShare))
+	d.allocationOf(u).prefillUntil = n.now.Add(fractionOf(took, 1/decodePrefillShare))
 	j.prefillAtDecode = true
 }
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -85,7 +85,7 @@
 // rejects those that have expired.
 func (d *dispatcher) placeWaiting(n *Node) {
 	sortWaiting(n.now, d.queue)
-	late := lateRoom{}
+	pass := placementPass{}
 	rest := d.queue[:0]
 	for _, j := range d.queue {
 		switch {
@@ -93,7 +93,7 @@
 			delete(d.jobs, j.key)
 			d.logRejection(n, j, fmt.Sprintf("expired with %d waiting, entry %s", len(d.queue), j.key.node))
 			d.reject(n, j)
-		case !late.has(n, d, j), !d.assign(n, j):
+		case !pass.place(n, d, j):
 			rest = append(rest, j)
 		}
 	}
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -92,6 +92,15 @@
 
 func (d *dispatcher) allocation(id EngineID) *engineAllocation { return getOrCreate(d.allocations, id) }
 
+// allocationOf is allocation without a search, for the many looks at all engines of a
+// group.
+func (d *dispatcher) allocationOf(u *upstream) *engineAllocation {
+	if u.allocation == nil {
+		u.allocation = d.allocation(u.ID)
+	}
+	return u.allocation
+}
+
 func (d *dispatcher) placementsOf(g DispatchGroup) *placementRate {
 	return getOrCreate(d.placements, g)
 }
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -25,10 +25,21 @@
 	remoteDecodeShare = 0.1
 )
 
-// assign chooses upstreams for a job, and reports whether there was room. For
-// model engines, it chooses the decode engine first: a prompt is prefilled only
+// assignment is the outcome of assign.
+type assignment int
+
+const (
+	// assigned jobs got their upstreams.
+	assigned assignment = iota
+	// noMemory means that no upstream has memory, or a slot, for the job.
+	noMemory
+	// noPrefill means that no engine can prefill the job's prompt soon.
+	noPrefill
+)
+
+// assign chooses upstreams for a job if there is room. For model engines, it chooses the decode engine first: a prompt is prefilled only
 // if there is memory to decode its output.
-func (d *dispatcher) assign(n *Node, j *dispatchJob) bool {
+func (d *dispatcher) assign(n *Node, j *dispatchJob) assignment {
 	spec := n.forward.state.Services[j.group.Service]
 	engine, generates := spec.Engine.Get()
 	if !generates {
@@ -36,7 +47,7 @@
 	}
 	c, domain := n.roles.costsOf(j.group), n.domainOf(j.key.node)
 	decode := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
-		requests := d.allocation(u.ID).requests
+		requests := d.allocationOf(u).requests
 		room := engine.KVCapacityTokens
 		if requests > 0 {
 			room -= c.overrunReserve(n, requests+1)
@@ -44,7 +55,7 @@
 		free := u.Slots == 0 || requests < u.Slots
 		return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room)
 	}, func(u *upstream) float64 {
-		cost := float64(d.allocation(u.ID).memory)
+		cost := float64(d.allocationOf(u).memory)
 		if u.Domain != domain {
 			cost += remoteDecodeShare * float64(engine.KVCapacityTokens)
 		}
@@ -52,7 +63,7 @@
 	})
 	if decode == nil {
 		c.memoryShortAt = n.now
-		return false
+		return noMemory
 	}
 	prefillEngines := 0
 	prefill := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
@@ -60,11 +71,11 @@
 			return false
 		}
 		prefillEngines++
-		backlog := d.allocation(u.ID).prefillTokens
+		backlog := d.allocationOf(u).prefillTokens
 		ahead, measured := c.backlogTime(backlog)
 		return backlog == 0 || measured && ahead <= maxPrefillBacklog
 	}, func(u *upstream) float64 {
-		cost := float64(d.allocation(u.ID).prefillTokens)
+		cost := float64(d.allocationOf(u).prefillTokens)
 		if u.Domain != decode.Domain {
 			cost += remotePrefillCost
 		}
@@ -73,30 +84,30 @@
 	if prefill == nil && prefillEngines > 0 {
 		c.prefillShortAt = n.now
 		if !d.mayPrefillAtDecode(n, j, decode) {
-			return false
+			return noPrefill
 		}
 		d.prefillAtDecode(n, j, decode)
 	}
 	if prefill != nil {
 		j.prefill = prefill.ID
-		j.prefillIdle = d.allocation(prefill.ID).prefillTokens == 0
-		d.allocation(prefill.ID).prefillTokens += j.prompt
+		j.prefillIdle = d.allocationOf(prefill).prefillTokens == 0
+		d.allocationOf(prefill).prefillTokens += j.prompt
 	}
 	if engine.KVCapacityTokens > 0 {
 		c.observePlacement(j.prompt, j.memory-j.prompt, float64(j.memory)/float64(engine.KVCapacityTokens))
 	}
 	d.allocate(n, j, decode)
-	return true
+	return assigned
 }
 
 // assignPlain chooses an upstream of a plain service by its free slots and its
 // success rate. Requests beyond the slots wait at the owner, where urgent ones
 // and those that can still be on time go first.
-func (d *dispatcher) assignPlain(n *Node, j *dispatchJob) bool {
+func (d *dispatcher) assignPlain(n *Node, j *dispatchJob) assignment {
 	j.memory = 1
 	domain := n.domainOf(j.key.node)
 	cost := func(u *upstream) float64 {
-		requests := float64(d.allocation(u.ID).memory + 1)
+		requests := float64(d.allocationOf(u).memory + 1)
 		if u.Domain != domain {
 			requests += remotePenalty
 		}
@@ -104,10 +115,10 @@
 	}
 	u := d.cheapestOrAvoided(n, j, func(u *upstream) bool { return d.fits(n, u, j.memory, plainCapacity(u)) }, cost)
 	if u == nil {
-		return false
+		return noMemory
 	}
 	d.allocate(n, j, u)
-	return true
+	return assigned
 }
 
 // plainCapacity returns how many requests a plain upstream receives at once:
@@ -130,7 +141,7 @@
 
 // fits reports whether an upstream has room for a job, by the allocation table.
 func (d *dispatcher) fits(n *Node, u *upstream, need, room Tokens) bool {
-	b := d.allocation(u.ID)
+	b := d.allocationOf(u)
 	return u.fullUntil <= n.now && b.deniedUntil <= n.now && (room == 0 || b.memory+need <= room)
 }
 
@@ -173,8 +184,8 @@
 	j.waiting = false
 	j.placedAt = n.now
 	j.decode = u.ID
-	d.allocation(u.ID).memory += j.memory
-	d.allocation(u.ID).requests++
+	d.allocationOf(u).memory += j.memory
+	d.allocationOf(u).requests++
 	d.placementsOf(j.group).record(n.now)
 	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill, PrefillAtDecode: j.prefillAtDecode, Memory: j.memory})
 }
--- a/core/instance.go
+++ b/core/instance.go
@@ -59,6 +59,9 @@
 	avoidUntil Instant
 	// successRate is the exponentially weighted success rate.
 	successRate float64
+	// allocation is what this node, as an owner, has allocated on the upstream; nil before
+	// the first use. It is the entry of the allocation table.
+	allocation *engineAllocation
 	// signals is what the upstream's responses have said about it; nil if nothing.
 	signals *upstreamSignals
 }
--- a/core/late_reserve.go
+++ b/core/late_reserve.go
@@ -49,7 +49,7 @@
 		if !u.open(n.now) || u.avoidUntil > n.now || !n.roles.canServe(n, u, Decode) {
 			continue
 		}
-		a := d.allocation(u.ID)
+		a := d.allocationOf(u)
 		if free := engine.KVCapacityTokens - a.memory - c.overrunReserve(n, a.requests+1); free > 0 && a.deniedUntil <= n.now {
 			places += int(free / size)
 		}
--- a/core/roles.go
+++ b/core/roles.go
@@ -387,10 +387,13 @@
 // order can serve none: until the list shows the change, it may have its old role, be
 // switching, or have its new role.
 func (s *roles) canServe(n *Node, u *upstream, role Role) bool {
+	if u.Role != role {
+		return false
+	}
 	if o, ok := s.ordered[u.ID]; ok && n.now.Sub(o.at) < orderSettleTime {
 		return false
 	}
-	return u.Role == role
+	return true
 }
 
 // chooseEngines selects up to count engines to switch, each from the failure domain
