Find out silent prefill engines

Change: a prefill may take three times the usual time to the first event, at least 600 ms; a failed one is reported to the owner; a request whose lease has expired meanwhile is placed again.

--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -116,10 +116,15 @@
 	d.handleReleased(n, from, ForwardReleased{ID: m.ID})
 }
 
-// handlePrefillDone handles the report that a prefill engine has finished a prompt.
+// handlePrefillDone handles the report that a prefill engine has finished a prompt or
+// failed. A dead one would otherwise get a prompt each time its backlog is released.
 func (d *dispatcher) handlePrefillDone(n *Node, from NodeID, m ForwardPromptRead) {
 	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
-		if j.prefillIdle && j.prefill != "" {
+		u, listed := n.forward.upstreams.byID[j.prefill]
+		switch {
+		case m.Failed && listed && from != n.Self.ID:
+			u.recordFailure(n.now)
+		case !m.Failed && j.prefillIdle && j.prefill != "":
 			n.roles.costsOf(j.group).observePrefill(j.prompt, n.now.Sub(j.placedAt))
 		}
 		d.releasePrefill(j)
--- a/core/dispatch_load_test.go
+++ b/core/dispatch_load_test.go
@@ -116,6 +116,25 @@
 	is.True(tries <= 4*triesEach)
 }
 
+// Load pattern: one of three prefill engines goes silent under a load that the other two
+// can serve. Its prompts must not wait until their callers have gone, and it must not get
+// more of them than it takes to find out.
+func TestSilentPrefillEngineIsFoundOut(t *testing.T) {
+	is := is.New(t)
+	w := newHostedWorld(worldOptions{nodes: 8, prefillers: 3, decoders: 20, without: core.SetOf(core.RoleChanges, core.DecodePrefill), seed: 3})
+	w.run(3 * time.Second)
+	w.load("draft", 12, 20*time.Second)
+	w.run(5 * time.Second)
+	w.ups["p00"].dark = true
+	w.steps["p00"] = 0
+	w.run(25 * time.Second)
+	t.Logf("%d prompts sent to the silent engine; on time %d of %d, failed %d", w.steps["p00"], w.onTime, w.callers, w.failed)
+	// It is tried after half a second, one, and then every two seconds, and one prompt is
+	// on its way when it goes silent.
+	is.True(w.steps["p00"] <= 2+2+15/2+1)
+	is.True(float64(w.onTime) >= 0.9*float64(w.callers))
+}
+
 // Load pattern: engines of two groups of unequal size. Requests must be divided by the
 // groups' sizes, and a caller who retries must come to the owner that knows its prompt.
 func TestGroupsGetRequestsByTheirSize(t *testing.T) {
--- a/core/dispatch_message.go
+++ b/core/dispatch_message.go
@@ -72,9 +72,12 @@
 	Failed bool
 }
 
-// ForwardPromptRead notifies an owner that a prefill engine has finished a
-// prompt.
-type ForwardPromptRead struct{ ID ForwardID }
+// ForwardPromptRead notifies an owner that a prefill engine has finished a prompt, or
+// that it rejected it or gave no usable answer if Failed is set.
+type ForwardPromptRead struct {
+	ID     ForwardID
+	Failed bool
+}
 
 // RunOutcome is the outcome of a request's run, as far as it shows the health
 // of the upstream.
--- a/core/forward.go
+++ b/core/forward.go
@@ -51,12 +51,14 @@
 	// prefillAtDecode says that the owner wants the decode engine to prefill the prompt.
 	prefillAtDecode bool
 
-	decode   *upstream
-	lease    LeaseID
-	reserved Tokens
-	prefill  *upstream
-	handle   HandleID
-	placedAt Instant
+	decode *upstream
+	lease  LeaseID
+	// leasedUntil is when the lease expires at its engine.
+	leasedUntil Instant
+	reserved    Tokens
+	prefill     *upstream
+	handle      HandleID
+	placedAt    Instant
 
 	// runs counts the upstreams that may have run the request, sends all that
 	// it was sent to, including those that rejected it, and prefills the
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -17,6 +17,10 @@
 	// needs.
 	leaseFactor = 2
 	minLease    = 400 * time.Millisecond
+	// prefillTimeoutFactor and minPrefillTimeout set how long a prefill may take: the
+	// factor times the usual time to the first event, but at least the minimum.
+	prefillTimeoutFactor = 3
+	minPrefillTimeout    = 600 * time.Millisecond
 	// engineBusyFor is how long an engine that rejected a prompt or a run is
 	// not used: it is full, or changes its role.
 	engineBusyFor = time.Second
@@ -171,6 +175,8 @@
 		return
 	}
 	f.lease = m.Lease
+	engine, _ := f.spec.Engine.Get()
+	f.leasedUntil = n.now.Add(s.leaseTTL(f, engine))
 	f.placedAt = n.now
 	s.placementRate.record(n.now)
 	s.startPrefill(n, f)
@@ -194,12 +200,18 @@
 	u.ownRequests++
 	u.prefillTokens += f.prompt()
 	s.logDecision(n, f, "place", NoReason)
+	n.do(RunPrefill{ID: f.ID, Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f)})
+}
+
+// prefillTimeout returns how long a prefill engine may take. An engine that has gone
+// silent must not hold the request for as long as its caller would wait.
+func (s *forwards) prefillTimeout(n *Node, f *forwardedRequest) time.Duration {
 	engine, _ := f.spec.Engine.Get()
-	patience := f.timeLeft(n.now)
+	timeout := min(f.timeLeft(n.now), max(time.Duration(prefillTimeoutFactor*float64(s.usualFirstByteTime(f))), minPrefillTimeout))
 	if engine.MaxLease > 0 {
-		patience = min(patience, engine.MaxLease)
+		timeout = min(timeout, engine.MaxLease)
 	}
-	n.do(RunPrefill{ID: f.ID, Engine: u.ID, Address: u.Address, Timeout: patience})
+	return timeout
 }
 
 // takeAdvisedPrefill returns the prefill engine that the owner chose, or nil if
@@ -339,19 +351,27 @@
 	s.requestPlacement(n, f)
 }
 
-// prefillElsewhere has another engine compute the prompt's KV cache.
+// prefillElsewhere has another engine compute the prompt's KV cache. If the lease of
+// decode memory has expired meanwhile, the request is placed again.
 func (s *forwards) prefillElsewhere(n *Node, f *forwardedRequest) {
 	if f.phase != forwardPrefilling {
 		return
 	}
 	f.tried.Add(f.prefill.ID)
 	f.prefill.fullUntil = n.now.Add(n.jitter(engineBusyFor))
+	if f.owner != "" {
+		n.send(f.owner, ForwardPromptRead{ID: f.ID, Failed: true})
+	}
 	s.releasePrefill(f)
-	if f.prefills < maxSends && s.spendRetryBudget(n, f, 1) {
+	switch {
+	case f.prefills >= maxSends || !s.spendRetryBudget(n, f, 1):
+		s.end(n, f, NoCapacity, 0)
+	case f.lease != "" && n.now > f.leasedUntil:
+		s.release(n, f)
+		s.requestPlacement(n, f)
+	default:
 		s.startPrefill(n, f)
-		return
 	}
-	s.end(n, f, NoCapacity, 0)
 }
 
 // streamFailed handles a stream's step that got no usable answer.
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -16,6 +16,8 @@
 	running int
 	waiting []func()
 	dead    bool
+	// dark engines answer nothing.
+	dark bool
 	// loses is the share of answers that are lost in transit.
 	loses float64
 	next  int
@@ -61,11 +63,15 @@
 
 func (n *worldNode) runPrefill(c core.RunPrefill) {
 	w, u := n.w, n.w.ups[c.Engine]
+	w.steps[u.ID]++
 	if u.dead {
 		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep, Unsent: true})
 		return
 	}
-
+	if u.dark {
+		n.deliverAfter(c.Timeout, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep})
+		return
+	}
 	u.readyAt = max(u.readyAt, w.now).Add(promptTime)
 	w.longestPrefill = max(w.longestPrefill, u.readyAt.Sub(w.now))
 	n.deliverAfter(u.readyAt.Sub(w.now)+2*linkDelay, core.PrefillFinished{ID: c.ID, Engine: c.Engine, Handle: "h", Tokens: worldPrompt})
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -48,7 +48,9 @@
 	"ForwardDenied": func(t *rapid.T) core.PeerBody {
 		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine"), Failed: rapid.Bool().Draw(t, "failed")}
 	},
-	"ForwardPromptRead": func(t *rapid.T) core.PeerBody { return core.ForwardPromptRead{ID: forwardID(t)} },
+	"ForwardPromptRead": func(t *rapid.T) core.PeerBody {
+		return core.ForwardPromptRead{ID: forwardID(t), Failed: rapid.Bool().Draw(t, "failed")}
+	},
 	"ForwardReleased": func(t *rapid.T) core.PeerBody {
 		return core.ForwardReleased{ID: forwardID(t), Outcome: enum(t, "outcome", core.RunFailed), Output: tokens(t, "output")}
 	},
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -87,7 +87,7 @@
 			ID: core.ForwardID(b.ForwardDenied.GetID()), Engine: core.EngineID(b.ForwardDenied.GetEngine()), Failed: b.ForwardDenied.GetFailed(),
 		}, nil
 	case *Envelope_ForwardPromptRead:
-		return core.ForwardPromptRead{ID: core.ForwardID(b.ForwardPromptRead.GetID())}, nil
+		return core.ForwardPromptRead{ID: core.ForwardID(b.ForwardPromptRead.GetID()), Failed: b.ForwardPromptRead.GetFailed()}, nil
 	case *Envelope_ForwardReleased:
 		return toForwardReleased(b.ForwardReleased)
 	case *Envelope_ForwardHeld:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -86,7 +86,7 @@
 	case core.ForwardDenied:
 		e.Body = &Envelope_ForwardDenied{&ForwardDenied{ID: uint64(b.ID), Engine: string(b.Engine), Failed: b.Failed}}
 	case core.ForwardPromptRead:
-		e.Body = &Envelope_ForwardPromptRead{&ForwardPromptRead{ID: uint64(b.ID)}}
+		e.Body = &Envelope_ForwardPromptRead{&ForwardPromptRead{ID: uint64(b.ID), Failed: b.Failed}}
 	case core.ForwardReleased:
 		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID), Outcome: uint32(b.Outcome), Output: int64(b.Output)}}
 	case core.ForwardHeld:
