--- a/core/dispatch_load_test.go
+++ b/core/dispatch_load_test.go
@@ -117,8 +117,8 @@
 }
 
 // Load pattern: one of three prefill engines goes silent under a load that the other two
-// can serve. Its prompts must not wait until their callers have gone, and it must not get
-// more of them than it takes to find out.
+// can serve. Its prompts must be given up soon enough to be read elsewhere in time, but
+// for those that were on their way, and it must not get more than it takes to find out.
 func TestSilentPrefillEngineIsFoundOut(t *testing.T) {
 	is := is.New(t)
 	w := newHostedWorld(worldOptions{nodes: 8, prefillers: 3, decoders: 20, without: core.SetOf(core.RoleChanges, core.DecodePrefill), seed: 3})
@@ -132,7 +132,8 @@
 	// It is tried after half a second, one, and then every two seconds, and one prompt is
 	// on its way when it goes silent.
 	is.True(w.steps["p00"] <= 2+2+15/2+1)
-	is.True(float64(w.onTime) >= 0.9*float64(w.callers))
+	const onTheirWay = 2
+	is.True(w.onTime >= w.callers-onTheirWay)
 }
 
 // Load pattern: engines of two groups of unequal size. Requests must be divided by the
