--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -37,8 +37,9 @@
 	noPrefill
 )
 
-// assign chooses upstreams for a job if there is room. For model engines, it chooses the decode engine first: a prompt is prefilled only
-// if there is memory to decode its output.
+// assign chooses upstreams for a job if there is room. For model engines, it chooses the
+// decode engine first: a prompt is prefilled only if there is memory to decode its
+// output.
 func (d *dispatcher) assign(n *Node, j *dispatchJob) assignment {
 	spec := n.forward.state.Services[j.group.Service]
 	engine, generates := spec.Engine.Get()
