Use an upstream without an incarnation again after its quiet time

Cause: whether an upstream is leaving was told by comparing the incarnation that said so with its own. Both are zero for an entry that names none, so that such an upstream, once it had asked for quiet, counted as leaving for good.

Change: the incarnation that is leaving is optional. The new test fails without it. Comments that the reading stumbled over are reworded, notYetLeft is withoutStale.

--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -92,8 +92,8 @@
 
 func (d *dispatcher) allocation(id EngineID) *engineAllocation { return getOrCreate(d.allocations, id) }
 
-// allocationOf is allocation without a search, for the many looks at all engines of a
-// group.
+// allocationOf returns the allocation of an upstream without a map lookup, because all
+// engines of a group are scanned for each placement.
 func (d *dispatcher) allocationOf(u *upstream) *engineAllocation {
 	if u.allocation == nil {
 		u.allocation = d.allocation(u.ID)
--- a/core/dispatch_load_test.go
+++ b/core/dispatch_load_test.go
@@ -117,8 +117,9 @@
 }
 
 // Load pattern: one of three prefill engines goes silent under a load that the other two
-// can serve. Its prompts must be given up soon enough to be read elsewhere in time, but
-// for those that were on their way, and it must not get more than it takes to find out.
+// can serve. Prompts sent to it must time out soon enough to be prefilled elsewhere on
+// time, except those in flight when it fails. It must get only as many as the detection of
+// the failure takes.
 func TestSilentPrefillEngineIsFoundOut(t *testing.T) {
 	is := is.New(t)
 	w := newHostedWorld(worldOptions{nodes: 8, prefillers: 3, decoders: 20, without: core.SetOf(core.RoleChanges, core.DecodePrefill), seed: 3})
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -252,7 +252,7 @@
 	}
 	if s.loaded && s.position.era != m.Era {
 		s.outageAt, s.historyStart = n.now, to
-		changed = s.notYetLeft(changed)
+		changed = s.withoutStale(changed)
 	}
 	forward := !m.Whole && n.readerRank() < feedReaders+feedBackupReaders
 	s.apply(n, to, changed, removed)
@@ -264,9 +264,9 @@
 	}
 }
 
-// notYetLeft returns the entries of a restored store without what this node knows to be
+// withoutStale returns the entries of a restored store without what this node knows to be
 // out of date in them: an incarnation that was draining is draining still, or has left.
-func (s *instanceFeed) notYetLeft(restored []Instance) []Instance {
+func (s *instanceFeed) withoutStale(restored []Instance) []Instance {
 	var list []Instance
 	for _, i := range restored {
 		if born, ok := s.left[i.ID]; ok && born == i.Born {
--- a/core/late_reserve.go
+++ b/core/late_reserve.go
@@ -9,11 +9,10 @@
 // lateRoom decides whether late requests may be placed during one pass over the queue.
 //
 // Load pattern: a burst is over, and its rejected callers return, while new arrivals
-// alone nearly fill the engines. The queue is empty of requests that can be on time again
-// and again for an instant. A late request that is placed then holds its memory for
-// seconds, and those that arrive meanwhile become late in turn, so that the overload
-// keeps itself up. Late requests therefore leave some places free, which is known as
-// trunk reservation. They get what new arrivals do not need.
+// alone nearly fill the engines. Whenever no request that can still be on time is queued,
+// a late one would be placed and hold its memory for seconds. New arrivals would find no
+// memory and become late too, and the overload would persist after its cause is gone.
+// Late requests therefore leave some places free for new arrivals (trunk reservation).
 type lateRoom struct {
 	places map[DispatchGroup]int
 }
--- a/core/overrun_reserve.go
+++ b/core/overrun_reserve.go
@@ -9,10 +9,10 @@
 // overrunReserve returns the memory of an engine that is kept free when it decodes the
 // given number of streams.
 //
-// Load pattern: engines filled to the last token. Predictions are right on average, so
-// that with every second engine some answer needs memory that another one has reserved.
-// The engine then preempts a stream: its caller sees a pause, and the prompt is
-// prefilled again.
+// Load pattern: engines whose memory is fully reserved. Predictions of outputs are right
+// on average only, so some answers outgrow their reservation while the rest of the memory
+// is reserved for others. The engine then preempts a stream: its caller sees a pause, and
+// the prompt is prefilled again.
 func (c *engineCosts) overrunReserve(n *Node, streams int) Tokens {
 	if !n.uses(OverrunReserve) {
 		return 0
--- a/core/placement_pass.go
+++ b/core/placement_pass.go
@@ -3,9 +3,9 @@
 // placementPass is one pass over an owner's queue.
 //
 // Load pattern: a crest, with a hundred requests and more in the queue, while every
-// arrival and every release starts another pass. Looking at all engines for each of them
-// takes a weak VM longer than the requests take to arrive. A job that needs at least as
-// much as one that found no room in the same pass is not tried.
+// arrival and every release starts another pass. Scanning all engines for each queued job
+// takes more processor time than a small VM has. A job that needs at least as much memory,
+// or as long a prefill, as one that could not be placed in the same pass is skipped.
 type placementPass struct {
 	late lateRoom
 	// failedMemory and failedPrompt are, by group, the least memory and the shortest
--- a/core/upstream_signal.go
+++ b/core/upstream_signal.go
@@ -28,8 +28,9 @@
 // upstreamSignals is what an upstream's responses to this node have said about it. It
 // outlasts the upstream's entry in the list, which may lapse and return.
 type upstreamSignals struct {
-	// leaving is the incarnation that said it is leaving, or zero.
-	leaving int64
+	// leaving is present once an incarnation has said that it is leaving, and is that
+	// incarnation.
+	leaving Option[int64]
 	// quietUntil is until when the upstream wants no requests from this node, and
 	// quietSends counts the requests sent to it since it asked for that.
 	quietUntil Instant
@@ -50,8 +51,8 @@
 		s.signals[m.Engine] = known
 		u.signals = known
 	}
-	if m.Leaving && known.leaving != u.Born {
-		known.leaving = u.Born
+	if m.Leaving && !u.leaving() {
+		known.leaving = Some(u.Born)
 		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "upstream-leaving", Decode: m.Engine}})
 	}
 	if m.QuietFor > 0 {
@@ -77,7 +78,13 @@
 }
 
 // leaving reports whether the upstream has said that it is shutting down.
-func (u *upstream) leaving() bool { return u.signals != nil && u.signals.leaving == u.Born }
+func (u *upstream) leaving() bool {
+	if u.signals == nil {
+		return false
+	}
+	born, said := u.signals.leaving.Get()
+	return said && born == u.Born
+}
 
 // quiet reports whether the upstream wants no requests from this node now.
 func (u *upstream) quiet(now Instant) bool { return u.signals != nil && u.signals.quietUntil > now }
--- a/core/upstream_signal_test.go
+++ b/core/upstream_signal_test.go
@@ -164,3 +164,15 @@
 		}
 	}
 }
+
+// An upstream whose entry does not name its incarnation asks for quiet. It must be used
+// again once that time is over, and not be taken for one that is leaving.
+func TestQuietUpstreamWithoutIncarnationIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	unnamed := plainInstance("e1")
+	unnamed.Born = 0
+	h := readyAlone(unnamed)
+	h.deliver(core.UpstreamSignal{Engine: "e1", QuietFor: time.Second})
+	h.advance(2 * time.Second)
+	is.Equal(arrivals(h.deliver(forwardTo(1, "pay")), "e1"), 1)
+}
