Log each send with its number, and what proved that it was not run

Callers saw requests run twice and run after a rejection, and no log could tell why: a refused run left no line, results named no send, and checkInvariant was called nowhere on the path of hosted nodes.

Sends of a request are numbered, and results carry the number. A run's line says whether it is the first or why it is another one; a refusal's line says what proved it: the upstream's statement, status 421, or nothing sent. Results of a send that was given up are logged as stale-result, and responses of another request on a connection as UnmatchedResponse. The core checks AtMostOnce before each run, NotRunTrue before each rejection and DrainGraceful when this node has closed a caller's connection. The ingress server keeps its own record of what was sent, and reports violations independently of the core.

No decision changes.

--- a/core/forward.go
+++ b/core/forward.go
@@ -67,6 +67,10 @@
 	sends    int
 	prefills int
 	tried    Set[EngineID]
+	// lastSend is the number of the latest send, and runRecords are the runs among the
+	// sends.
+	lastSend   SendNumber
+	runRecords []sendRecord
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
 	hasFailureAnswer bool
@@ -231,6 +235,7 @@
 	if !ok {
 		return
 	}
+	s.checkNotClosedHere(n, f, m.ClosedHere)
 	s.logDecision(n, f, "gone", NoReason)
 	s.close(n, f)
 }
@@ -238,6 +243,7 @@
 // reject ends a request that no upstream has run, and names a time after which
 // the caller may retry.
 func (s *forwards) reject(n *Node, f *forwardedRequest, reason RejectionReason, after time.Duration) {
+	s.checkNotRun(n, f)
 	s.logDecision(n, f, "refuse", reason)
 	n.do(EndForward{ID: f.ID, Reason: reason, NotRun: true, RetryAfter: after})
 	s.close(n, f)
@@ -268,7 +274,11 @@
 // caller.
 func (s *forwards) handleFirstBytes(n *Node, m ForwardResponseStarted) {
 	f, ok := s.live[m.ID]
-	if !ok || f.phase != forwardRunning {
+	if !ok {
+		return
+	}
+	s.logStaleResult(n, f, RunStep, m.Engine, m.Send, "response started")
+	if f.phase != forwardRunning {
 		return
 	}
 	f.phase = forwardResponding
@@ -288,6 +298,7 @@
 	if !ok {
 		return
 	}
+	s.logStaleResult(n, f, RunStep, m.Engine, m.Send, "response completed")
 	if f.decode != nil {
 		f.decode.recordSuccess()
 	}
@@ -366,6 +377,13 @@
 	n.do(LogDecision{Decision: s.newDecision(n, f, step, reason)})
 }
 
+// logRun logs that a request is being sent to the upstream that is to run it.
+func (s *forwards) logRun(n *Node, f *forwardedRequest) {
+	d := s.newDecision(n, f, "run", NoReason)
+	d.Detail = f.describeRun()
+	n.do(LogDecision{Decision: d})
+}
+
 // newDecision returns the record of a decision about a request.
 func (s *forwards) newDecision(n *Node, f *forwardedRequest, step string, reason RejectionReason) Decision {
 	d := Decision{
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -41,8 +41,12 @@
 	Resumed bool
 }
 
-// ForwardCallerDisconnected says that the caller of a request has disconnected.
-type ForwardCallerDisconnected struct{ ID ForwardID }
+// ForwardCallerDisconnected says that the connection of a request's caller is closed.
+// ClosedHere is set if this node has closed it.
+type ForwardCallerDisconnected struct {
+	ID         ForwardID
+	ClosedHere bool
+}
 
 // ForwardStep is a step of serving a forwarded request.
 type ForwardStep int
@@ -57,9 +61,28 @@
 	RunStep
 )
 
+// SendNumber numbers what a node sends to upstreams for one request: lease requests,
+// prefills and runs. The first one is 1. A result carries the number of its send.
+type SendNumber int
+
+// NotRunProof is what proves that an upstream did not carry out a step.
+type NotRunProof int
+
+// The proofs that a step was not carried out.
+const (
+	// StatedNotRun means that the response says so.
+	StatedNotRun NotRunProof = iota
+	// OtherInstance means that another upstream has the address, or that the engine has
+	// another role, and the response does not say more.
+	OtherInstance
+	// NothingSent means that no byte of the request left this node.
+	NothingSent
+)
+
 // LeaseGranted says that an engine reserved decode memory.
 type LeaseGranted struct {
 	ID     ForwardID
+	Send   SendNumber
 	Engine EngineID
 	Lease  LeaseID
 }
@@ -68,17 +91,21 @@
 // holds it.
 type PrefillFinished struct {
 	ID     ForwardID
+	Send   SendNumber
 	Engine EngineID
 	Handle HandleID
 	Tokens Tokens
 }
 
 // StepRefused says that an upstream rejected a step and provably did not carry
-// it out. AddressReused is set if the address belongs to another upstream now.
+// it out. Proof is what proves that. AddressReused is set if the address belongs to
+// another upstream now.
 type StepRefused struct {
 	ID            ForwardID
+	Send          SendNumber
 	Engine        EngineID
 	Step          ForwardStep
+	Proof         NotRunProof
 	AddressReused bool
 }
 
@@ -88,6 +115,7 @@
 // of the answer has gone to the caller.
 type StepFailed struct {
 	ID      ForwardID
+	Send    SendNumber
 	Engine  EngineID
 	Step    ForwardStep
 	Unsent  bool
@@ -99,12 +127,14 @@
 // ForwardResponseStarted says that the first bytes of the answer went to the caller.
 type ForwardResponseStarted struct {
 	ID     ForwardID
+	Send   SendNumber
 	Engine EngineID
 }
 
 // ForwardResponseCompleted says that the whole answer went to the caller.
 type ForwardResponseCompleted struct {
 	ID     ForwardID
+	Send   SendNumber
 	Engine EngineID
 	// Events is the number of events of a stream.
 	Events int
@@ -119,6 +149,7 @@
 // RequestLease asks an engine to reserve memory for a request.
 type RequestLease struct {
 	ID      ForwardID
+	Send    SendNumber
 	Engine  EngineID
 	Address string
 	Tokens  Tokens
@@ -136,6 +167,7 @@
 // RunPrefill asks a prefill engine to compute a prompt's KV cache.
 type RunPrefill struct {
 	ID      ForwardID
+	Send    SendNumber
 	Engine  EngineID
 	Address string
 	Timeout time.Duration
@@ -153,6 +185,7 @@
 // run of the same request.
 type RunForward struct {
 	ID      ForwardID
+	Send    SendNumber
 	Engine  EngineID
 	Address string
 	// Source is the address of the engine that computed the prompt's KV cache,
@@ -162,6 +195,8 @@
 	Lease  LeaseID
 	// Patience is how long the caller still waits.
 	Patience time.Duration
+	// Once says that the request must run at most once.
+	Once bool
 	// NewConnection asks for a connection that has carried no request before.
 	NewConnection bool
 	// StallAfter is the longest pause between events before the run counts as
--- a/core/forward_once_test.go
+++ b/core/forward_once_test.go
@@ -63,7 +63,7 @@
 	h := readyAlone(plainInstance("e1"), plainInstance("e2"))
 	runs := commandsOf[core.RunForward](h.deliver(forwardTo(1, "pay")))
 	is.Equal(len(runs), 1)
-	out := h.deliver(core.StepFailed{ID: 1, Engine: runs[0].Engine, Step: core.RunStep, Reason: "reset"})
+	out := h.deliver(core.StepFailed{ID: 1, Send: runs[0].Send, Engine: runs[0].Engine, Step: core.RunStep, Reason: "reset"})
 	is.Equal(len(commandsOf[core.RunForward](out)), 0)
 	ends := commandsOf[core.EndForward](out)
 	is.Equal(len(ends), 1)
@@ -76,7 +76,7 @@
 	is := is.New(t)
 	h := readyAlone(plainInstance("e1"), plainInstance("e2"))
 	first := commandsOf[core.RunForward](h.deliver(forwardTo(1, "pay")))[0]
-	again := commandsOf[core.RunForward](h.deliver(core.StepRefused{ID: 1, Engine: first.Engine, Step: core.RunStep}))
+	again := commandsOf[core.RunForward](h.deliver(core.StepRefused{ID: 1, Send: first.Send, Engine: first.Engine, Step: core.RunStep}))
 	is.Equal(len(again), 1)
 	is.True(again[0].Engine != first.Engine)
 }
@@ -183,22 +183,22 @@
 func leaseAnswer(t *rapid.T, c core.RequestLease) core.Message {
 	switch rapid.IntRange(0, 3).Draw(t, "lease") {
 	case 0:
-		return core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep}
+		return core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.LeaseStep}
 	case 1:
-		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep}
+		return core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.LeaseStep}
 	default:
-		return core.LeaseGranted{ID: c.ID, Engine: c.Engine, Lease: "l"}
+		return core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: "l"}
 	}
 }
 
 func prefillAnswer(t *rapid.T, c core.RunPrefill) core.Message {
 	switch rapid.IntRange(0, 3).Draw(t, "read") {
 	case 0:
-		return core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep, AddressReused: true}
+		return core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.ReadPromptStep, AddressReused: true}
 	case 1:
-		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep}
+		return core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.ReadPromptStep}
 	default:
-		return core.PrefillFinished{ID: c.ID, Engine: c.Engine, Handle: "h", Tokens: 100}
+		return core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: "h", Tokens: 100}
 	}
 }
 
@@ -207,16 +207,16 @@
 func runAnswer(t *rapid.T, c core.RunForward) (core.Message, bool) {
 	switch rapid.IntRange(0, 5).Draw(t, "run") {
 	case 0:
-		return core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep}, false
+		return core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep}, false
 	case 1:
-		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Unsent: true}, false
+		return core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep, Unsent: true}, false
 	case 2:
-		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep}, true
+		return core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep}, true
 	case 3:
-		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Status: 500}, true
+		return core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep, Status: 500}, true
 	case 4:
-		return core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Emitted: true}, true
+		return core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep, Emitted: true}, true
 	default:
-		return core.ForwardResponseCompleted{ID: c.ID, Engine: c.Engine}, true
+		return core.ForwardResponseCompleted{ID: c.ID, Send: c.Send, Engine: c.Engine}, true
 	}
 }
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -37,10 +37,12 @@
 	f.sends++
 	f.runs++
 	f.tried.Add(u.ID)
-	s.logDecision(n, f, "run", NoReason)
+	s.checkBeforeRun(n, f)
+	number := f.recordRun(u.ID)
+	s.logRun(n, f)
 	n.do(RunForward{
-		ID: f.ID, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
-		NewConnection: f.route.RetryPolicy == Once && u.failures > 0,
+		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
+		Once: f.route.RetryPolicy == Once, NewConnection: f.route.RetryPolicy == Once && u.failures > 0,
 	})
 	if f.route.RetryPolicy == Repeatable {
 		s.retryIfSilent(n, f)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -154,7 +154,7 @@
 		s.startPrefill(n, f)
 		return
 	}
-	n.do(RequestLease{ID: f.ID, Engine: u.ID, Address: u.Address, Tokens: f.reserved, TTL: s.leaseTTL(f, engine)})
+	n.do(RequestLease{ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Tokens: f.reserved, TTL: s.leaseTTL(f, engine)})
 }
 
 // leaseTTL returns the duration of the lease to request. It covers the prefill
@@ -200,7 +200,7 @@
 	u.ownRequests++
 	u.prefillTokens += f.prompt()
 	s.logDecision(n, f, "place", NoReason)
-	n.do(RunPrefill{ID: f.ID, Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f)})
+	n.do(RunPrefill{ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f)})
 }
 
 // prefillTimeout returns how long a prefill engine may take. An engine that has gone
@@ -269,6 +269,7 @@
 	}
 	run := RunForward{
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Patience: f.timeLeft(n.now),
+		Once: f.route.RetryPolicy == Once,
 	}
 	if f.route.RetryPolicy != Once && f.runs+1 < f.route.MaxRuns {
 		run.StallAfter = stallAfter
@@ -282,7 +283,9 @@
 	f.step++
 	f.sends++
 	f.runs++
-	s.logDecision(n, f, "run", NoReason)
+	s.checkBeforeRun(n, f)
+	run.Send = f.recordRun(f.decode.ID)
+	s.logRun(n, f)
 	n.do(run)
 	if f.route.RetryPolicy != Once {
 		s.watchFirstEvent(n, f)
@@ -399,6 +402,11 @@
 	if !ok {
 		return
 	}
+	s.logStaleResult(n, f, m.Step, m.Engine, m.Send, m.Proof.String())
+	s.logRefusal(n, f, m)
+	if m.Step == RunStep {
+		f.recordNotRun(m.Send, m.Proof)
+	}
 	if m.AddressReused {
 		if u, ok := s.upstreams.byID[m.Engine]; ok {
 			u.recordFailure(n.now)
@@ -413,6 +421,17 @@
 	}
 }
 
+// logRefusal logs that an upstream rejected a step, and what proves that it did not carry
+// it out. Rejected leases are logged as denied.
+func (s *forwards) logRefusal(n *Node, f *forwardedRequest, m StepRefused) {
+	if m.Step == LeaseStep {
+		return
+	}
+	d := s.newDecision(n, f, "step-refused", NoCapacity)
+	d.Detail = fmt.Sprintf("%s at %s, send %d: %s", m.Step, m.Engine, m.Send, m.Proof)
+	n.do(LogDecision{Decision: d})
+}
+
 // handleStepFailed handles a step that got no usable answer, by the kind of the
 // request.
 func (s *forwards) handleStepFailed(n *Node, m StepFailed) {
@@ -427,10 +446,14 @@
 	if !ok {
 		return
 	}
+	s.logStaleResult(n, f, m.Step, m.Engine, m.Send, "failed")
+	if m.Step == RunStep && m.Unsent {
+		f.recordNotRun(m.Send, NothingSent)
+	}
 	f.emitted = f.emitted || m.Emitted
 	f.outcome = outcome
 	d := s.newDecision(n, f, "step-failed", UpstreamFailed)
-	d.Detail = fmt.Sprintf("%s at %s, status %d, sent %t: %s", m.Step, m.Engine, m.Status, !m.Unsent, m.Reason)
+	d.Detail = fmt.Sprintf("%s at %s, send %d, status %d, sent %t: %s", m.Step, m.Engine, m.Send, m.Status, !m.Unsent, m.Reason)
 	n.do(LogDecision{Decision: d})
 	if m.Step == RunStep && (f.decode == nil || f.decode.ID != m.Engine || f.phase < forwardRunning) {
 		return
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -27,7 +27,7 @@
 }
 
 // answer delivers the whole answer to the caller.
-func (n *worldNode) answer(id core.ForwardID, engine core.EngineID, r *worldRequest) {
+func (n *worldNode) answer(c core.RunForward, r *worldRequest) {
 	w := n.w
 	if r.ended {
 		return
@@ -35,9 +35,9 @@
 	r.ended = true
 	if r.first == 0 {
 		r.first = w.now
-		n.deliver(core.ForwardResponseStarted{ID: id, Engine: engine})
+		n.deliver(core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine})
 	}
-	n.deliver(core.ForwardResponseCompleted{ID: id, Engine: engine, Events: int(r.output) / 12})
+	n.deliver(core.ForwardResponseCompleted{ID: c.ID, Send: c.Send, Engine: c.Engine, Events: int(r.output) / 12})
 	w.served++
 	if r.output >= longOutput {
 		w.longServed++
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -42,11 +42,11 @@
 	w, u := n.w, n.w.ups[c.Engine]
 	w.steps[u.ID]++
 	if u.dead {
-		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep, Unsent: true})
+		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.LeaseStep, Unsent: true})
 		return
 	}
 	if u.free < c.Tokens {
-		n.deliverAfter(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep})
+		n.deliverAfter(2*linkDelay, core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.LeaseStep})
 		return
 	}
 	u.next++
@@ -55,26 +55,26 @@
 	u.free -= c.Tokens
 	w.after(c.TTL, func() { u.release(id) })
 	if w.rng.Float64() < u.loses {
-		n.deliverAfter(2*linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.LeaseStep})
+		n.deliverAfter(2*linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.LeaseStep})
 		return
 	}
-	n.deliverAfter(2*linkDelay, core.LeaseGranted{ID: c.ID, Engine: c.Engine, Lease: id})
+	n.deliverAfter(2*linkDelay, core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: id})
 }
 
 func (n *worldNode) runPrefill(c core.RunPrefill) {
 	w, u := n.w, n.w.ups[c.Engine]
 	w.steps[u.ID]++
 	if u.dead {
-		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep, Unsent: true})
+		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.ReadPromptStep, Unsent: true})
 		return
 	}
 	if u.dark {
-		n.deliverAfter(c.Timeout, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep})
+		n.deliverAfter(c.Timeout, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.ReadPromptStep})
 		return
 	}
 	u.readyAt = max(u.readyAt, w.now).Add(promptTime)
 	w.longestPrefill = max(w.longestPrefill, u.readyAt.Sub(w.now))
-	n.deliverAfter(u.readyAt.Sub(w.now)+2*linkDelay, core.PrefillFinished{ID: c.ID, Engine: c.Engine, Handle: "h", Tokens: worldPrompt})
+	n.deliverAfter(u.readyAt.Sub(w.now)+2*linkDelay, core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: "h", Tokens: worldPrompt})
 }
 
 func (n *worldNode) runForward(c core.RunForward) {
@@ -83,7 +83,7 @@
 	r.runs++
 	switch {
 	case u.dead:
-		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep, Unsent: true})
+		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep, Unsent: true})
 	case u.Service == "ledger":
 		n.runPlain(u, c, r)
 	default:
@@ -106,10 +106,10 @@
 				next()
 			}
 			if w.rng.Float64() < u.loses {
-				n.deliver(core.StepFailed{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+				n.deliver(core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep})
 				return
 			}
-			w.after(linkDelay, func() { n.answer(c.ID, c.Engine, r) })
+			w.after(linkDelay, func() { n.answer(c, r) })
 		})
 	}
 	switch {
@@ -118,7 +118,7 @@
 	case len(u.waiting) < queue:
 		u.waiting = append(u.waiting, start)
 	default:
-		n.deliverAfter(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+		n.deliverAfter(2*linkDelay, core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep})
 	}
 }
 
@@ -131,7 +131,7 @@
 	}
 	if u.Role != core.Decode || u.free < need {
 		w.wastedPrefills++
-		n.deliverAfter(2*linkDelay, core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.RunStep})
+		n.deliverAfter(2*linkDelay, core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep})
 		return
 	}
 	u.free -= need
@@ -152,11 +152,11 @@
 	w.after(first, func() {
 		if !r.ended {
 			r.first = w.now
-			n.deliver(core.ForwardResponseStarted{ID: c.ID, Engine: c.Engine})
+			n.deliver(core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine})
 		}
 	})
 	w.after(first+time.Duration(r.output)*decodeStep, func() {
 		u.free += need
-		n.answer(c.ID, c.Engine, r)
+		n.answer(c, r)
 	})
 }
--- a/core/retry_budget_test.go
+++ b/core/retry_budget_test.go
@@ -20,7 +20,7 @@
 		runs := commandsOf[core.RunForward](h.deliver(forwardTo(id, "read")))
 		is.Equal(len(runs), 1)
 		for len(runs) > 0 {
-			runs = commandsOf[core.RunForward](h.deliver(core.StepFailed{ID: id, Engine: runs[0].Engine, Step: core.RunStep, Status: 500}))
+			runs = commandsOf[core.RunForward](h.deliver(core.StepFailed{ID: id, Send: runs[0].Send, Engine: runs[0].Engine, Step: core.RunStep, Status: 500}))
 			if len(runs) > 0 {
 				extras = append(extras, h.now)
 			}
--- /dev/null
+++ b/core/send_record.go
@@ -0,0 +1,105 @@
+package core
+
+import "fmt"
+
+// sendRecord is one run of a request that was sent to an upstream.
+type sendRecord struct {
+	number SendNumber
+	engine EngineID
+	// notRun is set once it is proved that the upstream did not run the request, and
+	// proof is what proves it. Without a proof the upstream may have run the request,
+	// or may still do so.
+	notRun bool
+	proof  NotRunProof
+}
+
+// nextSend returns the number of a request's next send.
+func (f *forwardedRequest) nextSend() SendNumber {
+	f.lastSend++
+	return f.lastSend
+}
+
+// recordRun records that the request is being sent to an upstream that is to run it, and
+// returns the number of the send.
+func (f *forwardedRequest) recordRun(id EngineID) SendNumber {
+	number := f.nextSend()
+	f.runRecords = append(f.runRecords, sendRecord{number: number, engine: id})
+	return number
+}
+
+// recordNotRun records the proof that a send was not run. A number that is not the
+// number of a run has no effect.
+func (f *forwardedRequest) recordNotRun(number SendNumber, proof NotRunProof) {
+	for i := range f.runRecords {
+		if r := &f.runRecords[i]; r.number == number && !r.notRun {
+			r.notRun, r.proof = true, proof
+		}
+	}
+}
+
+// unprovenRuns returns the number of sends that upstreams may have run or may still run.
+func (f *forwardedRequest) unprovenRuns() int {
+	unproven := 0
+	for _, r := range f.runRecords {
+		if !r.notRun {
+			unproven++
+		}
+	}
+	return unproven
+}
+
+// describeRun returns the number of the latest run and why the request is sent again, for
+// the log.
+func (f *forwardedRequest) describeRun() string {
+	i := len(f.runRecords) - 1
+	if i <= 0 {
+		return "first"
+	}
+	latest, before := f.runRecords[i], f.runRecords[i-1]
+	reason := "no proof that it was not run"
+	if before.notRun {
+		reason = before.proof.String()
+	}
+	return fmt.Sprintf("send %d, again after send %d at %s: %s", latest.number, before.number, before.engine, reason)
+}
+
+// checkBeforeRun verifies that a request that must run at most once is not sent to an
+// upstream while another one may have run it.
+func (s *forwards) checkBeforeRun(n *Node, f *forwardedRequest) {
+	unproven := f.unprovenRuns()
+	ok := f.route.RetryPolicy != Once || unproven == 0
+	n.checkInvariant(AtMostOnce, ok, f.violation(ok, unproven, "is sent again"))
+}
+
+// checkNotRun verifies that no upstream may run a request of which the caller is told
+// that it has not run.
+func (s *forwards) checkNotRun(n *Node, f *forwardedRequest) {
+	unproven := f.unprovenRuns()
+	n.checkInvariant(NotRunTrue, unproven == 0, f.violation(unproven == 0, unproven, "is answered as not run"))
+}
+
+// checkNotClosedHere verifies that this node has not closed the connection of a caller
+// whose request an upstream may have run: the caller would take the request for unread.
+func (s *forwards) checkNotClosedHere(n *Node, f *forwardedRequest, closedHere bool) {
+	unproven := f.unprovenRuns()
+	ok := !closedHere || unproven == 0
+	n.checkInvariant(DrainGraceful, ok, f.violation(ok, unproven, "lost its connection to a close of this node"))
+}
+
+// violation returns the detail of a violation, or an empty string if ok is set.
+func (f *forwardedRequest) violation(ok bool, unproven int, what string) string {
+	if ok {
+		return ""
+	}
+	return fmt.Sprintf("%s %s although %d of its %d sends may have run", f.Attempt, what, unproven, len(f.runRecords))
+}
+
+// logStaleResult logs a result of a send that is no longer the request's latest one.
+func (s *forwards) logStaleResult(n *Node, f *forwardedRequest, step ForwardStep, id EngineID, number SendNumber, result string) {
+	if number == f.lastSend {
+		return
+	}
+	d := s.newDecision(n, f, "stale-result", NoReason)
+	d.Detail = fmt.Sprintf("%s at %s, send %d of %d: %s", step, id, number, f.lastSend, result)
+	n.do(LogDecision{Decision: d})
+}
--- a/core/upstream_signal_test.go
+++ b/core/upstream_signal_test.go
@@ -50,7 +50,7 @@
 	is := is.New(t)
 	h := readyAlone(engineInstances()...)
 	lease := commandsOf[core.RequestLease](h.deliver(streamTo(1, "draft")))[0]
-	prefill := commandsOf[core.RunPrefill](h.deliver(core.LeaseGranted{ID: 1, Engine: lease.Engine, Lease: "l"}))
+	prefill := commandsOf[core.RunPrefill](h.deliver(core.LeaseGranted{ID: 1, Send: lease.Send, Engine: lease.Engine, Lease: "l"}))
 	is.Equal(len(prefill), 1)
 	h.deliver(core.UpstreamSignal{Engine: lease.Engine, Leaving: true})
 	out := h.deliver(core.PrefillFinished{ID: 1, Engine: "p1", Handle: "k", Tokens: worldPrompt})
@@ -121,7 +121,7 @@
 	h := readyAlone(plainInstance("e1"), plainInstance("e2"))
 	first := commandsOf[core.RunForward](h.deliver(forwardTo(1, "pay")))[0]
 	h.deliver(core.UpstreamSignal{Engine: first.Engine, QuietFor: time.Second})
-	again := commandsOf[core.RunForward](h.deliver(core.StepRefused{ID: 1, Engine: first.Engine, Step: core.RunStep}))
+	again := commandsOf[core.RunForward](h.deliver(core.StepRefused{ID: 1, Send: first.Send, Engine: first.Engine, Step: core.RunStep}))
 	is.Equal(len(again), 1)
 	is.True(again[0].Engine != first.Engine)
 }
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -148,8 +148,8 @@
 // build creates the servers, the clients and the control loop.
 func (h *hosted) build(incarnation core.Incarnation, clock func() core.Instant) {
 	s := h.settings
-	h.upstreams = &upstream.Client{DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream}
-	h.ingress = &ingress.Server{Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node}
+	h.upstreams = &upstream.Client{DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched}
+	h.ingress = &ingress.Server{Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node, ReportViolation: h.reportViolation}
 	h.directory = &directory.Server{SendToCore: h.inbox.Send}
 	h.peers = h.newPeerTransport(incarnation)
 	h.operators = &operator.Server{
@@ -238,6 +238,20 @@
 	}
 }
 
+// recordUnmatched logs and counts a response that belongs to another request than the one
+// that waits on its connection.
+func (h *hosted) recordUnmatched(key string, header http.Header) {
+	h.metrics.UnmatchedResponse()
+	h.log.Warn().Str("Event", "UnmatchedResponse").Str("Engine", key).Str("Request", platform.Attempt(header)).Send()
+}
+
+// reportViolation logs and counts the violation of an invariant that the ingress server
+// found.
+func (h *hosted) reportViolation(v core.Violation) {
+	h.metrics.RecordViolation(v)
+	h.operators.LogViolation(v)
+}
+
 // receive sends a message from the store, or a desired state from a peer, to the
 // core. The body limit of a desired state is applied to the ingress server first.
 func (h *hosted) receive(m core.Message) {
@@ -262,7 +276,7 @@
 func (h *hosted) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
-		ErrorLog: operator.HTTPErrorLogger(h.log),
+		ErrorLog: operator.HTTPErrorLogger(h.log), ConnContext: tcp.WithConn,
 	}
 }
 
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/tcp"
 	"daisyshed.dev/daisyshed/upstream"
 	"daisyshed.dev/platform"
 )
@@ -47,8 +49,20 @@
 	eventCount  int
 	// headSentAt is when headSent was set.
 	headSentAt time.Time
+	// unproven holds the runs that were begun and are not proved to be without effect.
+	// Only the goroutine of the exchange uses it.
+	unproven core.Set[core.SendNumber]
 }
 
+// step identifies a step that was sent to an upstream.
+type step struct {
+	kind   core.ForwardStep
+	engine core.EngineID
+	send   core.SendNumber
+}
+
+func runStep(c core.RunForward) step { return step{kind: core.RunStep, engine: c.Engine, send: c.Send} }
+
 // bufferedResponse is a response whose body is in memory.
 type bufferedResponse struct {
 	status int
@@ -72,7 +86,7 @@
 	for {
 		select {
 		case <-x.ctx.Done():
-			x.server.SendToCore(core.ForwardCallerDisconnected{ID: x.forward.ID})
+			x.reportDisconnected()
 			return
 		case c := <-x.commands:
 			if x.execute(c) {
@@ -118,6 +132,9 @@
 		x.recordEnd(http.StatusBadGateway)
 		panic(http.ErrAbortHandler)
 	}
+	if c.NotRun && len(x.unproven) > 0 {
+		x.reportViolation(core.NotRunTrue, fmt.Sprintf("answered as not run although sends %v may have run", x.unproven.Sorted()))
+	}
 	x.recordEnd(platform.WriteEndForward(x.w, x.forward.Attempt, c))
 }
 
@@ -136,26 +153,25 @@
 func (x *exchange) requestLease(c core.RequestLease) {
 	ctx, cancel := context.WithTimeout(x.ctx, leaseTimeout)
 	defer cancel()
+	this := step{kind: core.LeaseStep, engine: c.Engine, send: c.Send}
 	call, err := platform.LeaseCall(c)
 	if err != nil {
-		x.reportStepFailed(c.Engine, core.LeaseStep, err, 0)
+		x.reportStepFailed(this, err, 0)
 		return
 	}
 	status, body, err := x.server.call(ctx, c.Engine, c.Address, call)
 	switch {
 	case err != nil:
-		x.reportStepFailed(c.Engine, core.LeaseStep, err, 0)
+		x.reportStepFailed(this, err, 0)
 	case status == http.StatusOK:
 		lease, err := platform.DecodeLease(body)
 		if err != nil || lease == "" {
-			x.reportStepFailed(c.Engine, core.LeaseStep, &InvalidResponseError{Cause: err}, status)
+			x.reportStepFailed(this, &InvalidResponseError{Cause: err}, status)
 			return
 		}
-		x.server.SendToCore(core.LeaseGranted{ID: c.ID, Engine: c.Engine, Lease: lease})
+		x.server.SendToCore(core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: lease})
 	default:
-		x.server.SendToCore(core.StepRefused{
-			ID: c.ID, Engine: c.Engine, Step: core.LeaseStep, AddressReused: status == http.StatusMisdirectedRequest,
-		})
+		x.reportStepRefused(this, core.StatedNotRun, status)
 	}
 }
 
@@ -164,29 +180,30 @@
 func (x *exchange) runPrefill(c core.RunPrefill) {
 	ctx, cancel := context.WithTimeout(x.ctx, c.Timeout)
 	defer cancel()
+	this := step{kind: core.ReadPromptStep, engine: c.Engine, send: c.Send}
 	header := x.header.Clone()
 	platform.SetRunPrefill(header, c)
 	response, err := x.send(ctx, c.Engine, c.Address, header, false)
 	if err != nil {
-		x.reportStepFailed(c.Engine, core.ReadPromptStep, err, 0)
+		x.reportStepFailed(this, err, 0)
 		return
 	}
 	defer response.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if notRun, addressReused := platform.NotRun(response.Status, response.Header); notRun {
-		x.server.SendToCore(core.StepRefused{ID: c.ID, Engine: c.Engine, Step: core.ReadPromptStep, AddressReused: addressReused})
+	if proof, ok := platform.NotRun(response.Status, response.Header).Get(); ok {
+		x.reportStepRefused(this, proof, response.Status)
 		return
 	}
 	if err != nil || response.Status != http.StatusOK {
-		x.reportStepFailed(c.Engine, core.ReadPromptStep, &InvalidResponseError{Cause: err}, response.Status)
+		x.reportStepFailed(this, &InvalidResponseError{Cause: err}, response.Status)
 		return
 	}
 	handle, tokens, err := platform.DecodePrefillFinished(body)
 	if err != nil || handle == "" {
-		x.reportStepFailed(c.Engine, core.ReadPromptStep, &InvalidResponseError{Cause: err}, response.Status)
+		x.reportStepFailed(this, &InvalidResponseError{Cause: err}, response.Status)
 		return
 	}
-	x.server.SendToCore(core.PrefillFinished{ID: c.ID, Engine: c.Engine, Handle: handle, Tokens: tokens})
+	x.server.SendToCore(core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: handle, Tokens: tokens})
 }
 
 // send sends the caller's request to an upstream, with the headers h in place
@@ -203,6 +220,10 @@
 // arrives on x.runResults. A stream that was already relayed in part resumes
 // after its last event.
 func (x *exchange) startRun(c core.RunForward) {
+	if c.Once && len(x.unproven) > 0 {
+		x.reportViolation(core.AtMostOnce, fmt.Sprintf("send %d begins although sends %v may have run", c.Send, x.unproven.Sorted()))
+	}
+	x.unproven.Add(c.Send)
 	ctx, cancel := context.WithCancel(x.ctx)
 	x.mu.Lock()
 	x.runCancel = cancel
@@ -229,10 +250,34 @@
 }
 
 // reportStepFailed notifies the core that a step got no usable response.
-func (x *exchange) reportStepFailed(id core.EngineID, step core.ForwardStep, err error, status int) {
-	var unsent *upstream.UnsentError
+func (x *exchange) reportStepFailed(s step, err error, status int) {
 	x.server.SendToCore(core.StepFailed{
-		ID: x.forward.ID, Engine: id, Step: step, Unsent: errors.As(err, &unsent), Status: status,
+		ID: x.forward.ID, Send: s.send, Engine: s.engine, Step: s.kind, Unsent: nothingSent(err), Status: status,
 		Emitted: x.headSent, Reason: err.Error(),
 	})
 }
+
+// nothingSent reports whether an error proves that no byte of a request was sent.
+func nothingSent(err error) bool {
+	var unsent *upstream.UnsentError
+	return errors.As(err, &unsent)
+}
+
+// reportStepRefused notifies the core that an upstream rejected a step without carrying
+// it out.
+func (x *exchange) reportStepRefused(s step, proof core.NotRunProof, status int) {
+	x.server.SendToCore(core.StepRefused{
+		ID: x.forward.ID, Send: s.send, Engine: s.engine, Step: s.kind, Proof: proof,
+		AddressReused: status == http.StatusMisdirectedRequest,
+	})
+}
+
+// reportDisconnected notifies the core that the caller's connection is closed.
+func (x *exchange) reportDisconnected() {
+	x.server.SendToCore(core.ForwardCallerDisconnected{ID: x.forward.ID, ClosedHere: tcp.ClosedHere(x.ctx)})
+}
+
+// reportViolation reports that serving the request has violated an invariant.
+func (x *exchange) reportViolation(promise core.Promise, detail string) {
+	x.server.ReportViolation(core.Violation{Promise: promise, Detail: x.forward.Attempt + ": " + detail})
+}
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -18,8 +18,11 @@
 // StepFailed. The result of a run that a later command cancelled is discarded.
 func (x *exchange) relay(result runResult) bool {
 	if result.err != nil {
+		if nothingSent(result.err) {
+			x.unproven.Remove(result.run.Send)
+		}
 		if result.ctx.Err() == nil || x.ctx.Err() != nil {
-			x.reportStepFailed(result.run.Engine, core.RunStep, result.err, 0)
+			x.reportStepFailed(runStep(result.run), result.err, 0)
 		}
 		return false
 	}
@@ -27,15 +30,16 @@
 	if result.ctx.Err() != nil {
 		return false
 	}
-	if notRun, addressReused := platform.NotRun(result.response.Status, result.response.Header); notRun {
+	if proof, ok := platform.NotRun(result.response.Status, result.response.Header).Get(); ok {
+		x.unproven.Remove(result.run.Send)
 		x.drain(result.response)
-		x.server.SendToCore(core.StepRefused{ID: x.forward.ID, Engine: result.run.Engine, Step: core.RunStep, AddressReused: addressReused})
+		x.reportStepRefused(runStep(result.run), proof, result.response.Status)
 		return false
 	}
 	success := result.response.Status >= 200 && result.response.Status < 300
 	switch {
 	case success && !platform.HasSignature(result.response.Header):
-		x.reportStepFailed(result.run.Engine, core.RunStep, MissingSignatureError{}, 0)
+		x.reportStepFailed(runStep(result.run), MissingSignatureError{}, 0)
 		return false
 	case success && isStream(result.response.Header):
 		return x.relayEvents(result)
@@ -62,20 +66,20 @@
 	body, err := io.ReadAll(io.LimitReader(result.response.Body, maxBufferedBytes+1))
 	if err != nil {
 		if result.ctx.Err() == nil {
-			x.reportStepFailed(result.run.Engine, core.RunStep, err, 0)
+			x.reportStepFailed(runStep(result.run), err, 0)
 		}
 		return false
 	}
 	response := bufferedResponse{status: result.response.Status, header: result.response.Header, body: body}
 	if !success && result.response.Status >= http.StatusInternalServerError {
 		x.failure = &response
-		x.reportStepFailed(result.run.Engine, core.RunStep, &UpstreamFailedError{Status: result.response.Status}, result.response.Status)
+		x.reportStepFailed(runStep(result.run), &UpstreamFailedError{Status: result.response.Status}, result.response.Status)
 		return false
 	}
-	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Engine: result.run.Engine})
+	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
 	if len(body) <= maxBufferedBytes {
 		x.writeBuffered(response)
-		x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Engine: result.run.Engine})
+		x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
 		return true
 	}
 	return x.relayUnbuffered(result, response)
@@ -94,10 +98,10 @@
 		_, err = io.Copy(x.w, result.response.Body)
 	}
 	if err != nil {
-		x.reportStepFailed(result.run.Engine, core.RunStep, err, 0)
+		x.reportStepFailed(runStep(result.run), err, 0)
 		return false
 	}
-	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Engine: result.run.Engine})
+	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
 	x.recordEnd(start.status)
 	return true
 }
@@ -118,6 +122,9 @@
 
 // writeHead sends the status and the headers to the caller.
 func (x *exchange) writeHead(status int) {
+	if x.headSent {
+		x.reportViolation(core.AnsweredOnce, "the head of a response is sent again")
+	}
 	if x.server.closing.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
@@ -147,7 +154,7 @@
 		if !x.headSent {
 			platform.CopyResponseHeader(x.w.Header(), result.response.Header)
 			x.writeHead(result.response.Status)
-			x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Engine: result.run.Engine})
+			x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
 		}
 		if id != "" {
 			x.lastEventID = id
@@ -175,7 +182,7 @@
 		platform.CopyResponseHeader(x.w.Header(), result.response.Header)
 		x.writeHead(result.response.Status)
 	}
-	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Engine: result.run.Engine, Events: x.eventCount})
+	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine, Events: x.eventCount})
 	x.recordEnd(result.response.Status)
 }
 
@@ -202,13 +209,13 @@
 func (x *exchange) handleBrokenStream(result runResult, stalled *atomic.Bool, err error) bool {
 	switch {
 	case x.ctx.Err() != nil:
-		x.server.SendToCore(core.ForwardCallerDisconnected{ID: x.forward.ID})
+		x.reportDisconnected()
 		return true
 	case stalled.Load():
 		err = StreamStalledError{}
 	case result.ctx.Err() != nil:
 		return false
 	}
-	x.reportStepFailed(result.run.Engine, core.RunStep, err, 0)
+	x.reportStepFailed(runStep(result.run), err, 0)
 	return false
 }
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -41,6 +41,9 @@
 	Meter      Meter
 	// Node is the id that orders to engines name as their holder.
 	Node core.NodeID
+	// ReportViolation is called when serving a request has violated an invariant. It must
+	// not block.
+	ReportViolation func(core.Violation)
 
 	lastID       atomic.Uint64
 	closing      atomic.Bool
@@ -97,6 +100,7 @@
 		header:     platform.UpstreamRequestHeader(r.Header),
 		commands:   make(chan core.ForwardCommand, commandQueueSize),
 		runResults: make(chan runResult, commandQueueSize),
+		unproven:   core.Set[core.SendNumber]{},
 	}
 	x.forward.ID = core.ForwardID(s.lastID.Add(1))
 	s.add(x)
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -34,7 +34,10 @@
 // receives each message and returns the commands that follow from it.
 func startServer(t *testing.T, decide func(m core.Message) []core.ForwardCommand) (*httptest.Server, *recordingMeter) {
 	m := &recordingMeter{}
-	s := &ingress.Server{Upstreams: &upstream.Client{DialTimeout: time.Second}, Log: zerolog.New(io.Discard), Meter: m}
+	s := &ingress.Server{
+		Upstreams: &upstream.Client{DialTimeout: time.Second}, Log: zerolog.New(io.Discard), Meter: m,
+		ReportViolation: func(v core.Violation) { t.Error(v) },
+	}
 	s.SendToCore = func(m core.Message) {
 		go func() {
 			for _, c := range decide(m) {
@@ -93,7 +96,7 @@
 	_, address := startWorker(t, hostedworker.Settings{Slots: 2})
 	s, _ := startServer(t, func(m core.Message) []core.ForwardCommand {
 		if f, ok := m.(core.Forward); ok {
-			return []core.ForwardCommand{core.RunForward{ID: f.ID, Engine: "e1", Address: address, Patience: time.Second}}
+			return []core.ForwardCommand{core.RunForward{ID: f.ID, Send: 1, Engine: "e1", Address: address, Patience: time.Second}}
 		}
 		return nil
 	})
@@ -114,10 +117,10 @@
 	s, _ := startServer(t, func(m core.Message) []core.ForwardCommand {
 		switch m := m.(type) {
 		case core.Forward:
-			return []core.ForwardCommand{core.RunForward{ID: m.ID, Engine: "e1", Address: address, Patience: time.Second}}
+			return []core.ForwardCommand{core.RunForward{ID: m.ID, Send: 1, Engine: "e1", Address: address, Patience: time.Second}}
 		case core.StepFailed:
 			w.SetFault(hostedworker.NoFault, 0)
-			return []core.ForwardCommand{core.RunForward{ID: m.ID, Engine: "e1", Address: address, Patience: time.Second}}
+			return []core.ForwardCommand{core.RunForward{ID: m.ID, Send: 2, Engine: "e1", Address: address, Patience: time.Second}}
 		}
 		return nil
 	})
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -48,6 +48,7 @@
 	peerDropped   tally.Counter
 	peerFaults    tally.Counter
 	linesDropped  tally.Counter
+	unmatched     tally.Counter
 	firstBytes    tally.Histogram
 	totalTimes    tally.Histogram
 
@@ -118,6 +119,7 @@
 	m.peerDropped = m.scope.Counter("peer_messages_dropped_total")
 	m.peerFaults = m.scope.Counter("peer_faults_total")
 	m.linesDropped = m.scope.Counter("log_lines_dropped_total")
+	m.unmatched = m.scope.Counter("upstream_unmatched_responses_total")
 	m.firstBytes = m.scope.Histogram("forward_first_bytes_seconds", latencyBuckets)
 	m.totalTimes = m.scope.Histogram("forward_seconds", latencyBuckets)
 }
@@ -133,6 +135,16 @@
 	m.totalTimes.RecordDuration(total)
 }
 
+// UnmatchedResponse counts a response of an upstream that belongs to no request waiting on
+// its connection.
+func (m *Metrics) UnmatchedResponse() { m.unmatched.Inc(1) }
+
+// RecordViolation counts the violation of an invariant that was found outside the core.
+// Those that the core finds are in its status.
+func (m *Metrics) RecordViolation(v core.Violation) {
+	m.scope.Tagged(map[string]string{"promise": v.Promise.String()}).Counter("ingress_violations_total").Inc(1)
+}
+
 // RecordUpdate records one update of the core and the time for which it kept the
 // control goroutine busy, an upper bound of its CPU time.
 func (m *Metrics) RecordUpdate(took time.Duration) {
--- a/daisyshed/tcp/listen.go
+++ b/daisyshed/tcp/listen.go
@@ -2,9 +2,11 @@
 package tcp
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -75,10 +77,27 @@
 type slotConn struct {
 	net.Conn
 	release func()
+	closed  atomic.Bool
 }
 
 // Close closes the connection and frees its slot.
 func (c *slotConn) Close() error {
 	defer c.release()
+	c.closed.Store(true)
 	return c.Conn.Close()
 }
+
+// connKey is the key of a connection in a context.
+type connKey struct{}
+
+// WithConn returns a context that carries a connection, for [http.Server.ConnContext].
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ClosedHere reports whether this process has closed the connection that ctx carries. It
+// returns false if ctx carries no connection of a listener of this package.
+func ClosedHere(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*slotConn)
+	return ok && c.closed.Load()
+}
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -107,6 +107,9 @@
 	// OnResponse is called with the head of each response that belongs to its request.
 	// It may be nil.
 	OnResponse func(key string, status int, h http.Header)
+	// OnUnmatched is called with the head of each response that does not belong to the
+	// request that waits on its connection. It may be nil.
+	OnUnmatched func(key string, h http.Header)
 
 	mu sync.Mutex
 	// idle holds the unused connections of each upstream, the last used at the
@@ -159,7 +162,7 @@
 			written <- err
 		}()
 	}
-	response, err := readResponse(cn, r)
+	response, err := c.readResponse(cn, r)
 	if err != nil {
 		return nil, &NoResponseError{Cause: err}
 	}
@@ -198,7 +201,7 @@
 
 // readResponse reads the head of the response that belongs to the request. A
 // late response to an earlier request may precede it on the connection.
-func readResponse(cn *conn, r *Request) (*http.Response, error) {
+func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
 	for range maxResponsesRead {
 		response, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
 		if err != nil {
@@ -210,6 +213,9 @@
 		if r.Matches == nil || r.Matches(response.Header) {
 			return response, nil
 		}
+		if c.OnUnmatched != nil {
+			c.OnUnmatched(r.Key, response.Header)
+		}
 		if response.Close || response.ContentLength < 0 && !isChunked(response) {
 			return nil, MismatchedResponseError{}
 		}
