--- a/bench/cmd/hostedsoak/main.go
+++ b/bench/cmd/hostedsoak/main.go
@@ -18,6 +18,8 @@
 	Seeds    int           `long:"seeds" value-name:"N" description:"number of seeds" default:"50"`
 	Length   time.Duration `long:"length" value-name:"TIME" description:"time for which faults are injected" default:"8s"`
 	Parallel int           `long:"parallel" value-name:"N" description:"runs at a time; each has some ten processes' load" default:"3"`
+	Nodes    int           `long:"nodes" value-name:"N" description:"daemons of a run" default:"4"`
+	Callers  int           `long:"callers" value-name:"N" description:"callers of a run" default:"24"`
 }
 
 func main() { os.Exit(run()) }
@@ -38,7 +40,7 @@
 			defer wait.Done()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			result, err := hosted.Run(opts.Bin, opts.Seed+uint64(i), opts.Length)
+			result, err := hosted.Run(opts.Bin, opts.Seed+uint64(i), opts.Length, hosted.Size{Nodes: opts.Nodes, Callers: opts.Callers})
 			mu.Lock()
 			defer mu.Unlock()
 			for kind, n := range result.Injected {
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -154,3 +155,26 @@
 	_, err := io.ReadAll(a.Body)
 	is.True(err != nil)
 }
+
+// An upstream that has run a request may answer with a status that promises callers that
+// it has not run. Without the upstream's statement that status must not reach the caller
+// of a request that must run once: it would send the request again.
+func TestUnprovenRejectionIsNotRelayed(t *testing.T) {
+	is := is.New(t)
+	w, address := startWorker(t, hostedworker.Settings{Slots: 2})
+	w.SetFault(hostedworker.RejectAfterRun, 1)
+	s, _ := startServer(t, func(m core.Message) []core.ForwardCommand {
+		switch m := m.(type) {
+		case core.Forward:
+			return []core.ForwardCommand{core.RunForward{ID: m.ID, Send: 1, Engine: "e1", Address: address, Patience: time.Second, Once: true}}
+		case core.StepFailed:
+			return []core.ForwardCommand{core.RelayFailure{ID: m.ID}}
+		}
+		return nil
+	})
+	for i := range 20 {
+		a := post(t, s.URL, fmt.Sprint(i), nil)
+		is.Equal(a.StatusCode, http.StatusBadGateway)
+		is.Equal(a.Header.Get("Server-Seal"), "")
+	}
+}
--- a/standin/hostedsite/caller.go
+++ b/standin/hostedsite/caller.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // ReadyURL returns the URL of a node's readiness check. address is the host:port
@@ -25,11 +26,11 @@
 }
 
 // SetAttemptHeaders sets the headers that a caller sends with an attempt: its id and
-// deadline. It also sets a forged Kv-Source. Only nodes may set this header, so
+// how long it waits. It also sets a forged Kv-Source. Only nodes may set this header, so
 // they must not forward a caller's value to an upstream.
-func SetAttemptHeaders(h http.Header, attempt string) {
+func SetAttemptHeaders(h http.Header, attempt string, patience time.Duration) {
 	h.Set("Attempt-Id", attempt)
-	h.Set("Deadline-Ms", "4000")
+	h.Set("Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
 	h.Set("Kv-Source", "1.2.3.4:5/forged")
 }
 
@@ -40,5 +41,26 @@
 	h.Set("Prompt-Prefix", "aa:50,"+strconv.FormatUint(key, 16)+":50")
 }
 
+// PromisesNotRun reports whether a status promises that a request has not run and never
+// will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// RetryDelay returns how long a caller waits before it sends a request again: as long as
+// the response says, but at most a third of the time that the caller has left.
+func RetryDelay(h http.Header, left time.Duration) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return min(time.Duration(seconds*float64(time.Second)), left/3)
+}
+
 // Signature returns the upstream's signature from the headers of a response.
 func Signature(h http.Header) string { return h.Get("Server-Seal") }
