Relay no status that promises "not run" without the upstream's statement

What callers saw: a payment was answered 429, 503 or 408, was sent again as the status allows, and ran twice.

Cause: the class is a promise that this node passes on but cannot prove. An upstream that has run a request may answer with one of these statuses, from an overload in the middle of a run, a time limit, or a library or proxy of its own. Without its statement nothing says that the request did not run. relayBuffered relayed 4xx at once, and RelayFailure a kept 503.

Change: for a request that must run once, such an answer counts as a failure that may have run, and the caller gets 502 without the upstream's signature. Requests that may be repeated get the answer unchanged. The same cause elsewhere: StepFailed with a status was already counted as a run, and prefill and lease answers are not relayed.

--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -38,6 +38,9 @@
 	// addresses with another store: drained workers got requests, and callers got
 	// answers that were not theirs.
 	12, 15, 24,
+	// An upstream's 408, 429 or 503 after a run was relayed, and callers sent again what
+	// must run once. 15 and 24 failed by this as well.
+	201, 225,
 }
 
 // Runs a short soak for fixed seeds. Longer ones are run by hand with
--- a/daisyshed/ingress/errors.go
+++ b/daisyshed/ingress/errors.go
@@ -38,3 +38,12 @@
 
 // Error returns the message without the status, which is logged separately.
 func (*UpstreamFailedError) Error() string { return "upstream returned a server error" }
+
+// UnprovenRejectionError reports a response whose status promises that the request has not
+// run, although the upstream does not state that.
+type UnprovenRejectionError struct{ Status int }
+
+// Error returns the message without the status, which is logged separately.
+func (*UnprovenRejectionError) Error() string {
+	return "upstream rejected the request without stating that it did not run"
+}
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -43,6 +43,10 @@
 		return false
 	case success && isStream(result.response.Header):
 		return x.relayEvents(result)
+	case result.run.Once && platform.PromisesNotRun(result.response.Status):
+		x.drain(result.response)
+		x.reportStepFailed(runStep(result.run), &UnprovenRejectionError{Status: result.response.Status}, result.response.Status)
+		return false
 	default:
 		return x.relayBuffered(result, success)
 	}
