Take a bare 421 as proof of "not run" only from another instance

What callers could see: as with the statuses before it, a 503 after a run, and the run's repetition.

Cause: any response with status 421 counted as not run, whoever sent it and why.

Change: 421 proves it with the upstream's statement, or if the response names another instance than the expected one, as the platform's example of a reused address does. Without either it may have run.

Evidence: TestUnprovenRejectionIsNotRelayed, with 421 among the statuses of the stand-in, failed before this change (503 instead of 502) and passes now.

--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -72,8 +72,7 @@
 const (
 	// StatedNotRun means that the response says so.
 	StatedNotRun NotRunProof = iota
-	// OtherInstance means that another upstream has the address, or that the engine has
-	// another role, and the response does not say more.
+	// OtherInstance means that another upstream has the address and said so.
 	OtherInstance
 	// NothingSent means that no byte of the request left this node.
 	NothingSent
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -190,7 +190,7 @@
 	}
 	defer response.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
-	if proof, ok := platform.NotRun(response.Status, response.Header).Get(); ok {
+	if proof, ok := platform.NotRun(response.Status, response.Header, c.Engine).Get(); ok {
 		x.reportStepRefused(this, proof, response.Status)
 		return
 	}
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -30,7 +30,7 @@
 	if result.ctx.Err() != nil {
 		return false
 	}
-	if proof, ok := platform.NotRun(result.response.Status, result.response.Header).Get(); ok {
+	if proof, ok := platform.NotRun(result.response.Status, result.response.Header, result.run.Engine).Get(); ok {
 		x.unproven.Remove(result.run.Send)
 		x.drain(result.response)
 		x.reportStepRefused(runStep(result.run), proof, result.response.Status)
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -167,6 +167,8 @@
 		switch m := m.(type) {
 		case core.Forward:
 			return []core.ForwardCommand{core.RunForward{ID: m.ID, Send: 1, Engine: "e1", Address: address, Patience: time.Second, Once: true}}
+		case core.StepRefused:
+			return []core.ForwardCommand{core.EndForward{ID: m.ID, Reason: core.NoCapacity, NotRun: true}}
 		case core.StepFailed:
 			return []core.ForwardCommand{core.RelayFailure{ID: m.ID}}
 		}
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -328,6 +328,7 @@
 	id := fmt.Sprintf("k%d", w.sequence)
 	w.mu.Unlock()
 	if stage != Prefill {
+		rw.Header().Set("Not-Executed", "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -439,7 +440,9 @@
 	case Fail:
 		rw.WriteHeader(http.StatusInternalServerError)
 	case RejectAfterRun:
-		statuses := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+		statuses := []int{
+			http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
+		}
 		rw.WriteHeader(statuses[rand.IntN(len(statuses))])
 	case CutShort:
 		rw.Header().Set("Content-Length", strconv.Itoa(len(out)))
