Match results to the send that they belong to

What callers saw: a node's crash closes every connection that it serves; one that ran on was given up although it was in order, and sent again elsewhere.

Cause: results of steps were matched by request, engine and step. The result of a run that a timer had given up could cross the next placement. A refusal then dereferenced the decode engine that the request no longer had, which ends the process, or counted a run down that it did not belong to, and ended the run that followed. The class is an answer that is taken for the answer to another question. Counting runs up and down made each such mistake a false promise: a run counted down twice hides one that may have run.

Change: a result counts only if it carries the number of the send that the request waits for. Of a send that was given up, the proof that it was not run still counts, for that send alone; leases and KV caches that it brings are released. The number of runs is derived from one record a send, so that no second result can change it.

--- a/core/forward.go
+++ b/core/forward.go
@@ -60,16 +60,17 @@
 	handle      HandleID
 	placedAt    Instant
 
-	// runs counts the upstreams that may have run the request, sends all that
-	// it was sent to, including those that rejected it, and prefills the
-	// prefill engines that were asked to compute its prompt.
-	runs     int
+	// sends counts the upstreams that the request was sent to, including those that
+	// rejected it, and prefills the prefill engines that were asked to compute its
+	// prompt. tried are the upstreams to avoid.
 	sends    int
 	prefills int
 	tried    Set[EngineID]
-	// lastSend is the number of the latest send, and runRecords are the runs among the
+	// lastSend is the number of the latest send, and current the one whose result the
+	// request waits for; zero if it waits for none. runRecords are the runs among the
 	// sends.
 	lastSend   SendNumber
+	current    SendNumber
 	runRecords []sendRecord
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
@@ -223,9 +224,9 @@
 func (s *forwards) mayRunAgain(f *forwardedRequest) bool {
 	switch f.route.RetryPolicy {
 	case Repeatable, ResumeOnly:
-		return f.runs < f.route.MaxRuns
+		return f.unprovenRuns() < f.route.MaxRuns
 	default:
-		return f.runs == 0
+		return f.unprovenRuns() == 0
 	}
 }
 
@@ -254,7 +255,7 @@
 // one, or else ends as failed.
 func (s *forwards) end(n *Node, f *forwardedRequest, reason RejectionReason, after time.Duration) {
 	switch {
-	case f.runs == 0 && !f.emitted:
+	case f.unprovenRuns() == 0 && !f.emitted:
 		if after == 0 {
 			after = retryAfter(f.deadline.Sub(n.now), n.rng.Float64())
 		}
@@ -277,12 +278,11 @@
 	if !ok {
 		return
 	}
-	s.logStaleResult(n, f, RunStep, m.Engine, m.Send, "response started")
-	if f.phase != forwardRunning {
+	f.emitted = true
+	if s.stale(n, f, RunStep, m.Engine, m.Send, "response started") || f.phase != forwardRunning {
 		return
 	}
 	f.phase = forwardResponding
-	f.emitted = true
 	f.outcome = RunSucceeded
 	if f.decode != nil {
 		f.decode.recordSuccess()
@@ -298,8 +298,7 @@
 	if !ok {
 		return
 	}
-	s.logStaleResult(n, f, RunStep, m.Engine, m.Send, "response completed")
-	if f.decode != nil {
+	if !s.stale(n, f, RunStep, m.Engine, m.Send, "response completed") && f.decode != nil {
 		f.decode.recordSuccess()
 	}
 	d := s.newDecision(n, f, "answered", NoReason)
@@ -326,6 +325,7 @@
 // set for earlier steps no longer apply.
 func (s *forwards) release(n *Node, f *forwardedRequest) {
 	f.step++
+	f.giveUpSend()
 	if f.lease != "" && !f.decode.quiet(n.now) {
 		n.do(ReleaseLease{Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease})
 	}
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -35,7 +35,6 @@
 	u.ownRequests++
 	f.step++
 	f.sends++
-	f.runs++
 	f.tried.Add(u.ID)
 	s.checkBeforeRun(n, f)
 	number := f.recordRun(u.ID)
@@ -72,7 +71,7 @@
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
-		if f.runs >= f.route.MaxRuns || len(s.upstreams.byService[f.spec.ID]) < 2 || !s.spendRetryBudget(n, f, 1) {
+		if f.unprovenRuns() >= f.route.MaxRuns || len(s.upstreams.byService[f.spec.ID]) < 2 || !s.spendRetryBudget(n, f, 1) {
 			return
 		}
 		f.decode.recordFailure(n.now)
@@ -83,7 +82,6 @@
 
 // plainRejected handles the rejection of a plain request by its upstream.
 func (s *forwards) plainRejected(n *Node, f *forwardedRequest) {
-	f.runs--
 	s.release(n, f)
 	if f.sends < maxSends && s.spendRetryBudget(n, f, 1) {
 		s.runPlain(n, f)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -87,7 +87,7 @@
 		if f.phase != forwardWaiting || s.live[f.ID] != f {
 			continue
 		}
-		if f.expired(n.now) && f.runs == 0 {
+		if f.expired(n.now) && f.unprovenRuns() == 0 {
 			s.dequeue(f)
 			s.end(n, f, NoCapacity, 0)
 			continue
@@ -168,7 +168,7 @@
 // is released.
 func (s *forwards) handleLeaseGranted(n *Node, m LeaseGranted) {
 	f, ok := s.live[m.ID]
-	if !ok || f.phase != forwardLeasing || f.decode.ID != m.Engine {
+	if !ok || s.stale(n, f, LeaseStep, m.Engine, m.Send, "granted") {
 		if u, ok := s.upstreams.byID[m.Engine]; ok {
 			n.do(ReleaseLease{Engine: u.ID, Address: u.Address, Lease: m.Lease})
 		}
@@ -200,7 +200,9 @@
 	u.ownRequests++
 	u.prefillTokens += f.prompt()
 	s.logDecision(n, f, "place", NoReason)
-	n.do(RunPrefill{ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f)})
+	n.do(RunPrefill{
+		ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f),
+	})
 }
 
 // prefillTimeout returns how long a prefill engine may take. An engine that has gone
@@ -245,7 +247,7 @@
 // no longer waits for is freed.
 func (s *forwards) handlePrefillDone(n *Node, m PrefillFinished) {
 	f, ok := s.live[m.ID]
-	if !ok || f.phase != forwardPrefilling || f.prefill.ID != m.Engine {
+	if !ok || s.stale(n, f, ReadPromptStep, m.Engine, m.Send, "prefilled") {
 		if u, ok := s.upstreams.byID[m.Engine]; ok {
 			n.do(ReleaseHandle{Engine: u.ID, Address: u.Address, Handle: m.Handle})
 		}
@@ -271,7 +273,7 @@
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Patience: f.timeLeft(n.now),
 		Once: f.route.RetryPolicy == Once,
 	}
-	if f.route.RetryPolicy != Once && f.runs+1 < f.route.MaxRuns {
+	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
 		run.StallAfter = stallAfter
 	}
 	if f.prefill != nil {
@@ -282,7 +284,6 @@
 	f.phase = forwardRunning
 	f.step++
 	f.sends++
-	f.runs++
 	s.checkBeforeRun(n, f)
 	run.Send = f.recordRun(f.decode.ID)
 	s.logRun(n, f)
@@ -300,7 +301,7 @@
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
-		if f.runs >= f.route.MaxRuns || !s.spendRetryBudget(n, f, rerunCost) {
+		if f.unprovenRuns() >= f.route.MaxRuns || !s.spendRetryBudget(n, f, rerunCost) {
 			return
 		}
 		f.decode.recordFailure(n.now)
@@ -320,14 +321,10 @@
 func (s *forwards) streamRejected(n *Node, f *forwardedRequest, m StepRefused) {
 	switch m.Step {
 	case LeaseStep:
-		if m.Engine != f.decode.ID || f.phase != forwardLeasing {
-			return
-		}
 		s.leaseDenied(n, f, false)
 	case ReadPromptStep:
 		s.prefillElsewhere(n, f)
 	case RunStep:
-		f.runs--
 		u := f.decode
 		if f.sends < maxSends && s.spendRetryBudget(n, f, rerunCost) {
 			s.release(n, f)
@@ -357,9 +354,6 @@
 // prefillElsewhere has another engine compute the prompt's KV cache. If the lease of
 // decode memory has expired meanwhile, the request is placed again.
 func (s *forwards) prefillElsewhere(n *Node, f *forwardedRequest) {
-	if f.phase != forwardPrefilling {
-		return
-	}
 	f.tried.Add(f.prefill.ID)
 	f.prefill.fullUntil = n.now.Add(n.jitter(engineBusyFor))
 	if f.owner != "" {
@@ -381,9 +375,7 @@
 func (s *forwards) streamFailed(n *Node, f *forwardedRequest, m StepFailed) {
 	switch m.Step {
 	case LeaseStep:
-		if f.phase == forwardLeasing && m.Engine == f.decode.ID {
-			s.leaseDenied(n, f, true)
-		}
+		s.leaseDenied(n, f, true)
 	case ReadPromptStep:
 		s.prefillElsewhere(n, f)
 	case RunStep:
@@ -396,29 +388,30 @@
 	}
 }
 
-// handleStepRefused handles the rejection of a step, by the kind of the request.
+// handleStepRefused handles the rejection of a step, by the kind of the request. Of a
+// send that was given up, only the proof that it was not run counts.
 func (s *forwards) handleStepRefused(n *Node, m StepRefused) {
 	f, ok := s.live[m.ID]
 	if !ok {
 		return
 	}
-	s.logStaleResult(n, f, m.Step, m.Engine, m.Send, m.Proof.String())
 	s.logRefusal(n, f, m)
-	if m.Step == RunStep {
-		f.recordNotRun(m.Send, m.Proof)
-	}
 	if m.AddressReused {
 		if u, ok := s.upstreams.byID[m.Engine]; ok {
 			u.recordFailure(n.now)
 		}
 	}
+	if m.Step == RunStep {
+		f.recordNotRun(m.Send, m.Proof)
+	}
+	if s.stale(n, f, m.Step, m.Engine, m.Send, m.Proof.String()) {
+		return
+	}
 	if _, engine := f.spec.Engine.Get(); engine {
 		s.streamRejected(n, f, m)
 		return
 	}
-	if f.decode != nil && f.decode.ID == m.Engine {
-		s.plainRejected(n, f)
-	}
+	s.plainRejected(n, f)
 }
 
 // logRefusal logs that an upstream rejected a step, and what proves that it did not carry
@@ -446,20 +439,18 @@
 	if !ok {
 		return
 	}
-	s.logStaleResult(n, f, m.Step, m.Engine, m.Send, "failed")
 	if m.Step == RunStep && m.Unsent {
 		f.recordNotRun(m.Send, NothingSent)
 	}
 	f.emitted = f.emitted || m.Emitted
-	f.outcome = outcome
 	d := s.newDecision(n, f, "step-failed", UpstreamFailed)
 	d.Detail = fmt.Sprintf("%s at %s, send %d, status %d, sent %t: %s", m.Step, m.Engine, m.Send, m.Status, !m.Unsent, m.Reason)
 	n.do(LogDecision{Decision: d})
-	if m.Step == RunStep && (f.decode == nil || f.decode.ID != m.Engine || f.phase < forwardRunning) {
+	if s.stale(n, f, m.Step, m.Engine, m.Send, "failed") {
 		return
 	}
+	f.outcome = outcome
 	if m.Step == RunStep && m.Unsent {
-		f.runs--
 		f.sends--
 	}
 	if _, engine := f.spec.Engine.Get(); engine {
--- a/core/send_record.go
+++ b/core/send_record.go
@@ -13,12 +13,17 @@
 	proof  NotRunProof
 }
 
-// nextSend returns the number of a request's next send.
+// nextSend returns the number of a request's next send, whose result the request waits
+// for from now on.
 func (f *forwardedRequest) nextSend() SendNumber {
 	f.lastSend++
-	return f.lastSend
+	f.current = f.lastSend
+	return f.current
 }
 
+// giveUpSend makes the result of the present send stale.
+func (f *forwardedRequest) giveUpSend() { f.current = 0 }
+
 // recordRun records that the request is being sent to an upstream that is to run it, and
 // returns the number of the send.
 func (f *forwardedRequest) recordRun(id EngineID) SendNumber {
@@ -94,12 +99,15 @@
 	return fmt.Sprintf("%s %s although %d of its %d sends may have run", f.Attempt, what, unproven, len(f.runRecords))
 }
 
-// logStaleResult logs a result of a send that is no longer the request's latest one.
-func (s *forwards) logStaleResult(n *Node, f *forwardedRequest, step ForwardStep, id EngineID, number SendNumber, result string) {
-	if number == f.lastSend {
-		return
+// stale reports whether a result belongs to a send that was given up, because another
+// one or none followed it, and logs such a result. It must not change what the request
+// does now.
+func (s *forwards) stale(n *Node, f *forwardedRequest, step ForwardStep, id EngineID, number SendNumber, result string) bool {
+	if number == f.current {
+		return false
 	}
 	d := s.newDecision(n, f, "stale-result", NoReason)
 	d.Detail = fmt.Sprintf("%s at %s, send %d of %d: %s", step, id, number, f.lastSend, result)
 	n.do(LogDecision{Decision: d})
+	return true
 }
--- a/core/upstream_signal_test.go
+++ b/core/upstream_signal_test.go
@@ -53,7 +53,7 @@
 	prefill := commandsOf[core.RunPrefill](h.deliver(core.LeaseGranted{ID: 1, Send: lease.Send, Engine: lease.Engine, Lease: "l"}))
 	is.Equal(len(prefill), 1)
 	h.deliver(core.UpstreamSignal{Engine: lease.Engine, Leaving: true})
-	out := h.deliver(core.PrefillFinished{ID: 1, Engine: "p1", Handle: "k", Tokens: worldPrompt})
+	out := h.deliver(core.PrefillFinished{ID: 1, Send: prefill[0].Send, Engine: "p1", Handle: "k", Tokens: worldPrompt})
 	is.Equal(len(commandsOf[core.RunForward](out)), 0)
 	again := commandsOf[core.RequestLease](out)
 	is.Equal(len(again), 1)
@@ -102,7 +102,8 @@
 		out := h.deliver(forwardTo(id, "read"))
 		is.Equal(arrivals(out, "e1"), 0)
 		is.Equal(arrivals(out, "e2"), 1)
-		h.deliver(core.ForwardResponseCompleted{ID: id, Engine: "e2"})
+		run := commandsOf[core.RunForward](out)[0]
+		h.deliver(core.ForwardResponseCompleted{ID: id, Send: run.Send, Engine: "e2"})
 		h.advance(50 * time.Millisecond)
 	}
 	h.deliver(core.UpstreamSignal{Engine: "e2", QuietFor: 5 * time.Second})
@@ -133,15 +134,17 @@
 	is := is.New(t)
 	h := readyAlone(engineInstances()[:2]...)
 	const streams = 5
+	var prefills []core.RunPrefill
 	for id := range core.ForwardID(streams) {
-		h.deliver(streamTo(id+1, "draft"))
-		h.deliver(core.LeaseGranted{ID: id + 1, Engine: "d1", Lease: core.LeaseID(rune('a' + id))})
+		lease := commandsOf[core.RequestLease](h.deliver(streamTo(id+1, "draft")))[0]
+		out := h.deliver(core.LeaseGranted{ID: id + 1, Send: lease.Send, Engine: "d1", Lease: core.LeaseID(rune('a' + id))})
+		prefills = append(prefills, commandsOf[core.RunPrefill](out)...)
 	}
 	h.deliver(core.InstancesRead{After: 1, Offset: 2, Changed: engineInstances()})
 	h.deliver(core.UpstreamSignal{Engine: "d1", QuietFor: 5 * time.Second})
 	sent, elsewhere := 0, 0
 	for id := range core.ForwardID(streams) {
-		out := h.deliver(core.PrefillFinished{ID: id + 1, Engine: "p1", Handle: "k", Tokens: worldPrompt})
+		out := h.deliver(core.PrefillFinished{ID: id + 1, Send: prefills[id].Send, Engine: "p1", Handle: "k", Tokens: worldPrompt})
 		sent += arrivals(out, "d1")
 		elsewhere += arrivals(out, "d2")
 	}
