Send a request to the same upstream again on a new connection only

What callers could see: a stream that an engine has rejected is told 503, or is run elsewhere, although the engine runs it now.

Cause: a response is matched by the caller's attempt id. A stream that an engine rejected may be placed at that engine again, because the owner on another node does not hear of the rejection, and the connection that was used last is taken first.

Change: an upstream that was sent a request before, for a prefill or a run, gets it again on a connection that has carried no request.

Evidence: TestSecondSendToSameEngineUsesNewConnection failed before.

--- a/core/forward.go
+++ b/core/forward.go
@@ -68,10 +68,11 @@
 	tried    Set[EngineID]
 	// lastSend is the number of the latest send, and current the one whose result the
 	// request waits for; zero if it waits for none. runRecords are the runs among the
-	// sends.
+	// sends. sentTo are the upstreams that the request was sent to, for a prefill or a run.
 	lastSend   SendNumber
 	current    SendNumber
 	runRecords []sendRecord
+	sentTo     Set[EngineID]
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
 	hasFailureAnswer bool
@@ -151,7 +152,7 @@
 // handleRequest handles a caller's request: it finds the route and the service, and
 // requests a placement or rejects the request.
 func (s *forwards) handleRequest(n *Node, m Forward) {
-	f := &forwardedRequest{Forward: m, tried: Set[EngineID]{}}
+	f := &forwardedRequest{Forward: m, tried: Set[EngineID]{}, sentTo: Set[EngineID]{}}
 	f.arrived = n.now
 	s.live[m.ID] = f
 	if !s.stateKnown {
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -170,6 +170,8 @@
 	Engine  EngineID
 	Address string
 	Timeout time.Duration
+	// NewConnection asks for a connection that has carried no request before.
+	NewConnection bool
 }
 
 // ReleaseHandle frees a KV cache that no decode engine will fetch. The request
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -37,11 +37,12 @@
 	f.sends++
 	f.tried.Add(u.ID)
 	s.checkBeforeRun(n, f)
+	newConnection := f.sentTo.Has(u.ID) || f.route.RetryPolicy == Once && u.failures > 0
 	number := f.recordRun(u.ID)
 	s.logRun(n, f)
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once, NewConnection: f.route.RetryPolicy == Once && u.failures > 0,
+		Once: f.route.RetryPolicy == Once, NewConnection: newConnection,
 	})
 	if f.route.RetryPolicy == Repeatable {
 		s.retryIfSilent(n, f)
--- a/core/forward_stale_test.go
+++ b/core/forward_stale_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// A response to the first send may be repeated on its connection and be taken for the
+// response to the second one.
+func TestSecondSendToSameEngineUsesNewConnection(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
+	h.deliver(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: engineInstances()[:2]})
+	first := runStream(t, h, h.deliver(streamTo(1, "draft")))
+	is.True(!first.NewConnection)
+	h.deliver(core.StepRefused{ID: 1, Send: first.Send, Engine: first.Engine, Step: core.RunStep})
+	second := runStream(t, h, h.advance(2*time.Second))
+	is.Equal(second.Engine, first.Engine)
+	is.True(second.NewConnection)
+}
+
 // For every order in which results arrive, some of them late and some twice, a request
 // that must run once reaches at most one upstream that may have run it, and is reported
 // as not run only if none may have.
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -201,8 +201,9 @@
 	u.prefillTokens += f.prompt()
 	s.logDecision(n, f, "place", NoReason)
 	n.do(RunPrefill{
-		ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f),
+		ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f), NewConnection: f.sentTo.Has(u.ID),
 	})
+	f.sentTo.Add(u.ID)
 }
 
 // prefillTimeout returns how long a prefill engine may take. An engine that has gone
@@ -271,7 +272,7 @@
 	}
 	run := RunForward{
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once,
+		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID),
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
 		run.StallAfter = stallAfter
--- a/core/send_record.go
+++ b/core/send_record.go
@@ -29,6 +29,7 @@
 func (f *forwardedRequest) recordRun(id EngineID) SendNumber {
 	number := f.nextSend()
 	f.runRecords = append(f.runRecords, sendRecord{number: number, engine: id})
+	f.sentTo.Add(id)
 	return number
 }
 
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -183,7 +183,7 @@
 	this := step{kind: core.ReadPromptStep, engine: c.Engine, send: c.Send}
 	header := x.header.Clone()
 	platform.SetRunPrefill(header, c)
-	response, err := x.send(ctx, c.Engine, c.Address, header, false)
+	response, err := x.send(ctx, c.Engine, c.Address, header, c.NewConnection)
 	if err != nil {
 		x.reportStepFailed(this, err, 0)
 		return
