Watch the store's era before the first read

A read that came first missed the store's era, and signalled a channel that did not exist yet.

Cause: Run set up what ReadInstances uses, but the control loop starts before it.

Change: Prepare sets the hook and the channels before the control loop starts.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -288,6 +288,7 @@
 	defer signal.Stop(signals)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	h.watcher.Prepare()
 	go h.loop.Run(ctx)
 	if err := h.listen(ctx); err != nil {
 		h.log.Error().Str("Event", "Failed").Err(err).Send()
--- a/daisyshed/store/era.go
+++ b/daisyshed/store/era.go
@@ -68,9 +68,12 @@
 	return first
 }
 
-// WatchEra observes the era that each response of the store names from now on. Run calls
-// it.
-func (w *Watcher) WatchEra() { w.Store.OnEra = w.observeEra }
+// Prepare has the era that each response of the store names observed. It must be called
+// before the first call to the store, which may come before Run.
+func (w *Watcher) Prepare() {
+	w.announced, w.announceAgain = make(chan struct{}, 1), make(chan struct{}, 1)
+	w.Store.OnEra = w.observeEra
+}
 
 // observeEra handles the era that a response of the store names. When it rises, reads
 // that wait at offsets of the earlier era are ended, this node's entry is written
--- a/daisyshed/store/era_test.go
+++ b/daisyshed/store/era_test.go
@@ -95,7 +95,7 @@
 		Log:        zerolog.New(zerolog.SyncWriter(&log)),
 		Self:       core.NodeInfo{ID: "n1", PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2"},
 	}
-	w.WatchEra()
+	w.Prepare()
 	for range eras {
 		w.ReadInstances(core.ReadInstances{Whole: true})
 		m := nextMessage[core.InstancesRead](t, messages)
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -53,10 +53,8 @@
 }
 
 // Run writes this node's entry, and watches the desired state and the nodes'
-// entries until ctx ends.
+// entries until ctx ends. Prepare must have been called.
 func (w *Watcher) Run(ctx context.Context) {
-	w.announced, w.announceAgain = make(chan struct{}, 1), make(chan struct{}, 1)
-	w.WatchEra()
 	go w.keepAnnounced(ctx)
 	go w.follow(ctx, &topic{name: platform.Desired, wait: desiredReadWait, apply: w.applyDesired})
 	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesReadWait, pause: nodesReadPause, endPause: w.announced, apply: w.nodesApplier()})
--- a/daisyshed/store/watch_test.go
+++ b/daisyshed/store/watch_test.go
@@ -33,6 +33,7 @@
 		Log:        zerolog.New(io.Discard),
 		Self:       core.NodeInfo{ID: "n1", PeerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2"},
 	}
+	w.Prepare()
 	return s, w, messages
 }
 
@@ -107,6 +108,19 @@
 }
 
 // A read of compacted history must be reported as such, not as a failed call.
+// The core asks for the list of upstreams as soon as it runs, while the watcher starts.
+// The race detector has to find nothing.
+func TestReadWhileTheWatcherStarts(t *testing.T) {
+	for range 30 {
+		_, w, messages := newWatcher(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		w.ReadInstances(core.ReadInstances{Whole: true})
+		nextMessage[core.InstancesRead](t, messages)
+		cancel()
+	}
+}
+
 func TestCompactedHistoryIsReported(t *testing.T) {
 	is := is.New(t)
 	s, w, messages := newWatcher(t)
