Replace a command that was not begun by the next one

What upstreams saw: a request that arrives after its caller got the final answer, or that goes on while another upstream runs it.

Cause: the core cancels the present run when it sends the next command, but a command that waited in the queue of 16 was no run yet, so that nothing cancelled it: it was begun, and the next one beside it. Starting a run forgot the one before without ending it.

Change: a request has one command at a time, the latest; one that was not begun is replaced and logged. Starting a run ends the one before.

--- /dev/null
+++ b/daisyshed/ingress/commands_test.go
@@ -0,0 +1,86 @@
+package ingress_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/ingress"
+	"daisyshed.dev/standin/hostedworker"
+	"github.com/matryer/is"
+)
+
+// hangingUpstream answers nothing until a request is given up. It counts the requests that
+// it has received, and those that still hang.
+func hangingUpstream(t *testing.T) (address string, received, hanging *atomic.Int32) {
+	received, hanging = &atomic.Int32{}, &atomic.Int32{}
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		hanging.Add(1)
+		defer hanging.Add(-1)
+		<-r.Context().Done()
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), received, hanging
+}
+
+// The core gives up a run before the request's goroutine has begun it, and starts another
+// one. Both commands are queued when the goroutine comes to them.
+func TestRunThatWasGivenUpDoesNotGoOn(t *testing.T) {
+	is := is.New(t)
+	for range 50 {
+		slow, _, hanging := hangingUpstream(t)
+		w, address := startWorker(t, hostedworker.Settings{Slots: 2, Work: 50 * time.Millisecond})
+		var left atomic.Int32
+		s, _ := startServer(t, func(m core.Message) []core.ForwardCommand {
+			switch m := m.(type) {
+			case core.Forward:
+				return []core.ForwardCommand{
+					core.RunForward{ID: m.ID, Send: 1, Engine: "e0", Address: slow, Patience: time.Second},
+					core.RunForward{ID: m.ID, Send: 2, Engine: "e1", Address: address, Patience: time.Second},
+				}
+			case core.ForwardResponseStarted:
+				left.Store(hanging.Load())
+			}
+			return nil
+		})
+		_ = w
+		is.Equal(post(t, s.URL, "a", nil).StatusCode, http.StatusOK)
+		is.Equal(left.Load(), int32(0))
+	}
+}
+
+// A request must not be sent once its end has been decided, although the command to send
+// it was queued before. Connections are kept, so that nothing delays the send.
+func TestNothingIsSentAfterTheFinalAnswer(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int32
+	w := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Attempt-Id") == "late" {
+			received.Add(1)
+		}
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Seal", "s")
+	}))
+	defer w.Close()
+	s, _ := startServerWith(t, func(s *ingress.Server) {
+		s.SendToCore = func(m core.Message) {
+			f, ok := m.(core.Forward)
+			if !ok {
+				return
+			}
+			s.Execute(core.RunForward{ID: f.ID, Send: 1, Engine: "e0", Address: w.Listener.Addr().String(), Patience: time.Second})
+			if f.Attempt == "late" {
+				s.Execute(core.EndForward{ID: f.ID, Reason: core.DeadlinePassed})
+			}
+		}
+	}, nil)
+	for range 100 {
+		post(t, s.URL, "first", nil)
+		is.Equal(post(t, s.URL, "late", nil).StatusCode, http.StatusGatewayTimeout)
+	}
+	is.Equal(received.Load(), int32(0))
+}
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -32,7 +32,7 @@
 	header    http.Header
 	startedAt time.Time
 
-	commands   chan core.ForwardCommand
+	commands   *commandSlot
 	runResults chan runResult
 
 	mu        sync.Mutex
@@ -88,8 +88,8 @@
 		case <-x.ctx.Done():
 			x.reportDisconnected()
 			return
-		case c := <-x.commands:
-			if x.execute(c) {
+		case <-x.commands.ready:
+			if x.execute(x.commands.take()) {
 				return
 			}
 		case result := <-x.runResults:
@@ -216,14 +216,15 @@
 	})
 }
 
-// startRun sends the request to the upstream that is to run it. The result
-// arrives on x.runResults. A stream that was already relayed in part resumes
+// startRun cancels the run before, if it still goes on, and sends the request to the
+// upstream that is to run it. The result arrives on x.runResults. A stream that was already relayed in part resumes
 // after its last event.
 func (x *exchange) startRun(c core.RunForward) {
 	if c.Once && len(x.unproven) > 0 {
 		x.reportViolation(core.AtMostOnce, fmt.Sprintf("send %d begins although sends %v may have run", c.Send, x.unproven.Sorted()))
 	}
 	x.unproven.Add(c.Send)
+	x.cancelRun()
 	ctx, cancel := context.WithCancel(x.ctx)
 	x.mu.Lock()
 	x.runCancel = cancel
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -19,9 +20,9 @@
 )
 
 const (
-	// commandQueueSize bounds the commands queued for one request's goroutine.
-	// The core sends one step at a time, and a command that ends the request.
-	commandQueueSize = 16
+	// runResultsSize bounds the results of runs that wait for a request's goroutine. Each
+	// run has one, and few runs of a request overlap.
+	runResultsSize = 16
 	// orderTimeout bounds the call that sends an order to an engine.
 	orderTimeout = time.Second
 	// releaseTimeout bounds a call that releases memory.
@@ -98,8 +99,8 @@
 	x := &exchange{
 		server: s, w: w, r: r, ctx: ctx, body: body, forward: forward, startedAt: time.Now(),
 		header:     platform.UpstreamRequestHeader(r.Header),
-		commands:   make(chan core.ForwardCommand, commandQueueSize),
-		runResults: make(chan runResult, commandQueueSize),
+		commands:   newCommandSlot(),
+		runResults: make(chan runResult, runResultsSize),
 		unproven:   core.Set[core.SendNumber]{},
 	}
 	x.forward.ID = core.ForwardID(s.lastID.Add(1))
@@ -151,19 +152,18 @@
 	}
 }
 
-// deliver queues a command for its request's goroutine. It cancels the current
+// deliver passes a command to its request's goroutine. It cancels the current
 // run first: the core sends a further command only after it has given that run
-// up.
+// up. A command that was not begun yet is replaced.
 func (s *Server) deliver(id core.ForwardID, c core.ForwardCommand) {
 	x := s.find(id)
 	if x == nil {
 		return
 	}
 	x.cancelRun()
-	select {
-	case x.commands <- c:
-	default:
-		s.Log.Error().Str("Event", "CommandLost").Str("Request", x.forward.Attempt).Send()
+	if replaced := x.commands.put(c); replaced != nil {
+		s.Log.Info().Str("Event", "CommandReplaced").Str("Request", x.forward.Attempt).
+			Str("Command", fmt.Sprintf("%T", replaced)).Str("By", fmt.Sprintf("%T", c)).Send()
 	}
 }
 
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -34,6 +34,11 @@
 // startServer returns a server with decide in place of the core: decide
 // receives each message and returns the commands that follow from it.
 func startServer(t *testing.T, decide func(m core.Message) []core.ForwardCommand) (*httptest.Server, *recordingMeter) {
+	return startServerWith(t, func(*ingress.Server) {}, decide)
+}
+
+// startServerWith is startServer, and passes the server to configure before it starts.
+func startServerWith(t *testing.T, configure func(*ingress.Server), decide func(m core.Message) []core.ForwardCommand) (*httptest.Server, *recordingMeter) {
 	m := &recordingMeter{}
 	s := &ingress.Server{
 		Upstreams: &upstream.Client{DialTimeout: time.Second}, Log: zerolog.New(io.Discard), Meter: m,
@@ -46,6 +51,7 @@
 			}
 		}()
 	}
+	configure(s)
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
 	return server, m
