Send nothing for a request that was cancelled before it was written

What upstreams saw: requests that nobody waits for any more, which run all the same.

Cause: a cancelled context closes the connection in a goroutine of its own. On a kept connection nothing waits in between, so that the request was written first.

Change: the context is looked at before the write, and the error says that nothing was sent.

Evidence: TestCancelledRequestIsNotSentOnKeptConnection failed before.

--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -134,6 +134,11 @@
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
+	if err := ctx.Err(); err != nil {
+		// The connection is discarded, so an error from closing it does not matter.
+		_ = cn.Close()
+		return nil, &UnsentError{Cause: err}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	response, err := c.roundTrip(cn, r)
 	if err != nil {
--- a/daisyshed/upstream/client_test.go
+++ b/daisyshed/upstream/client_test.go
@@ -204,3 +204,38 @@
 	_, _, err = upstream.NewEventReader(strings.NewReader("")).Next()
 	is.Equal(err, io.EOF)
 }
+
+// A request whose context has ended is not sent, also not on a connection that is open
+// already, and the error says so.
+func TestCancelledRequestIsNotSentOnKeptConnection(t *testing.T) {
+	is := is.New(t)
+	requests := make(chan string, 1000)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			requests <- q.Header.Get("Attempt-Id")
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\nok"))
+		}
+	})
+	c := &upstream.Client{DialTimeout: time.Second}
+	defer c.Close()
+	for range 100 {
+		a, err := c.Do(t.Context(), request(address, nil))
+		is.NoErr(err)
+		_, err = io.ReadAll(a.Body)
+		is.NoErr(err)
+		a.Close()
+		is.Equal(<-requests, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		late := request(address, nil)
+		late.Header.Set("Attempt-Id", "late")
+		_, err = c.Do(ctx, late)
+		var unsent *upstream.UnsentError
+		is.True(errors.As(err, &unsent))
+	}
+	is.Equal(len(requests), 0)
+}
