Take no response to an attempt for the response to a call

What was seen, in a test: a lease that an engine granted is taken for lost, because a late response to an earlier request on the connection was read in its place. Its memory stays reserved until the lease expires, and the lease's own response is left for the next call, so that answers of a connection shift by one. Suspected only; no broken promise follows, since a lease runs nothing.

Cause: the same class as results without a send: calls to engines matched any response. Change: a response that names an attempt belongs to no call.

Evidence: TestLateResponseIsNotTakenForCallsResponse failed before.

--- a/daisyshed/ingress/commands_test.go
+++ b/daisyshed/ingress/commands_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -84,3 +85,34 @@
 	}
 	is.Equal(received.Load(), int32(0))
 }
+
+// A late response to a request precedes the response to a call on the same connection.
+func TestLateResponseIsNotTakenForCallsResponse(t *testing.T) {
+	is := is.New(t)
+	w, address := startWorker(t, hostedworker.Settings{Slots: 2, Stage: hostedworker.Decode, Events: 2, Work: time.Millisecond, Memory: 100})
+	results := make(chan core.Message, 16)
+	s, _ := startServer(t, func(m core.Message) []core.ForwardCommand {
+		switch m := m.(type) {
+		case core.Forward:
+			if m.Attempt == "run" {
+				return []core.ForwardCommand{core.RunForward{ID: m.ID, Send: 1, Engine: "e1", Address: address, Patience: time.Second}}
+			}
+			return []core.ForwardCommand{core.RequestLease{ID: m.ID, Send: 1, Engine: "e1", Address: address, Tokens: 10, TTL: time.Second}}
+		case core.LeaseGranted:
+			results <- m
+			return []core.ForwardCommand{core.EndForward{ID: m.ID, Reason: core.NoCapacity, NotRun: true}}
+		case core.StepFailed:
+			results <- m
+			return []core.ForwardCommand{core.EndForward{ID: m.ID, Reason: core.NoCapacity, NotRun: true}}
+		}
+		return nil
+	})
+	a := post(t, s.URL, "run", nil)
+	_, err := io.Copy(io.Discard, a.Body)
+	is.NoErr(err)
+	w.SetFault(hostedworker.RepeatResponse, 1)
+	post(t, s.URL, "lease", nil)
+	m := <-results
+	_, granted := m.(core.LeaseGranted)
+	is.True(granted)
+}
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -201,6 +201,7 @@
 	response, err := s.Upstreams.Do(ctx, &upstream.Request{
 		Key: string(id), Address: address, Method: c.Method, Target: c.Target, Host: address,
 		Header: c.Header, Body: c.Body, ParseIdleTimeout: platform.IdleTimeout,
+		Matches: platform.MatchesCall,
 	})
 	if err != nil {
 		return 0, nil, err
