Keep promises to callers by the ingress server's own record, too

Guard, not the mend of a fault that was seen: nothing between the core's count of runs and the caller could notice a wrong "not run", so that each mistake of the core became a broken promise.

The ingress server knows which runs it began and what proved that one was not run. It answers 502 instead of a status that promises "not run" while a run may have taken place, and begins no second run of a request that must run once. Both are reported as violations.

Evidence: TestPromiseAgainstOwnRecordIsNotMade failed before (503), and TestSecondRunAgainstOwnRecordIsNotBegun (the second upstream got the request).

--- a/daisyshed/ingress/errors.go
+++ b/daisyshed/ingress/errors.go
@@ -47,3 +47,10 @@
 func (*UnprovenRejectionError) Error() string {
 	return "upstream rejected the request without stating that it did not run"
 }
+
+// SecondRunError reports a run that was not begun, because the request must run once and
+// another run of it may have taken place.
+type SecondRunError struct{}
+
+// Error returns the message.
+func (SecondRunError) Error() string { return "another run of the request may have taken place" }
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -133,7 +133,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	if c.NotRun && len(x.unproven) > 0 {
-		x.reportViolation(core.NotRunTrue, fmt.Sprintf("answered as not run although sends %v may have run", x.unproven.Sorted()))
+		x.reportViolation(core.NotRunTrue, fmt.Sprintf("to be answered as not run although sends %v may have run", x.unproven.Sorted()))
+		c = core.EndForward{ID: c.ID, Reason: core.UpstreamFailed}
 	}
 	x.recordEnd(platform.WriteEndForward(x.w, x.forward.Attempt, c))
 }
@@ -221,7 +222,9 @@
 // after its last event.
 func (x *exchange) startRun(c core.RunForward) {
 	if c.Once && len(x.unproven) > 0 {
-		x.reportViolation(core.AtMostOnce, fmt.Sprintf("send %d begins although sends %v may have run", c.Send, x.unproven.Sorted()))
+		x.reportViolation(core.AtMostOnce, fmt.Sprintf("send %d is to begin although sends %v may have run", c.Send, x.unproven.Sorted()))
+		x.reportStepFailed(runStep(c), SecondRunError{}, 0)
+		return
 	}
 	x.unproven.Add(c.Send)
 	x.cancelRun()
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -186,3 +186,52 @@
 		is.Equal(a.Header.Get("Server-Seal"), "")
 	}
 }
+
+// The core must never say "not run" while a run is in progress. If it does, the caller
+// still gets no such promise, and the violation is reported.
+func TestPromiseAgainstOwnRecordIsNotMade(t *testing.T) {
+	is := is.New(t)
+	w, address := startWorker(t, hostedworker.Settings{Slots: 2})
+	w.SetFault(hostedworker.Hang, 1)
+	violations := make(chan core.Violation, 1)
+	s, _ := startServerWith(t, func(s *ingress.Server) {
+		s.ReportViolation = func(v core.Violation) { violations <- v }
+		s.SendToCore = func(m core.Message) {
+			f, ok := m.(core.Forward)
+			if !ok {
+				return
+			}
+			s.Execute(core.RunForward{ID: f.ID, Send: 1, Engine: "e1", Address: address, Patience: time.Second, Once: true})
+			time.AfterFunc(50*time.Millisecond, func() { s.Execute(core.EndForward{ID: f.ID, Reason: core.NoCapacity, NotRun: true}) })
+		}
+	}, nil)
+	is.Equal(post(t, s.URL, "a", nil).StatusCode, http.StatusBadGateway)
+	is.Equal((<-violations).Promise, core.NotRunTrue)
+}
+
+// A second run of a request that must run once is not begun while the first one may have
+// run.
+func TestSecondRunAgainstOwnRecordIsNotBegun(t *testing.T) {
+	is := is.New(t)
+	first, received, _ := hangingUpstream(t)
+	second, receivedSecond, _ := hangingUpstream(t)
+	violations := make(chan core.Violation, 1)
+	s, _ := startServerWith(t, func(s *ingress.Server) {
+		s.ReportViolation = func(v core.Violation) { violations <- v }
+		s.SendToCore = func(m core.Message) {
+			switch m := m.(type) {
+			case core.Forward:
+				s.Execute(core.RunForward{ID: m.ID, Send: 1, Engine: "e1", Address: first, Patience: time.Second, Once: true})
+				time.AfterFunc(50*time.Millisecond, func() {
+					s.Execute(core.RunForward{ID: m.ID, Send: 2, Engine: "e2", Address: second, Patience: time.Second, Once: true})
+				})
+			case core.StepFailed:
+				s.Execute(core.EndForward{ID: m.ID, Reason: core.UpstreamFailed})
+			}
+		}
+	}, nil)
+	is.Equal(post(t, s.URL, "a", nil).StatusCode, http.StatusBadGateway)
+	is.Equal((<-violations).Promise, core.AtMostOnce)
+	is.Equal(received.Load(), int32(1))
+	is.Equal(receivedSecond.Load(), int32(0))
+}
