Answer a request that crosses a stop

What callers saw: a kept connection ends without an answer when a node stops, although the node has read the request. They cannot tell whether it ran, and do not send again what must run once.

Cause: http.Server.Shutdown closes idle connections by a state that lags behind what was read.

Change: the listener knows from the first byte whether a request has begun to arrive, and ends only the reads that wait for one. A request that crosses is answered, with Connection: close, and connections that were never used end at once instead of after five seconds. Both kinds of daemons stop this way.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -15,6 +15,7 @@
 	"daisyshed.dev/core"
 	"daisyshed.dev/daisyshed/control"
 	"daisyshed.dev/daisyshed/directory"
+	"daisyshed.dev/daisyshed/httpserver"
 	"daisyshed.dev/daisyshed/ingress"
 	"daisyshed.dev/daisyshed/operator"
 	"daisyshed.dev/daisyshed/peer"
@@ -88,7 +89,9 @@
 	upstreams    *upstream.Client
 	watcher      *store.Watcher
 	callerServer *http.Server
-	serveErrors  chan error
+	// callerListener is the listener of callerServer; nil until it is open.
+	callerListener net.Listener
+	serveErrors    chan error
 	// stopAccepting is closed when the core decides during shutdown that the node
 	// stops accepting callers' connections.
 	stopAccepting chan struct{}
@@ -276,7 +279,7 @@
 func (h *hosted) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
-		ErrorLog: operator.HTTPErrorLogger(h.log), ConnContext: tcp.WithConn,
+		ErrorLog: operator.HTTPErrorLogger(h.log), ConnContext: tcp.WithConn, ConnState: tcp.TrackState,
 	}
 }
 
@@ -339,6 +342,9 @@
 		if err != nil {
 			return oops.In("daisyshed").With("Node", s.Node).Wrap(err)
 		}
+		if endpoint.server == h.callerServer {
+			h.callerListener = l
+		}
 		go h.serve(func() error { return endpoint.server.Serve(l) })
 	}
 	return nil
@@ -384,7 +390,7 @@
 		h.log.Info().Str("Event", "ClosedToCallers").Int("Requests", h.ingress.InProgress()).Send()
 	case <-ctx.Done():
 	}
-	err := h.callerServer.Shutdown(ctx)
+	err := httpserver.Stop(ctx, h.callerListener)
 	h.log.Info().Str("Event", "Stopped").Int("Requests", h.ingress.InProgress()).Err(err).Send()
 	if err != nil {
 		return exitIncomplete
--- a/daisyshed/httpserver/server.go
+++ b/daisyshed/httpserver/server.go
@@ -5,6 +5,8 @@
 	"log"
 	"net/http"
 	"time"
+
+	"daisyshed.dev/daisyshed/tcp"
 )
 
 // Limits bounds the size and time that one connection may use.
@@ -33,6 +35,7 @@
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
 		ErrorLog:          errorLog,
+		ConnState:         tcp.TrackState,
 	}
 }
 
--- a/daisyshed/run.go
+++ b/daisyshed/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/httpserver"
 )
 
 // responseTimeout bounds how long responses that are still being written may
@@ -90,7 +91,7 @@
 func (d *daemon) awaitResponses() {
 	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
 	defer cancel()
-	if err := d.servers[0].Shutdown(ctx); err != nil {
+	if err := httpserver.Stop(ctx, d.listeners.caller); err != nil {
 		d.logFault(err)
 	}
 }
--- /dev/null
+++ b/daisyshed/tcp/conn.go
@@ -0,0 +1,111 @@
+package tcp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// slotConn is a connection that occupies a slot until it is closed.
+type slotConn struct {
+	net.Conn
+	release func()
+	closed  atomic.Bool
+
+	mu sync.Mutex
+	// busy is set from the first byte of a request until the server waits for the next
+	// one, and interrupted once a read that waits for a request has been ended.
+	busy        bool
+	interrupted bool
+}
+
+// Read reads from the connection.
+func (c *slotConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begin()
+	}
+	return n, err
+}
+
+// begin records that a request has begun to arrive. The server reads it to its end and
+// answers it, although the connection was to be closed.
+func (c *slotConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	if c.interrupted {
+		c.interrupted = false
+		// If the deadline cannot be set, the next read fails.
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// end records that the server waits for the next request.
+func (c *slotConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+// interrupt ends the read that waits for a request, so that the server closes the
+// connection. It does nothing once a request has begun to arrive.
+func (c *slotConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return
+	}
+	c.interrupted = true
+	// If the deadline cannot be set, the connection is closed already.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Close closes the connection and frees its slot.
+func (c *slotConn) Close() error {
+	defer c.release()
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+// TrackState is for [http.Server.ConnState]. It tells connections of this package's
+// listeners when the server waits for their next request.
+func TrackState(c net.Conn, state http.ConnState) {
+	if c, ok := c.(*slotConn); ok && state == http.StateIdle {
+		c.end()
+	}
+}
+
+// CloseIdle has the server close those connections of a listener of this package on which
+// no request has begun to arrive, and returns how many connections are open. The server
+// may miss it for a connection that is just becoming idle; call CloseIdle again for that.
+func CloseIdle(l net.Listener) int {
+	limited, ok := l.(*limitedListener)
+	if !ok {
+		return 0
+	}
+	limited.mu.Lock()
+	defer limited.mu.Unlock()
+	for c := range limited.open {
+		c.interrupt()
+	}
+	return len(limited.open)
+}
+
+// connKey is the key of a connection in a context.
+type connKey struct{}
+
+// WithConn returns a context that carries a connection, for [http.Server.ConnContext].
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ClosedHere reports whether this process has closed the connection that ctx carries. It
+// returns false if ctx carries no connection of a listener of this package.
+func ClosedHere(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*slotConn)
+	return ok && c.closed.Load()
+}
--- a/daisyshed/tcp/listen.go
+++ b/daisyshed/tcp/listen.go
@@ -2,11 +2,9 @@
 package tcp
 
 import (
-	"context"
 	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 )
 
@@ -40,7 +38,14 @@
 	if err != nil {
 		return nil, &ListenError{Address: address, Cause: err}
 	}
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}, nil
+	return Limit(l, limit), nil
+}
+
+// Limit returns a listener that keeps at most limit connections of l open at a time.
+func Limit(l net.Listener, limit int) net.Listener {
+	return &limitedListener{
+		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), open: map[*slotConn]struct{}{},
+	}
 }
 
 // limitedListener is a listener that accepts a connection only when a slot is
@@ -50,6 +55,9 @@
 	slots  chan struct{}
 	closed chan struct{}
 	once   sync.Once
+
+	mu   sync.Mutex
+	open map[*slotConn]struct{}
 }
 
 // Accept waits for a free slot, then for a connection.
@@ -64,7 +72,17 @@
 		<-l.slots
 		return nil, err
 	}
-	return &slotConn{Conn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
+	c := &slotConn{Conn: conn}
+	c.release = sync.OnceFunc(func() {
+		l.mu.Lock()
+		delete(l.open, c)
+		l.mu.Unlock()
+		<-l.slots
+	})
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
 }
 
 // Close closes the listener and unblocks Accept.
@@ -72,32 +90,3 @@
 	l.once.Do(func() { close(l.closed) })
 	return l.Listener.Close()
 }
-
-// slotConn is a connection that occupies a slot until it is closed.
-type slotConn struct {
-	net.Conn
-	release func()
-	closed  atomic.Bool
-}
-
-// Close closes the connection and frees its slot.
-func (c *slotConn) Close() error {
-	defer c.release()
-	c.closed.Store(true)
-	return c.Conn.Close()
-}
-
-// connKey is the key of a connection in a context.
-type connKey struct{}
-
-// WithConn returns a context that carries a connection, for [http.Server.ConnContext].
-func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// ClosedHere reports whether this process has closed the connection that ctx carries. It
-// returns false if ctx carries no connection of a listener of this package.
-func ClosedHere(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*slotConn)
-	return ok && c.closed.Load()
-}
