--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: \(.*\)/^\1$$/p' KNOWN-RED.txt 2>/dev/null | sed 's:/:$$/^:' | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)',)
 
-.PHONY: all build test race demo soak mutants soak-processes hosted-soak bench capacity generate format lint clean
+.PHONY: all build test race demo soak mutants hosted-mutants soak-processes hosted-soak bench capacity generate format lint clean
 
 all: build test
 
@@ -35,6 +35,10 @@
 mutants:
 	@cd bench && $(GO) run ./cmd/mutants $(ARGS)
 
+# Runs the soak of real processes against mutants of the hosted daemon.
+hosted-mutants:
+	@cd bench && $(GO) run ./cmd/mutants --hosted $(ARGS)
+
 SECONDS ?= 60
 soak-processes: build
 	@mkdir -p $(BIN)
--- a/bench/cmd/mutants/main.go
+++ b/bench/cmd/mutants/main.go
@@ -23,6 +23,8 @@
 	Seed  uint64   `long:"seed" default:"1" description:"first seed"`
 	Seeds int      `long:"seeds" default:"12" description:"seeds to try for each mutant"`
 	Only  []string `long:"only" description:"run only this mutant (repeatable)"`
+	// Hosted selects the mutants of the hosted daemon.
+	Hosted bool `long:"hosted" description:"run the mutants of the hosted daemon, with real processes"`
 }
 
 func main() {
@@ -56,26 +58,52 @@
 	if err != nil {
 		return err
 	}
-	var survived []string
-	caught := 0
-	for _, m := range mutants.All {
-		if !o.selected(m.Name) {
-			continue
-		}
-		found, err := o.runMutant(m, coreDir, dir)
-		if err != nil {
-			return err
+	t := tally{}
+	if o.Hosted {
+		for _, m := range mutants.Hosted {
+			if o.selected(m.Name) {
+				found, err := o.runHostedMutant(m, filepath.Dir(coreDir), dir)
+				if err != nil {
+					return err
+				}
+				t.add(m.Mutant, found)
+			}
 		}
-		fmt.Printf("%-26s breaks %-22s %s\n", m.Name, m.Promise, found)
-		if found == notDetected {
-			survived = append(survived, m.Name)
-			continue
+		return t.finish()
+	}
+	for _, m := range mutants.All {
+		if o.selected(m.Name) {
+			found, err := o.runMutant(m, coreDir, dir)
+			if err != nil {
+				return err
+			}
+			t.add(m, found)
 		}
-		caught++
 	}
-	fmt.Printf("%d passed, %d failed\n", caught, len(survived))
-	if len(survived) > 0 {
-		return &SurvivedError{Names: survived}
+	return t.finish()
+}
+
+// tally counts the mutants that were detected and those that were not.
+type tally struct {
+	caught   int
+	survived []string
+}
+
+// add prints and counts the result for a mutant.
+func (t *tally) add(m mutants.Mutant, found string) {
+	fmt.Printf("%-28s breaks %-22s %s\n", m.Name, m.Promise, found)
+	if found == notDetected {
+		t.survived = append(t.survived, m.Name)
+		return
+	}
+	t.caught++
+}
+
+// finish prints the counts and returns an error if a mutant was not detected.
+func (t *tally) finish() error {
+	fmt.Printf("%d passed, %d failed\n", t.caught, len(t.survived))
+	if len(t.survived) > 0 {
+		return &SurvivedError{Names: t.survived}
 	}
 	return nil
 }
--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -11,10 +11,11 @@
 	"github.com/matryer/is"
 )
 
-// build builds the daemon's program and returns its path.
-func build(t *testing.T) string {
+// build builds the daemon's program with the given flags and returns its path.
+func build(t *testing.T, flags ...string) string {
 	bin := filepath.Join(t.TempDir(), "daisyshed")
-	cmd := exec.Command("go", "build", "-o", bin, "../../daisyshed")
+	args := append(append([]string{"build"}, flags...), "-o", bin, "../../daisyshed")
+	cmd := exec.Command("go", args...)
 	if out, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
@@ -61,3 +62,26 @@
 		})
 	}
 }
+
+// raceRegressions are seeds in which the race detector found a data race in a daemon.
+var raceRegressions = []uint64{
+	// The first read of the upstreams used what the store's watcher was still setting up.
+	306, 307,
+}
+
+func TestShortSoakWithRaceDetector(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the soak takes a while")
+	}
+	bin := build(t, "-race")
+	for _, seed := range raceRegressions {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			result, err := hosted.Run(bin, seed, 8*time.Second, hosted.DefaultSize)
+			is.NoErr(err)
+			t.Log(result.Injected, result.Counts)
+			is.Equal(result.Violations, nil)
+		})
+	}
+}
--- /dev/null
+++ b/bench/mutants/hosted.go
@@ -0,0 +1,49 @@
+package mutants
+
+import "daisyshed.dev/core"
+
+// HostedMutant is a deliberate fault of the hosted daemon, which the soak of real
+// processes must detect. The files of its edits are relative to the repository.
+type HostedMutant struct {
+	Mutant
+	// Rule is the rule that the soak's judge must find broken.
+	Rule string
+}
+
+// The edits that remove the ingress server's own checks, which would prevent what a
+// mutant of the core does.
+var (
+	withoutRunCheck = Edit{
+		File: "daisyshed/ingress/exchange.go", Old: "	if c.Once && len(x.unproven) > 0 {\n", New: "	if false {\n",
+	}
+	withoutPromiseCheck = Edit{
+		File: "daisyshed/ingress/exchange.go", Old: "	if c.NotRun && len(x.unproven) > 0 {\n", New: "	if false {\n",
+	}
+)
+
+// Hosted lists the mutants of the hosted daemon.
+var Hosted = []HostedMutant{
+	{Rule: "REFUSED", Mutant: Mutant{Name: "unproven-rejection-relayed", Promise: core.NotRunTrue, Edits: []Edit{{
+		"daisyshed/ingress/relay.go", "case result.run.Once && platform.PromisesNotRun(", "case false && platform.PromisesNotRun(",
+	}}}},
+	{Rule: "TWICE", Mutant: Mutant{Name: "any-503-proves-not-run", Promise: core.AtMostOnce, Edits: []Edit{{
+		"platform/upstream.go", "	case h.Get(headerNotRun) != \"\":\n", "	case h.Get(headerNotRun) != \"\" || status == http.StatusServiceUnavailable:\n",
+	}}}},
+	{Rule: "TWICE", Mutant: Mutant{Name: "lost-answer-counts-as-unsent", Promise: core.AtMostOnce, Edits: []Edit{{
+		"daisyshed/upstream/client.go", "return nil, &NoResponseError{Cause: err}", "return nil, &UnsentError{Cause: err}",
+	}}}},
+	{Rule: "TWICE", Mutant: Mutant{Name: "failed-run-is-repeated", Promise: core.AtMostOnce, Edits: []Edit{
+		{"core/forward.go", "	default:\n		return f.unprovenRuns() == 0\n", "	default:\n		return true\n"},
+		withoutRunCheck,
+	}}},
+	{Rule: "REFUSED", Mutant: Mutant{Name: "failed-run-called-not-run", Promise: core.NotRunTrue, Edits: []Edit{
+		{"core/forward.go", "	case f.unprovenRuns() == 0 && !f.emitted:\n", "	case !f.emitted:\n"},
+		withoutPromiseCheck,
+	}}},
+	{Rule: "log of", Mutant: Mutant{Name: "core-repeats-failed-run", Promise: core.AtMostOnce, Edits: []Edit{{
+		"core/forward.go", "	default:\n		return f.unprovenRuns() == 0\n", "	default:\n		return true\n",
+	}}}},
+	{Rule: "LOST", Mutant: Mutant{Name: "stop-cuts-requests", Promise: core.DrainGraceful, Edits: []Edit{{
+		"daisyshed/httpserver/stop.go", "	for tcp.CloseIdle(l) > 0 {\n", "	for false {\n",
+	}}}},
+}
--- a/bench/mutants/mutants_test.go
+++ b/bench/mutants/mutants_test.go
@@ -22,3 +22,13 @@
 		is.True(broken[p]) // each promise has a mutant that violates it
 	}
 }
+
+// Guards against hosted mutants that no longer apply because the source has changed.
+func TestEveryHostedMutantApplies(t *testing.T) {
+	is := is.New(t)
+	for _, m := range mutants.Hosted {
+		_, err := m.Overlay("../..", t.TempDir())
+		is.NoErr(err)
+		is.True(m.Rule != "")
+	}
+}
--- a/bench/mutants/overlay.go
+++ b/bench/mutants/overlay.go
@@ -22,12 +22,12 @@
 }
 
 // Overlay writes the mutant's edited files into dir, together with an overlay
-// file for go build's -overlay flag that substitutes them for the originals in
-// coreDir. It returns the path of the overlay file.
-func (m Mutant) Overlay(coreDir, dir string) (string, error) {
+// file for go build's -overlay flag that substitutes them for the originals below
+// sourceDir. It returns the path of the overlay file.
+func (m Mutant) Overlay(sourceDir, dir string) (string, error) {
 	replace := make(map[string]string)
 	for _, e := range m.Edits {
-		original := filepath.Join(coreDir, e.File)
+		original := filepath.Join(sourceDir, e.File)
 		source := original
 		if earlier, ok := replace[original]; ok {
 			source = earlier
@@ -39,7 +39,7 @@
 		if n := strings.Count(string(text), e.Old); n != 1 {
 			return "", &NotFoundError{Mutant: m.Name, File: e.File, Count: n}
 		}
-		broken := filepath.Join(dir, m.Name+"-"+e.File)
+		broken := filepath.Join(dir, m.Name+"-"+strings.ReplaceAll(e.File, "/", "-"))
 		text = []byte(strings.Replace(string(text), e.Old, e.New, 1))
 		if err := os.WriteFile(broken, text, 0o600); err != nil {
 			return "", err
