Follow no placement at an upstream of another service

What callers could see: a payment that is run by a model engine, after a restart of the node that it was sent to.

Cause: numbers of requests begin at one in each process, and an owner's placement names the request by that number. A placement for the process before, sent while the owner had not noticed the restart, was taken for the answer to the new process's question.

Change: a placement counts only if its upstream serves the request's service; otherwise the node places the request by itself.

Evidence: TestPlacementAtAnotherServiceIsNotFollowed failed before (one request at the engine).

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -80,7 +80,7 @@
 		s.requestPlacement(n, f)
 		return
 	}
-	if !ok || !u.usable() {
+	if !ok || !u.usable() || u.Service != f.spec.ID {
 		s.releaseAtOwner(n, f)
 		s.placeLocally(n, f)
 		return
--- a/core/forward_stale_test.go
+++ b/core/forward_stale_test.go
@@ -154,3 +154,19 @@
 	}
 	return n
 }
+
+// An owner's placement for a request of an earlier process of this node, which had the
+// same number, names an upstream of another service.
+func TestPlacementAtAnotherServiceIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.deliver(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: append(engineInstances(), plainInstance("e1"))})
+	for _, peer := range []core.NodeID{"n2", "n3", "n4", "n5"} {
+		addPeer(h, peer)
+	}
+	asks := commandsOf[core.SendPeer](h.deliver(forwardTo(1, "pay")))
+	is.Equal(len(asks), 1)
+	out := h.deliver(core.PeerMessage{From: asks[0].To, Incarnation: 1, Body: core.ForwardPlaced{ID: 1, Decode: "d1", Memory: 1}})
+	is.Equal(arrivals(out, "d1"), 0)
+	is.Equal(arrivals(out, "e1"), 1)
+}
