Write no failure of an upstream into a stream that has begun

What callers saw, in a test: a stream that breaks off, goes on with the body of another upstream's failure, and ends as if it were complete. For streams that may be resumed only. Found by the ingress server's new check of AnsweredOnce.

Cause: only answers to the first run were thought of where an answer is relayed whole; the head of the response had gone out with the first run's events.

Change: once the caller has the head, only a stream goes on; anything else fails the run.

Evidence: TestFailureIsNotWrittenIntoAStream failed before: no error, and the violation "the head of a response is sent again".

--- a/daisyshed/ingress/errors.go
+++ b/daisyshed/ingress/errors.go
@@ -33,7 +33,8 @@
 // Error returns the message.
 func (StreamStalledError) Error() string { return "upstream stream stalled" }
 
-// UpstreamFailedError reports a response with a status of 500 or above.
+// UpstreamFailedError reports a response with a status of 500 or above, or one that does
+// not resume the stream that the caller has begun to receive.
 type UpstreamFailedError struct{ Status int }
 
 // Error returns the message without the status, which is logged separately.
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -43,6 +43,10 @@
 		return false
 	case success && isStream(result.response.Header):
 		return x.relayEvents(result)
+	case x.headSent:
+		x.drain(result.response)
+		x.reportStepFailed(runStep(result.run), &UpstreamFailedError{Status: result.response.Status}, result.response.Status)
+		return false
 	case result.run.Once && platform.PromisesNotRun(result.response.Status):
 		x.drain(result.response)
 		x.reportStepFailed(runStep(result.run), &UnprovenRejectionError{Status: result.response.Status}, result.response.Status)
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -235,3 +235,45 @@
 	is.Equal(received.Load(), int32(1))
 	is.Equal(receivedSecond.Load(), int32(0))
 }
+
+// A stream breaks off, and the upstream that is to resume it answers with a failure. Its
+// body must not go into the caller's stream, which would end as if it were complete.
+func TestFailureIsNotWrittenIntoAStream(t *testing.T) {
+	is := is.New(t)
+	runs := 0
+	u := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Attempt-Id", "a")
+		w.Header().Set("Server-Seal", "s")
+		if runs++; runs > 1 {
+			w.WriteHeader(http.StatusTooManyRequests)
+			_, _ = io.WriteString(w, "busy")
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer u.Close()
+	failures := 0
+	s, _ := startServerWith(t, func(s *ingress.Server) {
+		s.SendToCore = func(m core.Message) {
+			go func() {
+				switch m := m.(type) {
+				case core.Forward:
+					s.Execute(core.RunForward{ID: m.ID, Send: 1, Engine: "e1", Address: u.Listener.Addr().String(), Patience: time.Second})
+				case core.StepFailed:
+					if failures++; failures > 1 {
+						s.Execute(core.EndForward{ID: m.ID, Reason: core.UpstreamFailed})
+						return
+					}
+					s.Execute(core.RunForward{ID: m.ID, Send: 2, Engine: "e1", Address: u.Listener.Addr().String(), Patience: time.Second})
+				}
+			}()
+		}
+	}, nil)
+	a := post(t, s.URL, "a", nil)
+	got, err := io.ReadAll(a.Body)
+	is.True(err != nil)
+	is.Equal(string(got), "id: 1\ndata: x\n\n")
+}
