Keep promises under test in every run of the soak

Each worker now loses, rejects, repeats or falsely rejects 3% of its requests throughout, so that each run has some answers of each kind.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -32,6 +32,9 @@
 	// duration of a plain request and of one event of a stream.
 	workerSlots = 6
 	workerWork  = 10 * time.Millisecond
+	// faultyShare is the share of a sound worker's requests that have a fault. It keeps
+	// promises under test in every run.
+	faultyShare = 0.03
 	// shortIdleTimeout is after how long every second worker closes unused connections
 	// without notice.
 	shortIdleTimeout = 150 * time.Millisecond
@@ -232,6 +235,7 @@
 	settings := hostedworker.Settings{
 		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
 		Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
+		FaultyShare: faultyShare,
 	}
 	if n%2 == 0 {
 		settings.IdleTimeout = shortIdleTimeout
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -80,6 +80,9 @@
 	Events int
 	// Memory is the size of the KV cache memory in tokens.
 	Memory int
+	// FaultyShare is the share of requests that have a random one of LoseReply, Reject,
+	// RejectAfterRun and RepeatResponse, whatever fault is injected.
+	FaultyShare float64
 	// IdleTimeout is how long an unused connection stays open; zero sets no limit. The
 	// worker closes it without notice and does not announce the limit.
 	IdleTimeout time.Duration
@@ -268,9 +271,15 @@
 	if rand.Float64() < w.faultShare {
 		return w.fault
 	}
+	if rand.Float64() < w.settings.FaultyShare {
+		return soundFaults[rand.IntN(len(soundFaults))]
+	}
 	return NoFault
 }
 
+// soundFaults are the faults of the FaultyShare.
+var soundFaults = []Fault{LoseReply, Reject, RejectAfterRun, RepeatResponse}
+
 // reserve reserves KV cache memory and releases it when the request's TTL expires.
 func (w *Worker) reserve(rw http.ResponseWriter, body []byte) {
 	var request struct {
