--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -44,6 +44,6 @@
 		"core/forward.go", "	default:\n		return f.unprovenRuns() == 0\n", "	default:\n		return true\n",
 	}}}},
 	{Rule: "LOST", Mutant: Mutant{Name: "stop-cuts-requests", Promise: core.DrainGraceful, Edits: []Edit{{
-		"daisyshed/httpserver/stop.go", "	for tcp.CloseIdle(l) > 0 {\n", "	for false {\n",
+		"daisyshed/httpserver/stop.go", "	for tcp.CloseIdle(l) > 0 {\n", "	for tcp.CloseIdle(l) < 0 {\n",
 	}}}},
 }
--- a/core/forward.go
+++ b/core/forward.go
@@ -71,7 +71,7 @@
 	// sends. sentTo are the upstreams that the request was sent to, for a prefill or a run.
 	lastSend   SendNumber
 	current    SendNumber
-	runRecords []sendRecord
+	runRecords []runRecord
 	sentTo     Set[EngineID]
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
--- a/core/send_record.go
+++ b/core/run_record.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// sendRecord is one run of a request that was sent to an upstream.
-type sendRecord struct {
+// runRecord is one run of a request that was sent to an upstream.
+type runRecord struct {
 	number SendNumber
 	engine EngineID
 	// notRun is set once it is proved that the upstream did not run the request, and
@@ -28,7 +28,7 @@
 // returns the number of the send.
 func (f *forwardedRequest) recordRun(id EngineID) SendNumber {
 	number := f.nextSend()
-	f.runRecords = append(f.runRecords, sendRecord{number: number, engine: id})
+	f.runRecords = append(f.runRecords, runRecord{number: number, engine: id})
 	f.sentTo.Add(id)
 	return number
 }
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -49,8 +49,8 @@
 	eventCount  int
 	// headSentAt is when headSent was set.
 	headSentAt time.Time
-	// unproven holds the runs that were begun and are not proved to be without effect.
-	// Only the goroutine of the exchange uses it.
+	// unproven holds the sends that an upstream may have run or may still run. Only the
+	// goroutine of the exchange uses it.
 	unproven core.Set[core.SendNumber]
 }
 
@@ -154,25 +154,25 @@
 func (x *exchange) requestLease(c core.RequestLease) {
 	ctx, cancel := context.WithTimeout(x.ctx, leaseTimeout)
 	defer cancel()
-	this := step{kind: core.LeaseStep, engine: c.Engine, send: c.Send}
+	s := step{kind: core.LeaseStep, engine: c.Engine, send: c.Send}
 	call, err := platform.LeaseCall(c)
 	if err != nil {
-		x.reportStepFailed(this, err, 0)
+		x.reportStepFailed(s, err, 0)
 		return
 	}
 	status, body, err := x.server.call(ctx, c.Engine, c.Address, call)
 	switch {
 	case err != nil:
-		x.reportStepFailed(this, err, 0)
+		x.reportStepFailed(s, err, 0)
 	case status == http.StatusOK:
 		lease, err := platform.DecodeLease(body)
 		if err != nil || lease == "" {
-			x.reportStepFailed(this, &InvalidResponseError{Cause: err}, status)
+			x.reportStepFailed(s, &InvalidResponseError{Cause: err}, status)
 			return
 		}
 		x.server.SendToCore(core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: lease})
 	default:
-		x.reportStepRefused(this, core.StatedNotRun, status)
+		x.reportStepRefused(s, core.StatedNotRun, status)
 	}
 }
 
@@ -181,27 +181,27 @@
 func (x *exchange) runPrefill(c core.RunPrefill) {
 	ctx, cancel := context.WithTimeout(x.ctx, c.Timeout)
 	defer cancel()
-	this := step{kind: core.ReadPromptStep, engine: c.Engine, send: c.Send}
+	s := step{kind: core.ReadPromptStep, engine: c.Engine, send: c.Send}
 	header := x.header.Clone()
 	platform.SetRunPrefill(header, c)
 	response, err := x.send(ctx, c.Engine, c.Address, header, c.NewConnection)
 	if err != nil {
-		x.reportStepFailed(this, err, 0)
+		x.reportStepFailed(s, err, 0)
 		return
 	}
 	defer response.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if proof, ok := platform.NotRun(response.Status, response.Header, c.Engine).Get(); ok {
-		x.reportStepRefused(this, proof, response.Status)
+		x.reportStepRefused(s, proof, response.Status)
 		return
 	}
 	if err != nil || response.Status != http.StatusOK {
-		x.reportStepFailed(this, &InvalidResponseError{Cause: err}, response.Status)
+		x.reportStepFailed(s, &InvalidResponseError{Cause: err}, response.Status)
 		return
 	}
 	handle, tokens, err := platform.DecodePrefillFinished(body)
 	if err != nil || handle == "" {
-		x.reportStepFailed(this, &InvalidResponseError{Cause: err}, response.Status)
+		x.reportStepFailed(s, &InvalidResponseError{Cause: err}, response.Status)
 		return
 	}
 	x.server.SendToCore(core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: handle, Tokens: tokens})
@@ -218,8 +218,8 @@
 }
 
 // startRun cancels the run before, if it still goes on, and sends the request to the
-// upstream that is to run it. The result arrives on x.runResults. A stream that was already relayed in part resumes
-// after its last event.
+// upstream that is to run it. The result arrives on x.runResults. A stream that was
+// already relayed in part resumes after its last event.
 func (x *exchange) startRun(c core.RunForward) {
 	if c.Once && len(x.unproven) > 0 {
 		x.reportViolation(core.AtMostOnce, fmt.Sprintf("send %d is to begin although sends %v may have run", c.Send, x.unproven.Sorted()))
