Log with each rejection what proves that the request has not run

The line of a rejection said that it is proved, but not by what: never sent, the upstream's statement, another instance, or nothing sent. On-call engineers need that for each send. No decision changes.

Evidence: TestRejectionIsLoggedWithItsProof.

--- a/core/forward.go
+++ b/core/forward.go
@@ -246,7 +246,9 @@
 // the caller may retry.
 func (s *forwards) reject(n *Node, f *forwardedRequest, reason RejectionReason, after time.Duration) {
 	s.checkNotRun(n, f)
-	s.logDecision(n, f, "refuse", reason)
+	d := s.newDecision(n, f, "refuse", reason)
+	d.Detail = f.describeProof()
+	n.do(LogDecision{Decision: d})
 	n.do(EndForward{ID: f.ID, Reason: reason, NotRun: true, RetryAfter: after})
 	s.close(n, f)
 }
--- a/core/forward_once_test.go
+++ b/core/forward_once_test.go
@@ -81,6 +81,27 @@
 	is.True(again[0].Engine != first.Engine)
 }
 
+// The log says for each answer that promises "not run" what proves that.
+func TestRejectionIsLoggedWithItsProof(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(plainInstance("e1"))
+	proof := func(out []core.Command) string {
+		for _, d := range commandsOf[core.LogDecision](out) {
+			if d.Decision.Step == "refuse" {
+				return d.Decision.Detail
+			}
+		}
+		return ""
+	}
+	is.Equal(proof(h.deliver(forwardTo(1, "nothing"))), "never sent")
+	run := commandsOf[core.RunForward](h.deliver(forwardTo(2, "pay")))[0]
+	out := h.deliver(core.StepRefused{ID: 2, Send: run.Send, Engine: run.Engine, Step: core.RunStep})
+	is.Equal(proof(out), "send 1 at e1: StatedNotRun")
+	run = commandsOf[core.RunForward](h.deliver(forwardTo(3, "pay")))[0]
+	out = h.deliver(core.StepFailed{ID: 3, Send: run.Send, Engine: run.Engine, Step: core.RunStep, Unsent: true})
+	is.Equal(proof(out), "send 1 at e1: NothingSent")
+}
+
 // An upstream that has begun to drain must receive no more requests.
 func TestDrainingUpstreamGetsNoRequests(t *testing.T) {
 	is := is.New(t)
--- a/core/run_record.go
+++ b/core/run_record.go
@@ -1,6 +1,9 @@
 package core
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // runRecord is one run of a request that was sent to an upstream.
 type runRecord struct {
@@ -69,6 +72,22 @@
 	return fmt.Sprintf("send %d, again after send %d at %s: %s", latest.number, before.number, before.engine, reason)
 }
 
+// describeProof returns what proves that no upstream ran the request, for the log.
+func (f *forwardedRequest) describeProof() string {
+	if len(f.runRecords) == 0 {
+		return "never sent"
+	}
+	proofs := make([]string, 0, len(f.runRecords))
+	for _, r := range f.runRecords {
+		proof := "none"
+		if r.notRun {
+			proof = r.proof.String()
+		}
+		proofs = append(proofs, fmt.Sprintf("send %d at %s: %s", r.number, r.engine, proof))
+	}
+	return strings.Join(proofs, "; ")
+}
+
 // checkBeforeRun verifies that a request that must run at most once is not sent to an
 // upstream while another one may have run it.
 func (s *forwards) checkBeforeRun(n *Node, f *forwardedRequest) {
