--- a/bench/cmd/hostedsoak/main.go
+++ b/bench/cmd/hostedsoak/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"daisyshed.dev/bench/hosted"
@@ -22,6 +24,9 @@
 	Callers  int           `long:"callers" value-name:"N" description:"callers of a run" default:"24"`
 }
 
+// interrupted is the exit code after a signal.
+const interrupted = 130
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -29,6 +34,13 @@
 	if _, err := flags.Parse(&opts); err != nil {
 		return 2
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		hosted.EndAll()
+		os.Exit(interrupted)
+	}()
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	slots := make(chan struct{}, max(opts.Parallel, 1))
--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -126,6 +126,7 @@
 		store: &metastore.Store{Delay: 2 * time.Millisecond}, judge: newJudge(),
 		workers: map[string]*workerHandle{}, done: make(chan struct{}),
 	}
+	d.cleanups = append(d.cleanups, register(d))
 	if err := d.start(); err != nil {
 		d.close()
 		return nil, nil, err
