Answer what cannot be finished before the process exits

What callers saw: a connection that is closed without a byte of an answer, by a node that stops while an upstream has their request. It looks as if the request had not been read; a caller that takes it so sends a payment again, and it runs twice.

Cause: at the end of the grace period the daemon exited with requests in progress, and the system closed their connections. The soak cannot show it: its callers and routes wait for less time than the grace period lasts.

Change: before it exits, the node answers each request in progress: 503 if no upstream may have run it, which then cannot happen any more, else 502. A stream that has begun is cut, as before.

TestExitAnswersRequestsInProgress covers the three cases.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -60,13 +60,15 @@
 	host                 = "shop.example"
 	// initialRetryRatio is the initial ratio of a daemon's retry budget.
 	initialRetryRatio = 0.2
-	// grace is the time between SIGTERM and SIGKILL.
-	grace = 8 * time.Second
+	// defaultGrace is the time between SIGTERM and SIGKILL in most runs.
+	defaultGrace = 8 * time.Second
 )
 
 // deployment holds the daemons, workers, store and links of one run.
 type deployment struct {
-	size  Size
+	size Size
+	// grace is the time between SIGTERM and SIGKILL.
+	grace time.Duration
 	dir   string
 	block int
 	bin   string
@@ -113,7 +115,7 @@
 
 // open starts the stand-ins and the daemons of a run. The returned function ends
 // them, the daemons by their process IDs.
-func open(bin string, seed uint64, size Size) (*deployment, func(), error) {
+func open(bin string, seed uint64, size Size, grace time.Duration) (*deployment, func(), error) {
 	if err := size.check(); err != nil {
 		return nil, nil, err
 	}
@@ -122,7 +124,7 @@
 		return nil, nil, err
 	}
 	d := &deployment{
-		size: size, dir: dir, bin: bin, block: int(seed % addressBlocks), rng: rand.New(rand.NewPCG(seed, 2)), upstreamsOnly: seed%3 == 0,
+		size: size, grace: grace, dir: dir, bin: bin, block: int(seed % addressBlocks), rng: rand.New(rand.NewPCG(seed, 2)), upstreamsOnly: seed%3 == 0,
 		store: &metastore.Store{Delay: 2 * time.Millisecond}, judge: newJudge(),
 		workers: map[string]*workerHandle{}, done: make(chan struct{}),
 	}
@@ -316,7 +318,7 @@
 	settings := hostedsite.Node{
 		Name: fmt.Sprintf("n%d", n), Domain: fmt.Sprintf("z%d", n%2), IP: fmt.Sprintf("127.%d.%d.%d", nodeNetwork, d.block, n),
 		CallerPort: callerPort, ReadyPort: readyPort, AddressesPort: directoryPort, PeerPort: peerPort,
-		BeatEvery: heartbeatInterval, RetryRatio: p.ratio, Grace: grace, Store: d.address(storeNetwork, n, storePort),
+		BeatEvery: heartbeatInterval, RetryRatio: p.ratio, Grace: d.grace, Store: d.address(storeNetwork, n, storePort),
 	}.Settings()
 	path = filepath.Join(d.dir, fmt.Sprintf("n%d.toml", n))
 	// The rename is atomic, so no daemon reads a partly written file.
--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// A node that has to exit before an upstream answers says that the request may have run.
+// A connection that is closed without an answer would look as if it had not been read.
+func TestStopAnswersUnfinishedRequest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the stop takes a while")
+	}
+	is := is.New(t)
+	got, err := hosted.StopWithUnfinishedRequest(build(t), 150)
+	is.NoErr(err)
+	is.Equal(got, "502 Bad Gateway")
+}
+
 // raceRegressions are seeds in which the race detector found a data race in a daemon.
 var raceRegressions = []uint64{
 	// The first read of the upstreams used what the store's watcher was still setting up.
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -85,7 +85,7 @@
 // Run runs one seed with the daemon's program bin: it injects random faults under
 // load for the given length, then ends them and checks that the system recovers.
 func Run(bin string, seed uint64, length time.Duration, size Size) (Result, error) {
-	d, closeDeployment, err := open(bin, seed, size)
+	d, closeDeployment, err := open(bin, seed, size, defaultGrace)
 	if err != nil {
 		return Result{}, err
 	}
@@ -257,7 +257,7 @@
 	d.signal(p, syscall.SIGTERM)
 	go func() {
 		defer end()
-		timer := time.AfterFunc(grace, func() { d.signal(p, syscall.SIGKILL) })
+		timer := time.AfterFunc(d.grace, func() { d.signal(p, syscall.SIGKILL) })
 		defer timer.Stop()
 		d.wait(p)
 		d.restart(p)
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -60,6 +60,9 @@
 	// killMargin is how long before the platform's SIGKILL a node ends its
 	// shutdown and exits.
 	killMargin = 300 * time.Millisecond
+	// lastAnswerTimeout is the part of killMargin in which a node answers the requests
+	// that it cannot finish.
+	lastAnswerTimeout = 150 * time.Millisecond
 	// closeExpiredInterval is the interval at which expired idle connections to
 	// upstreams are closed.
 	closeExpiredInterval = time.Second
@@ -248,6 +251,17 @@
 	h.log.Warn().Str("Event", "UnmatchedResponse").Str("Engine", key).Str("Request", platform.Attempt(header)).Send()
 }
 
+// endRequests answers the requests that cannot be finished before the process exits.
+func (h *hosted) endRequests() {
+	h.log.Warn().Str("Event", "Unfinished").Int("Requests", h.ingress.InProgress()).Send()
+	h.ingress.EndAll()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswerTimeout)
+	defer cancel()
+	if err := httpserver.Stop(ctx, h.callerListener); err != nil {
+		h.log.Warn().Str("Event", "Fault").Err(err).Send()
+	}
+}
+
 // reportViolation logs and counts the violation of an invariant that the ingress server
 // found.
 func (h *hosted) reportViolation(v core.Violation) {
@@ -391,6 +405,9 @@
 	case <-ctx.Done():
 	}
 	err := httpserver.Stop(ctx, h.callerListener)
+	if err != nil {
+		h.endRequests()
+	}
 	h.log.Info().Str("Event", "Stopped").Int("Requests", h.ingress.InProgress()).Err(err).Send()
 	if err != nil {
 		return exitIncomplete
--- a/daisyshed/ingress/commands_test.go
+++ b/daisyshed/ingress/commands_test.go
@@ -116,3 +116,42 @@
 	_, granted := m.(core.LeaseGranted)
 	is.True(granted)
 }
+
+// A process that has to exit answers the requests that are still in progress. A connection
+// that is closed without an answer would look as if the request had not been read.
+func TestExitAnswersRequestsInProgress(t *testing.T) {
+	silent, _, _ := hangingUpstream(t)
+	headOnly := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set("Server-Seal", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(headOnly.Close)
+	for name, c := range map[string]struct {
+		upstream string
+		want     int
+	}{
+		"not sent":                {"", http.StatusServiceUnavailable},
+		"sent":                    {silent, http.StatusBadGateway},
+		"stream without an event": {headOnly.Listener.Addr().String(), http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := startServerWith(t, func(s *ingress.Server) {
+				s.SendToCore = func(m core.Message) {
+					f, ok := m.(core.Forward)
+					if !ok {
+						return
+					}
+					if c.upstream != "" {
+						s.Execute(core.RunForward{ID: f.ID, Send: 1, Engine: "e1", Address: c.upstream, Patience: time.Minute, Once: true})
+					}
+					time.AfterFunc(50*time.Millisecond, s.EndAll)
+				}
+			}, nil)
+			is.Equal(post(t, s.URL, "a", nil).StatusCode, c.want)
+		})
+	}
+}
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -83,8 +83,12 @@
 // has ended.
 func (x *exchange) serve() {
 	defer x.cancelRun()
+	exiting := x.server.exitSignal()
 	for {
 		select {
+		case <-exiting:
+			x.endWithFailure(core.EndForward{ID: x.forward.ID, Reason: core.Leaving, NotRun: len(x.unproven) == 0})
+			return
 		case <-x.ctx.Done():
 			x.reportDisconnected()
 			return
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -46,6 +46,10 @@
 	// not block.
 	ReportViolation func(core.Violation)
 
+	exitOnce sync.Once
+	// exiting is closed once the process is about to exit; see exitSignal.
+	exiting chan struct{}
+
 	lastID       atomic.Uint64
 	closing      atomic.Bool
 	maxBodyBytes atomic.Int64
@@ -64,6 +68,30 @@
 // Connection: close.
 func (s *Server) SetClosing() { s.closing.Store(true) }
 
+// EndAll answers the requests in progress, because the process is about to exit: a request
+// that no upstream may have run is rejected, and any other fails. A stream whose caller
+// has received a part is cut.
+func (s *Server) EndAll() {
+	exiting := s.exitSignal()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-exiting:
+		return
+	default:
+		close(exiting)
+	}
+	for _, x := range s.live {
+		x.cancelRun()
+	}
+}
+
+// exitSignal returns the channel that is closed once the process is about to exit.
+func (s *Server) exitSignal() chan struct{} {
+	s.exitOnce.Do(func() { s.exiting = make(chan struct{}) })
+	return s.exiting
+}
+
 // LimitBodies sets the largest body that later requests may have, in bytes;
 // zero sets no limit.
 func (s *Server) LimitBodies(n int64) { s.maxBodyBytes.Store(n) }
