Log and count responses that are cut and requests without an answer

Adds ResponseCut, StreamStalled and CallerGone to the log, and the counters responses_cut_total (by reason) and forwards_unanswered_total (by whether a part of the response had gone out). No logic changes.

--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -47,8 +47,9 @@
 	// eventCount the number of those events.
 	lastEventID string
 	eventCount  int
-	// headSentAt is when headSent was set.
-	headSentAt time.Time
+	// headSentAt is when headSent was set, and lastEventAt when the last event was relayed.
+	headSentAt  time.Time
+	lastEventAt time.Time
 	// unproven holds the sends that an upstream may have run or may still run. Only the
 	// goroutine of the exchange uses it.
 	unproven core.Set[core.SendNumber]
@@ -133,6 +134,7 @@
 // not look complete.
 func (x *exchange) endWithFailure(c core.EndForward) {
 	if x.headSent {
+		x.logCut(c.Reason)
 		x.recordEnd(http.StatusBadGateway)
 		panic(http.ErrAbortHandler)
 	}
@@ -143,6 +145,14 @@
 	x.recordEnd(platform.WriteEndForward(x.w, x.forward.Attempt, c))
 }
 
+// logCut logs and counts a response that is cut after a part of it has gone to the caller,
+// with the time since the last event.
+func (x *exchange) logCut(reason core.RejectionReason) {
+	x.server.Meter.RecordCut(reason)
+	x.server.Log.Warn().Str("Event", "ResponseCut").Str("Request", x.forward.Attempt).Str("Reason", reason.String()).
+		Int("Events", x.eventCount).Dur("PauseMs", time.Since(x.lastEventAt)).Dur("AfterMs", time.Since(x.startedAt)).Send()
+}
+
 // recordEnd records the status and the durations of a request that ends. One
 // that ends before the head of a response was sent counts its total duration
 // for both.
@@ -282,6 +292,9 @@
 
 // reportDisconnected notifies the core that the caller's connection is closed.
 func (x *exchange) reportDisconnected() {
+	x.server.Meter.RecordUnanswered(x.headSent)
+	x.server.Log.Info().Str("Event", "CallerGone").Str("Request", x.forward.Attempt).Bool("HeadSent", x.headSent).
+		Int("Events", x.eventCount).Bool("ClosedHere", tcp.ClosedHere(x.ctx)).Dur("AfterMs", time.Since(x.startedAt)).Send()
 	x.server.SendToCore(core.ForwardCallerDisconnected{ID: x.forward.ID, ClosedHere: tcp.ClosedHere(x.ctx)})
 }
 
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -180,6 +180,7 @@
 	if _, err := x.w.Write(event); err != nil {
 		return false
 	}
+	x.lastEventAt = time.Now()
 	return http.NewResponseController(x.w).Flush() == nil
 }
 
@@ -220,6 +221,8 @@
 		x.reportDisconnected()
 		return true
 	case stalled.Load():
+		x.server.Log.Info().Str("Event", "StreamStalled").Str("Request", x.forward.Attempt).Str("Engine", string(result.run.Engine)).
+			Int("Events", x.eventCount).Dur("PauseMs", time.Since(x.lastEventAt)).Send()
 		err = StreamStalledError{}
 	case result.ctx.Err() != nil:
 		return false
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -62,6 +62,11 @@
 	// RecordForward records the end of a request: its status, the time until the
 	// head of the response was sent, and the total time.
 	RecordForward(status int, toHead, total time.Duration)
+	// RecordCut counts a response that was cut after a part of it had gone to the caller.
+	RecordCut(reason core.RejectionReason)
+	// RecordUnanswered counts a request whose caller's connection ended first; headSent
+	// says that a part of the response had gone to the caller.
+	RecordUnanswered(headSent bool)
 }
 
 // SetClosing makes the server close connections: each later response carries
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -25,6 +25,9 @@
 	statuses []int
 }
 
+func (m *recordingMeter) RecordCut(core.RejectionReason) {}
+func (m *recordingMeter) RecordUnanswered(bool)          {}
+
 func (m *recordingMeter) RecordForward(status int, _, _ time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -135,6 +135,17 @@
 	m.totalTimes.RecordDuration(total)
 }
 
+// RecordCut counts a response that was cut after a part of it had gone to the caller.
+func (m *Metrics) RecordCut(reason core.RejectionReason) {
+	m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("responses_cut_total").Inc(1)
+}
+
+// RecordUnanswered counts a forwarded request whose caller's connection ended before the
+// response was complete.
+func (m *Metrics) RecordUnanswered(headSent bool) {
+	m.scope.Tagged(map[string]string{"head_sent": strconv.FormatBool(headSent)}).Counter("forwards_unanswered_total").Inc(1)
+}
+
 // UnmatchedResponse counts a response of an upstream that belongs to no request waiting on
 // its connection.
 func (m *Metrics) UnmatchedResponse() { m.unmatched.Inc(1) }
