Answer callers that have closed only their sending side

What callers saw: 200 with an empty body and no signature, or a stream that ended early and looked complete.

Cause: when the context of a request ended, the handler returned without writing. net/http then completes the response. Its context ends as soon as the caller's sending side is closed, also when the caller still reads.

Such a request now gets 503 if no upstream may have run it, else 502; a stream that has begun is aborted.

--- a/core/command.go
+++ b/core/command.go
@@ -69,6 +69,9 @@
 	NoRoute
 	// DeadlinePassed means that the request's deadline has passed.
 	DeadlinePassed
+	// CallerClosed means that the caller has closed its connection, or at least its
+	// sending side.
+	CallerClosed
 )
 
 // SendPeer sends a message to another node. Delivery is not guaranteed.
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -91,7 +91,7 @@
 			x.endWithFailure(core.EndForward{ID: x.forward.ID, Reason: core.Leaving, NotRun: len(x.unproven) == 0})
 			return
 		case <-x.ctx.Done():
-			x.reportDisconnected()
+			x.endDisconnected()
 			return
 		case <-x.commands.ready:
 			if x.execute(x.commands.take()) {
@@ -290,6 +290,18 @@
 	})
 }
 
+// endDisconnected ends a request whose context has ended. A caller that has closed only
+// its sending side still reads: it must not take what it has for a whole response.
+func (x *exchange) endDisconnected() {
+	x.cancelRun()
+	x.reportDisconnected()
+	if x.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	x.w.Header().Set("Connection", "close")
+	platform.WriteEndForward(x.w, x.forward.Attempt, core.EndForward{Reason: core.CallerClosed, NotRun: len(x.unproven) == 0})
+}
+
 // reportDisconnected notifies the core that the caller's connection is closed.
 func (x *exchange) reportDisconnected() {
 	x.server.Meter.RecordUnanswered(x.headSent)
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -218,7 +218,7 @@
 func (x *exchange) handleBrokenStream(result runResult, stalled *atomic.Bool, err error) bool {
 	switch {
 	case x.ctx.Err() != nil:
-		x.reportDisconnected()
+		x.endDisconnected()
 		return true
 	case stalled.Load():
 		x.server.Log.Info().Str("Event", "StreamStalled").Str("Request", x.forward.Attempt).Str("Engine", string(result.run.Engine)).
