End a request whose event cannot be written to its caller

What callers saw: nothing, the connection was broken. What others saw: an engine's place that stayed taken.

Cause: a failed write was reported with the error of the request's context, which may have none yet. The report then panicked before it reached the core, which kept the request and its place for good.

A failed write ends the request as the caller's disconnection does, whatever the context says.

--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -169,7 +169,8 @@
 			x.eventCount++
 		}
 		if !x.writeEvent(event) {
-			return x.handleBrokenStream(result, stalled, x.ctx.Err())
+			x.endDisconnected()
+			return true
 		}
 	}
 }
