Keep a silent run until another one takes over its stream

Cause: after a pause of a second between two events the runtime cancelled the run of a resumable stream, and only then the core looked for room in the retry budget, for a place and for a lease. Where any of them was missing, the stream was cut, although its engine would have gone on: it had preempted the stream, or was silent for a moment. The same held before the first event. The class is giving up what works before its replacement is certain.

The runtime now reports the silence and goes on reading. The core keeps the run with all that it holds, also at its owner, while it places the request a second time under another placement id. The run that has an event first is the only one from then on; the silent one is ended 250 ms after the other one was sent at the latest. If nothing takes over, the silent run stays. Its timer no longer runs while an event is written to a slow caller.

--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -14,7 +14,7 @@
 // mutant of the core does.
 var (
 	withoutRunCheck = Edit{
-		File: "daisyshed/ingress/exchange.go", Old: "	if c.Once && len(x.unproven) > 0 {\n", New: "	if false {\n",
+		File: "daisyshed/ingress/takeover.go", Old: "	case c.Once && len(x.unproven) > 0:\n", New: "	case false:\n",
 	}
 	withoutPromiseCheck = Edit{
 		File: "daisyshed/ingress/exchange.go", Old: "	if c.NotRun && len(x.unproven) > 0 {\n", New: "	if false {\n",
@@ -24,7 +24,7 @@
 // Hosted lists the mutants of the hosted daemon.
 var Hosted = []HostedMutant{
 	{Rule: "REFUSED", Mutant: Mutant{Name: "unproven-rejection-relayed", Promise: core.NotRunTrue, Edits: []Edit{{
-		"daisyshed/ingress/relay.go", "case result.run.Once && platform.PromisesNotRun(", "case false && platform.PromisesNotRun(",
+		"daisyshed/ingress/relay.go", "case r.Once && platform.PromisesNotRun(", "case false && platform.PromisesNotRun(",
 	}}}},
 	{Rule: "TWICE", Mutant: Mutant{Name: "any-503-proves-not-run", Promise: core.AtMostOnce, Edits: []Edit{{
 		"platform/upstream.go", "	case h.Get(headerNotRun) != \"\":\n", "	case h.Get(headerNotRun) != \"\" || status == http.StatusServiceUnavailable:\n",
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -32,7 +32,7 @@
 	f.owner = owner
 	f.ownerAcked = false
 	n.send(owner, PlaceForward{
-		ID: f.ID, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
+		ID: f.placement, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
 		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective, MaxPause: f.route.MaxPause,
 		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Again: f.sends > 0, Avoid: s.unwanted(n, f),
 	})
@@ -51,15 +51,21 @@
 // releaseAtOwner notifies the owner that the request holds nothing any more.
 func (s *forwards) releaseAtOwner(n *Node, f *forwardedRequest) {
 	if f.owner != "" {
-		n.send(f.owner, ForwardReleased{ID: f.ID, Outcome: f.outcome, Output: f.output})
+		n.send(f.owner, ForwardReleased{ID: f.placement, Outcome: f.outcome, Output: f.output})
 		f.owner = ""
 	}
 	f.outcome = RunUnknown
 }
 
+// placed returns the request that has a placement as its present one.
+func (s *forwards) placed(id ForwardID) (*forwardedRequest, bool) {
+	f, ok := s.live[id&^replacementPlacement]
+	return f, ok && f.placement == id
+}
+
 // handleQueued records that the owner has queued the request.
 func (s *forwards) handleQueued(from NodeID, m ForwardQueued) {
-	if f, ok := s.live[m.ID]; ok && f.phase == forwardAwaitingOwner && f.owner == from {
+	if f, ok := s.placed(m.ID); ok && f.phase == forwardAwaitingOwner && f.owner == from {
 		f.ownerAcked = true
 	}
 }
@@ -67,7 +73,7 @@
 // handlePlaced requests the lease at the engine that the owner chose, or sends a
 // plain request to its upstream.
 func (s *forwards) handlePlaced(n *Node, from NodeID, m ForwardPlaced) {
-	f, ok := s.live[m.ID]
+	f, ok := s.placed(m.ID)
 	if !ok || f.phase != forwardAwaitingOwner || f.owner != from {
 		if !ok || f.owner != from {
 			n.send(from, ForwardReleased{ID: m.ID})
@@ -95,7 +101,7 @@
 
 // handleOwnerRejection rejects a request that the owner cannot place in time.
 func (s *forwards) handleOwnerRejection(n *Node, from NodeID, m ForwardTurnedAway) {
-	f, ok := s.live[m.ID]
+	f, ok := s.placed(m.ID)
 	if !ok || f.phase != forwardAwaitingOwner || f.owner != from {
 		return
 	}
@@ -108,6 +114,7 @@
 func (s *forwards) ownersChanged(n *Node) {
 	for _, id := range sortedKeys(s.live) {
 		f := s.live[id]
+		s.silentOwnerChanged(n, f)
 		if f.owner == "" {
 			continue
 		}
@@ -124,7 +131,7 @@
 		if f.decode != nil {
 			s.releaseAtOwner(n, f)
 			f.owner = owner
-			n.send(owner, ForwardHeld{ID: f.ID, Group: f.group, Decode: f.decode.ID, Memory: f.reserved})
+			n.send(owner, ForwardHeld{ID: f.placement, Group: f.group, Decode: f.decode.ID, Memory: f.reserved})
 		}
 	}
 }
--- a/core/forward.go
+++ b/core/forward.go
@@ -42,8 +42,10 @@
 	// group and owner are set while an owner has the request in its allocation
 	// table. ownerAcked is set once the owner has confirmed that the request is
 	// queued, and advisedPrefill is the prefill engine that the owner chose.
-	group          DispatchGroup
-	owner          NodeID
+	group DispatchGroup
+	owner NodeID
+	// placement is the id of the request's present placement towards owners.
+	placement      ForwardID
 	ownerAcked     bool
 	outcome        RunOutcome
 	output         Tokens
@@ -73,6 +75,9 @@
 	current    SendNumber
 	runRecords []runRecord
 	sentTo     Set[EngineID]
+	// silent is the run that goes on while the request looks for another engine; nil if
+	// there is none. The fields above describe the other placement then.
+	silent *silentRun
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
 	hasFailureAnswer bool
@@ -152,7 +157,7 @@
 // handleRequest handles a caller's request: it finds the route and the service, and
 // requests a placement or rejects the request.
 func (s *forwards) handleRequest(n *Node, m Forward) {
-	f := &forwardedRequest{Forward: m, tried: Set[EngineID]{}, sentTo: Set[EngineID]{}}
+	f := &forwardedRequest{Forward: m, placement: m.ID, tried: Set[EngineID]{}, sentTo: Set[EngineID]{}}
 	f.arrived = n.now
 	s.live[m.ID] = f
 	if !s.stateKnown {
@@ -206,7 +211,8 @@
 // expire ends a request whose deadline has passed. A stream that has begun
 // continues, because its caller is already receiving the answer.
 func (s *forwards) expire(n *Node, f *forwardedRequest) {
-	if s.live[f.ID] != f || f.phase == forwardResponding {
+	takingOver := f.phase == forwardRunning && f.silent != nil && f.emitted
+	if s.live[f.ID] != f || f.phase == forwardResponding || takingOver {
 		return
 	}
 	s.end(n, f, DeadlinePassed, 0)
@@ -255,8 +261,11 @@
 
 // end ends a request without a whole answer. A request that has provably not
 // run is rejected; any other gets the upstream's own failure answer if there is
-// one, or else ends as failed.
+// one, or else ends as failed. One with a silent run goes on with that run instead.
 func (s *forwards) end(n *Node, f *forwardedRequest, reason RejectionReason, after time.Duration) {
+	if s.keepSilentRun(n, f, reason) {
+		return
+	}
 	switch {
 	case f.unprovenRuns() == 0 && !f.emitted:
 		if after == 0 {
@@ -282,9 +291,13 @@
 		return
 	}
 	f.emitted = true
+	s.endSilence(n, f, m.Send)
 	if s.stale(n, f, RunStep, m.Engine, m.Send, "response started") || f.phase != forwardRunning {
 		return
 	}
+	if f.silent != nil {
+		s.releaseSilentRun(n, f, RunFailed)
+	}
 	f.phase = forwardResponding
 	f.outcome = RunSucceeded
 	if f.decode != nil {
@@ -301,6 +314,7 @@
 	if !ok {
 		return
 	}
+	s.endSilence(n, f, m.Send)
 	if !s.stale(n, f, RunStep, m.Engine, m.Send, "response completed") && f.decode != nil {
 		f.decode.recordSuccess()
 	}
@@ -320,6 +334,9 @@
 	delete(s.live, f.ID)
 	s.dequeue(f)
 	s.release(n, f)
+	if f.silent != nil {
+		s.releaseSilentRun(n, f, RunUnknown)
+	}
 	s.placeWaiting(n)
 }
 
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -123,13 +123,30 @@
 	Reason  string
 }
 
-// ForwardResponseStarted says that the first bytes of the answer went to the caller.
+// ForwardResponseStarted says that the first bytes of a run's answer went to the caller.
+// If the run was to take over the stream of another one, that one has been cancelled.
 type ForwardResponseStarted struct {
 	ID     ForwardID
 	Send   SendNumber
 	Engine EngineID
 }
 
+// ForwardStalled says that a stream which has begun has had no event for the StallAfter of
+// its run. The run goes on. It is repeated each time that StallAfter passes.
+type ForwardStalled struct {
+	ID     ForwardID
+	Send   SendNumber
+	Engine EngineID
+}
+
+// ForwardContinued says that the next event of a stalled run has gone to the caller. Any
+// run that was to take the stream over has been cancelled.
+type ForwardContinued struct {
+	ID     ForwardID
+	Send   SendNumber
+	Engine EngineID
+}
+
 // ForwardResponseCompleted says that the whole answer went to the caller.
 type ForwardResponseCompleted struct {
 	ID     ForwardID
@@ -183,7 +200,7 @@
 }
 
 // RunForward sends the request to an upstream that runs it. It ends an earlier
-// run of the same request.
+// run of the same request, unless TakesOver is set.
 type RunForward struct {
 	ID      ForwardID
 	Send    SendNumber
@@ -200,9 +217,13 @@
 	Once bool
 	// NewConnection asks for a connection that has carried no request before.
 	NewConnection bool
-	// StallAfter is the longest pause between events before the run counts as
-	// failed; if it is zero, the run may pause for as long as the caller waits.
+	// StallAfter is the pause between events after which the run is reported as
+	// stalled; zero if it need not be.
 	StallAfter time.Duration
+	// TakesOver says that an earlier run is silent and goes on until this one has its
+	// first event, at most for the runtime's limit. If the earlier run has an event
+	// first, this one ends, or is not begun.
+	TakesOver bool
 }
 
 // RelayFailure relays the upstream's own failure answer to the caller. The
@@ -227,6 +248,8 @@
 func (StepFailed) isMessage()                {}
 func (ForwardResponseStarted) isMessage()    {}
 func (ForwardResponseCompleted) isMessage()  {}
+func (ForwardStalled) isMessage()            {}
+func (ForwardContinued) isMessage()          {}
 func (DesiredState) isMessage()              {}
 
 func (RequestLease) isCommand()  {}
--- /dev/null
+++ b/core/forward_silent.go
@@ -0,0 +1,155 @@
+package core
+
+import "fmt"
+
+// replacementPlacement tells the two placements of a request apart that its owners may
+// know at a time: that of a silent run and that of the run that is to take over.
+const replacementPlacement ForwardID = 1 << 63
+
+// silentRun is a run of a stream that goes on although it is silent, while the request
+// looks for another engine that takes the stream over. It keeps its place until then.
+type silentRun struct {
+	send      SendNumber
+	engine    *upstream
+	reserved  Tokens
+	phase     forwardPhase
+	outcome   RunOutcome
+	group     DispatchGroup
+	owner     NodeID
+	placement ForwardID
+	// sends and prefills are the request's counts from before the search.
+	sends, prefills int
+}
+
+// handleStalled looks for an engine that takes over a stream whose engine has been silent
+// for the run's StallAfter.
+func (s *forwards) handleStalled(n *Node, m ForwardStalled) {
+	f, ok := s.live[m.ID]
+	if !ok || m.Send != f.current || f.silent != nil {
+		return
+	}
+	s.replaceSilentRun(n, f)
+}
+
+// replaceSilentRun requests another placement for a stream whose engine is silent. The
+// engine may be sound and go on at any moment, so its run keeps its place until another
+// run has one, and nothing changes if there is no room for another run.
+func (s *forwards) replaceSilentRun(n *Node, f *forwardedRequest) {
+	f.decode.recordFailure(n.now)
+	d := s.newDecision(n, f, "silent", NoReason)
+	allowed := f.unprovenRuns() < f.route.MaxRuns && f.sends < maxSends
+	search := allowed && s.spendRetryBudget(n, f, rerunCost)
+	switch {
+	case search:
+		d.Detail = "looking for another engine"
+	case allowed:
+		d.Detail = "kept: no room in the retry budget"
+	default:
+		d.Detail = "kept: no more runs allowed"
+	}
+	n.do(LogDecision{Decision: d})
+	if !search {
+		return
+	}
+	f.silent = &silentRun{
+		send: f.current, engine: f.decode, reserved: f.reserved, phase: f.phase, outcome: f.outcome,
+		group: f.group, owner: f.owner, placement: f.placement, sends: f.sends, prefills: f.prefills,
+	}
+	f.tried.Add(f.decode.ID)
+	f.step++
+	f.giveUpSend()
+	f.decode, f.reserved, f.owner, f.outcome = nil, 0, "", RunUnknown
+	f.placement ^= replacementPlacement
+	s.requestPlacement(n, f)
+}
+
+// keepSilentRun returns to a request's silent run, if it has one, when the request would
+// end because no other run can take over, and reports whether it did. A stream that has
+// not begun ends at its deadline all the same.
+func (s *forwards) keepSilentRun(n *Node, f *forwardedRequest, reason RejectionReason) bool {
+	if f.silent == nil || reason == DeadlinePassed && !f.emitted {
+		return false
+	}
+	d := s.newDecision(n, f, "silent", reason)
+	d.Detail = "kept: no other engine takes over"
+	n.do(LogDecision{Decision: d})
+	s.returnToSilentRun(n, f)
+	return true
+}
+
+// returnToSilentRun gives up the search for another engine: the silent run is the
+// request's only run again.
+func (s *forwards) returnToSilentRun(n *Node, f *forwardedRequest) {
+	run := f.silent
+	f.silent = nil
+	s.budget(f.spec.ID).returnRetries(rerunCost - (f.sends - run.sends) - (f.prefills - run.prefills))
+	s.dequeue(f)
+	s.release(n, f)
+	f.decode, f.reserved, f.phase, f.outcome = run.engine, run.reserved, run.phase, run.outcome
+	f.group, f.owner, f.placement = run.group, run.owner, run.placement
+	f.current = run.send
+	if f.phase == forwardRunning {
+		s.watchFirstEvent(n, f)
+	}
+	s.placeWaiting(n)
+}
+
+// releaseSilentRun releases what a silent run holds, because the run has ended.
+func (s *forwards) releaseSilentRun(n *Node, f *forwardedRequest, outcome RunOutcome) {
+	run := f.silent
+	f.silent = nil
+	run.engine.ownRequests--
+	run.engine.reservedTokens -= run.reserved
+	run.engine.fullUntil = 0
+	if run.owner != "" {
+		n.send(run.owner, ForwardReleased{ID: run.placement, Outcome: outcome})
+	}
+}
+
+// handleContinued handles the report that a silent run goes on.
+func (s *forwards) handleContinued(n *Node, m ForwardContinued) {
+	f, ok := s.live[m.ID]
+	if !ok {
+		return
+	}
+	s.endSilence(n, f, m.Send)
+	if m.Send == f.current {
+		f.decode.recordSuccess()
+	}
+}
+
+// endSilence returns to the silent run if a result shows that this run goes on.
+func (s *forwards) endSilence(n *Node, f *forwardedRequest, send SendNumber) {
+	if f.silent == nil || f.silent.send != send {
+		return
+	}
+	d := s.newDecision(n, f, "silent", NoReason)
+	d.Detail = fmt.Sprintf("ended: send %d at %s goes on", send, f.silent.engine.ID)
+	n.do(LogDecision{Decision: d})
+	s.returnToSilentRun(n, f)
+}
+
+// silentRunEnded reports whether a result is that of a silent run, which has ended with
+// it, and releases what that run held. The search for another engine goes on.
+func (s *forwards) silentRunEnded(n *Node, f *forwardedRequest, step ForwardStep, send SendNumber, outcome RunOutcome) bool {
+	if f.silent == nil || step != RunStep || f.silent.send != send {
+		return false
+	}
+	s.releaseSilentRun(n, f, outcome)
+	return true
+}
+
+// silentOwnerChanged notifies the new owner of a silent run's engine.
+func (s *forwards) silentOwnerChanged(n *Node, f *forwardedRequest) {
+	run := f.silent
+	if run == nil || run.owner == "" {
+		return
+	}
+	owner := s.groupOwner(n, run.group)
+	if owner == run.owner || owner == "" {
+		return
+	}
+	n.send(run.owner, ForwardReleased{ID: run.placement, Outcome: RunUnknown})
+	run.owner = owner
+	n.send(owner, ForwardHeld{ID: run.placement, Group: run.group, Decode: run.engine.ID, Memory: run.reserved})
+}
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -37,11 +37,11 @@
 	// reserved if the caller gives no estimate.
 	outputGuess = 0.5
 	// firstEventObjectives is the number of objectives without a first event
-	// after which a resumable stream is sent to another engine.
+	// after which another engine is sought for a resumable stream.
 	firstEventObjectives = 1.5
-	// stallAfter is the pause between events after which a resumable stream is
-	// sent to another engine: callers leave after two seconds of silence, and
-	// the prompt has to be prefilled again before that.
+	// stallAfter is the pause between events after which another engine is sought for a
+	// resumable stream: callers leave after two seconds of silence, and the prompt has
+	// to be prefilled again before that.
 	stallAfter = time.Second
 )
 
@@ -256,7 +256,7 @@
 	}
 	f.prefill.recordSuccess()
 	if f.owner != "" {
-		n.send(f.owner, ForwardPromptRead{ID: f.ID})
+		n.send(f.owner, ForwardPromptRead{ID: f.placement})
 	}
 	f.handle = m.Handle
 	s.runStream(n, f)
@@ -272,7 +272,7 @@
 	}
 	run := RunForward{
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID),
+		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil,
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
 		run.StallAfter = stallAfter
@@ -294,7 +294,7 @@
 	}
 }
 
-// watchFirstEvent sends a resumable stream to another engine if the present one
+// watchFirstEvent looks for another engine for a resumable stream if the present one
 // does not send a first event in time.
 func (s *forwards) watchFirstEvent(n *Node, f *forwardedRequest) {
 	step := f.step
@@ -302,11 +302,9 @@
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
-		if f.unprovenRuns() >= f.route.MaxRuns || !s.spendRetryBudget(n, f, rerunCost) {
-			return
+		if f.silent == nil {
+			s.replaceSilentRun(n, f)
 		}
-		f.decode.recordFailure(n.now)
-		s.rerunElsewhere(n, f)
 	})
 }
 
@@ -344,7 +342,7 @@
 	u := f.decode
 	s.logDecision(n, f, "denied", NoCapacity)
 	if f.owner != "" {
-		n.send(f.owner, ForwardDenied{ID: f.ID, Engine: u.ID, Failed: failed})
+		n.send(f.owner, ForwardDenied{ID: f.placement, Engine: u.ID, Failed: failed})
 		f.owner = ""
 	}
 	s.release(n, f)
@@ -358,7 +356,7 @@
 	f.tried.Add(f.prefill.ID)
 	f.prefill.fullUntil = n.now.Add(n.jitter(engineBusyFor))
 	if f.owner != "" {
-		n.send(f.owner, ForwardPromptRead{ID: f.ID, Failed: true})
+		n.send(f.owner, ForwardPromptRead{ID: f.placement, Failed: true})
 	}
 	s.releasePrefill(f)
 	switch {
@@ -405,6 +403,9 @@
 	if m.Step == RunStep {
 		f.recordNotRun(m.Send, m.Proof)
 	}
+	if s.silentRunEnded(n, f, m.Step, m.Send, RunUnknown) {
+		return
+	}
 	if s.stale(n, f, m.Step, m.Engine, m.Send, m.Proof.String()) {
 		return
 	}
@@ -447,6 +448,10 @@
 	d := s.newDecision(n, f, "step-failed", UpstreamFailed)
 	d.Detail = fmt.Sprintf("%s at %s, send %d, status %d, sent %t: %s", m.Step, m.Engine, m.Send, m.Status, !m.Unsent, m.Reason)
 	n.do(LogDecision{Decision: d})
+	if s.silentRunEnded(n, f, m.Step, m.Send, outcome) {
+		f.hasFailureAnswer = f.hasFailureAnswer || m.Status != 0
+		return
+	}
 	if s.stale(n, f, m.Step, m.Engine, m.Send, "failed") {
 		return
 	}
--- a/core/node.go
+++ b/core/node.go
@@ -215,6 +215,10 @@
 		n.forward.handleStepRefused(n, m)
 	case StepFailed:
 		n.forward.handleStepFailed(n, m)
+	case ForwardStalled:
+		n.forward.handleStalled(n, m)
+	case ForwardContinued:
+		n.forward.handleContinued(n, m)
 	case ForwardResponseStarted:
 		n.forward.handleFirstBytes(n, m)
 	case ForwardResponseCompleted:
--- a/core/retry_budget.go
+++ b/core/retry_budget.go
@@ -44,6 +44,12 @@
 	return true
 }
 
+// returnRetries takes back the latest extra arrivals, which did not take place; none if
+// the number is negative.
+func (b *retryBudgetShare) returnRetries(arrivals int) {
+	b.retries = b.retries[:len(b.retries)-min(max(arrivals, 0), len(b.retries))]
+}
+
 func (b *retryBudgetShare) trim(now Instant, window time.Duration) {
 	b.requests = dropBefore(b.requests, now.Add(-window))
 	b.retries = dropBefore(b.retries, now.Add(-window))
--- a/daisyshed/ingress/errors.go
+++ b/daisyshed/ingress/errors.go
@@ -26,12 +26,19 @@
 // Error returns the message.
 func (MissingSignatureError) Error() string { return "upstream response has no signature" }
 
-// StreamStalledError reports a stream that sent no event for longer than the
-// StallAfter of its run.
-type StreamStalledError struct{}
+// RunReplacedError reports a silent run that was ended because another run takes over its
+// stream.
+type RunReplacedError struct{}
 
 // Error returns the message.
-func (StreamStalledError) Error() string { return "upstream stream stalled" }
+func (RunReplacedError) Error() string { return "upstream was silent and has been replaced" }
+
+// RunNotNeededError reports a run that was not begun, because the silent run that it was
+// to take over from goes on. Nothing was sent.
+type RunNotNeededError struct{}
+
+// Error returns the message.
+func (RunNotNeededError) Error() string { return "the silent upstream goes on" }
 
 // UpstreamFailedError reports a response with a status of 500 or above, or one that does
 // not resume the stream that the caller has begun to receive.
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -15,11 +15,6 @@
 	"daisyshed.dev/platform"
 )
 
-// maxBufferedBytes is the largest response that is read whole before any of it
-// goes to the caller. Until then, the request can still be sent to another
-// upstream if the response breaks off.
-const maxBufferedBytes = 1 << 20
-
 // exchange is one request in progress. Only its own goroutine writes to the
 // caller.
 type exchange struct {
@@ -32,11 +27,19 @@
 	header    http.Header
 	startedAt time.Time
 
-	commands   *commandSlot
-	runResults chan runResult
+	commands *commandSlot
+	results  chan runResult
+	events   chan streamEvent
+
+	// current is the run whose response goes to the caller, or the latest if none has
+	// begun; nil if it has ended. replacement is a run that is to take over from it, and
+	// overlap limits how long both go on. stall waits for the next event of current.
+	current, replacement *run
+	overlap, stall       *time.Timer
 
-	mu        sync.Mutex
-	runCancel context.CancelFunc
+	mu sync.Mutex
+	// runs are the runs that may not have ended.
+	runs []*run
 
 	// failure is the upstream's own failure response, kept while the core
 	// decides whether to try another upstream.
@@ -62,28 +65,13 @@
 	send   core.SendNumber
 }
 
-func runStep(c core.RunForward) step { return step{kind: core.RunStep, engine: c.Engine, send: c.Send} }
-
-// bufferedResponse is a response whose body is in memory.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// runResult is the head of the response to a run, or the error that came in its
-// place. The body is still to be read.
-type runResult struct {
-	run      core.RunForward
-	ctx      context.Context
-	response *upstream.Response
-	err      error
-}
-
 // serve executes commands and relays the responses to runs until the request
 // has ended.
 func (x *exchange) serve() {
-	defer x.cancelRun()
+	defer x.cancelRuns()
+	x.overlap, x.stall = stoppedTimer(), stoppedTimer()
+	defer x.overlap.Stop()
+	defer x.stall.Stop()
 	exiting := x.server.exitSignal()
 	for {
 		select {
@@ -97,14 +85,29 @@
 			if x.execute(x.commands.take()) {
 				return
 			}
-		case result := <-x.runResults:
+		case result := <-x.results:
 			if x.relay(result) {
 				return
 			}
+		case e := <-x.events:
+			if x.relayEvent(e) {
+				return
+			}
+		case <-x.overlap.C:
+			x.endOverlap()
+		case <-x.stall.C:
+			x.reportStalled()
 		}
 	}
 }
 
+// stoppedTimer returns a timer that does not run until it is reset.
+func stoppedTimer() *time.Timer {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return t
+}
+
 // execute executes a command and reports whether the request has ended. Steps
 // that wait for an upstream run in goroutines of their own.
 func (x *exchange) execute(c core.ForwardCommand) bool {
@@ -231,42 +234,6 @@
 	})
 }
 
-// startRun cancels the run before, if it still goes on, and sends the request to the
-// upstream that is to run it. The result arrives on x.runResults. A stream that was
-// already relayed in part resumes after its last event.
-func (x *exchange) startRun(c core.RunForward) {
-	if c.Once && len(x.unproven) > 0 {
-		x.reportViolation(core.AtMostOnce, fmt.Sprintf("send %d is to begin although sends %v may have run", c.Send, x.unproven.Sorted()))
-		x.reportStepFailed(runStep(c), SecondRunError{}, 0)
-		return
-	}
-	x.unproven.Add(c.Send)
-	x.cancelRun()
-	ctx, cancel := context.WithCancel(x.ctx)
-	x.mu.Lock()
-	x.runCancel = cancel
-	x.mu.Unlock()
-	header := x.header.Clone()
-	platform.SetRun(header, c)
-	if x.lastEventID != "" {
-		platform.SetResume(header, x.lastEventID)
-	}
-	go func() {
-		response, err := x.send(ctx, c.Engine, c.Address, header, c.NewConnection)
-		x.runResults <- runResult{run: c, ctx: ctx, response: response, err: err}
-	}()
-}
-
-// cancelRun cancels the current run, if there is one.
-func (x *exchange) cancelRun() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.runCancel != nil {
-		x.runCancel()
-		x.runCancel = nil
-	}
-}
-
 // reportStepFailed notifies the core that a step got no usable response.
 func (x *exchange) reportStepFailed(s step, err error, status int) {
 	x.server.SendToCore(core.StepFailed{
@@ -278,7 +245,8 @@
 // nothingSent reports whether an error proves that no byte of a request was sent.
 func nothingSent(err error) bool {
 	var unsent *upstream.UnsentError
-	return errors.As(err, &unsent)
+	var notNeeded RunNotNeededError
+	return errors.As(err, &unsent) || errors.As(err, &notNeeded)
 }
 
 // reportStepRefused notifies the core that an upstream rejected a step without carrying
@@ -293,7 +261,7 @@
 // endDisconnected ends a request whose context has ended. A caller that has closed only
 // its sending side still reads: it must not take what it has for a whole response.
 func (x *exchange) endDisconnected() {
-	x.cancelRun()
+	x.cancelRuns()
 	x.reportDisconnected()
 	if x.headSent {
 		panic(http.ErrAbortHandler)
@@ -310,6 +278,11 @@
 	x.server.SendToCore(core.ForwardCallerDisconnected{ID: x.forward.ID, ClosedHere: tcp.ClosedHere(x.ctx)})
 }
 
+// reportSecondRun reports a run that would be the second of a request that must run once.
+func (x *exchange) reportSecondRun(c core.RunForward) {
+	x.reportViolation(core.AtMostOnce, fmt.Sprintf("send %d is to begin although sends %v may have run", c.Send, x.unproven.Sorted()))
+}
+
 // reportViolation reports that serving the request has violated an invariant.
 func (x *exchange) reportViolation(promise core.Promise, detail string) {
 	x.server.ReportViolation(core.Violation{Promise: promise, Detail: x.forward.Attempt + ": " + detail})
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -4,109 +4,79 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
-	"sync/atomic"
 	"time"
 
 	"daisyshed.dev/core"
-	"daisyshed.dev/daisyshed/upstream"
 	"daisyshed.dev/platform"
 )
 
 // relay relays the response to a run and reports whether the request has ended.
 // A response that cannot be relayed is reported to the core as StepRefused or
-// StepFailed. The result of a run that a later command cancelled is discarded.
+// StepFailed. The result of a run that was cancelled is discarded, except for the proof
+// that it was not run.
 func (x *exchange) relay(result runResult) bool {
-	if result.err != nil {
-		if nothingSent(result.err) {
-			x.unproven.Remove(result.run.Send)
-		}
-		if result.ctx.Err() == nil || x.ctx.Err() != nil {
-			x.reportStepFailed(runStep(result.run), result.err, 0)
-		}
-		return false
-	}
-	defer result.response.Close()
-	if result.ctx.Err() != nil {
-		return false
+	r, response := result.run, result.response
+	if result.rest != nil {
+		defer result.rest.Close()
 	}
-	if proof, ok := platform.NotRun(result.response.Status, result.response.Header, result.run.Engine).Get(); ok {
-		x.unproven.Remove(result.run.Send)
-		x.drain(result.response)
-		x.reportStepRefused(runStep(result.run), proof, result.response.Status)
-		return false
+	cancelled := r.ctx.Err() != nil && x.ctx.Err() == nil
+	proof, rejected := result.notRun.Get()
+	if rejected || nothingSent(result.err) {
+		x.unproven.Remove(r.Send)
 	}
-	success := result.response.Status >= 200 && result.response.Status < 300
 	switch {
-	case success && !platform.HasSignature(result.response.Header):
-		x.reportStepFailed(runStep(result.run), MissingSignatureError{}, 0)
-		return false
-	case success && isStream(result.response.Header):
-		return x.relayEvents(result)
+	case rejected:
+		x.forget(r)
+		x.reportStepRefused(r.step(), proof, response.status)
+	case cancelled:
+	case result.err != nil:
+		x.failRun(r, result.err, 0)
 	case x.headSent:
-		x.drain(result.response)
-		x.reportStepFailed(runStep(result.run), &UpstreamFailedError{Status: result.response.Status}, result.response.Status)
-		return false
-	case result.run.Once && platform.PromisesNotRun(result.response.Status):
-		x.drain(result.response)
-		x.reportStepFailed(runStep(result.run), &UnprovenRejectionError{Status: result.response.Status}, result.response.Status)
-		return false
+		x.failRun(r, &UpstreamFailedError{Status: response.status}, response.status)
+	case r.Once && platform.PromisesNotRun(response.status):
+		x.failRun(r, &UnprovenRejectionError{Status: response.status}, response.status)
+	case response.status >= http.StatusInternalServerError:
+		x.failure = &response
+		x.failRun(r, &UpstreamFailedError{Status: response.status}, response.status)
 	default:
-		return x.relayBuffered(result, success)
+		return x.relayResponse(result)
 	}
+	return false
 }
 
-// drain reads a short response to its end, so that its connection can be
-// reused.
-func (x *exchange) drain(response *upstream.Response) {
-	// If the read fails, Close closes the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-}
-
-func isStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+// failRun notifies the core that a run got no usable response.
+func (x *exchange) failRun(r *run, err error, status int) {
+	x.forget(r)
+	x.reportStepFailed(r.step(), err, status)
 }
 
-// relayBuffered reads a whole response, up to maxBufferedBytes, before it
-// relays any of it. A server error is kept in x.failure instead, because the
-// core may try another upstream first.
-func (x *exchange) relayBuffered(result runResult, success bool) bool {
-	body, err := io.ReadAll(io.LimitReader(result.response.Body, maxBufferedBytes+1))
-	if err != nil {
-		if result.ctx.Err() == nil {
-			x.reportStepFailed(runStep(result.run), err, 0)
-		}
-		return false
-	}
-	response := bufferedResponse{status: result.response.Status, header: result.response.Header, body: body}
-	if !success && result.response.Status >= http.StatusInternalServerError {
-		x.failure = &response
-		x.reportStepFailed(runStep(result.run), &UpstreamFailedError{Status: result.response.Status}, result.response.Status)
-		return false
-	}
-	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
-	if len(body) <= maxBufferedBytes {
-		x.writeBuffered(response)
-		x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
-		return true
-	}
-	return x.relayUnbuffered(result, response)
+// relayResponse relays a response that is not a stream.
+func (x *exchange) relayResponse(result runResult) bool {
+	r := result.run
+	x.prefer(r)
+	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+	if result.rest != nil {
+		return x.relayUnbuffered(result)
+	}
+	x.writeBuffered(result.response)
+	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+	return true
 }
 
-// relayUnbuffered relays a response that is longer than maxBufferedBytes; start
-// is the part that was read already.
-func (x *exchange) relayUnbuffered(result runResult, start bufferedResponse) bool {
+// relayUnbuffered relays a response that is longer than maxBufferedBytes.
+func (x *exchange) relayUnbuffered(result runResult) bool {
+	start := result.response
 	platform.CopyResponseHeader(x.w.Header(), start.header)
-	if result.response.Length >= 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(result.response.Length, 10))
+	if result.rest.Length >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(result.rest.Length, 10))
 	}
 	x.writeHead(start.status)
 	_, err := x.w.Write(start.body)
 	if err == nil {
-		_, err = io.Copy(x.w, result.response.Body)
+		_, err = io.Copy(x.w, result.rest.Body)
 	}
 	if err != nil {
-		x.reportStepFailed(runStep(result.run), err, 0)
+		x.failRun(result.run, err, 0)
 		return false
 	}
 	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
@@ -141,37 +111,41 @@
 	x.headSentAt = time.Now()
 }
 
-// relayEvents relays a stream event by event. If the stream breaks off, the
-// core decides whether another upstream resumes it within the same response.
-func (x *exchange) relayEvents(result runResult) bool {
-	timer, stalled := x.startStallTimer(result)
-	defer timer.Stop()
-	events := upstream.NewEventReader(result.response.Body)
-	for {
-		event, id, err := events.Next()
-		if err == io.EOF {
-			x.finishStream(result)
-			return true
-		}
-		if err != nil {
-			return x.handleBrokenStream(result, stalled, err)
-		}
-		if result.run.StallAfter > 0 {
-			timer.Reset(result.run.StallAfter)
-		}
-		if !x.headSent {
-			platform.CopyResponseHeader(x.w.Header(), result.response.Header)
-			x.writeHead(result.response.Status)
-			x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine})
-		}
-		if id != "" {
-			x.lastEventID = id
-			x.eventCount++
-		}
-		if !x.writeEvent(event) {
-			x.endDisconnected()
-			return true
-		}
+// relayEvent relays one event of a run's stream, or its end, and reports whether the
+// request has ended. If the stream breaks off, the core decides whether another upstream
+// resumes it within the same response.
+func (x *exchange) relayEvent(e streamEvent) bool {
+	switch {
+	case e.run.ctx.Err() != nil:
+		return false
+	case e.err == io.EOF:
+		x.prefer(e.run)
+		x.finishStream(e)
+		return true
+	case e.err != nil:
+		x.failRun(e.run, e.err, 0)
+		return false
+	}
+	x.prefer(e.run)
+	x.sendStreamHead(e)
+	x.reportEvent(e.run)
+	if e.id != "" {
+		x.lastEventID = e.id
+		x.eventCount++
+	}
+	if !x.writeEvent(e.event) {
+		x.endDisconnected()
+		return true
+	}
+	x.restartStallTimer(e.run)
+	return false
+}
+
+// sendStreamHead sends the head of a stream's response unless it was sent before.
+func (x *exchange) sendStreamHead(e streamEvent) {
+	if !x.headSent {
+		platform.CopyResponseHeader(x.w.Header(), e.header)
+		x.writeHead(e.status)
 	}
 }
 
@@ -187,47 +161,8 @@
 
 // finishStream ends a stream that the upstream completed. If the stream had no
 // events, it sends the head of the response first.
-func (x *exchange) finishStream(result runResult) {
-	if !x.headSent {
-		platform.CopyResponseHeader(x.w.Header(), result.response.Header)
-		x.writeHead(result.response.Status)
-	}
-	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: result.run.Send, Engine: result.run.Engine, Events: x.eventCount})
-	x.recordEnd(result.response.Status)
-}
-
-// startStallTimer returns a timer that cancels the run after StallAfter, and a
-// flag that it sets when it does. The timer is stopped from the start if
-// StallAfter is zero; the hour it is created with never elapses.
-func (x *exchange) startStallTimer(result runResult) (*time.Timer, *atomic.Bool) {
-	var stalled atomic.Bool
-	t := time.AfterFunc(time.Hour, func() {
-		stalled.Store(true)
-		x.cancelRun()
-	})
-	if result.run.StallAfter > 0 {
-		t.Reset(result.run.StallAfter)
-	} else {
-		t.Stop()
-	}
-	return t, &stalled
-}
-
-// handleBrokenStream reports a stream that ended early to the core, and returns
-// whether the request has ended because the caller disconnected. Nothing is
-// reported for a run that a later command cancelled.
-func (x *exchange) handleBrokenStream(result runResult, stalled *atomic.Bool, err error) bool {
-	switch {
-	case x.ctx.Err() != nil:
-		x.endDisconnected()
-		return true
-	case stalled.Load():
-		x.server.Log.Info().Str("Event", "StreamStalled").Str("Request", x.forward.Attempt).Str("Engine", string(result.run.Engine)).
-			Int("Events", x.eventCount).Dur("PauseMs", time.Since(x.lastEventAt)).Send()
-		err = StreamStalledError{}
-	case result.ctx.Err() != nil:
-		return false
-	}
-	x.reportStepFailed(runStep(result.run), err, 0)
-	return false
+func (x *exchange) finishStream(e streamEvent) {
+	x.sendStreamHead(e)
+	x.server.SendToCore(core.ForwardResponseCompleted{ID: x.forward.ID, Send: e.run.Send, Engine: e.run.Engine, Events: x.eventCount})
+	x.recordEnd(e.status)
 }
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// runResultsSize bounds the results of runs that wait for a request's goroutine. Each
-	// run has one, and few runs of a request overlap.
-	runResultsSize = 16
 	// orderTimeout bounds the call that sends an order to an engine.
 	orderTimeout = time.Second
 	// releaseTimeout bounds a call that releases memory.
@@ -87,7 +84,7 @@
 		close(exiting)
 	}
 	for _, x := range s.live {
-		x.cancelRun()
+		x.cancelRuns()
 	}
 }
 
@@ -131,10 +128,11 @@
 	defer cancel()
 	x := &exchange{
 		server: s, w: w, r: r, ctx: ctx, body: body, forward: forward, startedAt: time.Now(),
-		header:     platform.UpstreamRequestHeader(r.Header),
-		commands:   newCommandSlot(),
-		runResults: make(chan runResult, runResultsSize),
-		unproven:   core.Set[core.SendNumber]{},
+		header:   platform.UpstreamRequestHeader(r.Header),
+		commands: newCommandSlot(),
+		results:  make(chan runResult),
+		events:   make(chan streamEvent),
+		unproven: core.Set[core.SendNumber]{},
 	}
 	x.forward.ID = core.ForwardID(s.lastID.Add(1))
 	s.add(x)
@@ -185,21 +183,35 @@
 	}
 }
 
-// deliver passes a command to its request's goroutine. It cancels the current
-// run first: the core sends a further command only after it has given that run
-// up. A command that was not begun yet is replaced.
+// deliver passes a command to its request's goroutine. It first cancels the runs that the
+// command ends. A command that was not begun yet is replaced.
 func (s *Server) deliver(id core.ForwardID, c core.ForwardCommand) {
 	x := s.find(id)
 	if x == nil {
 		return
 	}
-	x.cancelRun()
+	if endsRuns(c) {
+		x.cancelRuns()
+	}
 	if replaced := x.commands.put(c); replaced != nil {
 		s.Log.Info().Str("Event", "CommandReplaced").Str("Request", x.forward.Attempt).
 			Str("Command", fmt.Sprintf("%T", replaced)).Str("By", fmt.Sprintf("%T", c)).Send()
 	}
 }
 
+// endsRuns reports whether a command ends a request's earlier runs. Beside those that look
+// for another upstream, a silent run goes on.
+func endsRuns(c core.ForwardCommand) bool {
+	switch c := c.(type) {
+	case core.RequestLease, core.RunPrefill:
+		return false
+	case core.RunForward:
+		return !c.TakesOver
+	default:
+		return true
+	}
+}
+
 // SendOrder sends an order to an engine without blocking. The claim that allows the
 // order expires soon, so the call is bounded in order not to outlast it, and is
 // not retried.
--- /dev/null
+++ b/daisyshed/ingress/takeover.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"time"
+
+	"daisyshed.dev/core"
+)
+
+// maxOverlap is how long a silent run goes on beside the run that is to take over its
+// stream. Callers do not pay for two engines that work on one request for long.
+const maxOverlap = 250 * time.Millisecond
+
+// refuseRun reports whether a run must not begin, and notifies the core: because the
+// request must run once and may have run, or because the run that it was to take over from
+// goes on.
+func (x *exchange) refuseRun(c core.RunForward) bool {
+	s := step{kind: core.RunStep, engine: c.Engine, send: c.Send}
+	switch {
+	case c.Once && len(x.unproven) > 0:
+		x.reportSecondRun(c)
+		x.reportStepFailed(s, SecondRunError{}, 0)
+		return true
+	case c.TakesOver && x.current != nil && x.current.started && !x.current.stalled:
+		x.reportStepFailed(s, RunNotNeededError{}, 0)
+		return true
+	}
+	return false
+}
+
+// prefer makes a run that has begun to answer the only one, and cancels the other if two
+// overlap.
+func (x *exchange) prefer(r *run) {
+	if x.replacement == nil {
+		return
+	}
+	other := x.replacement
+	if r == other {
+		other = x.current
+	}
+	other.cancel()
+	x.overlap.Stop()
+	x.current, x.replacement = r, nil
+}
+
+// forget removes a run that has ended. If another one overlaps with it, that is the only
+// one now.
+func (x *exchange) forget(r *run) {
+	r.cancel()
+	switch r {
+	case x.replacement:
+		x.replacement = nil
+	case x.current:
+		x.current, x.replacement = x.replacement, nil
+	default:
+		return
+	}
+	x.overlap.Stop()
+}
+
+// endOverlap ends a run that has been silent for too long beside the one that is to take
+// over its stream.
+func (x *exchange) endOverlap() {
+	silent := x.current
+	if silent == nil || x.replacement == nil {
+		return
+	}
+	x.forget(silent)
+	x.reportStepFailed(silent.step(), RunReplacedError{}, 0)
+}
+
+// restartStallTimer waits for the next event of the present run from now on.
+func (x *exchange) restartStallTimer(r *run) {
+	if r.StallAfter > 0 {
+		x.stall.Reset(r.StallAfter)
+		return
+	}
+	x.stall.Stop()
+}
+
+// reportStalled notifies the core that the present run is silent. The run goes on.
+func (x *exchange) reportStalled() {
+	r := x.current
+	if r == nil || !r.started || r.StallAfter == 0 {
+		return
+	}
+	if !r.stalled {
+		x.server.Log.Info().Str("Event", "StreamStalled").Str("Request", x.forward.Attempt).Str("Engine", string(r.Engine)).
+			Int("Events", x.eventCount).Dur("PauseMs", time.Since(x.lastEventAt)).Send()
+	}
+	r.stalled = true
+	x.server.SendToCore(core.ForwardStalled{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+	x.stall.Reset(r.StallAfter)
+}
+
+// reportEvent notifies the core of the first event of a run, and of the first one after
+// a silence.
+func (x *exchange) reportEvent(r *run) {
+	switch {
+	case !r.started:
+		r.started = true
+		x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+	case r.stalled:
+		r.stalled = false
+		x.server.SendToCore(core.ForwardContinued{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+	}
+}
