Bound answers that have begun, and callers that do not read, in time

What callers saw: an answer without end. What others saw: an engine's place that stayed taken, and a request that a stop had to cut.

Cause: the deadline of a request does not end an answer that has begun, and nothing else did. A success or a rejection of more than 1 MB, a stream of events or of blank lines went on for as long as the upstream wrote; an event that the caller did not read blocked the request's goroutine for good. The body of a rejection was read to its end, up to 1 MB and until the deadline, before the core heard of the rejection.

An answer that has begun ends a second after the time for which its caller said that it waits, and a write to the caller fails two seconds after it. Of a body without use 64 KB are read, for 50 ms.

The emulated engines of the core's tests kept the memory of streams that a node had ended, as no engine does; now that nodes end some, they drop them.

--- a/core/forward.go
+++ b/core/forward.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// lateAnswerTime is how long an answer that has begun may go on after the time for which
+// its caller waits.
+const lateAnswerTime = time.Second
+
 // forwardPhase is the stage of processing that a forwarded request has reached.
 type forwardPhase int
 
@@ -208,16 +212,32 @@
 	return fractionOf(f.route.Objective, firstByteGuess)
 }
 
-// expire ends a request whose deadline has passed. A stream that has begun
-// continues, because its caller is already receiving the answer.
+// expire ends a request whose deadline has passed. An answer that has begun continues for
+// as long as its caller may be reading it.
 func (s *forwards) expire(n *Node, f *forwardedRequest) {
+	if s.live[f.ID] != f {
+		return
+	}
 	takingOver := f.phase == forwardRunning && f.silent != nil && f.emitted
-	if s.live[f.ID] != f || f.phase == forwardResponding || takingOver {
+	if f.phase == forwardResponding || takingOver {
+		n.afterFunc(max(f.Patience+lateAnswerTime-f.waited(n.now), 0), func(n *Node) { s.endOverdue(n, f) })
 		return
 	}
 	s.end(n, f, DeadlinePassed, 0)
 }
 
+// endOverdue ends an answer that goes on although its caller no longer waits: it may have
+// no end.
+func (s *forwards) endOverdue(n *Node, f *forwardedRequest) {
+	if s.live[f.ID] != f {
+		return
+	}
+	if f.silent != nil {
+		s.releaseSilentRun(n, f, RunUnknown)
+	}
+	s.end(n, f, DeadlinePassed, 0)
+}
+
 func (s *forwards) budget(id ServiceID) *retryBudgetShare { return getOrCreate(s.budgets, id) }
 
 // spendRetryBudget takes extra arrivals from this node's share of the retry
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -24,6 +24,8 @@
 	// retried says that the caller has retried once already.
 	retried   bool
 	promptKey core.Instant
+	// drop ends the latest run at its engine; nil if there is none.
+	drop func()
 }
 
 // answer delivers the whole answer to the caller.
@@ -59,6 +61,9 @@
 		return
 	}
 	r.ended = true
+	if r.drop != nil {
+		r.drop()
+	}
 	if notRun {
 		w.rejections++
 		w.waitedInVain += w.now.Sub(r.arrived)
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -135,6 +135,15 @@
 		return
 	}
 	u.free -= need
+	// An engine drops a stream whose node has closed its connection.
+	dropped := false
+	drop := func() {
+		if !dropped {
+			dropped = true
+			u.free += need
+		}
+	}
+	r.drop = drop
 	first := 30 * time.Millisecond
 	if c.Handle == "" {
 		w.prefilledAtDecode++
@@ -142,12 +151,15 @@
 	}
 	if overrun := worldPrompt + r.output - need; overrun > 0 {
 		w.after(first+time.Duration(r.output-overrun)*decodeStep, func() {
+			if dropped {
+				return
+			}
 			if u.free < overrun {
 				w.preempted++
 			}
 			u.free -= overrun
+			need += overrun
 		})
-		need += overrun
 	}
 	w.after(first, func() {
 		if !r.ended {
@@ -156,7 +168,7 @@
 		}
 	})
 	w.after(first+time.Duration(r.output)*decodeStep, func() {
-		u.free += need
+		drop()
 		n.answer(c, r)
 	})
 }
--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -22,6 +22,9 @@
 	// use, so that its connection can be used again.
 	maxDrainBytes = 64 << 10
 	drainTimeout  = 50 * time.Millisecond
+	// unreadTime is how long after the time for which it waits a caller may leave an answer
+	// unread.
+	unreadTime = 2 * time.Second
 )
 
 // run is one sending of a request to an upstream that is to run it. Its goroutine reads
