Keep a silent plain request until another upstream answers it

What callers saw: 502 or 504 for a request that may be repeated, although the upstream that had it was about to answer.

After two objectives without an answer the run was cancelled before another upstream was chosen; if there was none left, or it rejected the request, the request ended.

--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -42,7 +42,7 @@
 	s.logRun(n, f)
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once, NewConnection: newConnection,
+		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil,
 	})
 	if f.route.RetryPolicy == Repeatable {
 		s.retryIfSilent(n, f)
@@ -64,20 +64,24 @@
 	return u
 }
 
-// retryIfSilent sends a repeatable request to another upstream if the present
-// one does not answer in time.
+// retryIfSilent sends a repeatable request to another upstream too if the present one
+// does not answer in time. The present one may be sound and answer first.
 func (s *forwards) retryIfSilent(n *Node, f *forwardedRequest) {
 	step := f.step
 	n.afterFunc(time.Duration(silentObjectives*float64(f.route.Objective)), func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
-		if f.unprovenRuns() >= f.route.MaxRuns || len(s.upstreams.byService[f.spec.ID]) < 2 || !s.spendRetryBudget(n, f, 1) {
+		if f.silent != nil || f.unprovenRuns() >= f.route.MaxRuns || f.sends >= maxSends {
+			return
+		}
+		u := s.choosePlain(n, f, s.upstreams.byService[f.spec.ID])
+		if u == nil || !s.spendRetryBudget(n, f, 1) {
 			return
 		}
 		f.decode.recordFailure(n.now)
-		s.release(n, f)
-		s.runPlain(n, f)
+		s.setAside(f)
+		s.runPlainAt(n, f, u)
 	})
 }
 
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -17,6 +17,7 @@
 	group     DispatchGroup
 	owner     NodeID
 	placement ForwardID
+	placedAt  Instant
 	// sends and prefills are the request's counts from before the search.
 	sends, prefills int
 }
@@ -51,8 +52,15 @@
 	if !search {
 		return
 	}
+	s.setAside(f)
+	s.requestPlacement(n, f)
+}
+
+// setAside makes a request's present run its silent run, so that the request can be placed
+// a second time.
+func (s *forwards) setAside(f *forwardedRequest) {
 	f.silent = &silentRun{
-		send: f.current, engine: f.decode, reserved: f.reserved, phase: f.phase, outcome: f.outcome,
+		send: f.current, engine: f.decode, reserved: f.reserved, phase: f.phase, outcome: f.outcome, placedAt: f.placedAt,
 		group: f.group, owner: f.owner, placement: f.placement, sends: f.sends, prefills: f.prefills,
 	}
 	f.tried.Add(f.decode.ID)
@@ -60,7 +68,6 @@
 	f.giveUpSend()
 	f.decode, f.reserved, f.owner, f.outcome = nil, 0, "", RunUnknown
 	f.placement ^= replacementPlacement
-	s.requestPlacement(n, f)
 }
 
 // keepSilentRun returns to a request's silent run, if it has one, when the request would
@@ -82,18 +89,30 @@
 func (s *forwards) returnToSilentRun(n *Node, f *forwardedRequest) {
 	run := f.silent
 	f.silent = nil
-	s.budget(f.spec.ID).returnRetries(rerunCost - (f.sends - run.sends) - (f.prefills - run.prefills))
+	if _, engine := f.spec.Engine.Get(); engine {
+		s.budget(f.spec.ID).returnRetries(rerunCost - (f.sends - run.sends) - (f.prefills - run.prefills))
+	}
 	s.dequeue(f)
 	s.release(n, f)
 	f.decode, f.reserved, f.phase, f.outcome = run.engine, run.reserved, run.phase, run.outcome
-	f.group, f.owner, f.placement = run.group, run.owner, run.placement
+	f.group, f.owner, f.placement, f.placedAt = run.group, run.owner, run.placement, run.placedAt
 	f.current = run.send
 	if f.phase == forwardRunning {
-		s.watchFirstEvent(n, f)
+		s.watchSilence(n, f)
 	}
 	s.placeWaiting(n)
 }
 
+// watchSilence looks for another upstream if a run that may be repeated has no answer in
+// time.
+func (s *forwards) watchSilence(n *Node, f *forwardedRequest) {
+	if _, engine := f.spec.Engine.Get(); engine {
+		s.watchFirstEvent(n, f)
+		return
+	}
+	s.retryIfSilent(n, f)
+}
+
 // releaseSilentRun releases what a silent run holds, because the run has ended.
 func (s *forwards) releaseSilentRun(n *Node, f *forwardedRequest, outcome RunOutcome) {
 	run := f.silent
