Seek another engine after half of the gap after which callers leave

What callers saw: nothing. What the fleet paid: after each pause of a second, another engine was sought for every resumable stream of the silent one, with room in the retry budget and a prompt that is mostly read in vain, because engines that preempt a stream or are silent for a second or so go on by themselves.

Evidence: TestShortSilenceWastesNoPrefill failed before (1 s for a gap of 3.6 s).

--- a/core/desired.go
+++ b/core/desired.go
@@ -54,6 +54,9 @@
 	// MaxPause is the longest pause between two events of a stream that is on time; zero
 	// if unknown.
 	MaxPause time.Duration
+	// GapPatience is how long callers wait for the next event of a stream before they
+	// leave; zero if unknown.
+	GapPatience time.Duration
 	// Rank is the priority of the route under load; zero is the most urgent.
 	Rank int
 	// MaxRuns is how many times upstreams may run one request of a caller. A send
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -39,10 +39,12 @@
 	// firstEventObjectives is the number of objectives without a first event
 	// after which another engine is sought for a resumable stream.
 	firstEventObjectives = 1.5
-	// stallAfter is the pause between events after which another engine is sought for a
-	// resumable stream: callers leave after two seconds of silence, and the prompt has
-	// to be prefilled again before that.
-	stallAfter = time.Second
+	// stallShare is the share of the route's GapPatience after which another engine is
+	// sought for a silent resumable stream; the rest is for prefilling its prompt again.
+	// An engine that is silent for less most often goes on by itself. minStallAfter is
+	// the least such time.
+	stallShare    = 0.5
+	minStallAfter = time.Second
 )
 
 // placeLocally places a request by this node's own knowledge, without an owner.
@@ -275,7 +277,7 @@
 		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil,
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
-		run.StallAfter = stallAfter
+		run.StallAfter = max(fractionOf(f.route.GapPatience, stallShare), minStallAfter)
 	}
 	if f.prefill != nil {
 		run.Source, run.Handle = f.prefill.Address, f.handle
