Count no failure against an engine that was not asked

When a silent run goes on before the run that was to take over is sent, that run is not begun. It was reported as a failed step, which put its engine aside although nothing had been sent to it. It is reported as refused, with the proof that nothing was sent. Found by reading; TestLateResultDoesNotEndTheNextRun covers how the core takes such a result.

--- a/daisyshed/ingress/errors.go
+++ b/daisyshed/ingress/errors.go
@@ -33,13 +33,6 @@
 // Error returns the message.
 func (RunReplacedError) Error() string { return "upstream was silent and has been replaced" }
 
-// RunNotNeededError reports a run that was not begun, because the silent run that it was
-// to take over from goes on. Nothing was sent.
-type RunNotNeededError struct{}
-
-// Error returns the message.
-func (RunNotNeededError) Error() string { return "the silent upstream goes on" }
-
 // UpstreamFailedError reports a response with a status of 500 or above, or one that does
 // not resume the stream that the caller has begun to receive.
 type UpstreamFailedError struct{ Status int }
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -247,8 +247,7 @@
 // nothingSent reports whether an error proves that no byte of a request was sent.
 func nothingSent(err error) bool {
 	var unsent *upstream.UnsentError
-	var notNeeded RunNotNeededError
-	return errors.As(err, &unsent) || errors.As(err, &notNeeded)
+	return errors.As(err, &unsent)
 }
 
 // reportStepRefused notifies the core that an upstream rejected a step without carrying
--- a/daisyshed/ingress/takeover.go
+++ b/daisyshed/ingress/takeover.go
@@ -21,7 +21,8 @@
 		x.reportStepFailed(s, SecondRunError{}, 0)
 		return true
 	case c.TakesOver && x.current != nil && x.current.started && !x.current.stalled:
-		x.reportStepFailed(s, RunNotNeededError{}, 0)
+		x.server.Log.Info().Str("Event", "RunNotNeeded").Str("Request", x.forward.Attempt).Str("Engine", string(c.Engine)).Send()
+		x.reportStepRefused(s, core.NothingSent, 0)
 		return true
 	}
 	return false
