Keep running when the end of one request ends another on an owner change

What callers saw: every request in progress at a node ended without an answer, because the process ended with a nil pointer dereference.

Cause: when owners change, each request that waits at its former owner is placed again. If all engines ask for quiet, that ends the request, and the end of a request ends those in this node's own queue that cannot be placed either. The loop over the requests then came to one that no longer existed.

The loop skips requests that have ended meanwhile; nothing else refers to them.

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -113,7 +113,11 @@
 // requests a new placement for those that waited at the old owners.
 func (s *forwards) ownersChanged(n *Node) {
 	for _, id := range sortedKeys(s.live) {
-		f := s.live[id]
+		f, ok := s.live[id]
+		if !ok {
+			// The end of another request in this loop has ended this one too.
+			continue
+		}
 		s.silentOwnerChanged(n, f)
 		if f.owner == "" {
 			continue
