Bound a silent stream that is kept at its deadline in time

What others saw: an engine's place that stays taken, and a request that only a stop of the node or its caller ends.

Cause: an answer that has begun gets a last bound when its deadline passes. If the stream's engine was silent then and another engine was sought, the search ended and the silent run was kept, but the bound was not set.

Evidence: TestSilentStreamThatIsKeptAtItsDeadlineEnds failed before in both cases (no end within a minute, the request waits 14 s) and passes now: the bound is set for every stream that goes on at its deadline.

--- a/core/forward.go
+++ b/core/forward.go
@@ -218,11 +218,15 @@
 	if s.live[f.ID] != f {
 		return
 	}
-	takingOver := f.phase == forwardRunning && f.silent != nil && f.emitted
-	if f.phase == forwardResponding || takingOver {
+	hasSilentRun := f.silent != nil && f.emitted
+	if f.phase == forwardResponding || hasSilentRun {
 		n.afterFunc(max(f.Patience+lateAnswerTime-f.waited(n.now), 0), func(n *Node) { s.endOverdue(n, f) })
+	}
+	takingOver := hasSilentRun && f.phase == forwardRunning
+	if f.phase == forwardResponding || takingOver {
 		return
 	}
+	// A silent run is kept, but the search for another engine ends.
 	s.end(n, f, DeadlinePassed, 0)
 }
 
--- /dev/null
+++ b/core/forward_silent_test.go
@@ -0,0 +1,90 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+// stateWithRuns is the emulated desired state with another limit of the runs of a
+// resumable stream.
+func stateWithRuns(runs int) core.DesiredState {
+	state := worldState()
+	state.Version = 2
+	for i := range state.Routes {
+		if state.Routes[i].ID == "resumable" {
+			state.Routes[i].MaxRuns = runs
+		}
+	}
+	return state
+}
+
+// startedStream has a stream's request run and its first event relayed, and returns the
+// run.
+func startedStream(t *testing.T, h *hostedNode, id core.ForwardID) core.RunForward {
+	t.Helper()
+	run := runStream(t, h, h.deliver(streamTo(id, "resumable")))
+	h.deliver(core.ForwardResponseStarted{ID: id, Send: run.Send, Engine: run.Engine})
+	return run
+}
+
+func stalled(c core.RunForward) core.Message {
+	return core.ForwardStalled{ID: c.ID, Send: c.Send, Engine: c.Engine}
+}
+
+func continued(c core.RunForward) core.Message {
+	return core.ForwardContinued{ID: c.ID, Send: c.Send, Engine: c.Engine}
+}
+
+func started(c core.RunForward) core.Message {
+	return core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine}
+}
+
+func runFailed(c core.RunForward) core.Message {
+	return core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep, Emitted: true}
+}
+
+// The silent run of a stream ends because another one is to take over. The deadline passes
+// while both go on. The other one never sends an event.
+func TestStreamWhoseDeadlinePassesBesideASilentRunEnds(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(engineInstances()...)
+	first := startedStream(t, h, 1)
+	h.advance(worldTimeout - 300*time.Millisecond)
+	second := runStream(t, h, h.deliver(stalled(first)))
+	is.True(second.TakesOver)
+	out := h.advance(240 * time.Millisecond)
+	out = append(out, h.advance(100*time.Millisecond)...)
+	out = append(out, h.deliver(runFailed(first))...)
+	for range 60 {
+		out = append(out, h.advance(time.Second)...)
+	}
+	is.Equal(endsOf(out), 1)
+}
+
+// No engine takes over a silent stream before its deadline, and the silent run never goes
+// on. The stream must end like any other answer that is overdue.
+func TestSilentStreamThatIsKeptAtItsDeadlineEnds(t *testing.T) {
+	for name, hung := range map[string]func(t *testing.T, h *hostedNode){
+		"silent after its first event": func(t *testing.T, h *hostedNode) {
+			first := startedStream(t, h, 1)
+			h.advance(worldTimeout - 100*time.Millisecond)
+			h.deliver(stalled(first))
+		},
+		"resumed without an event": func(t *testing.T, h *hostedNode) {
+			h.deliver(stateWithRuns(3))
+			first := startedStream(t, h, 1)
+			h.advance(worldTimeout - 1500*time.Millisecond)
+			runStream(t, h, h.deliver(runFailed(first)))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := readyAlone(moreEngines()...)
+			hung(t, h)
+			is.Equal(endsOf(h.advance(time.Minute)), 1)
+		})
+	}
+}
