Keep the place of a silent run when its owner repeats the placement

What others saw: an owner that counts an engine's place as free while a stream holds it, and places another request there, which the engine denies.

Cause: a placement that a request does not wait for is released. One that arrived once more was recognised only as the request's present placement. While another engine was sought for a silent stream, the repeated placement of its run was taken for one that nobody holds.

Evidence: TestRepeatedPlacementKeepsThePlaceOfASilentRun failed before (one release) and passes now. The transport between nodes does not repeat messages; the protocol allows it.

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -57,7 +57,8 @@
 	f.outcome = RunUnknown
 }
 
-// placed returns the request that has a placement as its present one.
+// placed returns the live request to which a placement belongs; nil if there is none. It
+// reports whether the placement is the request's present one.
 func (s *forwards) placed(id ForwardID) (*forwardedRequest, bool) {
 	f, ok := s.live[id&^replacementPlacement]
 	return f, ok && f.placement == id
@@ -75,7 +76,7 @@
 func (s *forwards) handlePlaced(n *Node, from NodeID, m ForwardPlaced) {
 	f, ok := s.placed(m.ID)
 	if !ok || f.phase != forwardAwaitingOwner || f.owner != from {
-		if !ok || f.owner != from {
+		if held := ok && f.owner == from || f.holdsSilently(from, m.ID); !held {
 			n.send(from, ForwardReleased{ID: m.ID})
 		}
 		return
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -158,6 +158,12 @@
 	return true
 }
 
+// holdsSilently reports whether a request, which may be nil, has a silent run that an owner
+// placed under the given placement id.
+func (f *forwardedRequest) holdsSilently(owner NodeID, placement ForwardID) bool {
+	return f != nil && f.silent != nil && f.silent.owner == owner && f.silent.placement == placement
+}
+
 // silentOwnerChanged notifies the new owner of a silent run's engine.
 func (s *forwards) silentOwnerChanged(n *Node, f *forwardedRequest) {
 	run := f.silent
--- a/core/forward_silent_test.go
+++ b/core/forward_silent_test.go
@@ -88,3 +88,16 @@
 		})
 	}
 }
+
+// A placement that an owner repeats must not release the silent run's place there.
+func TestRepeatedPlacementKeepsThePlaceOfASilentRun(t *testing.T) {
+	is := is.New(t)
+	h, owner := readyWithOwner()
+	h.deliver(streamTo(1, "resumable"))
+	placed := core.PeerMessage{From: owner, Incarnation: 1, Body: core.ForwardPlaced{ID: 1, Decode: "d1", Prefill: "p1", Memory: worldPrompt}}
+	run := runStream(t, h, h.deliver(placed))
+	h.deliver(started(run))
+	is.Equal(len(sentTo[core.ForwardReleased](h.deliver(placed), owner)), 0)
+	is.Equal(len(sentTo[core.PlaceForward](h.deliver(stalled(run)), owner)), 1)
+	is.Equal(len(sentTo[core.ForwardReleased](h.deliver(placed), owner)), 0)
+}
