Return to the retry budget only what a search itself has taken

Cause: when a silent run goes on, the search for another engine returns what it did not use by removing the latest entries of the node's share. A search may outlast the window, because a stream that was sent before waits in the queue until its deadline. Its own entries have left the window then, and those of other requests were removed.

Entries are now removed by the instant at which the search began. Evidence: TestEndOfALongSearchReturnsNoRetriesOfOthers failed before (more retries than the slack of 5, with a ratio of 0) and passes now.

--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -80,7 +80,7 @@
 			return
 		}
 		f.decode.recordFailure(n.now)
-		s.setAside(f)
+		s.setAside(n, f)
 		s.runPlainAt(n, f, u)
 	})
 }
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -18,8 +18,10 @@
 	owner     NodeID
 	placement ForwardID
 	placedAt  Instant
-	// sends and prefills are the request's counts from before the search.
+	// sends and prefills are the request's counts from before the search, which began at
+	// searchedAt.
 	sends, prefills int
+	searchedAt      Instant
 }
 
 // handleStalled looks for an engine that takes over a stream whose engine has been silent
@@ -52,16 +54,17 @@
 	if !search {
 		return
 	}
-	s.setAside(f)
+	s.setAside(n, f)
 	s.requestPlacement(n, f)
 }
 
 // setAside makes a request's present run its silent run, so that the request can be placed
 // a second time.
-func (s *forwards) setAside(f *forwardedRequest) {
+func (s *forwards) setAside(n *Node, f *forwardedRequest) {
 	f.silent = &silentRun{
 		send: f.current, engine: f.decode, reserved: f.reserved, phase: f.phase, outcome: f.outcome, placedAt: f.placedAt,
 		group: f.group, owner: f.owner, placement: f.placement, sends: f.sends, prefills: f.prefills,
+		searchedAt: n.now,
 	}
 	f.tried.Add(f.decode.ID)
 	f.step++
@@ -90,7 +93,7 @@
 	run := f.silent
 	f.silent = nil
 	if _, engine := f.spec.Engine.Get(); engine {
-		s.budget(f.spec.ID).returnRetries(rerunCost - (f.sends - run.sends) - (f.prefills - run.prefills))
+		s.budget(f.spec.ID).returnRetries(run.searchedAt, rerunCost-(f.sends-run.sends)-(f.prefills-run.prefills))
 	}
 	s.dequeue(f)
 	s.release(n, f)
--- a/core/forward_silent_test.go
+++ b/core/forward_silent_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,32 @@
 	is.Equal(len(sentTo[core.PlaceForward](h.deliver(stalled(run)), owner)), 1)
 	is.Equal(len(sentTo[core.ForwardReleased](h.deliver(placed), owner)), 0)
 }
+
+// A search for another engine that lasts longer than the window of the retry budget must
+// not return arrivals that other requests have spent since.
+func TestEndOfALongSearchReturnsNoRetriesOfOthers(t *testing.T) {
+	is := is.New(t)
+	const window, slack = 2 * time.Second, 5
+	h := newHosted("n1", core.Settings{Retries: core.RetryBudget{Window: window, Slack: slack}})
+	h.node.DisabledMechanisms = core.SetOf(core.OwnedGroups)
+	engines := moreEngines()
+	for i := range 20 {
+		e := engines[1]
+		e.ID, e.Address = core.EngineID(fmt.Sprint("x", i)), fmt.Sprintf("x%d:1", i)
+		engines = append(engines, e)
+	}
+	h.deliver(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: engines})
+	first := startedStream(t, h, 1)
+	is.Equal(len(commandsOf[core.RequestLease](h.deliver(stalled(first)))), 1)
+	h.advance(window + 100*time.Millisecond)
+	retries := 0
+	for id := range core.ForwardID(10) {
+		run := runStream(t, h, h.deliver(streamTo(100+id, "draft")))
+		out := h.deliver(core.StepRefused{ID: run.ID, Send: run.Send, Engine: run.Engine, Step: core.RunStep})
+		retries += 2 * len(commandsOf[core.RequestLease](out))
+		if id == 4 {
+			h.deliver(continued(first))
+		}
+	}
+	is.True(retries <= slack)
+}
--- a/core/retry_budget.go
+++ b/core/retry_budget.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // budgetMargin is the part of its share of the retry budget that a node uses.
 // The rest allows for windows that do not begin at the same instant on all
@@ -44,10 +47,17 @@
 	return true
 }
 
-// returnRetries takes back the latest extra arrivals, which did not take place; none if
-// the number is negative.
-func (b *retryBudgetShare) returnRetries(arrivals int) {
-	b.retries = b.retries[:len(b.retries)-min(max(arrivals, 0), len(b.retries))]
+// returnRetries takes back up to the given number of the extra arrivals that were recorded
+// at an instant, because they did not take place. It takes back none that have left the
+// window meanwhile, and none if the number is negative.
+func (b *retryBudgetShare) returnRetries(at Instant, arrivals int) {
+	b.retries = slices.DeleteFunc(b.retries, func(recorded Instant) bool {
+		if recorded != at || arrivals <= 0 {
+			return false
+		}
+		arrivals--
+		return true
+	})
 }
 
 func (b *retryBudgetShare) trim(now Instant, window time.Duration) {
