Seek no engine for a stream whose deadline has passed

What others saw: a sound prefill engine that a node avoids, and retries that cannot succeed.

Cause: a stream that has begun may go on after its deadline. When its engine was silent or failed then, another engine was sought. The timeout of the prefill is bounded by the time until the deadline, which was negative: the call failed at once, counted as the engine's failure, and the next prefill engine was tried.

Evidence: TestNothingIsSentAfterTheDeadlineOfAStream failed before in both cases (a lease was requested) and passes now.

--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -41,10 +41,13 @@
 	f.decode.recordFailure(n.now)
 	d := s.newDecision(n, f, "silent", NoReason)
 	allowed := f.unprovenRuns() < f.route.MaxRuns && f.sends < maxSends
-	search := allowed && s.spendRetryBudget(n, f, rerunCost)
+	inTime := n.now < f.deadline
+	search := allowed && inTime && s.spendRetryBudget(n, f, rerunCost)
 	switch {
 	case search:
 		d.Detail = "looking for another engine"
+	case !inTime:
+		d.Detail = "kept: the deadline has passed"
 	case allowed:
 		d.Detail = "kept: no room in the retry budget"
 	default:
--- a/core/forward_silent_test.go
+++ b/core/forward_silent_test.go
@@ -131,3 +131,18 @@
 	}
 	is.True(retries <= slack)
 }
+
+// A stream may go on after its deadline. If its engine is silent or fails then, a prompt
+// would have no time to be prefilled elsewhere, and its prefill engine would count as failing.
+func TestNothingIsSentAfterTheDeadlineOfAStream(t *testing.T) {
+	for name, end := range map[string]func(core.RunForward) core.Message{"silent": stalled, "failed": runFailed} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := readyAlone(engineInstances()...)
+			first := startedStream(t, h, 1)
+			h.advance(worldTimeout + 500*time.Millisecond)
+			out := h.deliver(end(first))
+			is.Equal(stepsOf(out)-endsOf(out), 0)
+		})
+	}
+}
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -381,7 +381,8 @@
 		s.prefillElsewhere(n, f)
 	case RunStep:
 		f.hasFailureAnswer = m.Status != 0
-		if s.mayRunAgain(f) && f.sends < maxSends && s.spendRetryBudget(n, f, rerunCost) {
+		again := s.mayRunAgain(f) && f.sends < maxSends && n.now < f.deadline
+		if again && s.spendRetryBudget(n, f, rerunCost) {
 			s.rerunElsewhere(n, f)
 			return
 		}
