Begin no run that takes over a stream after its silent run has gone on

What callers saw: a stream that stops and is cut long after its deadline.

Cause: the core gives a replacement up when it hears that the silent run goes on. The command that begins the replacement may be on its way then. The runtime refused it only while the run that had gone on was in progress and not silent again; if that was silent again, or had failed, the replacement began. Its result counted for a run that was given up, so that nothing followed when it failed.

The command now says how many reports that a run goes on the core had handled, and the runtime refuses it if it has sent more.

--- a/core/forward.go
+++ b/core/forward.go
@@ -82,6 +82,8 @@
 	// silent is the run that goes on while the request looks for another engine; nil if
 	// there is none. The fields above describe the other placement then.
 	silent *silentRun
+	// goneOn counts the reports that a run has begun to answer or goes on.
+	goneOn int
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
 	hasFailureAnswer bool
@@ -315,6 +317,7 @@
 		return
 	}
 	f.emitted = true
+	f.goneOn++
 	s.endSilence(n, f, m.Send)
 	if s.stale(n, f, RunStep, m.Engine, m.Send, "response started") || f.phase != forwardRunning {
 		return
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -224,6 +224,10 @@
 	// first event, at most for the runtime's limit. If the earlier run has an event
 	// first, this one ends, or is not begun.
 	TakesOver bool
+	// GoneOn is the number of ForwardResponseStarted and ForwardContinued of the request
+	// that the core has handled. If the runtime has sent more, a run goes on of which the
+	// core did not know yet, and a run that is to take over is not begun.
+	GoneOn int
 }
 
 // RelayFailure relays the upstream's own failure answer to the caller. The
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -42,7 +42,7 @@
 	s.logRun(n, f)
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil,
+		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
 	})
 	if f.route.RetryPolicy == Repeatable {
 		s.retryIfSilent(n, f)
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -137,6 +137,7 @@
 	if !ok {
 		return
 	}
+	f.goneOn++
 	s.endSilence(n, f, m.Send)
 	if m.Send == f.current {
 		f.decode.recordSuccess()
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -274,7 +274,7 @@
 	}
 	run := RunForward{
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil,
+		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil, GoneOn: f.goneOn,
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
 		run.StallAfter = max(fractionOf(f.route.GapPatience, stallShare), minStallAfter)
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -36,6 +36,8 @@
 	// overlap limits how long both go on. stall waits for the next event of current.
 	current, replacement *run
 	overlap, stall       *time.Timer
+	// goneOn counts the reports to the core that a run has begun to answer or goes on.
+	goneOn int
 
 	mu sync.Mutex
 	// runs are the runs that may not have ended.
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -54,7 +54,7 @@
 func (x *exchange) relayResponse(result runResult) bool {
 	r := result.run
 	x.prefer(r)
-	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+	x.reportStarted(r)
 	if result.rest != nil {
 		return x.relayUnbuffered(result)
 	}
--- a/daisyshed/ingress/takeover.go
+++ b/daisyshed/ingress/takeover.go
@@ -20,7 +20,7 @@
 		x.reportSecondRun(c)
 		x.reportStepFailed(s, SecondRunError{}, 0)
 		return true
-	case c.TakesOver && x.current != nil && x.current.started && !x.current.stalled:
+	case c.TakesOver && c.GoneOn != x.goneOn:
 		x.reportStepFailed(s, RunNotNeededError{}, 0)
 		return true
 	}
@@ -92,15 +92,22 @@
 	x.stall.Reset(r.StallAfter)
 }
 
+// reportStarted notifies the core that the first bytes of a run's answer go to the caller.
+func (x *exchange) reportStarted(r *run) {
+	x.goneOn++
+	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+}
+
 // reportEvent notifies the core of the first event of a run, and of the first one after
 // a silence.
 func (x *exchange) reportEvent(r *run) {
 	switch {
 	case !r.started:
 		r.started = true
-		x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+		x.reportStarted(r)
 	case r.stalled:
 		r.stalled = false
+		x.goneOn++
 		x.server.SendToCore(core.ForwardContinued{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
 	}
 }
