--- a/core/forward_owner_test.go
+++ b/core/forward_owner_test.go
@@ -8,13 +8,14 @@
 	"github.com/matryer/is"
 )
 
-// moreEngines are two prefill engines and three decode engines.
+// moreEngines are two prefill engines and four decode engines.
 func moreEngines() []core.Instance {
 	list := engineInstances()
-	p2, d3 := list[0], list[1]
+	p2, d3, d4 := list[0], list[1], list[1]
 	p2.ID, p2.Address = "p2", "p2:1"
 	d3.ID, d3.Address = "d3", "d3:1"
-	return append(list, p2, d3)
+	d4.ID, d4.Address = "d4", "d4:1"
+	return append(list, p2, d3, d4)
 }
 
 // readyWithOwner returns a node with peers, and the one that places its streams.
@@ -56,7 +57,7 @@
 		c := leases[0]
 		out = h.deliver(core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.LeaseStep})
 	}
-	for _, id := range []core.EngineID{"d1", "d2", "d3"} {
+	for _, id := range []core.EngineID{"d1", "d2", "d3", "d4"} {
 		h.deliver(core.UpstreamSignal{Engine: id, QuietFor: time.Second})
 	}
 	is.Equal(endsOf(leaves(h, owner)), 2)
