--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -24,6 +24,8 @@
 	// retried says that the caller has retried once already.
 	retried   bool
 	promptKey core.Instant
+	// events is the state of the request's stream in an eventful world.
+	events worldEvents
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -82,6 +82,11 @@
 	// had waited.
 	rejections   int
 	waitedInVain time.Duration
+	// eventful makes engines send streams event by event, so that they can be silent, and
+	// nodes treat silent streams as the ingress server does. takenOver counts streams that
+	// another engine took over, and stalls the reports of silent ones.
+	eventful          bool
+	takenOver, stalls int
 	// preempted counts streams that outgrew their reservation at an engine without
 	// free memory.
 	preempted int
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -18,6 +18,8 @@
 	dead    bool
 	// dark engines answer nothing.
 	dark bool
+	// silentUntil is until when the engine sends no event in an eventful world.
+	silentUntil core.Instant
 	// loses is the share of answers that are lost in transit.
 	loses float64
 	next  int
@@ -124,6 +126,10 @@
 
 func (n *worldNode) runStream(u *worldUpstream, c core.RunForward, r *worldRequest) {
 	w := n.w
+	if w.eventful {
+		n.runEvents(u, c, r)
+		return
+	}
 	need := worldPrompt + r.output
 	if held, ok := u.leases[c.Lease]; ok {
 		u.release(c.Lease)
