--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -57,7 +57,8 @@
 	f.outcome = RunUnknown
 }
 
-// placed returns the request that has a placement as its present one.
+// placed returns the live request to which a placement belongs; nil if there is none. It
+// reports whether the placement is the request's present one.
 func (s *forwards) placed(id ForwardID) (*forwardedRequest, bool) {
 	f, ok := s.live[id&^replacementPlacement]
 	return f, ok && f.placement == id
@@ -75,7 +76,7 @@
 func (s *forwards) handlePlaced(n *Node, from NodeID, m ForwardPlaced) {
 	f, ok := s.placed(m.ID)
 	if !ok || f.phase != forwardAwaitingOwner || f.owner != from {
-		if !ok || f.owner != from {
+		if held := ok && f.owner == from || f.holdsSilently(from, m.ID); !held {
 			n.send(from, ForwardReleased{ID: m.ID})
 		}
 		return
@@ -113,7 +114,11 @@
 // requests a new placement for those that waited at the old owners.
 func (s *forwards) ownersChanged(n *Node) {
 	for _, id := range sortedKeys(s.live) {
-		f := s.live[id]
+		f, ok := s.live[id]
+		if !ok {
+			// The end of another request in this loop has ended this one too.
+			continue
+		}
 		s.silentOwnerChanged(n, f)
 		if f.owner == "" {
 			continue
--- a/core/forward.go
+++ b/core/forward.go
@@ -82,6 +82,8 @@
 	// silent is the run that goes on while the request looks for another engine; nil if
 	// there is none. The fields above describe the other placement then.
 	silent *silentRun
+	// goneOn counts the reports that a run has begun to answer or goes on.
+	goneOn int
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
 	hasFailureAnswer bool
@@ -218,11 +220,15 @@
 	if s.live[f.ID] != f {
 		return
 	}
-	takingOver := f.phase == forwardRunning && f.silent != nil && f.emitted
-	if f.phase == forwardResponding || takingOver {
+	hasSilentRun := f.silent != nil && f.emitted
+	if f.phase == forwardResponding || hasSilentRun {
 		n.afterFunc(max(f.Patience+lateAnswerTime-f.waited(n.now), 0), func(n *Node) { s.endOverdue(n, f) })
+	}
+	takingOver := hasSilentRun && f.phase == forwardRunning
+	if f.phase == forwardResponding || takingOver {
 		return
 	}
+	// A silent run is kept, but the search for another engine ends.
 	s.end(n, f, DeadlinePassed, 0)
 }
 
@@ -311,6 +317,7 @@
 		return
 	}
 	f.emitted = true
+	f.goneOn++
 	s.endSilence(n, f, m.Send)
 	if s.stale(n, f, RunStep, m.Engine, m.Send, "response started") || f.phase != forwardRunning {
 		return
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -18,8 +18,10 @@
 	owner     NodeID
 	placement ForwardID
 	placedAt  Instant
-	// sends and prefills are the request's counts from before the search.
+	// sends and prefills are the request's counts from before the search, which began at
+	// searchedAt.
 	sends, prefills int
+	searchedAt      Instant
 }
 
 // handleStalled looks for an engine that takes over a stream whose engine has been silent
@@ -39,10 +41,13 @@
 	f.decode.recordFailure(n.now)
 	d := s.newDecision(n, f, "silent", NoReason)
 	allowed := f.unprovenRuns() < f.route.MaxRuns && f.sends < maxSends
-	search := allowed && s.spendRetryBudget(n, f, rerunCost)
+	inTime := n.now < f.deadline
+	search := allowed && inTime && s.spendRetryBudget(n, f, rerunCost)
 	switch {
 	case search:
 		d.Detail = "looking for another engine"
+	case !inTime:
+		d.Detail = "kept: the deadline has passed"
 	case allowed:
 		d.Detail = "kept: no room in the retry budget"
 	default:
@@ -52,16 +57,17 @@
 	if !search {
 		return
 	}
-	s.setAside(f)
+	s.setAside(n, f)
 	s.requestPlacement(n, f)
 }
 
 // setAside makes a request's present run its silent run, so that the request can be placed
 // a second time.
-func (s *forwards) setAside(f *forwardedRequest) {
+func (s *forwards) setAside(n *Node, f *forwardedRequest) {
 	f.silent = &silentRun{
 		send: f.current, engine: f.decode, reserved: f.reserved, phase: f.phase, outcome: f.outcome, placedAt: f.placedAt,
 		group: f.group, owner: f.owner, placement: f.placement, sends: f.sends, prefills: f.prefills,
+		searchedAt: n.now,
 	}
 	f.tried.Add(f.decode.ID)
 	f.step++
@@ -90,7 +96,7 @@
 	run := f.silent
 	f.silent = nil
 	if _, engine := f.spec.Engine.Get(); engine {
-		s.budget(f.spec.ID).returnRetries(rerunCost - (f.sends - run.sends) - (f.prefills - run.prefills))
+		s.budget(f.spec.ID).returnRetries(run.searchedAt, rerunCost-(f.sends-run.sends)-(f.prefills-run.prefills))
 	}
 	s.dequeue(f)
 	s.release(n, f)
@@ -131,6 +137,7 @@
 	if !ok {
 		return
 	}
+	f.goneOn++
 	s.endSilence(n, f, m.Send)
 	if m.Send == f.current {
 		f.decode.recordSuccess()
@@ -158,6 +165,12 @@
 	return true
 }
 
+// holdsSilently reports whether a request, which may be nil, has a silent run that an owner
+// placed under the given placement id.
+func (f *forwardedRequest) holdsSilently(owner NodeID, placement ForwardID) bool {
+	return f != nil && f.silent != nil && f.silent.owner == owner && f.silent.placement == placement
+}
+
 // silentOwnerChanged notifies the new owner of a silent run's engine.
 func (s *forwards) silentOwnerChanged(n *Node, f *forwardedRequest) {
 	run := f.silent
