Bound the head of an upstream's response in bytes

What callers saw: nothing of one request, but all requests of a node ended without an answer. An upstream that writes a status line, a header or headers without end filled the node's memory until the platform killed it.

Cause: http.ReadResponse sets no limit of its own; its reader was the plain connection.

Change: a reader below the buffer allows 64 KiB for each head. The body of a response is read without this limit; its readers have their own.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -154,7 +154,9 @@
 // build creates the servers, the clients and the control loop.
 func (h *hosted) build(incarnation core.Incarnation, clock func() core.Instant) {
 	s := h.settings
-	h.upstreams = &upstream.Client{DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched}
+	h.upstreams = &upstream.Client{
+		DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched, OnLimit: h.recordUpstreamLimit,
+	}
 	h.ingress = &ingress.Server{Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node, ReportViolation: h.reportViolation}
 	h.directory = &directory.Server{SendToCore: h.inbox.Send}
 	h.peers = h.newPeerTransport(incarnation)
@@ -251,6 +253,12 @@
 	h.log.Warn().Str("Event", "UnmatchedResponse").Str("Engine", key).Str("Request", platform.Attempt(header)).Send()
 }
 
+// recordUpstreamLimit logs and counts a response that exceeded a limit.
+func (h *hosted) recordUpstreamLimit(key string, err error) {
+	h.metrics.UpstreamLimitExceeded()
+	h.log.Warn().Str("Event", "LimitExceeded").Str("Engine", key).Err(err).Send()
+}
+
 // endRequests answers the requests that cannot be finished before the process exits.
 func (h *hosted) endRequests() {
 	h.log.Warn().Str("Event", "Unfinished").Int("Requests", h.ingress.InProgress()).Send()
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -110,6 +110,8 @@
 	// OnUnmatched is called with the head of each response that does not belong to the
 	// request that waits on its connection. It may be nil.
 	OnUnmatched func(key string, h http.Header)
+	// OnLimit is called with the error when a response exceeds a limit. It may be nil.
+	OnLimit func(key string, err error)
 
 	mu sync.Mutex
 	// idle holds the unused connections of each upstream, the last used at the
@@ -122,7 +124,9 @@
 // idleLimit after lastUsedAt.
 type conn struct {
 	net.Conn
+	// r reads from the connection through in.
 	r          *bufio.Reader
+	in         *limitedReader
 	lastUsedAt time.Time
 	idleLimit  time.Duration
 }
@@ -142,6 +146,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	response, err := c.roundTrip(cn, r)
 	if err != nil {
+		c.reportLimit(r.Key, err)
 		stop()
 		// The connection is discarded, so an error from closing it does not matter.
 		_ = cn.Close()
@@ -169,6 +174,10 @@
 	}
 	response, err := c.readResponse(cn, r)
 	if err != nil {
+		if cn.in.exceeded != nil {
+			// net/http may report the part that was read as malformed.
+			err = cn.in.exceeded
+		}
 		return nil, &NoResponseError{Cause: err}
 	}
 	if c.OnResponse != nil {
@@ -207,7 +216,9 @@
 // readResponse reads the head of the response that belongs to the request. A
 // late response to an earlier request may precede it on the connection.
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
+	defer cn.in.removeLimit()
 	for range maxResponsesRead {
+		cn.in.setLimit(Head, maxHeadBytes)
 		response, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -224,6 +235,7 @@
 		if response.Close || response.ContentLength < 0 && !isChunked(response) {
 			return nil, MismatchedResponseError{}
 		}
+		cn.in.removeLimit()
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/daisyshed/upstream/limits.go
@@ -0,0 +1,72 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+)
+
+// maxHeadBytes bounds the head of a response, in bytes.
+const maxHeadBytes = 64 << 10
+
+// Part is a part of a response whose size is bounded.
+type Part int
+
+//go:generate stringer -type=Part -output=part_string.go
+
+const (
+	// Head is the status line and the headers.
+	Head Part = iota
+)
+
+// TooLongError reports that an upstream sent more than Limit bytes for a part of a
+// response. The rest is not read.
+type TooLongError struct {
+	Part  Part
+	Limit int64
+}
+
+// Error returns the message with the part and the limit.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("upstream: %s exceeds %d bytes", e.Part, e.Limit)
+}
+
+// limitedReader reads from a connection until a limit is reached. Unlike io.LimitedReader,
+// it then returns an error other than io.EOF, and the limit can be replaced.
+type limitedReader struct {
+	r    io.Reader
+	part Part
+	// limit is the number of bytes that may be read for part, and left how many of them
+	// remain. There is no limit if it is zero.
+	limit, left int64
+	// exceeded is the error that Read returned at the limit; nil before.
+	exceeded error
+}
+
+// setLimit bounds the bytes of the part that is read next.
+func (l *limitedReader) setLimit(p Part, limit int64) { l.part, l.limit, l.left = p, limit, limit }
+
+// removeLimit ends the limit, because the part has been read.
+func (l *limitedReader) removeLimit() { l.limit = 0 }
+
+// Read reads from the connection.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.limit == 0 {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		l.exceeded = &TooLongError{Part: l.part, Limit: l.limit}
+		return 0, l.exceeded
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+// reportLimit calls OnLimit if err says that an upstream exceeded a limit.
+func (c *Client) reportLimit(key string, err error) {
+	var tooLong *TooLongError
+	if c.OnLimit != nil && errors.As(err, &tooLong) {
+		c.OnLimit(key, err)
+	}
+}
--- /dev/null
+++ b/daisyshed/upstream/limits_test.go
@@ -0,0 +1,147 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"daisyshed.dev/daisyshed/upstream"
+	"github.com/matryer/is"
+)
+
+const (
+	// heapGrowth is how many bytes the heap may grow by while an upstream writes without
+	// end.
+	heapGrowth = 32 << 20
+	// endlessTimeout bounds a request to an upstream that writes without end. It is much
+	// longer than reading up to a limit takes.
+	endlessTimeout = 3 * time.Second
+	// response is a complete response to request.
+	response = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 2\r\n\r\nok"
+)
+
+// serveEndless returns the address of an upstream that answers each request with first and
+// then repeats the rest, as fast as it can, until its connection is closed. It signals
+// closed then.
+func serveEndless(t *testing.T, first, repeated string) (address string, closed chan struct{}) {
+	closed = make(chan struct{}, 8)
+	block := []byte(strings.Repeat(repeated, 1+(64<<10)/len(repeated)))
+	return serve(t, func(c net.Conn, r *bufio.Reader) {
+		defer c.Close()
+		if !readRequest(r) {
+			return
+		}
+		_, err := io.WriteString(c, first)
+		for err == nil {
+			_, err = c.Write(block)
+		}
+		closed <- struct{}{}
+	}), closed
+}
+
+// growthOfHeap returns a function that returns by how many bytes the heap has grown at most
+// since, sampled every few milliseconds.
+func growthOfHeap(t *testing.T) func() uint64 {
+	runtime.GC()
+	var before runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var highest atomic.Uint64
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			var now runtime.MemStats
+			runtime.ReadMemStats(&now)
+			highest.Store(max(highest.Load(), now.HeapAlloc))
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	return func() uint64 {
+		cancel()
+		<-done
+		return highest.Load() - min(highest.Load(), before.HeapAlloc)
+	}
+}
+
+// A head without end must not fill the memory of the node: it would be killed with all its
+// requests.
+func TestEndlessHeadEndsTheRequestAlone(t *testing.T) {
+	for name, endless := range map[string]struct{ first, repeated string }{
+		"status line":         {"HTTP/1.1 200 ", "x"},
+		"no status line":      {"", "x"},
+		"header line":         {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"header name":         {"HTTP/1.1 200 OK\r\n", "x"},
+		"headers":             {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"continued header":    {"HTTP/1.1 200 OK\r\nA: b\r\n", " x\r\n"},
+		"interim header line": {"HTTP/1.1 103 Early Hints\r\nA: ", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := serveEndless(t, endless.first, endless.repeated)
+			sound := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if readRequest(r) {
+					_, _ = io.WriteString(c, response)
+				}
+			})
+			limits := make(chan error, 8)
+			c := &upstream.Client{DialTimeout: time.Second, OnLimit: func(key string, err error) {
+				is.Equal(key, "e1")
+				limits <- err
+			}}
+			defer c.Close()
+			growth := growthOfHeap(t)
+			failed := make(chan error, 1)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+			defer cancel()
+			go func() {
+				_, err := c.Do(ctx, request(address, nil))
+				failed <- err
+			}()
+			a, err := c.Do(ctx, request(sound, nil))
+			is.NoErr(err)
+			body, err := io.ReadAll(a.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "ok")
+			a.Close()
+
+			err = <-failed
+			if n := growth(); n > heapGrowth {
+				t.Errorf("the heap grew by %d MB", n>>20)
+			}
+			is.NoErr(ctx.Err()) // ended by the limit, not by the context
+			var noResponse *upstream.NoResponseError
+			is.True(errors.As(err, &noResponse))
+			var tooLong *upstream.TooLongError
+			is.True(errors.As(err, &tooLong))
+			is.Equal(tooLong.Part, upstream.Head)
+			is.True(errors.As(<-limits, &tooLong))
+			select {
+			case <-closed:
+			case <-ctx.Done():
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
+
+// Interim responses without end are not a response.
+func TestEndlessInterimResponsesEndTheRequest(t *testing.T) {
+	is := is.New(t)
+	address, closed := serveEndless(t, "", "HTTP/1.1 103 Early Hints\r\n\r\n")
+	c := &upstream.Client{DialTimeout: time.Second}
+	ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+	defer cancel()
+	_, err := c.Do(ctx, request(address, nil))
+	is.NoErr(ctx.Err())
+	var mismatched upstream.MismatchedResponseError
+	is.True(errors.As(err, &mismatched))
+	<-closed
+}
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -23,7 +23,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	in := &limitedReader{r: raw}
+	return &conn{Conn: raw, r: bufio.NewReaderSize(in, readBufferSize), in: in}, nil
 }
 
 // takeIdle returns the most recently used connection to the upstream that is
