Bound the late response that a request skips

What callers saw: a request whose connection carried a response to another request without end got no answer before its own deadline, although the node read bytes as fast as they came.

Cause: readResponse read the body of that response to its end, without a limit.

Change: 1 MiB of it is skipped, as many bytes as the node buffers of a response. Beyond that the request fails with a TooLongError, and the limit is logged and counted as that of heads. A body that trickles is bounded by the request's context, as before.

Evidence: TestEndlessLateResponseIsNotSkipped failed before in both cases ("context deadline exceeded").

--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -235,7 +235,7 @@
 		if response.Close || response.ContentLength < 0 && !isChunked(response) {
 			return nil, MismatchedResponseError{}
 		}
-		cn.in.removeLimit()
+		cn.in.setLimit(LateBody, maxLateBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
--- a/daisyshed/upstream/limits.go
+++ b/daisyshed/upstream/limits.go
@@ -6,8 +6,13 @@
 	"io"
 )
 
-// maxHeadBytes bounds the head of a response, in bytes.
-const maxHeadBytes = 64 << 10
+const (
+	// maxHeadBytes bounds the head of a response, in bytes.
+	maxHeadBytes = 64 << 10
+	// maxLateBytes bounds the body of a response to another request, in bytes, that is
+	// skipped to reach the next response on its connection.
+	maxLateBytes = 1 << 20
+)
 
 // Part is a part of a response whose size is bounded.
 type Part int
@@ -17,6 +22,8 @@
 const (
 	// Head is the status line and the headers.
 	Head Part = iota
+	// LateBody is the body of a response to another request.
+	LateBody
 )
 
 // TooLongError reports that an upstream sent more than Limit bytes for a part of a
--- a/daisyshed/upstream/limits_test.go
+++ b/daisyshed/upstream/limits_test.go
@@ -145,3 +145,27 @@
 	is.True(errors.As(err, &mismatched))
 	<-closed
 }
+
+// A response to another request is skipped to find the right one, but not without end.
+func TestEndlessLateResponseIsNotSkipped(t *testing.T) {
+	for name, endless := range map[string]struct{ first, repeated string }{
+		"long":    {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
+		"chunked": {"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nwxyz\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := serveEndless(t, endless.first, endless.repeated)
+			var limits atomic.Int32
+			c := &upstream.Client{DialTimeout: time.Second, OnLimit: func(string, error) { limits.Add(1) }}
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+			defer cancel()
+			_, err := c.Do(ctx, request(address, nil))
+			is.NoErr(ctx.Err())
+			var tooLong *upstream.TooLongError
+			is.True(errors.As(err, &tooLong))
+			is.Equal(tooLong.Part, upstream.LateBody)
+			is.Equal(limits.Load(), int32(1))
+			<-closed
+		})
+	}
+}
--- a/daisyshed/upstream/part_string.go
+++ b/daisyshed/upstream/part_string.go
@@ -9,11 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Head-0]
+	_ = x[LateBody-1]
 }
 
-const _Part_name = "Head"
+const _Part_name = "HeadLateBody"
 
-var _Part_index = [...]uint8{0, 4}
+var _Part_index = [...]uint8{0, 4, 12}
 
 func (i Part) String() string {
 	idx := int(i) - 0
