Report bodies and events of upstreams that exceed their limit

What callers saw: nothing. What operators saw: an engine that answered a call with a body without end looked like one that sent malformed JSON; an event that was too long was logged with its request only, and neither was counted.

Cause: the body of an answer to a call was cut at 1 MiB without an error, and EventReader had its own error that nothing counted.

Change: Response.ReadAll and EventReader return a TooLongError and call OnLimit, so that LimitExceeded is logged with the engine and counted. EventTooLongError is gone.

TestEndlessBodyIsReportedAsTooLong is new with the methods that it calls.

--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -235,6 +235,6 @@
 		return 0, nil, err
 	}
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := response.ReadAll(maxBufferedBytes)
 	return response.Status, body, err
 }
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -63,14 +63,27 @@
 	// Length is the declared length of the body, or -1 if unknown.
 	Length int64
 
-	close    func(complete bool)
-	complete bool
+	close       func(complete bool)
+	reportLimit func(error)
+	complete    bool
 }
 
 // Close keeps the connection for reuse if request and response are complete and
 // the upstream allows it, and closes it otherwise.
 func (r *Response) Close() { r.close(r.complete) }
 
+// ReadAll reads the whole body, of at most limit bytes. A longer one gives a
+// *[TooLongError].
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = &TooLongError{Part: Body, Limit: limit}
+		r.reportLimit(err)
+		return nil, err
+	}
+	return body, err
+}
+
 // UnsentError reports that no byte of a request was sent.
 type UnsentError struct{ Cause error }
 
@@ -185,7 +198,8 @@
 	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
 	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
-	out.Body = &completionReader{r: response.Body, complete: &out.complete}
+	out.Body = &bodyReader{r: response.Body, response: out}
+	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
 	out.complete = response.ContentLength == 0
 	out.close = func(complete bool) {
 		if complete && reusable && !response.Close && requestWritten(written) && cn.r.Buffered() == 0 {
@@ -249,17 +263,17 @@
 	return cn.Write(buffer)
 }
 
-// completionReader sets complete when the body has been read to its end.
-type completionReader struct {
+// bodyReader reads the body of a response and records when it has been read to its end.
+type bodyReader struct {
 	r        io.Reader
-	complete *bool
+	response *Response
 }
 
 // Read reads from the body.
-func (w *completionReader) Read(p []byte) (int, error) {
-	n, err := w.r.Read(p)
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
 	if err == io.EOF {
-		*w.complete = true
+		b.response.complete = true
 	}
 	return n, err
 }
--- a/daisyshed/upstream/events.go
+++ b/daisyshed/upstream/events.go
@@ -7,34 +7,37 @@
 	"io"
 )
 
-// maxEventBytes bounds the size of one event of a stream.
-const maxEventBytes = 256 << 10
-
-// EventTooLongError reports an event of more than maxEventBytes.
-type EventTooLongError struct{}
-
-// Error returns the message.
-func (EventTooLongError) Error() string { return "upstream: event exceeds the size limit" }
-
 // EventReader reads a stream of server-sent events one whole event at a time,
 // so that a caller never receives part of an event if the stream breaks off.
-type EventReader struct{ r *bufio.Reader }
+type EventReader struct {
+	r *bufio.Reader
+	// reportLimit is called with the error when an event is too long.
+	reportLimit func(error)
+}
 
-// NewEventReader returns a reader of the events in r.
+// NewEventReader returns a reader of the events in r. If r is the body of a [Response],
+// an event that is too long is reported to the client's OnLimit.
 func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, readBufferSize)}
+	e := &EventReader{r: bufio.NewReaderSize(r, readBufferSize), reportLimit: func(error) {}}
+	if b, ok := r.(*bodyReader); ok {
+		e.reportLimit = b.response.reportLimit
+	}
+	return e
 }
 
 // Next returns the next whole event, including the blank line that ends it, and
 // its id if it has one. It returns io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF if the stream ends within an event.
+// io.ErrUnexpectedEOF if the stream ends within an event. An event that is too long gives
+// a *[TooLongError]; the stream must not be read any further then.
 func (e *EventReader) Next() (event []byte, id string, err error) {
 	for {
 		line, err := e.r.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
 		case len(event) > maxEventBytes:
-			return nil, "", EventTooLongError{}
+			err := &TooLongError{Part: Event, Limit: maxEventBytes}
+			e.reportLimit(err)
+			return nil, "", err
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF && len(event) > 0:
--- a/daisyshed/upstream/limits.go
+++ b/daisyshed/upstream/limits.go
@@ -12,6 +12,8 @@
 	// maxLateBytes bounds the body of a response to another request, in bytes, that is
 	// skipped to reach the next response on its connection.
 	maxLateBytes = 1 << 20
+	// maxEventBytes bounds one event of a stream, in bytes.
+	maxEventBytes = 256 << 10
 )
 
 // Part is a part of a response whose size is bounded.
@@ -24,6 +26,10 @@
 	Head Part = iota
 	// LateBody is the body of a response to another request.
 	LateBody
+	// Body is the body of a response that is read as a whole.
+	Body
+	// Event is one event of a stream.
+	Event
 )
 
 // TooLongError reports that an upstream sent more than Limit bytes for a part of a
--- a/daisyshed/upstream/limits_test.go
+++ b/daisyshed/upstream/limits_test.go
@@ -169,3 +169,75 @@
 		})
 	}
 }
+
+// A body or an event without end must end its reading with an error that operators see.
+func TestEndlessBodyIsReportedAsTooLong(t *testing.T) {
+	const stream = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, test := range map[string]struct {
+		repeated string
+		read     func(a *upstream.Response) error
+		part     upstream.Part
+	}{
+		"body": {"4\r\nwxyz\r\n", func(a *upstream.Response) error {
+			body, err := a.ReadAll(1 << 20)
+			if len(body) > 0 {
+				return nil
+			}
+			return err
+		}, upstream.Body},
+		"line of an event": {"4\r\nwxyz\r\n", readEvent, upstream.Event},
+		"event":            {"4\r\n:yz\n\r\n", readEvent, upstream.Event},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := serveEndless(t, stream, test.repeated)
+			limits := make(chan error, 8)
+			c := &upstream.Client{DialTimeout: time.Second, OnLimit: func(key string, err error) {
+				is.Equal(key, "e1")
+				limits <- err
+			}}
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+			defer cancel()
+			a, err := c.Do(ctx, request(address, nil))
+			is.NoErr(err)
+			err = test.read(a)
+			a.Close()
+			is.NoErr(ctx.Err())
+			var tooLong *upstream.TooLongError
+			is.True(errors.As(err, &tooLong))
+			is.Equal(tooLong.Part, test.part)
+			is.Equal(len(limits), 1)
+			is.Equal(<-limits, err)
+			<-closed
+		})
+	}
+}
+
+func readEvent(a *upstream.Response) error {
+	_, _, err := upstream.NewEventReader(a.Body).Next()
+	return err
+}
+
+// Lines of a chunked body and its trailers are bounded too.
+func TestEndlessChunkLineEndsTheBody(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, first := range map[string]string{
+		"chunk size": head, "chunk extension": head + "4;", "trailer": head + "0\r\nA: ",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := serveEndless(t, first, "0")
+			growth := growthOfHeap(t)
+			ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
+			defer cancel()
+			a, err := (&upstream.Client{DialTimeout: time.Second}).Do(ctx, request(address, nil))
+			is.NoErr(err)
+			_, err = io.ReadAll(a.Body)
+			a.Close()
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+			is.True(growth() < heapGrowth)
+			<-closed
+		})
+	}
+}
--- a/daisyshed/upstream/part_string.go
+++ b/daisyshed/upstream/part_string.go
@@ -10,11 +10,13 @@
 	var x [1]struct{}
 	_ = x[Head-0]
 	_ = x[LateBody-1]
+	_ = x[Body-2]
+	_ = x[Event-3]
 }
 
-const _Part_name = "HeadLateBody"
+const _Part_name = "HeadLateBodyBodyEvent"
 
-var _Part_index = [...]uint8{0, 4, 12}
+var _Part_index = [...]uint8{0, 4, 12, 16, 21}
 
 func (i Part) String() string {
 	idx := int(i) - 0
