Bound what the store may send, in pages, bytes and time

Cause: ReadLatest went on while the store said that there was more, without a bound on bytes or time, and also when a page began again where it had. Headers had net/http's limit of 10 MB a response. A body beyond 4 MiB was cut without an error and then looked malformed.

Change: a list has 32 MiB and 30 s, and a page that does not advance is malformed. Headers have 64 KiB. What exceeds a limit gives a ResponseTooLongError or a ReadTimeoutError, is logged as LimitExceeded and counted in daisyshed_store_limits_exceeded_total. Each single call was bounded in time before, by its context, and still is.

Evidence: TestEndlessPagesOfTheStoreAreNotRead ran the process out of memory before (2,080 MB, at the limit that the shell set); TestSlowPagesOfTheStoreAreBoundedInTime and TestRepeatedPageOfTheStoreEndsTheRead did not end within 20 s, and TestEndlessResponseOfTheStoreIsNotRead got no typed error in its five cases. TestPagesOfTheStoreAreJoined passed before and guards what must stay.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -166,11 +166,7 @@
 	}
 	h.watcher = &store.Watcher{
 		Store: &platform.Store{
-			Address: s.Store, Timeout: storeTimeout,
-			HTTP: &http.Client{Transport: &http.Transport{
-				DialContext:        (&net.Dialer{Timeout: hostedDialTimeout}).DialContext,
-				DisableCompression: true, MaxIdleConnsPerHost: 4,
-			}},
+			Address: s.Store, Timeout: storeTimeout, HTTP: platform.NewStoreClient(hostedDialTimeout), OnLimit: h.recordStoreLimit,
 		},
 		SendToCore: h.receive, Log: h.log, Self: h.self(),
 	}
@@ -259,6 +255,13 @@
 	h.log.Warn().Str("Event", "LimitExceeded").Str("Engine", key).Err(err).Send()
 }
 
+// recordStoreLimit logs and counts a response or a list of the store that exceeded a
+// limit.
+func (h *hosted) recordStoreLimit(err error) {
+	h.metrics.StoreLimitExceeded()
+	h.log.Warn().Str("Event", "LimitExceeded").Err(err).Send()
+}
+
 // endRequests answers the requests that cannot be finished before the process exits.
 func (h *hosted) endRequests() {
 	h.log.Warn().Str("Event", "Unfinished").Int("Requests", h.ingress.InProgress()).Send()
--- a/daisyshed/operator/limits_test.go
+++ b/daisyshed/operator/limits_test.go
@@ -13,8 +13,9 @@
 	is := is.New(t)
 	text := scrape(t, func(m *operator.Metrics) {
 		m.UpstreamLimitExceeded()
+		m.StoreLimitExceeded()
 	})
-	for _, line := range []string{"upstream_limits_exceeded_total 1"} {
+	for _, line := range []string{"upstream_limits_exceeded_total 1", "store_limits_exceeded_total 1"} {
 		is.True(strings.Contains(text, "daisyshed_"+line+"\n"))
 	}
 }
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -50,6 +50,7 @@
 	linesDropped  tally.Counter
 	unmatched     tally.Counter
 	upstreamLimit tally.Counter
+	storeLimit    tally.Counter
 	firstBytes    tally.Histogram
 	totalTimes    tally.Histogram
 
@@ -122,6 +123,7 @@
 	m.linesDropped = m.scope.Counter("log_lines_dropped_total")
 	m.unmatched = m.scope.Counter("upstream_unmatched_responses_total")
 	m.upstreamLimit = m.scope.Counter("upstream_limits_exceeded_total")
+	m.storeLimit = m.scope.Counter("store_limits_exceeded_total")
 	m.firstBytes = m.scope.Histogram("forward_first_bytes_seconds", latencyBuckets)
 	m.totalTimes = m.scope.Histogram("forward_seconds", latencyBuckets)
 }
@@ -144,6 +146,9 @@
 // UpstreamLimitExceeded counts a response of an upstream that exceeded a limit.
 func (m *Metrics) UpstreamLimitExceeded() { m.upstreamLimit.Inc(1) }
 
+// StoreLimitExceeded counts a response or a list of the store that exceeded a limit.
+func (m *Metrics) StoreLimitExceeded() { m.storeLimit.Inc(1) }
+
 // RecordViolation counts the violation of an invariant that was found outside the core.
 // Those that the core finds are in its status.
 func (m *Metrics) RecordViolation(v core.Violation) {
