Bound the body of a caller's request in bytes and time

What callers saw: one that stopped sending in the middle of a body got no answer, neither at its own deadline nor later, and kept its place among the connections. A body without end was kept in memory as a whole while no desired state had set a limit, at the start of a node.

Cause: ServeHTTP reads the body before the core knows of the request, so that no deadline applied; and without MaxBodyBytes there was no limit.

Change: the body is read within the caller's own deadline, at most a minute, and is answered with 408 otherwise, which promises rightly that nothing ran. Without a limit of the operators 8 MiB apply. Both are logged and counted (daisyshed_caller_limits_exceeded_total), bodies beyond the operators' limit too. The read deadline is removed once the body is there: left in place, it ends the context of the request, whose caller then gets an empty 200.

Evidence: TestTricklingBodyIsRejected (three cases) and TestEndlessBodyIsRejected failed before ("i/o timeout" after 5 s, no response). TestTimeToReadTheBodyDoesNotBoundTheAnswer passed before, and fails ("200 != 503") if the deadline is set again in place of being removed.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -157,7 +157,10 @@
 	h.upstreams = &upstream.Client{
 		DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched, OnLimit: h.recordUpstreamLimit,
 	}
-	h.ingress = &ingress.Server{Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node, ReportViolation: h.reportViolation}
+	h.ingress = &ingress.Server{
+		Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node,
+		ReportViolation: h.reportViolation, OnLimit: h.recordCallerLimit,
+	}
 	h.directory = &directory.Server{SendToCore: h.inbox.Send}
 	h.peers = h.newPeerTransport(incarnation)
 	h.operators = &operator.Server{
@@ -262,6 +265,12 @@
 	h.log.Warn().Str("Event", "LimitExceeded").Err(err).Send()
 }
 
+// recordCallerLimit logs and counts a caller's request whose body exceeded a limit.
+func (h *hosted) recordCallerLimit(attempt string, err error) {
+	h.metrics.CallerLimitExceeded()
+	h.log.Info().Str("Event", "LimitExceeded").Str("Request", attempt).Err(err).Send()
+}
+
 // endRequests answers the requests that cannot be finished before the process exits.
 func (h *hosted) endRequests() {
 	h.log.Warn().Str("Event", "Unfinished").Int("Requests", h.ingress.InProgress()).Send()
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,6 +43,9 @@
 	// ReportViolation is called when serving a request has violated an invariant. It must
 	// not block.
 	ReportViolation func(core.Violation)
+	// OnLimit is called when the body of a caller's request exceeds a limit of bytes or
+	// time. It must not block, and may be nil.
+	OnLimit func(attempt string, err error)
 
 	exitOnce sync.Once
 	// exiting is closed once the process is about to exit; see exitSignal.
@@ -93,7 +94,7 @@
 }
 
 // LimitBodies sets the largest body that later requests may have, in bytes;
-// zero sets no limit.
+// zero sets a default of 8 MiB.
 func (s *Server) LimitBodies(n int64) { s.maxBodyBytes.Store(n) }
 
 // InProgress returns the number of requests in progress.
@@ -110,17 +111,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	forward := platform.DecodeForward(r)
-	if s.maxBodyBytes.Load() > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, s.maxBodyBytes.Load())
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		var tooLong *http.MaxBytesError
-		if errors.As(err, &tooLong) {
-			platform.WriteFailure(w, forward.Attempt, http.StatusRequestEntityTooLarge, "BodyTooLong")
-			return
-		}
-		panic(http.ErrAbortHandler)
+	body, ok := s.readBody(w, r, forward)
+	if !ok {
+		return
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
--- a/daisyshed/operator/limits_test.go
+++ b/daisyshed/operator/limits_test.go
@@ -14,8 +14,9 @@
 	text := scrape(t, func(m *operator.Metrics) {
 		m.UpstreamLimitExceeded()
 		m.StoreLimitExceeded()
+		m.CallerLimitExceeded()
 	})
-	for _, line := range []string{"upstream_limits_exceeded_total 1", "store_limits_exceeded_total 1"} {
+	for _, line := range []string{"upstream_limits_exceeded_total 1", "store_limits_exceeded_total 1", "caller_limits_exceeded_total 1"} {
 		is.True(strings.Contains(text, "daisyshed_"+line+"\n"))
 	}
 }
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -51,6 +51,7 @@
 	unmatched     tally.Counter
 	upstreamLimit tally.Counter
 	storeLimit    tally.Counter
+	callerLimit   tally.Counter
 	firstBytes    tally.Histogram
 	totalTimes    tally.Histogram
 
@@ -124,6 +125,7 @@
 	m.unmatched = m.scope.Counter("upstream_unmatched_responses_total")
 	m.upstreamLimit = m.scope.Counter("upstream_limits_exceeded_total")
 	m.storeLimit = m.scope.Counter("store_limits_exceeded_total")
+	m.callerLimit = m.scope.Counter("caller_limits_exceeded_total")
 	m.firstBytes = m.scope.Histogram("forward_first_bytes_seconds", latencyBuckets)
 	m.totalTimes = m.scope.Histogram("forward_seconds", latencyBuckets)
 }
@@ -149,6 +151,9 @@
 // StoreLimitExceeded counts a response or a list of the store that exceeded a limit.
 func (m *Metrics) StoreLimitExceeded() { m.storeLimit.Inc(1) }
 
+// CallerLimitExceeded counts a request of a caller whose body exceeded a limit.
+func (m *Metrics) CallerLimitExceeded() { m.callerLimit.Inc(1) }
+
 // RecordViolation counts the violation of an invariant that was found outside the core.
 // Those that the core finds are in its status.
 func (m *Metrics) RecordViolation(v core.Violation) {
