Bound the time for the body of a check, query or scrape

What callers saw: the connection of a readiness check, an address query or a scrape with a body that trickles stayed open for ever and got no response. Connections to each listener are limited, so that such callers could keep out the platform's checks.

Cause: net/http reads the rest of a body before it responds, and these servers had no read deadline.

Change: they use httpserver.New, as the servers of an unhosted node do, with 1 s for a body and 10 s to write a response. Headers are bounded as on the callers' server. A watch extends its write deadline itself, as before.

Evidence: TestTricklingQueryIsClosed starts a node; before, all three cases ended with "i/o timeout" after 5 s.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -57,6 +57,10 @@
 	// never disconnected.
 	hostedHeaderTimeout = 10 * time.Second
 	hostedIdleTimeout   = 5 * time.Minute
+	// queryReadTimeout bounds the time to read the body of a readiness check, a query or a
+	// scrape, which needs none, and queryWriteTimeout that to write the response.
+	queryReadTimeout  = time.Second
+	queryWriteTimeout = 10 * time.Second
 	// killMargin is how long before the platform's SIGKILL a node ends its
 	// shutdown and exits.
 	killMargin = 300 * time.Millisecond
@@ -184,8 +188,7 @@
 			VMs: noVMList{}, Log: noLog{}, Runtime: hostedRuntime{h},
 		},
 	}
-	h.callerServer = h.newHTTPServer(h.ingress)
-	h.callerServer.MaxHeaderBytes = hostedHeaderBytes
+	h.callerServer = h.newCallerServer()
 }
 
 // hostedRuntime implements control.Runtime: it executes the core's commands that
@@ -309,14 +312,23 @@
 	}
 }
 
-// newHTTPServer returns an HTTP server with the timeouts of a hosted node.
-func (h *hosted) newHTTPServer(handler http.Handler) *http.Server {
+// newCallerServer returns the HTTP server for callers' requests. The ingress server bounds
+// the reading of bodies.
+func (h *hosted) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
+		Handler: h.ingress, MaxHeaderBytes: hostedHeaderBytes, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
 		ErrorLog: operator.HTTPErrorLogger(h.log), ConnContext: tcp.WithConn, ConnState: tcp.TrackState,
 	}
 }
 
+// newQueryServer returns an HTTP server for readiness checks, queries or scrapes.
+func (h *hosted) newQueryServer(handler http.Handler) *http.Server {
+	return httpserver.New(handler, httpserver.Limits{
+		HeaderBytes: hostedHeaderBytes, HeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
+		ReadTimeout: queryReadTimeout, WriteTimeout: queryWriteTimeout,
+	}, operator.HTTPErrorLogger(h.log))
+}
+
 // run serves until a signal to stop or a fatal error, and returns the exit code.
 // path is the settings file, which is reloaded when it changes and at SIGHUP.
 func (h *hosted) run(path string) int {
@@ -367,9 +379,9 @@
 		server  *http.Server
 	}{
 		{s.CallerAddress, h.callerServer},
-		{s.ReadyAddress, h.newHTTPServer(h.directory.ReadyHandler())},
-		{s.DirectoryAddress, h.newHTTPServer(h.directory.AddressHandler())},
-		{s.MetricsAddress, h.newHTTPServer(h.operators.Handler())},
+		{s.ReadyAddress, h.newQueryServer(h.directory.ReadyHandler())},
+		{s.DirectoryAddress, h.newQueryServer(h.directory.AddressHandler())},
+		{s.MetricsAddress, h.newQueryServer(h.operators.Handler())},
 	}
 	for _, endpoint := range endpoints {
 		l, err := tcp.Listen(endpoint.address, s.MaxFiles)
