Bound an event that a Reader of server-sent events collects

An engine of an unhosted deployment that sends lines of one event without end fills the memory of the node until StepTimeout, which restarts with each event only.

Cause: only a line was bounded, to 1 MiB; the data of an event was not, and each line copied what was there before.

Change: an event with all its lines is bounded to 1 MiB and gives an EventTooLongError beyond, also for a single line. The stream then fails as one that broke off, with this reason in the log.

Evidence: TestEventWithoutEndIsNotRead failed before in its four cases: three read until the stream ended after 2 s and allocated 124 MB (empty data), 110 MB (comments) and 4,809 MB (data), and a long line gave an error without a type.

--- a/wire/sse/reader.go
+++ b/wire/sse/reader.go
@@ -3,12 +3,23 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"strings"
 )
 
-// MaxLineBytes is the largest size of a line that a Reader accepts.
-const MaxLineBytes = 1 << 20
+// MaxEventBytes is the largest size of an event that a Reader accepts, in bytes. Lines
+// that it ignores count too.
+const MaxEventBytes = 1 << 20
+
+// EventTooLongError reports an event of more than MaxEventBytes.
+type EventTooLongError struct{}
+
+// Error returns the message.
+func (*EventTooLongError) Error() string {
+	return fmt.Sprintf("sse: event exceeds %d bytes", MaxEventBytes)
+}
 
 // Event is one server-sent event.
 type Event struct {
@@ -23,33 +34,45 @@
 // NewReader returns a Reader of r.
 func NewReader(r io.Reader) *Reader {
 	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, MaxLineBytes)
+	lines.Buffer(nil, MaxEventBytes)
 	return &Reader{lines: lines}
 }
 
 // Next returns the next event, and [io.EOF] after the last. It drops an event that
-// is truncated by the end of the stream.
+// is truncated by the end of the stream. An event that is too long gives an
+// *[EventTooLongError]; the stream must not be read any further then.
 func (r *Reader) Next() (Event, error) {
 	var e Event
-	hasField := false
+	var data strings.Builder
+	size, hasField := 0, false
 	for r.lines.Scan() {
+		if size += len(r.lines.Bytes()) + 1; size > MaxEventBytes {
+			return Event{}, &EventTooLongError{}
+		}
 		line := strings.TrimSuffix(r.lines.Text(), "\r")
 		if line != "" {
-			hasField = e.parseLine(line) || hasField
+			hasField = e.parseLine(line, &data) || hasField
 			continue
 		}
 		if hasField {
+			e.Data = data.String()
 			return e, nil
 		}
+		size = 0
 	}
-	if err := r.lines.Err(); err != nil {
+	err := r.lines.Err()
+	switch {
+	case errors.Is(err, bufio.ErrTooLong):
+		return Event{}, &EventTooLongError{}
+	case err != nil:
 		return Event{}, err
 	}
 	return Event{}, io.EOF
 }
 
-// parseLine parses one line into e and reports whether the line sets a field.
-func (e *Event) parseLine(line string) bool {
+// parseLine parses one line into e, and that of a data field into data. It reports whether
+// the line sets a field.
+func (e *Event) parseLine(line string, data *strings.Builder) bool {
 	name, value, _ := strings.Cut(line, ":")
 	value = strings.TrimPrefix(value, " ")
 	switch name {
@@ -58,10 +81,10 @@
 	case "event":
 		e.Name = value
 	case "data":
-		if e.Data != "" {
-			e.Data += "\n"
+		if data.Len() > 0 {
+			data.WriteByte('\n')
 		}
-		e.Data += value
+		data.WriteString(value)
 	default:
 		return false
 	}
