Bound the headers of a service's answer

A service of an unhosted deployment could send 10 MB of headers for each call, net/http's default, which a node kept in memory.

Change: 64 KiB. The call then fails as one that may have run, as before.

Evidence: TestEndlessHeadersOfAServiceAreNotRead failed before (more than 1 MiB read). Bodies were bounded before, with AnswerTooLargeError, and the time of a call by its timeout.

--- a/daisyshed/service/client.go
+++ b/daisyshed/service/client.go
@@ -13,8 +13,12 @@
 	"daisyshed.dev/wire/service"
 )
 
-// MaxResponseBytes is the maximum size of the body of a service's answer.
-const MaxResponseBytes = 4 << 20
+const (
+	// MaxResponseBytes is the maximum size of the body of a service's answer, in bytes.
+	MaxResponseBytes = 4 << 20
+	// maxHeaderBytes is the maximum size of the headers of a service's answer, in bytes.
+	maxHeaderBytes = 64 << 10
+)
 
 // Client sends each call to its service once, and the result to the core as a
 // message. HTTP must not reuse connections: a call is reported as not run only if
@@ -37,7 +41,7 @@
 // request and does not follow redirects. It never sends a request twice.
 func NewHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
