Bound the memory that a frame of another node takes

A frame within the limit of 4 MiB could grow the heap by hundreds of megabytes, more than a node has, and so end all its requests.

Cause: an empty element of a list takes two bytes of a frame and up to some hundred bytes when it is decoded.

A list of 30,000 entries fits.

Evidence: TestFrameOfEmptyElementsIsRejected failed before: frames of 2 MiB allocated 237 MB (updates), 757 MB (changed) and 757 MB (instances).

--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -11,6 +11,9 @@
 // bytes give a *[DecodeError], *[RangeError], *[SnapshotError] or
 // [EmptyEnvelopeError].
 func Decode(data []byte) (core.PeerMessage, error) {
+	if err := checkFields(data); err != nil {
+		return core.PeerMessage{}, &DecodeError{Cause: err}
+	}
 	e := &Envelope{}
 	if err := proto.Unmarshal(data, e); err != nil {
 		return core.PeerMessage{}, &DecodeError{Cause: err}
--- a/wire/peer/errors.go
+++ b/wire/peer/errors.go
@@ -45,3 +45,11 @@
 func (e *FrameTooLargeError) Error() string {
 	return fmt.Sprintf("peer: envelope of %d bytes exceeds the limit of %d bytes", e.Size, e.Limit)
 }
+
+// TooManyFieldsError reports that an envelope has more fields than the limit.
+type TooManyFieldsError struct{ Limit int }
+
+// Error names the limit.
+func (e *TooManyFieldsError) Error() string {
+	return fmt.Sprintf("envelope exceeds the limit of %d fields", e.Limit)
+}
