Quote only the beginning of a malformed head in errors

What operators saw: the text of an error that quotes an upstream's malformed line as a whole, tens of kilobytes in each log line and in each of the decisions kept in memory, for every request to that upstream. Log lines that cannot be written in time are dropped, those of other requests among them.

Cause: net/http's errors quote what they could not parse.

Change: a MalformedHeadError, with the first 128 bytes of that text. Errors of the connection stay as they are.

Evidence: TestErrorForMalformedHeadIsShort failed before in its three cases, with texts of 61,482 to 61,501 bytes for lines of 60 KiB.

--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -235,7 +235,7 @@
 		cn.in.setLimit(Head, maxHeadBytes)
 		response, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, err
+			return nil, headError(err)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
--- a/daisyshed/upstream/limits.go
+++ b/daisyshed/upstream/limits.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 )
 
 const (
@@ -14,6 +15,8 @@
 	maxLateBytes = 1 << 20
 	// maxEventBytes bounds one event of a stream, in bytes.
 	maxEventBytes = 256 << 10
+	// maxQuotedBytes bounds how much of a malformed head an error quotes, in bytes.
+	maxQuotedBytes = 128
 )
 
 // Part is a part of a response whose size is bounded.
@@ -44,6 +47,28 @@
 	return fmt.Sprintf("upstream: %s exceeds %d bytes", e.Part, e.Limit)
 }
 
+// MalformedHeadError reports a head that could not be parsed. Cause may quote all of it.
+type MalformedHeadError struct{ Cause error }
+
+// Error returns the message with the beginning of the cause.
+func (e *MalformedHeadError) Error() string {
+	text := e.Cause.Error()
+	return "upstream: malformed head: " + text[:min(len(text), maxQuotedBytes)]
+}
+
+// Unwrap returns the cause.
+func (e *MalformedHeadError) Unwrap() error { return e.Cause }
+
+// headError returns the error of a head whose reading failed with err: err itself if the
+// connection failed, and a MalformedHeadError otherwise.
+func headError(err error) error {
+	var network net.Error
+	if errors.As(err, &network) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return &MalformedHeadError{Cause: err}
+}
+
 // limitedReader reads from a connection until a limit is reached. Unlike io.LimitedReader,
 // it then returns an error other than io.EOF, and the limit can be replaced.
 type limitedReader struct {
--- a/daisyshed/upstream/limits_test.go
+++ b/daisyshed/upstream/limits_test.go
@@ -241,3 +241,29 @@
 		})
 	}
 }
+
+// An error quotes what an upstream sent. It goes into logs and decisions, which must not
+// grow by a whole head for each request.
+func TestErrorForMalformedHeadIsShort(t *testing.T) {
+	for name, head := range map[string]string{
+		"status line": strings.Repeat("x", 60<<10) + "\r\n\r\n",
+		"header":      "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 60<<10) + "\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("x", 60<<10) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, func(c net.Conn, r *bufio.Reader) {
+				if readRequest(r) {
+					_, _ = io.WriteString(c, head)
+				}
+				_ = c.Close()
+			})
+			_, err := (&upstream.Client{DialTimeout: time.Second}).Do(t.Context(), request(address, nil))
+			var malformed *upstream.MalformedHeadError
+			is.True(errors.As(err, &malformed))
+			if n := len(err.Error()); n > 512 {
+				t.Errorf("the text has %d bytes", n)
+			}
+		})
+	}
+}
