Take a long line of a stream for one line

An event with a line of a whole number of buffers (4 KiB) was relayed in two parts, the second of which began with the line's end; a stream that broke off between them would have left its caller with half an event, which a resumed stream then sends again. A line whose rest began with "id:" gave the event another id, and a long id was lost, so that a stream would resume at the wrong event.

Cause: the parts of a line that is longer than the buffer were taken for lines.

Change: a line is looked at once it is whole.

--- a/daisyshed/upstream/events.go
+++ b/daisyshed/upstream/events.go
@@ -30,9 +30,10 @@
 // io.ErrUnexpectedEOF if the stream ends within an event. An event that is too long gives
 // a *[TooLongError]; the stream must not be read any further then.
 func (e *EventReader) Next() (event []byte, id string, err error) {
+	lineStart := 0
 	for {
-		line, err := e.r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := e.r.ReadSlice('\n')
+		event = append(event, part...)
 		switch {
 		case len(event) > maxEventBytes:
 			err := &TooLongError{Part: Event, Limit: maxEventBytes}
@@ -45,6 +46,8 @@
 		case err != nil:
 			return nil, "", err
 		}
+		line := event[lineStart:]
+		lineStart = len(event)
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return event, id, nil
 		}
