Report an engine's response that exceeds its limit

What operators saw: a report that was longer than 8 MiB had the reason "EOF", and a release whose response never ended was taken for done.

Cause: the body was cut at the limit without an error.

Change: a ResponseTooLongError. A release without a proper response is repeated, as after other failures. The time was bounded before, by ControlTimeout and StepTimeout.

Evidence: TestEndlessResponseOfAnEngineIsTooLong failed before (reasons "EOF" and ""); its case of a stream passed, since events are bounded.

--- a/daisyshed/engine/errors.go
+++ b/daisyshed/engine/errors.go
@@ -56,6 +56,15 @@
 // Error implements error.
 func (StalledStreamError) Error() string { return "engine: no token received within the step timeout" }
 
+// ResponseTooLongError reports that the body of an engine's response exceeds
+// MaxResponseBytes.
+type ResponseTooLongError struct{}
+
+// Error implements error.
+func (ResponseTooLongError) Error() string {
+	return fmt.Sprintf("engine: response exceeds %d bytes", MaxResponseBytes)
+}
+
 // OffsetError reports that an event's id is not the offset of a token, because
 // it is less than 1.
 type OffsetError struct{ Offset int }
--- a/daisyshed/engine/exchange.go
+++ b/daisyshed/engine/exchange.go
@@ -49,14 +49,20 @@
 	return nil, statusErr
 }
 
-// decode decodes the body of resp into result, or discards it if result is nil.
+// decode decodes the body of resp into result, or discards it if result is nil. It returns
+// a ResponseTooLongError if the body exceeds MaxResponseBytes.
 func decode(resp *http.Response, result any) error {
-	body := io.LimitReader(resp.Body, MaxResponseBytes)
+	body := &io.LimitedReader{R: resp.Body, N: MaxResponseBytes + 1}
+	var err error
 	if result == nil {
-		_, err := io.Copy(io.Discard, body)
-		return err
+		_, err = io.Copy(io.Discard, body)
+	} else {
+		err = json.NewDecoder(body).Decode(result)
 	}
-	return json.NewDecoder(body).Decode(result)
+	if body.N <= 0 {
+		return ResponseTooLongError{}
+	}
+	return err
 }
 
 // failure returns the message that reports the failure of a step with err.
