--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -57,6 +57,10 @@
 	// never disconnected.
 	hostedHeaderTimeout = 10 * time.Second
 	hostedIdleTimeout   = 5 * time.Minute
+	// queryReadTimeout bounds the time to read the body of a readiness check, a query or a
+	// scrape, which needs none, and queryWriteTimeout that to write the response.
+	queryReadTimeout  = time.Second
+	queryWriteTimeout = 10 * time.Second
 	// killMargin is how long before the platform's SIGKILL a node ends its
 	// shutdown and exits.
 	killMargin = 300 * time.Millisecond
@@ -154,8 +158,13 @@
 // build creates the servers, the clients and the control loop.
 func (h *hosted) build(incarnation core.Incarnation, clock func() core.Instant) {
 	s := h.settings
-	h.upstreams = &upstream.Client{DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched}
-	h.ingress = &ingress.Server{Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node, ReportViolation: h.reportViolation}
+	h.upstreams = &upstream.Client{
+		DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched, OnLimit: h.recordUpstreamLimit,
+	}
+	h.ingress = &ingress.Server{
+		Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node,
+		ReportViolation: h.reportViolation, OnLimit: h.recordCallerLimit,
+	}
 	h.directory = &directory.Server{SendToCore: h.inbox.Send}
 	h.peers = h.newPeerTransport(incarnation)
 	h.operators = &operator.Server{
@@ -164,11 +173,7 @@
 	}
 	h.watcher = &store.Watcher{
 		Store: &platform.Store{
-			Address: s.Store, Timeout: storeTimeout,
-			HTTP: &http.Client{Transport: &http.Transport{
-				DialContext:        (&net.Dialer{Timeout: hostedDialTimeout}).DialContext,
-				DisableCompression: true, MaxIdleConnsPerHost: 4,
-			}},
+			Address: s.Store, Timeout: storeTimeout, HTTP: platform.NewStoreClient(hostedDialTimeout), OnLimit: h.recordStoreLimit,
 		},
 		SendToCore: h.receive, Log: h.log, Self: h.self(),
 	}
@@ -183,8 +188,7 @@
 			VMs: noVMList{}, Log: noLog{}, Runtime: hostedRuntime{h},
 		},
 	}
-	h.callerServer = h.newHTTPServer(h.ingress)
-	h.callerServer.MaxHeaderBytes = hostedHeaderBytes
+	h.callerServer = h.newCallerServer()
 }
 
 // hostedRuntime implements control.Runtime: it executes the core's commands that
@@ -251,6 +255,25 @@
 	h.log.Warn().Str("Event", "UnmatchedResponse").Str("Engine", key).Str("Request", platform.Attempt(header)).Send()
 }
 
+// recordUpstreamLimit logs and counts a response that exceeded a limit.
+func (h *hosted) recordUpstreamLimit(key string, err error) {
+	h.metrics.UpstreamLimitExceeded()
+	h.log.Warn().Str("Event", "LimitExceeded").Str("Engine", key).Err(err).Send()
+}
+
+// recordStoreLimit logs and counts a response or a list of the store that exceeded a
+// limit.
+func (h *hosted) recordStoreLimit(err error) {
+	h.metrics.StoreLimitExceeded()
+	h.log.Warn().Str("Event", "LimitExceeded").Err(err).Send()
+}
+
+// recordCallerLimit logs and counts a caller's request whose body exceeded a limit.
+func (h *hosted) recordCallerLimit(attempt string, err error) {
+	h.metrics.CallerLimitExceeded()
+	h.log.Info().Str("Event", "LimitExceeded").Str("Request", attempt).Err(err).Send()
+}
+
 // endRequests answers the requests that cannot be finished before the process exits.
 func (h *hosted) endRequests() {
 	h.log.Warn().Str("Event", "Unfinished").Int("Requests", h.ingress.InProgress()).Send()
@@ -289,14 +312,23 @@
 	}
 }
 
-// newHTTPServer returns an HTTP server with the timeouts of a hosted node.
-func (h *hosted) newHTTPServer(handler http.Handler) *http.Server {
+// newCallerServer returns the HTTP server for callers' requests. The ingress server bounds
+// the reading of bodies.
+func (h *hosted) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
+		Handler: h.ingress, MaxHeaderBytes: hostedHeaderBytes, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
 		ErrorLog: operator.HTTPErrorLogger(h.log), ConnContext: tcp.WithConn, ConnState: tcp.TrackState,
 	}
 }
 
+// newQueryServer returns an HTTP server for readiness checks, queries or scrapes.
+func (h *hosted) newQueryServer(handler http.Handler) *http.Server {
+	return httpserver.New(handler, httpserver.Limits{
+		HeaderBytes: hostedHeaderBytes, HeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
+		ReadTimeout: queryReadTimeout, WriteTimeout: queryWriteTimeout,
+	}, operator.HTTPErrorLogger(h.log))
+}
+
 // run serves until a signal to stop or a fatal error, and returns the exit code.
 // path is the settings file, which is reloaded when it changes and at SIGHUP.
 func (h *hosted) run(path string) int {
@@ -347,9 +379,9 @@
 		server  *http.Server
 	}{
 		{s.CallerAddress, h.callerServer},
-		{s.ReadyAddress, h.newHTTPServer(h.directory.ReadyHandler())},
-		{s.DirectoryAddress, h.newHTTPServer(h.directory.AddressHandler())},
-		{s.MetricsAddress, h.newHTTPServer(h.operators.Handler())},
+		{s.ReadyAddress, h.newQueryServer(h.directory.ReadyHandler())},
+		{s.DirectoryAddress, h.newQueryServer(h.directory.AddressHandler())},
+		{s.MetricsAddress, h.newQueryServer(h.operators.Handler())},
 	}
 	for _, endpoint := range endpoints {
 		l, err := tcp.Listen(endpoint.address, s.MaxFiles)
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -211,7 +210,7 @@
 		return
 	}
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := response.ReadAll(maxBufferedBytes)
 	if proof, ok := platform.NotRun(response.Status, response.Header, c.Engine).Get(); ok {
 		x.reportStepRefused(s, proof, response.Status)
 		return
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -63,14 +63,27 @@
 	// Length is the declared length of the body, or -1 if unknown.
 	Length int64
 
-	close    func(complete bool)
-	complete bool
+	close       func(complete bool)
+	reportLimit func(error)
+	complete    bool
 }
 
 // Close keeps the connection for reuse if request and response are complete and
 // the upstream allows it, and closes it otherwise.
 func (r *Response) Close() { r.close(r.complete) }
 
+// ReadAll reads the whole body, of at most limit bytes. A longer one gives a
+// *[TooLongError].
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = &TooLongError{Part: Body, Limit: limit}
+		r.reportLimit(err)
+		return nil, err
+	}
+	return body, err
+}
+
 // UnsentError reports that no byte of a request was sent.
 type UnsentError struct{ Cause error }
 
@@ -110,6 +123,8 @@
 	// OnUnmatched is called with the head of each response that does not belong to the
 	// request that waits on its connection. It may be nil.
 	OnUnmatched func(key string, h http.Header)
+	// OnLimit is called with the error when a response exceeds a limit. It may be nil.
+	OnLimit func(key string, err error)
 
 	mu sync.Mutex
 	// idle holds the unused connections of each upstream, the last used at the
@@ -122,7 +137,9 @@
 // idleLimit after lastUsedAt.
 type conn struct {
 	net.Conn
+	// r reads from the connection through in.
 	r          *bufio.Reader
+	in         *limitedReader
 	lastUsedAt time.Time
 	idleLimit  time.Duration
 }
@@ -142,6 +159,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	response, err := c.roundTrip(cn, r)
 	if err != nil {
+		c.reportLimit(r.Key, err)
 		stop()
 		// The connection is discarded, so an error from closing it does not matter.
 		_ = cn.Close()
@@ -169,6 +187,10 @@
 	}
 	response, err := c.readResponse(cn, r)
 	if err != nil {
+		if cn.in.exceeded != nil {
+			// net/http may report the part that was read as malformed.
+			err = cn.in.exceeded
+		}
 		return nil, &NoResponseError{Cause: err}
 	}
 	if c.OnResponse != nil {
@@ -176,7 +198,8 @@
 	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
 	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
-	out.Body = &completionReader{r: response.Body, complete: &out.complete}
+	out.Body = &bodyReader{r: response.Body, response: out}
+	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
 	out.complete = response.ContentLength == 0
 	out.close = func(complete bool) {
 		if complete && reusable && !response.Close && requestWritten(written) && cn.r.Buffered() == 0 {
@@ -207,10 +230,12 @@
 // readResponse reads the head of the response that belongs to the request. A
 // late response to an earlier request may precede it on the connection.
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
+	defer cn.in.removeLimit()
 	for range maxResponsesRead {
+		cn.in.setLimit(Head, maxHeadBytes)
 		response, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, err
+			return nil, headError(err)
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
@@ -224,6 +249,7 @@
 		if response.Close || response.ContentLength < 0 && !isChunked(response) {
 			return nil, MismatchedResponseError{}
 		}
+		cn.in.setLimit(LateBody, maxLateBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
@@ -237,17 +263,17 @@
 	return cn.Write(buffer)
 }
 
-// completionReader sets complete when the body has been read to its end.
-type completionReader struct {
+// bodyReader reads the body of a response and records when it has been read to its end.
+type bodyReader struct {
 	r        io.Reader
-	complete *bool
+	response *Response
 }
 
 // Read reads from the body.
-func (w *completionReader) Read(p []byte) (int, error) {
-	n, err := w.r.Read(p)
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
 	if err == io.EOF {
-		*w.complete = true
+		b.response.complete = true
 	}
 	return n, err
 }
