Stand-in upstreams: silence, bytes without end, end of runs

A silent worker pauses all its streams and other answers at the same moment and stays sound: it loses nothing, notices a closed connection at once and renews its entry. Bytes without end come as a status line, a header line, headers, a body after a failure or a success, or an event, as fast as the reader takes them. A run records whether its answer is broken by a fault, and when it ends. A worker that works on a plain request now notices that its caller has closed the connection.

The soak injects none of this yet.

--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -450,7 +450,7 @@
 	ids := d.workerIDs()
 	w := d.workers[ids[d.rng.IntN(len(ids))]].worker
 	d.mu.Unlock()
-	w.SetFault(hostedworker.Fault(1+d.rng.IntN(int(hostedworker.NumFaults)-1)), 0.3)
+	w.SetFault(hostedworker.Fault(1+d.rng.IntN(int(hostedworker.FirstEndless)-1)), 0.3)
 	d.afterRandomDelay(3*time.Second, func() { w.SetFault(hostedworker.NoFault, 0) })
 }
 
--- /dev/null
+++ b/standin/hostedworker/endless.go
@@ -0,0 +1,56 @@
+package hostedworker
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// endlessBlock is the size of the writes that send bytes without end.
+const endlessBlock = 64 << 10
+
+// sendEndless sends bytes without end, as fast as the caller reads them, until the
+// connection is closed.
+func sendEndless(rw http.ResponseWriter, fault Fault) {
+	filler := bytes.Repeat([]byte("x"), endlessBlock)
+	switch fault {
+	case EndlessStatusLine:
+		sendEndlessHead(rw, "HTTP/1.1 200 ", filler)
+	case EndlessHeaderLine:
+		sendEndlessHead(rw, "HTTP/1.1 200 OK\r\nAttempt-Note: ", filler)
+	case EndlessHeaders:
+		sendEndlessHead(rw, "HTTP/1.1 200 OK\r\n", bytes.Repeat([]byte("Attempt-Note: x\r\n"), endlessBlock/17))
+	case EndlessFailure:
+		rw.WriteHeader(http.StatusInternalServerError)
+		writeUntilClosed(rw, filler)
+	case EndlessEvent:
+		rw.Header().Set("Content-Type", "text/event-stream")
+		// A write error shows in the next write.
+		_, _ = rw.Write([]byte("id: 1\ndata: "))
+		writeUntilClosed(rw, filler)
+	default:
+		writeUntilClosed(rw, filler)
+	}
+}
+
+// sendEndlessHead writes the start of a response's head to the connection itself, and then
+// the block again and again.
+func sendEndlessHead(rw http.ResponseWriter, start string, block []byte) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	// A write error shows in the next write.
+	_, _ = io.WriteString(conn, start)
+	writeUntilClosed(conn, block)
+}
+
+// writeUntilClosed writes the block again and again until that fails.
+func writeUntilClosed(to io.Writer, block []byte) {
+	for {
+		if _, err := to.Write(block); err != nil {
+			return
+		}
+	}
+}
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -50,10 +50,37 @@
 	// request has arrived on it, before the response to that request. Every second
 	// request is rejected, so that there are rejections to repeat.
 	RepeatResponse
+	// EndlessStatusLine sends a status line that never ends, until the caller closes the
+	// connection. This and the following faults also affect prefills and control calls.
+	EndlessStatusLine
+	// EndlessHeaderLine sends a header line that never ends.
+	EndlessHeaderLine
+	// EndlessHeaders sends header lines without end.
+	EndlessHeaders
+	// EndlessFailure responds with status 500 and a body that never ends.
+	EndlessFailure
+	// EndlessSuccess responds with status 200, the right headers and a body that never
+	// ends.
+	EndlessSuccess
+	// EndlessEvent responds with status 200 and the head of a stream, and sends an event
+	// that never ends.
+	EndlessEvent
 	// NumFaults is the number of faults, including NoFault.
 	NumFaults
 )
 
+// FirstEndless is the first of the faults that send bytes without end.
+const FirstEndless = EndlessStatusLine
+
+// endless reports whether the fault sends bytes without end.
+func (f Fault) endless() bool { return f >= FirstEndless && f < NumFaults }
+
+// breaksAnswer reports whether the fault keeps the caller from receiving an answer to a
+// request that runs.
+func (f Fault) breaksAnswer() bool {
+	return f == LoseReply || f == CutShort || f == Hang || f.endless()
+}
+
 // QuietTime is how long a worker that rejects with RejectWithDelay wants no requests.
 const QuietTime = 2 * time.Second
 
@@ -89,19 +116,37 @@
 	// Advertised is the address in the worker's entry. If it is empty, the entry has
 	// the address that the worker listens on.
 	Advertised string
+	// OnRunEnd is called at the end of each run. It may be nil.
+	OnRunEnd func(RunEnd)
 }
 
+// RunNumber identifies a run among those of its worker.
+type RunNumber uint64
+
 // Run records that a worker started to run a request.
 type Run struct {
+	Number  RunNumber
 	Attempt string
 	Worker  string
 	Resumed bool
-	At      time.Time
+	// Broken says that an injected fault breaks the answer: it is lost, cut short, never
+	// begins or never ends.
+	Broken bool
+	At     time.Time
 	// DrainingFor is how long the worker had been draining when the request arrived, or
 	// zero.
 	DrainingFor time.Duration
 }
 
+// RunEnd records that a worker no longer works on a run: it has sent or broken off its
+// answer, or has noticed that the caller closed the connection.
+type RunEnd struct {
+	Number  RunNumber
+	Attempt string
+	Worker  string
+	At      time.Time
+}
+
 // Worker is one upstream, served by ServeHTTP. Its methods are safe for concurrent
 // use.
 type Worker struct {
@@ -120,8 +165,12 @@
 	freeMemory int
 	// reservations holds the sizes of the memory reservations in tokens, by id.
 	reservations map[string]int
-	// sequence is the last number given to an entry, a reservation or a KV cache.
-	sequence      int
+	// sequence is the last number given to an entry, a reservation or a KV cache, and
+	// lastRun the last one given to a run.
+	sequence int
+	lastRun  RunNumber
+	// silentUntil is when the current silence ends.
+	silentUntil   time.Time
 	fault         Fault
 	faultShare    float64
 	drainingSince time.Time
@@ -248,6 +297,11 @@
 	if err != nil {
 		return
 	}
+	control := strings.HasPrefix(r.URL.Path, "/-/")
+	if fault.endless() && (control || r.Header.Get("Serving-Stage") == Prefill) {
+		sendEndless(rw, fault)
+		return
+	}
 	switch {
 	case r.URL.Path == "/-/hold-take":
 		w.reserve(rw, body)
@@ -258,7 +312,7 @@
 	case r.URL.Path == "/-/order":
 		w.setStage(rw, body)
 	case r.Header.Get("Serving-Stage") == Prefill:
-		w.prefill(rw)
+		w.prefill(rw, r)
 	default:
 		w.run(rw, r, body, fault, draining)
 	}
@@ -330,7 +384,7 @@
 }
 
 // prefill runs a prefill and responds with the handle of its KV cache.
-func (w *Worker) prefill(rw http.ResponseWriter) {
+func (w *Worker) prefill(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
 	stage := w.settings.Stage
 	w.sequence++
@@ -342,7 +396,9 @@
 		return
 	}
 	time.Sleep(w.workTime())
-	w.waitWhileFrozen()
+	if !w.waitWhilePaused(r.Context()) {
+		return
+	}
 	writeJSON(rw, map[string]any{"KvHandle": id, "Tokens": 100, "Version": 1})
 }
 
@@ -367,11 +423,13 @@
 		w.release(id)
 	}
 	lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	w.onRun(Run{Attempt: attempt, Worker: w.settings.ID, Resumed: lastEvent > 0, At: time.Now(), DrainingFor: draining})
+	defer w.beginRun(Run{Attempt: attempt, Resumed: lastEvent > 0, Broken: fault.breaksAnswer(), DrainingFor: draining})()
 	rw.Header().Set("Server-Seal", Signature(attempt, body))
 	switch {
 	case fault == Hang:
 		<-r.Context().Done()
+	case fault.endless():
+		sendEndless(rw, fault)
 	case w.settings.Stage == "":
 		w.answer(rw, r, body, fault)
 	default:
@@ -379,6 +437,21 @@
 	}
 }
 
+// beginRun records the start of a run. The returned function records its end.
+func (w *Worker) beginRun(run Run) func() {
+	w.mu.Lock()
+	w.lastRun++
+	run.Number = w.lastRun
+	w.mu.Unlock()
+	run.Worker, run.At = w.settings.ID, time.Now()
+	w.onRun(run)
+	return func() {
+		if w.settings.OnRunEnd != nil {
+			w.settings.OnRunEnd(RunEnd{Number: run.Number, Attempt: run.Attempt, Worker: run.Worker, At: time.Now()})
+		}
+	}
+}
+
 // drainingFor returns how long the worker has been draining, or zero.
 func (w *Worker) drainingFor() time.Duration {
 	w.mu.Lock()
@@ -436,8 +509,9 @@
 func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, body []byte, fault Fault) {
 	attempt := r.Header.Get("Attempt-Id")
 	work, limit := w.workTime(), patience(r)
-	time.Sleep(min(work, limit))
-	w.waitWhileFrozen()
+	if !sleep(r.Context(), min(work, limit)) || !w.waitWhilePaused(r.Context()) {
+		return
+	}
 	if work > limit {
 		rw.WriteHeader(http.StatusGatewayTimeout)
 		return
@@ -487,12 +561,9 @@
 		cutAt = lastEvent + 1 + rand.IntN(max(w.settings.Events-lastEvent, 1))
 	}
 	for i := lastEvent + 1; i <= w.settings.Events; i++ {
-		select {
-		case <-time.After(w.workTime()):
-		case <-r.Context().Done():
+		if !sleep(r.Context(), w.workTime()) || !w.waitWhilePaused(r.Context()) {
 			return
 		}
-		w.waitWhileFrozen()
 		event := Event(attempt, i)
 		if i >= cutAt {
 			_, _ = rw.Write(event[:len(event)/2])
