--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -21,6 +21,15 @@
 	}
 )
 
+// afterRead replaces the line of the ingress server that follows the reading of a request,
+// such that one request in a hundred ends there with the given statement.
+func afterRead(statement string) Edit {
+	line := "	x.forward.ID = core.ForwardID(s.lastID.Add(1))\n"
+	return Edit{
+		File: "daisyshed/ingress/server.go", Old: line, New: line + "	if x.forward.ID%100 == 0 {\n		" + statement + "\n	}\n",
+	}
+}
+
 // Hosted lists the mutants of the hosted daemon.
 var Hosted = []HostedMutant{
 	{Rule: "REFUSED", Mutant: Mutant{Name: "unproven-rejection-relayed", Promise: core.NotRunTrue, Edits: []Edit{{
@@ -46,4 +55,10 @@
 	{Rule: "LOST", Mutant: Mutant{Name: "stop-cuts-requests", Promise: core.DrainGraceful, Edits: []Edit{{
 		"daisyshed/httpserver/stop.go", "	for tcp.CloseIdle(l) > 0 {\n", "	for tcp.CloseIdle(l) < 0 {\n",
 	}}}},
+	{Rule: "LOST", Mutant: Mutant{Name: "read-request-aborted", Promise: core.AnswerWhole, Edits: []Edit{
+		afterRead("panic(http.ErrAbortHandler)"),
+	}}},
+	{Rule: "LOST", Mutant: Mutant{Name: "read-request-gets-empty-200", Promise: core.AnswerWhole, Edits: []Edit{
+		afterRead("return"),
+	}}},
 }
