--- a/bench/hosted/memory.go
+++ b/bench/hosted/memory.go
@@ -68,6 +68,13 @@
 	}()
 }
 
+// peakMegabytes returns the highest memory that a daemon has used, in megabytes.
+func (d *deployment) peakMegabytes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return int(d.peakMemory / megabyte)
+}
+
 func memoryViolation(index int, used int64, limitMB int) string {
 	return fmt.Sprintf("MEMORY: n%d used %d MB of %d MB", index+1, used/megabyte, limitMB)
 }
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -110,7 +110,7 @@
 	cancel()
 	l.wait.Wait()
 	result := Result{Seed: seed, Violations: append(d.judge.verdict(), d.faultsInLogs()...), Counts: d.judge.counts, Injected: injected}
-	result.Counts["MB at most"] = int(d.peakMemory / megabyte)
+	result.Counts["MB at most"] = d.peakMegabytes()
 	if asked, ok := l.calmRequests.Load(), l.calmAnswered.Load(); asked == 0 || float64(ok) < minCalmAnswered*float64(asked) {
 		result.Violations = append(result.Violations, fmt.Sprintf("in the calm end, %d of %d requests were answered", ok, asked))
 	}
