Join no events to an answer that is no stream

Cause: an engine may answer a resumable request with a success that is no stream. If it broke off beyond 1 MB, the request was placed again like a stream that has begun, and the second engine's events went into the same response.

A failed step now says whether a part that no other run can go on from has gone to the caller; the request ends then.

--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -111,7 +111,8 @@
 // StepFailed says that a step got no usable answer; the upstream may have
 // carried it out. Unsent is set if nothing of the request left this node.
 // Status is the upstream's own failure status, or zero. Emitted is set if part
-// of the answer has gone to the caller.
+// of the answer has gone to the caller, and Unresumable if that part is no stream, so that
+// no other run can go on from it.
 type StepFailed struct {
 	ID      ForwardID
 	Send    SendNumber
@@ -120,7 +121,9 @@
 	Unsent  bool
 	Status  int
 	Emitted bool
-	Reason  string
+	// Unresumable implies Emitted.
+	Unresumable bool
+	Reason      string
 }
 
 // ForwardResponseStarted says that the first bytes of a run's answer went to the caller.
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -384,7 +384,7 @@
 		s.prefillElsewhere(n, f)
 	case RunStep:
 		f.hasFailureAnswer = m.Status != 0
-		again := s.mayRunAgain(f) && f.sends < maxSends && n.now < f.deadline
+		again := s.mayRunAgain(f) && !m.Unresumable && f.sends < maxSends && n.now < f.deadline
 		if again && s.spendRetryBudget(n, f, rerunCost) {
 			s.rerunElsewhere(n, f)
 			return
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -47,6 +47,8 @@
 	failure *bufferedResponse
 	// headSent is set once the head of the response went to the caller.
 	headSent bool
+	// unresumable is set once a part of an answer that is no stream went to the caller.
+	unresumable bool
 	// lastEventID is the id of the last relayed event that has one, and
 	// eventCount the number of those events.
 	lastEventID string
@@ -241,7 +243,7 @@
 func (x *exchange) reportStepFailed(s step, err error, status int) {
 	x.server.SendToCore(core.StepFailed{
 		ID: x.forward.ID, Send: s.send, Engine: s.engine, Step: s.kind, Unsent: nothingSent(err), Status: status,
-		Emitted: x.headSent, Reason: err.Error(),
+		Emitted: x.headSent, Unresumable: x.unresumable, Reason: err.Error(),
 	})
 }
 
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -71,10 +72,8 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(result.rest.Length, 10))
 	}
 	x.writeHead(start.status)
-	_, err := x.w.Write(start.body)
-	if err == nil {
-		_, err = io.Copy(x.w, result.rest.Body)
-	}
+	x.unresumable = true
+	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(start.body), result.rest.Body))
 	if err != nil {
 		x.failRun(result.run, err, 0)
 		return false
