Count a caller that leaves a long answer as gone

What callers saw: nothing. What others saw: a sound upstream counted as failing, a request that was placed again without a caller, and a violation of DrainGraceful that was none.

Cause: a write to the caller and a read from the upstream that fail were not told apart beyond 1 MB, so that a caller that left was reported as a failed step. net/http closes the connection itself after a write that fails; that counted as a close of this node's own.

--- a/daisyshed/ingress/long_answer_test.go
+++ b/daisyshed/ingress/long_answer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -37,3 +39,23 @@
 	is.True(err != nil)
 	is.True(!strings.Contains(got, "data:"))
 }
+
+// A caller closes its connection in the middle of a long answer. That is no failure of the
+// upstream.
+func TestCallerThatLeavesALongAnswerIsNoFailureOfTheUpstream(t *testing.T) {
+	is := is.New(t)
+	u, writing := endlessUpstream(t, 200, "application/octet-stream", bytes.Repeat([]byte("x"), 64<<10), 0)
+	u.Service, u.Role = "ledger", core.Plain
+	s, n := startPlainNode(t, 10*time.Second, u)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	is.NoErr(err)
+	_, err = fmt.Fprint(conn, "GET /plain/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\nDeadline-Ms: 8000\r\n\r\n")
+	is.NoErr(err)
+	_, err = io.CopyN(io.Discard, conn, 4<<20)
+	is.NoErr(err)
+	_ = conn.Close()
+	eventually(t, writing, time.Second)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(n.count("step-failed"), 0)
+	is.Equal(n.count("gone"), 1)
+}
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -73,8 +73,13 @@
 	}
 	x.writeHead(start.status)
 	x.unresumable = true
-	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(start.body), result.rest.Body))
-	if err != nil {
+	caller := &callerWriter{w: x.w}
+	_, err := io.Copy(caller, io.MultiReader(bytes.NewReader(start.body), result.rest.Body))
+	switch {
+	case caller.failed:
+		x.endDisconnected()
+		return true
+	case err != nil:
 		x.failRun(result.run, err, 0)
 		return false
 	}
@@ -83,6 +88,19 @@
 	return true
 }
 
+// callerWriter writes to a caller and records whether that failed.
+type callerWriter struct {
+	w      io.Writer
+	failed bool
+}
+
+// Write writes to the caller.
+func (c *callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.failed = c.failed || err != nil
+	return n, err
+}
+
 // writeBuffered writes a whole response to the caller. Without a Content-Type
 // from the upstream it sends none, where net/http would guess one.
 func (x *exchange) writeBuffered(response bufferedResponse) {
--- a/daisyshed/tcp/conn.go
+++ b/daisyshed/tcp/conn.go
@@ -14,6 +14,8 @@
 	net.Conn
 	release func()
 	closed  atomic.Bool
+	// broken is set once a write has failed. The server closes the connection after that.
+	broken atomic.Bool
 
 	mu sync.Mutex
 	// busy is set from the first byte of a request until the server waits for the next
@@ -31,6 +33,15 @@
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *slotConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.broken.Store(true)
+	}
+	return n, err
+}
+
 // begin records that a request has begun to arrive. The server reads it to its end and
 // answers it, although the connection was to be closed.
 func (c *slotConn) begin() {
@@ -103,9 +114,10 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// ClosedHere reports whether this process has closed the connection that ctx carries. It
-// returns false if ctx carries no connection of a listener of this package.
+// ClosedHere reports whether this process has closed the connection that ctx carries,
+// although its peer still took what was written. It returns false if ctx carries no
+// connection of a listener of this package.
 func ClosedHere(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(*slotConn)
-	return ok && c.closed.Load()
+	return ok && c.closed.Load() && !c.broken.Load()
 }
