Count a silence as a failure only once another run has taken over

What callers saw: rejections and longer queues after a sound engine was silent once.

Cause: each silent stream counted as a failure of its engine, and two in a row put an engine aside for up to two seconds. A takeover counted twice.

Silence alone counts as nothing now; a run that another one has overtaken is one failure. An engine that hangs still shows at once: its leases get no answer.

--- a/core/forward.go
+++ b/core/forward.go
@@ -323,7 +323,7 @@
 		return
 	}
 	if f.silent != nil {
-		s.releaseSilentRun(n, f, RunFailed)
+		s.replaceRun(n, f)
 	}
 	f.phase = forwardResponding
 	f.outcome = RunSucceeded
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -79,7 +79,6 @@
 		if u == nil || !s.spendRetryBudget(n, f, 1) {
 			return
 		}
-		f.decode.recordFailure(n.now)
 		s.setAside(n, f)
 		s.runPlainAt(n, f, u)
 	})
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -38,7 +38,6 @@
 // engine may be sound and go on at any moment, so its run keeps its place until another
 // run has one, and nothing changes if there is no room for another run.
 func (s *forwards) replaceSilentRun(n *Node, f *forwardedRequest) {
-	f.decode.recordFailure(n.now)
 	d := s.newDecision(n, f, "silent", NoReason)
 	allowed := f.unprovenRuns() < f.route.MaxRuns && f.sends < maxSends
 	inTime := n.now < f.deadline
@@ -119,6 +118,13 @@
 	s.retryIfSilent(n, f)
 }
 
+// replaceRun releases a silent run whose place another run has taken. Silence alone is no
+// failure of an upstream, but one that another has overtaken is.
+func (s *forwards) replaceRun(n *Node, f *forwardedRequest) {
+	f.silent.engine.recordFailure(n.now)
+	s.releaseSilentRun(n, f, RunFailed)
+}
+
 // releaseSilentRun releases what a silent run holds, because the run has ended.
 func (s *forwards) releaseSilentRun(n *Node, f *forwardedRequest, outcome RunOutcome) {
 	run := f.silent
