Count no interim responses among those of other requests

What callers saw: 502 for a request that the upstream had answered.

Cause: a connection is read for two responses at most, to skip a late one. Interim responses counted, so that an answer after 100 and 103 was thrown away.

Up to eight interim responses are read besides, each within the bound on heads. Found by the review; TestInterimResponsesDoNotHideTheAnswer failed before.

--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -28,8 +28,10 @@
 	// respond before it has read all of it.
 	maxInlineBody = 8 << 10
 	// maxResponsesRead bounds how many responses are read from a connection to
-	// find the one that belongs to the request. Interim responses count.
+	// find the one that belongs to the request, and maxInterim how many interim ones
+	// besides.
 	maxResponsesRead = 2
+	maxInterim       = 8
 	// readBufferSize is enough for the headers of most responses.
 	readBufferSize = 4 << 10
 )
@@ -232,13 +234,9 @@
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
 	defer cn.in.removeLimit()
 	for range maxResponsesRead {
-		cn.in.setLimit(Head, maxHeadBytes)
-		response, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
+		response, err := readFinalHead(cn, r)
 		if err != nil {
-			return nil, headError(err)
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
+			return nil, err
 		}
 		if r.Matches == nil || r.Matches(response.Header) {
 			return response, nil
@@ -257,6 +255,21 @@
 	return nil, MismatchedResponseError{}
 }
 
+// readFinalHead reads the head of the next response, without the interim ones before it.
+func readFinalHead(cn *conn, r *Request) (*http.Response, error) {
+	for range maxInterim + 1 {
+		cn.in.setLimit(Head, maxHeadBytes)
+		response, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, headError(err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, MismatchedResponseError{}
+}
+
 // writeRequest writes a request and returns the number of bytes written.
 func writeRequest(cn *conn, r *Request) (int, error) {
 	buffer := encodeRequest(r)
--- a/daisyshed/upstream/limits_test.go
+++ b/daisyshed/upstream/limits_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -267,3 +268,26 @@
 		})
 	}
 }
+
+// A sound upstream sends interim responses before its answer. They must not count as
+// responses that belong to other requests.
+func TestInterimResponsesDoNotHideTheAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}()
+	client := &upstream.Client{DialTimeout: time.Second}
+	response, err := client.Do(t.Context(), &upstream.Request{Key: "e1", Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "h"})
+	is.NoErr(err)
+	response.Close()
+}
