Release the lease of a run that is not begun

What others saw: an engine's memory that stays reserved until the lease expires.

Cause: when a silent run goes on just as the command for its replacement is delivered, that run is not begun, and nobody released the lease that its command carried. The server releases it with the refusal.

--- a/daisyshed/ingress/takeover.go
+++ b/daisyshed/ingress/takeover.go
@@ -18,6 +18,9 @@
 		return true
 	case c.TakesOver && c.GoneOn != x.goneOn:
 		x.server.Log.Info().Str("Event", "RunNotNeeded").Str("Request", x.forward.Attempt).Str("Engine", string(c.Engine)).Send()
+		if c.Lease != "" {
+			x.server.Execute(core.ReleaseLease{Engine: c.Engine, Address: c.Address, Lease: c.Lease})
+		}
 		x.reportStepRefused(s, core.NothingSent, 0)
 		return true
 	}
