Act on a rejected prefill before its body is read

What callers saw: a stream that begins up to the step's timeout later.

Cause: the body of a response to a prefill was read, up to 1 MB and for as long as the step may take, before the statement "not run" in its head was looked at.

--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -211,12 +211,13 @@
 		x.reportStepFailed(s, err, 0)
 		return
 	}
-	defer response.Close()
-	body, err := response.ReadAll(maxBufferedBytes)
 	if proof, ok := platform.NotRun(response.Status, response.Header, c.Engine).Get(); ok {
+		drain(cancel, response)
 		x.reportStepRefused(s, proof, response.Status)
 		return
 	}
+	defer response.Close()
+	body, err := response.ReadAll(maxBufferedBytes)
 	if err != nil || response.Status != http.StatusOK {
 		x.reportStepFailed(s, &InvalidResponseError{Cause: err}, response.Status)
 		return
--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -115,7 +115,7 @@
 	_, rejected := result.notRun.Get()
 	switch {
 	case rejected:
-		drain(r, response)
+		drain(r.cancel, response)
 	case result.response.success() && !platform.HasSignature(response.Header):
 		response.Close()
 		result.err = MissingSignatureError{}
@@ -133,9 +133,10 @@
 }
 
 // drain reads a short body to its end and closes the response, so that the connection can
-// be used again. It is not worth waiting for a long one.
-func drain(r *run, response *upstream.Response) {
-	t := time.AfterFunc(drainTimeout, r.cancel)
+// be used again. It is not worth waiting for a long one; cancel ends the request to the
+// upstream then.
+func drain(cancel context.CancelFunc, response *upstream.Response) {
+	t := time.AfterFunc(drainTimeout, cancel)
 	defer t.Stop()
 	// If the read fails, Close closes the connection.
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
