Count no caller that leaves as its upstream's failure

What callers saw: nothing. What others saw: a sound upstream that is avoided.

Cause: when a caller leaves, its run is cancelled, and the result of that may come before the end of the request is noticed. It was reported as a failed step, which counts against the upstream; so was the answer of more than 1 MB that a caller no longer reads.

A result of a cancelled run is never reported as a failure.

--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -20,7 +20,6 @@
 	if result.rest != nil {
 		defer result.rest.Close()
 	}
-	cancelled := r.ctx.Err() != nil && x.ctx.Err() == nil
 	proof, rejected := result.notRun.Get()
 	if rejected || nothingSent(result.err) {
 		x.unproven.Remove(r.Send)
@@ -29,7 +28,7 @@
 	case rejected:
 		x.forget(r)
 		x.reportStepRefused(r.step(), proof, response.status)
-	case cancelled:
+	case r.ctx.Err() != nil:
 	case result.err != nil:
 		x.failRun(r, result.err, 0)
 	case x.headSent:
@@ -76,7 +75,7 @@
 	caller := &callerWriter{w: x.w}
 	_, err := io.Copy(caller, io.MultiReader(bytes.NewReader(start.body), result.rest.Body))
 	switch {
-	case caller.failed:
+	case caller.failed || x.ctx.Err() != nil:
 		x.endDisconnected()
 		return true
 	case err != nil:
