Bound the last write of an answer in time

What others saw: a goroutine and a connection that stay with a caller that does not read.

Cause: the write deadline of a request was cleared when the handler returned, before net/http writes what it still holds. Each request sets its own deadline at its start instead, and none clears it. Found by the review, read only; TestCallerThatDoesNotReadIsGivenUp guards the writes before.

--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -72,8 +72,6 @@
 // has ended.
 func (x *exchange) serve() {
 	defer x.cancelRuns()
-	// Deadlines apply to the connection, which may be kept for further requests.
-	defer func() { _ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{}) }()
 	x.overlap, x.stall = stoppedTimer(), stoppedTimer()
 	defer x.overlap.Stop()
 	defer x.stall.Stop()
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -122,8 +122,6 @@
 	if x.server.closing.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
-	// If the writer supports no deadlines, only the core's bound on the answer applies.
-	_ = http.NewResponseController(x.w).SetWriteDeadline(x.startedAt.Add(x.forward.Patience + unreadTime))
 	x.w.WriteHeader(status)
 	x.headSent = true
 	x.headSentAt = time.Now()
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -113,6 +113,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	forward := platform.DecodeForward(r)
+	// The deadline also bounds what net/http writes after the handler has returned. Each
+	// request sets its own. If w supports no deadlines, only the core's bound applies.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(forward.Patience + unreadTime))
 	body, ok := s.readBody(w, r, forward)
 	if !ok {
 		return
