Ask again whether another upstream may take over a silent request

What callers saw: a request that waits for a silent upstream although another one has become free.

Cause: before the first event, and at plain services, it was asked once whether another run is allowed. Without room in the retry budget at that moment there was no second try.

The question is asked again after the same time, until the deadline. Found by the review, by reading; the core's tests pass, none guards it.

--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -77,6 +77,7 @@
 		}
 		u := s.choosePlain(n, f, s.upstreams.byService[f.spec.ID])
 		if u == nil || !s.spendRetryBudget(n, f, 1) {
+			s.retryIfSilent(n, f)
 			return
 		}
 		s.setAside(n, f)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -310,6 +310,10 @@
 		if f.silent == nil {
 			s.replaceSilentRun(n, f)
 		}
+		if f.step == step {
+			// There was no room for another run. There may be later.
+			s.watchFirstEvent(n, f)
+		}
 	})
 }
 
