--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -61,4 +61,11 @@
 	{Rule: "LOST", Mutant: Mutant{Name: "read-request-gets-empty-200", Promise: core.AnswerWhole, Edits: []Edit{
 		afterRead("return"),
 	}}},
+	{Rule: "LOST", Mutant: Mutant{Name: "silence-ends-run", Promise: core.AnswerWhole, Edits: []Edit{{
+		"daisyshed/ingress/takeover.go", "	x.server.SendToCore(core.ForwardStalled{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})\n",
+		"	x.failRun(r, TakeoverTimeoutError{}, 0)\n",
+	}}}},
+	{Rule: "MEMORY", Mutant: Mutant{Name: "head-without-limit", Promise: core.AnswerWhole, Edits: []Edit{{
+		"daisyshed/upstream/limits.go", "	if l.limit == 0 {\n", "	if true {\n",
+	}}}},
 }
