Begin a run although a search for another upstream follows it at once

What callers saw: a request that got no answer until its deadline.

Cause: a command that a request's goroutine has not begun is replaced by the next one.

A run that a later command does not end is now kept and begun first.

--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -189,7 +189,7 @@
 	if endsRuns(c) {
 		x.cancelRuns()
 	}
-	if replaced := x.commands.put(c); replaced != nil {
+	for _, replaced := range x.commands.put(c) {
 		s.Log.Info().Str("Event", "CommandReplaced").Str("Request", x.forward.Attempt).
 			Str("Command", fmt.Sprintf("%T", replaced)).Str("By", fmt.Sprintf("%T", c)).Send()
 	}
--- a/daisyshed/ingress/takeover_test.go
+++ b/daisyshed/ingress/takeover_test.go
@@ -447,3 +447,33 @@
 		})
 	}
 }
+
+// The goroutine of a request gets no processor time for a while. The core takes a run that
+// has not begun for a silent one, and looks for another upstream. That run must begin all the
+// same: the core may wait for its result.
+func TestRunBeginsBeforeTheSearchThatFollowsIt(t *testing.T) {
+	const closed = "127.0.0.1:1"
+	for name, next := range map[string]core.ForwardCommand{
+		"lease":   core.RequestLease{ID: 1, Send: 2, Engine: "e2", Address: closed, Tokens: 1, TTL: time.Second},
+		"prefill": core.RunPrefill{ID: 1, Send: 2, Engine: "e2", Address: closed, Timeout: time.Second},
+		"run":     core.RunForward{ID: 1, Send: 2, Engine: "e2", Address: closed, Patience: time.Second, TakesOver: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := startStagedEngine(t)
+			close(e.goOn)
+			s, _ := startServerWith(t, func(s *ingress.Server) {
+				s.SendToCore = func(m core.Message) {
+					if f, ok := m.(core.Forward); ok {
+						s.Execute(core.RunForward{ID: f.ID, Send: 1, Engine: "e1", Address: e.address, Patience: time.Second})
+						s.Execute(next)
+						time.AfterFunc(time.Second, func() { s.Execute(core.EndForward{ID: f.ID, Reason: core.DeadlinePassed}) })
+					}
+				}
+			}, nil)
+			got, err := read(t, s.URL)
+			is.NoErr(err)
+			is.Equal(got, wholeTakeoverStream())
+		})
+	}
+}
