Release a placement that its owner rejects

What others saw: an owner that counts a place as taken for up to a minute.

Cause: two searches of a request use the same placement id. If the rejection of the first one arrives after the second one was requested, it ends the second one, and the owner kept that job. The entry now releases a rejected placement; that has no effect at an owner that has none.

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -106,7 +106,9 @@
 	if !ok || f.phase != forwardAwaitingOwner || f.owner != from {
 		return
 	}
-	f.owner = ""
+	// The rejection may be that of an earlier placement with this id. Releasing the present
+	// one is of no effect if the owner has none.
+	s.releaseAtOwner(n, f)
 	s.end(n, f, NoCapacity, m.RetryAfter)
 }
 
--- a/core/forward_silent_random_test.go
+++ b/core/forward_silent_random_test.go
@@ -39,8 +39,8 @@
 	// outbox holds the messages that the core has not handled yet, in order, and handled
 	// the results that it has.
 	outbox, handled []core.Message
-	// slot is the command that the request's goroutine has not begun yet.
-	slot                 core.Command
+	// slot holds the commands that the request's goroutine has not begun yet.
+	slot                 []core.Command
 	leases               []core.RequestLease
 	prefills             []core.RunPrefill
 	runs                 []*modelRun
@@ -139,7 +139,10 @@
 	if ends {
 		m.cancelRuns()
 	}
-	m.slot = c
+	m.slot = append(slices.DeleteFunc(m.slot, func(earlier core.Command) bool {
+		_, run := earlier.(core.RunForward)
+		return ends || !run
+	}), c)
 }
 
 func (m *modelRuntime) cancelRuns() {
@@ -148,10 +151,10 @@
 	}
 }
 
-// take begins the command in the slot.
+// take begins the first command in the slot.
 func (m *modelRuntime) take() {
-	c := m.slot
-	m.slot = nil
+	c := m.slot[0]
+	m.slot = m.slot[1:]
 	m.log("taken: %T", c)
 	switch c := c.(type) {
 	case core.RequestLease:
@@ -399,7 +402,7 @@
 			actions = append(actions, do)
 		}
 	}
-	add(8, m.slot != nil && !m.over, m.take)
+	add(8, len(m.slot) > 0 && !m.over, m.take)
 	add(12, len(m.outbox) > 0, m.handleNext)
 	add(8, len(m.leases) > 0, m.answerLease)
 	add(8, len(m.prefills) > 0, m.answerPrefill)
@@ -437,7 +440,7 @@
 		switch {
 		case len(m.outbox) > 0:
 			m.handleNext()
-		case m.slot != nil:
+		case len(m.slot) > 0:
 			m.take()
 		case len(m.leases) > 0:
 			m.answerLease()
@@ -518,18 +521,18 @@
 			return false
 		}
 	}
-	return !m.over && m.slot == nil && len(m.outbox)+len(m.leases)+len(m.prefills) == 0 && !m.ownerHasJob() && len(m.asleep) == 0
+	return !m.over && len(m.slot) == 0 && len(m.outbox)+len(m.leases)+len(m.prefills) == 0 && !m.ownerHasJob() && len(m.asleep) == 0
 }
 
 // settle has all results arrive, but no further event of a run, until the request must have
 // ended.
 func (m *modelRuntime) settle() {
 	idleSince := m.h.now
-	for m.h.now < m.deadline.Add(endBound) || len(m.outbox) > 0 || m.slot != nil && !m.over {
+	for m.h.now < m.deadline.Add(endBound) || len(m.outbox) > 0 || len(m.slot) > 0 && !m.over {
 		for len(m.outbox) > 0 {
 			m.handleNext()
 		}
-		if m.slot != nil && !m.over {
+		if len(m.slot) > 0 && !m.over {
 			m.take()
 			continue
 		}
