Read whether an answer has begun without a race

Cause: the result of a lease or a prefill says whether a part of the answer has gone to the caller. Its goroutine read that while the request's own goroutine may set it, since a silent run goes on beside a search and may have its first event then.

--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"daisyshed.dev/core"
@@ -45,10 +46,11 @@
 	// failure is the upstream's own failure response, kept while the core
 	// decides whether to try another upstream.
 	failure *bufferedResponse
-	// headSent is set once the head of the response went to the caller.
-	headSent bool
+	// headSent is set once the head of the response went to the caller. The goroutines of a
+	// search read it while a silent run goes on.
+	headSent atomic.Bool
 	// unresumable is set once a part of an answer that is no stream went to the caller.
-	unresumable bool
+	unresumable atomic.Bool
 	// lastEventID is the id of the last relayed event that has one, and
 	// eventCount the number of those events.
 	lastEventID string
@@ -122,7 +124,7 @@
 	case core.RunForward:
 		x.startRun(c)
 	case core.RelayFailure:
-		if x.failure != nil && !x.headSent {
+		if x.failure != nil && !x.headSent.Load() {
 			x.writeBuffered(*x.failure)
 			return true
 		}
@@ -139,7 +141,7 @@
 // has gone to the caller, the connection is aborted, so that the response does
 // not look complete.
 func (x *exchange) endWithFailure(c core.EndForward) {
-	if x.headSent {
+	if x.headSent.Load() {
 		x.logCut(c.Reason)
 		x.recordEnd(http.StatusBadGateway)
 		panic(http.ErrAbortHandler)
@@ -242,7 +244,7 @@
 func (x *exchange) reportStepFailed(s step, err error, status int) {
 	x.server.SendToCore(core.StepFailed{
 		ID: x.forward.ID, Send: s.send, Engine: s.engine, Step: s.kind, Unsent: nothingSent(err), Status: status,
-		Emitted: x.headSent, Unresumable: x.unresumable, Reason: err.Error(),
+		Emitted: x.headSent.Load(), Unresumable: x.unresumable.Load(), Reason: err.Error(),
 	})
 }
 
@@ -266,7 +268,7 @@
 func (x *exchange) endDisconnected() {
 	x.cancelRuns()
 	x.reportDisconnected()
-	if x.headSent {
+	if x.headSent.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	x.w.Header().Set("Connection", "close")
@@ -275,8 +277,8 @@
 
 // reportDisconnected notifies the core that the caller's connection is closed.
 func (x *exchange) reportDisconnected() {
-	x.server.Meter.RecordUnanswered(x.headSent)
-	x.server.Log.Info().Str("Event", "CallerGone").Str("Request", x.forward.Attempt).Bool("HeadSent", x.headSent).
+	x.server.Meter.RecordUnanswered(x.headSent.Load())
+	x.server.Log.Info().Str("Event", "CallerGone").Str("Request", x.forward.Attempt).Bool("HeadSent", x.headSent.Load()).
 		Int("Events", x.eventCount).Bool("ClosedHere", tcp.ClosedHere(x.ctx)).Dur("AfterMs", time.Since(x.startedAt)).Send()
 	x.server.SendToCore(core.ForwardCallerDisconnected{ID: x.forward.ID, ClosedHere: tcp.ClosedHere(x.ctx)})
 }
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -31,7 +31,7 @@
 	case r.ctx.Err() != nil:
 	case result.err != nil:
 		x.failRun(r, result.err, 0)
-	case x.headSent:
+	case x.headSent.Load():
 		x.failRun(r, &UpstreamFailedError{Status: response.status}, response.status)
 	case r.Once && platform.PromisesNotRun(response.status):
 		x.failRun(r, &UnprovenRejectionError{Status: response.status}, response.status)
@@ -71,7 +71,7 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(result.rest.Length, 10))
 	}
 	x.writeHead(start.status)
-	x.unresumable = true
+	x.unresumable.Store(true)
 	caller := &callerWriter{w: x.w}
 	_, err := io.Copy(caller, io.MultiReader(bytes.NewReader(start.body), result.rest.Body))
 	switch {
@@ -116,14 +116,14 @@
 
 // writeHead sends the status and the headers to the caller.
 func (x *exchange) writeHead(status int) {
-	if x.headSent {
+	if x.headSent.Load() {
 		x.reportViolation(core.AnsweredOnce, "the head of a response is sent again")
 	}
 	if x.server.closing.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
 	x.w.WriteHeader(status)
-	x.headSent = true
+	x.headSent.Store(true)
 	x.headSentAt = time.Now()
 }
 
@@ -159,7 +159,7 @@
 
 // sendStreamHead sends the head of a stream's response unless it was sent before.
 func (x *exchange) sendStreamHead(e streamEvent) {
-	if !x.headSent {
+	if !x.headSent.Load() {
 		platform.CopyResponseHeader(x.w.Header(), e.header)
 		x.writeHead(e.status)
 	}
