--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -60,7 +60,7 @@
 // placed returns the live request to which a placement belongs; nil if there is none. It
 // reports whether the placement is the request's present one.
 func (s *forwards) placed(id ForwardID) (*forwardedRequest, bool) {
-	f, ok := s.live[id&^replacementPlacement]
+	f, ok := s.live[id&^secondPlacement]
 	return f, ok && f.placement == id
 }
 
--- a/core/forward.go
+++ b/core/forward.go
@@ -79,8 +79,9 @@
 	current    SendNumber
 	runRecords []runRecord
 	sentTo     Set[EngineID]
-	// silent is the run that goes on while the request looks for another engine; nil if
-	// there is none. The fields above describe the other placement then.
+	// silent is the run that goes on while the request is placed a second time; nil if
+	// there is none. The fields from phase to placedAt, and current, describe the second
+	// placement then.
 	silent *silentRun
 	// goneOn counts the reports that a run has begun to answer or goes on.
 	goneOn int
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -2,12 +2,12 @@
 
 import "fmt"
 
-// replacementPlacement tells the two placements of a request apart that its owners may
-// know at a time: that of a silent run and that of the run that is to take over.
-const replacementPlacement ForwardID = 1 << 63
+// secondPlacement is set in the id of one of the two placements of a request that owners may
+// know at a time: that of its silent run and that of the run that is to take over.
+const secondPlacement ForwardID = 1 << 63
 
-// silentRun is a run of a stream that goes on although it is silent, while the request
-// looks for another engine that takes the stream over. It keeps its place until then.
+// silentRun is a run that goes on without an answer or an event, while the request is placed
+// a second time. It keeps its place until another run has taken over.
 type silentRun struct {
 	send      SendNumber
 	engine    *upstream
@@ -61,7 +61,7 @@
 }
 
 // setAside makes a request's present run its silent run, so that the request can be placed
-// a second time.
+// a second time. A request that runs holds no lease, prefill or KV cache any more.
 func (s *forwards) setAside(n *Node, f *forwardedRequest) {
 	f.silent = &silentRun{
 		send: f.current, engine: f.decode, reserved: f.reserved, phase: f.phase, outcome: f.outcome, placedAt: f.placedAt,
@@ -72,7 +72,7 @@
 	f.step++
 	f.giveUpSend()
 	f.decode, f.reserved, f.owner, f.outcome = nil, 0, "", RunUnknown
-	f.placement ^= replacementPlacement
+	f.placement ^= secondPlacement
 }
 
 // keepSilentRun returns to a request's silent run, if it has one, when the request would
@@ -95,7 +95,8 @@
 	run := f.silent
 	f.silent = nil
 	if _, engine := f.spec.Engine.Get(); engine {
-		s.budget(f.spec.ID).returnRetries(run.searchedAt, rerunCost-(f.sends-run.sends)-(f.prefills-run.prefills))
+		arrived := f.sends - run.sends + f.prefills - run.prefills
+		s.budget(f.spec.ID).returnRetries(run.searchedAt, rerunCost-arrived)
 	}
 	s.dequeue(f)
 	s.release(n, f)
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -26,7 +26,7 @@
 	}
 	switch {
 	case rejected:
-		x.forget(r)
+		x.removeEnded(r)
 		x.reportStepRefused(r.step(), proof, response.status)
 	case r.ctx.Err() != nil:
 	case result.err != nil:
@@ -46,14 +46,14 @@
 
 // failRun notifies the core that a run got no usable response.
 func (x *exchange) failRun(r *run, err error, status int) {
-	x.forget(r)
+	x.removeEnded(r)
 	x.reportStepFailed(r.step(), err, status)
 }
 
 // relayResponse relays a response that is not a stream.
 func (x *exchange) relayResponse(result runResult) bool {
 	r := result.run
-	x.prefer(r)
+	x.keepOnly(r)
 	x.reportStarted(r)
 	if result.rest != nil {
 		return x.relayUnbuffered(result)
@@ -135,14 +135,14 @@
 	case e.run.ctx.Err() != nil:
 		return false
 	case e.err == io.EOF:
-		x.prefer(e.run)
+		x.keepOnly(e.run)
 		x.finishStream(e)
 		return true
 	case e.err != nil:
 		x.failRun(e.run, e.err, 0)
 		return false
 	}
-	x.prefer(e.run)
+	x.keepOnly(e.run)
 	x.sendStreamHead(e)
 	x.reportEvent(e.run)
 	if e.id != "" {
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -195,8 +195,8 @@
 	}
 }
 
-// endsRuns reports whether a command ends a request's earlier runs. Beside those that look
-// for another upstream, a silent run goes on.
+// endsRuns reports whether a command ends a request's earlier runs. A silent run goes on
+// while another upstream is sought and while a run is to take over.
 func endsRuns(c core.ForwardCommand) bool {
 	switch c := c.(type) {
 	case core.RequestLease, core.RunPrefill:
--- a/daisyshed/ingress/takeover.go
+++ b/daisyshed/ingress/takeover.go
@@ -19,6 +19,7 @@
 	case c.TakesOver && c.GoneOn != x.goneOn:
 		x.server.Log.Info().Str("Event", "RunNotNeeded").Str("Request", x.forward.Attempt).Str("Engine", string(c.Engine)).Send()
 		if c.Lease != "" {
+			// The core has passed the lease on to this run.
 			x.server.Execute(core.ReleaseLease{Engine: c.Engine, Address: c.Address, Lease: c.Lease})
 		}
 		x.reportStepRefused(s, core.NothingSent, 0)
@@ -27,9 +28,9 @@
 	return false
 }
 
-// prefer makes a run that has begun to answer the only one, and cancels the other if two
+// keepOnly makes a run that has begun to answer the only one, and cancels the other if two
 // overlap.
-func (x *exchange) prefer(r *run) {
+func (x *exchange) keepOnly(r *run) {
 	if x.replacement == nil {
 		return
 	}
@@ -42,9 +43,9 @@
 	x.current, x.replacement = r, nil
 }
 
-// forget removes a run that has ended. If another one overlaps with it, that is the only
-// one now.
-func (x *exchange) forget(r *run) {
+// removeEnded removes a run that has ended, and cancels what is left of it. If another one
+// overlaps with it, that is the only one now.
+func (x *exchange) removeEnded(r *run) {
 	r.cancel()
 	switch r {
 	case x.replacement:
@@ -64,7 +65,7 @@
 	if r == nil {
 		return
 	}
-	x.forget(r)
+	x.removeEnded(r)
 	x.reportStepFailed(r.step(), TakeoverTimeoutError{}, 0)
 }
 
@@ -77,7 +78,8 @@
 	x.stall.Stop()
 }
 
-// reportStalled notifies the core that the present run is silent. The run goes on.
+// reportStalled notifies the core that the present run is silent. The run goes on. It is
+// reported again after each StallAfter, because there may have been no room for another run.
 func (x *exchange) reportStalled() {
 	r := x.current
 	if r == nil || !r.started || r.StallAfter == 0 {
