Log why a node lacks the desired state that others have

The decision 'behind' names the first later version that a peer has; 'desired' names the source, store or peer, and for how long the node had known that it was behind, also as histogram desired_state_lag_seconds by source. No decision changes.

--- a/core/desired.go
+++ b/core/desired.go
@@ -25,10 +25,22 @@
 	ResumeOnly
 )
 
+// StateSource says from where a node received a desired state.
+type StateSource int
+
+// The sources of desired states.
+const (
+	// StateFromStore is a read of the store.
+	StateFromStore StateSource = iota
+	// StateFromPeer is an answer of another node.
+	StateFromPeer
+)
+
 // DesiredState is the complete configuration that operators want in force. A
 // later version replaces an earlier one as a whole.
 type DesiredState struct {
 	Version int64
+	Source  StateSource
 	// Offset is the state's offset in the store. It grows with the version.
 	Offset   Offset
 	Routes   []Route
--- a/core/forward.go
+++ b/core/forward.go
@@ -123,6 +123,10 @@
 	readyAnnounced bool
 	stateQueriedAt Instant
 	listQueriedAt  Instant
+	// latestVersion is the latest version of the desired state that a peer has named, and
+	// behindSince is when this node first learned that it lacks a later version than its own.
+	latestVersion int64
+	behindSince   Instant
 }
 
 func (s *forwards) start() {
@@ -140,11 +144,16 @@
 	if s.stateKnown && d.Version <= s.state.Version {
 		return
 	}
+	var lag time.Duration
+	if s.behind() {
+		lag = n.now.Sub(s.behindSince)
+	}
 	s.state, s.stateKnown = d, true
 	s.routes = newRouteTable(d.Routes)
 	s.announceReady(n)
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
+		Detail: d.Source.String(), Waited: lag,
 	}})
 }
 
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -62,6 +62,7 @@
 		return
 	}
 	s := &n.forward
+	s.noteVersion(n, from, int64(offset))
 	needsList := offset > 0 && !s.upstreams.loaded && (s.listQueriedAt == 0 || n.now.Sub(s.listQueriedAt) >= listQueryEvery)
 	needsState := offset > n.stateOffset() && (s.stateQueriedAt == 0 || n.now.Sub(s.stateQueriedAt) >= stateQueryEvery)
 	if !needsList && !needsState {
@@ -74,6 +75,25 @@
 	n.send(from, StateQuery{Upstreams: needsList})
 }
 
+// noteVersion records a version of the desired state that a peer has. The first one that
+// this node lacks is logged.
+func (s *forwards) noteVersion(n *Node, from NodeID, version int64) {
+	if version <= max(s.state.Version, s.latestVersion) {
+		return
+	}
+	if !s.behind() {
+		s.behindSince = n.now
+		n.do(LogDecision{Decision: Decision{
+			At: n.now, Node: n.Self.ID, Step: "behind", Version: version, Detail: string(from),
+		}})
+	}
+	s.latestVersion = version
+}
+
+// behind reports whether a peer has named a later version of the desired state than this
+// node's.
+func (s *forwards) behind() bool { return s.latestVersion > s.state.Version }
+
 // handleStateQuery answers a peer that lacks the desired state or the list of
 // upstreams.
 func (s *forwards) handleStateQuery(n *Node, from NodeID, m StateQuery) {
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -208,7 +208,8 @@
 			h.log.Error().Str("Event", "Unreadable").Int64("Offset", int64(c.Offset)).Err(err).Send()
 			return
 		}
-		h.log.Info().Str("Event", "Adopted").Int64("Version", d.Version).Send()
+		d.Source = core.StateFromPeer
+		h.log.Info().Str("Event", "Adopted").Int64("Version", d.Version).Int("Bytes", len(c.Record)).Send()
 		h.receive(d)
 	}()
 }
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -232,6 +232,10 @@
 		m.prefillTokens.Inc(int64(c.Prompt.Tokens + c.Emitted))
 	case core.LogDecision:
 		m.scope.Tagged(map[string]string{"step": c.Decision.Step}).Counter("decisions_total").Inc(1)
+		if c.Decision.Step == "desired" {
+			m.scope.Tagged(map[string]string{"source": c.Decision.Detail}).
+				Histogram("desired_state_lag_seconds", latencyBuckets).RecordDuration(c.Decision.Waited)
+		}
 	}
 }
 
--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -72,14 +73,31 @@
 		return err
 	}
 	m := core.PeerMessage{From: l.transport.Self, Incarnation: l.transport.Incarnation, Body: body}
-	if _, err := wire.WriteFrame(l.stream, m); err != nil {
+	if n, err := wire.WriteFrame(l.stream, m); err != nil {
 		l.disconnect()
-		return err
+		return &SendError{To: l.to, Message: fmt.Sprintf("%T", body), Written: n, Cause: err}
 	}
 	l.used = true
 	return nil
 }
 
+// SendError reports a message that could not be sent whole.
+type SendError struct {
+	To core.NodeID
+	// Message is the type of the message, and Written how many of its bytes were sent.
+	Message string
+	Written int
+	Cause   error
+}
+
+// Error returns the message with the receiver, the type and the bytes.
+func (e *SendError) Error() string {
+	return fmt.Sprintf("peer: %s to %s broke off after %d bytes: %s", e.Message, e.To, e.Written, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Cause }
+
 // connect opens a connection and a stream on it, unless one is open.
 func (l *link) connect() error {
 	if l.stream != nil {
