--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -97,7 +97,15 @@
 	// longestPrefill is the longest time from a prompt's arrival at an engine
 	// to the end of its prefill.
 	longestPrefill time.Duration
-	steps          map[core.EngineID]int
+	// peerDelay returns the delay of a message between nodes; nil for linkDelay. peerLoss
+	// is the share of such messages that are lost.
+	peerDelay func(core.PeerBody) time.Duration
+	peerLoss  float64
+	// states holds the desired states by offset, and applied the instants at which each
+	// node has applied a version.
+	states  map[core.Offset]core.DesiredState
+	applied map[int64]map[core.NodeID]core.Instant
+	steps   map[core.EngineID]int
 }
 
 type worldOrder struct {
@@ -280,11 +288,14 @@
 	w := n.w
 	switch c := c.(type) {
 	case core.SendPeer:
-		for _, to := range w.nodes {
-			if to.node.Self.ID == c.To {
-				to.deliverAfter(linkDelay, core.PeerMessage{From: n.node.Self.ID, Incarnation: 1, Body: c.Body})
-			}
+		n.sendPeer(c)
+	case core.DecodePeerState:
+		if d, ok := w.states[c.Offset]; ok {
+			d.Source = core.StateFromPeer
+			n.deliverAfter(0, d)
 		}
+	case core.LogDecision:
+		n.recordApplied(c.Decision)
 	case core.ReadInstances:
 		w.reads++
 		n.reads++
