Bound the pauses of a response of the store, not the whole

Cause: Store.Timeout (700 ms) covered the body, in which time a link of 10 Mbit/s carries 875 KB; the state takes 1.2 MB in base64. Each try also filled the node's link.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -37,9 +37,9 @@
 	// hostedDialTimeout is the dial timeout for upstreams, peers and the store.
 	// A VM that is down does not answer, so it takes this long to detect one.
 	hostedDialTimeout = 400 * time.Millisecond
-	// storeTimeout is the timeout of a call to the store, in addition to the
-	// time that the call asks the store to wait for records. A response takes a
-	// few milliseconds; a slow store takes fifty times as long.
+	// storeTimeout bounds the time until the store answers, in addition to the time that
+	// the call asks the store to wait for records, and each pause in the answer. A
+	// response begins within a few milliseconds; a slow store takes fifty times as long.
 	storeTimeout = 700 * time.Millisecond
 	// peerIdleTimeout is the idle timeout of connections to peers.
 	peerIdleTimeout = time.Minute
