Bound each part of a message to a peer, not the whole

Cause: the write timeout of 500 ms covered the whole message, in which a link of 10 Mbit/s carries 625 KB, and a message that was given up took its connection along, with the heartbeats on it.

A message is written in parts of 16 KiB, each within the timeout; a peer that does not read still blocks its link for one timeout only.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -45,8 +45,8 @@
 	peerIdleTimeout = time.Minute
 	// peerQueueSize is the length of the send queue of each peer, in messages.
 	peerQueueSize = 64
-	// peerWriteTimeout is the write timeout of one message to a peer, and of one
-	// event of an operator's watch.
+	// peerWriteTimeout is the write timeout of each part of a message to a peer, and of
+	// one event of an operator's watch.
 	peerWriteTimeout = 500 * time.Millisecond
 	// hostedHeaderBytes bounds the headers of callers' requests from the start,
 	// when the desired state with the operators' limits is not known yet.
--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -67,13 +67,8 @@
 	if err := l.connect(); err != nil {
 		return err
 	}
-	deadline := time.Now().Add(l.transport.Limits.WriteTimeout)
-	if err := l.stream.SetWriteDeadline(deadline); err != nil {
-		l.disconnect()
-		return err
-	}
 	m := core.PeerMessage{From: l.transport.Self, Incarnation: l.transport.Incarnation, Body: body}
-	if n, err := wire.WriteFrame(l.stream, m); err != nil {
+	if n, err := wire.WriteFrame(partWriter{stream: l.stream, timeout: l.transport.Limits.WriteTimeout}, m); err != nil {
 		l.disconnect()
 		return &SendError{To: l.to, Message: fmt.Sprintf("%T", body), Written: n, Cause: err}
 	}
@@ -81,6 +76,33 @@
 	return nil
 }
 
+// partBytes is the size of the parts in which a message is written.
+const partBytes = 16 << 10
+
+// partWriter writes in parts and bounds the time that each part takes, so that a large
+// message over a slow link is not taken for one that does not progress.
+type partWriter struct {
+	stream  *yamux.Stream
+	timeout time.Duration
+}
+
+// Write implements io.Writer.
+func (w partWriter) Write(p []byte) (int, error) {
+	written := 0
+	for len(p) > 0 {
+		if err := w.stream.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+			return written, err
+		}
+		n, err := w.stream.Write(p[:min(len(p), partBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		p = p[n:]
+	}
+	return written, nil
+}
+
 // SendError reports a message that could not be sent whole.
 type SendError struct {
 	To core.NodeID
--- a/daisyshed/peer/transport.go
+++ b/daisyshed/peer/transport.go
@@ -42,7 +42,7 @@
 	// DialTimeout bounds the opening of a connection. On the accepting side it
 	// bounds the TLS handshake, and separately the wait for the stream.
 	DialTimeout time.Duration
-	// WriteTimeout bounds the writing of one message.
+	// WriteTimeout bounds the writing of each part of a message, of 16 KiB at most.
 	WriteTimeout time.Duration
 	// IdleTimeout is how long an unused connection stays open.
 	IdleTimeout time.Duration
