Answer 503 for what a later desired state may allow

Callers saw 404 for a route that had been confirmed 3 s before, from a node that knew from its peers' heartbeats that it lacked the latest version. Cause: a node served by whatever state it had, and was ready with whatever state the first peer sent.

A node records the versions that peers name and it lacks. Unknown routes then get 503 with a time to come back, as before the first state; a node that starts is not ready until it has them.

--- a/core/forward.go
+++ b/core/forward.go
@@ -117,16 +117,16 @@
 	// unresponsiveUntil holds, for owners that did not answer in time, until
 	// when no placement is requested from them.
 	unresponsiveUntil map[NodeID]Instant
-	// readyAnnounced is set once the node has announced that it is ready.
+	// readyAnnounced is set while the node is announced to be ready, and everReady once it
+	// has been.
 	// stateQueriedAt and listQueriedAt are when a peer was last queried for the
 	// desired state, and for the list of upstreams.
 	readyAnnounced bool
+	everReady      bool
 	stateQueriedAt Instant
 	listQueriedAt  Instant
-	// latestVersion is the latest version of the desired state that a peer has named, and
-	// behindSince is when this node first learned that it lacks a later version than its own.
-	latestVersion int64
-	behindSince   Instant
+	// lag tracks the later versions of the desired state that peers have.
+	lag stateLag
 }
 
 func (s *forwards) start() {
@@ -144,13 +144,10 @@
 	if s.stateKnown && d.Version <= s.state.Version {
 		return
 	}
-	var lag time.Duration
-	if s.behind() {
-		lag = n.now.Sub(s.behindSince)
-	}
+	lag := s.lag.apply(n.now, d.Version)
 	s.state, s.stateKnown = d, true
 	s.routes = newRouteTable(d.Routes)
-	s.announceReady(n)
+	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
 		Detail: d.Source.String(), Waited: lag,
@@ -163,7 +160,7 @@
 	before := len(s.upstreams.byID)
 	s.upstreams.replaceAll(list)
 	n.roles.forgetCompleted(n)
-	s.announceReady(n)
+	s.updateReady(n)
 	if before != len(list.Instances) {
 		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "upstreams", Tokens: Tokens(len(list.Instances))}})
 	}
@@ -176,11 +173,16 @@
 	f := &forwardedRequest{Forward: m, placement: m.ID, tried: Set[EngineID]{}, sentTo: Set[EngineID]{}}
 	f.arrived = n.now
 	s.live[m.ID] = f
-	if !s.stateKnown {
+	if !s.servesState(n) {
 		s.reject(n, f, StaleConfiguration, retryAfter(f.Patience, n.rng.Float64()))
 		return
 	}
 	route, ok := s.routes.find(m.Host, m.Path)
+	if !ok && s.lag.behind() {
+		// The later version may have the route.
+		s.reject(n, f, StaleConfiguration, retryAfter(f.Patience, n.rng.Float64()))
+		return
+	}
 	if !ok {
 		s.reject(n, f, NoRoute, 0)
 		return
--- a/core/hosted_addresses.go
+++ b/core/hosted_addresses.go
@@ -42,9 +42,9 @@
 	n.do(AnswerAddresses{Query: m.Query, Addresses: all[:min(len(all), hostedMaxAddresses)], Lifetime: n.Settings.AddressLifetime})
 }
 
-// ready reports whether a hosted node may accept requests: it knows the desired
-// state and the list of upstreams.
-func (n *Node) ready() bool { return n.forward.stateKnown && n.forward.upstreams.loaded }
+// ready reports whether a hosted node may accept requests: it knows a desired state that
+// it may serve by, and the list of upstreams.
+func (n *Node) ready() bool { return n.forward.servesState(n) && n.forward.upstreams.loaded }
 
 // addLeaving adds the leaving nodes that still accept callers. It is used when all
 // nodes are leaving.
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -42,8 +42,13 @@
 // NodeReady reports that a hosted node may accept requests from now on.
 type NodeReady struct{}
 
+// NodeNotReady reports that a hosted node may accept no requests until the next NodeReady,
+// because it lacks the desired state that its peers have.
+type NodeNotReady struct{}
+
 func (DecodePeerState) isCommand() {}
 func (NodeReady) isCommand()       {}
+func (NodeNotReady) isCommand()    {}
 
 // stateOffset returns the version of a hosted node's desired state, or the offset of
 // another node's configuration, for heartbeats.
@@ -62,7 +67,7 @@
 		return
 	}
 	s := &n.forward
-	s.noteVersion(n, from, int64(offset))
+	s.observeStateVersion(n, from, int64(offset))
 	needsList := offset > 0 && !s.upstreams.loaded && (s.listQueriedAt == 0 || n.now.Sub(s.listQueriedAt) >= listQueryEvery)
 	needsState := offset > n.stateOffset() && (s.stateQueriedAt == 0 || n.now.Sub(s.stateQueriedAt) >= stateQueryEvery)
 	if !needsList && !needsState {
@@ -75,25 +80,6 @@
 	n.send(from, StateQuery{Upstreams: needsList})
 }
 
-// noteVersion records a version of the desired state that a peer has. The first one that
-// this node lacks is logged.
-func (s *forwards) noteVersion(n *Node, from NodeID, version int64) {
-	if version <= max(s.state.Version, s.latestVersion) {
-		return
-	}
-	if !s.behind() {
-		s.behindSince = n.now
-		n.do(LogDecision{Decision: Decision{
-			At: n.now, Node: n.Self.ID, Step: "behind", Version: version, Detail: string(from),
-		}})
-	}
-	s.latestVersion = version
-}
-
-// behind reports whether a peer has named a later version of the desired state than this
-// node's.
-func (s *forwards) behind() bool { return s.latestVersion > s.state.Version }
-
 // handleStateQuery answers a peer that lacks the desired state or the list of
 // upstreams.
 func (s *forwards) handleStateQuery(n *Node, from NodeID, m StateQuery) {
@@ -123,12 +109,21 @@
 	n.feed.applyPeerList(n, m.Instances)
 }
 
-// announceReady notifies the runtime once that the node may accept requests.
-func (s *forwards) announceReady(n *Node) {
-	if !s.readyAnnounced && n.ready() {
-		s.readyAnnounced = true
+// updateReady notifies the runtime when the node may accept requests, and when it no
+// longer may. A node that has just started waits for a version that a peer has before it is
+// ready, though not for longer than a node may be behind.
+func (s *forwards) updateReady(n *Node) {
+	ready := n.ready()
+	catchingUp := !s.everReady && s.lag.behind() && !s.lag.lasting(n.now, n.staleStateLimit())
+	if ready == s.readyAnnounced || ready && catchingUp {
+		return
+	}
+	s.readyAnnounced, s.everReady = ready, true
+	if ready {
 		n.do(NodeReady{})
+		return
 	}
+	n.do(NodeNotReady{})
 }
 
 // handleRolesOrdered records orders that another node sent.
--- a/core/settings.go
+++ b/core/settings.go
@@ -63,6 +63,8 @@
 	// DrainDelay is the time after which a leaving upstream must receive no new
 	// requests.
 	DrainDelay time.Duration
+	// StateDelay is the time within which a new desired state must be in force.
+	StateDelay time.Duration
 	// OrderLease is how long a node that has claimed the right to give role
 	// orders keeps it. No two nodes give orders within this time of each other.
 	OrderLease time.Duration
@@ -97,6 +99,7 @@
 		CheckEvery:          time.Second,
 		Retries:             RetryBudget{Ratio: 0.1, Window: 10 * time.Second, Slack: 10},
 		DrainDelay:          2 * time.Second,
+		StateDelay:          2 * time.Second,
 		OrderLease:          5 * time.Second,
 		AddressLifetime:     addressLifetime,
 	}
@@ -125,6 +128,7 @@
 	s.MaxQueue = cmp.Or(s.MaxQueue, d.MaxQueue)
 	s.Retries = cmp.Or(s.Retries, d.Retries)
 	s.DrainDelay = cmp.Or(s.DrainDelay, d.DrainDelay)
+	s.StateDelay = cmp.Or(s.StateDelay, d.StateDelay)
 	s.OrderLease = cmp.Or(s.OrderLease, d.OrderLease)
 	s.AddressLifetime = cmp.Or(s.AddressLifetime, d.AddressLifetime)
 	return s
@@ -135,6 +139,7 @@
 type BoundsChanged struct {
 	Retries         RetryBudget
 	DrainDelay      time.Duration
+	StateDelay      time.Duration
 	OrderLease      time.Duration
 	AddressLifetime time.Duration
 	Grace           time.Duration
@@ -146,6 +151,7 @@
 func (m BoundsChanged) Apply(s Settings) Settings {
 	s.Retries = m.Retries
 	s.DrainDelay = m.DrainDelay
+	s.StateDelay = m.StateDelay
 	s.OrderLease = m.OrderLease
 	s.AddressLifetime = m.AddressLifetime
 	s.Grace = m.Grace
--- /dev/null
+++ b/core/state_lag.go
@@ -0,0 +1,111 @@
+package core
+
+import "time"
+
+const (
+	// staleStateFraction is the part of StateDelay for which a node serves by a desired state
+	// that it knows to be older than that of most peers.
+	staleStateFraction = 0.5
+	// maxLacking bounds the later versions that a node remembers to lack.
+	maxLacking = 16
+)
+
+// lackingVersion is a version of the desired state that a peer has and this node lacks.
+type lackingVersion struct {
+	version int64
+	// since is when this node learned of the version.
+	since Instant
+}
+
+// stateLag tracks the later versions of the desired state that peers have named. Its zero
+// value is that of a node that knows of none.
+type stateLag struct {
+	// lacking are the versions in ascending order.
+	lacking []lackingVersion
+	// current and older count the messages of peers that have named the first of lacking or
+	// a later version, and an older one, since this node learned of it.
+	current, older int
+}
+
+// behind reports whether a peer has a later version.
+func (l *stateLag) behind() bool { return len(l.lacking) > 0 }
+
+// latest returns the latest version that this node lacks, or zero.
+func (l *stateLag) latest() int64 {
+	if len(l.lacking) == 0 {
+		return 0
+	}
+	return l.lacking[len(l.lacking)-1].version
+}
+
+// observe records a version that a peer has, where own is that of this node. It reports
+// whether it is the first that this node lacks.
+func (l *stateLag) observe(now Instant, own, version int64) (first bool) {
+	first = len(l.lacking) == 0 && version > own
+	switch {
+	case version <= max(own, l.latest()):
+	case len(l.lacking) == maxLacking:
+		l.lacking[maxLacking-1].version = version
+	default:
+		l.lacking = append(l.lacking, lackingVersion{version: version, since: now})
+	}
+	if len(l.lacking) == 0 {
+		return false
+	}
+	if version >= l.lacking[0].version {
+		l.current++
+	} else {
+		l.older++
+	}
+	return first
+}
+
+// apply removes the versions up to the one that this node has applied, and returns for how
+// long it had known of the first of them.
+func (l *stateLag) apply(now Instant, version int64) time.Duration {
+	if !l.behind() || l.lacking[0].version > version {
+		return 0
+	}
+	lag := now.Sub(l.lacking[0].since)
+	n := 0
+	for n < len(l.lacking) && l.lacking[n].version <= version {
+		n++
+	}
+	l.lacking = l.lacking[n:]
+	l.current, l.older = 0, 0
+	return lag
+}
+
+// stale reports whether this node has lacked a version for limit or longer that most
+// peers have. While most lack it as well, as in an outage of the store, serving by the
+// older version is better than not serving at all.
+func (l *stateLag) stale(now Instant, limit time.Duration) bool {
+	return l.lasting(now, limit) && l.current > l.older
+}
+
+// lasting reports whether this node has lacked a version for limit or longer.
+func (l *stateLag) lasting(now Instant, limit time.Duration) bool {
+	return l.behind() && now.Sub(l.lacking[0].since) >= limit
+}
+
+// observeStateVersion records the version of the desired state that a peer has. The first
+// one that this node lacks is logged.
+func (s *forwards) observeStateVersion(n *Node, from NodeID, version int64) {
+	first := s.lag.observe(n.now, s.state.Version, version)
+	s.updateReady(n)
+	if !first {
+		return
+	}
+	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "behind", Version: version, Detail: string(from)}})
+	n.afterFunc(n.staleStateLimit(), func(n *Node) { s.updateReady(n) })
+}
+
+// staleStateLimit returns for how long this node serves by a state that it knows to be old.
+func (n *Node) staleStateLimit() time.Duration {
+	return fractionOf(n.Settings.StateDelay, staleStateFraction)
+}
+
+// servesState reports whether requests may be served by this node's desired state.
+func (s *forwards) servesState(n *Node) bool {
+	return s.stateKnown && !s.lag.stale(n.now, n.staleStateLimit())
+}
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -128,3 +128,39 @@
 	d.Version = 3
 	is.Equal(len(commandsOf[core.NodeReady](h.deliver(d))), 1)
 }
+
+// A node cannot get a version that most of its peers have. It served routes by the older one
+// for as long as it lived.
+func TestNodeThatStaysBehindMostPeersStopsServing(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{StateDelay: stateDelay})
+	h.deliver(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("e1")}})
+	addPeer(h, "n2")
+	beat := func(version core.Offset) []core.Command {
+		return h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.Heartbeat{Sequence: 2, ConfigOffset: version}})
+	}
+	beat(2)
+	out := h.advance(stateDelay)
+	is.Equal(len(commandsOf[core.NodeNotReady](out)), 1)
+	ends := commandsOf[core.EndForward](h.deliver(forwardTo(1, "pay")))
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].Reason, core.StaleConfiguration)
+	d := worldState()
+	d.Version = 2
+	is.Equal(len(commandsOf[core.NodeReady](h.deliver(d))), 1)
+	is.Equal(len(commandsOf[core.EndForward](h.deliver(forwardTo(2, "pay")))), 0)
+}
+
+// A version that hardly any peer has cannot be had, as when the store fails right after a
+// change. Nodes go on by the version that most have.
+func TestNodesServeWhileMostLackTheLatestState(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{StateDelay: stateDelay})
+	h.deliver(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("e1")}})
+	addPeer(h, "n2")
+	for _, version := range []core.Offset{2, 1, 1} {
+		h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.Heartbeat{Sequence: 2, ConfigOffset: version}})
+	}
+	is.Equal(len(commandsOf[core.NodeNotReady](h.advance(2*stateDelay))), 0)
+	is.Equal(len(commandsOf[core.EndForward](h.deliver(forwardTo(1, "pay")))), 0)
+}
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -29,6 +29,8 @@
 	ReadInstances(c core.ReadInstances)
 	// Ready makes readiness checks succeed.
 	Ready()
+	// NotReady makes readiness checks fail until the next Ready.
+	NotReady()
 	// StopAccepting stops accepting callers' connections.
 	StopAccepting()
 }
@@ -124,6 +126,8 @@
 		e.Runtime.ReadInstances(c)
 	case core.NodeReady:
 		e.Runtime.Ready()
+	case core.NodeNotReady:
+		e.Runtime.NotReady()
 	case core.StopAccepting:
 		e.Runtime.StopAccepting()
 	case core.ReadVMList:
--- a/daisyshed/directory/server.go
+++ b/daisyshed/directory/server.go
@@ -37,8 +37,8 @@
 // SetLeaving makes readiness checks fail from now on, also after SetReady.
 func (s *Server) SetLeaving() { s.leaving.Store(true) }
 
-// SetReady makes readiness checks succeed until SetLeaving is called.
-func (s *Server) SetReady() { s.ready.Store(true) }
+// SetReady makes readiness checks succeed or fail. After SetLeaving they fail.
+func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
 // ReadyHandler returns the handler for readiness checks.
 func (s *Server) ReadyHandler() http.Handler {
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -218,7 +218,10 @@
 func (h hostedRuntime) ReadInstances(c core.ReadInstances) { h.watcher.ReadInstances(c) }
 
 // Ready makes readiness checks succeed.
-func (h hostedRuntime) Ready() { h.directory.SetReady() }
+func (h hostedRuntime) Ready() { h.directory.SetReady(true) }
+
+// NotReady makes readiness checks fail until Ready.
+func (h hostedRuntime) NotReady() { h.directory.SetReady(false) }
 
 // StopAccepting signals shutDown to close the callers' listener.
 func (h hostedRuntime) StopAccepting() { close(h.stopAccepting) }
--- a/daisyshed/hosted_reload.go
+++ b/daisyshed/hosted_reload.go
@@ -28,6 +28,7 @@
 	return core.BoundsChanged{
 		Retries:         s.Bounds.Retries,
 		DrainDelay:      s.Bounds.DrainDelay,
+		StateDelay:      s.Bounds.StateDelay,
 		OrderLease:      s.Bounds.Lease,
 		AddressLifetime: min(s.Bounds.AddressLifetime, directory.MaxLifetime),
 		Grace:           s.Bounds.Grace - killMargin,
--- a/daisyshed/settings/core.go
+++ b/daisyshed/settings/core.go
@@ -53,6 +53,7 @@
 		CheckEvery:          core.DefaultSettings().CheckEvery,
 		Retries:             core.DefaultSettings().Retries,
 		DrainDelay:          core.DefaultSettings().DrainDelay,
+		StateDelay:          core.DefaultSettings().StateDelay,
 		OrderLease:          core.DefaultSettings().OrderLease,
 		AddressLifetime:     core.DefaultSettings().AddressLifetime,
 	}
