Bound the time in which a new desired state reaches every node

Callers may be served by an older state for longer than ConfigMs when reads of the store hang: a hung read was noticed by its deadline only (28.7 s), and until then a node learned of changes by a heartbeat to one random peer every 0.5 s, which has no bound.

Each step has a bound now, as a part of StateDelay. A node that applies or hears of a version sends heartbeats to three members of its failure domain and three others; heartbeats name the latest version that the sender knows of. A node queries one peer after 50 ms, unless its own read has begun to be answered, and repeats that after a quarter; a peer that lacks the version too answers once it has it.

--- a/core/forward.go
+++ b/core/forward.go
@@ -119,14 +119,14 @@
 	unresponsiveUntil map[NodeID]Instant
 	// readyAnnounced is set while the node is announced to be ready, and everReady once it
 	// has been.
-	// stateQueriedAt and listQueriedAt are when a peer was last queried for the
-	// desired state, and for the list of upstreams.
+	// listQueriedAt is when a peer was last queried for the list of upstreams.
 	readyAnnounced bool
 	everReady      bool
-	stateQueriedAt Instant
 	listQueriedAt  Instant
-	// lag tracks the later versions of the desired state that peers have.
-	lag stateLag
+	// lag tracks the later versions of the desired state that peers have, and spread gets
+	// them and notifies peers of new ones.
+	lag    stateLag
+	spread stateSpread
 }
 
 func (s *forwards) start() {
@@ -141,6 +141,9 @@
 // applyDesiredState applies a desired state, unless the node has the same or a
 // newer version already.
 func (s *forwards) applyDesiredState(n *Node, d DesiredState) {
+	if d.Source == StateFromStore {
+		s.spread.storeAt = n.now
+	}
 	if s.stateKnown && d.Version <= s.state.Version {
 		return
 	}
@@ -152,6 +155,8 @@
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
 		Detail: d.Source.String(), Waited: lag,
 	}})
+	s.spread.notify(n)
+	s.spread.answerParked(n)
 }
 
 // applyInstances applies a new list of upstreams, and then processes the queue,
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -2,15 +2,10 @@
 
 import "time"
 
-const (
-	// stateQueryEvery is the minimum time between two queries to peers for the
-	// desired state.
-	stateQueryEvery = 250 * time.Millisecond
-	// listQueryEvery is the same for the list of upstreams. With thousands of
-	// upstreams the list takes hundreds of kilobytes, and seconds to send on the
-	// slowest links.
-	listQueryEvery = 2 * time.Second
-)
+// listQueryEvery is the minimum time between two queries to peers for the list of
+// upstreams. With thousands of upstreams the list takes hundreds of kilobytes, and seconds
+// to send on the slowest links.
+const listQueryEvery = 2 * time.Second
 
 // RolesOrdered notifies other nodes which engines were ordered to change their
 // role, so that they send no requests there that would be rejected.
@@ -59,33 +54,34 @@
 	return n.config.folded.Offset()
 }
 
-// handleStateOffset handles the state offset of a peer, and queries the peer for
-// what this node lacks.
-func (n *Node) handleStateOffset(from NodeID, offset Offset) {
+// knownStateOffset returns the latest version of the desired state that a hosted node knows
+// of and lacks, or zero.
+func (n *Node) knownStateOffset() Offset { return Offset(n.forward.lag.latest()) }
+
+// handleStateOffset handles the state offset of a peer, and the one that it lacks: this node gets a later version,
+// and queries the peer for the list of upstreams if it has none.
+func (n *Node) handleStateOffset(from NodeID, offset, known Offset) {
 	if !n.Hosted {
 		n.config.handlePeerOffset(n, from, offset)
 		return
 	}
 	s := &n.forward
-	s.observeStateVersion(n, from, int64(offset))
-	needsList := offset > 0 && !s.upstreams.loaded && (s.listQueriedAt == 0 || n.now.Sub(s.listQueriedAt) >= listQueryEvery)
-	needsState := offset > n.stateOffset() && (s.stateQueriedAt == 0 || n.now.Sub(s.stateQueriedAt) >= stateQueryEvery)
-	if !needsList && !needsState {
-		return
-	}
-	s.stateQueriedAt = n.now
-	if needsList {
+	s.observeStateVersion(n, from, int64(offset), int64(max(offset, known)))
+	if offset > 0 && !s.upstreams.loaded && (s.listQueriedAt == 0 || n.now.Sub(s.listQueriedAt) >= listQueryEvery) {
 		s.listQueriedAt = n.now
+		s.spread.sendQuery(n, from, StateQuery{Upstreams: true})
 	}
-	n.send(from, StateQuery{Upstreams: needsList})
 }
 
 // handleStateQuery answers a peer that lacks the desired state or the list of
 // upstreams.
 func (s *forwards) handleStateQuery(n *Node, from NodeID, m StateQuery) {
-	if !s.stateKnown {
-		return
+	if !s.spread.park(n, from, m) && s.stateKnown {
+		s.answerStateQuery(n, from, m)
 	}
+}
+
+func (s *forwards) answerStateQuery(n *Node, from NodeID, m StateQuery) {
 	answer := StateAnswer{Offset: s.state.Offset, Record: s.state.Encoded}
 	if !m.Upstreams {
 		n.send(from, answer)
@@ -99,6 +95,7 @@
 }
 
 func (s *forwards) handleStateAnswer(n *Node, m StateAnswer) {
+	s.spread.answered = true
 	n.do(DecodePeerState{Offset: m.Offset, Record: m.Record})
 	if len(m.Instances.Instances) == 0 {
 		// The peer has no list either, so that another peer may be queried at
--- a/core/node.go
+++ b/core/node.go
@@ -87,6 +87,7 @@
 	n.forward.start()
 	if n.Hosted {
 		n.feed.start(n)
+		n.forward.spread.start(n)
 		n.roles.start(n)
 		n.dispatcher.start(n)
 		return
@@ -194,6 +195,8 @@
 		n.Settings = m.Apply(n.Settings)
 	case DesiredState:
 		n.forward.applyDesiredState(n, m)
+	case StateTransferBegan:
+		n.forward.spread.storeAt = n.now
 	case UpstreamSignal:
 		n.forward.upstreams.handleSignal(n, m)
 	case StoreEraObserved:
--- a/core/peer.go
+++ b/core/peer.go
@@ -37,6 +37,8 @@
 	OnBehalfOf   NodeID
 	Updates      []MemberUpdate
 	ConfigOffset Offset
+	// KnownOffset is the latest offset that the sender knows of, if it lacks it, else zero.
+	KnownOffset Offset
 }
 
 // HeartbeatAck answers a Heartbeat.
@@ -45,6 +47,8 @@
 	OnBehalfOf   NodeID
 	Updates      []MemberUpdate
 	ConfigOffset Offset
+	// KnownOffset is as in Heartbeat.
+	KnownOffset Offset
 	// Spare is the free fraction of the node's request capacity.
 	Spare float64
 }
--- a/core/state_lag.go
+++ b/core/state_lag.go
@@ -38,21 +38,22 @@
 	return l.lacking[len(l.lacking)-1].version
 }
 
-// observe records a version that a peer has, where own is that of this node. It reports
-// whether it is the first that this node lacks.
-func (l *stateLag) observe(now Instant, own, version int64) (first bool) {
-	first = len(l.lacking) == 0 && version > own
+// observe records the version that a peer has, and the latest that it knows of, where own
+// is the version of this node. It reports whether the latter is the first that this node
+// lacks.
+func (l *stateLag) observe(now Instant, own, has, known int64) (first bool) {
+	first = len(l.lacking) == 0 && known > own
 	switch {
-	case version <= max(own, l.latest()):
+	case known <= max(own, l.latest()):
 	case len(l.lacking) == maxLacking:
-		l.lacking[maxLacking-1].version = version
+		l.lacking[maxLacking-1].version = known
 	default:
-		l.lacking = append(l.lacking, lackingVersion{version: version, since: now})
+		l.lacking = append(l.lacking, lackingVersion{version: known, since: now})
 	}
 	if len(l.lacking) == 0 {
 		return false
 	}
-	if version >= l.lacking[0].version {
+	if has >= l.lacking[0].version {
 		l.current++
 	} else {
 		l.older++
@@ -88,15 +89,19 @@
 	return l.behind() && now.Sub(l.lacking[0].since) >= limit
 }
 
-// observeStateVersion records the version of the desired state that a peer has. The first
-// one that this node lacks is logged.
-func (s *forwards) observeStateVersion(n *Node, from NodeID, version int64) {
-	first := s.lag.observe(n.now, s.state.Version, version)
+// observeStateVersion records the version of the desired state that a peer has, and the
+// latest that it knows of. The first one that this node lacks is logged.
+func (s *forwards) observeStateVersion(n *Node, from NodeID, has, known int64) {
+	before := s.lag.latest()
+	first := s.lag.observe(n.now, s.state.Version, has, known)
+	if s.lag.behind() && known == s.lag.latest() {
+		s.spread.learned(n, from, has == known, known > before)
+	}
 	s.updateReady(n)
 	if !first {
 		return
 	}
-	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "behind", Version: version, Detail: string(from)}})
+	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "behind", Version: known, Detail: string(from)}})
 	n.afterFunc(n.staleStateLimit(), func(n *Node) { s.updateReady(n) })
 }
 
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -164,3 +164,35 @@
 	is.Equal(len(commandsOf[core.NodeNotReady](h.advance(2*stateDelay))), 0)
 	is.Equal(len(commandsOf[core.EndForward](h.deliver(forwardTo(1, "pay")))), 0)
 }
+
+// A node hears of a version from a peer that does not have it yet. Its query waits there, and
+// is answered with the version, not with the older one.
+func TestQueryWaitsForTheVersionThatThePeerLacks(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{StateDelay: stateDelay})
+	h.deliver(core.Tick{}, worldState())
+	addPeer(h, "n2")
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.Heartbeat{Sequence: 2, ConfigOffset: 2}})
+	out := h.deliver(core.PeerMessage{From: "n3", Incarnation: 1, Body: core.StateQuery{}})
+	is.Equal(len(sentTo[core.StateAnswer](out, "n3")), 0)
+	d := worldState()
+	d.Version, d.Offset = 2, 7
+	answers := sentTo[core.StateAnswer](h.deliver(d), "n3")
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Offset, core.Offset(7))
+}
+
+// The read of the store hangs: a version came from a peer, and the store has sent nothing
+// since. The read is renewed within a fraction of the bound, and again while a version is
+// lacking.
+func TestHungReadOfTheStateIsRenewed(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{StateDelay: stateDelay})
+	h.deliver(core.Tick{}, worldState())
+	addPeer(h, "n2")
+	h.advance(4 * stateDelay)
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.Heartbeat{Sequence: 2, ConfigOffset: 2}})
+	renewals := commandsOf[core.RenewStateRead](h.advance(stateDelay / 2))
+	is.True(len(renewals) >= 2)
+	is.True(renewals[0].Latest)
+}
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -29,6 +29,8 @@
 	ReadInstances(c core.ReadInstances)
 	// Ready makes readiness checks succeed.
 	Ready()
+	// RenewStateRead renews a waiting read of the desired state. It does not block.
+	RenewStateRead(c core.RenewStateRead)
 	// NotReady makes readiness checks fail until the next Ready.
 	NotReady()
 	// StopAccepting stops accepting callers' connections.
@@ -126,6 +128,8 @@
 		e.Runtime.ReadInstances(c)
 	case core.NodeReady:
 		e.Runtime.Ready()
+	case core.RenewStateRead:
+		e.Runtime.RenewStateRead(c)
 	case core.NodeNotReady:
 		e.Runtime.NotReady()
 	case core.StopAccepting:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -220,6 +220,9 @@
 // Ready makes readiness checks succeed.
 func (h hostedRuntime) Ready() { h.directory.SetReady(true) }
 
+// RenewStateRead renews a waiting read of the desired state.
+func (h hostedRuntime) RenewStateRead(c core.RenewStateRead) { h.watcher.RenewDesired(c.Latest) }
+
 // NotReady makes readiness checks fail until Ready.
 func (h hostedRuntime) NotReady() { h.directory.SetReady(false) }
 
--- a/daisyshed/store/era.go
+++ b/daisyshed/store/era.go
@@ -73,6 +73,7 @@
 func (w *Watcher) Prepare() {
 	w.announced, w.announceAgain = make(chan struct{}, 1), make(chan struct{}, 1)
 	w.Store.OnEra = w.observeEra
+	w.Store.OnTransfer = w.observeTransfer
 }
 
 // observeEra handles the era that a response of the store names. When it rises, reads
--- /dev/null
+++ b/daisyshed/store/renewal.go
@@ -0,0 +1,76 @@
+package store
+
+import (
+	"context"
+	"sync"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/platform"
+)
+
+// renewal ends the current read of a topic so that it begins again, unless its response
+// has begun to arrive. Its zero value is ready for use. It is safe for concurrent use.
+type renewal struct {
+	mu        sync.Mutex
+	cancel    context.CancelFunc
+	receiving bool
+	// latest is set if the next read is to return the newest record of each key.
+	latest bool
+}
+
+// begin returns the context of the next read, whether it is to return the newest record of
+// each key, and a function to call at its end. A nil renewal renews nothing.
+func (r *renewal) begin(ctx context.Context) (_ context.Context, latest bool, end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	if r == nil {
+		return ctx, false, cancel
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	latest, r.latest = r.latest, false
+	r.cancel, r.receiving = cancel, false
+	return ctx, latest, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.cancel = nil
+		cancel()
+	}
+}
+
+// received records that the response of the current read has begun to arrive.
+func (r *renewal) received() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.receiving = true
+}
+
+// renew ends the current read, and reports whether it did. It does not while a response
+// arrives.
+func (r *renewal) renew(latest bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel == nil || r.receiving {
+		return false
+	}
+	r.latest = latest
+	r.cancel()
+	return true
+}
+
+// RenewDesired renews the read of the desired state unless its response has begun to
+// arrive. If latest is set, the newest state is read, else a later one than the last. It
+// does not block.
+func (w *Watcher) RenewDesired(latest bool) {
+	if w.desiredRenewal.renew(latest) && latest {
+		w.Log.Warn().Str("Event", "ReadHung").Str("Topic", string(platform.Desired)).Send()
+	}
+}
+
+// observeTransfer notifies the core that the store has begun to answer a read of the desired
+// state.
+func (w *Watcher) observeTransfer(topic platform.Topic) {
+	if topic == platform.Desired {
+		w.desiredRenewal.received()
+		w.SendToCore(core.StateTransferBegan{})
+	}
+}
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -20,8 +20,8 @@
 	// together.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = time.Second
-	// desiredReadWait is how long a read of the desired state waits for a change. If
-	// this node's connection to the store hangs, peers send the newer state sooner.
+	// desiredReadWait is how long a read of the desired state waits for a change. The core
+	// has it renewed when it learns from a peer that the read hangs.
 	desiredReadWait = 28 * time.Second
 	// nodesReadPause is the pause between two reads of the nodes' entries. A new node
 	// reads all of them and sends heartbeats, by which the others learn of it, so that
@@ -45,8 +45,9 @@
 	era              eraTracker
 	// announced is signalled when this node's entry was written, and announceAgain when
 	// the entry may have been lost.
-	announced     chan struct{}
-	announceAgain chan struct{}
+	announced      chan struct{}
+	announceAgain  chan struct{}
+	desiredRenewal renewal
 	// outage cancels waiting reads once the store has recovered, since they may
 	// wait on connections that broke during the outage.
 	outage outage
@@ -56,7 +57,7 @@
 // entries until ctx ends. Prepare must have been called.
 func (w *Watcher) Run(ctx context.Context) {
 	go w.keepAnnounced(ctx)
-	go w.follow(ctx, &topic{name: platform.Desired, wait: desiredReadWait, apply: w.applyDesired})
+	go w.follow(ctx, &topic{name: platform.Desired, wait: desiredReadWait, apply: w.applyDesired, renewal: &w.desiredRenewal})
 	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesReadWait, pause: nodesReadPause, endPause: w.announced, apply: w.nodesApplier()})
 }
 
@@ -70,6 +71,8 @@
 	pause    time.Duration
 	endPause <-chan struct{}
 	apply    func(u update)
+	// renewal ends reads that are to be renewed; nil if none are.
+	renewal *renewal
 
 	// from is the offset of the next read, in the store's era, and listed is set while
 	// from is valid.
@@ -94,8 +97,13 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		read, done := w.outage.untilRecovery(ctx)
+		read, latest, end := t.renewal.begin(read)
+		if latest {
+			t.listed = false
+		}
 		u, err := w.read(read, t)
 		ended := read.Err() != nil
+		end()
 		done()
 		if ended {
 			continue
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -14,6 +14,7 @@
 			OnBehalfOf:   text[core.NodeID](t, "for"),
 			Updates:      list(t, "updates", memberUpdate),
 			ConfigOffset: offset(t, "config"),
+			KnownOffset:  offset(t, "known"),
 		}
 	},
 	"HeartbeatAck": func(t *rapid.T) core.PeerBody {
@@ -22,6 +23,7 @@
 			OnBehalfOf:   text[core.NodeID](t, "for"),
 			Updates:      list(t, "updates", memberUpdate),
 			ConfigOffset: offset(t, "config"),
+			KnownOffset:  offset(t, "known"),
 			Spare:        rapid.Float64().Draw(t, "spare"),
 		}
 	},
--- a/wire/peer/convert_member.go
+++ b/wire/peer/convert_member.go
@@ -37,6 +37,7 @@
 		OnBehalfOf:   string(b.OnBehalfOf),
 		Updates:      convertAll(b.Updates, fromMemberUpdate),
 		ConfigOffset: int64(b.ConfigOffset),
+		KnownOffset:  int64(b.KnownOffset),
 	}
 }
 
@@ -50,6 +51,7 @@
 		OnBehalfOf:   core.NodeID(b.GetOnBehalfOf()),
 		Updates:      updates,
 		ConfigOffset: core.Offset(b.GetConfigOffset()),
+		KnownOffset:  core.Offset(b.GetKnownOffset()),
 	}, nil
 }
 
@@ -59,6 +61,7 @@
 		OnBehalfOf:   string(b.OnBehalfOf),
 		Updates:      convertAll(b.Updates, fromMemberUpdate),
 		ConfigOffset: int64(b.ConfigOffset),
+		KnownOffset:  int64(b.KnownOffset),
 		Spare:        b.Spare,
 	}
 }
@@ -73,6 +76,7 @@
 		OnBehalfOf:   core.NodeID(b.GetOnBehalfOf()),
 		Updates:      updates,
 		ConfigOffset: core.Offset(b.GetConfigOffset()),
+		KnownOffset:  core.Offset(b.GetKnownOffset()),
 		Spare:        b.GetSpare(),
 	}, nil
 }
