Set the limit on bodies after versions are compared

Callers could get 413 for proper requests: the limit of a desired state was applied on arrival, before its version was compared, so that an older state from a peer lowered it again. Evidence: hosted.receive called LimitBodies for each state. The core now sets the limit when it applies a state, with the rest of it.

--- a/core/desired.go
+++ b/core/desired.go
@@ -121,6 +121,11 @@
 	IdleTimeout   time.Duration
 }
 
+// LimitBodies sets the largest body that later requests of callers may have.
+type LimitBodies struct{ Bytes int64 }
+
+func (LimitBodies) isCommand() {}
+
 // routeTable holds the routes of each host.
 type routeTable map[string][]Route
 
--- a/core/forward.go
+++ b/core/forward.go
@@ -150,6 +150,7 @@
 	lag := s.lag.apply(n.now, d.Version)
 	s.state, s.stateKnown = d, true
 	s.routes = newRouteTable(d.Routes)
+	n.do(LimitBodies{Bytes: d.Limits.BodyBytes})
 	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -31,6 +31,8 @@
 	Ready()
 	// RenewStateRead renews a waiting read of the desired state. It does not block.
 	RenewStateRead(c core.RenewStateRead)
+	// LimitBodies sets the largest body that later requests may have. It does not block.
+	LimitBodies(c core.LimitBodies)
 	// NotReady makes readiness checks fail until the next Ready.
 	NotReady()
 	// StopAccepting stops accepting callers' connections.
@@ -130,6 +132,8 @@
 		e.Runtime.Ready()
 	case core.RenewStateRead:
 		e.Runtime.RenewStateRead(c)
+	case core.LimitBodies:
+		e.Runtime.LimitBodies(c)
 	case core.NodeNotReady:
 		e.Runtime.NotReady()
 	case core.StopAccepting:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -175,7 +175,7 @@
 		Store: &platform.Store{
 			Address: s.Store, Timeout: storeTimeout, HTTP: platform.NewStoreClient(hostedDialTimeout), OnLimit: h.recordStoreLimit,
 		},
-		SendToCore: h.receive, Log: h.log, Self: h.self(),
+		SendToCore: h.inbox.Send, Log: h.log, Self: h.self(),
 	}
 	settings := bounds(s).Apply(core.DefaultSettings())
 	h.loop = &control.Loop{
@@ -210,7 +210,7 @@
 		}
 		d.Source = core.StateFromPeer
 		h.log.Info().Str("Event", "Adopted").Int64("Version", d.Version).Int("Bytes", len(c.Record)).Send()
-		h.receive(d)
+		h.inbox.Send(d)
 	}()
 }
 
@@ -223,6 +223,9 @@
 // RenewStateRead renews a waiting read of the desired state.
 func (h hostedRuntime) RenewStateRead(c core.RenewStateRead) { h.watcher.RenewDesired(c.Latest) }
 
+// LimitBodies sets the largest body that later requests may have.
+func (h hostedRuntime) LimitBodies(c core.LimitBodies) { h.ingress.LimitBodies(c.Bytes) }
+
 // NotReady makes readiness checks fail until Ready.
 func (h hostedRuntime) NotReady() { h.directory.SetReady(false) }
 
@@ -299,15 +302,6 @@
 	h.operators.LogViolation(v)
 }
 
-// receive sends a message from the store, or a desired state from a peer, to the
-// core. The body limit of a desired state is applied to the ingress server first.
-func (h *hosted) receive(m core.Message) {
-	if d, ok := m.(core.DesiredState); ok {
-		h.ingress.LimitBodies(d.Limits.BodyBytes)
-	}
-	h.inbox.Send(m)
-}
-
 func (h *hosted) newPeerTransport(incarnation core.Incarnation) *peer.Transport {
 	return &peer.Transport{
 		Self: h.settings.Node, Incarnation: incarnation, Receive: h.inbox.Send, Meter: h.metrics,
