Compress the desired state that nodes send to each other

A node that starts got a state of 3,650 routes from a peer after seconds, if at all: some 900 KB take 0.7 s of a link of 10 Mbit/s, and several peers answered at once.

--- a/core/desired.go
+++ b/core/desired.go
@@ -46,8 +46,7 @@
 	Routes   []Route
 	Services map[ServiceID]ServiceSpec
 	Limits   CallerLimits
-	// Encoded is the state as encoded in the store, for peers that cannot reach
-	// the store.
+	// Encoded is the state as encoded for peers, which may lack it or not reach the store.
 	Encoded []byte
 }
 
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -180,6 +180,9 @@
 			w.Log.Error().Str("Event", "Unreadable").Int64("Offset", int64(r.Offset)).Err(err).Send()
 			continue
 		}
+		if d.Encoded, err = CompressState(r.Value); err != nil {
+			w.Log.Error().Str("Event", "Fault").Int64("Offset", int64(r.Offset)).Err(err).Send()
+		}
 		w.SendToCore(d)
 	}
 }
