Soak: hung reads, large states and slow links; check that versions are in force

The soak could not break CONFIG: its state had five routes, its store answered at once, no read hung, and no check looked at which version a node serves by. Now every second node has a link of 10 Mbit/s to the store, the state grows by up to 4,000 routes, the reads that wait for a change hang while it changes, and the stand-in of the store bounds a read as the platform's does. Each version adds a route. In runs where nodes have no faults, each node must know it 2 s after the store has it; at the end of each run every node must serve by the latest version. Two mutants: reads that stay hung, and transfers that are bounded as a whole.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -98,6 +98,8 @@
 	links      []*proxy
 	lastWorker int
 	version    int
+	// addedRoutes is how many routes without requests the desired state has.
+	addedRoutes int
 	// peakMemory is the highest peak memory of a daemon in bytes.
 	peakMemory int64
 	// closed is set at shutdown; no process may be started afterwards.
@@ -180,6 +182,9 @@
 		if err != nil {
 			return err
 		}
+		if i%2 == 1 {
+			link.bytesPerSecond = slowLinkBytes
+		}
 		d.links = append(d.links, link)
 		d.cleanups = append(d.cleanups, closeLink)
 		p := &process{index: i, ratio: initialRetryRatio}
--- a/bench/hosted/proxy.go
+++ b/bench/hosted/proxy.go
@@ -35,8 +35,15 @@
 	target   string
 	listener net.Listener
 	fault    atomic.Int32
-	mu       sync.Mutex
-	open     map[net.Conn]struct{}
+	// bytesPerSecond is the rate from the target; zero if it is not limited. It is set
+	// before the first connection.
+	bytesPerSecond int
+	mu             sync.Mutex
+	open           map[net.Conn]struct{}
+	// usedAt is when an open connection last carried bytes, and hung holds those that
+	// carry nothing more.
+	usedAt map[net.Conn]time.Time
+	hung   map[net.Conn]bool
 }
 
 // openProxy listens on an address and forwards connections to a target. The
@@ -46,7 +53,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &proxy{target: target, listener: l, open: map[net.Conn]struct{}{}}
+	p := &proxy{target: target, listener: l, open: map[net.Conn]struct{}{}, usedAt: map[net.Conn]time.Time{}, hung: map[net.Conn]bool{}}
 	go p.serve()
 	return p, func() {
 		_ = l.Close()
@@ -76,10 +83,12 @@
 	p.open[from], p.open[to] = struct{}{}, struct{}{}
 	p.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.copyDirection(to, from, linkDropToTarget) })
-	both.Go(func() { p.copyDirection(from, to, linkDropFromTarget) })
+	both.Go(func() { p.copyDirection(from, to, from, linkDropToTarget) })
+	both.Go(func() { p.copyDirection(from, from, to, linkDropFromTarget) })
 	both.Wait()
 	p.mu.Lock()
+	delete(p.usedAt, from)
+	delete(p.hung, from)
 	delete(p.open, from)
 	delete(p.open, to)
 	p.mu.Unlock()
@@ -88,12 +97,16 @@
 // copyDirection copies one direction until it ends. It forwards the end unless
 // bytes were dropped, since a peer behind a broken link does not learn of the end
 // either.
-func (p *proxy) copyDirection(to, from net.Conn, cut linkFault) {
+// connection is the one to the node.
+func (p *proxy) copyDirection(connection, to, from net.Conn, cut linkFault) {
 	lost, buffer := false, make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		fault := linkFault(p.fault.Load())
-		lost = lost || fault == linkDropBoth || fault == cut
+		lost = lost || fault == linkDropBoth || fault == cut || p.use(connection)
+		if p.bytesPerSecond > 0 && cut == linkDropFromTarget {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(p.bytesPerSecond))
+		}
 		if fault == linkDelayed {
 			time.Sleep(linkDelay)
 		}
@@ -118,6 +131,24 @@
 	}
 }
 
+// use records that a connection carries bytes, and reports whether it hangs.
+func (p *proxy) use(connection net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usedAt[connection] = time.Now()
+	return p.hung[connection]
+}
+
+// hangWaiting lets the connections hang that have carried nothing for a time: reads that
+// wait for a change. New connections work.
+func (p *proxy) hangWaiting(quiet time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, at := range p.usedAt {
+		p.hung[c] = p.hung[c] || time.Since(at) > quiet
+	}
+}
+
 // setFault sets the current fault of the link. linkReset takes effect once and
 // leaves the current fault as it was.
 func (p *proxy) setFault(f linkFault) {
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -109,6 +109,7 @@
 	l.calm.Store(false)
 	cancel()
 	l.wait.Wait()
+	d.checkLatestInForce()
 	result := Result{Seed: seed, Violations: append(d.judge.verdict(), d.faultsInLogs()...), Counts: d.judge.counts, Injected: injected}
 	result.Counts["MB at most"] = d.peakMegabytes()
 	if asked, ok := l.calmRequests.Load(), l.calmAnswered.Load(); asked == 0 || float64(ok) < minCalmAnswered*float64(asked) {
@@ -179,6 +180,7 @@
 		"settings changed":   d.changeSettings, "link harmed": d.injectLinkFault,
 		"worker silent": d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
 		"workers silent while state changes": d.changeStateWhileSilent, "node stopped while workers are silent": d.stopNodesWhileSilent,
+		"size of state changed": d.changeSizeOfState, "hung reads while state changed": d.changeStateWhileReadsHang,
 		"state changed": d.changeState, "state in series changed": d.changeStateInSeries,
 	}
 	if d.noRetries {
--- a/bench/hosted/state.go
+++ b/bench/hosted/state.go
@@ -24,13 +24,16 @@
 // initial one as state says.
 func (d *deployment) publishState(state hostedsite.State) {
 	d.version++
-	state.Version, state.Host = d.version, host
+	state.Version, state.Host, state.Added = d.version, host, d.addedRoutes
 	raw, err := state.Encode()
 	if err != nil {
 		d.judge.reportViolation("the desired state did not encode: " + err.Error())
 		return
 	}
 	d.store.Put(metastore.OperatorTopic, metastore.StateKey, raw)
+	if d.upstreamsOnly {
+		go d.checkInForce(d.version)
+	}
 }
 
 // changeState changes the routes, their timeout and the weights of the plain services.
--- /dev/null
+++ b/bench/hosted/state_force.go
@@ -0,0 +1,90 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"daisyshed.dev/standin/hostedsite"
+)
+
+const (
+	// stateBound is the time within which a version of the desired state has to be in
+	// force on every node.
+	stateBound = 2 * time.Second
+	// slowLinkBytes is how many bytes the store sends every second node in a second.
+	slowLinkBytes = 1_250_000
+	// maxAddedRoutes bounds the routes that a large state adds. The state then takes longer
+	// over a slow link than the store may take to begin an answer.
+	maxAddedRoutes = 4000
+	// waitingRead is after which time without bytes a connection to the store is taken for
+	// a read that waits for a change.
+	waitingRead = time.Second
+	probeLimit  = time.Second
+)
+
+// changeSizeOfState changes the desired state to one of up to thousands of routes.
+func (d *deployment) changeSizeOfState() {
+	d.addedRoutes = d.rng.IntN(maxAddedRoutes + 1)
+	d.changeStateInSeries()
+}
+
+// changeStateWhileReadsHang lets the waiting reads of most nodes hang, and changes the
+// desired state.
+func (d *deployment) changeStateWhileReadsHang() {
+	for _, l := range d.links[d.rng.IntN(2):] {
+		l.hangWaiting(waitingRead)
+	}
+	d.changeState()
+}
+
+// checkInForce checks that every node has a version of the desired state in time. No node,
+// and no link to the store, may have a fault meanwhile other than reads that hang.
+func (d *deployment) checkInForce(version int) {
+	select {
+	case <-time.After(stateBound):
+	case <-d.done:
+		return
+	}
+	for i := range d.nodes {
+		go func() {
+			if d.probe(i, version) == http.StatusNotFound {
+				d.judge.reportViolation(fmt.Sprintf("CONFIG: n%d does not know version %d after %v", i+1, version, stateBound))
+			}
+		}()
+	}
+}
+
+// checkLatestInForce checks that every node serves by the latest version once all faults
+// have ended.
+func (d *deployment) checkLatestInForce() {
+	for i := range d.nodes {
+		if status := d.probe(i, d.version); status == http.StatusNotFound || status == http.StatusServiceUnavailable {
+			d.judge.reportViolation(fmt.Sprintf("CONFIG: n%d answers %d by an older version than %d", i+1, status, d.version))
+		}
+	}
+}
+
+// probe sends a request to a node on the route of a version and returns the status, or zero
+// without an answer.
+func (d *deployment) probe(index, version int) int {
+	c := http.Client{Timeout: probeLimit}
+	defer c.CloseIdleConnections()
+	r, err := http.NewRequest(http.MethodGet, "http://"+d.nodeAddress(index, callerPort)+"/"+hostedsite.VersionRoute(version)+"/probe", nil)
+	if err != nil {
+		return 0
+	}
+	r.Host = host
+	m := message{id: requestID(fmt.Sprintf("probe-%d-%d", version, index)), deadline: time.Now().Add(probeLimit)}
+	attempt := fmt.Sprintf("%s-%d", m.id, time.Now().UnixNano())
+	d.judge.recordAttempt(m, attempt, d.nodeAddress(index, callerPort))
+	hostedsite.SetAttemptHeaders(r.Header, attempt, probeLimit)
+	a, err := c.Do(r)
+	if err != nil {
+		d.judge.recordEnding(attempt, left, false)
+		return 0
+	}
+	defer a.Body.Close()
+	d.judge.recordEnding(attempt, answered, true)
+	return a.StatusCode
+}
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -30,6 +30,11 @@
 	}
 }
 
+// withoutPeerQuery removes the queries to peers for the desired state.
+var withoutPeerQuery = Edit{
+	File: "core/state_spread.go", Old: "		s.sendQuery(n, s.holder, StateQuery{})\n", New: "",
+}
+
 // Hosted lists the mutants of the hosted daemon.
 var Hosted = []HostedMutant{
 	{Rule: "REFUSED", Mutant: Mutant{Name: "unproven-rejection-relayed", Promise: core.NotRunTrue, Edits: []Edit{{
@@ -65,6 +70,15 @@
 		"daisyshed/ingress/takeover.go", "	x.server.SendToCore(core.ForwardStalled{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})\n",
 		"	x.failRun(r, TakeoverTimeoutError{}, 0)\n",
 	}}}},
+	{Rule: "CONFIG", Mutant: Mutant{Name: "hung-reads-stay", Promise: core.ConfigurationMonotone, Edits: []Edit{
+		{"core/state_spread.go", "		n.do(RenewStateRead{Latest: behind})\n", ""},
+		{"core/state_spread.go", "			n.do(RenewStateRead{})\n", ""},
+		withoutPeerQuery,
+	}}},
+	{Rule: "CONFIG", Mutant: Mutant{Name: "whole-transfer-bounded", Promise: core.ConfigurationMonotone, Edits: []Edit{
+		{"platform/store_transfer.go", "func() { stall.Reset(s.Timeout) }", "func() {}"},
+		withoutPeerQuery,
+	}}},
 	{Rule: "MEMORY", Mutant: Mutant{Name: "head-without-limit", Promise: core.AnswerWhole, Edits: []Edit{{
 		"daisyshed/upstream/limits.go", "	if l.limit == 0 {\n", "	if true {\n",
 	}}}},
--- a/standin/hostedsite/state.go
+++ b/standin/hostedsite/state.go
@@ -31,12 +31,21 @@
 	Host    string
 	// Extra adds a route, which is named after the version.
 	Extra bool
+	// Added is how many routes the state has besides, which get no requests.
+	Added int
 	// Timeout is the routes' timeout.
 	Timeout time.Duration
 	// CanaryShare is the share of the plain service's requests that go to CanaryService.
 	CanaryShare float64
 }
 
+// versionRoutes is how many of the latest versions have a route of their own in a state.
+const versionRoutes = 16
+
+// VersionRoute returns the name of the route that version adds. It stays for the next
+// versions.
+func VersionRoute(version int) string { return fmt.Sprintf("version%d", version) }
+
 // Encode returns the desired state in JSON.
 func (s State) Encode() ([]byte, error) {
 	route := func(name, kind string, more map[string]any) map[string]any {
@@ -59,6 +68,12 @@
 	if s.Extra {
 		routes = append(routes, route(fmt.Sprintf("extra%d", s.Version), "idempotent", plain))
 	}
+	for v := max(1, s.Version-versionRoutes+1); v <= s.Version; v++ {
+		routes = append(routes, route(VersionRoute(v), "idempotent", plain))
+	}
+	for i := range s.Added {
+		routes = append(routes, route(fmt.Sprintf("added%d", i), "idempotent", plain))
+	}
 	return json.Marshal(map[string]any{
 		"Version": s.Version, "Routes": routes,
 		"Services": []any{
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -26,6 +26,10 @@
 // maxReadWait is the upper bound on the time that a read waits for a record.
 const maxReadWait = 30 * time.Second
 
+// defaultReadBytes bounds the records of one read if the caller names no limit. A read
+// returns one record at least.
+const defaultReadBytes = 1 << 20
+
 // Mode selects how the store responds to calls.
 type Mode int
 
@@ -287,6 +291,10 @@
 		return
 	}
 	wait, _ := strconv.Atoi(q.Get("WaitMs"))
+	limit := defaultReadBytes
+	if kb, err := strconv.Atoi(q.Get("MaxKb")); err == nil && kb > 0 {
+		limit = kb << 10
+	}
 	deadline := time.After(min(time.Duration(wait)*time.Millisecond, maxReadWait))
 	s.mu.Lock()
 	restores := s.restores
@@ -304,7 +312,7 @@
 			writeJSON(w, http.StatusGone, map[string]any{"FirstOffset": first})
 			return
 		}
-		out, changed := t.encodeFrom(from), t.changed
+		out, changed := t.encodeFrom(from, limit), t.changed
 		s.mu.Unlock()
 		// The first 16 bytes are the two offsets.
 		if len(out) > 16 {
@@ -324,12 +332,14 @@
 }
 
 // encodeFrom encodes the response to log-read: the end and first offsets, then each
-// record at the offset from or later, prefixed with its length.
-func (t *topic) encodeFrom(from int64) []byte {
+// record at the offset from or later, prefixed with its length. It ends before the record
+// with which it would exceed limit, unless that is the first.
+func (t *topic) encodeFrom(from int64, limit int) []byte {
 	out := binary.BigEndian.AppendUint64(nil, uint64(t.end))
 	out = binary.BigEndian.AppendUint64(out, uint64(t.first))
+	const headerBytes = 16
 	for _, r := range t.records {
-		if r.offset >= from {
+		if r.offset >= from && (len(out) == headerBytes || len(out)+len(r.data) <= limit) {
 			out = binary.BigEndian.AppendUint32(out, uint32(len(r.data)))
 			out = append(out, r.data...)
 		}
