Log the parts of prompts whose runs break off as they begin to write

No log line named the parts of a prompt, so that a request that ends its engine could not be told from those that it takes along. No decision changes.

--- a/core/forward.go
+++ b/core/forward.go
@@ -88,8 +88,10 @@
 	// hasFailureAnswer is set while the runtime keeps an upstream's own failure
 	// answer, which can be relayed to the caller.
 	hasFailureAnswer bool
-	// emitted is set once part of the answer has gone to the caller.
-	emitted bool
+	// emitted is set once part of the answer has gone to the caller, and startedAt is when
+	// the latest run began to answer.
+	emitted   bool
+	startedAt Instant
 }
 
 // forwards routes, places and tracks opaque requests according to the desired
@@ -344,6 +346,7 @@
 		s.replaceRun(n, f)
 	}
 	f.phase = forwardResponding
+	f.startedAt = n.now
 	f.outcome = RunSucceeded
 	if f.decode != nil {
 		f.decode.recordSuccess()
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -8,6 +8,9 @@
 // PromptKey is a hash that identifies a prompt by its parts.
 type PromptKey uint64
 
+// PromptPart identifies a part of a prompt that requests may share.
+type PromptPart string
+
 // LeaseID identifies a reservation of memory at an engine.
 type LeaseID string
 
@@ -37,6 +40,8 @@
 	// PromptKey identifies the prompt, so that a caller who retries with the
 	// same prompt is recognised; zero if unknown.
 	PromptKey PromptKey
+	// Parts are the parts of the prompt that other requests may share, in order.
+	Parts []PromptPart
 	// Resumed says that the caller already has part of the answer.
 	Resumed bool
 }
--- /dev/null
+++ b/core/prompt_start.go
@@ -0,0 +1,44 @@
+package core
+
+import "time"
+
+// earlyRun is for how long after its first event a run counts as beginning to write. A part of
+// a prompt that ends engines does so in a fraction of that.
+const earlyRun = 500 * time.Millisecond
+
+// brokeAtStart reports whether a run broke off without a status while it began to write its
+// answer, as when its prompt ends the engine.
+func (f *forwardedRequest) brokeAtStart(now Instant, m StepFailed) bool {
+	if m.Step != RunStep || m.Unsent || m.Status != 0 || m.Send != f.current || len(f.parts()) == 0 {
+		return false
+	}
+	return f.phase == forwardRunning || f.phase == forwardResponding && now.Sub(f.startedAt) < earlyRun
+}
+
+// parts returns the parts of the request's prompt that other requests may share.
+func (f *forwardedRequest) parts() []PromptPart {
+	g, _ := f.Generation.Get()
+	return g.Parts
+}
+
+// logBrokenStart logs the parts of a prompt whose run broke off as it began to write.
+func (s *forwards) logBrokenStart(n *Node, f *forwardedRequest, m StepFailed) {
+	if !f.brokeAtStart(n.now, m) {
+		return
+	}
+	d := s.newDecision(n, f, "broke-at-start", UpstreamFailed)
+	d.Detail = joinParts(f.parts())
+	n.do(LogDecision{Decision: d})
+}
+
+// joinParts returns parts as a list for the log.
+func joinParts(parts []PromptPart) string {
+	text := ""
+	for i, p := range parts {
+		if i > 0 {
+			text += ","
+		}
+		text += string(p)
+	}
+	return text
+}
