--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -26,6 +26,8 @@
 	promptKey core.Instant
 	// events is the state of the request's stream in an eventful world.
 	events worldEvents
+	// parts are the parts of the request's prompt.
+	parts []core.PromptPart
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
@@ -95,8 +97,12 @@
 			w.long++
 		}
 	}
+	var parts []core.PromptPart
+	if w.parts != nil {
+		parts = w.parts()
+	}
 	w.requests[id] = &worldRequest{
-		node: n, firstArrived: firstArrived, arrived: w.now, output: output, kind: kind, retried: retried, promptKey: core.Instant(promptKey),
+		parts: parts, node: n, firstArrived: firstArrived, arrived: w.now, output: output, kind: kind, retried: retried, promptKey: core.Instant(promptKey),
 	}
 	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond}
 	if kind == "draft" || kind == "resumable" {
@@ -106,7 +112,7 @@
 			estimate = w.estimate(output)
 		}
 		m.Generation = core.Some(core.Generation{
-			Prompt: worldPrompt, MaxOutput: 5 * worldOutput, ExpectedOutput: estimate, PromptKey: promptKey,
+			Prompt: worldPrompt, MaxOutput: 5 * worldOutput, ExpectedOutput: estimate, PromptKey: promptKey, Parts: parts,
 		})
 	}
 	n.deliver(m)
--- a/core/forward_world_events_test.go
+++ b/core/forward_world_events_test.go
@@ -111,6 +111,10 @@
 		w.after(eventInterval, func() { n.nextEvent(r, run) })
 		return
 	}
+	if w.isDeadly(r) {
+		w.crash(run.u)
+		return
+	}
 	w.takenOver += btoi(run == e.replacement)
 	e.prefer(run)
 	if r.first == 0 {
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -87,6 +87,13 @@
 	// another engine took over, and stalls the reports of silent ones.
 	eventful          bool
 	takenOver, stalls int
+	// deadly is the part of prompts that ends engines in an eventful world; none if empty.
+	// parts returns the parts of the next prompt; nil for none.
+	deadly core.PromptPart
+	parts  func() []core.PromptPart
+	// crashes are the instants at which engines were ended, and deadlyArrivals those at which
+	// requests with the deadly part reached engines.
+	crashes, deadlyArrivals []core.Instant
 	// preempted counts streams that outgrew their reservation at an engine without
 	// free memory.
 	preempted int
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -65,6 +65,7 @@
 
 func (n *worldNode) runPrefill(c core.RunPrefill) {
 	w, u := n.w, n.w.ups[c.Engine]
+	w.recordDeadly(c.ID)
 	w.steps[u.ID]++
 	if u.dead {
 		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.ReadPromptStep, Unsent: true})
@@ -83,6 +84,7 @@
 	w, u, r := n.w, n.w.ups[c.Engine], n.w.requests[c.ID]
 	w.steps[u.ID]++
 	r.runs++
+	w.recordDeadly(c.ID)
 	switch {
 	case u.dead:
 		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep, Unsent: true})
