Reject prompts with a part that ends engines

Cause: a node places by load alone and forgets what was on an engine that ended; nodes tell each other nothing of it.

A run that breaks off as it begins to write makes the parts of its prompt suspect, and all nodes hear of it at once. A sound answer, or one that has gone on for a second, clears its parts. Three ends of different engines block the part that is on most of them and latest in the prompt, five if all parts were sound before. Requests with it are then rejected before a prefill, also those on their way; with 503 if nothing was run. Nodes that start get the blocks from those they contact, and blocks are sent round. After two minutes one node lets one request try; each failed trial doubles the time. What is remembered is bounded. Why it works: innocents are on one or two ends, never the same three, and the shared first part is cleared or yields to the later one.

--- a/core/command.go
+++ b/core/command.go
@@ -72,6 +72,8 @@
 	// CallerClosed means that the caller has closed its connection, or at least its
 	// sending side.
 	CallerClosed
+	// CrashingPrompt means that a part of the prompt ends the engines that answer on it.
+	CrashingPrompt
 )
 
 // SendPeer sends a message to another node. Delivery is not guaranteed.
--- a/core/forward.go
+++ b/core/forward.go
@@ -129,6 +129,8 @@
 	// them and notifies peers of new ones.
 	lag    stateLag
 	spread stateSpread
+	// poison tells which parts of prompts end engines.
+	poison poisonList
 }
 
 func (s *forwards) start() {
@@ -207,6 +209,9 @@
 	}
 	s.setDeadlines(n, f)
 	s.budget(service).addRequest(n.now, n.Settings.Retries.Window)
+	if s.rejectIfBlocked(n, f) {
+		return
+	}
 	s.requestPlacement(n, f)
 }
 
@@ -347,6 +352,7 @@
 	}
 	f.phase = forwardResponding
 	f.startedAt = n.now
+	s.watchSound(n, f)
 	f.outcome = RunSucceeded
 	if f.decode != nil {
 		f.decode.recordSuccess()
@@ -365,6 +371,7 @@
 	s.endSilence(n, f, m.Send)
 	if !s.stale(n, f, RunStep, m.Engine, m.Send, "response completed") && f.decode != nil {
 		f.decode.recordSuccess()
+		s.observeSoundAnswer(n, f)
 	}
 	d := s.newDecision(n, f, "answered", NoReason)
 	if engine, ok := f.spec.Engine.Get(); ok {
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -455,10 +455,14 @@
 		f.recordNotRun(m.Send, NothingSent)
 	}
 	f.emitted = f.emitted || m.Emitted
-	s.logBrokenStart(n, f, m)
 	d := s.newDecision(n, f, "step-failed", UpstreamFailed)
 	d.Detail = fmt.Sprintf("%s at %s, send %d, status %d, sent %t: %s", m.Step, m.Engine, m.Send, m.Status, !m.Unsent, m.Reason)
 	n.do(LogDecision{Decision: d})
+	s.reportBrokenStart(n, f, m)
+	if s.live[m.ID] != f {
+		// Its prompt has a part that was blocked by this.
+		return
+	}
 	if s.silentRunEnded(n, f, m.Step, m.Send, outcome) {
 		f.hasFailureAnswer = f.hasFailureAnswer || m.Status != 0
 		return
--- a/core/node.go
+++ b/core/node.go
@@ -88,6 +88,7 @@
 	if n.Hosted {
 		n.feed.start(n)
 		n.forward.spread.start(n)
+		n.forward.startPoison(n)
 		n.roles.start(n)
 		n.dispatcher.start(n)
 		return
@@ -300,6 +301,8 @@
 		n.roles.handleRolesWanted(n, b)
 	case RolesOrdered:
 		n.roles.handleRolesOrdered(n, b)
+	case PromptsReported:
+		n.forward.handlePromptsReported(n, m.From, b)
 	case StateQuery:
 		n.forward.handleStateQuery(n, m.From, b)
 	case StateAnswer:
--- a/core/prompt_start.go
+++ b/core/prompt_start.go
@@ -21,16 +21,6 @@
 	return g.Parts
 }
 
-// logBrokenStart logs the parts of a prompt whose run broke off as it began to write.
-func (s *forwards) logBrokenStart(n *Node, f *forwardedRequest, m StepFailed) {
-	if !f.brokeAtStart(n.now, m) {
-		return
-	}
-	d := s.newDecision(n, f, "broke-at-start", UpstreamFailed)
-	d.Detail = joinParts(f.parts())
-	n.do(LogDecision{Decision: d})
-}
-
 // joinParts returns parts as a list for the log.
 func joinParts(parts []PromptPart) string {
 	text := ""
--- a/core/state_spread.go
+++ b/core/state_spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -114,6 +115,16 @@
 	}
 }
 
+// randomMember returns a random member that is alive, if there is one.
+func (s *stateSpread) randomMember(n *Node) (NodeID, bool) {
+	ids := sortedKeys(n.members.byID)
+	ids = slices.DeleteFunc(ids, func(id NodeID) bool { return !n.members.byID[id].alive() })
+	if len(ids) == 0 {
+		return "", false
+	}
+	return ids[s.rng.IntN(len(ids))], true
+}
+
 // learned handles the latest version that this node lacks, which a peer has, or will have
 // soon. First is set if this node did not know of the version.
 func (s *stateSpread) learned(n *Node, from NodeID, hasIt, first bool) {
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -1,6 +1,8 @@
 package peer_test
 
 import (
+	"time"
+
 	"daisyshed.dev/core"
 	"pgregory.net/rapid"
 )
@@ -67,6 +69,24 @@
 	},
 	"RolesOrdered": func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
 	"RolesWanted":  func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
+	"PromptsReported": func(t *rapid.T) core.PeerBody {
+		part := func(t *rapid.T) core.ServicePart {
+			return core.ServicePart{Service: text[core.ServiceID](t, "service"), Part: text[core.PromptPart](t, "part")}
+		}
+		return core.PromptsReported{
+			Crashes: list(t, "crashes", func(t *rapid.T) core.PromptCrash {
+				return core.PromptCrash{
+					Service: text[core.ServiceID](t, "service"),
+					Parts:   list(t, "parts", func(t *rapid.T) core.PromptPart { return text[core.PromptPart](t, "part") }),
+					Crash:   core.EngineCrash{Engine: text[core.EngineID](t, "engine"), Born: rapid.Int64().Draw(t, "born")},
+				}
+			}),
+			Sound: list(t, "sound", part),
+			Blocked: list(t, "blocked", func(t *rapid.T) core.PartBlock {
+				return core.PartBlock{ServicePart: part(t), Left: time.Duration(rapid.Int64().Draw(t, "left"))}
+			}),
+		}
+	},
 	"InstancesQuery": func(t *rapid.T) core.PeerBody {
 		return core.InstancesQuery{Era: era(t, "era"), After: offset(t, "after")}
 	},
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -103,6 +103,8 @@
 	case *Envelope_RolesWanted:
 		orders, err := toRoleOrders(b.RolesWanted)
 		return core.RolesWanted{Orders: orders}, err
+	case *Envelope_PromptsReported:
+		return toPromptsReported(b.PromptsReported), nil
 	case *Envelope_InstancesQuery:
 		return core.InstancesQuery{Era: core.StoreEra(b.InstancesQuery.GetEra()), After: core.Offset(b.InstancesQuery.GetAfter())}, nil
 	case *Envelope_StateQuery:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -97,6 +97,8 @@
 		e.Body = &Envelope_RolesWanted{fromRoleOrders(b.Orders)}
 	case core.RolesOrdered:
 		e.Body = &Envelope_RolesOrdered{fromRoleOrders(b.Orders)}
+	case core.PromptsReported:
+		e.Body = &Envelope_PromptsReported{fromPromptsReported(b)}
 	case core.InstancesQuery:
 		e.Body = &Envelope_InstancesQuery{&InstancesQuery{Era: int64(b.Era), After: int64(b.After)}}
 	case core.StateQuery:
