Count an unframed stream without an event as broken off

An answer may come with neither a length nor chunks and end with its connection. A stream that ends after an event is complete and one that ends inside an event has broken off, which the reader of events already told apart. But one that ends before its first event, as when its engine ends, was passed on as a whole, empty answer. It now counts as broken off, so that it is sent again or fails.

--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -155,12 +155,16 @@
 	response.Close()
 }
 
-// readEvents reads the events of a stream and passes them on one at a time.
+// readEvents reads the events of a stream and passes them on one at a time. An unframed
+// stream without an event has broken off: nothing tells it from one whose engine ended.
 func (x *exchange) readEvents(r *run, response *upstream.Response) {
 	events := upstream.NewEventReader(response.Body)
-	for {
+	for count := 0; ; count++ {
 		e := streamEvent{run: r, status: response.Status, header: response.Header}
 		e.event, e.id, e.err = events.Next()
+		if e.err == io.EOF && count == 0 && response.Unframed {
+			e.err = io.ErrUnexpectedEOF
+		}
 		if e.err != nil {
 			// The connection is kept only if it is released before the request ends.
 			response.Close()
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -64,6 +64,9 @@
 	Body   io.Reader
 	// Length is the declared length of the body, or -1 if unknown.
 	Length int64
+	// Unframed says that the body has neither a length nor chunks, and ends with the
+	// connection.
+	Unframed bool
 
 	close       func(complete bool)
 	reportLimit func(error)
@@ -200,6 +203,7 @@
 	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
 	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	out.Unframed = response.ContentLength < 0 && !isChunked(response)
 	out.Body = &bodyReader{r: response.Body, response: out}
 	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
 	out.complete = response.ContentLength == 0
