Soak: prompts that end engines; check that they stop reaching engines

The soak could not break BUDGET: no upstream ended by what it was asked. From a random moment on, a tenth of the streams have a part, between one that all share and their own, under which an engine ends 40 ms after it begins to write; another takes its place after a second. In runs where nodes have no faults, no more than three such requests may reach engines 3 s after the fifth end. A mutant that forgets the ends of engines.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -102,6 +103,9 @@
 	addedRoutes int
 	// peakMemory is the highest peak memory of a daemon in bytes.
 	peakMemory int64
+	// deadlyPrompts is set while some prompts end engines, and ends counts these.
+	deadlyPrompts atomic.Bool
+	ends          engineEnds
 	// closed is set at shutdown; no process may be started afterwards.
 	closed   bool
 	cleanups []func()
@@ -269,7 +273,7 @@
 	settings := hostedworker.Settings{
 		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
 		Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
-		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd,
+		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnPrompt: d.handlePrompt,
 	}
 	if n%2 == 0 {
 		settings.IdleTimeout = shortIdleTimeout
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -164,10 +164,12 @@
 
 // message is a caller's request with what its answer must be.
 type message struct {
-	id       requestID
-	kind     string
-	body     []byte
-	prompt   uint64
+	id     requestID
+	kind   string
+	body   []byte
+	prompt uint64
+	// deadly says that the prompt has a part that ends engines.
+	deadly   bool
 	deadline time.Time
 	// leave is when the caller leaves early; zero if it does not.
 	leave time.Time
@@ -208,6 +210,7 @@
 	case draw < shortPatienceShare+longPatienceShare:
 		m.deadline = time.Now().Add(longPatience)
 	}
+	m.deadly = m.stream() && c.load.deployment.deadlyPrompts.Load() && c.rng.Float64() < deadlyShare
 	if c.rng.Float64() < leaveShare {
 		m.leave = time.Now().Add(time.Duration(c.rng.Int64N(int64(maxStay))))
 	}
@@ -290,7 +293,7 @@
 	}
 	hostedsite.SetAttemptHeaders(r.Header, attemptID, time.Until(m.deadline))
 	if m.stream() {
-		hostedsite.SetPromptHeaders(r.Header, m.prompt)
+		hostedsite.SetPromptHeaders(r.Header, m.prompt, m.deadly)
 	}
 	return r, nil
 }
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -110,6 +110,7 @@
 	cancel()
 	l.wait.Wait()
 	d.checkLatestInForce()
+	d.checkEngineEnds()
 	result := Result{Seed: seed, Violations: append(d.judge.verdict(), d.faultsInLogs()...), Counts: d.judge.counts, Injected: injected}
 	result.Counts["MB at most"] = d.peakMegabytes()
 	if asked, ok := l.calmRequests.Load(), l.calmAnswered.Load(); asked == 0 || float64(ok) < minCalmAnswered*float64(asked) {
@@ -178,7 +179,8 @@
 		"worker crashed": d.crashWorker, "worker faulty": d.injectWorkerFault, "worker drained": d.drainWorker,
 		"worker wants quiet": d.wantQuiet,
 		"settings changed":   d.changeSettings, "link harmed": d.injectLinkFault,
-		"worker silent": d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
+		"workers ended by prompts": d.beginDeadlyPrompts,
+		"worker silent":            d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
 		"workers silent while state changes": d.changeStateWhileSilent, "node stopped while workers are silent": d.stopNodesWhileSilent,
 		"size of state changed": d.changeSizeOfState, "hung reads while state changed": d.changeStateWhileReadsHang,
 		"state changed": d.changeState, "state in series changed": d.changeStateInSeries,
@@ -208,6 +210,7 @@
 func (d *deployment) endFaults() {
 	d.store.SetMode(metastore.Serving)
 	d.store.SetLostReplyShare(0)
+	d.deadlyPrompts.Store(false)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, m := range d.workers {
@@ -450,7 +453,12 @@
 func (d *deployment) replacement(id string) func() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	service, stage := d.workers[id].service, ""
+	m, running := d.workers[id]
+	if !running {
+		// A prompt has ended it meanwhile, and it is replaced already.
+		return func() {}
+	}
+	service, stage := m.service, ""
 	if service == hostedsite.ModelService {
 		stage = hostedworker.Decode
 		if d.rng.IntN(3) == 0 {
@@ -502,8 +510,11 @@
 	id := d.randomWorker()
 	d.replacement(id)()
 	d.mu.Lock()
-	m := d.workers[id]
+	m, running := d.workers[id]
 	d.mu.Unlock()
+	if !running {
+		return
+	}
 	m.worker.Drain()
 	d.store.Put(metastore.UpstreamTopic, id, m.worker.Entry())
 	go func() {
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -79,6 +79,9 @@
 		{"platform/store_transfer.go", "func() { stall.Reset(s.Timeout) }", "func() {}"},
 		withoutPeerQuery,
 	}}},
+	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/poison.go", "	if most < threshold {\n", "	if true {\n",
+	}}}},
 	{Rule: "MEMORY", Mutant: Mutant{Name: "head-without-limit", Promise: core.AnswerWhole, Edits: []Edit{{
 		"daisyshed/upstream/limits.go", "	if l.limit == 0 {\n", "	if true {\n",
 	}}}},
--- a/standin/hostedsite/caller.go
+++ b/standin/hostedsite/caller.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -34,13 +35,24 @@
 	h.Set("Kv-Source", "1.2.3.4:5/forged")
 }
 
+// deadlyPart is the part of prompts that ends engines.
+const deadlyPart = "dd:20,"
+
 // SetPromptHeaders sets the headers that describe a prompt: a prefix that all prompts
-// share, then a part of its own that is identified by key.
-func SetPromptHeaders(h http.Header, key uint64) {
+// share, then a part of its own that is identified by key. The part of a deadly prompt that
+// ends engines is between them.
+func SetPromptHeaders(h http.Header, key uint64, deadly bool) {
+	between := ""
+	if deadly {
+		between = deadlyPart
+	}
 	h.Set("Token-Count", "100,200")
-	h.Set("Prompt-Prefix", "aa:50,"+strconv.FormatUint(key, 16)+":50")
+	h.Set("Prompt-Prefix", "aa:50,"+between+strconv.FormatUint(key, 16)+":50")
 }
 
+// HasDeadlyPart reports whether a prompt's parts have the one that ends engines.
+func HasDeadlyPart(parts string) bool { return strings.Contains(parts, ","+deadlyPart) }
+
 // PromisesNotRun reports whether a status promises that a request has not run and never
 // will.
 func PromisesNotRun(status int) bool {
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -119,6 +119,9 @@
 	Advertised string
 	// OnRunEnd is called at the end of each run. It may be nil.
 	OnRunEnd func(RunEnd)
+	// OnPrompt is called with a prompt's parts when a request with it arrives, and when its
+	// answer is about to be written. It may be nil.
+	OnPrompt func(worker, parts string, writing bool)
 }
 
 // RunNumber identifies a run among those of its worker.
@@ -300,6 +303,7 @@
 	if err != nil {
 		return
 	}
+	w.reportPrompt(r, false)
 	control := strings.HasPrefix(r.URL.Path, "/-/")
 	if fault.endless() && (control || r.Header.Get("Serving-Stage") == Prefill) {
 		sendEndless(rw, fault)
@@ -321,6 +325,13 @@
 	}
 }
 
+// reportPrompt calls OnPrompt for a request with a prompt.
+func (w *Worker) reportPrompt(r *http.Request, writing bool) {
+	if parts := r.Header.Get("Prompt-Prefix"); parts != "" && w.settings.OnPrompt != nil {
+		w.settings.OnPrompt(w.settings.ID, parts, writing)
+	}
+}
+
 // drawFault returns the fault that a request has.
 func (w *Worker) drawFault() Fault {
 	w.mu.Lock()
@@ -560,6 +571,7 @@
 // a random event.
 func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, attempt string, lastEvent int, fault Fault) {
 	rw.Header().Set("Content-Type", "text/event-stream")
+	w.reportPrompt(r, true)
 	cutAt := w.settings.Events + 1
 	if fault == CutShort || fault == LoseReply {
 		cutAt = lastEvent + 1 + rand.IntN(max(w.settings.Events-lastEvent, 1))
