Let a slow store answer before a read of the desired state is renewed

Found while reading the change: a store that takes longer than a fifth of StateDelay until it begins to answer would have each read renewed before its answer, by every node that is behind, and never answer any. A read is renewed only once it is as old as the timeout until which an answer has to begin. TestHungReadIsReplacedOnceItIsRenewed renews a fresh read as well and would take the second path without effect on the code before.

--- a/daisyshed/store/renewal.go
+++ b/daisyshed/store/renewal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"daisyshed.dev/core"
 	"daisyshed.dev/platform"
@@ -14,6 +15,7 @@
 	mu        sync.Mutex
 	cancel    context.CancelFunc
 	receiving bool
+	begun     time.Time
 	// latest is set if the next read is to return the newest record of each key.
 	latest bool
 }
@@ -28,7 +30,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	latest, r.latest = r.latest, false
-	r.cancel, r.receiving = cancel, false
+	r.cancel, r.receiving, r.begun = cancel, false, time.Now()
 	return ctx, latest, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -45,11 +47,11 @@
 }
 
 // renew ends the current read, and reports whether it did. It does not while a response
-// arrives.
-func (r *renewal) renew(latest bool) bool {
+// arrives, nor before the read is minAge old: a store that is slow must get to answer.
+func (r *renewal) renew(latest bool, minAge time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cancel == nil || r.receiving {
+	if r.cancel == nil || r.receiving || time.Since(r.begun) < minAge {
 		return false
 	}
 	r.latest = latest
@@ -61,7 +63,7 @@
 // arrive. If latest is set, the newest state is read, else a later one than the last. It
 // does not block.
 func (w *Watcher) RenewDesired(latest bool) {
-	if w.desiredRenewal.renew(latest) && latest {
+	if w.desiredRenewal.renew(latest, w.Store.Timeout) && latest {
 		w.Log.Warn().Str("Event", "ReadHung").Str("Topic", string(platform.Desired)).Send()
 	}
 }
--- a/daisyshed/store/renewal_test.go
+++ b/daisyshed/store/renewal_test.go
@@ -38,6 +38,9 @@
 	}
 	s.Put("keyed.op", "config", []byte(`{"Version":4}`))
 	began := time.Now()
+	// A read that has just begun is not renewed.
+	w.RenewDesired(true)
+	time.Sleep(w.Store.Timeout)
 	w.RenewDesired(true)
 	is.Equal(nextMessage[core.DesiredState](t, messages).Version, int64(4))
 	is.True(time.Since(began) < time.Second)
