--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -80,7 +80,7 @@
 		withoutPeerQuery,
 	}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
-		"core/poison.go", "	if most < threshold {\n", "	if true {\n",
+		"core/poison.go", "	if most < threshold {\n", "	if most < threshold || true {\n",
 	}}}},
 	{Rule: "MEMORY", Mutant: Mutant{Name: "head-without-limit", Promise: core.AnswerWhole, Edits: []Edit{{
 		"daisyshed/upstream/limits.go", "	if l.limit == 0 {\n", "	if true {\n",
