Do not blame a prompt for engines or connections that end together

Found while reading the change: when many connections break at the same moment, each with a request on a prompt that many share, that prompt would have been blocked for two minutes, and with it sound callers. Ends of engines count for one part only if they are 100 ms apart, as those that a prompt causes are, one request after the other. A node that gets a longer block than its own now takes it over, so that one failed trial counts for all. A node that has applied a version from the store queries a peer for the next one at once, and does not wait for an answer that has arrived. TestEnginesThatEndTogetherBlockNoPart fails on the code before.

--- a/core/forward.go
+++ b/core/forward.go
@@ -146,7 +146,7 @@
 // newer version already.
 func (s *forwards) applyDesiredState(n *Node, d DesiredState) {
 	if d.Source == StateFromStore {
-		s.spread.storeAt = n.now
+		s.spread.storeAt, s.spread.receiving = n.now, false
 	}
 	if s.stateKnown && d.Version <= s.state.Version {
 		return
--- a/core/node.go
+++ b/core/node.go
@@ -197,7 +197,7 @@
 	case DesiredState:
 		n.forward.applyDesiredState(n, m)
 	case StateTransferBegan:
-		n.forward.spread.storeAt = n.now
+		n.forward.spread.storeAt, n.forward.spread.receiving = n.now, true
 	case UpstreamSignal:
 		n.forward.upstreams.handleSignal(n, m)
 	case StoreEraObserved:
--- a/core/poison.go
+++ b/core/poison.go
@@ -11,6 +11,9 @@
 	// prompt's parts have been sound before.
 	poisonCrashes        = 3
 	poisonCrashesIfSound = 5
+	// minCrashGap is the least time between two ends of engines that count for one part.
+	// Engines or connections that end at the same moment have another cause in common.
+	minCrashGap = 100 * time.Millisecond
 	// suspectFor is how long the end of an engine counts, and soundFor how long a sound
 	// answer does.
 	suspectFor = 2 * time.Minute
@@ -45,7 +48,8 @@
 // answer since.
 type suspectPart struct {
 	crashes []EngineCrash
-	lastAt  Instant
+	// countedAt is when a crash was counted last.
+	countedAt Instant
 }
 
 // blockedPart is a part that ends engines. Requests with it are rejected until the time
@@ -118,16 +122,17 @@
 // suspect records an engine's end under a part and returns how many there are.
 func (l *poisonList) suspect(now Instant, key ServicePart, crash EngineCrash) int {
 	s, ok := l.suspects[key]
-	if !ok || now.Sub(s.lastAt) > suspectFor {
+	if !ok || now.Sub(s.countedAt) > suspectFor {
 		if l.suspects == nil || len(l.suspects) >= maxSuspectParts {
 			l.suspects = map[ServicePart]*suspectPart{}
 		}
 		s = &suspectPart{}
 		l.suspects[key] = s
 	}
-	s.lastAt = now
-	if !slices.Contains(s.crashes, crash) && len(s.crashes) < poisonCrashesIfSound {
+	apart := len(s.crashes) == 0 || now.Sub(s.countedAt) >= minCrashGap
+	if apart && !slices.Contains(s.crashes, crash) && len(s.crashes) < poisonCrashesIfSound {
 		s.crashes = append(s.crashes, crash)
+		s.countedAt = now
 	}
 	return len(s.crashes)
 }
@@ -142,10 +147,12 @@
 		if len(l.blocked) >= maxBlockedParts {
 			return
 		}
-		b = &blockedPart{duration: minBlock}
+		b = &blockedPart{duration: minBlock, blockedAt: now}
 		l.blocked[key] = b
 	}
-	b.until, b.blockedAt = max(b.until, now.Add(d)), now
+	if until := now.Add(d); until > b.until {
+		b.until, b.blockedAt = until, now
+	}
 	delete(l.suspects, key)
 	delete(l.sound, key)
 }
--- a/core/poison_spread.go
+++ b/core/poison_spread.go
@@ -176,8 +176,12 @@
 		n.send(from, PromptsReported{Sound: sound})
 	}
 	for _, b := range m.Blocked {
-		if _, known := s.poison.blocked[b.ServicePart]; !known && !s.poison.isSound(n.now, b.ServicePart) {
-			s.poison.block(n.now, b.ServicePart, min(b.Left, maxBlock))
+		_, known := s.poison.blocked[b.ServicePart]
+		if !known && s.poison.isSound(n.now, b.ServicePart) {
+			continue
+		}
+		s.poison.block(n.now, b.ServicePart, min(b.Left, maxBlock))
+		if !known {
 			s.partBlocked(n, b.ServicePart)
 		}
 	}
--- a/core/poison_test.go
+++ b/core/poison_test.go
@@ -30,8 +30,14 @@
 	return m
 }
 
-// reportCrash delivers the report of another node that an engine ended under a prompt.
+// reportCrash delivers the report of another node that an engine ended under a prompt, some
+// time after the one before.
 func (h *hostedNode) reportCrash(n int, parts ...core.PromptPart) {
+	h.advance(200 * time.Millisecond)
+	h.reportCrashNow(n, parts...)
+}
+
+func (h *hostedNode) reportCrashNow(n int, parts ...core.PromptPart) {
 	crash := core.EngineCrash{Engine: core.EngineID(fmt.Sprint("e", n)), Born: 1}
 	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.PromptsReported{
 		Crashes: []core.PromptCrash{{Service: "model", Parts: parts, Crash: crash}},
@@ -74,6 +80,17 @@
 	is.True(!h.rejected(promptTo(1, "innocent")))
 }
 
+// Many engines or connections end at the same moment, each with a request on a prompt that
+// many callers share. The prompt is not the cause.
+func TestEnginesThatEndTogetherBlockNoPart(t *testing.T) {
+	is := is.New(t)
+	h := newEngineNode()
+	for i := range 8 {
+		h.reportCrashNow(i, "popular")
+	}
+	is.True(!h.rejected(promptTo(1, "popular")))
+}
+
 // A block ends when the part no longer ends engines. One request finds that out, after the
 // block's time, and not one of each node or caller.
 func TestBlockEndsByOneTrial(t *testing.T) {
--- a/core/state_spread.go
+++ b/core/state_spread.go
@@ -60,8 +60,10 @@
 	queriedAt Instant
 	queried   NodeID
 	answered  bool
-	// storeAt is when the store last began to answer a read.
-	storeAt Instant
+	// storeAt is when the store last began to answer a read, and receiving is set until the
+	// answer has arrived.
+	storeAt   Instant
+	receiving bool
 	// querying and renewing are set while the timers run that repeat query and renewHung.
 	querying, renewing bool
 }
@@ -150,7 +152,7 @@
 		return
 	}
 	patience := fractionOf(n.Settings.StateDelay, stateTransferFraction)
-	receiving := s.storeAt != 0 && n.now.Sub(s.storeAt) < patience
+	receiving := s.receiving && n.now.Sub(s.storeAt) < patience
 	waiting := s.queriedAt != 0 && !s.answered && n.now.Sub(s.queriedAt) < s.answerPatience(patience)
 	if !receiving && !waiting {
 		s.sendQuery(n, s.holder, StateQuery{})
