Judge: probe a node again before its version counts as old

A node that lacks the version answers 404 or 503 to every probe, so the check asks five times; it stays as strict for the fault that it looks for.

--- a/bench/hosted/state_force.go
+++ b/bench/hosted/state_force.go
@@ -20,7 +20,11 @@
 	// waitingRead is after which time without bytes a connection to the store is taken for
 	// a read that waits for a change.
 	waitingRead = time.Second
-	probeLimit  = time.Second
+	// probeLimit bounds a probe. latestProbes is how many probes in a row, with a pause
+	// between them, a node has to fail.
+	probeLimit   = time.Second
+	latestProbes = 5
+	probePause   = 100 * time.Millisecond
 )
 
 // changeSizeOfState changes the desired state to one of up to thousands of routes.
@@ -59,11 +63,20 @@
 }
 
 // checkLatestInForce checks that every node serves by the latest version once all faults
-// have ended.
+// have ended. A node also answers 503 when a worker has rejected a probe; one that lacks the
+// version answers so each time.
 func (d *deployment) checkLatestInForce() {
 	for i := range d.nodes {
-		status, own := d.probe(i, d.version)
-		if own && (status == http.StatusNotFound || status == http.StatusServiceUnavailable) {
+		served := false
+		status, own := 0, false
+		for range latestProbes {
+			status, own = d.probe(i, d.version)
+			if served = !own || status != http.StatusNotFound && status != http.StatusServiceUnavailable; served {
+				break
+			}
+			time.Sleep(probePause)
+		}
+		if !served {
 			d.judge.reportViolation(fmt.Sprintf("CONFIG: n%d answers %d by an older version than %d", i+1, status, d.version))
 		}
 	}
