--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -32,7 +32,7 @@
 
 // withoutPeerQuery removes the queries to peers for the desired state.
 var withoutPeerQuery = Edit{
-	File: "core/state_spread.go", Old: "		s.sendQuery(n, s.holder, StateQuery{})\n", New: "",
+	File: "core/state_query.go", Old: "		s.sendQuery(n, s.holder, StateQuery{})\n", New: "",
 }
 
 // Hosted lists the mutants of the hosted daemon.
@@ -71,8 +71,8 @@
 		"	x.failRun(r, TakeoverTimeoutError{}, 0)\n",
 	}}}},
 	{Rule: "CONFIG", Mutant: Mutant{Name: "hung-reads-stay", Promise: core.ConfigurationMonotone, Edits: []Edit{
-		{"core/state_spread.go", "		n.do(RenewStateRead{Latest: behind})\n", ""},
-		{"core/state_spread.go", "			n.do(RenewStateRead{})\n", ""},
+		{"core/state_renewal.go", "		n.do(RenewStateRead{Latest: behind})\n", ""},
+		{"core/state_renewal.go", "			n.do(RenewStateRead{})\n", ""},
 		withoutPeerQuery,
 	}}},
 	{Rule: "CONFIG", Mutant: Mutant{Name: "whole-transfer-bounded", Promise: core.ConfigurationMonotone, Edits: []Edit{
