Do not blame a prompt for a run that the node itself gave up

When all engines are silent for a while, a popular prompt would have been blocked by that, and its callers rejected for two minutes. Only what the upstream's end of the connection closes or resets counts now (StepFailed.BrokenOff), not what this node ends, cannot use or cannot parse. TestRunsThatTheNodeGivesUpBlockNoPart fails on the code before.

--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -128,6 +128,9 @@
 	Emitted bool
 	// Unresumable implies Emitted.
 	Unresumable bool
+	// BrokenOff says that the upstream's end of the connection was closed or reset before
+	// the response was complete.
+	BrokenOff bool
 	Reason      string
 }
 
--- a/core/poison_test.go
+++ b/core/poison_test.go
@@ -151,3 +151,35 @@
 	t.Logf("%d KB", grown>>10)
 	is.True(grown < 8<<20)
 }
+
+// Runs that the node itself gives up, as those that were to take over from a silent engine and
+// had no event in time, say nothing about their prompts: all engines may be silent at once.
+func TestRunsThatTheNodeGivesUpBlockNoPart(t *testing.T) {
+	for brokenOff, rejected := range map[bool]bool{false: false, true: true} {
+		is := is.New(t)
+		h := newHosted("n1", core.Settings{})
+		h.deliver(core.Tick{}, worldState())
+		for i := range core.ForwardID(4) {
+			id := core.EngineID(fmt.Sprint("d", i))
+			h.deliver(core.InstancesRead{Whole: true, Offset: core.Offset(i + 1), Changed: []core.Instance{
+				{ID: "p1", Service: "model", Domain: "d1", Address: "p1:1", Slots: 16, Role: core.Prefill, Born: 1},
+				{ID: id, Service: "model", Domain: "d1", Address: string(id) + ":1", Slots: 16, Role: core.Decode, Born: 1},
+			}})
+			h.advance(time.Second)
+			out := h.deliver(promptTo(100+i, "popular"))
+			for _, c := range commandsOf[core.RequestLease](out) {
+				out = h.deliver(core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: "l"})
+			}
+			for _, c := range commandsOf[core.RunPrefill](out) {
+				out = h.deliver(core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: "k", Tokens: worldPrompt})
+			}
+			runs := commandsOf[core.RunForward](out)
+			if i == 3 {
+				is.Equal(len(runs) == 0, rejected)
+				break
+			}
+			is.Equal(len(runs), 1)
+			h.deliver(core.StepFailed{ID: runs[0].ID, Send: runs[0].Send, Engine: runs[0].Engine, Step: core.RunStep, BrokenOff: brokenOff})
+		}
+	}
+}
--- a/core/prompt_start.go
+++ b/core/prompt_start.go
@@ -6,10 +6,10 @@
 // a prompt that ends engines does so in a fraction of that.
 const earlyRun = 500 * time.Millisecond
 
-// brokeAtStart reports whether a run broke off without a status while it began to write its
+// brokeAtStart reports whether the upstream broke a run off while it began to write its
 // answer, as when its prompt ends the engine.
 func (f *forwardedRequest) brokeAtStart(now Instant, m StepFailed) bool {
-	if m.Step != RunStep || m.Unsent || m.Status != 0 || m.Send != f.current || len(f.parts()) == 0 {
+	if m.Step != RunStep || !m.BrokenOff || m.Send != f.current || len(f.parts()) == 0 {
 		return false
 	}
 	return f.phase == forwardRunning || f.phase == forwardResponding && now.Sub(f.startedAt) < earlyRun
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"daisyshed.dev/core"
@@ -244,7 +246,7 @@
 func (x *exchange) reportStepFailed(s step, err error, status int) {
 	x.server.SendToCore(core.StepFailed{
 		ID: x.forward.ID, Send: s.send, Engine: s.engine, Step: s.kind, Unsent: nothingSent(err), Status: status,
-		Emitted: x.headSent.Load(), Unresumable: x.unresumable.Load(), Reason: err.Error(),
+		Emitted: x.headSent.Load(), Unresumable: x.unresumable.Load(), BrokenOff: brokenOff(err), Reason: err.Error(),
 	})
 }
 
@@ -254,6 +256,17 @@
 	return errors.As(err, &unsent)
 }
 
+// brokenOff reports whether an error says that the upstream closed or reset the connection.
+// What this node has ended itself, or could not use, does not count.
+func brokenOff(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // reportStepRefused notifies the core that an upstream rejected a step without carrying
 // it out.
 func (x *exchange) reportStepRefused(s step, proof core.NotRunProof, status int) {
