--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -131,7 +131,7 @@
 	// BrokenOff says that the upstream's end of the connection was closed or reset before
 	// the response was complete.
 	BrokenOff bool
-	Reason      string
+	Reason    string
 }
 
 // ForwardResponseStarted says that the first bytes of a run's answer went to the caller.
