Log limits that upstreams name, and who placed each run

The limit of an answer is decoded (Server-Limit), and a node logs each change of it with its value (H1, H3); metrics show the limits that a node knows of and count unusable ones. The line of a run says which node chose the upstream, and the upstream's limit (H2): from a request's id to the limit. Unusable values are a typed error. No placement changes.

Tests of platform, core and daisyshed pass.

--- a/core/addresses.go
+++ b/core/addresses.go
@@ -203,6 +203,7 @@
 			Node: m.node, Incarnation: m.incarnation, Status: m.reportedStatus(), ConfigOffset: m.configOffset,
 		})
 	}
+	s.Limits = n.forward.upstreams.limits()
 	for _, u := range n.members.upstreams() {
 		s.Upstreams = append(s.Upstreams, n.upstreamStatus(u))
 	}
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -92,6 +92,7 @@
 		s.placeLocally(n, f)
 		return
 	}
+	f.placer = from
 	if _, engine := f.spec.Engine.Get(); !engine {
 		s.runPlainAt(n, f, u)
 		return
--- a/core/forward.go
+++ b/core/forward.go
@@ -51,6 +51,8 @@
 	// placement is the id of the request's present placement towards owners.
 	placement      ForwardID
 	ownerAcked     bool
+	// placer is the owner that chose the upstream of the latest run; empty if this node did.
+	placer NodeID
 	outcome        RunOutcome
 	output         Tokens
 	advisedPrefill EngineID
@@ -455,7 +457,7 @@
 // logRun logs that a request is being sent to the upstream that is to run it.
 func (s *forwards) logRun(n *Node, f *forwardedRequest) {
 	d := s.newDecision(n, f, "run", NoReason)
-	d.Detail = f.describeRun()
+	d.Detail = f.describeRun() + f.describePlacer()
 	n.do(LogDecision{Decision: d})
 }
 
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -19,6 +19,7 @@
 // Upstreams in this node's failure domain are preferred.
 func (s *forwards) runPlain(n *Node, f *forwardedRequest) {
 	list := s.upstreams.byService[f.spec.ID]
+	f.placer = ""
 	u := s.choosePlain(n, f, list)
 	if u == nil {
 		s.end(n, f, NoUpstream, s.quietFor(n, f))
@@ -81,6 +82,7 @@
 			return
 		}
 		s.setAside(n, f)
+		f.placer = ""
 		s.runPlainAt(n, f, u)
 	})
 }
--- a/core/ids.go
+++ b/core/ids.go
@@ -62,6 +62,9 @@
 // Tokens is a number of tokens.
 type Tokens int
 
+// RequestRate is a number of requests a second.
+type RequestRate float64
+
 // BlockHash identifies a prompt prefix that ends at a block boundary. Equal
 // hashes mean equal prefixes, so the hash of a block covers all blocks before
 // it.
--- a/core/run_record.go
+++ b/core/run_record.go
@@ -72,6 +72,19 @@
 	return fmt.Sprintf("send %d, again after send %d at %s: %s", latest.number, before.number, before.engine, reason)
 }
 
+// describePlacer returns which node chose the upstream of the latest run, and the limit that
+// the upstream has named, if any, for the log.
+func (f *forwardedRequest) describePlacer() string {
+	text := ", chosen by this node"
+	if f.placer != "" {
+		text = ", placed by " + string(f.placer)
+	}
+	if rate, ok := f.decode.limit().Get(); ok {
+		text += fmt.Sprintf(", limit %.3g/s", float64(rate))
+	}
+	return text
+}
+
 // describeProof returns what proves that no upstream ran the request, for the log.
 func (f *forwardedRequest) describeProof() string {
 	if len(f.runRecords) == 0 {
--- a/core/status.go
+++ b/core/status.go
@@ -19,11 +19,19 @@
 	Upstreams    []UpstreamStatus
 	Requests     int
 	Leaving      bool
+	// Limits are the limits on requests that upstreams have named and that are in force.
+	Limits []LimitStatus
 	// Checks and Violations count invariant checks and violations by Promise.
 	Checks     [9]uint64
 	Violations [9]uint64
 }
 
+// LimitStatus is the limit on requests that an upstream has named.
+type LimitStatus struct {
+	Engine EngineID
+	Rate   RequestRate
+}
+
 // MemberStatusEntry is one node's view of a member.
 type MemberStatusEntry struct {
 	Node         NodeInfo
--- a/core/upstream_signal.go
+++ b/core/upstream_signal.go
@@ -13,6 +13,10 @@
 	// QuietFor is how long the upstream, which is overloaded, wants no requests from
 	// this node; zero if it did not say.
 	QuietFor time.Duration
+	// NamesLimit says that the response names a limit, and Limit is that limit; absent if
+	// the value is not usable.
+	NamesLimit bool
+	Limit      Option[RequestRate]
 }
 
 func (UpstreamSignal) isMessage() {}
@@ -35,6 +39,8 @@
 	// quietSends counts the requests sent to it since it asked for that.
 	quietUntil Instant
 	quietSends int
+	// limit is the limit that an incarnation has named last; absent if it names none.
+	limit Option[upstreamLimit]
 }
 
 // handleSignal records what a response said about its upstream. A leaving incarnation
@@ -62,6 +68,9 @@
 		}
 		known.quietUntil = max(known.quietUntil, n.now.Add(m.QuietFor))
 	}
+	if m.NamesLimit {
+		s.observeLimit(n, u, m.Limit)
+	}
 }
 
 // evictSignals makes room for another upstream's signals: those of upstreams that are
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -81,8 +81,9 @@
 	settingsText []byte
 	// disabled has the mechanisms that --without disables.
 	disabled core.Set[core.Mechanism]
-	// invalidRetryAfter logs the first invalid retry delay of an upstream.
-	invalidRetryAfter sync.Once
+	// invalidRetryAfter logs the first invalid retry delay of an upstream, and invalidLimit
+	// the first invalid limit on requests.
+	invalidRetryAfter, invalidLimit sync.Once
 	// readFailed says that the last read of the settings file failed.
 	readFailed   bool
 	log          zerolog.Logger
@@ -254,15 +255,23 @@
 func (noLog) Read(core.ReadLog)     {}
 
 // observeUpstream passes on to the core what a response says about its upstream. The
-// first invalid retry delay is logged.
+// first invalid retry delay and the first invalid limit are logged.
 func (h *hosted) observeUpstream(key string, status int, header http.Header) {
 	signal, err := platform.DecodeSignal(core.EngineID(key), status, header)
-	if err != nil {
+	var retryAfter *platform.InvalidRetryAfterError
+	if errors.As(err, &retryAfter) {
 		h.invalidRetryAfter.Do(func() {
-			h.log.Warn().Str("Event", "RetryAfterInvalid").Str("Engine", key).Err(err).Send()
+			h.log.Warn().Str("Event", "RetryAfterInvalid").Str("Engine", key).Err(retryAfter).Send()
+		})
+	}
+	var limit *platform.InvalidLimitError
+	if errors.As(err, &limit) {
+		h.metrics.InvalidUpstreamLimit()
+		h.invalidLimit.Do(func() {
+			h.log.Warn().Str("Event", "UpstreamLimitInvalid").Str("Engine", key).Err(limit).Send()
 		})
 	}
-	if signal.Leaving || signal.QuietFor > 0 {
+	if signal.Leaving || signal.QuietFor > 0 || signal.NamesLimit {
 		h.inbox.Send(signal)
 	}
 }
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"github.com/uber-go/tally/v4"
 )
 
 // RecordStatus sets the gauges that come from a node's status.
@@ -18,6 +19,7 @@
 	m.setGauge("upstreams", float64(len(s.Upstreams)))
 	m.setGauge("publications_rejected", float64(len(s.Rejected)))
 	m.setMembers(s)
+	m.setLimits(s.Limits)
 	m.setAllocations(s)
 	m.setInvariants(s)
 	m.setTargets(s.Profiles)
@@ -42,6 +44,30 @@
 	m.setGauge("config_lag_offsets", float64(lag))
 }
 
+// setLimits sets the limits that upstreams have named, in requests a second. The gauge of an
+// upstream whose limit has ended is set to -1, as no upstream names it.
+func (m *Metrics) setLimits(limits []core.LimitStatus) {
+	m.setGauge("upstream_limits", float64(len(limits)))
+	current := map[core.EngineID]bool{}
+	for _, l := range limits {
+		current[l.Engine] = true
+		m.limitGauge(l.Engine).Update(float64(l.Rate))
+	}
+	for id := range m.limited {
+		if !current[id] {
+			m.limitGauge(id).Update(limitEnded)
+		}
+	}
+	m.limited = current
+}
+
+// limitEnded is the value of the gauge of an upstream that names no limit any more.
+const limitEnded = -1
+
+func (m *Metrics) limitGauge(id core.EngineID) tally.Gauge {
+	return m.scope.Tagged(map[string]string{"upstream": string(id)}).Gauge("upstream_limit_per_second")
+}
+
 // setAllocations sets the gauges that compare the allocation table of the upstreams
 // that this node owns with the memory that their engines report as allocated.
 func (m *Metrics) setAllocations(s core.Status) {
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -52,10 +52,13 @@
 	upstreamLimit tally.Counter
 	storeLimit    tally.Counter
 	callerLimit   tally.Counter
+	invalidLimits tally.Counter
 	firstBytes    tally.Histogram
 	totalTimes    tally.Histogram
 
 	tracker prefillTracker
+	// limited are the upstreams with a limit at the last status.
+	limited map[core.EngineID]bool
 
 	mu      sync.Mutex
 	targets map[core.ProfileID]targets
@@ -126,6 +129,7 @@
 	m.upstreamLimit = m.scope.Counter("upstream_limits_exceeded_total")
 	m.storeLimit = m.scope.Counter("store_limits_exceeded_total")
 	m.callerLimit = m.scope.Counter("caller_limits_exceeded_total")
+	m.invalidLimits = m.scope.Counter("upstream_invalid_limits_total")
 	m.firstBytes = m.scope.Histogram("forward_first_bytes_seconds", latencyBuckets)
 	m.totalTimes = m.scope.Histogram("forward_seconds", latencyBuckets)
 }
@@ -159,6 +163,10 @@
 // UpstreamLimitExceeded counts a response of an upstream that exceeded a limit.
 func (m *Metrics) UpstreamLimitExceeded() { m.upstreamLimit.Inc(1) }
 
+// InvalidUpstreamLimit counts a response of an upstream that names a limit on requests which
+// is not usable.
+func (m *Metrics) InvalidUpstreamLimit() { m.invalidLimits.Inc(1) }
+
 // StoreLimitExceeded counts a response or a list of the store that exceeded a limit.
 func (m *Metrics) StoreLimitExceeded() { m.storeLimit.Inc(1) }
 
