--- a/core/forward.go
+++ b/core/forward.go
@@ -49,10 +49,10 @@
 	group DispatchGroup
 	owner NodeID
 	// placement is the id of the request's present placement towards owners.
-	placement      ForwardID
-	ownerAcked     bool
+	placement  ForwardID
+	ownerAcked bool
 	// placer is the owner that chose the upstream of the latest run; empty if this node did.
-	placer NodeID
+	placer         NodeID
 	outcome        RunOutcome
 	output         Tokens
 	advisedPrefill EngineID
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -88,6 +88,9 @@
 	w.next++
 	id := w.next
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if w.pick != nil {
+		n = w.pick()
+	}
 	if promptKey == 0 {
 		promptKey = core.PromptKey(id)
 	}
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -113,6 +113,10 @@
 	states  map[core.Offset]core.DesiredState
 	applied map[int64]map[core.NodeID]core.Instant
 	steps   map[core.EngineID]int
+	// namesLimits makes nodes observe whether answers name a limit, and pick chooses the node
+	// that a caller's request comes to; nil for any one.
+	namesLimits bool
+	pick        func() *worldNode
 }
 
 type worldOrder struct {
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -20,6 +20,13 @@
 	dark bool
 	// silentUntil is until when the engine sends no event in an eventful world.
 	silentUntil core.Instant
+	// limit is the limit that the upstream names in its answers, and arrived are the requests
+	// that have reached it. limitBegan is when it first named the limit.
+	limit      core.Option[core.RequestRate]
+	limitBegan core.Instant
+	arrived    []worldArrival
+	// told is when each node first got an answer that named the limit.
+	told map[core.NodeID]core.Instant
 	// loses is the share of answers that are lost in transit.
 	loses float64
 	next  int
@@ -67,6 +74,7 @@
 	w, u := n.w, n.w.ups[c.Engine]
 	w.recordDeadly(c.ID)
 	w.steps[u.ID]++
+	n.arriveAt(u)
 	if u.dead {
 		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.ReadPromptStep, Unsent: true})
 		return
@@ -77,12 +85,14 @@
 	}
 	u.readyAt = max(u.readyAt, w.now).Add(promptTime)
 	w.longestPrefill = max(w.longestPrefill, u.readyAt.Sub(w.now))
+	w.after(u.readyAt.Sub(w.now)+2*linkDelay, func() { n.nameLimit(u) })
 	n.deliverAfter(u.readyAt.Sub(w.now)+2*linkDelay, core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: "h", Tokens: worldPrompt})
 }
 
 func (n *worldNode) runForward(c core.RunForward) {
 	w, u, r := n.w, n.w.ups[c.Engine], n.w.requests[c.ID]
 	w.steps[u.ID]++
+	n.arriveAt(u)
 	r.runs++
 	w.recordDeadly(c.ID)
 	switch {
@@ -113,7 +123,10 @@
 				n.deliver(core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep})
 				return
 			}
-			w.after(linkDelay, func() { n.answer(c, r) })
+			w.after(linkDelay, func() {
+				n.nameLimit(u)
+				n.answer(c, r)
+			})
 		})
 	}
 	switch {
@@ -171,6 +184,7 @@
 	}
 	w.after(first, func() {
 		if !r.ended {
+			n.nameLimit(u)
 			r.first = w.now
 			n.deliver(core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine})
 		}
--- /dev/null
+++ b/core/upstream_limit_world_test.go
@@ -0,0 +1,166 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+const (
+	// In limitWindow an upstream may get limitFactor times what its limit allows and limitSlack
+	// requests more, from nodes that have known of the limit for limitKnown.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5.0
+	limitKnown  = 500 * time.Millisecond
+)
+
+// worldArrival is a request that has reached an upstream.
+type worldArrival struct {
+	at   core.Instant
+	from core.NodeID
+}
+
+func (n *worldNode) arriveAt(u *worldUpstream) {
+	if n.w.namesLimits {
+		u.arrived = append(u.arrived, worldArrival{n.w.now, n.node.Self.ID})
+	}
+}
+
+// nameLimit delivers what an answer of an upstream says about its limit.
+func (n *worldNode) nameLimit(u *worldUpstream) {
+	if !n.w.namesLimits || n.frozen {
+		return
+	}
+	_, limited := u.limit.Get()
+	n.deliver(core.UpstreamSignal{Engine: u.ID, NamesLimit: limited, Limit: u.limit})
+	if _, known := u.told[n.node.Self.ID]; limited && !known {
+		u.told[n.node.Self.ID] = n.w.now
+	}
+}
+
+// limitTo makes an upstream name a limit in its answers from now on.
+func (w *hostedWorld) limitTo(id core.EngineID, rate core.RequestRate) {
+	u := w.ups[id]
+	if _, limited := u.limit.Get(); !limited {
+		u.limitBegan, u.told, u.arrived = w.now, map[core.NodeID]core.Instant{}, nil
+	}
+	u.limit = core.Some(rate)
+}
+
+// overLimit returns by how many requests an upstream has got more than the rule allows in the
+// worst span of limitWindow, and the share of its limit that it got from contact after the
+// limit began.
+func (w *hostedWorld) overLimit(u *worldUpstream, excused ...core.NodeID) (excess, used float64) {
+	rate, _ := u.limit.Get()
+	allowed := limitFactor*float64(rate)*limitWindow.Seconds() + limitSlack
+	var counted []core.Instant
+	all := 0
+	for _, a := range u.arrived {
+		if a.at < u.limitBegan.Add(contact) {
+			continue
+		}
+		all++
+		at, told := u.told[a.from]
+		if !told || a.at < at.Add(limitKnown) || core.SetOf(excused...).Has(a.from) {
+			continue
+		}
+		counted = append(counted, a.at)
+	}
+	worst, first := 0, 0
+	for i, at := range counted {
+		for counted[first] < at.Add(-limitWindow) {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	return float64(worst) - allowed, float64(all) / (float64(rate) * w.now.Sub(u.limitBegan.Add(contact)).Seconds())
+}
+
+// checkLimits verifies the rule for all limited upstreams. It returns the mean share of the
+// limits that was used.
+func (w *hostedWorld) checkLimits(t *testing.T, excused ...core.NodeID) float64 {
+	t.Helper()
+	is := is.New(t)
+	sum, count := 0.0, 0
+	for _, id := range w.ids {
+		u := w.ups[id]
+		if rate, limited := u.limit.Get(); limited {
+			excess, used := w.overLimit(u, excused...)
+			t.Logf("%s, limit %g/s: %.1f over the bound, %.2f of the limit used", id, float64(rate), excess, used)
+			is.True(excess <= 0)
+			sum, count = sum+used, count+1
+		}
+	}
+	return sum / float64(count)
+}
+
+// unevenCallers makes half of the requests come to one node in eight.
+func (w *hostedWorld) unevenCallers() {
+	w.pick = func() *worldNode {
+		if w.rng.IntN(2) == 0 {
+			return w.nodes[w.rng.IntN((len(w.nodes)+7)/8)]
+		}
+		return w.nodes[w.rng.IntN(len(w.nodes))]
+	}
+}
+
+// Upstreams of a plain service name limits. They got as many requests as before, three times
+// what they named.
+func TestLimitedUpstreamsGetNoMoreThanTheyNamed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		nodes   int
+		plain   int
+		limited int
+		rate    core.RequestRate
+		load    float64
+		loses   float64
+		slow    bool
+	}{
+		{name: "two of three", nodes: 8, plain: 3, limited: 2, rate: 4.5, load: 30},
+		{name: "all, far too much load", nodes: 8, plain: 3, limited: 3, rate: 4.5, load: 60},
+		{name: "all, lost answers", nodes: 8, plain: 3, limited: 3, rate: 4.5, load: 60, loses: 0.2},
+		{name: "all, a high limit", nodes: 8, plain: 3, limited: 3, rate: 60, load: 400},
+		{name: "all, a low limit", nodes: 8, plain: 3, limited: 3, rate: 0.4, load: 30},
+		{name: "all, slow messages that are lost", nodes: 8, plain: 3, limited: 3, rate: 4.5, load: 60, slow: true},
+		{name: "all", nodes: 82, plain: 3, limited: 3, rate: 20, load: 200},
+		{name: "all", nodes: 410, plain: 5, limited: 5, rate: 4.5, load: 300},
+	} {
+		t.Run(fmt.Sprintf("%s, %d nodes", c.name, c.nodes), func(t *testing.T) {
+			if testing.Short() && c.nodes > 82 {
+				t.Skip("the race detector takes a minute for this size")
+			}
+			is := is.New(t)
+			w := newHostedWorld(worldOptions{nodes: c.nodes, plain: c.plain, slots: 6, seed: 1})
+			w.namesLimits = true
+			w.unevenCallers()
+			if c.slow {
+				w.slowLinks()
+			}
+			for _, u := range w.ups {
+				u.loses = c.loses
+			}
+			w.run(3 * time.Second)
+			w.load("read", c.load/3, 26*time.Second)
+			w.load("pay", c.load*2/3, 26*time.Second)
+			w.run(5 * time.Second)
+			for i := range c.limited {
+				w.limitTo(core.EngineID(fmt.Sprintf("s%02d", i)), c.rate)
+			}
+			rejections, waited := w.rejections, w.waitedInVain
+			w.run(20 * time.Second)
+			used := w.checkLimits(t)
+			if n := w.rejections - rejections; n > 0 {
+				t.Logf("%d rejections after %v each", n, (w.waitedInVain-waited)/time.Duration(n))
+			}
+			t.Logf("served %d, on time %d, rejected %d, failed %d, used %.2f", w.served, w.onTime, w.rejected, w.failed, used)
+			if c.limited == c.plain {
+				is.True(used > 0.5)
+			}
+		})
+	}
+}
