Keep the limits that upstreams name, summed over all nodes

What callers saw: an upstream in need that had named a limit got 48 to 66 requests in 4 s where 30 to 34 are allowed (LIMIT). Cause: no node read the limit (H1), and nothing bounds what all nodes together send to one upstream. Change: the owner of an upstream's group, which places first sends already, holds one token bucket for each limited upstream. Repeats, runs that take over and nodes without an owner no longer choose a limited upstream by themselves, but ask the owner, or use a small share (H2). Each node reports limits to the owner, which notifies all when one begins or ends (H3). What cannot be served within the limits is rejected at once, with the limits in the log, urgent requests first; callers are told to return as places come back. A limit ends with an answer without it, not with one that arrives late, nor with a misspelled one; 0 counts as one request in four seconds, since an upstream that gets nothing cannot say that it is well again.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -29,6 +29,7 @@
 		key: key, group: m.Group, prompt: m.Prompt, expected: m.Expected, promptKey: m.PromptKey, attempt: m.Attempt, firstArrived: n.now, sentBefore: m.Again, avoid: SetOf(m.Avoid...), maxPause: m.MaxPause,
 		waiting: true, addedAt: n.now,
 	}
+	d.recordLimitDemand(n, j.group)
 	c := n.roles.costsOf(j.group)
 	j.memory = c.outputs.expectedMemory(n, m.Prompt, m.Expected, m.MaxOutput)
 	j.lengthPenalty = c.lengthPenaltyOf(n, j.memory-j.prompt, m.Objective)
@@ -37,6 +38,11 @@
 		getOrCreate(d.onTimeArrivals, j.group).record(n.now)
 	}
 	before, rate := d.prospects(n, j)
+	if why, exceeds := d.exceedsLimits(n, j, before); exceeds {
+		d.logRejection(n, j, why+", entry "+string(from))
+		d.reject(n, j)
+		return
+	}
 	if !j.sentBefore && n.uses(EarlyRefusal) && exceedsDeadline(n.now, j.queueEntry, before, rate) {
 		d.logRejection(n, j, fmt.Sprintf("exceeds deadline: %d before it at %.1f/s, entry %s", before, rate, from))
 		d.reject(n, j)
@@ -101,7 +107,7 @@
 	d.queue = rest
 	if len(d.queue) > 0 && !d.placeScheduled {
 		d.placeScheduled = true
-		n.afterFunc(placeEvery, func(n *Node) {
+		n.afterFunc(d.waitForLimits(n, placeEvery), func(n *Node) {
 			d.placeScheduled = false
 			d.placeWaiting(n)
 		})
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -78,6 +78,8 @@
 	onTimeArrivals map[DispatchGroup]*placementRate
 	returns        map[DispatchGroup]*returnSchedule
 	placeScheduled bool
+	// placers holds the nodes that place requests on the groups with limited upstreams.
+	placers map[DispatchGroup]*limitPlacers
 }
 
 func (d *dispatcher) start(n *Node) {
@@ -87,6 +89,7 @@
 	d.rejectedPrompts = map[PromptKey]Instant{}
 	d.onTimeArrivals = map[DispatchGroup]*placementRate{}
 	d.returns = map[DispatchGroup]*returnSchedule{}
+	d.placers = map[DispatchGroup]*limitPlacers{}
 	n.every(jobTTL/4, func(n *Node) { d.evictStale(n) })
 }
 
--- a/core/dispatch_group.go
+++ b/core/dispatch_group.go
@@ -60,7 +60,12 @@
 // with the highest score, so that a change of one node moves only the groups of
 // that node. It returns the empty id if no live node accepts new requests.
 func (s *forwards) groupOwner(n *Node, g DispatchGroup) NodeID {
-	return highestScoring(n.acceptingNodes(), "group/"+string(g.Service)+"/"+strconv.Itoa(g.Index))
+	return highestScoring(n.acceptingNodes(), g.key())
+}
+
+// key returns the key by which the owner of the group is chosen.
+func (g DispatchGroup) key() string {
+	return "group/" + string(g.Service) + "/" + strconv.Itoa(g.Index)
 }
 
 // acceptingNodes returns the live nodes that accept new requests, including this one
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -54,7 +54,7 @@
 			room -= c.overrunReserve(n, requests+1)
 		}
 		free := u.Slots == 0 || requests < u.Slots
-		return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room)
+		return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room) && d.withinLimit(n, u, j.group)
 	}, func(u *upstream) float64 {
 		cost := float64(d.allocationOf(u).memory)
 		if u.Domain != domain {
@@ -72,6 +72,9 @@
 			return false
 		}
 		prefillEngines++
+		if !d.withinLimit(n, u, j.group) {
+			return false
+		}
 		backlog := d.allocationOf(u).prefillTokens
 		ahead, measured := c.backlogTime(backlog)
 		return backlog == 0 || measured && ahead <= maxPrefillBacklog
@@ -92,6 +95,7 @@
 	if prefill != nil {
 		j.prefill = prefill.ID
 		j.prefillIdle = d.allocationOf(prefill).prefillTokens == 0
+		prefill.takeAsOwner(1)
 		d.allocationOf(prefill).prefillTokens += j.prompt
 	}
 	if engine.KVCapacityTokens > 0 {
@@ -114,7 +118,9 @@
 		}
 		return requests / float64(max(u.Slots, 1)) / max(u.successRate*u.successRate, minSuccess)
 	}
-	u := d.cheapestOrAvoided(n, j, func(u *upstream) bool { return d.fits(n, u, j.memory, plainCapacity(u)) }, cost)
+	u := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
+		return d.fits(n, u, j.memory, plainCapacity(u)) && d.withinLimit(n, u, j.group)
+	}, cost)
 	if u == nil {
 		return noMemory
 	}
@@ -146,6 +152,13 @@
 	return u.fullUntil <= n.now && b.deniedUntil <= n.now && (room == 0 || b.memory+need <= room)
 }
 
+// withinLimit reports whether the limit of an upstream, if it has one, allows another
+// placement now.
+func (d *dispatcher) withinLimit(n *Node, u *upstream, g DispatchGroup) bool {
+	ok, _ := u.ownerMaySend(n, g)
+	return ok
+}
+
 // cheapestOrAvoided returns the cheapest upstream that is not avoided for its
 // failures. If most of the group are avoided, it returns the cheapest of those when no
 // other has room: when most upstreams lose answers, leaving them all out would serve
@@ -187,6 +200,8 @@
 	j.decode = u.ID
 	d.allocationOf(u).memory += j.memory
 	d.allocationOf(u).requests++
+	cost, _ := d.limitCost(n, j.group)
+	u.takeAsOwner(cost)
 	d.placementsOf(j.group).record(n.now)
 	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill, PrefillAtDecode: j.prefillAtDecode, Memory: j.memory})
 }
@@ -197,6 +212,9 @@
 // second when upstreams are slow. A node that has just started knows neither,
 // and must not reject requests for lack of data.
 func (d *dispatcher) capacity(n *Node, g DispatchGroup) float64 {
+	if rate, _, all := d.limitedRate(n, g); all {
+		return rate
+	}
 	recent := d.placementsOf(g).rate(n.now)
 	c := n.roles.costsOf(g)
 	if c.holdSeconds.count < minCostSamples || c.holdSeconds.mean <= 0 {
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -16,18 +16,40 @@
 
 // runPlain sends a request of a plain service to the upstream with the fewest
 // of this node's own requests, in proportion to its slots and its success rate.
-// Upstreams in this node's failure domain are preferred.
+// Upstreams in this node's failure domain are preferred. Those with a limit get what this
+// node may send them by itself.
 func (s *forwards) runPlain(n *Node, f *forwardedRequest) {
-	list := s.upstreams.byService[f.spec.ID]
-	f.placer = ""
-	u := s.choosePlain(n, f, list)
+	u := s.choosePlain(n, f)
 	if u == nil {
-		s.end(n, f, NoUpstream, s.quietFor(n, f))
+		s.end(n, f, s.noUpstreamReason(f), s.quietFor(n, f))
 		return
 	}
+	f.placer = ""
+	u.takeShare()
 	s.runPlainAt(n, f, u)
 }
 
+// runPlainAgain sends a request of a plain service to another upstream. If only upstreams
+// with a limit are left, their owner has to place it.
+func (s *forwards) runPlainAgain(n *Node, f *forwardedRequest) {
+	if s.choosePlain(n, f) == nil && s.noUpstreamReason(f) == NoCapacity {
+		s.requestPlacement(n, f)
+		return
+	}
+	s.runPlain(n, f)
+}
+
+// noUpstreamReason returns why no upstream can run a plain request: only those with a limit
+// are left, or none.
+func (s *forwards) noUpstreamReason(f *forwardedRequest) RejectionReason {
+	for _, u := range s.upstreams.byService[f.spec.ID] {
+		if _, limited := u.limit().Get(); limited && u.usable() && !f.tried.Has(u.ID) {
+			return NoCapacity
+		}
+	}
+	return NoUpstream
+}
+
 // runPlainAt sends a request of a plain service to the given upstream.
 func (s *forwards) runPlainAt(n *Node, f *forwardedRequest, u *upstream) {
 	f.phase = forwardRunning
@@ -50,7 +72,9 @@
 	}
 }
 
-func (s *forwards) choosePlain(n *Node, f *forwardedRequest, list []*upstream) *upstream {
+func (s *forwards) choosePlain(n *Node, f *forwardedRequest) *upstream {
+	list := s.upstreams.byService[f.spec.ID]
+	excluded := func(u *upstream) bool { return f.tried.Has(u.ID) || !u.nodeMaySend(n) }
 	cost := func(u *upstream) float64 {
 		c := float64(u.ownRequests+1) / float64(max(u.Slots, 1))
 		if u.Domain != n.Self.Domain {
@@ -58,9 +82,9 @@
 		}
 		return c / max(u.successRate*u.successRate, 0.01)
 	}
-	u := cheapest(n, list, func(u *upstream) bool { return f.tried.Has(u.ID) || u.avoidUntil > n.now }, cost)
+	u := cheapest(n, list, func(u *upstream) bool { return excluded(u) || u.avoidUntil > n.now }, cost)
 	if u == nil {
-		u = cheapest(n, list, func(u *upstream) bool { return f.tried.Has(u.ID) }, cost)
+		u = cheapest(n, list, excluded, cost)
 	}
 	return u
 }
@@ -76,13 +100,14 @@
 		if f.silent != nil || f.unprovenRuns() >= f.route.MaxRuns || f.sends >= maxSends {
 			return
 		}
-		u := s.choosePlain(n, f, s.upstreams.byService[f.spec.ID])
+		u := s.choosePlain(n, f)
 		if u == nil || !s.spendRetryBudget(n, f, 1) {
 			s.retryIfSilent(n, f)
 			return
 		}
 		s.setAside(n, f)
 		f.placer = ""
+		u.takeShare()
 		s.runPlainAt(n, f, u)
 	})
 }
@@ -91,7 +116,7 @@
 func (s *forwards) plainRejected(n *Node, f *forwardedRequest) {
 	s.release(n, f)
 	if f.sends < maxSends && s.spendRetryBudget(n, f, 1) {
-		s.runPlain(n, f)
+		s.runPlainAgain(n, f)
 		return
 	}
 	s.end(n, f, NoCapacity, 0)
@@ -103,7 +128,7 @@
 	s.release(n, f)
 	again := s.mayRunAgain(f) && !f.emitted && f.sends < maxSends
 	if again && s.spendRetryBudget(n, f, 1) {
-		s.runPlain(n, f)
+		s.runPlainAgain(n, f)
 		return
 	}
 	s.end(n, f, UpstreamFailed, 0)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -63,6 +63,10 @@
 		s.end(n, f, NoCapacity, quiet)
 		return
 	}
+	if s.limitsExhausted(n, f) {
+		s.end(n, f, NoCapacity, 0)
+		return
+	}
 	before := ahead(n.now, s.queue, f.queueEntry, func(*forwardedRequest) bool { return true })
 	if f.sends == 0 && exceedsDeadline(n.now, f.queueEntry, before, s.placementRate.rate(n.now)) {
 		s.reject(n, f, NoCapacity, retryAfter(f.Patience, n.rng.Float64()))
@@ -71,6 +75,22 @@
 	s.enqueue(n, f)
 }
 
+// limitsExhausted reports whether all engines that may run a request have limits of which
+// this node, which places it by itself, may use nothing now.
+func (s *forwards) limitsExhausted(n *Node, f *forwardedRequest) bool {
+	exhausted := false
+	for _, u := range s.upstreams.byService[f.spec.ID] {
+		if !u.open(n.now) || !n.roles.canServe(n, u, Decode) || f.tried.Has(u.ID) {
+			continue
+		}
+		if u.nodeMaySend(n) {
+			return false
+		}
+		exhausted = true
+	}
+	return exhausted
+}
+
 func (s *forwards) enqueue(n *Node, f *forwardedRequest) {
 	f.phase = forwardWaiting
 	f.step++
@@ -99,6 +119,7 @@
 			continue
 		}
 		if u := s.chooseDecode(n, f); u != nil {
+			u.takeShare()
 			s.requestLease(n, f, u, s.expectedMemory(n, f))
 		} else if quiet := s.quietFor(n, f); quiet > 0 {
 			s.dequeue(f)
@@ -118,7 +139,7 @@
 // with the least memory reserved by this node.
 func (s *forwards) chooseDecode(n *Node, f *forwardedRequest) *upstream {
 	skip := func(u *upstream) bool {
-		return !n.roles.canServe(n, u, Decode) || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID)
+		return !n.roles.canServe(n, u, Decode) || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID) || !u.nodeMaySend(n)
 	}
 	return cheapest(n, s.upstreams.byService[f.spec.ID], skip, func(u *upstream) float64 { return float64(u.reservedTokens) })
 }
@@ -193,7 +214,9 @@
 func (s *forwards) startPrefill(n *Node, f *forwardedRequest) {
 	u := s.takeAdvisedPrefill(n, f)
 	if u == nil && !f.prefillAtDecode {
-		u = s.choosePrefill(n, f)
+		if u = s.choosePrefill(n, f); u != nil {
+			u.takeShare()
+		}
 	}
 	if u == nil {
 		s.runStream(n, f)
@@ -239,7 +262,7 @@
 // engine counts as having remotePrefillCost more.
 func (s *forwards) choosePrefill(n *Node, f *forwardedRequest) *upstream {
 	skip := func(u *upstream) bool {
-		return !n.roles.canServe(n, u, Prefill) || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID)
+		return !n.roles.canServe(n, u, Prefill) || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID) || !u.nodeMaySend(n)
 	}
 	return cheapest(n, s.upstreams.byService[f.spec.ID], skip, func(u *upstream) float64 {
 		cost := float64(u.prefillTokens)
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -113,6 +113,8 @@
 	states  map[core.Offset]core.DesiredState
 	applied map[int64]map[core.NodeID]core.Instant
 	steps   map[core.EngineID]int
+	// leasesCount makes calls that reserve memory count as requests for limits.
+	leasesCount bool
 	// namesLimits makes nodes observe whether answers name a limit, and pick chooses the node
 	// that a caller's request comes to; nil for any one.
 	namesLimits bool
@@ -138,6 +140,8 @@
 	closedAt core.Instant
 	// addresses is the node's last answer to an address query.
 	addresses []core.NodeAddress
+	// placed counts the requests that the node has placed for others, as an owner.
+	placed int
 }
 
 type worldOptions struct {
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -24,7 +24,9 @@
 	// that have reached it. limitBegan is when it first named the limit.
 	limit      core.Option[core.RequestRate]
 	limitBegan core.Instant
-	arrived    []worldArrival
+	// misspells says that the limit in the answers is not usable.
+	misspells bool
+	arrived   []worldArrival
 	// told is when each node first got an answer that named the limit.
 	told map[core.NodeID]core.Instant
 	// loses is the share of answers that are lost in transit.
@@ -50,6 +52,9 @@
 func (n *worldNode) lease(c core.RequestLease) {
 	w, u := n.w, n.w.ups[c.Engine]
 	w.steps[u.ID]++
+	if w.leasesCount {
+		n.arriveAt(u)
+	}
 	if u.dead {
 		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.LeaseStep, Unsent: true})
 		return
--- a/core/instance.go
+++ b/core/instance.go
@@ -123,6 +123,8 @@
 	byGroup map[DispatchGroup][]*upstream
 	// signals holds what upstreams' responses have said about them.
 	signals map[EngineID]*upstreamSignals
+	// limited are the upstreams that have named a limit.
+	limited Set[EngineID]
 	era     StoreEra
 	offset  Offset
 	loaded  bool
--- a/core/membership.go
+++ b/core/membership.go
@@ -111,6 +111,7 @@
 	s.applyRestart(n, m, incarnation)
 	m.addressUnconfirmed = true
 	n.forward.sendBlocked(n, id)
+	n.forward.upstreams.sendLimits(n, id)
 }
 
 // leftOrAlive returns the status of a node that is known to be alive.
--- a/core/node.go
+++ b/core/node.go
@@ -88,7 +88,7 @@
 	if n.Hosted {
 		n.feed.start(n)
 		n.forward.spread.start(n)
-		n.forward.startPoison(n)
+		n.forward.startReports(n)
 		n.roles.start(n)
 		n.dispatcher.start(n)
 		return
@@ -301,6 +301,10 @@
 		n.roles.handleRolesWanted(n, b)
 	case RolesOrdered:
 		n.roles.handleRolesOrdered(n, b)
+	case PlacerAnnounced:
+		n.dispatcher.handlePlacerAnnounced(n, m.From, b)
+	case LimitsReported:
+		n.forward.upstreams.handleLimitsReported(n, m.From, b)
 	case PromptsReported:
 		n.forward.handlePromptsReported(n, m.From, b)
 	case StateQuery:
--- a/core/poison_spread.go
+++ b/core/poison_spread.go
@@ -12,9 +12,10 @@
 	soundAfter = time.Second
 	// poisonRetryAfter bounds the time that a rejection of a blocked part names.
 	poisonRetryAfter = time.Minute
-	// poisonTargets is how many members a node sends its blocked parts to in each period of
-	// the heartbeat, and maxSentBlocks bounds the parts of one message.
-	poisonTargets = 2
+	// reportTargets is how many members a node sends its blocked parts and the limits that it
+	// knows of to in each period of the heartbeat, and maxSentBlocks bounds the parts of one
+	// message.
+	reportTargets = 2
 	maxSentBlocks = 64
 )
 
@@ -41,15 +42,17 @@
 
 func (PromptsReported) isPeerBody() {}
 
-// startPoison schedules the exchange of blocked parts.
-func (s *forwards) startPoison(n *Node) {
+// startReports schedules the exchange of blocked parts and of limits.
+func (s *forwards) startReports(n *Node) {
 	n.every(n.Settings.HeartbeatEvery, func(n *Node) {
-		if len(s.poison.blocked) == 0 {
+		s.upstreams.dropLimits(n)
+		if len(s.poison.blocked) == 0 && len(s.upstreams.limited) == 0 {
 			return
 		}
-		for range poisonTargets {
+		for range reportTargets {
 			if id, ok := s.spread.randomMember(n); ok {
 				s.sendBlocked(n, id)
+				s.upstreams.sendLimits(n, id)
 			}
 		}
 	})
--- a/core/return_schedule.go
+++ b/core/return_schedule.go
@@ -24,11 +24,17 @@
 // retryAfter returns the retry delay for a rejected job, or zero to leave it to the
 // entry.
 func (d *dispatcher) retryAfter(n *Node, j *dispatchJob) time.Duration {
+	if !n.uses(ReturnSchedule) {
+		return 0
+	}
+	longest := fractionOf(j.callerDeadline.Sub(n.now), maxRetryShare)
+	if rate, _, all := d.limitedRate(n, j.group); all {
+		return max(getOrCreate(d.returns, j.group).assign(n.now, rate, longest), 0)
+	}
 	_, generates := n.forward.state.Services[j.group.Service].Engine.Get()
-	if !generates || !n.uses(ReturnSchedule) {
+	if !generates {
 		return 0
 	}
 	rate := max(d.capacity(n, j.group)-getOrCreate(d.onTimeArrivals, j.group).measured(n.now), minPlacementRate)
-	longest := fractionOf(j.callerDeadline.Sub(n.now), maxRetryShare)
 	return max(getOrCreate(d.returns, j.group).assign(n.now, rate, longest), 0)
 }
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -24,6 +24,9 @@
 // sendPeer delivers a message to another node unless it is lost.
 func (n *worldNode) sendPeer(c core.SendPeer) {
 	w, delay := n.w, linkDelay
+	if _, ok := c.Body.(core.ForwardPlaced); ok {
+		n.placed++
+	}
 	if w.peerDelay != nil {
 		delay = w.peerDelay(c.Body)
 	}
--- a/core/upstream_limit_world_test.go
+++ b/core/upstream_limit_world_test.go
@@ -36,7 +36,11 @@
 		return
 	}
 	_, limited := u.limit.Get()
-	n.deliver(core.UpstreamSignal{Engine: u.ID, NamesLimit: limited, Limit: u.limit})
+	signal := core.UpstreamSignal{Engine: u.ID, NamesLimit: limited, Limit: u.limit}
+	if u.misspells {
+		signal.Limit = core.None[core.RequestRate]()
+	}
+	n.deliver(signal)
 	if _, known := u.told[n.node.Self.ID]; limited && !known {
 		u.told[n.node.Self.ID] = n.w.now
 	}
@@ -164,3 +168,123 @@
 		})
 	}
 }
+
+// limitedWorld returns a deployment whose callers come unevenly and send far more than three
+// upstreams with a limit of 4.5 take.
+func limitedWorld(nodes int, seed uint64) *hostedWorld {
+	w := newHostedWorld(worldOptions{nodes: nodes, plain: 3, slots: 6, seed: seed})
+	w.namesLimits = true
+	w.unevenCallers()
+	w.run(3 * time.Second)
+	w.load("read", 20, 30*time.Second)
+	w.load("pay", 40, 30*time.Second)
+	w.run(4 * time.Second)
+	for _, id := range w.ids {
+		w.limitTo(id, 4.5)
+	}
+	return w
+}
+
+// placers returns how many requests each node has placed as an owner.
+func (w *hostedWorld) placers() map[core.NodeID]int {
+	counts := map[core.NodeID]int{}
+	for _, n := range w.nodes {
+		counts[n.node.Self.ID] = n.placed
+	}
+	return counts
+}
+
+// The owner of a limited group freezes and wakes again, so that others place its requests
+// meanwhile and both do for a moment. The limit held per owner, and both used all of it.
+func TestLimitsHoldWhileOwnersChange(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := limitedWorld(8, seed+1)
+			w.run(4 * time.Second)
+			owner := core.NodeID("")
+			for id, count := range w.placers() {
+				if owner == "" || count > w.placers()[owner] {
+					owner = id
+				}
+			}
+			for range 3 {
+				w.freeze(owner, 2500*time.Millisecond)
+				w.run(4 * time.Second)
+			}
+			w.run(4 * time.Second)
+			t.Logf("%s froze; used %.2f", owner, w.checkLimits(t, owner))
+		})
+	}
+}
+
+// A limit ends, and the upstreams get all requests again. Answers without the limit that
+// arrive late must not end it before.
+func TestUpstreamsAreUsedAgainOnceTheirLimitEnds(t *testing.T) {
+	is := is.New(t)
+	w := limitedWorld(8, 1)
+	w.run(8 * time.Second)
+	w.checkLimits(t)
+	for _, u := range w.ups {
+		u.limit = core.None[core.RequestRate]()
+	}
+	w.run(3 * time.Second)
+	served, rejections := w.served, w.rejections
+	w.run(5 * time.Second)
+	t.Logf("served %d, rejections %d afterwards", w.served-served, w.rejections-rejections)
+	is.True(w.served-served > 200)
+	is.Equal(w.rejections-rejections, 0)
+}
+
+// An upstream that named a limit starts again without one. The new incarnation is not held
+// to it.
+func TestNewIncarnationHasNoLimit(t *testing.T) {
+	is := is.New(t)
+	w := limitedWorld(8, 1)
+	w.run(8 * time.Second)
+	for _, u := range w.ups {
+		u.limit = core.None[core.RequestRate]()
+		u.Born++
+	}
+	w.offset++
+	w.run(2 * time.Second)
+	served := w.served
+	w.run(3 * time.Second)
+	is.True(w.served-served > 120)
+}
+
+// Limits change with every answer, or are misspelled. Neither ends them.
+func TestChangingAndMisspelledLimitsHold(t *testing.T) {
+	w := limitedWorld(8, 1)
+	for i := range 150 {
+		w.run(100 * time.Millisecond)
+		for _, id := range w.ids {
+			w.ups[id].misspells = i%3 == 0
+			w.limitTo(id, 4.5+core.RequestRate(i%2)/100)
+		}
+	}
+	for _, id := range w.ids {
+		w.limitTo(id, 4.5)
+	}
+	w.checkLimits(t)
+}
+
+// Prefill and decode engines name limits. A call that reserves memory counts as half a
+// request, so that the limit holds whether or not the engine counts it.
+func TestLimitedEnginesGetNoMoreThanTheyNamed(t *testing.T) {
+	for _, nodes := range []int{8, 82} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			w := newHostedWorld(worldOptions{nodes: nodes, prefillers: 3, decoders: 4, seed: 1})
+			w.namesLimits, w.leasesCount = true, true
+			w.unevenCallers()
+			w.run(3 * time.Second)
+			w.load("resumable", 0.8*modelCapacity, 26*time.Second)
+			w.run(4 * time.Second)
+			for _, id := range w.ids {
+				w.limitTo(id, 1)
+			}
+			w.run(20 * time.Second)
+			t.Logf("used %.2f, with leases", w.checkLimits(t))
+			t.Logf("served %d, rejected %d, failed %d", w.served, w.rejected, w.failed)
+		})
+	}
+}
--- a/core/upstream_signal.go
+++ b/core/upstream_signal.go
@@ -39,8 +39,13 @@
 	// quietSends counts the requests sent to it since it asked for that.
 	quietUntil Instant
 	quietSends int
-	// limit is the limit that an incarnation has named last; absent if it names none.
-	limit Option[upstreamLimit]
+	// limit is the limit that an incarnation names; absent if it names none. use is what this
+	// node may use of it, reportedAt when this node last reported it to its owner, and spread
+	// whether this node, as the owner, has notified all nodes of it.
+	limit      Option[upstreamLimit]
+	use        limitUse
+	reportedAt Instant
+	spread     bool
 }
 
 // handleSignal records what a response said about its upstream. A leaving incarnation
@@ -50,13 +55,10 @@
 	if !ok {
 		return
 	}
-	known, ok := s.signals[m.Engine]
-	if !ok {
-		s.evictSignals(n)
-		known = &upstreamSignals{}
-		s.signals[m.Engine] = known
-		u.signals = known
+	if !m.Leaving && m.QuietFor == 0 && !m.NamesLimit && u.signals == nil {
+		return
 	}
+	known := s.signalsOf(n, u)
 	if m.Leaving && !u.leaving() {
 		known.leaving = Some(u.Born)
 		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "upstream-leaving", Decode: m.Engine}})
@@ -68,9 +70,19 @@
 		}
 		known.quietUntil = max(known.quietUntil, n.now.Add(m.QuietFor))
 	}
-	if m.NamesLimit {
-		s.observeLimit(n, u, m.Limit)
+	s.observeLimit(n, u, m)
+}
+
+// signalsOf returns what the responses of an upstream have said about it.
+func (s *upstreams) signalsOf(n *Node, u *upstream) *upstreamSignals {
+	known, ok := s.signals[u.ID]
+	if !ok {
+		s.evictSignals(n)
+		known = &upstreamSignals{}
+		s.signals[u.ID] = known
 	}
+	u.signals = known
+	return known
 }
 
 // evictSignals makes room for another upstream's signals: those of upstreams that are
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -31,6 +31,9 @@
 	Ready()
 	// RenewStateRead renews a waiting read of the desired state. It does not block.
 	RenewStateRead(c core.RenewStateRead)
+	// ObserveAnswers sets whether the core gets a message for each answer of an upstream. It
+	// does not block.
+	ObserveAnswers(c core.ObserveAnswers)
 	// LimitBodies sets the largest body that later requests may have. It does not block.
 	LimitBodies(c core.LimitBodies)
 	// NotReady makes readiness checks fail until the next Ready.
@@ -132,6 +135,8 @@
 		e.Runtime.Ready()
 	case core.RenewStateRead:
 		e.Runtime.RenewStateRead(c)
+	case core.ObserveAnswers:
+		e.Runtime.ObserveAnswers(c)
 	case core.LimitBodies:
 		e.Runtime.LimitBodies(c)
 	case core.NodeNotReady:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -84,6 +85,9 @@
 	// invalidRetryAfter logs the first invalid retry delay of an upstream, and invalidLimit
 	// the first invalid limit on requests.
 	invalidRetryAfter, invalidLimit sync.Once
+	// observeAll is set while answers that say nothing of their upstream are passed on to the
+	// core too, as they end limits.
+	observeAll atomic.Bool
 	// readFailed says that the last read of the settings file failed.
 	readFailed   bool
 	log          zerolog.Logger
@@ -233,6 +237,9 @@
 // RenewStateRead renews a waiting read of the desired state.
 func (h hostedRuntime) RenewStateRead(c core.RenewStateRead) { h.watcher.RenewDesired(c.Latest) }
 
+// ObserveAnswers sets whether answers that say nothing of their upstream are passed on too.
+func (h hostedRuntime) ObserveAnswers(c core.ObserveAnswers) { h.observeAll.Store(c.All) }
+
 // LimitBodies sets the largest body that later requests may have.
 func (h hostedRuntime) LimitBodies(c core.LimitBodies) { h.ingress.LimitBodies(c.Bytes) }
 
@@ -271,7 +278,8 @@
 			h.log.Warn().Str("Event", "UpstreamLimitInvalid").Str("Engine", key).Err(limit).Send()
 		})
 	}
-	if signal.Leaving || signal.QuietFor > 0 || signal.NamesLimit {
+	ends := h.observeAll.Load() && platform.EndsLimit(status, header)
+	if signal.Leaving || signal.QuietFor > 0 || signal.NamesLimit || ends {
 		h.inbox.Send(signal)
 	}
 }
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -87,6 +87,17 @@
 			}),
 		}
 	},
+	"LimitsReported": func(t *rapid.T) core.PeerBody {
+		return core.LimitsReported{Limits: list(t, "limits", func(t *rapid.T) core.NamedLimit {
+			return core.NamedLimit{
+				Engine: text[core.EngineID](t, "engine"), Born: rapid.Int64().Draw(t, "born"), Limited: rapid.Bool().Draw(t, "limited"),
+				Rate: core.RequestRate(rapid.Float64().Draw(t, "rate")),
+			}
+		})}
+	},
+	"PlacerAnnounced": func(t *rapid.T) core.PeerBody {
+		return core.PlacerAnnounced{Group: dispatchGroup(t), Demand: rapid.Float64().Draw(t, "demand")}
+	},
 	"InstancesQuery": func(t *rapid.T) core.PeerBody {
 		return core.InstancesQuery{Era: era(t, "era"), After: offset(t, "after")}
 	},
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -103,6 +103,10 @@
 	case *Envelope_RolesWanted:
 		orders, err := toRoleOrders(b.RolesWanted)
 		return core.RolesWanted{Orders: orders}, err
+	case *Envelope_LimitsReported:
+		return toLimitsReported(b.LimitsReported), nil
+	case *Envelope_PlacerAnnounced:
+		return toPlacerAnnounced(b.PlacerAnnounced), nil
 	case *Envelope_PromptsReported:
 		return toPromptsReported(b.PromptsReported), nil
 	case *Envelope_InstancesQuery:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -97,6 +97,10 @@
 		e.Body = &Envelope_RolesWanted{fromRoleOrders(b.Orders)}
 	case core.RolesOrdered:
 		e.Body = &Envelope_RolesOrdered{fromRoleOrders(b.Orders)}
+	case core.LimitsReported:
+		e.Body = &Envelope_LimitsReported{fromLimitsReported(b)}
+	case core.PlacerAnnounced:
+		e.Body = &Envelope_PlacerAnnounced{fromPlacerAnnounced(b)}
 	case core.PromptsReported:
 		e.Body = &Envelope_PromptsReported{fromPromptsReported(b)}
 	case core.InstancesQuery:
