Soak: workers that name limits, change and misspell them

Workers of the stand-in name a limit of 0 to 12 requests a second for 5 to 9 s, a single one or all of a service, a little different in each answer and misspelled in a tenth of them. The judge counts the requests that reach a worker in any 4 s and reports LIMIT in runs whose nodes have no faults. Three mutants of the daemon.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -110,6 +110,9 @@
 	// deadlyPrompts is set while some prompts end engines, and ends counts these.
 	deadlyPrompts atomic.Bool
 	ends          engineEnds
+	// limits records the limits that workers name. faultsEnded is closed once the faults end.
+	limits      limitRecord
+	faultsEnded chan struct{}
 	// closed is set at shutdown; no process may be started afterwards.
 	closed   bool
 	cleanups []func()
@@ -123,6 +126,8 @@
 	service       string
 	stop          func()
 	stopHeartbeat chan struct{}
+	// limited is set while the worker names a limit.
+	limited bool
 }
 
 // process is one daemon.
@@ -153,6 +158,7 @@
 		upstreamsOnly: seed%3 == 0, noRetries: seed%4 == 1, memoryMB: memoryLimits[seed%uint64(len(memoryLimits))],
 		store: &metastore.Store{Delay: 2 * time.Millisecond}, judge: newJudge(grace),
 		workers: map[string]*workerHandle{}, done: make(chan struct{}),
+		limits: newLimitRecord(), faultsEnded: make(chan struct{}),
 	}
 	d.cleanups = append(d.cleanups, register(d))
 	if err := d.start(); err != nil {
@@ -277,7 +283,7 @@
 	settings := hostedworker.Settings{
 		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
 		Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
-		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnPrompt: d.handlePrompt,
+		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival,
 	}
 	if n%2 == 0 {
 		settings.IdleTimeout = shortIdleTimeout
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -111,6 +111,7 @@
 	l.wait.Wait()
 	d.checkLatestInForce()
 	d.checkEngineEnds()
+	d.checkLimits()
 	result := Result{Seed: seed, Violations: append(d.judge.verdict(), d.faultsInLogs()...), Counts: d.judge.counts, Injected: injected}
 	result.Counts["MB at most"] = d.peakMegabytes()
 	if asked, ok := l.calmRequests.Load(), l.calmAnswered.Load(); asked == 0 || float64(ok) < minCalmAnswered*float64(asked) {
@@ -177,8 +178,8 @@
 		"worker frozen": d.freezeWorker, "worker slow": d.slowWorker,
 		"store away": d.interruptStore, "store restored": d.restoreStore, "store loses answers": d.loseStoreAnswers, "store compacted": d.compactStore,
 		"worker crashed": d.crashWorker, "worker faulty": d.injectWorkerFault, "worker drained": d.drainWorker,
-		"worker wants quiet": d.wantQuiet,
-		"settings changed":   d.changeSettings, "link harmed": d.injectLinkFault,
+		"worker wants quiet": d.wantQuiet, "worker names limit": d.limitWorkers,
+		"settings changed": d.changeSettings, "link harmed": d.injectLinkFault,
 		"workers ended by prompts": d.beginDeadlyPrompts,
 		"worker silent":            d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
 		"workers silent while state changes": d.changeStateWhileSilent, "node stopped while workers are silent": d.stopNodesWhileSilent,
@@ -211,6 +212,7 @@
 	d.store.SetMode(metastore.Serving)
 	d.store.SetLostReplyShare(0)
 	d.deadlyPrompts.Store(false)
+	close(d.faultsEnded)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, m := range d.workers {
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -82,6 +82,15 @@
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/poison.go", "	if most < threshold {\n", "	if most < threshold || true {\n",
 	}}}},
+	{Rule: "LIMIT", Mutant: Mutant{Name: "limits-not-read", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/limit_spread.go", "	if m.NamesLimit && !usable {\n", "	if m.NamesLimit {\n",
+	}}}},
+	{Rule: "LIMIT", Mutant: Mutant{Name: "placements-not-counted", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/upstream_limit.go", "		u.signals.use.owner -= cost\n", "",
+	}}}},
+	{Rule: "LIMIT", Mutant: Mutant{Name: "repeats-ignore-limits", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/upstream_limit.go", "	return use.share >= 1\n", "	return true\n",
+	}}}},
 	{Rule: "MEMORY", Mutant: Mutant{Name: "head-without-limit", Promise: core.AnswerWhole, Edits: []Edit{{
 		"daisyshed/upstream/limits.go", "	if l.limit == 0 {\n", "	if true {\n",
 	}}}},
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -122,6 +122,9 @@
 	// OnPrompt is called with a prompt's parts when a request with it arrives, and when its
 	// answer is about to be written. It may be nil.
 	OnPrompt func(worker, parts string, writing bool)
+	// OnArrival is called when a request of a caller arrives, whether or not it is run. It may
+	// be nil.
+	OnArrival func(worker string)
 }
 
 // RunNumber identifies a run among those of its worker.
@@ -177,6 +180,7 @@
 	lastRun  RunNumber
 	// silentUntil is when the current silence ends.
 	silentUntil   time.Time
+	limit         limit
 	fault         Fault
 	faultShare    float64
 	drainingSince time.Time
@@ -277,6 +281,7 @@
 // at this address.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	draining := w.drainingFor()
+	w.reportArrival(r)
 	w.waitWhileFrozen()
 	previous := recorderOf(r).next()
 	fault := w.drawFault()
@@ -299,6 +304,7 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.nameLimit(rw.Header())
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -325,6 +331,13 @@
 	}
 }
 
+// reportArrival calls OnArrival for a caller's request to this worker.
+func (w *Worker) reportArrival(r *http.Request) {
+	if w.settings.OnArrival != nil && r.Header.Get("Attempt-Id") != "" && r.Header.Get("Expect-Instance") == w.settings.ID {
+		w.settings.OnArrival(w.settings.ID)
+	}
+}
+
 // reportPrompt calls OnPrompt for a request with a prompt.
 func (w *Worker) reportPrompt(r *http.Request, writing bool) {
 	if parts := r.Header.Get("Prompt-Prefix"); parts != "" && w.settings.OnPrompt != nil {
