--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -83,7 +83,7 @@
 		"core/poison.go", "	if most < threshold {\n", "	if most < threshold || true {\n",
 	}}}},
 	{Rule: "LIMIT", Mutant: Mutant{Name: "limits-not-read", Promise: core.AnswerWhole, Edits: []Edit{{
-		"core/limit_spread.go", "	if m.NamesLimit && !usable {\n", "	if m.NamesLimit {\n",
+		"core/limit_spread.go", "	if m.NamesLimit && !usable {\n", "	if m.NamesLimit || !usable {\n",
 	}}}},
 	{Rule: "LIMIT", Mutant: Mutant{Name: "placements-not-counted", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/upstream_limit.go", "		u.signals.use.owner -= cost\n", "",
