--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -11,6 +11,9 @@
 // PromptPart identifies a part of a prompt that requests may share.
 type PromptPart string
 
+// RequestKey identifies a caller's request, with all its attempts at all nodes.
+type RequestKey string
+
 // LeaseID identifies a reservation of memory at an engine.
 type LeaseID string
 
@@ -22,8 +25,10 @@
 	ID ForwardID
 	// Attempt is the caller's own id of this attempt.
 	Attempt string
-	Host    string
-	Path    string
+	// Key is the same for all attempts of a request; empty if unknown.
+	Key  RequestKey
+	Host string
+	Path string
 	// Patience is how long the caller still waits.
 	Patience time.Duration
 	// Generation is present for requests to model engines.
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -481,6 +481,9 @@
 	f.emitted = f.emitted || m.Emitted
 	d := s.newDecision(n, f, "step-failed", UpstreamFailed)
 	d.Detail = fmt.Sprintf("%s at %s, send %d, status %d, sent %t: %s", m.Step, m.Engine, m.Send, m.Status, !m.Unsent, m.Reason)
+	if m.BrokenOff {
+		d.Detail += ", request " + string(f.Key)
+	}
 	n.do(LogDecision{Decision: d})
 	s.reportBrokenStart(n, f, m)
 	if s.live[m.ID] != f {
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -131,6 +131,7 @@
 		unproven: core.Set[core.SendNumber]{},
 	}
 	x.forward.ID = core.ForwardID(s.lastID.Add(1))
+	x.forward.Key = platform.RequestKey(r, body)
 	s.add(x)
 	defer s.remove(x)
 	s.SendToCore(x.forward)
