Failing test: a request that comes again ends one upstream after the other

In the emulated world, a request with the same key comes again every 0.7 s at any node and ends each upstream that runs it, at 8, 82 and 410 nodes, as a plain request that may be repeated, one that must run once, and streams of both kinds. On the present code 25 to 34 upstreams end in 30 s and 36 to 88 sends come later than allowed.

--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -28,6 +28,8 @@
 	events worldEvents
 	// parts are the parts of the request's prompt.
 	parts []core.PromptPart
+	// key is the key of all attempts of the request.
+	key core.RequestKey
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
@@ -73,7 +75,10 @@
 		w.waitedInVain += w.now.Sub(r.arrived)
 	}
 	if notRun && retryAfter > 0 && !r.retried {
-		w.after(retryAfter, func() { w.sendRequest(r.kind, r.output, r.firstArrived, true, core.PromptKey(r.promptKey)) })
+		w.after(retryAfter, func() {
+			w.key = r.key
+			w.sendRequest(r.kind, r.output, r.firstArrived, true, core.PromptKey(r.promptKey))
+		})
 		return
 	}
 	if notRun {
@@ -104,10 +109,14 @@
 	if w.parts != nil {
 		parts = w.parts()
 	}
+	key := w.key
+	if w.key = ""; key == "" {
+		key = core.RequestKey(fmt.Sprint("key", id))
+	}
 	w.requests[id] = &worldRequest{
-		parts: parts, node: n, firstArrived: firstArrived, arrived: w.now, output: output, kind: kind, retried: retried, promptKey: core.Instant(promptKey),
+		key: key, parts: parts, node: n, firstArrived: firstArrived, arrived: w.now, output: output, kind: kind, retried: retried, promptKey: core.Instant(promptKey),
 	}
-	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond}
+	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Key: key, Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond}
 	if kind == "draft" || kind == "resumable" {
 		m.Patience = worldTimeout
 		estimate := output
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -91,6 +91,9 @@
 	// parts returns the parts of the next prompt; nil for none.
 	deadly core.PromptPart
 	parts  func() []core.PromptPart
+	// deadlyKey is the key of a request that ends each upstream that runs it; none if empty.
+	// key is the key of the next request; one of its own if empty.
+	deadlyKey, key core.RequestKey
 	// crashes are the instants at which engines were ended, and deadlyArrivals those at which
 	// requests with the deadly part reached engines.
 	crashes, deadlyArrivals []core.Instant
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -16,6 +16,8 @@
 	running int
 	waiting []func()
 	dead    bool
+	// plainRuns are the requests at an instance of a plain service that run or wait.
+	plainRuns map[core.ForwardID]worldPlainRun
 	// dark engines answer nothing.
 	dark bool
 	// silentUntil is until when the engine sends no event in an eventful world.
@@ -34,6 +36,12 @@
 	next  int
 }
 
+// worldPlainRun is a run at an instance of a plain service.
+type worldPlainRun struct {
+	n *worldNode
+	c core.RunForward
+}
+
 // carryOutOrder gives an engine its new role after orderDelay and the time of a role
 // change.
 func (w *hostedWorld) carryOutOrder(o core.Order) {
@@ -115,9 +123,22 @@
 func (n *worldNode) runPlain(u *worldUpstream, c core.RunForward, r *worldRequest) {
 	w := n.w
 	const queue, work = 24, 30 * time.Millisecond
+	born := u.Born
+	if u.plainRuns == nil {
+		u.plainRuns = map[core.ForwardID]worldPlainRun{}
+	}
+	u.plainRuns[c.ID] = worldPlainRun{n, c}
 	start := func() {
 		u.running++
 		w.after(work, func() {
+			if u.Born != born || u.dead {
+				return
+			}
+			if w.isDeadly(r) {
+				w.crash(u)
+				return
+			}
+			delete(u.plainRuns, c.ID)
 			u.running--
 			if len(u.waiting) > 0 {
 				next := u.waiting[0]
@@ -140,6 +161,7 @@
 	case len(u.waiting) < queue:
 		u.waiting = append(u.waiting, start)
 	default:
+		delete(u.plainRuns, c.ID)
 		n.deliverAfter(2*linkDelay, core.StepRefused{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep})
 	}
 }
--- a/core/tainted_prompt_test.go
+++ b/core/tainted_prompt_test.go
@@ -21,7 +21,7 @@
 )
 
 func (w *hostedWorld) isDeadly(r *worldRequest) bool {
-	return w.deadly != "" && slices.Contains(r.parts, w.deadly)
+	return w.deadly != "" && slices.Contains(r.parts, w.deadly) || w.deadlyKey != "" && r.key == w.deadlyKey
 }
 
 func (w *hostedWorld) recordDeadly(id core.ForwardID) {
@@ -46,6 +46,12 @@
 			}
 		}
 	}
+	for _, id := range sortedIDs(w.requests) {
+		if run, ok := u.plainRuns[id]; ok && !w.requests[id].ended {
+			run.n.deliverAfter(linkDelay, core.StepFailed{ID: id, Send: run.c.Send, Engine: u.ID, Step: core.RunStep, BrokenOff: true})
+		}
+	}
+	u.plainRuns, u.waiting, u.running = nil, nil, 0
 	w.after(engineRestart, func() {
 		u.dead = false
 		u.Born++
