--- a/core/command.go
+++ b/core/command.go
@@ -74,6 +74,8 @@
 	CallerClosed
 	// CrashingPrompt means that a part of the prompt ends the engines that answer on it.
 	CrashingPrompt
+	// CrashingRequest means that the request ends the upstreams that run it.
+	CrashingRequest
 )
 
 // SendPeer sends a message to another node. Delivery is not guaranteed.
--- a/core/deadly_request_test.go
+++ b/core/deadly_request_test.go
@@ -104,3 +104,196 @@
 		}
 	}
 }
+
+// crashOf reports to a node that an upstream ended under a whole request.
+func (h *hostedNode) crashOf(key core.RequestKey, upstream int, ranFor time.Duration) {
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Crashes: []core.CrashReport{{
+		Service: "ledger", Request: key, RanFor: ranFor, Crash: core.EngineCrash{Engine: core.EngineID(fmt.Sprint("e", upstream)), Born: 1},
+	}}}})
+}
+
+// keyed returns a request with a key, and blockedAs whether it is rejected at once as one that
+// ends upstreams.
+func keyed(id core.ForwardID, key core.RequestKey) core.Forward {
+	m := forwardTo(id, "read")
+	m.Key = key
+	return m
+}
+
+func (h *hostedNode) blockedAs(id core.ForwardID, key core.RequestKey) bool {
+	for _, c := range commandsOf[core.EndForward](h.deliver(keyed(id, key))) {
+		if c.ID == id && c.Reason == core.CrashingRequest && c.NotRun && c.RetryAfter > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func newLedgerNode(instances ...core.EngineID) *hostedNode {
+	h := newHosted("n1", core.Settings{Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
+	read := core.InstancesRead{Whole: true, Offset: 1}
+	for _, id := range instances {
+		read.Changed = append(read.Changed, plainInstance(id))
+	}
+	h.deliver(core.Tick{}, worldState(), read)
+	addPeer(h, "n2")
+	h.node.DisabledMechanisms = core.SetOf(core.OwnedGroups)
+	return h
+}
+
+// One attempt ends two upstreams 70 ms apart, and the next one a third. The second end of the
+// attempt was taken for one with the first.
+func TestRunsOfOneAttemptEndUpstreamsEach(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	h.crashOf("deadly", 1, 50*time.Millisecond)
+	h.advance(70 * time.Millisecond)
+	h.crashOf("deadly", 2, 68*time.Millisecond)
+	h.advance(10 * time.Second)
+	is.True(!h.blockedAs(1, "deadly"))
+	h.crashOf("deadly", 3, 50*time.Millisecond)
+	is.True(h.blockedAs(2, "deadly"))
+	is.True(!h.blockedAs(3, "other"))
+}
+
+// Three connections break off at the same moment under attempts of one request, as when the
+// connections of a node are reset. The request is not the cause.
+func TestUpstreamsThatEndTogetherBlockNoRequest(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	for i := range 5 {
+		h.crashOf("sound", i, time.Second)
+	}
+	h.advance(10 * time.Second)
+	is.True(!h.blockedAs(1, "sound"))
+}
+
+// Connections are reset under a request again and again, and the upstreams answer others right
+// after that. They have not ended, and the request must not be blocked for it.
+func TestResetConnectionsBlockNoRequest(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1")
+	for id := core.ForwardID(1); id < 20; id += 2 {
+		runs := commandsOf[core.RunForward](h.deliver(keyed(id, "sound")))
+		is.Equal(len(runs), 1)
+		h.advance(20 * time.Millisecond)
+		h.deliver(core.StepFailed{ID: id, Send: runs[0].Send, Engine: "s1", Step: core.RunStep, BrokenOff: true})
+		h.advance(20 * time.Millisecond)
+		other := commandsOf[core.RunForward](h.deliver(keyed(id+1, core.RequestKey(fmt.Sprint("other", id)))))
+		is.Equal(len(other), 1)
+		h.deliver(core.ForwardResponseCompleted{ID: id + 1, Send: other[0].Send, Engine: "s1"})
+		h.advance(200 * time.Millisecond)
+	}
+	is.True(!h.blockedAs(100, "sound"))
+}
+
+// A sound answer clears a request that was on two ends by chance.
+func TestSoundAnswerClearsARequest(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	for i := range 8 {
+		h.crashOf("chance", 2*i, 50*time.Millisecond)
+		h.advance(6 * time.Second)
+		h.crashOf("chance", 2*i+1, 50*time.Millisecond)
+		h.advance(6 * time.Second)
+		id := core.ForwardID(i + 1)
+		runs := commandsOf[core.RunForward](h.deliver(keyed(id, "chance")))
+		is.Equal(len(runs), 1)
+		h.deliver(core.ForwardResponseCompleted{ID: id, Send: runs[0].Send, Engine: runs[0].Engine})
+	}
+}
+
+// A request under which an upstream has ended is not sent to the last sound one: its service
+// would have none. It may run again once others are back.
+func TestSuspectedRequestIsKeptFromTheLastUpstream(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	sent := core.Set[core.EngineID]{}
+	runs := commandsOf[core.RunForward](h.deliver(keyed(1, "deadly")))
+	for len(runs) > 0 {
+		sent.Add(runs[0].Engine)
+		h.advance(50 * time.Millisecond)
+		runs = commandsOf[core.RunForward](h.deliver(core.StepFailed{
+			ID: 1, Send: runs[0].Send, Engine: runs[0].Engine, Step: core.RunStep, BrokenOff: true,
+		}))
+	}
+	is.Equal(len(sent), 2)
+	is.True(h.blockedAs(2, "deadly"))
+	is.Equal(len(commandsOf[core.RunForward](h.deliver(keyed(3, "sound")))), 1)
+	back := core.InstancesRead{After: 1, Offset: 2}
+	for _, id := range sent.Sorted() {
+		i := plainInstance(id)
+		i.Born = 2
+		back.Changed = append(back.Changed, i)
+	}
+	h.advance(3 * time.Second)
+	h.deliver(back)
+	is.True(!h.blockedAs(4, "deadly"))
+}
+
+// The only upstream of a service ends a connection. The caller's next attempt is not kept from
+// it: there is no other one to save it for.
+func TestOnlyUpstreamIsUsedAfterItEndsAConnection(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1")
+	runs := commandsOf[core.RunForward](h.deliver(keyed(1, "sound")))
+	h.deliver(core.StepFailed{ID: 1, Send: runs[0].Send, Engine: "s1", Step: core.RunStep, BrokenOff: true})
+	is.Equal(len(commandsOf[core.RunForward](h.deliver(keyed(2, "sound")))), 1)
+}
+
+// A node that starts after a request was blocked gets the block with the first message that it
+// sends, also when the block is due for a trial.
+func TestStartingNodeLearnsOfBlockedRequests(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	for i := range 3 {
+		h.crashOf("deadly", i, 50*time.Millisecond)
+		h.advance(time.Second)
+	}
+	out := h.deliver(core.PeerMessage{From: "n2", Incarnation: 2, Body: core.Heartbeat{Sequence: 9}})
+	reports := sentTo[core.SuspectsReported](out, "n2")
+	is.Equal(len(reports), 1)
+	other := newLedgerNode("s1", "s2", "s3")
+	other.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: reports[0]})
+	is.True(other.blockedAs(1, "deadly"))
+}
+
+// A deadly request comes again for a day. Two trials find that out; the rule allows three.
+func TestDeadlyRequestIsTriedTwiceADay(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	read := core.InstancesRead{Whole: true, Offset: 1}
+	for _, id := range []core.EngineID{"s1", "s2", "s3"} {
+		read.Changed = append(read.Changed, plainInstance(id))
+	}
+	h.deliver(core.Tick{}, worldState(), read)
+	for i := range 3 {
+		h.crashOf("deadly", i, 50*time.Millisecond)
+		h.advance(10 * time.Second)
+	}
+	tried := 0
+	for id := range core.ForwardID(23 * 60) {
+		h.advance(time.Minute)
+		for _, run := range commandsOf[core.RunForward](h.deliver(keyed(id+1, "deadly"))) {
+			tried++
+			h.deliver(core.StepFailed{ID: id + 1, Send: run.Send, Engine: run.Engine, Step: core.RunStep, BrokenOff: true})
+		}
+	}
+	is.Equal(tried, 2)
+}
+
+// Callers invent requests during whose runs connections break off. The one that has ended two
+// upstreams must not be forgotten for them.
+func TestInventedRequestsDoNotDisplaceDeadlyOnes(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	for i := range 2 {
+		h.crashOf("deadly", i, 50*time.Millisecond)
+		h.advance(time.Second)
+	}
+	for i := range 10_000 {
+		h.crashOf(core.RequestKey(fmt.Sprint("invented", i)), 9, 0)
+	}
+	h.crashOf("deadly", 3, 50*time.Millisecond)
+	is.True(h.blockedAs(1, "deadly"))
+}
--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -68,11 +68,12 @@
 	_ = x[DeadlinePassed-18]
 	_ = x[CallerClosed-19]
 	_ = x[CrashingPrompt-20]
+	_ = x[CrashingRequest-21]
 }
 
-const _RejectionReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachableAlreadyAnsweredNoRouteDeadlinePassedCallerClosedCrashingPrompt"
+const _RejectionReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachableAlreadyAnsweredNoRouteDeadlinePassedCallerClosedCrashingPromptCrashingRequest"
 
-var _RejectionReason_index = [...]uint8{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181, 196, 203, 217, 229, 243}
+var _RejectionReason_index = [...]uint16{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181, 196, 203, 217, 229, 243, 258}
 
 func (i RejectionReason) String() string {
 	idx := int(i) - 0
--- a/core/forward.go
+++ b/core/forward.go
@@ -131,8 +131,13 @@
 	// them and notifies peers of new ones.
 	lag    stateLag
 	spread stateSpread
-	// poison tells which parts of prompts end engines.
+	// poison tells which requests end upstreams.
 	poison poisonList
+	// lastCrash is the latest end of an upstream that counts, and lastCrashAt when it was seen.
+	// Others that end at the same moment have a cause in common, such as connections that are
+	// reset.
+	lastCrash   EngineCrash
+	lastCrashAt Instant
 }
 
 func (s *forwards) start() {
@@ -211,7 +216,7 @@
 	}
 	s.setDeadlines(n, f)
 	s.budget(service).addRequest(n.now, n.Settings.Retries.Window)
-	if s.rejectIfBlocked(n, f) {
+	if s.rejectIfBlocked(n, f) || s.rejectIfHeldBack(n, f) {
 		return
 	}
 	s.requestPlacement(n, f)
@@ -344,6 +349,7 @@
 		return
 	}
 	f.emitted = true
+	s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
 	f.goneOn++
 	s.endSilence(n, f, m.Send)
 	if s.stale(n, f, RunStep, m.Engine, m.Send, "response started") || f.phase != forwardRunning {
@@ -370,6 +376,7 @@
 	if !ok {
 		return
 	}
+	s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
 	s.endSilence(n, f, m.Send)
 	if !s.stale(n, f, RunStep, m.Engine, m.Send, "response completed") && f.decode != nil {
 		f.decode.recordSuccess()
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -61,7 +61,7 @@
 	f.tried.Add(u.ID)
 	s.checkBeforeRun(n, f)
 	newConnection := f.sentTo.Has(u.ID) || f.route.RetryPolicy == Once && u.failures > 0
-	number := f.recordRun(u.ID)
+	number := f.recordRun(n.now, u.ID)
 	s.logRun(n, f)
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
@@ -101,7 +101,7 @@
 			return
 		}
 		u := s.choosePlain(n, f)
-		if u == nil || !s.spendRetryBudget(n, f, 1) {
+		if held, _ := s.heldBack(n, f); held > 0 || u == nil || !s.spendRetryBudget(n, f, 1) {
 			s.retryIfSilent(n, f)
 			return
 		}
@@ -127,6 +127,9 @@
 	f.hasFailureAnswer = m.Status != 0
 	s.release(n, f)
 	again := s.mayRunAgain(f) && !f.emitted && f.sends < maxSends
+	if again && s.rejectIfHeldBack(n, f) {
+		return
+	}
 	if again && s.spendRetryBudget(n, f, 1) {
 		s.runPlainAgain(n, f)
 		return
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -315,7 +315,7 @@
 	f.step++
 	f.sends++
 	s.checkBeforeRun(n, f)
-	run.Send = f.recordRun(f.decode.ID)
+	run.Send = f.recordRun(n.now, f.decode.ID)
 	s.logRun(n, f)
 	n.do(run)
 	if f.route.RetryPolicy != Once {
@@ -413,6 +413,9 @@
 	case RunStep:
 		f.hasFailureAnswer = m.Status != 0
 		again := s.mayRunAgain(f) && !m.Unresumable && f.sends < maxSends && n.now < f.deadline
+		if again && s.rejectIfHeldBack(n, f) {
+			return
+		}
 		if again && s.spendRetryBudget(n, f, rerunCost) {
 			s.rerunElsewhere(n, f)
 			return
@@ -437,6 +440,9 @@
 	if m.Step == RunStep {
 		f.recordNotRun(m.Send, m.Proof)
 	}
+	if m.Step == RunStep && !m.AddressReused {
+		s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
+	}
 	if s.silentRunEnded(n, f, m.Step, m.Send, RunUnknown) {
 		return
 	}
@@ -485,9 +491,13 @@
 		d.Detail += ", request " + string(f.Key)
 	}
 	n.do(LogDecision{Decision: d})
-	s.reportBrokenStart(n, f, m)
+	if m.Status != 0 && m.Step == RunStep {
+		s.observeFailureAnswer(n, f)
+		s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
+	}
+	s.reportCrash(n, f, m)
 	if s.live[m.ID] != f {
-		// Its prompt has a part that was blocked by this.
+		// It was blocked by this.
 		return
 	}
 	if s.silentRunEnded(n, f, m.Step, m.Send, outcome) {
--- a/core/instance.go
+++ b/core/instance.go
@@ -62,6 +62,9 @@
 	// allocation is what this node, as an owner, has allocated on the upstream; nil before
 	// the first use. It is the entry of the allocation table.
 	allocation *engineAllocation
+	// brokeOffAt is when the upstream last ended the connection of a request that ran, and
+	// endedAt when it was taken for ended by that; zero if it has answered since.
+	brokeOffAt, endedAt Instant
 	// signals is what the upstream's responses have said about it; nil if nothing.
 	signals *upstreamSignals
 }
--- a/core/node.go
+++ b/core/node.go
@@ -305,8 +305,8 @@
 		n.dispatcher.handlePlacerAnnounced(n, m.From, b)
 	case LimitsReported:
 		n.forward.upstreams.handleLimitsReported(n, m.From, b)
-	case PromptsReported:
-		n.forward.handlePromptsReported(n, m.From, b)
+	case SuspectsReported:
+		n.forward.handleSuspectsReported(n, m.From, b)
 	case StateQuery:
 		n.forward.handleStateQuery(n, m.From, b)
 	case StateAnswer:
--- a/core/poison.go
+++ b/core/poison.go
@@ -1,41 +1,55 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// poisonCrashes is how many engines have to end while a part's prompts begin to write
-	// before the part is blocked, and poisonCrashesIfSound how many if answers on all the
-	// prompt's parts have been sound before.
+	// poisonCrashes is how many upstreams have to end under a request, or while a part's
+	// prompts begin to write, before the request or the part is blocked, and
+	// poisonCrashesIfSound how many if answers on all the prompt's parts have been sound
+	// before.
 	poisonCrashes        = 3
 	poisonCrashesIfSound = 5
-	// minCrashGap is the least time between two ends of engines that count for one part.
-	// Engines or connections that end at the same moment have another cause in common.
+	// minCrashGap is the least time between two ends of upstreams that count, unless the
+	// second one ended under a run that began after the first. Upstreams or connections that
+	// end at the same moment have another cause in common.
 	minCrashGap = 100 * time.Millisecond
 	// suspectFor is how long the end of an engine counts, and soundFor how long a sound
 	// answer does.
 	suspectFor = 2 * time.Minute
 	soundFor   = 10 * time.Minute
-	// minBlock and maxBlock bound for how long a part is blocked. It doubles with each trial
-	// that ends an engine.
-	minBlock = 2 * time.Minute
-	maxBlock = time.Hour
-	// forgetBlockAfter is for how long a part that is due for a trial may get no request
+	// minBlock is for how long a suspect is blocked at first. It doubles with each trial that
+	// ends an upstream, and is maxBlock after maxTrials of them.
+	minBlock  = 2 * time.Minute
+	maxBlock  = 24 * time.Hour
+	maxTrials = 2
+	// forgetBlockAfter is for how long a suspect that is due for a trial may get no request
 	// before it is forgotten.
 	forgetBlockAfter = time.Hour
-	// These bound the parts that are remembered, so that callers who invent parts cannot fill
+	// These bound what is remembered, so that callers who invent parts or requests cannot fill
 	// the memory.
-	maxSoundParts   = 8192
-	maxSuspectParts = 4096
-	maxBlockedParts = 1024
+	maxSoundParts = 8192
+	maxSuspects   = 4096
+	maxBlocked    = 1024
 )
 
-// ServicePart is a part of prompts to one service.
-type ServicePart struct {
+// CrashSuspect identifies what may end the upstreams of a service: a part of prompts, or a whole
+// request. One of Part and Request is set.
+type CrashSuspect struct {
 	Service ServiceID
 	Part    PromptPart
+	Request RequestKey
+}
+
+// String returns the part or the request for the log.
+func (s CrashSuspect) String() string {
+	if s.Request != "" {
+		return "request " + string(s.Request)
+	}
+	return string(s.Part)
 }
 
 // EngineCrash identifies the end of one incarnation of an engine.
@@ -44,110 +58,196 @@
 	Born   int64
 }
 
-// suspectPart is a part whose prompts began to write when engines ended, without a sound
-// answer since.
-type suspectPart struct {
+// CrashReport reports that an upstream ended under a request, as it began to run or to write.
+type CrashReport struct {
+	Service ServiceID
+	// Parts are the parts of the request's prompt, and Request is its key; empty if there is
+	// none.
+	Parts   []PromptPart
+	Request RequestKey
+	Crash   EngineCrash
+	// RanFor is for how long the request had run.
+	RanFor time.Duration
+}
+
+// suspected is a suspect under which upstreams ended, without a sound answer since.
+type suspected struct {
 	crashes []EngineCrash
 	// countedAt is when a crash was counted last.
 	countedAt Instant
 }
 
-// blockedPart is a part that ends engines. Requests with it are rejected until the time
-// until; then one of them is a trial.
-type blockedPart struct {
+// blockedSuspect is a suspect that ends upstreams. Requests with it are rejected until the
+// time until; then one of them is a trial.
+type blockedSuspect struct {
 	until    Instant
 	duration time.Duration
+	// crashes are the ends for which it is blocked, as far as this node knows them.
+	crashes []EngineCrash
 	// blockedAt is when it was blocked last.
 	blockedAt Instant
-	// trialAt is when a trial was sent; zero if there is none.
+	// trialAt is when a trial was sent; zero if there is none. trials counts those that ended
+	// an upstream.
 	trialAt Instant
+	trials  int
 }
 
-// poisonList tells which parts of prompts end engines. What a request was on when an engine
-// ended is a suspicion, a sound answer clears all parts of its prompt, and of several suspect
-// parts the one that is most often there, and latest in the prompt, is blocked: the others
-// are shared with sound requests. The zero value is an empty list.
+// poisonList tells which requests end upstreams, by parts of their prompts or as a whole. What
+// a request was on when an upstream ended is a suspicion, and a sound answer clears all
+// suspects of its request. Of several suspects the one that is most often there, and latest
+// in the prompt, is blocked: the others are shared with sound requests. The zero value is an
+// empty list.
 type poisonList struct {
-	sound    map[ServicePart]Instant
-	suspects map[ServicePart]*suspectPart
-	blocked  map[ServicePart]*blockedPart
+	sound    map[CrashSuspect]Instant
+	suspects map[CrashSuspect]*suspected
+	blocked  map[CrashSuspect]*blockedSuspect
 }
 
-// observeCrash records that an engine ended while a prompt with the given parts began to
-// write. It returns the part that is blocked by that, if any.
-func (l *poisonList) observeCrash(now Instant, service ServiceID, parts []PromptPart, crash EngineCrash) Option[ServicePart] {
+// suspectsOf returns what may end upstreams in a request: the parts of its prompt in order,
+// and the whole request.
+func suspectsOf(service ServiceID, parts []PromptPart, request RequestKey) []CrashSuspect {
+	list := make([]CrashSuspect, 0, len(parts)+1)
 	for _, p := range parts {
-		key := ServicePart{service, p}
+		list = append(list, CrashSuspect{Service: service, Part: p})
+	}
+	if request != "" {
+		list = append(list, CrashSuspect{Service: service, Request: request})
+	}
+	return list
+}
+
+// observeCrash records that an upstream ended under a request. It returns the suspect that is
+// blocked by that, if any.
+func (l *poisonList) observeCrash(now Instant, r CrashReport) Option[CrashSuspect] {
+	for _, key := range suspectsOf(r.Service, r.Parts, r.Request) {
 		if b, ok := l.blocked[key]; ok {
 			l.extend(now, key, b)
-			return None[ServicePart]()
+			return None[CrashSuspect]()
 		}
 	}
-	threshold, candidates := poisonCrashes, l.unproven(now, service, parts)
+	threshold, candidates := poisonCrashes, l.unproven(now, r.Service, r.Parts)
 	if len(candidates) == 0 {
-		threshold = poisonCrashesIfSound
-		for _, p := range parts {
-			candidates = append(candidates, ServicePart{service, p})
-		}
+		threshold, candidates = poisonCrashesIfSound, suspectsOf(r.Service, r.Parts, "")
 	}
-	worst, most := ServicePart{}, 0
+	worst, most := CrashSuspect{}, 0
 	for _, key := range candidates {
-		if n := l.suspect(now, key, crash); n >= most {
+		if n := l.suspect(now, key, r); n >= most {
 			worst, most = key, n
 		}
 	}
+	if r.Request != "" {
+		whole := CrashSuspect{Service: r.Service, Request: r.Request}
+		if n := l.suspect(now, whole, r); n >= max(most, poisonCrashes) {
+			worst, most, threshold = whole, n, poisonCrashes
+		}
+	}
 	if most < threshold {
-		return None[ServicePart]()
+		return None[CrashSuspect]()
 	}
+	crashes := l.suspects[worst].crashes
 	l.block(now, worst, minBlock)
+	if b, ok := l.blocked[worst]; ok {
+		b.crashes = crashes
+	}
 	return Some(worst)
 }
 
 // unproven returns the parts on which there was no sound answer lately.
-func (l *poisonList) unproven(now Instant, service ServiceID, parts []PromptPart) []ServicePart {
-	var list []ServicePart
-	for _, p := range parts {
-		if key := (ServicePart{service, p}); !l.isSound(now, key) {
+func (l *poisonList) unproven(now Instant, service ServiceID, parts []PromptPart) []CrashSuspect {
+	var list []CrashSuspect
+	for _, key := range suspectsOf(service, parts, "") {
+		if !l.isSound(now, key) {
 			list = append(list, key)
 		}
 	}
 	return list
 }
 
-func (l *poisonList) isSound(now Instant, key ServicePart) bool {
+func (l *poisonList) isSound(now Instant, key CrashSuspect) bool {
 	at, ok := l.sound[key]
 	return ok && now.Sub(at) < soundFor
 }
 
-// suspect records an engine's end under a part and returns how many there are.
-func (l *poisonList) suspect(now Instant, key ServicePart, crash EngineCrash) int {
+// suspect records the end of an upstream under a suspect and returns how many there are.
+func (l *poisonList) suspect(now Instant, key CrashSuspect, r CrashReport) int {
 	s, ok := l.suspects[key]
 	if !ok || now.Sub(s.countedAt) > suspectFor {
-		if l.suspects == nil || len(l.suspects) >= maxSuspectParts {
-			l.suspects = map[ServicePart]*suspectPart{}
+		if l.suspects == nil {
+			l.suspects = map[CrashSuspect]*suspected{}
 		}
-		s = &suspectPart{}
+		if !ok && len(l.suspects) >= maxSuspects {
+			l.evictSuspect()
+		}
+		s = &suspected{}
 		l.suspects[key] = s
 	}
-	apart := len(s.crashes) == 0 || now.Sub(s.countedAt) >= minCrashGap
-	if apart && !slices.Contains(s.crashes, crash) && len(s.crashes) < poisonCrashesIfSound {
-		s.crashes = append(s.crashes, crash)
+	since := now.Sub(s.countedAt)
+	apart := len(s.crashes) == 0 || since >= minCrashGap || key.Request != "" && r.RanFor <= since
+	if apart && !slices.Contains(s.crashes, r.Crash) && len(s.crashes) < poisonCrashesIfSound {
+		s.crashes = append(s.crashes, r.Crash)
 		s.countedAt = now
 	}
 	return len(s.crashes)
 }
 
-// block blocks a part for at least a duration.
-func (l *poisonList) block(now Instant, key ServicePart, d time.Duration) {
+// evictSuspect makes room for another suspect: of those with the fewest crashes, the one
+// whose last is the longest ago goes. Invented requests do not displace those that have ended
+// several upstreams.
+func (l *poisonList) evictSuspect() {
+	var weakest CrashSuspect
+	var found *suspected
+	for key, s := range l.suspects {
+		if found == nil || cmp.Or(cmp.Compare(len(s.crashes), len(found.crashes)), cmp.Compare(s.countedAt, found.countedAt)) < 0 {
+			weakest, found = key, s
+		}
+	}
+	delete(l.suspects, weakest)
+}
+
+// retract records that an incarnation which counted as ended has answered: what broke off was
+// only a connection. It returns the suspects that are not blocked any more.
+func (l *poisonList) retract(crash EngineCrash) []CrashSuspect {
+	without := func(list []EngineCrash) []EngineCrash {
+		return slices.DeleteFunc(slices.Clone(list), func(c EngineCrash) bool { return c == crash })
+	}
+	for key, s := range l.suspects {
+		if s.crashes = without(s.crashes); len(s.crashes) == 0 {
+			delete(l.suspects, key)
+		}
+	}
+	var unblocked []CrashSuspect
+	for key, b := range l.blocked {
+		if slices.Contains(b.crashes, crash) {
+			if b.crashes = without(b.crashes); len(b.crashes) < poisonCrashes {
+				delete(l.blocked, key)
+				unblocked = append(unblocked, key)
+			}
+		}
+	}
+	return unblocked
+}
+
+// crashesOf returns the ends of upstreams for which a suspect that is not blocked is held,
+// and when the last was counted.
+func (l *poisonList) crashesOf(now Instant, key CrashSuspect) ([]EngineCrash, Instant) {
+	s, ok := l.suspects[key]
+	if !ok || now.Sub(s.countedAt) > suspectFor {
+		return nil, 0
+	}
+	return s.crashes, s.countedAt
+}
+
+// block blocks a suspect for at least a duration.
+func (l *poisonList) block(now Instant, key CrashSuspect, d time.Duration) {
 	if l.blocked == nil {
-		l.blocked = map[ServicePart]*blockedPart{}
+		l.blocked = map[CrashSuspect]*blockedSuspect{}
 	}
 	b, ok := l.blocked[key]
 	if !ok {
-		if len(l.blocked) >= maxBlockedParts {
+		if len(l.blocked) >= maxBlocked && !l.evictBlocked(now) {
 			return
 		}
-		b = &blockedPart{duration: minBlock, blockedAt: now}
+		b = &blockedSuspect{duration: minBlock, blockedAt: now}
 		l.blocked[key] = b
 	}
 	if until := now.Add(d); until > b.until {
@@ -157,24 +257,43 @@
 	delete(l.sound, key)
 }
 
-// extend blocks a part for longer if its trial has ended an engine. Requests that were on
+// evictBlocked makes room for another blocked suspect and reports whether there is room: one
+// that is due for a trial, and has been for the longest time, goes.
+func (l *poisonList) evictBlocked(now Instant) bool {
+	var oldest CrashSuspect
+	var found *blockedSuspect
+	for key, b := range l.blocked {
+		if b.until <= now && (found == nil || b.until < found.until) {
+			oldest, found = key, b
+		}
+	}
+	if found != nil {
+		delete(l.blocked, oldest)
+	}
+	return found != nil
+}
+
+// extend blocks a suspect for longer if its trial has ended an upstream. Requests that were on
 // their way when it was blocked extend nothing.
-func (l *poisonList) extend(now Instant, key ServicePart, b *blockedPart) {
+func (l *poisonList) extend(now Instant, key CrashSuspect, b *blockedSuspect) {
 	if b.trialAt == 0 {
 		return
 	}
 	b.trialAt = 0
-	b.duration = min(2*b.duration, maxBlock)
+	b.trials++
+	b.duration *= 2
+	if b.trials >= maxTrials {
+		b.duration = maxBlock
+	}
 	l.block(now, key, b.duration)
 }
 
-// observeSound records a sound answer on a prompt, which began at the time begun, and returns
-// the parts that were suspect or blocked until then. An answer that had begun before a part
-// was blocked says nothing about that part.
-func (l *poisonList) observeSound(now, begun Instant, service ServiceID, parts []PromptPart) []ServicePart {
-	var cleared []ServicePart
-	for _, p := range parts {
-		key := ServicePart{service, p}
+// observeSound records a sound answer to a request, which began at the time begun, and
+// returns the suspects that were suspect or blocked until then. An answer that had begun
+// before a suspect was blocked says nothing about it.
+func (l *poisonList) observeSound(now, begun Instant, keys []CrashSuspect) []CrashSuspect {
+	var cleared []CrashSuspect
+	for _, key := range keys {
 		_, suspect := l.suspects[key]
 		b, blocked := l.blocked[key]
 		if blocked && begun <= b.blockedAt {
@@ -185,33 +304,36 @@
 		}
 		delete(l.suspects, key)
 		delete(l.blocked, key)
+		if key.Part == "" {
+			// Whole requests are not remembered as sound: each one is another.
+			continue
+		}
 		if l.sound == nil || len(l.sound) >= maxSoundParts && l.sound[key] == 0 {
-			l.sound = map[ServicePart]Instant{}
+			l.sound = map[CrashSuspect]Instant{}
 		}
 		l.sound[key] = now
 	}
 	return cleared
 }
 
-// blocks returns for how long requests with the given parts are rejected, and the part; zero
-// if they are not. A part whose time has passed is due for a trial; it is rejected unless
-// mayTry allows this node to send one.
-func (l *poisonList) blocks(now Instant, service ServiceID, parts []PromptPart, mayTry func(ServicePart) bool) (time.Duration, PromptPart) {
-	for _, p := range parts {
-		key := ServicePart{service, p}
+// blocks returns for how long requests with the given suspects are rejected, and for which of
+// them; zero if they are not. One whose time has passed is due for a trial; it is rejected
+// unless mayTry allows this node to send one.
+func (l *poisonList) blocks(now Instant, keys []CrashSuspect, mayTry func(CrashSuspect) bool) (time.Duration, CrashSuspect) {
+	for _, key := range keys {
 		b, ok := l.blocked[key]
 		switch {
 		case !ok:
 			continue
 		case now < b.until:
-			return b.until.Sub(now), p
+			return b.until.Sub(now), key
 		case now.Sub(b.until) > forgetBlockAfter:
 			delete(l.blocked, key)
 		case b.trialAt != 0 && now.Sub(b.trialAt) < minBlock || !mayTry(key):
-			return minBlock, p
+			return minBlock, key
 		default:
 			b.trialAt = now
 		}
 	}
-	return 0, ""
+	return 0, CrashSuspect{}
 }
--- a/core/poison_spread.go
+++ b/core/poison_spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -10,6 +11,8 @@
 	// soundAfter is how long after its first event a run shows that its prompt's parts are
 	// sound: one that ends its engine does so within a fraction of that.
 	soundAfter = time.Second
+	// minRestart is the least time in which an upstream that ended is back.
+	minRestart = time.Second
 	// poisonRetryAfter bounds the time that a rejection of a blocked part names.
 	poisonRetryAfter = time.Minute
 	// reportTargets is how many members a node sends its blocked parts and the limits that it
@@ -19,28 +22,25 @@
 	maxSentBlocks = 64
 )
 
-// PromptCrash reports that an engine ended while a prompt began to write.
-type PromptCrash struct {
-	Service ServiceID
-	Parts   []PromptPart
-	Crash   EngineCrash
+// SuspectBlock reports a suspect that ends upstreams, for how long it is blocked yet, and how
+// many trials have ended an upstream. It is due for a trial if Left is zero.
+type SuspectBlock struct {
+	CrashSuspect
+	Left   time.Duration
+	Trials int
 }
 
-// PartBlock reports a part of prompts that ends engines, and for how long it is blocked yet.
-type PartBlock struct {
-	ServicePart
-	Left time.Duration
+// SuspectsReported shares what a node has seen of requests that end upstreams: ends of
+// upstreams, suspects with sound answers, those that are blocked, and incarnations that have
+// answered although they counted as ended.
+type SuspectsReported struct {
+	Crashes  []CrashReport
+	Sound    []CrashSuspect
+	Blocked  []SuspectBlock
+	Answered []EngineCrash
 }
 
-// PromptsReported shares what a node has seen of prompts that end engines: ends of engines,
-// parts with sound answers, and parts that are blocked.
-type PromptsReported struct {
-	Crashes []PromptCrash
-	Sound   []ServicePart
-	Blocked []PartBlock
-}
-
-func (PromptsReported) isPeerBody() {}
+func (SuspectsReported) isPeerBody() {}
 
 // startReports schedules the exchange of blocked parts and of limits.
 func (s *forwards) startReports(n *Node) {
@@ -58,17 +58,15 @@
 	})
 }
 
-// sendBlocked sends the blocked parts to a node, which may have started after they were
+// sendBlocked sends the blocked suspects to a node, which may have started after they were
 // blocked.
 func (s *forwards) sendBlocked(n *Node, to NodeID) {
-	var m PromptsReported
+	var m SuspectsReported
 	for key, b := range s.poison.blocked {
-		if left := b.until.Sub(n.now); left > 0 {
-			m.Blocked = append(m.Blocked, PartBlock{key, left})
-		}
+		m.Blocked = append(m.Blocked, SuspectBlock{key, max(b.until.Sub(n.now), 0), b.trials})
 	}
-	slices.SortFunc(m.Blocked, func(a, b PartBlock) int {
-		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part))
+	slices.SortFunc(m.Blocked, func(a, b SuspectBlock) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Request, b.Request))
 	})
 	m.Blocked = m.Blocked[:min(len(m.Blocked), maxSentBlocks)]
 	if len(m.Blocked) > 0 {
@@ -76,68 +74,116 @@
 	}
 }
 
-// reportBrokenStart records that a run broke off as it began to write, and notifies all nodes.
-func (s *forwards) reportBrokenStart(n *Node, f *forwardedRequest, m StepFailed) {
-	if !f.brokeAtStart(n.now, m) {
+// reportCrash records that an upstream ended under a request, and notifies all nodes.
+func (s *forwards) reportCrash(n *Node, f *forwardedRequest, m StepFailed) {
+	report := CrashReport{Service: f.spec.ID, Crash: EngineCrash{Engine: m.Engine}}
+	if f.brokeAtStart(n.now, m) {
+		report.Parts = f.parts()
+	}
+	if sent, ok := f.brokeOff(n.now, m); ok {
+		report.Request, report.RanFor = f.Key, n.now.Sub(sent)
+	}
+	if len(report.Parts) == 0 && report.Request == "" {
 		return
 	}
-	crash := EngineCrash{Engine: m.Engine}
 	if u, ok := s.upstreams.byID[m.Engine]; ok {
-		crash.Born = u.Born
+		report.Crash.Born = u.Born
 	}
 	d := s.newDecision(n, f, "broke-at-start", UpstreamFailed)
-	d.Detail = joinParts(f.parts())
+	d.Detail = fmt.Sprintf("%s, after %v, parts %s", CrashSuspect{Request: report.Request}, report.RanFor, joinParts(report.Parts))
 	n.do(LogDecision{Decision: d})
-	report := PromptCrash{Service: f.spec.ID, Parts: f.parts(), Crash: crash}
-	s.observePromptCrash(n, report)
-	n.broadcast(PromptsReported{Crashes: []PromptCrash{report}})
+	s.observeCrashReport(n, report)
+	n.broadcast(SuspectsReported{Crashes: []CrashReport{report}})
+}
+
+// observeCrashReport records the end of an upstream under a request, and ends the requests
+// with the suspect that is blocked by it.
+func (s *forwards) observeCrashReport(n *Node, r CrashReport) {
+	alone := s.lastCrash == r.Crash || n.now.Sub(s.lastCrashAt) >= minCrashGap
+	if u, ok := s.upstreams.byID[r.Crash.Engine]; ok && u.Born == r.Crash.Born {
+		u.brokeOffAt = n.now
+		if alone {
+			u.endedAt = n.now
+			s.lastCrash, s.lastCrashAt = r.Crash, n.now
+		}
+	}
+	if key, blocked := s.poison.observeCrash(n.now, r).Get(); blocked {
+		s.suspectBlocked(n, key)
+	}
+}
+
+// observeAnswer records that an upstream has answered a request that was sent to it after it
+// counted as ended. One that answers soon has not ended; later it may have started again under
+// the same id, of which the list of upstreams does not tell yet.
+func (s *forwards) observeAnswer(n *Node, id EngineID, sent Instant) {
+	u, ok := s.upstreams.byID[id]
+	if !ok || u.brokeOffAt == 0 || sent < u.brokeOffAt {
+		return
+	}
+	if n.now.Sub(u.brokeOffAt) >= minRestart {
+		u.brokeOffAt, u.endedAt = 0, 0
+		return
+	}
+	crash := EngineCrash{Engine: u.ID, Born: u.Born}
+	s.retract(n, crash)
+	n.broadcast(SuspectsReported{Answered: []EngineCrash{crash}})
 }
 
-// observePromptCrash records the end of an engine under a prompt, and ends the requests with
-// the part that is blocked by it.
-func (s *forwards) observePromptCrash(n *Node, c PromptCrash) {
-	if part, blocked := s.poison.observeCrash(n.now, c.Service, c.Parts, c.Crash).Get(); blocked {
-		s.partBlocked(n, part)
+// retract takes back that an incarnation has ended.
+func (s *forwards) retract(n *Node, crash EngineCrash) {
+	if u, ok := s.upstreams.byID[crash.Engine]; ok && u.Born == crash.Born {
+		u.brokeOffAt, u.endedAt = 0, 0
 	}
+	s.reportCleared(n, s.poison.retract(crash))
 }
 
-// partBlocked logs that a part is blocked, and ends the requests with it that have sent no
-// part of an answer, wherever they are on their way.
-func (s *forwards) partBlocked(n *Node, part ServicePart) {
+// suspectBlocked logs that a suspect is blocked, and ends the requests with it that have sent
+// no part of an answer, wherever they are on their way.
+func (s *forwards) suspectBlocked(n *Node, key CrashSuspect) {
 	n.do(LogDecision{Decision: Decision{
-		At: n.now, Node: n.Self.ID, Step: "part-blocked", Reason: CrashingPrompt, Profile: ProfileID(part.Service), Detail: string(part.Part),
+		At: n.now, Node: n.Self.ID, Step: "part-blocked", Reason: key.reason(), Profile: ProfileID(key.Service), Detail: key.String(),
 	}})
 	for _, id := range sortedKeys(s.live) {
 		f, ok := s.live[id]
-		if !ok || f.spec.ID != part.Service || f.phase == forwardResponding {
+		if !ok || f.spec.ID != key.Service || f.phase == forwardResponding {
 			continue
 		}
 		s.rejectIfBlocked(n, f)
 	}
 }
 
-// rejectIfBlocked ends a request whose prompt has a blocked part, and reports whether it did.
+// reason returns the reason of rejections for a blocked suspect.
+func (s CrashSuspect) reason() RejectionReason {
+	if s.Request != "" {
+		return CrashingRequest
+	}
+	return CrashingPrompt
+}
+
+// rejectIfBlocked ends a request that is blocked, by a part of its prompt or as a whole, and
+// reports whether it did.
 func (s *forwards) rejectIfBlocked(n *Node, f *forwardedRequest) bool {
-	left, part := s.poison.blocks(n.now, f.spec.ID, f.parts(), func(key ServicePart) bool { return n.triesPart(key) })
+	left, key := s.poison.blocks(n.now, f.suspects(), n.triesSuspect)
 	if left == 0 {
 		return false
 	}
-	d := s.newDecision(n, f, "blocked", CrashingPrompt)
-	d.Detail = string(part)
+	d := s.newDecision(n, f, "blocked", key.reason())
+	d.Detail = key.String()
 	n.do(LogDecision{Decision: d})
-	s.end(n, f, CrashingPrompt, min(left, poisonRetryAfter))
+	s.end(n, f, key.reason(), min(left, poisonRetryAfter))
 	return true
 }
 
-// triesPart reports whether this node sends the trial of a part that is due for one: one node
-// does for all.
-func (n *Node) triesPart(key ServicePart) bool {
-	return rankByScore(n.acceptingNodes(), string(key.Service)+"/"+string(key.Part), n.Self.ID) == 0
+// triesSuspect reports whether this node sends the trial of a suspect that is due for one: one
+// node does for all.
+func (n *Node) triesSuspect(key CrashSuspect) bool {
+	return rankByScore(n.acceptingNodes(), string(key.Service)+"/"+string(key.Part)+string(key.Request), n.Self.ID) == 0
 }
 
-// watchSound records that a prompt's parts are sound once its answer has gone on for a while.
+// watchSound records that the suspects of a stream are sound once its answer has gone on for
+// a while.
 func (s *forwards) watchSound(n *Node, f *forwardedRequest) {
-	if len(f.parts()) == 0 {
+	if _, generates := f.spec.Engine.Get(); !generates {
 		return
 	}
 	step := f.step
@@ -148,44 +194,54 @@
 	})
 }
 
-// observeSoundAnswer records that a prompt's parts are sound. All nodes are notified of those
-// that were suspect.
+// observeSoundAnswer records that the suspects of a request are sound. All nodes are notified
+// of those that were suspect.
 func (s *forwards) observeSoundAnswer(n *Node, f *forwardedRequest) {
-	s.clearParts(n, s.poison.observeSound(n.now, f.startedAt, f.spec.ID, f.parts()))
+	s.reportCleared(n, s.poison.observeSound(n.now, f.startedAt, f.suspects()))
+}
+
+// observeFailureAnswer records that an upstream has answered a request with a failure of its
+// own: the request as a whole does not end upstreams.
+func (s *forwards) observeFailureAnswer(n *Node, f *forwardedRequest) {
+	s.reportCleared(n, s.poison.observeSound(n.now, n.now, suspectsOf(f.spec.ID, nil, f.Key)))
 }
 
-func (s *forwards) clearParts(n *Node, cleared []ServicePart) {
+func (s *forwards) reportCleared(n *Node, cleared []CrashSuspect) {
 	if len(cleared) > 0 {
-		n.broadcast(PromptsReported{Sound: cleared})
+		n.broadcast(SuspectsReported{Sound: cleared})
 	}
 }
 
-// handlePromptsReported handles what another node has seen. If it suspects a part on which
+// handleSuspectsReported handles what another node has seen. If it suspects a part on which
 // this node has had sound answers, it is told so.
-func (s *forwards) handlePromptsReported(n *Node, from NodeID, m PromptsReported) {
-	for _, part := range m.Sound {
-		s.poison.observeSound(n.now, n.now, part.Service, []PromptPart{part.Part})
-	}
-	var sound []ServicePart
+func (s *forwards) handleSuspectsReported(n *Node, from NodeID, m SuspectsReported) {
+	s.poison.observeSound(n.now, n.now, m.Sound)
+	var sound []CrashSuspect
 	for _, c := range m.Crashes {
-		for _, p := range c.Parts {
-			if key := (ServicePart{c.Service, p}); s.poison.isSound(n.now, key) {
+		for _, key := range suspectsOf(c.Service, c.Parts, "") {
+			if s.poison.isSound(n.now, key) {
 				sound = append(sound, key)
 			}
 		}
-		s.observePromptCrash(n, c)
+		s.observeCrashReport(n, c)
 	}
 	if len(sound) > 0 {
-		n.send(from, PromptsReported{Sound: sound})
+		n.send(from, SuspectsReported{Sound: sound})
+	}
+	for _, crash := range m.Answered {
+		s.retract(n, crash)
 	}
 	for _, b := range m.Blocked {
-		_, known := s.poison.blocked[b.ServicePart]
-		if !known && s.poison.isSound(n.now, b.ServicePart) {
+		known, ok := s.poison.blocked[b.CrashSuspect]
+		if !ok && s.poison.isSound(n.now, b.CrashSuspect) {
 			continue
 		}
-		s.poison.block(n.now, b.ServicePart, min(b.Left, maxBlock))
-		if !known {
-			s.partBlocked(n, b.ServicePart)
+		s.poison.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
+		if !ok {
+			s.suspectBlocked(n, b.CrashSuspect)
+		}
+		if known, ok = s.poison.blocked[b.CrashSuspect]; ok {
+			known.trials = max(known.trials, b.Trials)
 		}
 	}
 }
--- a/core/poison_test.go
+++ b/core/poison_test.go
@@ -39,8 +39,8 @@
 
 func (h *hostedNode) reportCrashNow(n int, parts ...core.PromptPart) {
 	crash := core.EngineCrash{Engine: core.EngineID(fmt.Sprint("e", n)), Born: 1}
-	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.PromptsReported{
-		Crashes: []core.PromptCrash{{Service: "model", Parts: parts, Crash: crash}},
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{
+		Crashes: []core.CrashReport{{Service: "model", Parts: parts, Crash: crash}},
 	}})
 }
 
@@ -104,7 +104,7 @@
 	h.advance(2*time.Minute + time.Second)
 	is.True(!h.rejected(promptTo(2, "deadly")))
 	is.True(h.rejected(promptTo(3, "deadly")))
-	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.PromptsReported{Sound: []core.ServicePart{{Service: "model", Part: "deadly"}}}})
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Sound: []core.CrashSuspect{{Service: "model", Part: "deadly"}}}})
 	is.True(!h.rejected(promptTo(4, "deadly")))
 }
 
@@ -121,7 +121,7 @@
 		h.reportCrash(i, "deadly")
 	}
 	out := h.deliver(core.PeerMessage{From: "n2", Incarnation: 2, Body: core.Heartbeat{Sequence: 9}})
-	reports := sentTo[core.PromptsReported](out, "n2")
+	reports := sentTo[core.SuspectsReported](out, "n2")
 	is.True(len(reports) > 0)
 	is.Equal(len(reports[0].Blocked), 1)
 	is.Equal(reports[0].Blocked[0].Part, core.PromptPart("deadly"))
@@ -138,10 +138,10 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	for i := range 100_000 {
-		h.node.Update(h.now, core.PeerMessage{From: "n2", Incarnation: 1, Body: core.PromptsReported{
-			Crashes: []core.PromptCrash{{Service: "model", Parts: []core.PromptPart{core.PromptPart(fmt.Sprint("part", i))}, Crash: core.EngineCrash{Engine: "e"}}},
-			Sound:   []core.ServicePart{{Service: "model", Part: core.PromptPart(fmt.Sprint("sound", i))}},
-			Blocked: []core.PartBlock{{ServicePart: core.ServicePart{Service: "model", Part: core.PromptPart(fmt.Sprint("blocked", i))}, Left: time.Minute}},
+		h.node.Update(h.now, core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{
+			Crashes: []core.CrashReport{{Service: "model", Parts: []core.PromptPart{core.PromptPart(fmt.Sprint("part", i))}, Crash: core.EngineCrash{Engine: "e"}}},
+			Sound:   []core.CrashSuspect{{Service: "model", Part: core.PromptPart(fmt.Sprint("sound", i))}},
+			Blocked: []core.SuspectBlock{{CrashSuspect: core.CrashSuspect{Service: "model", Part: core.PromptPart(fmt.Sprint("blocked", i))}, Left: time.Minute}},
 		}})
 	}
 	runtime.GC()
--- a/core/prompt_start.go
+++ b/core/prompt_start.go
@@ -15,6 +15,21 @@
 	return f.phase == forwardRunning || f.phase == forwardResponding && now.Sub(f.startedAt) < earlyRun
 }
 
+// brokeOff reports whether an upstream ended the connection of a request's run before it
+// answered, as when the request ends the upstream, and when the run was sent.
+func (f *forwardedRequest) brokeOff(now Instant, m StepFailed) (sent Instant, ok bool) {
+	if f.Key == "" || m.Step != RunStep || !m.BrokenOff || m.Status != 0 {
+		return 0, false
+	}
+	if f.phase == forwardResponding && m.Send == f.current && now.Sub(f.startedAt) >= earlyRun {
+		return 0, false
+	}
+	return f.sentAt(m.Send), m.Send == f.current || f.silent != nil && f.silent.send == m.Send
+}
+
+// suspects returns what in the request may end upstreams.
+func (f *forwardedRequest) suspects() []CrashSuspect { return suspectsOf(f.spec.ID, f.parts(), f.Key) }
+
 // parts returns the parts of the request's prompt that other requests may share.
 func (f *forwardedRequest) parts() []PromptPart {
 	g, _ := f.Generation.Get()
--- a/core/run_record.go
+++ b/core/run_record.go
@@ -14,6 +14,8 @@
 	// or may still do so.
 	notRun bool
 	proof  NotRunProof
+	// sentAt is when the request was sent.
+	sentAt Instant
 }
 
 // nextSend returns the number of a request's next send, whose result the request waits
@@ -29,13 +31,23 @@
 
 // recordRun records that the request is being sent to an upstream that is to run it, and
 // returns the number of the send.
-func (f *forwardedRequest) recordRun(id EngineID) SendNumber {
+func (f *forwardedRequest) recordRun(now Instant, id EngineID) SendNumber {
 	number := f.nextSend()
-	f.runRecords = append(f.runRecords, runRecord{number: number, engine: id})
+	f.runRecords = append(f.runRecords, runRecord{number: number, engine: id, sentAt: now})
 	f.sentTo.Add(id)
 	return number
 }
 
+// sentAt returns when a run was sent; zero if the number is not that of a run.
+func (f *forwardedRequest) sentAt(number SendNumber) Instant {
+	for _, r := range f.runRecords {
+		if r.number == number {
+			return r.sentAt
+		}
+	}
+	return 0
+}
+
 // recordNotRun records the proof that a send was not run. A number that is not the
 // number of a run has no effect.
 func (f *forwardedRequest) recordNotRun(number SendNumber, proof NotRunProof) {
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -70,21 +70,29 @@
 	"RolesOrdered": func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
 	"RolesWanted":  func(t *rapid.T) core.PeerBody { return core.RolesWanted{Orders: list(t, "orders", roleOrder)} },
 	"PromptsReported": func(t *rapid.T) core.PeerBody {
-		part := func(t *rapid.T) core.ServicePart {
-			return core.ServicePart{Service: text[core.ServiceID](t, "service"), Part: text[core.PromptPart](t, "part")}
+		suspect := func(t *rapid.T) core.CrashSuspect {
+			return core.CrashSuspect{
+				Service: text[core.ServiceID](t, "service"), Part: text[core.PromptPart](t, "part"), Request: text[core.RequestKey](t, "request"),
+			}
+		}
+		crash := func(t *rapid.T) core.EngineCrash {
+			return core.EngineCrash{Engine: text[core.EngineID](t, "engine"), Born: rapid.Int64().Draw(t, "born")}
 		}
-		return core.PromptsReported{
-			Crashes: list(t, "crashes", func(t *rapid.T) core.PromptCrash {
-				return core.PromptCrash{
+		return core.SuspectsReported{
+			Crashes: list(t, "crashes", func(t *rapid.T) core.CrashReport {
+				return core.CrashReport{
 					Service: text[core.ServiceID](t, "service"),
 					Parts:   list(t, "parts", func(t *rapid.T) core.PromptPart { return text[core.PromptPart](t, "part") }),
-					Crash:   core.EngineCrash{Engine: text[core.EngineID](t, "engine"), Born: rapid.Int64().Draw(t, "born")},
+					Request: text[core.RequestKey](t, "request"), Crash: crash(t), RanFor: time.Duration(rapid.Int64().Draw(t, "ran")),
 				}
 			}),
-			Sound: list(t, "sound", part),
-			Blocked: list(t, "blocked", func(t *rapid.T) core.PartBlock {
-				return core.PartBlock{ServicePart: part(t), Left: time.Duration(rapid.Int64().Draw(t, "left"))}
+			Sound: list(t, "sound", suspect),
+			Blocked: list(t, "blocked", func(t *rapid.T) core.SuspectBlock {
+				return core.SuspectBlock{
+					CrashSuspect: suspect(t), Left: time.Duration(rapid.Int64().Draw(t, "left")), Trials: rapid.IntRange(0, 9).Draw(t, "trials"),
+				}
 			}),
+			Answered: list(t, "answered", crash),
 		}
 	},
 	"LimitsReported": func(t *rapid.T) core.PeerBody {
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -108,7 +108,7 @@
 	case *Envelope_PlacerAnnounced:
 		return toPlacerAnnounced(b.PlacerAnnounced), nil
 	case *Envelope_PromptsReported:
-		return toPromptsReported(b.PromptsReported), nil
+		return toSuspectsReported(b.PromptsReported), nil
 	case *Envelope_InstancesQuery:
 		return core.InstancesQuery{Era: core.StoreEra(b.InstancesQuery.GetEra()), After: core.Offset(b.InstancesQuery.GetAfter())}, nil
 	case *Envelope_StateQuery:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -101,8 +101,8 @@
 		e.Body = &Envelope_LimitsReported{fromLimitsReported(b)}
 	case core.PlacerAnnounced:
 		e.Body = &Envelope_PlacerAnnounced{fromPlacerAnnounced(b)}
-	case core.PromptsReported:
-		e.Body = &Envelope_PromptsReported{fromPromptsReported(b)}
+	case core.SuspectsReported:
+		e.Body = &Envelope_PromptsReported{fromSuspectsReported(b)}
 	case core.InstancesQuery:
 		e.Body = &Envelope_InstancesQuery{&InstancesQuery{Era: int64(b.Era), After: int64(b.After)}}
 	case core.StateQuery:
