Soak: one request ends each worker that runs it and comes again at any node

In some runs a tenth of the requests of one kind, plain or streams, are the same request, which ends the worker that runs it; another one takes its place after a second.

--- a/bench/hosted/deadly_prompts.go
+++ b/bench/hosted/deadly_prompts.go
@@ -44,11 +44,12 @@
 		d.ends.mu.Unlock()
 		return
 	}
-	time.AfterFunc(deadlyAfter, func() { d.endEngine(worker) })
+	time.AfterFunc(deadlyAfter, func() { d.endWorker(worker, &d.ends) })
 }
 
-// endEngine ends an engine unless it has ended, and starts another one in its place.
-func (d *deployment) endEngine(id string) {
+// endWorker ends a worker unless it has ended, records that, and starts another one in its
+// place.
+func (d *deployment) endWorker(id string, record *engineEnds) {
 	d.mu.Lock()
 	_, running := d.workers[id]
 	closed := d.closed
@@ -58,9 +59,9 @@
 	}
 	add := d.replacement(id)
 	d.removeWorker(id)
-	d.ends.mu.Lock()
-	d.ends.ends = append(d.ends.ends, time.Now())
-	d.ends.mu.Unlock()
+	record.mu.Lock()
+	record.ends = append(record.ends, time.Now())
+	record.mu.Unlock()
 	time.AfterFunc(engineRestart, func() {
 		select {
 		case <-d.done:
@@ -70,25 +71,28 @@
 	})
 }
 
-// checkEngineEnds checks that requests with the deadly part stopped reaching engines. Nodes
-// with faults may not have heard of it.
-func (d *deployment) checkEngineEnds() {
-	d.ends.mu.Lock()
-	defer d.ends.mu.Unlock()
-	for range d.ends.ends {
-		d.judge.count("engines ended by prompts")
+// checkEngineEnds checks that requests with the deadly part stopped reaching engines.
+func (d *deployment) checkEngineEnds() { d.checkEnds(&d.ends, toleratedEnds, "part of prompts") }
+
+// checkEnds checks that requests that end workers stopped reaching them, from contactTime
+// after the given number of ends. Nodes with faults may not have heard of it.
+func (d *deployment) checkEnds(r *engineEnds, tolerated int, what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range r.ends {
+		d.judge.count("workers ended by a " + what)
 	}
-	if !d.upstreamsOnly || len(d.ends.ends) < toleratedEnds {
+	if !d.upstreamsOnly || len(r.ends) < tolerated {
 		return
 	}
-	late, from := 0, d.ends.ends[toleratedEnds-1].Add(contactTime)
-	for _, at := range d.ends.arrivals {
+	late, from := 0, r.ends[tolerated-1].Add(contactTime)
+	for _, at := range r.arrivals {
 		if at.After(from) {
 			late++
 		}
 	}
 	if late > toleratedArrivals {
-		d.judge.reportViolation(fmt.Sprintf("BUDGET: %d requests with a part that ends engines reached engines %v after the fifth end; %d engines ended",
-			late, contactTime, len(d.ends.ends)))
+		d.judge.reportViolation(fmt.Sprintf("BUDGET: %d requests with a %s that ends workers reached workers %v after end %d; %d ended",
+			late, what, contactTime, tolerated, len(r.ends)))
 	}
 }
--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -110,6 +110,10 @@
 	// deadlyPrompts is set while some prompts end engines, and ends counts these.
 	deadlyPrompts atomic.Bool
 	ends          engineEnds
+	// deadlyKind is the kind of the request that ends each worker that runs it, and comes again
+	// at any node; empty while there is none. requestEnds counts the workers that it ends.
+	deadlyKind  atomic.Value
+	requestEnds engineEnds
 	// limits records the limits that workers name. faultsEnded is closed once the faults end.
 	limits      limitRecord
 	faultsEnded chan struct{}
@@ -283,7 +287,7 @@
 	settings := hostedworker.Settings{
 		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
 		Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
-		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival,
+		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival, EndsWorker: d.handleRequest,
 	}
 	if n%2 == 0 {
 		settings.IdleTimeout = shortIdleTimeout
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -168,6 +168,8 @@
 	kind   string
 	body   []byte
 	prompt uint64
+	// whole says that the request ends each worker that runs it.
+	whole bool
 	// deadly says that the prompt has a part that ends engines.
 	deadly   bool
 	deadline time.Time
@@ -211,6 +213,9 @@
 		m.deadline = time.Now().Add(longPatience)
 	}
 	m.deadly = m.stream() && c.load.deployment.deadlyPrompts.Load() && c.rng.Float64() < deadlyShare
+	if kind, _ := c.load.deployment.deadlyKind.Load().(string); kind == m.kind && c.rng.Float64() < deadlyShare {
+		m.whole, m.body = true, deadlyBody
+	}
 	if c.rng.Float64() < leaveShare {
 		m.leave = time.Now().Add(time.Duration(c.rng.Int64N(int64(maxStay))))
 	}
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -111,6 +111,7 @@
 	l.wait.Wait()
 	d.checkLatestInForce()
 	d.checkEngineEnds()
+	d.checkRequestEnds()
 	d.checkLimits()
 	result := Result{Seed: seed, Violations: append(d.judge.verdict(), d.faultsInLogs()...), Counts: d.judge.counts, Injected: injected}
 	result.Counts["MB at most"] = d.peakMegabytes()
@@ -180,8 +181,8 @@
 		"worker crashed": d.crashWorker, "worker faulty": d.injectWorkerFault, "worker drained": d.drainWorker,
 		"worker wants quiet": d.wantQuiet, "worker names limit": d.limitWorkers,
 		"settings changed": d.changeSettings, "link harmed": d.injectLinkFault,
-		"workers ended by prompts": d.beginDeadlyPrompts,
-		"worker silent":            d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
+		"workers ended by prompts": d.beginDeadlyPrompts, "workers ended by requests": d.beginDeadlyRequests,
+		"worker silent": d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
 		"workers silent while state changes": d.changeStateWhileSilent, "node stopped while workers are silent": d.stopNodesWhileSilent,
 		"size of state changed": d.changeSizeOfState, "hung reads while state changed": d.changeStateWhileReadsHang,
 		"state changed": d.changeState, "state in series changed": d.changeStateInSeries,
@@ -197,6 +198,12 @@
 	}
 	names := slices.Sorted(maps.Keys(kinds))
 	injected := map[string]int{}
+	if d.upstreamsOnly {
+		// Bounds that begin some seconds after a fault need one that begins early.
+		name := []string{"worker names limit", "workers ended by requests"}[d.rng.IntN(2)]
+		injected[name]++
+		kinds[name]()
+	}
 	until := time.Now().Add(length)
 	for time.Now().Before(until) {
 		name := names[d.rng.IntN(len(names))]
@@ -212,6 +219,7 @@
 	d.store.SetMode(metastore.Serving)
 	d.store.SetLostReplyShare(0)
 	d.deadlyPrompts.Store(false)
+	d.deadlyKind.Store("")
 	close(d.faultsEnded)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -122,6 +122,9 @@
 	// OnPrompt is called with a prompt's parts when a request with it arrives, and when its
 	// answer is about to be written. It may be nil.
 	OnPrompt func(worker, parts string, writing bool)
+	// EndsWorker is called with the body of a request when it arrives, and when it begins to
+	// run; running says which. If it returns true, the request gets no answer. It may be nil.
+	EndsWorker func(worker string, body []byte, running bool) bool
 	// OnArrival is called when a request of a caller arrives, whether or not it is run. It may
 	// be nil.
 	OnArrival func(worker string)
@@ -310,6 +313,9 @@
 		return
 	}
 	w.reportPrompt(r, false)
+	if r.Header.Get("Attempt-Id") != "" {
+		w.endsWorker(body, false)
+	}
 	control := strings.HasPrefix(r.URL.Path, "/-/")
 	if fault.endless() && (control || r.Header.Get("Serving-Stage") == Prefill) {
 		sendEndless(rw, fault)
@@ -331,6 +337,11 @@
 	}
 }
 
+// endsWorker reports whether a request with the given body ends the worker.
+func (w *Worker) endsWorker(body []byte, running bool) bool {
+	return w.settings.EndsWorker != nil && w.settings.EndsWorker(w.settings.ID, body, running)
+}
+
 // reportArrival calls OnArrival for a caller's request to this worker.
 func (w *Worker) reportArrival(r *http.Request) {
 	if w.settings.OnArrival != nil && r.Header.Get("Attempt-Id") != "" && r.Header.Get("Expect-Instance") == w.settings.ID {
@@ -453,6 +464,8 @@
 	defer w.beginRun(r.Context(), Run{Attempt: attempt, Resumed: lastEvent > 0, Broken: fault.breaksAnswer(), DrainingFor: draining})()
 	rw.Header().Set("Server-Seal", Signature(attempt, body))
 	switch {
+	case w.endsWorker(body, true):
+		<-r.Context().Done()
 	case fault == Hang:
 		<-r.Context().Done()
 	case fault.endless():
