--- a/core/status.go
+++ b/core/status.go
@@ -21,6 +21,9 @@
 	Leaving      bool
 	// Limits are the limits on requests that upstreams have named and that are in force.
 	Limits []LimitStatus
+	// Suspects is how many parts of prompts and whole requests are suspected of ending
+	// upstreams, and Blocked how many are rejected for it.
+	Suspects, Blocked int
 	// Checks and Violations count invariant checks and violations by Promise.
 	Checks     [9]uint64
 	Violations [9]uint64
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -18,6 +18,8 @@
 	m.setGauge("requests_in_progress", float64(s.Requests))
 	m.setGauge("upstreams", float64(len(s.Upstreams)))
 	m.setGauge("publications_rejected", float64(len(s.Rejected)))
+	m.setGauge("crash_suspects", float64(s.Suspects))
+	m.setGauge("crash_suspects_blocked", float64(s.Blocked))
 	m.setMembers(s)
 	m.setLimits(s.Limits)
 	m.setAllocations(s)
