Count the ends of upstreams under a request over all services

A whole request is a suspect at its service and at any: it is blocked after three ends in all, unless another service answers it, and then at the one that it ends. TestRequestThatEndsUpstreamsOfTwoServicesIsBlocked failed before. Tests of core pass.

--- a/core/deadly_request_test.go
+++ b/core/deadly_request_test.go
@@ -297,3 +297,46 @@
 	h.crashOf("deadly", 3, 50*time.Millisecond)
 	is.True(h.blockedAs(1, "deadly"))
 }
+
+// crashIn reports to a node that an upstream of a service ended under a whole request.
+func (h *hostedNode) crashIn(service core.ServiceID, key core.RequestKey, upstream string) {
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Crashes: []core.CrashReport{{
+		Service: service, Request: key, RanFor: 50 * time.Millisecond, Crash: core.EngineCrash{Engine: core.EngineID(upstream), Born: 1},
+	}}}})
+}
+
+// A route is split between two services, or moved to another one. The request ends upstreams
+// of both, and was blocked after three of each.
+func TestRequestThatEndsUpstreamsOfTwoServicesIsBlocked(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	for i, service := range []core.ServiceID{"ledger", "canary", "canary"} {
+		is.True(!h.blockedAs(core.ForwardID(i+1), "deadly"))
+		h.crashIn(service, "deadly", fmt.Sprint("e", i))
+		h.advance(10 * time.Second)
+	}
+	is.True(h.blockedAs(10, "deadly"))
+}
+
+// Of the two services of a route, one ends under a request and the other answers it. It is
+// blocked at the one, and not at the other.
+func TestAnswersOfOneServiceDoNotClearARequestAtAnother(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	for i := range 3 {
+		h.crashIn("canary", "deadly", fmt.Sprint("e", i))
+		h.advance(10 * time.Second)
+		if i == 2 {
+			break
+		}
+		runs := commandsOf[core.RunForward](h.deliver(keyed(core.ForwardID(i+1), "deadly")))
+		is.Equal(len(runs), 1)
+		h.deliver(core.ForwardResponseCompleted{ID: core.ForwardID(i + 1), Send: runs[0].Send, Engine: runs[0].Engine})
+	}
+	is.True(!h.blockedAs(10, "deadly"))
+	blocked := false
+	for _, c := range commandsOf[core.LogDecision](h.commands) {
+		blocked = blocked || c.Decision.Step == "part-blocked" && c.Decision.Profile == "canary"
+	}
+	is.True(blocked)
+}
--- a/core/held_back.go
+++ b/core/held_back.go
@@ -14,9 +14,15 @@
 // ended upstreams and would run at the last sound one of its service. Its other requests
 // would have none if the suspicion is right.
 func (s *forwards) heldBack(n *Node, f *forwardedRequest) (time.Duration, []EngineCrash) {
-	crashes, last := s.poison.crashesOf(n.now, CrashSuspect{Service: f.spec.ID, Request: f.Key})
+	var crashes []EngineCrash
+	var last Instant
+	for _, key := range wholeRequest(f.spec.ID, f.Key) {
+		if c, at := s.poison.crashesOf(n.now, key); len(c) > len(crashes) {
+			crashes, last = c, at
+		}
+	}
 	left := last.Add(heldBackFor).Sub(n.now)
-	if f.Key == "" || len(crashes) == 0 || left <= 0 {
+	if len(crashes) == 0 || left <= 0 {
 		return 0, nil
 	}
 	_, engine := f.spec.Engine.Get()
--- a/core/poison.go
+++ b/core/poison.go
@@ -36,8 +36,9 @@
 	maxBlocked    = 1024
 )
 
-// CrashSuspect identifies what may end the upstreams of a service: a part of prompts, or a whole
-// request. One of Part and Request is set.
+// CrashSuspect identifies what may end upstreams: a part of prompts to a service, or a whole
+// request. One of Part and Request is set. Service is empty for a request that may end the
+// upstreams of any service.
 type CrashSuspect struct {
 	Service ServiceID
 	Part    PromptPart
@@ -106,14 +107,25 @@
 // suspectsOf returns what may end upstreams in a request: the parts of its prompt in order,
 // and the whole request.
 func suspectsOf(service ServiceID, parts []PromptPart, request RequestKey) []CrashSuspect {
-	list := make([]CrashSuspect, 0, len(parts)+1)
+	list := make([]CrashSuspect, 0, len(parts)+2)
 	for _, p := range parts {
 		list = append(list, CrashSuspect{Service: service, Part: p})
 	}
-	if request != "" {
-		list = append(list, CrashSuspect{Service: service, Request: request})
+	return append(list, wholeRequest(service, request)...)
+}
+
+// wholeRequest returns the suspects of a whole request: at its service, and at any. A route may
+// be split between services or moved, and a sound answer of one says nothing about another.
+func wholeRequest(service ServiceID, request RequestKey) []CrashSuspect {
+	if request == "" {
+		return nil
 	}
-	return list
+	return []CrashSuspect{{Service: service, Request: request}, {Request: request}}
+}
+
+// concerns reports whether requests to a service may have the suspect.
+func (s CrashSuspect) concerns(service ServiceID) bool {
+	return s.Service == "" || s.Service == service
 }
 
 // observeCrash records that an upstream ended under a request. It returns the suspect that is
@@ -135,10 +147,9 @@
 			worst, most = key, n
 		}
 	}
-	if r.Request != "" {
-		whole := CrashSuspect{Service: r.Service, Request: r.Request}
-		if n := l.suspect(now, whole, r); n >= max(most, poisonCrashes) {
-			worst, most, threshold = whole, n, poisonCrashes
+	for _, key := range wholeRequest(r.Service, r.Request) {
+		if n := l.suspect(now, key, r); n >= max(most, poisonCrashes) {
+			worst, most, threshold = key, n, poisonCrashes
 		}
 	}
 	if most < threshold {
--- a/core/poison_spread.go
+++ b/core/poison_spread.go
@@ -145,7 +145,7 @@
 	}})
 	for _, id := range sortedKeys(s.live) {
 		f, ok := s.live[id]
-		if !ok || f.spec.ID != key.Service || f.phase == forwardResponding {
+		if !ok || !key.concerns(f.spec.ID) || f.phase == forwardResponding {
 			continue
 		}
 		s.rejectIfBlocked(n, f)
