--- a/core/limit_spread.go
+++ b/core/limit_spread.go
@@ -9,6 +9,8 @@
 	// limitReportEvery is the least time between two reports of the same limit to the owner of
 	// the upstream's group.
 	limitReportEvery = time.Second
+	// limitLogEvery is the least time between two lines of the log on changes of a limit.
+	limitLogEvery = time.Second
 	// limitFresh is how long after a limit was named a node tells a new owner of it.
 	limitFresh = 10 * time.Second
 	// maxSentLimits bounds the limits of one message.
@@ -82,7 +84,8 @@
 	n.broadcast(LimitsReported{Limits: []NamedLimit{named}})
 }
 
-// setLimit sets or ends the limit of an upstream. It logs changes with the source.
+// setLimit sets or ends the limit of an upstream. It logs that with the source, and of limits
+// that change with each answer some.
 func (s *upstreams) setLimit(n *Node, u *upstream, named NamedLimit, source string) {
 	before, limited := u.limit().Get()
 	signals := s.signalsOf(n, u)
@@ -95,7 +98,9 @@
 		signals.limit = None[upstreamLimit]()
 		s.removeLimited(n, u.ID)
 	}
-	if limited != named.Limited || before != named.Rate {
+	changed := before != named.Rate && n.now.Sub(signals.limitLoggedAt) >= limitLogEvery
+	if limited != named.Limited || changed {
+		signals.limitLoggedAt = n.now
 		n.do(LogDecision{Decision: Decision{
 			At: n.now, Node: n.Self.ID, Step: "upstream-limit", Decode: u.ID, Detail: detail + ", by " + source,
 		}})
--- a/core/upstream_signal.go
+++ b/core/upstream_signal.go
@@ -46,6 +46,8 @@
 	use        limitUse
 	reportedAt Instant
 	spread     bool
+	// limitLoggedAt is when a line of the log last named the limit.
+	limitLoggedAt Instant
 }
 
 // handleSignal records what a response said about its upstream. A leaving incarnation
