--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -80,14 +80,14 @@
 		withoutPeerQuery,
 	}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
-		"core/poison.go", "	if most < threshold {\n", "	if most < threshold || true {\n",
+		"core/crash_suspects.go", "	if most < threshold {\n", "	if most < threshold || true {\n",
 	}}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "whole-requests-not-suspected", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/prompt_start.go", "	if f.Key == \"\" || m.Step", "	if f.Key != \"\" || m.Step",
 	}}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-known-to-one-node", Promise: core.AnswerWhole, Edits: []Edit{
-		{"core/poison_spread.go", "	n.broadcast(SuspectsReported{Crashes: []CrashReport{report}})\n", ""},
-		{"core/poison_spread.go", "		for range reportTargets {\n", "		for range 0 {\n"},
+		{"core/crash_spread.go", "	n.broadcast(SuspectsReported{Crashes: []CrashReport{report}})\n", ""},
+		{"core/crash_spread.go", "		for range reportTargets {\n", "		for range 0 {\n"},
 	}}},
 	{Rule: "LIMIT", Mutant: Mutant{Name: "limits-not-read", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/limit_spread.go", "	if m.NamesLimit && !usable {\n", "	if m.NamesLimit || !usable {\n",
--- a/core/addresses.go
+++ b/core/addresses.go
@@ -204,7 +204,7 @@
 		})
 	}
 	s.Limits = n.forward.upstreams.limits()
-	s.Suspects, s.Blocked = len(n.forward.poison.suspects), len(n.forward.poison.blocked)
+	s.Suspects, s.Blocked = len(n.forward.suspects.suspicions), len(n.forward.suspects.blocked)
 	for _, u := range n.members.upstreams() {
 		s.Upstreams = append(s.Upstreams, n.upstreamStatus(u))
 	}
--- a/core/poison_spread.go
+++ b/core/crash_spread.go
@@ -13,8 +13,8 @@
 	soundAfter = time.Second
 	// minRestart is the least time in which an upstream that ended is back.
 	minRestart = time.Second
-	// poisonRetryAfter bounds the time that a rejection of a blocked part names.
-	poisonRetryAfter = time.Minute
+	// blockedRetryAfter bounds the time that a rejection of a blocked part names.
+	blockedRetryAfter = time.Minute
 	// reportTargets is how many members a node sends its blocked parts and the limits that it
 	// knows of to in each period of the heartbeat, and maxSentBlocks bounds the parts of one
 	// message.
@@ -46,7 +46,7 @@
 func (s *forwards) startReports(n *Node) {
 	n.every(n.Settings.HeartbeatEvery, func(n *Node) {
 		s.upstreams.dropLimits(n)
-		if len(s.poison.blocked) == 0 && len(s.upstreams.limited) == 0 {
+		if len(s.suspects.blocked) == 0 && len(s.upstreams.limited) == 0 {
 			return
 		}
 		for range reportTargets {
@@ -62,7 +62,7 @@
 // blocked.
 func (s *forwards) sendBlocked(n *Node, to NodeID) {
 	var m SuspectsReported
-	for key, b := range s.poison.blocked {
+	for key, b := range s.suspects.blocked {
 		m.Blocked = append(m.Blocked, SuspectBlock{key, max(b.until.Sub(n.now), 0), b.trials})
 	}
 	slices.SortFunc(m.Blocked, func(a, b SuspectBlock) int {
@@ -107,7 +107,7 @@
 			s.lastCrash, s.lastCrashAt = r.Crash, n.now
 		}
 	}
-	if key, blocked := s.poison.observeCrash(n.now, r).Get(); blocked {
+	if key, blocked := s.suspects.observeCrash(n.now, r).Get(); blocked {
 		s.suspectBlocked(n, key)
 	}
 }
@@ -134,7 +134,7 @@
 	if u, ok := s.upstreams.byID[crash.Engine]; ok && u.Born == crash.Born {
 		u.brokeOffAt, u.endedAt = 0, 0
 	}
-	s.reportCleared(n, s.poison.retract(crash))
+	s.reportCleared(n, s.suspects.retract(crash))
 }
 
 // suspectBlocked logs that a suspect is blocked, and ends the requests with it that have sent
@@ -163,14 +163,14 @@
 // rejectIfBlocked ends a request that is blocked, by a part of its prompt or as a whole, and
 // reports whether it did.
 func (s *forwards) rejectIfBlocked(n *Node, f *forwardedRequest) bool {
-	left, key := s.poison.blocks(n.now, f.suspects(), n.triesSuspect)
+	left, key := s.suspects.blocks(n.now, f.suspects(), n.triesSuspect)
 	if left == 0 {
 		return false
 	}
 	d := s.newDecision(n, f, "blocked", key.reason())
 	d.Detail = key.String()
 	n.do(LogDecision{Decision: d})
-	s.end(n, f, key.reason(), min(left, poisonRetryAfter))
+	s.end(n, f, key.reason(), min(left, blockedRetryAfter))
 	return true
 }
 
@@ -197,13 +197,13 @@
 // observeSoundAnswer records that the suspects of a request are sound. All nodes are notified
 // of those that were suspect.
 func (s *forwards) observeSoundAnswer(n *Node, f *forwardedRequest) {
-	s.reportCleared(n, s.poison.observeSound(n.now, f.startedAt, f.suspects()))
+	s.reportCleared(n, s.suspects.observeSound(n.now, f.startedAt, f.suspects()))
 }
 
 // observeFailureAnswer records that an upstream has answered a request with a failure of its
 // own: the request as a whole does not end upstreams.
 func (s *forwards) observeFailureAnswer(n *Node, f *forwardedRequest) {
-	s.reportCleared(n, s.poison.observeSound(n.now, n.now, suspectsOf(f.spec.ID, nil, f.Key)))
+	s.reportCleared(n, s.suspects.observeSound(n.now, n.now, suspectsOf(f.spec.ID, nil, f.Key)))
 }
 
 func (s *forwards) reportCleared(n *Node, cleared []CrashSuspect) {
@@ -215,11 +215,11 @@
 // handleSuspectsReported handles what another node has seen. If it suspects a part on which
 // this node has had sound answers, it is told so.
 func (s *forwards) handleSuspectsReported(n *Node, from NodeID, m SuspectsReported) {
-	s.poison.observeSound(n.now, n.now, m.Sound)
+	s.suspects.observeSound(n.now, n.now, m.Sound)
 	var sound []CrashSuspect
 	for _, c := range m.Crashes {
 		for _, key := range suspectsOf(c.Service, c.Parts, "") {
-			if s.poison.isSound(n.now, key) {
+			if s.suspects.isSound(n.now, key) {
 				sound = append(sound, key)
 			}
 		}
@@ -232,15 +232,15 @@
 		s.retract(n, crash)
 	}
 	for _, b := range m.Blocked {
-		known, ok := s.poison.blocked[b.CrashSuspect]
-		if !ok && s.poison.isSound(n.now, b.CrashSuspect) {
+		known, ok := s.suspects.blocked[b.CrashSuspect]
+		if !ok && s.suspects.isSound(n.now, b.CrashSuspect) {
 			continue
 		}
-		s.poison.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
+		s.suspects.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
 		if !ok {
 			s.suspectBlocked(n, b.CrashSuspect)
 		}
-		if known, ok = s.poison.blocked[b.CrashSuspect]; ok {
+		if known, ok = s.suspects.blocked[b.CrashSuspect]; ok {
 			known.trials = max(known.trials, b.Trials)
 		}
 	}
--- a/core/poison.go
+++ b/core/crash_suspects.go
@@ -2,17 +2,18 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// poisonCrashes is how many upstreams have to end under a request, or while a part's
+	// crashesToBlock is how many upstreams have to end under a request, or while a part's
 	// prompts begin to write, before the request or the part is blocked, and
-	// poisonCrashesIfSound how many if answers on all the prompt's parts have been sound
+	// crashesToBlockIfSound how many if answers on all the prompt's parts have been sound
 	// before.
-	poisonCrashes        = 3
-	poisonCrashesIfSound = 5
+	crashesToBlock        = 3
+	crashesToBlockIfSound = 5
 	// minCrashGap is the least time between two ends of upstreams that count, unless the
 	// second one ended under a run that began after the first. Upstreams or connections that
 	// end at the same moment have another cause in common.
@@ -71,8 +72,8 @@
 	RanFor time.Duration
 }
 
-// suspected is a suspect under which upstreams ended, without a sound answer since.
-type suspected struct {
+// suspicion is that of a suspect under which upstreams ended, without a sound answer since.
+type suspicion struct {
 	crashes []EngineCrash
 	// countedAt is when a crash was counted last.
 	countedAt Instant
@@ -93,15 +94,15 @@
 	trials  int
 }
 
-// poisonList tells which requests end upstreams, by parts of their prompts or as a whole. What
+// suspectList tells which requests end upstreams, by parts of their prompts or as a whole. What
 // a request was on when an upstream ended is a suspicion, and a sound answer clears all
 // suspects of its request. Of several suspects the one that is most often there, and latest
 // in the prompt, is blocked: the others are shared with sound requests. The zero value is an
 // empty list.
-type poisonList struct {
-	sound    map[CrashSuspect]Instant
-	suspects map[CrashSuspect]*suspected
-	blocked  map[CrashSuspect]*blockedSuspect
+type suspectList struct {
+	sound      map[CrashSuspect]Instant
+	suspicions map[CrashSuspect]*suspicion
+	blocked    map[CrashSuspect]*blockedSuspect
 }
 
 // suspectsOf returns what may end upstreams in a request: the parts of its prompt in order,
@@ -130,16 +131,16 @@
 
 // observeCrash records that an upstream ended under a request. It returns the suspect that is
 // blocked by that, if any.
-func (l *poisonList) observeCrash(now Instant, r CrashReport) Option[CrashSuspect] {
+func (l *suspectList) observeCrash(now Instant, r CrashReport) Option[CrashSuspect] {
 	for _, key := range suspectsOf(r.Service, r.Parts, r.Request) {
 		if b, ok := l.blocked[key]; ok {
 			l.extend(now, key, b)
 			return None[CrashSuspect]()
 		}
 	}
-	threshold, candidates := poisonCrashes, l.unproven(now, r.Service, r.Parts)
+	threshold, candidates := crashesToBlock, l.unproven(now, r.Service, r.Parts)
 	if len(candidates) == 0 {
-		threshold, candidates = poisonCrashesIfSound, suspectsOf(r.Service, r.Parts, "")
+		threshold, candidates = crashesToBlockIfSound, suspectsOf(r.Service, r.Parts, "")
 	}
 	worst, most := CrashSuspect{}, 0
 	for _, key := range candidates {
@@ -148,14 +149,14 @@
 		}
 	}
 	for _, key := range wholeRequest(r.Service, r.Request) {
-		if n := l.suspect(now, key, r); n >= max(most, poisonCrashes) {
-			worst, most, threshold = key, n, poisonCrashes
+		if n := l.suspect(now, key, r); n >= max(most, crashesToBlock) {
+			worst, most, threshold = key, n, crashesToBlock
 		}
 	}
 	if most < threshold {
 		return None[CrashSuspect]()
 	}
-	crashes := l.suspects[worst].crashes
+	crashes := l.suspicions[worst].crashes
 	l.block(now, worst, minBlock)
 	if b, ok := l.blocked[worst]; ok {
 		b.crashes = crashes
@@ -164,7 +165,7 @@
 }
 
 // unproven returns the parts on which there was no sound answer lately.
-func (l *poisonList) unproven(now Instant, service ServiceID, parts []PromptPart) []CrashSuspect {
+func (l *suspectList) unproven(now Instant, service ServiceID, parts []PromptPart) []CrashSuspect {
 	var list []CrashSuspect
 	for _, key := range suspectsOf(service, parts, "") {
 		if !l.isSound(now, key) {
@@ -174,62 +175,62 @@
 	return list
 }
 
-func (l *poisonList) isSound(now Instant, key CrashSuspect) bool {
+func (l *suspectList) isSound(now Instant, key CrashSuspect) bool {
 	at, ok := l.sound[key]
 	return ok && now.Sub(at) < soundFor
 }
 
 // suspect records the end of an upstream under a suspect and returns how many there are.
-func (l *poisonList) suspect(now Instant, key CrashSuspect, r CrashReport) int {
-	s, ok := l.suspects[key]
+func (l *suspectList) suspect(now Instant, key CrashSuspect, r CrashReport) int {
+	s, ok := l.suspicions[key]
 	if !ok || now.Sub(s.countedAt) > suspectFor {
-		if l.suspects == nil {
-			l.suspects = map[CrashSuspect]*suspected{}
+		if l.suspicions == nil {
+			l.suspicions = map[CrashSuspect]*suspicion{}
 		}
-		if !ok && len(l.suspects) >= maxSuspects {
-			l.evictSuspect()
+		if !ok && len(l.suspicions) >= maxSuspects {
+			l.evictSuspects()
 		}
-		s = &suspected{}
-		l.suspects[key] = s
+		s = &suspicion{}
+		l.suspicions[key] = s
 	}
 	since := now.Sub(s.countedAt)
 	apart := len(s.crashes) == 0 || since >= minCrashGap || key.Request != "" && r.RanFor <= since
-	if apart && !slices.Contains(s.crashes, r.Crash) && len(s.crashes) < poisonCrashesIfSound {
+	if apart && !slices.Contains(s.crashes, r.Crash) && len(s.crashes) < crashesToBlockIfSound {
 		s.crashes = append(s.crashes, r.Crash)
 		s.countedAt = now
 	}
 	return len(s.crashes)
 }
 
-// evictSuspect makes room for another suspect: of those with the fewest crashes, the one
-// whose last is the longest ago goes. Invented requests do not displace those that have ended
-// several upstreams.
-func (l *poisonList) evictSuspect() {
-	var weakest CrashSuspect
-	var found *suspected
-	for key, s := range l.suspects {
-		if found == nil || cmp.Or(cmp.Compare(len(s.crashes), len(found.crashes)), cmp.Compare(s.countedAt, found.countedAt)) < 0 {
-			weakest, found = key, s
-		}
+// evictSuspects makes room for other suspects: a quarter of them goes, those with the fewest
+// crashes, and of these the ones whose last is the longest ago. Invented requests do not
+// displace those that have ended several upstreams.
+func (l *suspectList) evictSuspects() {
+	keys := slices.Collect(maps.Keys(l.suspicions))
+	slices.SortFunc(keys, func(a, b CrashSuspect) int {
+		x, y := l.suspicions[a], l.suspicions[b]
+		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), cmp.Compare(x.countedAt, y.countedAt), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Service, b.Service))
+	})
+	for _, key := range keys[:(len(keys)+3)/4] {
+		delete(l.suspicions, key)
 	}
-	delete(l.suspects, weakest)
 }
 
 // retract records that an incarnation which counted as ended has answered: what broke off was
 // only a connection. It returns the suspects that are not blocked any more.
-func (l *poisonList) retract(crash EngineCrash) []CrashSuspect {
+func (l *suspectList) retract(crash EngineCrash) []CrashSuspect {
 	without := func(list []EngineCrash) []EngineCrash {
 		return slices.DeleteFunc(slices.Clone(list), func(c EngineCrash) bool { return c == crash })
 	}
-	for key, s := range l.suspects {
+	for key, s := range l.suspicions {
 		if s.crashes = without(s.crashes); len(s.crashes) == 0 {
-			delete(l.suspects, key)
+			delete(l.suspicions, key)
 		}
 	}
 	var unblocked []CrashSuspect
 	for key, b := range l.blocked {
 		if slices.Contains(b.crashes, crash) {
-			if b.crashes = without(b.crashes); len(b.crashes) < poisonCrashes {
+			if b.crashes = without(b.crashes); len(b.crashes) < crashesToBlock {
 				delete(l.blocked, key)
 				unblocked = append(unblocked, key)
 			}
@@ -240,8 +241,8 @@
 
 // crashesOf returns the ends of upstreams for which a suspect that is not blocked is held,
 // and when the last was counted.
-func (l *poisonList) crashesOf(now Instant, key CrashSuspect) ([]EngineCrash, Instant) {
-	s, ok := l.suspects[key]
+func (l *suspectList) crashesOf(now Instant, key CrashSuspect) ([]EngineCrash, Instant) {
+	s, ok := l.suspicions[key]
 	if !ok || now.Sub(s.countedAt) > suspectFor {
 		return nil, 0
 	}
@@ -249,7 +250,7 @@
 }
 
 // block blocks a suspect for at least a duration.
-func (l *poisonList) block(now Instant, key CrashSuspect, d time.Duration) {
+func (l *suspectList) block(now Instant, key CrashSuspect, d time.Duration) {
 	if l.blocked == nil {
 		l.blocked = map[CrashSuspect]*blockedSuspect{}
 	}
@@ -264,13 +265,13 @@
 	if until := now.Add(d); until > b.until {
 		b.until, b.blockedAt = until, now
 	}
-	delete(l.suspects, key)
+	delete(l.suspicions, key)
 	delete(l.sound, key)
 }
 
 // evictBlocked makes room for another blocked suspect and reports whether there is room: one
 // that is due for a trial, and has been for the longest time, goes.
-func (l *poisonList) evictBlocked(now Instant) bool {
+func (l *suspectList) evictBlocked(now Instant) bool {
 	var oldest CrashSuspect
 	var found *blockedSuspect
 	for key, b := range l.blocked {
@@ -286,7 +287,7 @@
 
 // extend blocks a suspect for longer if its trial has ended an upstream. Requests that were on
 // their way when it was blocked extend nothing.
-func (l *poisonList) extend(now Instant, key CrashSuspect, b *blockedSuspect) {
+func (l *suspectList) extend(now Instant, key CrashSuspect, b *blockedSuspect) {
 	if b.trialAt == 0 {
 		return
 	}
@@ -302,10 +303,10 @@
 // observeSound records a sound answer to a request, which began at the time begun, and
 // returns the suspects that were suspect or blocked until then. An answer that had begun
 // before a suspect was blocked says nothing about it.
-func (l *poisonList) observeSound(now, begun Instant, keys []CrashSuspect) []CrashSuspect {
+func (l *suspectList) observeSound(now, begun Instant, keys []CrashSuspect) []CrashSuspect {
 	var cleared []CrashSuspect
 	for _, key := range keys {
-		_, suspect := l.suspects[key]
+		_, suspect := l.suspicions[key]
 		b, blocked := l.blocked[key]
 		if blocked && begun <= b.blockedAt {
 			continue
@@ -313,7 +314,7 @@
 		if suspect || blocked {
 			cleared = append(cleared, key)
 		}
-		delete(l.suspects, key)
+		delete(l.suspicions, key)
 		delete(l.blocked, key)
 		if key.Part == "" {
 			// Whole requests are not remembered as sound: each one is another.
@@ -330,7 +331,7 @@
 // blocks returns for how long requests with the given suspects are rejected, and for which of
 // them; zero if they are not. One whose time has passed is due for a trial; it is rejected
 // unless mayTry allows this node to send one.
-func (l *poisonList) blocks(now Instant, keys []CrashSuspect, mayTry func(CrashSuspect) bool) (time.Duration, CrashSuspect) {
+func (l *suspectList) blocks(now Instant, keys []CrashSuspect, mayTry func(CrashSuspect) bool) (time.Duration, CrashSuspect) {
 	for _, key := range keys {
 		b, ok := l.blocked[key]
 		switch {
--- a/core/forward.go
+++ b/core/forward.go
@@ -131,8 +131,8 @@
 	// them and notifies peers of new ones.
 	lag    stateLag
 	spread stateSpread
-	// poison tells which requests end upstreams.
-	poison poisonList
+	// suspects tells which requests end upstreams.
+	suspects suspectList
 	// lastCrash is the latest end of an upstream that counts, and lastCrashAt when it was seen.
 	// Others that end at the same moment have a cause in common, such as connections that are
 	// reset.
--- a/core/held_back.go
+++ b/core/held_back.go
@@ -17,7 +17,7 @@
 	var crashes []EngineCrash
 	var last Instant
 	for _, key := range wholeRequest(f.spec.ID, f.Key) {
-		if c, at := s.poison.crashesOf(n.now, key); len(c) > len(crashes) {
+		if c, at := s.suspects.crashesOf(n.now, key); len(c) > len(crashes) {
 			crashes, last = c, at
 		}
 	}
