Block the part of a prompt beside the whole request that is on the same ends

Both are blocked now, if the part had no sound answer lately: then few other requests have it. TestPartIsBlockedBesideTheRequestThatComesAgain failed before.

--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -80,7 +80,7 @@
 		withoutPeerQuery,
 	}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
-		"core/crash_suspects.go", "	if most < threshold {\n", "	if most < threshold || true {\n",
+		"core/crash_suspects.go", "	for _, key := range blocked {\n", "	blocked = nil\n	for _, key := range blocked {\n",
 	}}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "whole-requests-not-suspected", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/prompt_start.go", "	if f.Key == \"\" || m.Step", "	if f.Key != \"\" || m.Step",
--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -107,7 +107,7 @@
 			s.lastCrash, s.lastCrashAt = r.Crash, n.now
 		}
 	}
-	if key, blocked := s.suspects.observeCrash(n.now, r).Get(); blocked {
+	for _, key := range s.suspects.observeCrash(n.now, r) {
 		s.suspectBlocked(n, key)
 	}
 }
--- a/core/crash_suspects.go
+++ b/core/crash_suspects.go
@@ -129,39 +129,47 @@
 	return s.Service == "" || s.Service == service
 }
 
-// observeCrash records that an upstream ended under a request. It returns the suspect that is
-// blocked by that, if any.
-func (l *suspectList) observeCrash(now Instant, r CrashReport) Option[CrashSuspect] {
+// observeCrash records that an upstream ended under a request, and returns the suspects that
+// are blocked by that: the worst part of its prompt, the whole request, or both, as long as
+// nothing tells which of them is the cause.
+func (l *suspectList) observeCrash(now Instant, r CrashReport) []CrashSuspect {
 	for _, key := range suspectsOf(r.Service, r.Parts, r.Request) {
 		if b, ok := l.blocked[key]; ok {
 			l.extend(now, key, b)
-			return None[CrashSuspect]()
+			return nil
 		}
 	}
 	threshold, candidates := crashesToBlock, l.unproven(now, r.Service, r.Parts)
 	if len(candidates) == 0 {
 		threshold, candidates = crashesToBlockIfSound, suspectsOf(r.Service, r.Parts, "")
 	}
-	worst, most := CrashSuspect{}, 0
+	part, most := CrashSuspect{}, 0
 	for _, key := range candidates {
 		if n := l.suspect(now, key, r); n >= most {
-			worst, most = key, n
+			part, most = key, n
 		}
 	}
+	whole, wholeMost := CrashSuspect{}, 0
 	for _, key := range wholeRequest(r.Service, r.Request) {
-		if n := l.suspect(now, key, r); n >= max(most, crashesToBlock) {
-			worst, most, threshold = key, n, crashesToBlock
+		if n := l.suspect(now, key, r); n >= wholeMost {
+			whole, wholeMost = key, n
 		}
 	}
-	if most < threshold {
-		return None[CrashSuspect]()
+	var blocked []CrashSuspect
+	if most >= threshold {
+		blocked = append(blocked, part)
 	}
-	crashes := l.suspicions[worst].crashes
-	l.block(now, worst, minBlock)
-	if b, ok := l.blocked[worst]; ok {
-		b.crashes = crashes
+	if wholeMost >= crashesToBlock {
+		blocked = append(blocked, whole)
 	}
-	return Some(worst)
+	for _, key := range blocked {
+		crashes := l.suspicions[key].crashes
+		l.block(now, key, minBlock)
+		if b, ok := l.blocked[key]; ok {
+			b.crashes = crashes
+		}
+	}
+	return blocked
 }
 
 // unproven returns the parts on which there was no sound answer lately.
--- a/core/crash_suspects_test.go
+++ b/core/crash_suspects_test.go
@@ -183,3 +183,18 @@
 		}
 	}
 }
+
+// A request with a part that ends engines comes again, and is on all three ends. The part is
+// blocked with it: it was left until a fourth engine ended.
+func TestPartIsBlockedBesideTheRequestThatComesAgain(t *testing.T) {
+	is := is.New(t)
+	h := newEngineNode()
+	for i := range 3 {
+		h.advance(200 * time.Millisecond)
+		h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Crashes: []core.CrashReport{{
+			Service: "model", Parts: []core.PromptPart{"deadly"}, Request: "again", RanFor: 50 * time.Millisecond,
+			Crash: core.EngineCrash{Engine: core.EngineID(fmt.Sprint("e", i)), Born: 1},
+		}}}})
+	}
+	is.True(h.rejected(promptTo(1, "deadly")))
+}
