Take signals from the start of the process

The handler was set after the settings were read and the components built; it is set first now. What remains is the start of the runtime.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -111,6 +111,10 @@
 
 // runHosted runs the daemon on the platform and returns the exit code.
 func runHosted(check bool, disabled core.Set[core.Mechanism]) int {
+	// A signal that arrives while the process starts must not end it.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	path := os.Getenv(platform.SettingsVariable)
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -127,7 +131,7 @@
 	limitMemory(s)
 	h, closeHosted := openHosted(s, raw, disabled)
 	defer closeHosted()
-	return h.run(path)
+	return h.run(path, signals)
 }
 
 // openHosted builds the components of a hosted daemon; run opens the
@@ -358,10 +362,7 @@
 
 // run serves until a signal to stop or a fatal error, and returns the exit code.
 // path is the settings file, which is reloaded when it changes and at SIGHUP.
-func (h *hosted) run(path string) int {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (h *hosted) run(path string, signals <-chan os.Signal) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	h.watcher.Prepare()
