Take signals until the process has exited

The log shows Stopped and the next Started, so the SIGHUP came between the end of a stop and the exit: the handler had been taken out, and the default ended the process as a failure. The handler stays now.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -111,10 +111,10 @@
 
 // runHosted runs the daemon on the platform and returns the exit code.
 func runHosted(check bool, disabled core.Set[core.Mechanism]) int {
-	// A signal that arrives while the process starts must not end it.
+	// A signal that arrives while the process starts or exits must not end it, so the handler
+	// comes first and stays.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	path := os.Getenv(platform.SettingsVariable)
 	raw, err := os.ReadFile(path)
 	if err != nil {
