--- a/core/upstream_limit_world_test.go
+++ b/core/upstream_limit_world_test.go
@@ -212,9 +212,16 @@
 // The owner of a limited group freezes and wakes again, so that others place its requests
 // meanwhile and both do for a moment. The limit held per owner, and both used all of it.
 func TestLimitsHoldWhileOwnersChange(t *testing.T) {
-	for seed := range uint64(4) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			w := limitedWorld(8, seed+1)
+	for seed := range uint64(5) {
+		nodes := 8
+		if seed == 4 {
+			nodes = 82
+		}
+		t.Run(fmt.Sprintf("%d nodes, seed %d", nodes, seed), func(t *testing.T) {
+			if testing.Short() && nodes > 8 {
+				t.Skip("the race detector takes long for this size")
+			}
+			w := limitedWorld(nodes, seed+1)
 			w.run(4 * time.Second)
 			owner := core.NodeID("")
 			for id, count := range w.placers() {
