--- a/core/deadly_request_test.go
+++ b/core/deadly_request_test.go
@@ -340,3 +340,16 @@
 	}
 	is.True(blocked)
 }
+
+// Many callers send the same request to a service of two upstreams, and one of them loses a
+// connection. The request was kept from the other upstream for seconds.
+func TestOneLostConnectionDoesNotHoldBackARequest(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2")
+	runs := commandsOf[core.RunForward](h.deliver(keyed(1, "popular")))
+	again := commandsOf[core.RunForward](h.deliver(core.StepFailed{
+		ID: 1, Send: runs[0].Send, Engine: runs[0].Engine, Step: core.RunStep, BrokenOff: true,
+	}))
+	is.Equal(len(again), 1)
+	is.Equal(len(commandsOf[core.RunForward](h.deliver(keyed(2, "popular")))), 1)
+}
--- a/core/held_back.go
+++ b/core/held_back.go
@@ -10,6 +10,10 @@
 // from the last sound one: an upstream that ended is back after some seconds.
 const heldBackFor = 5 * time.Second
 
+// minHeldBackCrashes is how many upstreams have to end under a request before it is held back.
+// One end may be a lost connection, and many callers may send the same request.
+const minHeldBackCrashes = 2
+
 // heldBack returns for how long a request must not run, because it is suspected of having
 // ended upstreams and would run at the last sound one of its service. Its other requests
 // would have none if the suspicion is right.
@@ -22,7 +26,7 @@
 		}
 	}
 	left := last.Add(heldBackFor).Sub(n.now)
-	if len(crashes) == 0 || left <= 0 {
+	if len(crashes) < minHeldBackCrashes || left <= 0 {
 		return 0, nil
 	}
 	_, engine := f.spec.Engine.Get()
