Log and measure how old a node's proof of its desired state is, and silent links

Nothing told a node that is up to date from one that nobody reaches: neither logs a line. No decision depends on either yet.

--- a/core/addresses.go
+++ b/core/addresses.go
@@ -203,6 +203,9 @@
 			Node: m.node, Incarnation: m.incarnation, Status: m.reportedStatus(), ConfigOffset: m.configOffset,
 		})
 	}
+	if proof := n.stateProof(); proof.Number > 0 {
+		s.ProofAge = Some(proof.Age)
+	}
 	s.Limits = n.forward.upstreams.limits()
 	s.Suspects, s.Blocked = len(n.forward.suspects.suspicions), len(n.forward.suspects.blocked)
 	for _, u := range n.members.upstreams() {
--- a/core/forward.go
+++ b/core/forward.go
@@ -131,6 +131,8 @@
 	// them and notifies peers of new ones.
 	lag    stateLag
 	spread stateSpread
+	// proof is the latest proof that no later version existed.
+	proof stateProof
 	// suspects tells which requests end upstreams.
 	suspects suspectList
 	// lastCrash is the latest end of an upstream that counts, and lastCrashAt when it was seen.
--- a/core/hosted_peers.go
+++ b/core/hosted_peers.go
@@ -58,15 +58,20 @@
 // of and lacks, or zero.
 func (n *Node) knownStateOffset() Offset { return Offset(n.forward.lag.latest()) }
 
-// handleStateOffset handles the state offset of a peer, and the one that it lacks: this node gets a later version,
-// and queries the peer for the list of upstreams if it has none.
-func (n *Node) handleStateOffset(from NodeID, offset, known Offset) {
+// stateProof returns a hosted node's proof that its desired state is the latest.
+func (n *Node) stateProof() StateProof { return n.forward.proof.message(n) }
+
+// handleStateOffset handles the state offset of a peer, the one that it lacks and its proof:
+// this node gets a later version, and queries the peer for the list of upstreams if it has
+// none.
+func (n *Node) handleStateOffset(from NodeID, offset, known Offset, proof StateProof) {
 	if !n.Hosted {
 		n.config.handlePeerOffset(n, from, offset)
 		return
 	}
 	s := &n.forward
 	s.observeStateVersion(n, from, int64(offset), int64(max(offset, known)))
+	s.proof.adopt(n, int64(offset), proof)
 	if offset > 0 && !s.upstreams.loaded && (s.listQueriedAt == 0 || n.now.Sub(s.listQueriedAt) >= listQueryEvery) {
 		s.listQueriedAt = n.now
 		s.spread.sendQuery(n, from, StateQuery{Upstreams: true})
--- a/core/membership_detector.go
+++ b/core/membership_detector.go
@@ -78,7 +78,7 @@
 func (d *detector) sendHeartbeat(n *Node, to NodeID) uint64 {
 	d.sequence++
 	n.send(to, Heartbeat{
-		Sequence: d.sequence, Updates: n.members.updatesFor(n, to), ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(),
+		Sequence: d.sequence, Updates: n.members.updatesFor(n, to), ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(), Proof: n.stateProof(),
 	})
 	return d.sequence
 }
@@ -137,11 +137,11 @@
 
 func (s *members) handleHeartbeat(n *Node, from NodeID, m Heartbeat) {
 	s.applyUpdates(n, m.Updates)
-	n.handleStateOffset(from, m.ConfigOffset, m.KnownOffset)
+	n.handleStateOffset(from, m.ConfigOffset, m.KnownOffset, m.Proof)
 	s.recordConfigOffset(from, m.ConfigOffset)
 	n.send(from, HeartbeatAck{
 		Sequence: m.Sequence, OnBehalfOf: m.OnBehalfOf, Updates: s.updatesFor(n, from),
-		ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(), Spare: n.spare(),
+		ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(), Proof: n.stateProof(), Spare: n.spare(),
 	})
 }
 
@@ -153,7 +153,7 @@
 		n.send(m.OnBehalfOf, m)
 		return
 	}
-	n.handleStateOffset(from, m.ConfigOffset, m.KnownOffset)
+	n.handleStateOffset(from, m.ConfigOffset, m.KnownOffset, m.Proof)
 	s.recordAck(from, m)
 }
 
@@ -187,7 +187,7 @@
 func (s *members) handleHeartbeatRequest(n *Node, from NodeID, m HeartbeatRequest) {
 	n.send(m.Target, Heartbeat{
 		Sequence: m.Sequence, OnBehalfOf: from,
-		Updates: s.updatesFor(n, m.Target), ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(),
+		Updates: s.updatesFor(n, m.Target), ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(), Proof: n.stateProof(),
 	})
 }
 
--- a/core/node.go
+++ b/core/node.go
@@ -88,6 +88,7 @@
 	if n.Hosted {
 		n.feed.start(n)
 		n.forward.spread.start(n)
+		n.forward.proof.start(n)
 		n.forward.startReports(n)
 		n.roles.start(n)
 		n.dispatcher.start(n)
@@ -198,6 +199,8 @@
 		n.forward.applyDesiredState(n, m)
 	case StateTransferBegan:
 		n.forward.spread.storeAt, n.forward.spread.receiving = n.now, true
+	case StateConfirmed:
+		n.forward.proof.confirm(n, m.Age)
 	case UpstreamSignal:
 		n.forward.upstreams.handleSignal(n, m)
 	case StoreEraObserved:
--- a/core/peer.go
+++ b/core/peer.go
@@ -39,6 +39,8 @@
 	ConfigOffset Offset
 	// KnownOffset is the latest offset that the sender knows of, if it lacks it, else zero.
 	KnownOffset Offset
+	// Proof is the sender's proof that its desired state is the latest.
+	Proof StateProof
 }
 
 // HeartbeatAck answers a Heartbeat.
@@ -47,8 +49,9 @@
 	OnBehalfOf   NodeID
 	Updates      []MemberUpdate
 	ConfigOffset Offset
-	// KnownOffset is as in Heartbeat.
+	// KnownOffset and Proof are as in Heartbeat.
 	KnownOffset Offset
+	Proof       StateProof
 	// Spare is the free fraction of the node's request capacity.
 	Spare float64
 }
--- /dev/null
+++ b/core/state_proof.go
@@ -0,0 +1,98 @@
+package core
+
+import "time"
+
+const (
+	// proofCheckFraction is the period, as a fraction of StateDelay, at which a node checks
+	// how old its proof is, and overdueProofFraction the age at which it counts as overdue.
+	proofCheckFraction   = 0.05
+	overdueProofFraction = 1
+)
+
+// StateProof says that no version of the desired state later than the sender's existed Age
+// before the message was sent. Proofs are numbered, so that one that was passed on many times
+// is not taken for a new one. A Number of zero stands for none.
+type StateProof struct {
+	Number uint64
+	Age    time.Duration
+}
+
+// StateConfirmed reports that the store has answered a read of the desired state, after all
+// versions in the answer were sent to the core. The answer was Age old at most.
+type StateConfirmed struct{ Age time.Duration }
+
+func (StateConfirmed) isMessage() {}
+
+// stateProof is this node's latest proof that its desired state is the latest one. Proofs come
+// from reads of the store, and spread with heartbeats.
+type stateProof struct {
+	number uint64
+	// at is the instant to which the proof applies; zero without one.
+	at Instant
+	// overdue is set while the proof is overdue, since overdueAt.
+	overdue   bool
+	overdueAt Instant
+}
+
+// start schedules the checks. It sets a new timer each time because StateDelay may change.
+func (p *stateProof) start(n *Node) {
+	n.afterFunc(fractionOf(n.Settings.StateDelay, proofCheckFraction), func(n *Node) {
+		p.check(n)
+		p.start(n)
+	})
+}
+
+// message returns the proof for other nodes.
+func (p *stateProof) message(n *Node) StateProof {
+	if p.number == 0 {
+		return StateProof{}
+	}
+	return StateProof{Number: p.number, Age: n.now.Sub(p.at)}
+}
+
+// confirm handles an answer of the store.
+func (p *stateProof) confirm(n *Node, age time.Duration) {
+	if !n.forward.stateKnown || n.forward.lag.behind() {
+		return
+	}
+	p.number++
+	p.renew(n, n.now.Add(-age))
+}
+
+// adopt handles the proof of a peer whose state has the given version. It also holds for a
+// later version, but not for an earlier one.
+func (p *stateProof) adopt(n *Node, version int64, m StateProof) {
+	known := n.forward.stateKnown && version > 0 && version <= n.forward.state.Version
+	if !known || n.forward.lag.behind() || m.Number <= p.number || m.Age < 0 {
+		return
+	}
+	p.number = m.Number
+	p.renew(n, n.now.Add(-m.Age))
+}
+
+// renew sets the instant to which the proof applies, which never moves back.
+func (p *stateProof) renew(n *Node, at Instant) {
+	p.at = max(p.at, at)
+	if p.overdue && !p.olderThan(n, overdueProofFraction) {
+		p.overdue = false
+		n.do(LogDecision{Decision: Decision{
+			At: n.now, Node: n.Self.ID, Step: "confirmed", Version: n.forward.state.Version, Waited: n.now.Sub(p.overdueAt),
+		}})
+	}
+}
+
+// olderThan reports whether the proof is older than a fraction of StateDelay.
+func (p *stateProof) olderThan(n *Node, fraction float64) bool {
+	return n.now.Sub(p.at) > fractionOf(n.Settings.StateDelay, fraction)
+}
+
+// check logs when the proof becomes overdue.
+func (p *stateProof) check(n *Node) {
+	if !n.forward.stateKnown || p.overdue || !p.olderThan(n, overdueProofFraction) {
+		return
+	}
+	p.overdue, p.overdueAt = true, n.now
+	n.do(LogDecision{Decision: Decision{
+		At: n.now, Node: n.Self.ID, Step: "unconfirmed", Version: n.forward.state.Version, Waited: n.now.Sub(p.at),
+	}})
+}
--- a/core/status.go
+++ b/core/status.go
@@ -24,6 +24,9 @@
 	// Suspects is how many parts of prompts and whole requests are suspected of ending
 	// upstreams, and Blocked how many are rejected for it.
 	Suspects, Blocked int
+	// ProofAge is how old a hosted node's proof is that its desired state is the latest; None
+	// without one.
+	ProofAge Option[time.Duration]
 	// Checks and Violations count invariant checks and violations by Promise.
 	Checks     [9]uint64
 	Violations [9]uint64
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -22,6 +22,7 @@
 	m.setGauge("crash_suspects_blocked", float64(s.Blocked))
 	m.setMembers(s)
 	m.setLimits(s.Limits)
+	m.setProofAge(s.ProofAge)
 	m.setAllocations(s)
 	m.setInvariants(s)
 	m.setTargets(s.Profiles)
@@ -46,6 +47,15 @@
 	m.setGauge("config_lag_offsets", float64(lag))
 }
 
+// setProofAge sets how old the proof is that the desired state is the latest; -1 without one.
+func (m *Metrics) setProofAge(age core.Option[time.Duration]) {
+	seconds := -1.0
+	if age, ok := age.Get(); ok {
+		seconds = age.Seconds()
+	}
+	m.setGauge("desired_state_proof_age_seconds", seconds)
+}
+
 // setLimits sets the limits that upstreams have named, in requests a second. The gauge of an
 // upstream whose limit has ended is set to -1, as no upstream names it.
 func (m *Metrics) setLimits(limits []core.LimitStatus) {
--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -22,6 +22,7 @@
 	// used is set once a message has been sent on the stream.
 	used      bool
 	closeConn func()
+	prober    *prober
 }
 
 // run sends the queued messages until the link is closed or idle for
@@ -68,11 +69,13 @@
 		return err
 	}
 	m := core.PeerMessage{From: l.transport.Self, Incarnation: l.transport.Incarnation, Body: body}
-	if n, err := wire.WriteFrame(partWriter{stream: l.stream, timeout: l.transport.Limits.WriteTimeout}, m); err != nil {
+	n, err := wire.WriteFrame(partWriter{stream: l.stream, timeout: l.transport.Limits.WriteTimeout}, m)
+	if err != nil {
 		l.disconnect()
 		return &SendError{To: l.to, Message: fmt.Sprintf("%T", body), Written: n, Cause: err}
 	}
 	l.used = true
+	l.prober.sent(n)
 	return nil
 }
 
@@ -156,6 +159,7 @@
 		return err
 	}
 	l.stream = stream
+	l.prober = &prober{session: session, timeout: l.transport.Limits.WriteTimeout, answeredAt: time.Now(), silent: l.transport.silent(l.to)}
 	return nil
 }
 
@@ -166,5 +170,6 @@
 	}
 	l.closeConn = nil
 	l.stream = nil
+	l.prober = nil
 	l.used = false
 }
--- a/daisyshed/peer/transport.go
+++ b/daisyshed/peer/transport.go
@@ -105,6 +105,11 @@
 	return true
 }
 
+// silent returns a function that reports that the connection to a node is silent.
+func (t *Transport) silent(to core.NodeID) func(after time.Duration) {
+	return func(after time.Duration) { t.Meter.PeerFault(&SilentError{To: to, After: after}) }
+}
+
 // Close closes all links and connections.
 func (t *Transport) Close() {
 	t.mu.Lock()
--- a/daisyshed/store/renewal.go
+++ b/daisyshed/store/renewal.go
@@ -15,7 +15,10 @@
 	mu        sync.Mutex
 	cancel    context.CancelFunc
 	receiving bool
-	begun     time.Time
+	// begun is when the current read began, and answeredAt when the store last began to
+	// answer one.
+	begun      time.Time
+	answeredAt time.Time
 	// latest is set if the next read is to return the newest record of each key.
 	latest bool
 }
@@ -43,7 +46,17 @@
 func (r *renewal) received() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.receiving = true
+	r.receiving, r.answeredAt = true, time.Now()
+}
+
+// receivedAt returns when the store last began to answer a read; zero if it is not known.
+func (r *renewal) receivedAt() time.Time {
+	if r == nil {
+		return time.Time{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answeredAt
 }
 
 // renew ends the current read, and reports whether it did. It does not while a response
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -90,6 +90,8 @@
 	// snapshot is set if records holds the newest record of every key, rather than
 	// changes.
 	snapshot bool
+	// asOf is a time at which the store had no later records.
+	asOf time.Time
 }
 
 // follow reads a topic repeatedly until ctx ends.
@@ -127,12 +129,13 @@
 func (w *Watcher) read(ctx context.Context, t *topic) (update, error) {
 	known := w.era.latest()
 	if !t.listed || t.era != known {
+		began := time.Now()
 		p, err := w.Store.ReadLatest(ctx, t.name)
 		if err != nil {
 			return update{}, err
 		}
 		t.listed, t.from, t.era = true, p.Next, max(p.Era, known)
-		return update{records: p.Records, snapshot: true}, nil
+		return update{records: p.Records, snapshot: true, asOf: began}, nil
 	}
 	p, err := w.Store.Read(ctx, t.name, t.from, t.wait)
 	switch {
@@ -146,7 +149,11 @@
 		return w.read(ctx, t)
 	}
 	t.from = p.Next
-	return update{records: p.Records}, nil
+	u := update{records: p.Records}
+	if !p.More {
+		u.asOf = t.renewal.receivedAt()
+	}
+	return u, nil
 }
 
 // readFailed records a failed read. It logs the first one of an outage and reports
@@ -168,9 +175,10 @@
 	}
 }
 
-// applyDesired sends new desired states to the core. One that cannot be decoded is
-// logged and ignored.
+// applyDesired sends new desired states to the core, and then up to when there was no later
+// one. One that cannot be decoded is logged and ignored.
 func (w *Watcher) applyDesired(u update) {
+	complete := !u.asOf.IsZero()
 	for _, r := range u.records {
 		if r.Key != platform.DesiredKey || len(r.Value) == 0 {
 			continue
@@ -178,6 +186,7 @@
 		d, err := platform.DecodeDesired(r.Value, r.Offset)
 		if err != nil {
 			w.Log.Error().Str("Event", "Unreadable").Int64("Offset", int64(r.Offset)).Err(err).Send()
+			complete = false
 			continue
 		}
 		if d.Encoded, err = CompressState(r.Value); err != nil {
@@ -185,6 +194,9 @@
 		}
 		w.SendToCore(d)
 	}
+	if complete {
+		w.SendToCore(core.StateConfirmed{Age: time.Since(u.asOf)})
+	}
 }
 
 // nodesApplier returns a function that applies updates to a list of the nodes and
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -17,6 +17,7 @@
 			Updates:      list(t, "updates", memberUpdate),
 			ConfigOffset: offset(t, "config"),
 			KnownOffset:  offset(t, "known"),
+			Proof:        core.StateProof{Number: rapid.Uint64().Draw(t, "proof"), Age: duration(t, "age")},
 		}
 	},
 	"HeartbeatAck": func(t *rapid.T) core.PeerBody {
@@ -26,6 +27,7 @@
 			Updates:      list(t, "updates", memberUpdate),
 			ConfigOffset: offset(t, "config"),
 			KnownOffset:  offset(t, "known"),
+			Proof:        core.StateProof{Number: rapid.Uint64().Draw(t, "proof"), Age: duration(t, "age")},
 			Spare:        rapid.Float64().Draw(t, "spare"),
 		}
 	},
--- a/wire/peer/convert_member.go
+++ b/wire/peer/convert_member.go
@@ -1,6 +1,10 @@
 package peer
 
-import "daisyshed.dev/core"
+import (
+	"time"
+
+	"daisyshed.dev/core"
+)
 
 func fromMemberUpdate(u core.MemberUpdate) *MemberUpdate {
 	return &MemberUpdate{
@@ -31,6 +35,18 @@
 	return out, nil
 }
 
+// fromStateProof returns nil for no proof.
+func fromStateProof(p core.StateProof) *StateProof {
+	if p == (core.StateProof{}) {
+		return nil
+	}
+	return &StateProof{Number: p.Number, AgeNanos: int64(p.Age)}
+}
+
+func toStateProof(p *StateProof) core.StateProof {
+	return core.StateProof{Number: p.GetNumber(), Age: time.Duration(p.GetAgeNanos())}
+}
+
 func fromHeartbeat(b core.Heartbeat) *Heartbeat {
 	return &Heartbeat{
 		Sequence:     b.Sequence,
@@ -38,6 +54,7 @@
 		Updates:      convertAll(b.Updates, fromMemberUpdate),
 		ConfigOffset: int64(b.ConfigOffset),
 		KnownOffset:  int64(b.KnownOffset),
+		Proof:        fromStateProof(b.Proof),
 	}
 }
 
@@ -52,6 +69,7 @@
 		Updates:      updates,
 		ConfigOffset: core.Offset(b.GetConfigOffset()),
 		KnownOffset:  core.Offset(b.GetKnownOffset()),
+		Proof:        toStateProof(b.GetProof()),
 	}, nil
 }
 
@@ -62,6 +80,7 @@
 		Updates:      convertAll(b.Updates, fromMemberUpdate),
 		ConfigOffset: int64(b.ConfigOffset),
 		KnownOffset:  int64(b.KnownOffset),
+		Proof:        fromStateProof(b.Proof),
 		Spare:        b.Spare,
 	}
 }
@@ -77,6 +96,7 @@
 		Updates:      updates,
 		ConfigOffset: core.Offset(b.GetConfigOffset()),
 		KnownOffset:  core.Offset(b.GetKnownOffset()),
+		Proof:        toStateProof(b.GetProof()),
 		Spare:        b.GetSpare(),
 	}, nil
 }
