--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -113,7 +114,9 @@
 	peerLoss  float64
 	// states holds the desired states by offset, and applied the instants at which each
 	// node has applied a version.
-	states  map[core.Offset]core.DesiredState
+	states map[core.Offset]core.DesiredState
+	// store is the store's desired state; nil if the world delivers states itself.
+	store   *worldStore
 	applied map[int64]map[core.NodeID]core.Instant
 	steps   map[core.EngineID]int
 	// leasesCount makes calls that reserve memory count as requests for limits.
@@ -143,6 +146,8 @@
 	closedAt core.Instant
 	// addresses is the node's last answer to an address query.
 	addresses []core.NodeAddress
+	// unreached nodes get nothing from peers and reach none.
+	unreached bool
 	// placed counts the requests that the node has placed for others, as an owner.
 	placed int
 }
@@ -152,6 +157,8 @@
 	slots                              int
 	without                            core.Set[core.Mechanism]
 	seed                               uint64
+	// stateDelay is the nodes' StateDelay; zero for the default.
+	stateDelay time.Duration
 }
 
 func newHostedWorld(o worldOptions) *hostedWorld {
@@ -183,6 +190,7 @@
 	settings := core.DefaultSettings()
 	settings.Retries = core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
 	settings.Grace = leaveGrace
+	settings.StateDelay = cmp.Or(o.stateDelay, settings.StateDelay)
 	for i, info := range list.Nodes {
 		w.nodes = append(w.nodes, &worldNode{w: w, node: &core.Node{
 			Self: info, Incarnation: 1, Seed: o.seed + uint64(i), Settings: settings, Hosted: true, DisabledMechanisms: o.without,
@@ -312,6 +320,8 @@
 			d.Source = core.StateFromPeer
 			n.deliverAfter(0, d)
 		}
+	case core.RenewStateRead:
+		n.renewRead()
 	case core.LogDecision:
 		n.recordApplied(c.Decision)
 	case core.ReadInstances:
