Replace links between nodes that are silent

Callers were served by old versions: after all established connections had gone silent, no message between nodes arrived any more.

A connection that answers none within the write timeout, and the time for what was sent before at 256 KiB/s, is closed, and all other links are probed at once, so that a node whose connections are all silent has new ones after a second. The connection on which a node sent before is closed once it sends on another: silent ones would pile up for two minutes each.

TestSilentConnectionIsReplaced and TestSilentConnectionHasTheOthersChecked failed before.

--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"daisyshed.dev/core"
@@ -22,7 +23,7 @@
 	// used is set once a message has been sent on the stream.
 	used      bool
 	closeConn func()
-	prober    *prober
+	prober    atomic.Pointer[prober]
 }
 
 // run sends the queued messages until the link is closed or idle for
@@ -75,7 +76,7 @@
 		return &SendError{To: l.to, Message: fmt.Sprintf("%T", body), Written: n, Cause: err}
 	}
 	l.used = true
-	l.prober.sent(n)
+	l.prober.Load().sent(n)
 	return nil
 }
 
@@ -123,6 +124,13 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Cause }
 
+// check probes the link's connection, if it has one. It is safe for concurrent use.
+func (l *link) check() {
+	if p := l.prober.Load(); p != nil {
+		p.check()
+	}
+}
+
 // connect opens a connection and a stream on it, unless one is open.
 func (l *link) connect() error {
 	if l.stream != nil {
@@ -159,7 +167,9 @@
 		return err
 	}
 	l.stream = stream
-	l.prober = &prober{session: session, timeout: l.transport.Limits.WriteTimeout, answeredAt: time.Now(), silent: l.transport.silent(l.to)}
+	l.prober.Store(&prober{
+		session: session, timeout: l.transport.Limits.WriteTimeout, answeredAt: time.Now(), silent: l.transport.replaceSilent(l.to, conn),
+	})
 	return nil
 }
 
@@ -170,6 +180,6 @@
 	}
 	l.closeConn = nil
 	l.stream = nil
-	l.prober = nil
+	l.prober.Store(nil)
 	l.used = false
 }
--- a/daisyshed/peer/serve.go
+++ b/daisyshed/peer/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"daisyshed.dev/core"
 	wire "daisyshed.dev/wire/peer"
 	"github.com/hashicorp/yamux"
 )
@@ -47,7 +48,7 @@
 		t.Meter.PeerFault(&NoStreamError{Cause: err})
 		return
 	}
-	if err := t.receive(stream, check); !errors.Is(err, io.EOF) {
+	if err := t.receive(conn, stream, check); !errors.Is(err, io.EOF) {
 		t.Meter.PeerFault(err)
 	}
 }
@@ -55,8 +56,10 @@
 // receive passes the messages of a stream to t.Receive until the stream ends, or
 // until a message names a sender that the connection's certificate does not
 // allow.
-func (t *Transport) receive(stream *yamux.Stream, check identityCheck) error {
+func (t *Transport) receive(conn net.Conn, stream *yamux.Stream, check identityCheck) error {
 	frames := bufio.NewReader(stream)
+	var sender core.NodeID
+	defer func() { t.forgetIncoming(sender, conn) }()
 	for {
 		// The deadline is twice the sender's idle timeout, so that the sender
 		// closes an idle connection first.
@@ -70,10 +73,38 @@
 		if err := check(m.From); err != nil {
 			return err
 		}
+		if m.From != sender {
+			sender = m.From
+			t.supersedeIncoming(sender, conn)
+		}
 		t.Receive(m)
 	}
 }
 
+// supersedeIncoming closes the connection on which a node sent messages before, as it sends on
+// one at a time: it may be silent, and would stay open until its deadline. What it still
+// carries has WriteTimeout to arrive.
+func (t *Transport) supersedeIncoming(from core.NodeID, conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.incoming == nil {
+		t.incoming = map[core.NodeID]net.Conn{}
+	}
+	if old := t.incoming[from]; old != nil && old != conn {
+		time.AfterFunc(t.Limits.WriteTimeout, func() { _ = old.Close() })
+	}
+	t.incoming[from] = conn
+}
+
+// forgetIncoming forgets the connection of a node unless another one has superseded it.
+func (t *Transport) forgetIncoming(from core.NodeID, conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.incoming[from] == conn {
+		delete(t.incoming, from)
+	}
+}
+
 // NoStreamError reports that no stream was opened on a connection to the peer
 // port.
 type NoStreamError struct{ Cause error }
--- a/daisyshed/peer/silence.go
+++ b/daisyshed/peer/silence.go
@@ -73,21 +73,32 @@
 // what was sent before it.
 func (p *prober) probe(unproven int) {
 	began := time.Now()
-	patience := p.timeout + time.Duration(unproven)*time.Second/minLinkRate
+	answered := make(chan error, 1)
+	go func() { answered <- p.ping() }()
+	timer := time.NewTimer(p.timeout + time.Duration(unproven)*time.Second/minLinkRate)
+	defer timer.Stop()
+	select {
+	case err := <-answered:
+		if err != nil {
+			// The session is closed.
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.probing, p.answeredAt = false, time.Now()
+		p.unproven -= unproven
+	case <-timer.C:
+		p.silent(time.Since(began))
+	}
+}
+
+// ping sends pings until one is answered or the session is closed. yamux waits for an answer
+// for a time that does not depend on what was sent before.
+func (p *prober) ping() error {
 	for {
 		_, err := p.session.Ping()
-		switch {
-		case err == nil:
-			p.mu.Lock()
-			p.probing, p.answeredAt = false, time.Now()
-			p.unproven -= unproven
-			p.mu.Unlock()
-			return
-		case p.session.IsClosed():
-			return
-		case time.Since(began) >= patience:
-			p.silent(time.Since(began))
-			return
+		if err == nil || p.session.IsClosed() {
+			return err
 		}
 	}
 }
--- a/daisyshed/peer/transport.go
+++ b/daisyshed/peer/transport.go
@@ -29,10 +29,12 @@
 	TLS    *mutualtls.Source
 	Limits Limits
 
-	mu     sync.Mutex
-	links  map[core.NodeID]*link
-	conns  map[net.Conn]struct{}
-	closed bool
+	mu    sync.Mutex
+	links map[core.NodeID]*link
+	conns map[net.Conn]struct{}
+	// incoming is the connection on which each node sends.
+	incoming map[core.NodeID]net.Conn
+	closed   bool
 }
 
 // Limits bounds a transport's queues and waiting times.
@@ -105,9 +107,20 @@
 	return true
 }
 
-// silent returns a function that reports that the connection to a node is silent.
-func (t *Transport) silent(to core.NodeID) func(after time.Duration) {
-	return func(after time.Duration) { t.Meter.PeerFault(&SilentError{To: to, After: after}) }
+// replaceSilent returns a function that closes a silent connection to a node, so that the next
+// message opens a new one. Whatever silenced it may have silenced others, so that all links
+// are probed.
+func (t *Transport) replaceSilent(to core.NodeID, conn net.Conn) func(after time.Duration) {
+	return func(after time.Duration) {
+		t.Meter.PeerFault(&SilentError{To: to, After: after})
+		// The connection is not used again, so an error of Close does not matter.
+		_ = conn.Close()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for _, l := range t.links {
+			l.check()
+		}
+	}
 }
 
 // Close closes all links and connections.
--- a/daisyshed/peer/transport_silent_test.go
+++ b/daisyshed/peer/transport_silent_test.go
@@ -75,6 +75,35 @@
 	return c.Conn.Close()
 }
 
+// mutedConns are the connections of a transport that can be muted.
+type mutedConns struct {
+	mu       sync.Mutex
+	switches []*muteSwitch
+}
+
+// muteable makes the connections that a opens muteable.
+func (p *pair) muteable() *mutedConns {
+	m := &mutedConns{}
+	p.a.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := p.dial(ctx, address)
+		s := &muteSwitch{done: make(chan struct{})}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.switches = append(m.switches, s)
+		return mutedConn{Conn: c, muted: s}, err
+	}
+	return m
+}
+
+// muteAll mutes the connections that were opened so far.
+func (m *mutedConns) muteAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.switches {
+		s.mute()
+	}
+}
+
 // A link's connection goes silent for good in both directions, again and again. Messages were
 // written to it for as long as its buffers took them, and none arrived.
 func TestSilentConnectionIsReplaced(t *testing.T) {
@@ -85,18 +114,13 @@
 		p := newPair()
 		defer p.close()
 		p.a.Limits.WriteTimeout, p.b.Limits.WriteTimeout = 500*time.Millisecond, 500*time.Millisecond
-		var current *muteSwitch
-		p.a.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			c, err := p.dial(ctx, address)
-			current = &muteSwitch{done: make(chan struct{})}
-			return mutedConn{Conn: c, muted: current}, err
-		}
+		m := p.muteable()
 		send := func() { p.a.Enqueue("b", "addr", core.Heartbeat{Sequence: 1}) }
 		send()
 		<-p.inbox
 		for range 3 {
 			time.Sleep(time.Second)
-			current.mute()
+			m.muteAll()
 			began := time.Now()
 			arrived := false
 			for !arrived && time.Since(began) < silentBound {
@@ -122,21 +146,13 @@
 		p := newPair()
 		defer p.close()
 		p.a.Limits.WriteTimeout, p.b.Limits.WriteTimeout = 500*time.Millisecond, 500*time.Millisecond
-		var all []*muteSwitch
-		p.a.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			c, err := p.dial(ctx, address)
-			s := &muteSwitch{done: make(chan struct{})}
-			all = append(all, s)
-			return mutedConn{Conn: c, muted: s}, err
-		}
+		m := p.muteable()
 		for _, to := range []core.NodeID{"b", "c", "d"} {
 			p.a.Enqueue(to, "addr", core.Heartbeat{Sequence: 1})
 			<-p.inbox
 		}
 		time.Sleep(time.Second)
-		for _, s := range all {
-			s.mute()
-		}
+		m.muteAll()
 		p.a.Enqueue("b", "addr", core.Heartbeat{Sequence: 2})
 		time.Sleep(silentBound)
 		for _, to := range []core.NodeID{"c", "d"} {
