Renew reads of the store by the age of the node's own proof

A node renews its read once its proof that no later version existed is older than 0.55 to 0.75 of StateDelay, drawn anew each time, whoever reaches it. The renewed read has a new connection and does not wait, so that a store without news proves that as well. The first of the readers of the upstreams renews after 0.2 and sends its proof along with the changes that it sends to all nodes; the renewal by readers alone is gone.

--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -35,6 +35,12 @@
 	File: "core/state_query.go", Old: "		s.sendQuery(n, s.holder, StateQuery{})\n", New: "",
 }
 
+// withoutOwnRenewal makes nodes renew their reads of the desired state only if a peer reaches
+// them.
+var withoutOwnRenewal = Edit{
+	File: "core/state_proof.go", Old: "		n.do(RenewStateRead{Latest: n.forward.lag.behind()})\n", New: "",
+}
+
 // Hosted lists the mutants of the hosted daemon.
 var Hosted = []HostedMutant{
 	{Rule: "REFUSED", Mutant: Mutant{Name: "unproven-rejection-relayed", Promise: core.NotRunTrue, Edits: []Edit{{
@@ -72,7 +78,7 @@
 	}}}},
 	{Rule: "CONFIG", Mutant: Mutant{Name: "hung-reads-stay", Promise: core.ConfigurationMonotone, Edits: []Edit{
 		{"core/state_renewal.go", "		n.do(RenewStateRead{Latest: behind})\n", ""},
-		{"core/state_renewal.go", "			n.do(RenewStateRead{})\n", ""},
+		withoutOwnRenewal,
 		withoutPeerQuery,
 	}}},
 	{Rule: "CONFIG", Mutant: Mutant{Name: "whole-transfer-bounded", Promise: core.ConfigurationMonotone, Edits: []Edit{
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -78,6 +78,9 @@
 	Offset  Offset
 	Changed []Instance
 	Removed []EngineID
+	// ConfigOffset and Proof are as in Heartbeat.
+	ConfigOffset Offset
+	Proof        StateProof
 }
 
 // InstancesQuery asks a node for the changes after an offset of an era of the store. A
@@ -260,7 +263,9 @@
 		s.read(n)
 	}
 	if forward {
-		n.broadcast(InstancesChanged{Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed})
+		n.broadcast(InstancesChanged{
+			Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed, ConfigOffset: n.stateOffset(), Proof: n.stateProof(),
+		})
 	}
 }
 
@@ -326,6 +331,7 @@
 // is expensive, and while many nodes do so, all of them fall further behind. Changes of
 // another era than the list's do not apply to it.
 func (s *instanceFeed) handleChanges(n *Node, from NodeID, m InstancesChanged) {
+	n.forward.proof.adopt(n, int64(m.ConfigOffset), m.Proof)
 	if !s.loaded {
 		return
 	}
--- a/core/state_proof.go
+++ b/core/state_proof.go
@@ -1,12 +1,25 @@
 package core
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// proofCheckFraction is the period, as a fraction of StateDelay, at which a node checks
 	// how old its proof is, and overdueProofFraction the age at which it counts as overdue.
 	proofCheckFraction   = 0.05
 	overdueProofFraction = 1
+	// minRenewFraction and maxRenewFraction bound the age at which a node renews its read of
+	// the store. Each node draws its own, so that the proof of the first that reads reaches
+	// most of the others before they read too.
+	minRenewFraction = 0.55
+	maxRenewFraction = 0.75
+	// readerRenewFraction is the same for the first of the readers of the upstreams, which sends
+	// its proof to all nodes with the changes that it reads.
+	readerRenewFraction = 0.2
+	// proofStream is the stream of random numbers that stateProof draws from.
+	proofStream = 1<<32 + 1
 )
 
 // StateProof says that no version of the desired state later than the sender's existed Age
@@ -27,6 +40,11 @@
 // from reads of the store, and spread with heartbeats.
 type stateProof struct {
 	number uint64
+	rng    *rand.Rand
+	// renewFraction is the age, as a fraction of StateDelay, at which this node next renews
+	// its read. renewedAt is when it last did.
+	renewFraction float64
+	renewedAt     Instant
 	// at is the instant to which the proof applies; zero without one.
 	at Instant
 	// overdue is set while the proof is overdue, since overdueAt.
@@ -34,11 +52,22 @@
 	overdueAt Instant
 }
 
-// start schedules the checks. It sets a new timer each time because StateDelay may change.
 func (p *stateProof) start(n *Node) {
+	p.rng = rand.New(rand.NewPCG(n.Seed, proofStream))
+	p.drawRenewal()
+	p.scheduleCheck(n)
+}
+
+func (p *stateProof) drawRenewal() {
+	p.renewFraction = minRenewFraction + p.rng.Float64()*(maxRenewFraction-minRenewFraction)
+}
+
+// scheduleCheck schedules the next check. It sets a new timer each time because StateDelay may
+// change.
+func (p *stateProof) scheduleCheck(n *Node) {
 	n.afterFunc(fractionOf(n.Settings.StateDelay, proofCheckFraction), func(n *Node) {
 		p.check(n)
-		p.start(n)
+		p.scheduleCheck(n)
 	})
 }
 
@@ -72,7 +101,10 @@
 
 // renew sets the instant to which the proof applies, which never moves back.
 func (p *stateProof) renew(n *Node, at Instant) {
-	p.at = max(p.at, at)
+	if at > p.at {
+		p.at = at
+		p.drawRenewal()
+	}
 	if p.overdue && !p.olderThan(n, overdueProofFraction) {
 		p.overdue = false
 		n.do(LogDecision{Decision: Decision{
@@ -86,9 +118,27 @@
 	return n.now.Sub(p.at) > fractionOf(n.Settings.StateDelay, fraction)
 }
 
-// check logs when the proof becomes overdue.
+// renewalDue reports whether the read of the store is to be renewed.
+func (p *stateProof) renewalDue(n *Node) bool {
+	fraction := p.renewFraction
+	if p.olderThan(n, readerRenewFraction) && n.readerRank() == 0 {
+		fraction = readerRenewFraction
+	}
+	renewed := p.renewedAt != 0 && n.now.Sub(p.renewedAt) < fractionOf(n.Settings.StateDelay, fraction)
+	return p.olderThan(n, fraction) && !renewed
+}
+
+// check renews the read of the store when the proof is old, whether or not a peer reaches this
+// node, and logs when the proof becomes overdue.
 func (p *stateProof) check(n *Node) {
-	if !n.forward.stateKnown || p.overdue || !p.olderThan(n, overdueProofFraction) {
+	if !n.forward.stateKnown {
+		return
+	}
+	if p.renewalDue(n) {
+		p.renewedAt = n.now
+		n.do(RenewStateRead{Latest: n.forward.lag.behind()})
+	}
+	if p.overdue || !p.olderThan(n, overdueProofFraction) {
 		return
 	}
 	p.overdue, p.overdueAt = true, n.now
--- a/core/state_proof_test.go
+++ b/core/state_proof_test.go
@@ -196,15 +196,19 @@
 func TestProofsOfPeersSaveReadsOfTheStore(t *testing.T) {
 	is := is.New(t)
 	const nodes, seconds = 82, 20
-	w := newHostedWorld(worldOptions{nodes: nodes, plain: 1, slots: 6, seed: 3, stateDelay: stateDelay})
-	s := w.openStore()
-	w.slowLinks()
-	w.run(5 * time.Second)
-	s.confirmations = 0
-	w.run(seconds * time.Second)
-	t.Logf("%.1f reads a second of %d nodes", float64(s.confirmations)/seconds, nodes)
-	// Half of what it takes if each node reads for itself within StateDelay.
-	is.True(s.confirmations < nodes*seconds/int(stateDelay/time.Second)/2)
+	for _, slow := range []bool{false, true} {
+		w := newHostedWorld(worldOptions{nodes: nodes, plain: 1, slots: 6, seed: 3, stateDelay: stateDelay})
+		s := w.openStore()
+		if slow {
+			w.slowLinks()
+		}
+		w.run(5 * time.Second)
+		s.confirmations = 0
+		w.run(seconds * time.Second)
+		t.Logf("slow messages %t: %.1f reads a second of %d nodes", slow, float64(s.confirmations)/seconds, nodes)
+		// Half of what it takes if each node reads for itself within StateDelay.
+		is.True(s.confirmations < nodes*seconds/int(stateDelay/time.Second)/2)
+	}
 }
 
 // A proof that is passed on again and again, with delays, must not count as a new one.
--- a/core/state_spread.go
+++ b/core/state_spread.go
@@ -21,18 +21,18 @@
 	stateQueryGrace = 50 * time.Millisecond
 	// These are fractions of StateDelay, within which a new version must be in force: how
 	// long a response of the store may take to arrive, and an answer of a peer, before a
-	// peer is queried again; after which time without a response the read of the store
-	// counts as hung; and the period at which the readers renew a waiting read.
+	// peer is queried again; and after which time without a response the read of the store
+	// counts as hung.
 	stateTransferFraction = 0.25
 	stateRenewFraction    = 0.2
-	stateReaderFraction   = 0.5
 )
 
 // StateTransferBegan reports that the store has begun to answer a read of the desired state.
 type StateTransferBegan struct{}
 
 // RenewStateRead ends a read of the desired state that waits for a later version, and reads
-// again. If Latest is set, there is a later version, and the newest one is read.
+// again on another connection. The new read does not wait. If Latest is set, there is a later
+// version, and the newest one is read.
 type RenewStateRead struct{ Latest bool }
 
 func (StateTransferBegan) isMessage() {}
@@ -70,7 +70,6 @@
 
 func (s *stateSpread) start(n *Node) {
 	s.rng = rand.New(rand.NewPCG(n.Seed, spreadStream))
-	s.scheduleRenewal(n)
 }
 
 // notify sends heartbeats, which name the latest version that this node knows of, to a few
--- a/daisyshed/store/renewal.go
+++ b/daisyshed/store/renewal.go
@@ -19,22 +19,34 @@
 	// answer one.
 	begun      time.Time
 	answeredAt time.Time
-	// latest is set if the next read is to return the newest record of each key.
-	latest bool
+	// next says how the next read differs from one that waits for later records.
+	next readMode
 }
 
-// begin returns the context of the next read, whether it is to return the newest record of
-// each key, and a function to call at its end. A nil renewal renews nothing.
-func (r *renewal) begin(ctx context.Context) (_ context.Context, latest bool, end func()) {
+// readMode is how a read is made.
+type readMode int
+
+const (
+	// waitingRead waits for records after the last one.
+	waitingRead readMode = iota
+	// promptRead returns the records after the last one, and does not wait if there are none.
+	promptRead
+	// latestRead returns the newest record of each key.
+	latestRead
+)
+
+// begin returns the context of the next read, its mode, and a function to call at its end. A
+// nil renewal renews nothing.
+func (r *renewal) begin(ctx context.Context) (_ context.Context, mode readMode, end func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	if r == nil {
-		return ctx, false, cancel
+		return ctx, waitingRead, cancel
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	latest, r.latest = r.latest, false
+	mode, r.next = r.next, waitingRead
 	r.cancel, r.receiving, r.begun = cancel, false, time.Now()
-	return ctx, latest, func() {
+	return ctx, mode, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.cancel = nil
@@ -61,22 +73,28 @@
 
 // renew ends the current read, and reports whether it did. It does not while a response
 // arrives, nor before the read is minAge old: a store that is slow must get to answer.
-func (r *renewal) renew(latest bool, minAge time.Duration) bool {
+func (r *renewal) renew(mode readMode, minAge time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cancel == nil || r.receiving || time.Since(r.begun) < minAge {
 		return false
 	}
-	r.latest = latest
+	r.next = mode
 	r.cancel()
 	return true
 }
 
 // RenewDesired renews the read of the desired state unless its response has begun to
-// arrive. If latest is set, the newest state is read, else a later one than the last. It
-// does not block.
+// arrive. If latest is set, the newest state is read, else a later one than the last, without
+// waiting for it. The new read has a new connection: what silenced that of the read may have
+// silenced idle ones. It does not block.
 func (w *Watcher) RenewDesired(latest bool) {
-	if w.desiredRenewal.renew(latest, w.Store.Timeout) && latest {
+	mode := promptRead
+	if latest {
+		mode = latestRead
+	}
+	w.Store.HTTP.CloseIdleConnections()
+	if w.desiredRenewal.renew(mode, w.Store.Timeout) && latest {
 		w.Log.Warn().Str("Event", "ReadHung").Str("Topic", string(platform.Desired)).Send()
 	}
 }
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -48,6 +48,7 @@
 	announced      chan struct{}
 	announceAgain  chan struct{}
 	desiredRenewal renewal
+	nodesRenewal   renewal
 	// outage cancels waiting reads once the store has recovered, since they may
 	// wait on connections that broke during the outage.
 	outage outage
@@ -58,7 +59,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	go w.keepAnnounced(ctx)
 	go w.follow(ctx, &topic{name: platform.Desired, wait: desiredReadWait, apply: w.applyDesired, renewal: &w.desiredRenewal})
-	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesReadWait, pause: nodesReadPause, endPause: w.announced, apply: w.nodesApplier()})
+	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesReadWait, pause: nodesReadPause, endPause: w.announced, apply: w.nodesApplier(), renewal: &w.nodesRenewal})
 }
 
 // topic is a topic of the store with the progress of reading it.
@@ -99,11 +100,15 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		read, done := w.outage.untilRecovery(ctx)
-		read, latest, end := t.renewal.begin(read)
-		if latest {
+		read, mode, end := t.renewal.begin(read)
+		wait := t.wait
+		switch mode {
+		case promptRead:
+			wait = 0
+		case latestRead:
 			t.listed = false
 		}
-		u, err := w.read(read, t)
+		u, err := w.read(read, t, wait)
 		ended := read.Err() != nil
 		end()
 		done()
@@ -117,6 +122,11 @@
 			continue
 		}
 		w.readSucceeded(t)
+		if mode == promptRead && len(u.records) > 0 && t.name == platform.Desired {
+			// The read before had not returned them, so that the nodes' read may hang too.
+			w.Log.Warn().Str("Event", "ReadHung").Str("Topic", string(platform.Desired)).Send()
+			w.nodesRenewal.renew(promptRead, w.Store.Timeout)
+		}
 		backoff = minBackoff
 		t.apply(u)
 		sleepWithJitter(ctx, t.pause, t.endPause)
@@ -126,7 +136,7 @@
 // read reads the newest record of each key first, and then the records after the
 // last read. It starts over if the store has compacted those, or was restored from a
 // copy: then the offset may be that of another record.
-func (w *Watcher) read(ctx context.Context, t *topic) (update, error) {
+func (w *Watcher) read(ctx context.Context, t *topic, wait time.Duration) (update, error) {
 	known := w.era.latest()
 	if !t.listed || t.era != known {
 		began := time.Now()
@@ -137,16 +147,16 @@
 		t.listed, t.from, t.era = true, p.Next, max(p.Era, known)
 		return update{records: p.Records, snapshot: true, asOf: began}, nil
 	}
-	p, err := w.Store.Read(ctx, t.name, t.from, t.wait)
+	p, err := w.Store.Read(ctx, t.name, t.from, wait)
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		t.listed = false
 		w.Log.Info().Str("Event", "Compacted").Str("Topic", string(t.name)).Int64("Offset", int64(t.from)).Send()
-		return w.read(ctx, t)
+		return w.read(ctx, t, wait)
 	case err != nil:
 		return update{}, err
 	case p.Era > t.era:
-		return w.read(ctx, t)
+		return w.read(ctx, t, wait)
 	}
 	t.from = p.Next
 	u := update{records: p.Records}
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -66,7 +66,8 @@
 	"InstancesChanged": func(t *rapid.T) core.PeerBody {
 		return core.InstancesChanged{
 			After: offset(t, "after"), Era: era(t, "era"), Offset: offset(t, "offset"), Changed: list(t, "changed", instance),
-			Removed: list(t, "removed", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "id") }),
+			Removed: list(t, "removed", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "id") }), ConfigOffset: offset(t, "config"),
+			Proof: core.StateProof{Number: rapid.Uint64().Draw(t, "proof"), Age: duration(t, "age")},
 		}
 	},
 	"RolesOrdered": func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -72,7 +72,7 @@
 	return &InstancesChanged{
 		After: int64(b.After), Era: int64(b.Era), Offset: int64(b.Offset),
 		Changed: convertAll(b.Changed, fromInstance),
-		Removed: convertAll(b.Removed, func(id core.EngineID) string { return string(id) }),
+		Removed: convertAll(b.Removed, func(id core.EngineID) string { return string(id) }), ConfigOffset: int64(b.ConfigOffset), Proof: fromStateProof(b.Proof),
 	}
 }
 
@@ -84,7 +84,8 @@
 	return core.InstancesChanged{
 		After: core.Offset(b.GetAfter()),
 		Era:   core.StoreEra(b.GetEra()), Offset: core.Offset(b.GetOffset()), Changed: list,
-		Removed: convertAll(b.GetRemoved(), func(id string) core.EngineID { return core.EngineID(id) }),
+		Removed: convertAll(b.GetRemoved(), func(id string) core.EngineID { return core.EngineID(id) }), ConfigOffset: core.Offset(b.GetConfigOffset()),
+		Proof: toStateProof(b.GetProof()),
 	}, nil
 }
 
