Answer 503 for unknown routes once the state is not known to be the latest

Only a node that knew of a later version answered 503.

A node answers 404 only while its proof that no later version existed is younger than StateDelay. Then no route can be missing that was confirmed longer than StateDelay ago. While the store is away for all, callers of unknown routes get 503 with Retry-After from the end of StateDelay on; known routes are served as before.

TestRouteIsNotDeniedByAnUnconfirmedState failed before.

--- a/core/forward.go
+++ b/core/forward.go
@@ -197,8 +197,8 @@
 		return
 	}
 	route, ok := s.routes.find(m.Host, m.Path)
-	if !ok && s.lag.behind() {
-		// The later version may have the route.
+	if !ok && !s.knowsLatest(n) {
+		// A later version may have the route.
 		s.reject(n, f, StaleConfiguration, retryAfter(f.Patience, n.rng.Float64()))
 		return
 	}
--- a/core/state_lag.go
+++ b/core/state_lag.go
@@ -110,6 +110,12 @@
 	return fractionOf(n.Settings.StateDelay, staleStateFraction)
 }
 
+// knowsLatest reports whether no later version of the desired state is known, and the proof
+// that there is none is not overdue.
+func (s *forwards) knowsLatest(n *Node) bool {
+	return !s.lag.behind() && !s.proof.olderThan(n, overdueProofFraction)
+}
+
 // servesState reports whether requests may be served by this node's desired state.
 func (s *forwards) servesState(n *Node) bool {
 	return s.stateKnown && !s.lag.stale(n.now, n.staleStateLimit())
