A node that is cut off from the store and from all peers says that it is not ready

Such a node takes all others for dead, so that its directory names itself alone and draws all callers that ask it, by a state that it cannot bring up to date. After StaleAfter (15 s) without proof of its state and without a message of any peer, though others are listed, it is not ready, and its directory answers nobody. It goes on to serve callers that come: it cannot tell whether others are better off, and a store that is away for all must not end service. Nodes that hear of each other stay ready.

TestNodeCutOffFromStoreAndPeersIsNotReady failed before; TestNodesStayReadyWhileTheStoreIsAway guards the other side.

--- a/core/hosted_addresses.go
+++ b/core/hosted_addresses.go
@@ -44,7 +44,17 @@
 
 // ready reports whether a hosted node may accept requests: it knows a desired state that
 // it may serve by, and the list of upstreams.
-func (n *Node) ready() bool { return n.forward.servesState(n) && n.forward.upstreams.loaded }
+func (n *Node) ready() bool {
+	return n.forward.servesState(n) && n.forward.upstreams.loaded && !n.cutOff()
+}
+
+// cutOff reports whether this node has been without proof of its desired state, and without a
+// message of any peer, for StaleAfter. It cannot tell then whether callers are better off
+// elsewhere, so that it serves those that come but names itself to nobody.
+func (n *Node) cutOff() bool {
+	alone := n.now.Sub(n.members.heardAt) > n.Settings.StaleAfter && len(n.members.byID) > 0
+	return alone && n.now.Sub(n.forward.proof.at) > n.Settings.StaleAfter
+}
 
 // addLeaving adds the leaving nodes that still accept callers. It is used when all
 // nodes are leaving.
--- a/core/membership.go
+++ b/core/membership.go
@@ -69,6 +69,8 @@
 	pendingUpdates []pendingUpdate
 	// sequence orders the updates that this node sends about itself.
 	sequence uint64
+	// heardAt is when the last message of another node came, or when this one started.
+	heardAt Instant
 	// discoveryDone is set once this node should have learned of every live node.
 	discoveryDone bool
 
@@ -89,6 +91,7 @@
 	s.byID = map[NodeID]*member{}
 	s.listed = map[NodeID]NodeInfo{}
 	s.own, s.ownIncarnation = n.Self.ID, n.Incarnation
+	s.heardAt = n.now
 	n.afterFunc(unknownGrace, func(*Node) { s.discoveryDone = true })
 	s.detector.start(n)
 	s.list.start(n)
@@ -98,6 +101,9 @@
 // messageReceived records that an incarnation of a node has sent a message. It
 // clears a suspicion of that incarnation, and a later one replaces the earlier.
 func (s *members) messageReceived(n *Node, id NodeID, incarnation Incarnation) {
+	if id != n.Self.ID {
+		s.heardAt = n.now
+	}
 	m, ok := s.byID[id]
 	if !ok || incarnation < m.incarnation {
 		return
--- a/core/state_proof.go
+++ b/core/state_proof.go
@@ -134,6 +134,7 @@
 	if !n.forward.stateKnown {
 		return
 	}
+	n.forward.updateReady(n)
 	if p.renewalDue(n) {
 		p.renewedAt = n.now
 		n.do(RenewStateRead{Latest: n.forward.lag.behind()})
