Owners query placements that were held for longer than usual

Callers were rejected for seconds after connections had gone silent: a release that is lost on such a connection left its place occupied at the owner for a minute.

An owner asks the entry about placements that are older than four objectives (0.5 s at least), and again each time that their age has doubled; the entry names those that it does not hold. TestLostReleasesDoNotOccupyUpstreams failed before: all requests were rejected after four losses of a second, none now.

--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -36,6 +36,8 @@
 	prefill EngineID
 	waiting bool
 	addedAt Instant
+	// queryAge is the age at which the entry is queried next whether it holds the job.
+	queryAge time.Duration
 	// placedAt is when the job was placed. prefillIdle says that its prefill
 	// engine had no other prompt then.
 	placedAt    Instant
@@ -91,6 +93,7 @@
 	d.returns = map[DispatchGroup]*returnSchedule{}
 	d.placers = map[DispatchGroup]*limitPlacers{}
 	n.every(jobTTL/4, func(n *Node) { d.evictStale(n) })
+	n.every(queryCheckEvery, func(n *Node) { d.queryPlacements(n) })
 }
 
 func (d *dispatcher) allocation(id EngineID) *engineAllocation { return getOrCreate(d.allocations, id) }
--- a/core/node.go
+++ b/core/node.go
@@ -290,6 +290,10 @@
 		n.dispatcher.handleReleased(n, m.From, b)
 	case ForwardHeld:
 		n.dispatcher.handleHeld(n, m.From, b)
+	case PlacementsQuery:
+		n.forward.handlePlacementsQuery(n, m.From, b)
+	case PlacementsEnded:
+		n.dispatcher.handlePlacementsEnded(n, m.From, b)
 	case ForwardQueued:
 		n.forward.handleQueued(m.From, b)
 	case ForwardPlaced:
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -44,7 +44,9 @@
 			PromptKey: core.PromptKey(rapid.Uint64().Draw(t, "prompted")), Attempt: text[string](t, "attempt"), Waited: duration(t, "waited"), Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
 		}
 	},
-	"ForwardQueued": func(t *rapid.T) core.PeerBody { return core.ForwardQueued{ID: forwardID(t)} },
+	"PlacementsQuery": func(t *rapid.T) core.PeerBody { return core.PlacementsQuery{IDs: list(t, "ids", forwardID)} },
+	"PlacementsEnded": func(t *rapid.T) core.PeerBody { return core.PlacementsEnded{IDs: list(t, "ids", forwardID)} },
+	"ForwardQueued":   func(t *rapid.T) core.PeerBody { return core.ForwardQueued{ID: forwardID(t)} },
 	"ForwardPlaced": func(t *rapid.T) core.PeerBody {
 		return core.ForwardPlaced{ID: forwardID(t), Decode: text[core.EngineID](t, "decode"), Prefill: text[core.EngineID](t, "prefill"), PrefillAtDecode: rapid.Bool().Draw(t, "at decode"), Memory: tokens(t, "memory")}
 	},
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -117,6 +117,14 @@
 	}
 }
 
+func fromPlacementIDs(ids []core.ForwardID) *PlacementIDs {
+	return &PlacementIDs{IDs: convertAll(ids, func(id core.ForwardID) uint64 { return uint64(id) })}
+}
+
+func toPlacementIDs(b *PlacementIDs) []core.ForwardID {
+	return convertAll(b.GetIDs(), func(id uint64) core.ForwardID { return core.ForwardID(id) })
+}
+
 func toForwardPlaced(b *ForwardPlaced) core.PeerBody {
 	return core.ForwardPlaced{
 		ID: core.ForwardID(b.GetID()), Decode: core.EngineID(b.GetDecode()), Prefill: core.EngineID(b.GetPrefill()),
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -77,6 +77,10 @@
 		return toKeyAnswer(b.KeyAnswer)
 	case *Envelope_PlaceForward:
 		return toPlaceForward(b.PlaceForward), nil
+	case *Envelope_PlacementsQuery:
+		return core.PlacementsQuery{IDs: toPlacementIDs(b.PlacementsQuery)}, nil
+	case *Envelope_PlacementsEnded:
+		return core.PlacementsEnded{IDs: toPlacementIDs(b.PlacementsEnded)}, nil
 	case *Envelope_ForwardQueued:
 		return core.ForwardQueued{ID: core.ForwardID(b.ForwardQueued.GetID())}, nil
 	case *Envelope_ForwardPlaced:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -77,6 +77,10 @@
 		e.Body = &Envelope_KeyAnswer{fromKeyAnswer(b)}
 	case core.PlaceForward:
 		e.Body = &Envelope_PlaceForward{fromPlaceForward(b)}
+	case core.PlacementsQuery:
+		e.Body = &Envelope_PlacementsQuery{fromPlacementIDs(b.IDs)}
+	case core.PlacementsEnded:
+		e.Body = &Envelope_PlacementsEnded{fromPlacementIDs(b.IDs)}
 	case core.ForwardQueued:
 		e.Body = &Envelope_ForwardQueued{&ForwardQueued{ID: uint64(b.ID)}}
 	case core.ForwardPlaced:
