Soak: connections that go silent for good, in series, beside changes of the state

The soak's proxies could silence only waiting reads of the store. Now links between nodes run through proxies too (--advertise-peer says at which address others reach a node), and nine tenths of all open connections to the store and between nodes are silenced for good, both ways, up to three times in a row, each time with a change of the desired state. Mutant silent-links-stay: links are not replaced, and reads renewed only if a peer reaches the node; not run yet.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -51,8 +51,8 @@
 	// one.
 	addressBlocks = 200
 	// The second parts of the loopback addresses of nodes, of the store with the nodes'
-	// links to it, and of workers with their links.
-	nodeNetwork, storeNetwork, workerNetwork = 21, 22, 23
+	// links to it, of workers with their links, and of the nodes' links to each other.
+	nodeNetwork, storeNetwork, workerNetwork, peerNetwork = 21, 22, 23, 24
 	// maxNodes bounds the daemons of a run, and maxWorkerAddresses is how many addresses
 	// workers share.
 	maxNodes, maxWorkerAddresses = 200, 200
@@ -98,14 +98,18 @@
 	mu      sync.Mutex
 	nodes   []*process
 	workers map[string]*workerHandle
-	// links are the nodes' links to the store, by node index.
+	// links are the nodes' links to the store, and peerLinks those on which other nodes reach
+	// them, by node index.
 	links      []*proxy
+	peerLinks  []*proxy
 	lastWorker int
 	// version is the latest version of the desired state. Only the goroutine that injects
 	// faults changes it.
 	version int
 	// published is the same for other goroutines.
 	published atomic.Int64
+	// silencedAt is when open connections were last silenced, in Unix nanoseconds.
+	silencedAt atomic.Int64
 	// addedRoutes is how many routes without requests the desired state has.
 	addedRoutes int
 	// peakMemory is the highest peak memory of a daemon in bytes.
@@ -208,6 +212,12 @@
 		}
 		d.links = append(d.links, link)
 		d.cleanups = append(d.cleanups, closeLink)
+		link, closeLink, err = openProxy(d.address(peerNetwork, i+1, peerPort), d.nodeAddress(i, peerPort))
+		if err != nil {
+			return err
+		}
+		d.peerLinks = append(d.peerLinks, link)
+		d.cleanups = append(d.cleanups, closeLink)
 		p := &process{index: i, ratio: initialRetryRatio}
 		if d.noRetries {
 			p.ratio = 0
@@ -391,7 +401,7 @@
 	if d.closed || p.running() {
 		return nil
 	}
-	cmd := exec.Command(d.bin, "--hosted")
+	cmd := exec.Command(d.bin, "--hosted", "--advertise-peer", d.address(peerNetwork, n, peerPort))
 	cmd.Env = append(os.Environ(), hostedsite.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
--- a/bench/hosted/proxy.go
+++ b/bench/hosted/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -149,6 +150,16 @@
 	}
 }
 
+// silence lets each open connection hang with a probability of share, for good and in both
+// directions. New connections work.
+func (p *proxy) silence(rng *rand.Rand, share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.usedAt {
+		p.hung[c] = p.hung[c] || rng.Float64() < share
+	}
+}
+
 // setFault sets the current fault of the link. linkReset takes effect once and
 // leaves the current fault as it was.
 func (p *proxy) setFault(f linkFault) {
--- a/bench/hosted/silence.go
+++ b/bench/hosted/silence.go
@@ -18,6 +18,10 @@
 	// end, for up to maxEndless.
 	endlessShare = 0.1
 	maxEndless   = 3 * time.Second
+	// silencedShare is the share of open connections that are silenced together, and
+	// maxSeverings how often in a row.
+	silencedShare = 0.9
+	maxSeverings  = 3
 )
 
 // silenceWorker makes a random worker silent.
@@ -68,6 +72,20 @@
 	}
 }
 
+// silenceConnections silences most open connections of nodes to the store and to each other,
+// and changes the desired state, again and again.
+func (d *deployment) silenceConnections() {
+	for range 1 + d.rng.IntN(maxSeverings) {
+		d.judge.beginDisturbance()()
+		for _, l := range append(append([]*proxy(nil), d.links...), d.peerLinks...) {
+			l.silence(d.rng, silencedShare)
+		}
+		d.silencedAt.Store(time.Now().UnixNano())
+		d.changeState()
+		time.Sleep(time.Duration(d.rng.Int64N(int64(silentFault))))
+	}
+}
+
 // sendEndlessBytes has a random worker send bytes without end instead of some answers.
 func (d *deployment) sendEndlessBytes() {
 	w, _ := d.randomRunningWorker()
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -184,7 +184,7 @@
 		"workers ended by prompts": d.beginDeadlyPrompts, "workers ended by requests": d.beginDeadlyRequests,
 		"worker silent": d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
 		"workers silent while state changes": d.changeStateWhileSilent, "node stopped while workers are silent": d.stopNodesWhileSilent,
-		"size of state changed": d.changeSizeOfState, "hung reads while state changed": d.changeStateWhileReadsHang,
+		"size of state changed": d.changeSizeOfState, "hung reads while state changed": d.changeStateWhileReadsHang, "connections silenced while state changed": d.silenceConnections,
 		"state changed": d.changeState, "state in series changed": d.changeStateInSeries,
 	}
 	if d.noRetries {
--- a/bench/hosted/state_force.go
+++ b/bench/hosted/state_force.go
@@ -46,9 +46,7 @@
 // and no link to the store, may have a fault meanwhile other than reads that hang. A version
 // whose route later ones have dropped is covered by their checks.
 func (d *deployment) checkInForce(version int) {
-	select {
-	case <-time.After(stateBound):
-	case <-d.done:
+	if !d.waitForBound(time.Now()) {
 		return
 	}
 	for i := range d.nodes {
@@ -62,6 +60,26 @@
 	}
 }
 
+// waitForBound waits until the bound has passed since a version was published and since
+// connections were last silenced. It returns false if the run ends before.
+func (d *deployment) waitForBound(published time.Time) bool {
+	for {
+		from := published
+		if silenced := time.Unix(0, d.silencedAt.Load()); silenced.After(from) {
+			from = silenced
+		}
+		left := time.Until(from.Add(stateBound))
+		if left <= 0 {
+			return true
+		}
+		select {
+		case <-time.After(left):
+		case <-d.done:
+			return false
+		}
+	}
+}
+
 // checkLatestInForce checks that every node serves by the latest version once all faults
 // have ended. A node also answers 503 when a worker has rejected a probe; one that lacks the
 // version answers so each time.
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -81,6 +81,10 @@
 		withoutOwnRenewal,
 		withoutPeerQuery,
 	}}},
+	{Rule: "CONFIG", Mutant: Mutant{Name: "silent-links-stay", Promise: core.ConfigurationMonotone, Edits: []Edit{
+		{"daisyshed/peer/transport.go", "		t.Meter.PeerFault(&SilentError{To: to, After: after})\n", "		if true {\n			return\n		}\n"},
+		withoutOwnRenewal,
+	}}},
 	{Rule: "CONFIG", Mutant: Mutant{Name: "whole-transfer-bounded", Promise: core.ConfigurationMonotone, Edits: []Edit{
 		{"platform/store_transfer.go", "func() { stall.Reset(s.Timeout) }", "func() {}"},
 		withoutPeerQuery,
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -80,6 +81,8 @@
 	settings platform.Settings
 	// settingsText is the content of the settings file when it was last parsed.
 	settingsText []byte
+	// advertisedPeer is the address at which other nodes reach this one.
+	advertisedPeer string
 	// disabled has the mechanisms that --without disables.
 	disabled core.Set[core.Mechanism]
 	// invalidRetryAfter logs the first invalid retry delay of an upstream, and invalidLimit
@@ -110,7 +113,7 @@
 }
 
 // runHosted runs the daemon on the platform and returns the exit code.
-func runHosted(check bool, disabled core.Set[core.Mechanism]) int {
+func runHosted(check bool, advertised string, disabled core.Set[core.Mechanism]) int {
 	// A signal that arrives while the process starts or exits must not end it, so the handler
 	// comes first and stays.
 	signals := make(chan os.Signal, 4)
@@ -129,7 +132,7 @@
 		return exitOK
 	}
 	limitMemory(s)
-	h, closeHosted := openHosted(s, raw, disabled)
+	h, closeHosted := openHosted(s, raw, advertised, disabled)
 	defer closeHosted()
 	return h.run(path, signals)
 }
@@ -137,9 +140,9 @@
 // openHosted builds the components of a hosted daemon; run opens the
 // listeners. The clean-up function closes the inbox, the connections to peers
 // and upstreams, the metrics and the log.
-func openHosted(s platform.Settings, raw []byte, disabled core.Set[core.Mechanism]) (*hosted, func()) {
+func openHosted(s platform.Settings, raw []byte, advertised string, disabled core.Set[core.Mechanism]) (*hosted, func()) {
 	started := time.Now()
-	h := &hosted{settings: s, settingsText: raw, disabled: disabled, serveErrors: make(chan error, 8), stopAccepting: make(chan struct{})}
+	h := &hosted{settings: s, settingsText: raw, advertisedPeer: cmp.Or(advertised, s.PeerAddress), disabled: disabled, serveErrors: make(chan error, 8), stopAccepting: make(chan struct{})}
 	writer, closeWriter := operator.NewLogWriter(os.Stdout, func(n int) { h.metrics.LinesDropped(n) })
 	h.log = zerolog.New(writer).With().Timestamp().Str("Node", string(s.Node)).Logger()
 	metrics, closeMetrics := operator.NewMetrics(func(err error) { h.log.Warn().Str("Event", "Fault").Err(err).Send() })
@@ -160,7 +163,7 @@
 func (h *hosted) self() core.NodeInfo {
 	s := h.settings
 	return core.NodeInfo{
-		ID: s.Node, Domain: s.Domain, Region: s.Region, PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
+		ID: s.Node, Domain: s.Domain, Region: s.Region, PeerAddress: h.advertisedPeer, CallerAddress: s.CallerAddress,
 	}
 }
 
--- a/daisyshed/main.go
+++ b/daisyshed/main.go
@@ -38,10 +38,11 @@
 )
 
 type options struct {
-	Settings string   `long:"settings" value-name:"FILE" description:"read settings from this YAML file"`
-	Hosted   bool     `long:"hosted" description:"run on the platform, with the settings file that DAISYSHED_SETTINGS names"`
-	Without  []string `long:"without" value-name:"MECHANISM" description:"with --hosted, leave a part of the placement out, to measure what it gives; may be repeated: OwnedGroups, ShortFirst, LearnedOutput, RoleChanges, KnownReturners, EarlyRefusal"`
-	Check    bool     `long:"check" description:"check the settings and exit"`
+	Settings  string   `long:"settings" value-name:"FILE" description:"read settings from this YAML file"`
+	Hosted    bool     `long:"hosted" description:"run on the platform, with the settings file that DAISYSHED_SETTINGS names"`
+	Without   []string `long:"without" value-name:"MECHANISM" description:"with --hosted, leave a part of the placement out, to measure what it gives; may be repeated: OwnedGroups, ShortFirst, LearnedOutput, RoleChanges, KnownReturners, EarlyRefusal"`
+	Advertise string   `long:"advertise-peer" value-name:"ADDRESS" description:"with --hosted, the address at which other nodes reach this one, if it is not the one that it listens on"`
+	Check     bool     `long:"check" description:"check the settings and exit"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -70,7 +71,7 @@
 		if err != nil {
 			return fail(err)
 		}
-		return runHosted(opts.Check, disabled)
+		return runHosted(opts.Check, opts.Advertise, disabled)
 	}
 	if opts.Settings == "" {
 		return fail(&MissingSettingsError{})
