Read the versions of engines' software and what callers resume; log both

Neither was read, so that no log told which versions a stream ran at. No decision depends on either yet.

--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -33,6 +33,9 @@
 	Patience time.Duration
 	// Generation is present for requests to model engines.
 	Generation Option[Generation]
+	// Resumes is present if the caller already has part of the answer, a stream. It is the
+	// caller's attempt that brought the first event; empty if the caller does not name it.
+	Resumes Option[string]
 }
 
 // Generation is the caller's description of what a model engine is to generate.
@@ -47,8 +50,6 @@
 	PromptKey PromptKey
 	// Parts are the parts of the prompt that other requests may share, in order.
 	Parts []PromptPart
-	// Resumed says that the caller already has part of the answer.
-	Resumed bool
 }
 
 // ForwardCallerDisconnected says that the connection of a request's caller is closed.
--- a/core/instance.go
+++ b/core/instance.go
@@ -20,6 +20,11 @@
 	successWeight = 0.1
 )
 
+// SoftwareVersion is the version of an upstream's software. Versions have no order. What two
+// versions write does not fit together, so that a stream goes on only at the version that began
+// it.
+type SoftwareVersion string
+
 // Instance is one incarnation of an upstream, as the store lists it.
 type Instance struct {
 	ID      EngineID
@@ -30,6 +35,8 @@
 	Born     int64
 	Slots    int
 	Draining bool
+	// Version is the version of the upstream's software; empty if it names none.
+	Version SoftwareVersion
 	// Role is Plain for upstreams that are not engines.
 	Role Role
 }
--- a/core/run_record.go
+++ b/core/run_record.go
@@ -84,13 +84,20 @@
 	return fmt.Sprintf("send %d, again after send %d at %s: %s", latest.number, before.number, before.engine, reason)
 }
 
-// describePlacer returns which node chose the upstream of the latest run, and the limit that
-// the upstream has named, if any, for the log.
+// describePlacer returns which node chose the upstream of the latest run, the upstream's
+// software version, what the request resumes, and the limit that the upstream has named, if
+// any, for the log.
 func (f *forwardedRequest) describePlacer() string {
 	text := ", chosen by this node"
 	if f.placer != "" {
 		text = ", placed by " + string(f.placer)
 	}
+	if f.decode.Version != "" {
+		text += ", version " + string(f.decode.Version)
+	}
+	if attempt, resumes := f.Resumes.Get(); resumes {
+		text += ", resumes " + attempt
+	}
 	if rate, ok := f.decode.limit().Get(); ok {
 		text += fmt.Sprintf(", limit %.3g/s", float64(rate))
 	}
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -224,7 +224,7 @@
 		ID: text[core.EngineID](t, "id"), Service: text[core.ServiceID](t, "service"),
 		Domain: text[core.DomainID](t, "domain"), Address: text[string](t, "address"),
 		Born: rapid.Int64().Draw(t, "born"), Slots: rapid.IntRange(0, 99).Draw(t, "slots"),
-		Draining: rapid.Bool().Draw(t, "draining"), Role: enum(t, "role", core.Plain),
+		Draining: rapid.Bool().Draw(t, "draining"), Role: enum(t, "role", core.Plain), Version: text[core.SoftwareVersion](t, "version"),
 	}
 }
 
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -29,7 +29,7 @@
 func fromInstance(i core.Instance) *Instance {
 	return &Instance{
 		ID: string(i.ID), Service: string(i.Service), Domain: string(i.Domain), Address: i.Address,
-		Born: i.Born, Slots: int64(i.Slots), Draining: i.Draining, Role: uint32(i.Role),
+		Born: i.Born, Slots: int64(i.Slots), Draining: i.Draining, Role: uint32(i.Role), Version: string(i.Version),
 	}
 }
 
@@ -42,7 +42,7 @@
 		}
 		out = append(out, core.Instance{
 			ID: core.EngineID(i.GetID()), Service: core.ServiceID(i.GetService()), Domain: core.DomainID(i.GetDomain()),
-			Address: i.GetAddress(), Born: i.GetBorn(), Slots: int(i.GetSlots()), Draining: i.GetDraining(), Role: role,
+			Address: i.GetAddress(), Born: i.GetBorn(), Slots: int(i.GetSlots()), Draining: i.GetDraining(), Role: role, Version: core.SoftwareVersion(i.GetVersion()),
 		})
 	}
 	return out, nil
