Bind streams to the software version that began them

No node knew which version began a stream (H1), and no placement regarded it, also within one answer (H2).

A stream is bound to the version that its engine had when it was sent there, from its first event on. All placements of it keep to that: after a break, beside a silent run, by the owner or alone. Unless one version alone can have begun any stream that callers may still resume, the node that relays the first event tells three nodes in different failure domains, chosen by a hash of the attempt; the hash finds them again when the caller resumes elsewhere. A stream whose version is not known, or has no engine left, is rejected at once, with no time to return: no later try can succeed, and the caller can begin anew. Resumed streams go before new ones of their rank. Prefill engines of the decode engine's version are preferred.

--- a/core/command.go
+++ b/core/command.go
@@ -76,6 +76,12 @@
 	CrashingPrompt
 	// CrashingRequest means that the request ends the upstreams that run it.
 	CrashingRequest
+	// StreamVersionUnknown means that it is not known which version of the upstreams' software
+	// began the stream that the caller resumes. It can only be begun anew.
+	StreamVersionUnknown
+	// StreamVersionGone means that no upstream of the version that began the stream is left. It
+	// can only be begun anew.
+	StreamVersionGone
 )
 
 // SendPeer sends a message to another node. Delivery is not guaranteed.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -26,7 +26,7 @@
 		queueEntry: queueEntry{
 			rank: m.Rank, arrived: n.now.Add(-m.Waited), latestOnTime: n.now.Add(m.OnTime), callerDeadline: n.now.Add(m.Patience), objective: m.Objective,
 		},
-		key: key, group: m.Group, prompt: m.Prompt, expected: m.Expected, promptKey: m.PromptKey, attempt: m.Attempt, firstArrived: n.now, sentBefore: m.Again, avoid: SetOf(m.Avoid...), maxPause: m.MaxPause,
+		key: key, group: m.Group, prompt: m.Prompt, expected: m.Expected, promptKey: m.PromptKey, attempt: m.Attempt, firstArrived: n.now, sentBefore: m.Again, avoid: SetOf(m.Avoid...), version: m.Version, maxPause: m.MaxPause,
 		waiting: true, addedAt: n.now,
 	}
 	d.recordLimitDemand(n, j.group)
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -31,6 +31,8 @@
 	memory     Tokens
 	sentBefore bool
 	avoid      Set[EngineID]
+	// version is the software version that the upstream must have; None for any.
+	version Option[SoftwareVersion]
 	// decode and prefill are the engines on which the job is allocated.
 	decode  EngineID
 	prefill EngineID
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -19,6 +19,10 @@
 		s.end(n, f, NoCapacity, quiet)
 		return
 	}
+	if s.versionGone(f) {
+		s.endWithoutVersion(n, f)
+		return
+	}
 	f.group = s.groupFor(n, f)
 	f.prefillAtDecode = false
 	owner := s.groupOwner(n, f.group)
@@ -34,7 +38,7 @@
 	n.send(owner, PlaceForward{
 		ID: f.placement, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
 		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective, MaxPause: f.route.MaxPause,
-		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Again: f.sends > 0, Avoid: s.unwanted(n, f),
+		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Version: f.version, Again: f.sends > 0, Avoid: s.unwanted(n, f),
 	})
 	step := f.step
 	n.afterFunc(ownerTimeout, func(n *Node) {
@@ -87,7 +91,7 @@
 		s.requestPlacement(n, f)
 		return
 	}
-	if !ok || !u.usable() || u.Service != f.spec.ID {
+	if !ok || !u.usable() || u.Service != f.spec.ID || !f.fits(u) {
 		s.releaseAtOwner(n, f)
 		s.placeLocally(n, f)
 		return
--- a/core/dispatch_group.go
+++ b/core/dispatch_group.go
@@ -50,7 +50,7 @@
 	for index := range groups {
 		group := DispatchGroup{Service: id, Index: index}
 		if point -= len(s.upstreams.byGroup[group]); point < 0 {
-			return s.openGroup(n, group)
+			return s.groupWithVersion(n, f, s.openGroup(n, group))
 		}
 	}
 	return DispatchGroup{Service: id}
--- a/core/dispatch_message.go
+++ b/core/dispatch_message.go
@@ -40,6 +40,8 @@
 	// no longer rejected for lack of time.
 	Again bool
 	Avoid []EngineID
+	// Version is the software version that the upstream must have; None for any.
+	Version Option[SoftwareVersion]
 }
 
 // ForwardQueued notifies an entry that its request is queued at the owner.
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -54,7 +54,7 @@
 			room -= c.overrunReserve(n, requests+1)
 		}
 		free := u.Slots == 0 || requests < u.Slots
-		return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room) && d.withinLimit(n, u, j.group)
+		return free && j.fits(u) && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room) && d.withinLimit(n, u, j.group)
 	}, func(u *upstream) float64 {
 		cost := float64(d.allocationOf(u).memory)
 		if u.Domain != domain {
@@ -83,6 +83,9 @@
 		if u.Domain != decode.Domain {
 			cost += remotePrefillCost
 		}
+		if u.Version != decode.Version {
+			cost += otherVersionPrefillCost
+		}
 		return cost
 	})
 	if prefill == nil && prefillEngines > 0 {
@@ -119,7 +122,7 @@
 		return requests / float64(max(u.Slots, 1)) / max(u.successRate*u.successRate, minSuccess)
 	}
 	u := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
-		return d.fits(n, u, j.memory, plainCapacity(u)) && d.withinLimit(n, u, j.group)
+		return j.fits(u) && d.fits(n, u, j.memory, plainCapacity(u)) && d.withinLimit(n, u, j.group)
 	}, cost)
 	if u == nil {
 		return noMemory
@@ -146,6 +149,12 @@
 	return ""
 }
 
+// fits reports whether an upstream has the version that a job needs.
+func (j *dispatchJob) fits(u *upstream) bool {
+	version, bound := j.version.Get()
+	return !bound || u.Version == version
+}
+
 // fits reports whether an upstream has room for a job, by the allocation table.
 func (d *dispatcher) fits(n *Node, u *upstream, need, room Tokens) bool {
 	b := d.allocationOf(u)
--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -69,11 +69,13 @@
 	_ = x[CallerClosed-19]
 	_ = x[CrashingPrompt-20]
 	_ = x[CrashingRequest-21]
+	_ = x[StreamVersionUnknown-22]
+	_ = x[StreamVersionGone-23]
 }
 
-const _RejectionReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachableAlreadyAnsweredNoRouteDeadlinePassedCallerClosedCrashingPromptCrashingRequest"
+const _RejectionReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachableAlreadyAnsweredNoRouteDeadlinePassedCallerClosedCrashingPromptCrashingRequestStreamVersionUnknownStreamVersionGone"
 
-var _RejectionReason_index = [...]uint16{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181, 196, 203, 217, 229, 243, 258}
+var _RejectionReason_index = [...]uint16{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181, 196, 203, 217, 229, 243, 258, 278, 295}
 
 func (i RejectionReason) String() string {
 	idx := int(i) - 0
--- a/core/forward.go
+++ b/core/forward.go
@@ -19,6 +19,9 @@
 	// forwardAwaitingOwner requests wait for the owner of the engine group to
 	// place or reject them.
 	forwardAwaitingOwner
+	// forwardAwaitingVersion requests wait for nodes that may know which version began the
+	// stream that their caller resumes.
+	forwardAwaitingVersion
 	// forwardLeasing requests wait for an engine to answer a lease request.
 	forwardLeasing
 	// forwardPrefilling requests wait for a prefill engine to compute the
@@ -59,6 +62,13 @@
 	// prefillAtDecode says that the owner wants the decode engine to prefill the prompt.
 	prefillAtDecode bool
 
+	// version is the version that the request's stream is bound to, once it has begun or if its
+	// caller resumes it. lookup is the search for it, and reported is set once the version was
+	// reported to other nodes.
+	version  Option[SoftwareVersion]
+	lookup   *versionLookup
+	reported bool
+
 	decode *upstream
 	lease  LeaseID
 	// leasedUntil is when the lease expires at its engine.
@@ -133,6 +143,8 @@
 	spread stateSpread
 	// proof is the latest proof that no later version existed.
 	proof stateProof
+	// versions knows which versions have begun streams.
+	versions streamVersions
 	// suspects tells which requests end upstreams.
 	suspects suspectList
 	// lastCrash is the latest end of an upstream that counts, and lastCrashAt when it was seen.
@@ -149,6 +161,7 @@
 	s.upstreams.signals = map[EngineID]*upstreamSignals{}
 	s.budgets = map[ServiceID]*retryBudgetShare{}
 	s.firstByteTimes = map[ServiceID]*durationStats{}
+	s.versions.start()
 }
 
 // applyDesiredState applies a desired state, unless the node has the same or a
@@ -178,6 +191,9 @@
 func (s *forwards) applyInstances(n *Node, list InstanceList) {
 	before := len(s.upstreams.byID)
 	s.upstreams.replaceAll(list)
+	if s.versions.observeList(n, s.upstreams.byID) {
+		s.versionsChanged(n)
+	}
 	n.roles.forgetCompleted(n)
 	s.updateReady(n)
 	if before != len(list.Instances) {
@@ -207,11 +223,7 @@
 		return
 	}
 	service := route.pick(n.rng.Float64())
-	spec, ok := s.state.Services[service]
-	if !ok {
-		spec = ServiceSpec{ID: service}
-	}
-	f.route, f.spec = route, spec
+	f.route, f.spec = route, s.specOf(service)
 	if n.mayOutliveNode(min(f.Patience, route.Timeout)) {
 		s.reject(n, f, Leaving, retryAfter(f.Patience, n.rng.Float64()))
 		return
@@ -221,9 +233,21 @@
 	if s.rejectIfBlocked(n, f) || s.rejectIfHeldBack(n, f) {
 		return
 	}
+	if attempt, resumes := f.Resumes.Get(); resumes && route.RetryPolicy == ResumeOnly {
+		f.rank--
+		s.resume(n, f, attempt)
+		return
+	}
 	s.requestPlacement(n, f)
 }
 
+func (s *forwards) specOf(id ServiceID) ServiceSpec {
+	if spec, ok := s.state.Services[id]; ok {
+		return spec
+	}
+	return ServiceSpec{ID: id}
+}
+
 // setDeadlines computes until when the request can be placed and still be on
 // time, and until when its caller waits. It sets the timer for the latter.
 func (s *forwards) setDeadlines(n *Node, f *forwardedRequest) {
@@ -351,6 +375,7 @@
 		return
 	}
 	f.emitted = true
+	s.streamBegan(n, f, m.Send)
 	s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
 	f.goneOn++
 	s.endSilence(n, f, m.Send)
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -61,7 +61,7 @@
 	f.tried.Add(u.ID)
 	s.checkBeforeRun(n, f)
 	newConnection := f.sentTo.Has(u.ID) || f.route.RetryPolicy == Once && u.failures > 0
-	number := f.recordRun(n.now, u.ID)
+	number := f.recordRun(n.now, u)
 	s.logRun(n, f)
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
@@ -74,7 +74,7 @@
 
 func (s *forwards) choosePlain(n *Node, f *forwardedRequest) *upstream {
 	list := s.upstreams.byService[f.spec.ID]
-	excluded := func(u *upstream) bool { return f.tried.Has(u.ID) || !u.nodeMaySend(n) }
+	excluded := func(u *upstream) bool { return f.tried.Has(u.ID) || !u.nodeMaySend(n) || !f.fits(u) }
 	cost := func(u *upstream) float64 {
 		c := float64(u.ownRequests+1) / float64(max(u.Slots, 1))
 		if u.Domain != n.Self.Domain {
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -33,6 +33,9 @@
 	// another failure domain than the decode engine: transferring the KV cache
 	// takes twice as long there and is priced higher.
 	remotePrefillCost = 3000
+	// otherVersionPrefillCost is the same for a prefill engine of another software version: its
+	// KV cache may not fit.
+	otherVersionPrefillCost = 3000
 	// outputGuess is the share of the upper bound on the output that is
 	// reserved if the caller gives no estimate.
 	outputGuess = 0.5
@@ -80,7 +83,7 @@
 func (s *forwards) limitsExhausted(n *Node, f *forwardedRequest) bool {
 	exhausted := false
 	for _, u := range s.upstreams.byService[f.spec.ID] {
-		if !u.open(n.now) || !n.roles.canServe(n, u, Decode) || f.tried.Has(u.ID) {
+		if !u.open(n.now) || !n.roles.canServe(n, u, Decode) || f.tried.Has(u.ID) || !f.fits(u) {
 			continue
 		}
 		if u.nodeMaySend(n) {
@@ -139,7 +142,7 @@
 // with the least memory reserved by this node.
 func (s *forwards) chooseDecode(n *Node, f *forwardedRequest) *upstream {
 	skip := func(u *upstream) bool {
-		return !n.roles.canServe(n, u, Decode) || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID) || !u.nodeMaySend(n)
+		return !n.roles.canServe(n, u, Decode) || u.fullUntil > n.now || u.avoidUntil > n.now || f.tried.Has(u.ID) || !u.nodeMaySend(n) || !f.fits(u)
 	}
 	return cheapest(n, s.upstreams.byService[f.spec.ID], skip, func(u *upstream) float64 { return float64(u.reservedTokens) })
 }
@@ -269,6 +272,9 @@
 		if u.Domain != f.decode.Domain {
 			cost += remotePrefillCost
 		}
+		if u.Version != f.decode.Version {
+			cost += otherVersionPrefillCost
+		}
 		return cost
 	})
 }
@@ -294,7 +300,7 @@
 // runStream sends the request to its decode engine. A draining engine accepts
 // nothing new, so whether it is usable is checked once more here.
 func (s *forwards) runStream(n *Node, f *forwardedRequest) {
-	if !f.decode.mayFinish(n.now) {
+	if !f.decode.mayFinish(n.now) || !f.fits(f.decode) {
 		s.release(n, f)
 		s.requestPlacement(n, f)
 		return
@@ -315,7 +321,7 @@
 	f.step++
 	f.sends++
 	s.checkBeforeRun(n, f)
-	run.Send = f.recordRun(n.now, f.decode.ID)
+	run.Send = f.recordRun(n.now, f.decode)
 	s.logRun(n, f)
 	n.do(run)
 	if f.route.RetryPolicy != Once {
@@ -485,6 +491,9 @@
 		f.recordNotRun(m.Send, NothingSent)
 	}
 	f.emitted = f.emitted || m.Emitted
+	if m.Emitted && m.Step == RunStep {
+		s.streamBegan(n, f, m.Send)
+	}
 	d := s.newDecision(n, f, "step-failed", UpstreamFailed)
 	d.Detail = fmt.Sprintf("%s at %s, send %d, status %d, sent %t: %s", m.Step, m.Engine, m.Send, m.Status, !m.Unsent, m.Reason)
 	if m.BrokenOff {
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -30,6 +30,12 @@
 	parts []core.PromptPart
 	// key is the key of all attempts of the request.
 	key core.RequestKey
+	// resumes is the attempt that brought the first event; empty if the caller has no event.
+	// mixed is set once upstreams of two versions have sent events, and version is that of the
+	// first.
+	resumes string
+	version core.SoftwareVersion
+	mixed   bool
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
--- a/core/forward_world_events_test.go
+++ b/core/forward_world_events_test.go
@@ -121,6 +121,7 @@
 		r.first = w.now
 	}
 	e.relayed += eventTokens
+	r.observeVersion(run.ID, run.u.Version)
 	e.silentFrom = w.now
 	switch {
 	case !run.started:
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -146,10 +146,15 @@
 	closedAt core.Instant
 	// addresses is the node's last answer to an address query.
 	addresses []core.NodeAddress
+	// killed nodes have ended for good.
+	killed bool
 	// unreached nodes get nothing from peers and reach none.
 	unreached bool
 	// placed counts the requests that the node has placed for others, as an owner.
 	placed int
+	// controlStreams counts the streams whose versions the node has sent to other nodes, and
+	// controlMessages the messages for that.
+	controlStreams, controlMessages int
 }
 
 type worldOptions struct {
@@ -157,8 +162,12 @@
 	slots                              int
 	without                            core.Set[core.Mechanism]
 	seed                               uint64
+	// versions is how many software versions the engines have; zero for one.
+	versions int
 	// stateDelay is the nodes' StateDelay; zero for the default.
 	stateDelay time.Duration
+	// domains is how many failure domains the nodes are in; zero for one.
+	domains int
 }
 
 func newHostedWorld(o worldOptions) *hostedWorld {
@@ -167,8 +176,9 @@
 		requests: map[core.ForwardID]*worldRequest{}, steps: map[core.EngineID]int{},
 	}
 	add := func(id string, service core.ServiceID, role core.Role, slots int) {
+		version := core.SoftwareVersion(fmt.Sprint("v", len(w.ids)%max(o.versions, 1)))
 		u := &worldUpstream{Instance: core.Instance{
-			ID: core.EngineID(id), Service: service, Domain: "d1", Address: id + ":1", Slots: slots, Role: role, Born: 1,
+			ID: core.EngineID(id), Service: service, Domain: "d1", Address: id + ":1", Slots: slots, Role: role, Born: 1, Version: version,
 		}, free: worldMemory, leases: map[core.LeaseID]core.Tokens{}}
 		w.ups[u.ID] = u
 		w.ids = append(w.ids, u.ID)
@@ -185,7 +195,8 @@
 	var list core.VMList
 	for i := range o.nodes {
 		id := fmt.Sprintf("n%02d", i)
-		list.Nodes = append(list.Nodes, core.NodeInfo{ID: core.NodeID(id), Domain: "d1", PeerAddress: id + ":1", CallerAddress: id + ":2"})
+		domain := core.DomainID(fmt.Sprint("d", 1+i%max(o.domains, 1)))
+		list.Nodes = append(list.Nodes, core.NodeInfo{ID: core.NodeID(id), Domain: domain, PeerAddress: id + ":1", CallerAddress: id + ":2"})
 	}
 	settings := core.DefaultSettings()
 	settings.Retries = core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
@@ -249,7 +260,7 @@
 
 // deliver passes a message to a node and carries out the resulting commands.
 func (n *worldNode) deliver(m core.Message) {
-	if n.frozen {
+	if n.frozen || n.killed {
 		return
 	}
 	for _, c := range n.node.Update(n.w.now, m) {
--- a/core/node.go
+++ b/core/node.go
@@ -304,6 +304,12 @@
 		n.feed.handleChanges(n, m.From, b)
 	case InstancesQuery:
 		n.feed.handleQuery(n, m.From, b)
+	case StreamsBegun:
+		n.forward.handleStreamsBegun(n, b)
+	case VersionQuery:
+		n.forward.handleVersionQuery(n, m.From, b)
+	case VersionAnswer:
+		n.forward.handleVersionAnswer(n, m.From, b)
 	case RolesWanted:
 		n.roles.handleRolesWanted(n, b)
 	case RolesOrdered:
--- a/core/placement_pass.go
+++ b/core/placement_pass.go
@@ -26,7 +26,7 @@
 		return false
 	}
 	outcome := d.assign(n, j)
-	if len(j.avoid) == 0 {
+	if _, bound := j.version.Get(); len(j.avoid) == 0 && !bound {
 		switch outcome {
 		case noMemory:
 			p.failedMemory = lowered(p.failedMemory, j.group, j.memory)
--- a/core/run_record.go
+++ b/core/run_record.go
@@ -9,6 +9,8 @@
 type runRecord struct {
 	number SendNumber
 	engine EngineID
+	// version is the engine's version when the request was sent.
+	version SoftwareVersion
 	// notRun is set once it is proved that the upstream did not run the request, and
 	// proof is what proves it. Without a proof the upstream may have run the request,
 	// or may still do so.
@@ -31,13 +33,23 @@
 
 // recordRun records that the request is being sent to an upstream that is to run it, and
 // returns the number of the send.
-func (f *forwardedRequest) recordRun(now Instant, id EngineID) SendNumber {
+func (f *forwardedRequest) recordRun(now Instant, u *upstream) SendNumber {
 	number := f.nextSend()
-	f.runRecords = append(f.runRecords, runRecord{number: number, engine: id, sentAt: now})
-	f.sentTo.Add(id)
+	f.runRecords = append(f.runRecords, runRecord{number: number, engine: u.ID, version: u.Version, sentAt: now})
+	f.sentTo.Add(u.ID)
 	return number
 }
 
+// versionOf returns the version of the upstream to which a run was sent.
+func (f *forwardedRequest) versionOf(number SendNumber) SoftwareVersion {
+	for _, r := range f.runRecords {
+		if r.number == number {
+			return r.version
+		}
+	}
+	return ""
+}
+
 // sentAt returns when a run was sent; zero if the number is not that of a run.
 func (f *forwardedRequest) sentAt(number SendNumber) Instant {
 	for _, r := range f.runRecords {
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -27,6 +27,10 @@
 	if _, ok := c.Body.(core.ForwardPlaced); ok {
 		n.placed++
 	}
+	if b, ok := c.Body.(core.StreamsBegun); ok {
+		n.controlMessages++
+		n.controlStreams += len(b.Streams)
+	}
 	if w.peerDelay != nil {
 		delay = w.peerDelay(c.Body)
 	}
--- /dev/null
+++ b/core/stream_version.go
@@ -0,0 +1,255 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// streamCopies is how many nodes keep the version that began a stream, and streamQueries how
+	// many are queried for it.
+	streamCopies  = 3
+	streamQueries = 5
+	// streamFlushDelay is for how long streams that have begun are collected before their
+	// keepers are notified.
+	streamFlushDelay = 50 * time.Millisecond
+	// streamRetention is how long the version of a stream is kept, and maxStreams how many.
+	streamRetention = time.Minute
+	maxStreams      = 1 << 16
+	// versionLookupTimeout is how long a node waits for the keepers of a stream.
+	versionLookupTimeout = 150 * time.Millisecond
+)
+
+// StreamKey is a hash of the attempt that brought the first event of a stream.
+type StreamKey uint64
+
+// StreamsBegun notifies a keeper of streams that an upstream of a version has begun.
+type StreamsBegun struct {
+	Service ServiceID
+	Version SoftwareVersion
+	Streams []StreamKey
+}
+
+// VersionQuery asks a keeper which version has begun a stream.
+type VersionQuery struct {
+	Service ServiceID
+	Stream  StreamKey
+}
+
+// VersionAnswer answers a VersionQuery. Known is set if the sender knows the service and the
+// version, because it keeps the stream or because no other version has served lately.
+type VersionAnswer struct {
+	Stream  StreamKey
+	Known   bool
+	Service ServiceID
+	Version SoftwareVersion
+}
+
+func (StreamsBegun) isPeerBody()  {}
+func (VersionQuery) isPeerBody()  {}
+func (VersionAnswer) isPeerBody() {}
+
+// streamOrigin is the service and the version that began streams.
+type streamOrigin struct {
+	service ServiceID
+	version SoftwareVersion
+}
+
+// keptStream is the origin of a stream and when it was recorded.
+type keptStream struct {
+	streamOrigin
+	at Instant
+}
+
+// streamVersions knows which versions have begun streams. Only while several versions serve, or
+// have lately, it keeps streams one by one.
+type streamVersions struct {
+	// loadedAt is when this node had its first list of upstreams. serving are the versions in the
+	// list, and seen is when each was last in it.
+	loadedAt Instant
+	serving  map[streamOrigin]bool
+	seen     map[streamOrigin]Instant
+	// streams are those that this node keeps, and order their keys by age.
+	streams map[StreamKey]keptStream
+	order   []StreamKey
+	// outbox are streams of which keepers have not been notified.
+	outbox         map[NodeID]map[streamOrigin][]StreamKey
+	flushScheduled bool
+}
+
+// versionLookup is a request's search for the version that began its stream.
+type versionLookup struct {
+	stream StreamKey
+	// asked are the keepers that have not answered.
+	asked Set[NodeID]
+}
+
+func streamKey(attempt string) StreamKey { return StreamKey(hash64(attempt)) }
+
+func (v *streamVersions) start() {
+	v.serving = map[streamOrigin]bool{}
+	v.seen = map[streamOrigin]Instant{}
+	v.streams = map[StreamKey]keptStream{}
+	v.outbox = map[NodeID]map[streamOrigin][]StreamKey{}
+}
+
+// observeList records the versions in a new list of upstreams, and reports whether there is one
+// that was not known.
+func (v *streamVersions) observeList(n *Node, list map[EngineID]*upstream) (added bool) {
+	if v.loadedAt == 0 {
+		v.loadedAt = n.now
+	}
+	for o := range v.serving {
+		v.seen[o] = n.now
+	}
+	clear(v.serving)
+	for _, u := range list {
+		v.serving[streamOrigin{u.Service, u.Version}] = true
+	}
+	for o := range v.serving {
+		_, known := v.seen[o]
+		added = added || !known
+		v.seen[o] = n.now
+	}
+	for o, at := range v.seen {
+		if n.now.Sub(at) > streamRetention {
+			delete(v.seen, o)
+		}
+	}
+	return added
+}
+
+// sole returns the only version that can have begun a stream that callers may still resume. A
+// node that has just started does not know.
+func (s *forwards) sole(n *Node, service ServiceID) (SoftwareVersion, bool) {
+	v := &s.versions
+	span := s.longestStream(service)
+	if v.loadedAt == 0 || n.now.Sub(v.loadedAt) < span {
+		return "", false
+	}
+	var sole SoftwareVersion
+	count := 0
+	for o, at := range v.seen {
+		if o.service == service && (v.serving[o] || n.now.Sub(at) < span) {
+			sole = o.version
+			count++
+		}
+	}
+	return sole, count == 1
+}
+
+// longestStream returns how long after its first event a stream of a service may be resumed.
+func (s *forwards) longestStream(service ServiceID) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range s.state.Routes {
+		if r.RetryPolicy == ResumeOnly && slices.ContainsFunc(r.Split, func(p Share) bool { return p.Service == service }) {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest + lateAnswerTime
+}
+
+// keep keeps the origin of a stream; the first one that is reported counts. The oldest are
+// dropped beyond maxStreams.
+func (v *streamVersions) keep(n *Node, stream StreamKey, origin streamOrigin) {
+	if _, known := v.streams[stream]; known {
+		return
+	}
+	v.order = append(v.order, stream)
+	v.streams[stream] = keptStream{streamOrigin: origin, at: n.now}
+	for len(v.order) > maxStreams || n.now.Sub(v.streams[v.order[0]].at) > streamRetention {
+		delete(v.streams, v.order[0])
+		v.order = v.order[1:]
+	}
+}
+
+// lookUp returns the origin of a stream of a service, as far as this node knows.
+func (s *forwards) lookUp(n *Node, service ServiceID, stream StreamKey) (streamOrigin, bool) {
+	if kept, ok := s.versions.streams[stream]; ok && n.now.Sub(kept.at) <= streamRetention {
+		return kept.streamOrigin, true
+	}
+	version, sole := s.sole(n, service)
+	return streamOrigin{service, version}, sole
+}
+
+// streamBegan records the version that has begun a request's stream, and notifies the keepers if
+// another version could be taken for it. One that a caller resumes was recorded before.
+func (s *forwards) streamBegan(n *Node, f *forwardedRequest, send SendNumber) {
+	if _, known := f.version.Get(); known || f.route.RetryPolicy != ResumeOnly {
+		return
+	}
+	f.version = Some(f.versionOf(send))
+	if _, sole := s.sole(n, f.spec.ID); !sole {
+		s.reportStream(n, f)
+	}
+}
+
+// reportStream keeps the version of a stream, and notifies its other keepers soon.
+func (s *forwards) reportStream(n *Node, f *forwardedRequest) {
+	version, known := f.version.Get()
+	if !known || f.reported {
+		return
+	}
+	f.reported = true
+	v, stream := &s.versions, streamKey(f.Attempt)
+	origin := streamOrigin{service: f.spec.ID, version: version}
+	v.keep(n, stream, origin)
+	for _, id := range n.streamKeepers(stream, streamCopies) {
+		if id == n.Self.ID {
+			continue
+		}
+		if v.outbox[id] == nil {
+			v.outbox[id] = map[streamOrigin][]StreamKey{}
+		}
+		v.outbox[id][origin] = append(v.outbox[id][origin], stream)
+	}
+	if !v.flushScheduled {
+		v.flushScheduled = true
+		n.afterFunc(streamFlushDelay, func(n *Node) { v.flush(n) })
+	}
+}
+
+// flush notifies the keepers.
+func (v *streamVersions) flush(n *Node) {
+	v.flushScheduled = false
+	for _, id := range sortedKeys(v.outbox) {
+		origins := make([]streamOrigin, 0, len(v.outbox[id]))
+		for o := range v.outbox[id] {
+			origins = append(origins, o)
+		}
+		slices.SortFunc(origins, compareOrigins)
+		for _, o := range origins {
+			n.send(id, StreamsBegun{Service: o.service, Version: o.version, Streams: v.outbox[id][o]})
+		}
+	}
+	clear(v.outbox)
+}
+
+// versionsChanged reports the streams that have begun, once a second version may be taken for
+// theirs.
+func (s *forwards) versionsChanged(n *Node) {
+	for _, id := range sortedKeys(s.live) {
+		f := s.live[id]
+		if _, resumed := f.Resumes.Get(); resumed || f.route.RetryPolicy != ResumeOnly || !f.emitted {
+			continue
+		}
+		if _, sole := s.sole(n, f.spec.ID); !sole {
+			s.reportStream(n, f)
+		}
+	}
+}
+
+func (s *forwards) handleStreamsBegun(n *Node, m StreamsBegun) {
+	for _, stream := range m.Streams {
+		s.versions.keep(n, stream, streamOrigin{m.Service, m.Version})
+	}
+}
+
+func (s *forwards) handleVersionQuery(n *Node, from NodeID, m VersionQuery) {
+	origin, known := s.lookUp(n, m.Service, m.Stream)
+	answer := VersionAnswer{Stream: m.Stream}
+	if known {
+		answer.Known, answer.Service, answer.Version = true, origin.service, origin.version
+	}
+	n.send(from, answer)
+}
--- /dev/null
+++ b/core/stream_version_test.go
@@ -0,0 +1,208 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+// versionedEngines returns a prefill engine and decode engines of the given versions.
+func versionedEngines(versions ...core.SoftwareVersion) []core.Instance {
+	list := []core.Instance{{ID: "p1", Service: "model", Domain: "d1", Address: "p1:1", Slots: 16, Role: core.Prefill, Born: 1, Version: versions[0]}}
+	for i, v := range versions {
+		id := core.EngineID(fmt.Sprint("d", i+1))
+		list = append(list, core.Instance{ID: id, Service: "model", Domain: "d1", Address: string(id) + ":1", Slots: 16, Role: core.Decode, Born: 1, Version: v})
+	}
+	return list
+}
+
+func versionOf(list []core.Instance, id core.EngineID) core.SoftwareVersion {
+	for _, i := range list {
+		if i.ID == id {
+			return i.Version
+		}
+	}
+	return ""
+}
+
+// A stream's engine breaks off, or is silent, and engines of another version have more room.
+// The stream went on at one of these.
+func TestStreamGoesOnAtItsVersionWithinOneAnswer(t *testing.T) {
+	for name, fault := range map[string]func(core.RunForward) core.Message{"broken off": runFailed, "silent": stalled} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range 8 {
+				list := versionedEngines("v1", "v1", "v2", "v2", "v2", "v2")
+				h := readyAlone(list...)
+				h.advance(time.Duration(seed) * time.Millisecond)
+				first := startedStream(t, h, 1)
+				second := runStream(t, h, h.deliver(fault(first)))
+				is.Equal(versionOf(list, second.Engine), versionOf(list, first.Engine))
+			}
+		})
+	}
+}
+
+// The last engine of a stream's version breaks the stream off. The stream must not go on at
+// another version, nor wait for one.
+func TestStreamEndsWithItsVersion(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(versionedEngines("v1")...)
+	first := startedStream(t, h, 1)
+	h.deliver(core.InstancesRead{Whole: true, Offset: 2, Changed: versionedEngines("v2", "v2")})
+	is.Equal(endsOf(h.deliver(runFailed(first))), 1)
+}
+
+// resuming returns a caller's request that resumes a stream.
+func resuming(id core.ForwardID, attempt string) core.Forward {
+	m := streamTo(id, "resumable")
+	m.Attempt, m.Resumes = fmt.Sprint("again", id), core.Some(attempt)
+	return m
+}
+
+// newResumer returns a node with engines of two versions and three peers, which keep the
+// versions of streams.
+func newResumer(list []core.Instance) *hostedNode {
+	h := newHosted("n1", core.Settings{Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}})
+	h.node.DisabledMechanisms = core.SetOf(core.OwnedGroups)
+	h.deliver(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: list})
+	var nodes core.VMList
+	for _, id := range []core.NodeID{"n2", "n3", "n4"} {
+		nodes.Nodes = append(nodes.Nodes, core.NodeInfo{ID: id, Domain: core.DomainID("d" + id[1:]), PeerAddress: string(id) + ":1"})
+	}
+	h.deliver(nodes)
+	for _, n := range nodes.Nodes {
+		h.deliver(core.PeerMessage{From: n.ID, Incarnation: 1, Body: core.Heartbeat{Sequence: 1}})
+	}
+	return h
+}
+
+// versionQueries returns the queries among commands, by node.
+func versionQueries(out []core.Command) map[core.NodeID]core.VersionQuery {
+	queries := map[core.NodeID]core.VersionQuery{}
+	for _, c := range commandsOf[core.SendPeer](out) {
+		if q, ok := c.Body.(core.VersionQuery); ok {
+			queries[c.To] = q
+		}
+	}
+	return queries
+}
+
+// A caller resumes a stream at a node that has no part in its first attempt. The stream went on
+// at any version.
+func TestResumedStreamGoesOnAtItsVersion(t *testing.T) {
+	is := is.New(t)
+	list := versionedEngines("v1", "v1", "v2", "v2", "v2")
+	h := newResumer(list)
+	for i, want := range []core.SoftwareVersion{"v1", "v2", "v1", "v2"} {
+		queries := versionQueries(h.deliver(resuming(core.ForwardID(i+1), fmt.Sprint("first", i))))
+		is.True(len(queries) >= 2)
+		var out []core.Command
+		for id, q := range queries {
+			out = h.deliver(core.PeerMessage{From: id, Incarnation: 1, Body: core.VersionAnswer{Stream: q.Stream, Known: true, Service: "model", Version: want}})
+			break
+		}
+		run := runStream(t, h, out)
+		is.Equal(versionOf(list, run.Engine), want)
+	}
+}
+
+// No node knows which version began a stream: those that did have died. The stream went on at
+// any version. It cannot go on, and its caller learns that at once.
+func TestResumedStreamOfAnUnknownVersionIsRejectedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newResumer(versionedEngines("v1", "v2"))
+	var ends []core.EndForward
+	for id, q := range versionQueries(h.deliver(resuming(1, "first"))) {
+		out := h.deliver(core.PeerMessage{From: id, Incarnation: 1, Body: core.VersionAnswer{Stream: q.Stream}})
+		ends = append(ends, commandsOf[core.EndForward](out)...)
+	}
+	h.deliver(resuming(2, "nobody answers"))
+	ends = append(ends, commandsOf[core.EndForward](h.advance(200*time.Millisecond))...)
+	is.Equal(len(ends), 2)
+	for _, e := range ends {
+		is.Equal(e.Reason, core.StreamVersionUnknown)
+		is.True(e.NotRun)
+		is.Equal(e.RetryAfter, time.Duration(0))
+	}
+}
+
+// The version that began a stream has gone.
+func TestResumedStreamOfAVersionThatHasGoneIsRejectedAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newResumer(versionedEngines("v2", "v2"))
+	for id, q := range versionQueries(h.deliver(resuming(1, "first"))) {
+		ends := commandsOf[core.EndForward](h.deliver(core.PeerMessage{
+			From: id, Incarnation: 1, Body: core.VersionAnswer{Stream: q.Stream, Known: true, Service: "model", Version: "v1"},
+		}))
+		is.Equal(len(ends), 1)
+		is.Equal(ends[0].Reason, core.StreamVersionGone)
+		is.True(ends[0].NotRun)
+		return
+	}
+	t.Error("no node was queried")
+}
+
+// One version alone can have begun any stream that callers may resume. No node has to be asked,
+// and none has to be told, which streams it began.
+func TestOneVersionNeedsNoMessages(t *testing.T) {
+	is := is.New(t)
+	h := newResumer(versionedEngines("v1", "v1"))
+	h.advance(2 * worldTimeout)
+	out := h.deliver(resuming(1, "first"))
+	is.Equal(len(versionQueries(out)), 0)
+	runStream(t, h, out)
+	startedStream(t, h, 2)
+	for _, c := range commandsOf[core.SendPeer](h.advance(time.Second)) {
+		_, begun := c.Body.(core.StreamsBegun)
+		is.True(!begun)
+	}
+}
+
+// An engine is started again under its id, at another version, while a stream runs there. The
+// version of the stream is that at which it was sent.
+func TestVersionOfAStreamIsThatOfItsRun(t *testing.T) {
+	is := is.New(t)
+	list := versionedEngines("v1", "v1", "v2")
+	h := readyAlone(list...)
+	run := runStream(t, h, h.deliver(streamTo(1, "resumable")))
+	for run.Engine == "d3" {
+		h.deliver(core.ForwardCallerDisconnected{ID: run.ID})
+		run = runStream(t, h, h.deliver(streamTo(run.ID+1, "resumable")))
+	}
+	reborn := versionedEngines("v1", "v1", "v2")
+	for i := range reborn {
+		if reborn[i].ID == run.Engine {
+			reborn[i].Born, reborn[i].Version = 2, "v2"
+		}
+	}
+	h.deliver(core.InstancesRead{Whole: true, Offset: 2, Changed: reborn})
+	h.deliver(started(run))
+	second := runStream(t, h, h.deliver(runFailed(run)))
+	is.Equal(versionOf(reborn, second.Engine), core.SoftwareVersion("v1"))
+}
+
+// Invented and endless ids of attempts must not fill the memory of nodes.
+func TestKeptStreamsAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := newResumer(versionedEngines("v1", "v2"))
+	streams := make([]core.StreamKey, 1000)
+	next := core.StreamKey(0)
+	for range 200 {
+		for i := range streams {
+			next++
+			streams[i] = next
+		}
+		h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.StreamsBegun{Service: "model", Version: "v1", Streams: streams}})
+	}
+	known := 0
+	for k := core.StreamKey(1); k <= next; k++ {
+		for _, a := range sentTo[core.VersionAnswer](h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.VersionQuery{Service: "model", Stream: k}}), "n2") {
+			known += btoi(a.Known)
+		}
+	}
+	is.Equal(known, 1<<16)
+}
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -41,7 +41,20 @@
 			ID: forwardID(t), Group: dispatchGroup(t),
 			Prompt: tokens(t, "prompt"), Expected: tokens(t, "expected"), MaxOutput: tokens(t, "max output"), Rank: rapid.IntRange(0, 9).Draw(t, "rank"),
 			OnTime: duration(t, "on time"), Patience: duration(t, "patience"), Objective: duration(t, "objective"), MaxPause: duration(t, "pause"),
-			PromptKey: core.PromptKey(rapid.Uint64().Draw(t, "prompted")), Attempt: text[string](t, "attempt"), Waited: duration(t, "waited"), Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }),
+			PromptKey: core.PromptKey(rapid.Uint64().Draw(t, "prompted")), Attempt: text[string](t, "attempt"), Waited: duration(t, "waited"), Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }), Version: version(t),
+		}
+	},
+	"StreamsBegun": func(t *rapid.T) core.PeerBody {
+		return core.StreamsBegun{
+			Service: text[core.ServiceID](t, "service"), Version: text[core.SoftwareVersion](t, "version"), Streams: list(t, "streams", streamKey),
+		}
+	},
+	"VersionQuery": func(t *rapid.T) core.PeerBody {
+		return core.VersionQuery{Service: text[core.ServiceID](t, "service"), Stream: streamKey(t)}
+	},
+	"VersionAnswer": func(t *rapid.T) core.PeerBody {
+		return core.VersionAnswer{
+			Stream: streamKey(t), Known: rapid.Bool().Draw(t, "known"), Service: text[core.ServiceID](t, "service"), Version: text[core.SoftwareVersion](t, "version"),
 		}
 	},
 	"PlacementsQuery": func(t *rapid.T) core.PeerBody { return core.PlacementsQuery{IDs: list(t, "ids", forwardID)} },
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -103,6 +103,7 @@
 		Prompt: int64(b.Prompt), Expected: int64(b.Expected), MaxOutput: int64(b.MaxOutput), Rank: int64(b.Rank),
 		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective), MaxPauseNanos: int64(b.MaxPause),
 		Prompted: uint64(b.PromptKey), Attempt: b.Attempt, WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: convertAll(b.Avoid, func(id core.EngineID) string { return string(id) }),
+		Version: fromVersion(b.Version),
 	}
 }
 
@@ -113,7 +114,7 @@
 		Prompt: core.Tokens(b.GetPrompt()), Expected: core.Tokens(b.GetExpected()), MaxOutput: core.Tokens(b.GetMaxOutput()), Rank: int(b.GetRank()),
 		OnTime: time.Duration(b.GetOnTimeNanos()), Patience: time.Duration(b.GetPatienceNanos()),
 		Objective: time.Duration(b.GetObjectiveNanos()), MaxPause: time.Duration(b.GetMaxPauseNanos()), PromptKey: core.PromptKey(b.GetPrompted()), Attempt: b.GetAttempt(), Waited: time.Duration(b.GetWaitedNanos()), Again: b.GetAgain(),
-		Avoid: convertAll(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }),
+		Avoid: convertAll(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }), Version: toVersion(b.Version),
 	}
 }
 
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -77,6 +77,12 @@
 		return toKeyAnswer(b.KeyAnswer)
 	case *Envelope_PlaceForward:
 		return toPlaceForward(b.PlaceForward), nil
+	case *Envelope_StreamsBegun:
+		return toStreamsBegun(b.StreamsBegun), nil
+	case *Envelope_VersionQuery:
+		return core.VersionQuery{Service: core.ServiceID(b.VersionQuery.GetService()), Stream: core.StreamKey(b.VersionQuery.GetStream())}, nil
+	case *Envelope_VersionAnswer:
+		return toVersionAnswer(b.VersionAnswer), nil
 	case *Envelope_PlacementsQuery:
 		return core.PlacementsQuery{IDs: toPlacementIDs(b.PlacementsQuery)}, nil
 	case *Envelope_PlacementsEnded:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -77,6 +77,14 @@
 		e.Body = &Envelope_KeyAnswer{fromKeyAnswer(b)}
 	case core.PlaceForward:
 		e.Body = &Envelope_PlaceForward{fromPlaceForward(b)}
+	case core.StreamsBegun:
+		e.Body = &Envelope_StreamsBegun{fromStreamsBegun(b)}
+	case core.VersionQuery:
+		e.Body = &Envelope_VersionQuery{&VersionQuery{Service: string(b.Service), Stream: uint64(b.Stream)}}
+	case core.VersionAnswer:
+		e.Body = &Envelope_VersionAnswer{&VersionAnswer{
+			Stream: uint64(b.Stream), Known: b.Known, Service: string(b.Service), Version: string(b.Version),
+		}}
 	case core.PlacementsQuery:
 		e.Body = &Envelope_PlacementsQuery{fromPlacementIDs(b.IDs)}
 	case core.PlacementsEnded:
--- a/wire/peer/generate_test.go
+++ b/wire/peer/generate_test.go
@@ -105,3 +105,13 @@
 	}
 	return answer
 }
+
+func streamKey(t *rapid.T) core.StreamKey { return core.StreamKey(rapid.Uint64().Draw(t, "stream")) }
+
+// version draws a version, an empty one among them, or none.
+func version(t *rapid.T) core.Option[core.SoftwareVersion] {
+	if rapid.Bool().Draw(t, "bound") {
+		return core.Some(text[core.SoftwareVersion](t, "version"))
+	}
+	return core.None[core.SoftwareVersion]()
+}
