Soak: engines of two software versions, releases beside kills, callers that resume

Engines of the soak were all of one version, and callers sent cut streams again from the start. Now a release replaces half of the engines by ones of a new version, in half of the cases beside the death of half of the nodes; later engines are of the latest two versions; callers resume cut streams at other nodes and name the attempt that brought the first event.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -108,6 +108,8 @@
 	version int
 	// published is the same for other goroutines.
 	published atomic.Int64
+	// release is how many releases of the engines' software there were.
+	release atomic.Int64
 	// silencedAt is when open connections were last silenced, in Unix nanoseconds.
 	silencedAt atomic.Int64
 	// addedRoutes is how many routes without requests the desired state has.
@@ -299,7 +301,7 @@
 	own, advertised := d.address(workerNetwork, last, workerPort+round), d.address(workerNetwork, last, linkPort+round)
 	settings := hostedworker.Settings{
 		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
-		Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
+		Version: d.engineVersion(n), Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
 		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival, EndsWorker: d.handleRequest,
 	}
 	if n%2 == 0 {
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -175,6 +175,8 @@
 	deadline time.Time
 	// leave is when the caller leaves early; zero if it does not.
 	leave time.Time
+	// received is what the caller has of a stream.
+	received *receivedStream
 }
 
 // once says that a request must run at most once.
@@ -204,6 +206,7 @@
 		body:     []byte(strings.Repeat("x", 1+c.rng.IntN(20000))),
 		prompt:   c.rng.Uint64(),
 		deadline: time.Now().Add(patience),
+		received: &receivedStream{},
 	}
 	m.id = requestID(fmt.Sprintf("%s-%d-%d", m.kind, c.load.deployment.block, c.load.lastRequest.Add(1)))
 	switch draw := c.rng.Float64(); {
@@ -277,6 +280,7 @@
 	if signature != hostedworker.Signature(attemptID, m.body) {
 		c.judge.reportViolation("MIXED: " + attemptID + ": the signature is another request's")
 	}
+	m.received.begin(m, c.judge)
 	ended, good := c.checkBody(m, attemptID, a)
 	if ended == answered && signature == "" && a.ContentLength == 0 {
 		ended = emptySuccess
@@ -299,6 +303,9 @@
 	hostedsite.SetAttemptHeaders(r.Header, attemptID, time.Until(m.deadline))
 	if m.stream() {
 		hostedsite.SetPromptHeaders(r.Header, m.prompt, m.deadly)
+		if m.received.resumable(m) {
+			hostedsite.SetResume(r.Header, m.received.events, m.received.first)
+		}
 	}
 	return r, nil
 }
@@ -340,6 +347,8 @@
 // reports whether the caller may send the request again.
 func (c *caller) handleFailure(conn *callerConn, m message, attemptID string, a *http.Response) bool {
 	promised := hostedsite.PromisesNotRun(a.StatusCode)
+	c.judge.countResumption(m, a.StatusCode)
+	m.received.rejected(m)
 	if promised {
 		c.judge.recordPromise(attemptID, fmt.Sprintf("status %d", a.StatusCode))
 	}
@@ -361,7 +370,7 @@
 // whole answer arrived in order.
 func (c *caller) checkBody(m message, attemptID string, a *http.Response) (ended ending, good bool) {
 	if m.stream() {
-		return c.checkStream(a.Body, attemptID)
+		return c.checkStream(m, a.Body, attemptID)
 	}
 	out, err := readBody(a.Body)
 	if err != nil {
@@ -386,10 +395,13 @@
 // checkStream checks that events arrive in order without gaps, and that a stream
 // that ends without an error is complete. It returns how the attempt ended and whether the
 // stream is whole.
-func (c *caller) checkStream(body io.Reader, attemptID string) (ended ending, whole bool) {
+func (c *caller) checkStream(m message, body io.Reader, attemptID string) (ended ending, whole bool) {
 	lines := bufio.NewScanner(body)
-	seen := 0
+	seen := m.received.events
 	for lines.Scan() {
+		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			c.checkVersion(m, data, attemptID)
+		}
 		id, ok := strings.CutPrefix(lines.Text(), "id: ")
 		if !ok {
 			continue
@@ -400,6 +412,7 @@
 			return answered, false
 		}
 		seen = n
+		m.received.add(n, attemptID)
 	}
 	if err := lines.Err(); err != nil {
 		return c.countBrokenBody("stream cut", err), false
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -178,7 +178,7 @@
 		"node signalled in series": d.signalInSeries, "node frozen while stopping": d.freezeStoppingNode,
 		"worker frozen": d.freezeWorker, "worker slow": d.slowWorker,
 		"store away": d.interruptStore, "store restored": d.restoreStore, "store loses answers": d.loseStoreAnswers, "store compacted": d.compactStore,
-		"worker crashed": d.crashWorker, "worker faulty": d.injectWorkerFault, "worker drained": d.drainWorker,
+		"worker crashed": d.crashWorker, "worker faulty": d.injectWorkerFault, "worker drained": d.drainWorker, "workers released": d.releaseEngines,
 		"worker wants quiet": d.wantQuiet, "worker names limit": d.limitWorkers,
 		"settings changed": d.changeSettings, "link harmed": d.injectLinkFault,
 		"workers ended by prompts": d.beginDeadlyPrompts, "workers ended by requests": d.beginDeadlyRequests,
@@ -522,16 +522,5 @@
 func (d *deployment) drainWorker() {
 	id := d.randomWorker()
 	d.replacement(id)()
-	d.mu.Lock()
-	m, running := d.workers[id]
-	d.mu.Unlock()
-	if !running {
-		return
-	}
-	m.worker.Drain()
-	d.store.Put(metastore.UpstreamTopic, id, m.worker.Entry())
-	go func() {
-		time.Sleep(4 * time.Second)
-		d.removeWorker(id)
-	}()
+	d.drain(id)
 }
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -89,6 +89,16 @@
 		{"platform/store_transfer.go", "func() { stall.Reset(s.Timeout) }", "func() {}"},
 		withoutPeerQuery,
 	}}},
+	{Rule: "ORDER", Mutant: Mutant{Name: "resumption-at-any-version", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/forward.go", "		s.resume(n, f, attempt)\n", "		_ = attempt\n		s.requestPlacement(n, f)\n",
+	}}}},
+	{Rule: "ORDER", Mutant: Mutant{Name: "break-changes-version", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/stream_version.go", "	f.version = Some(f.versionOf(send))\n", "	_ = send\n",
+	}}}},
+	{Rule: "ORDER", Mutant: Mutant{Name: "unknown-version-goes-on", Promise: core.AnswerWhole, Edits: []Edit{
+		{"core/stream_resume.go", "	if origin, known := s.lookUp(n, f.spec.ID, stream); known {\n", "	if origin, known := s.lookUp(n, f.spec.ID, stream); known || true {\n"},
+		{"core/stream_resume.go", "	f.version = Some(origin.version)\n", "	if origin.version != \"\" {\n		f.version = Some(origin.version)\n	}\n"},
+	}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/crash_suspects.go", "	for _, key := range blocked {\n", "	blocked = nil\n	for _, key := range blocked {\n",
 	}}}},
--- a/daisyshed/ingress/server_test.go
+++ b/daisyshed/ingress/server_test.go
@@ -139,7 +139,7 @@
 	is.NoErr(err)
 	want := ""
 	for i := range 6 {
-		want += string(hostedworker.Event("a", i+1))
+		want += string(hostedworker.Event("a", hostedworker.DefaultVersion, i+1))
 	}
 	is.Equal(string(got), want)
 }
--- a/standin/hostedsite/caller.go
+++ b/standin/hostedsite/caller.go
@@ -35,6 +35,13 @@
 	h.Set("Kv-Source", "1.2.3.4:5/forged")
 }
 
+// SetResume sets the headers of an attempt that resumes a stream after an event, whose first
+// event the given attempt brought.
+func SetResume(h http.Header, event int, first string) {
+	h.Set("Last-Event-Id", strconv.Itoa(event))
+	h.Set("Resumes", first)
+}
+
 // deadlyPart is the part of prompts that ends engines.
 const deadlyPart = "dd:20,"
 
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -91,6 +91,9 @@
 	Decode  = "decode"
 )
 
+// DefaultVersion is the version of a worker's software if none is set.
+const DefaultVersion = "v1"
+
 // Settings describes one worker.
 type Settings struct {
 	ID      string
@@ -98,6 +101,9 @@
 	Zone    string
 	// Stage is Prefill or Decode, or empty for a plain service.
 	Stage string
+	// Version is the version of the worker's software, which its events name; empty for
+	// DefaultVersion.
+	Version string
 	// Slots is the number of concurrent requests. As many more wait in a queue until
 	// their deadline.
 	Slots int
@@ -270,7 +276,7 @@
 	}
 	entry := map[string]any{
 		"Service": w.settings.Service, "Address": cmp.Or(w.settings.Advertised, w.listener.Addr().String()), "Zone": w.settings.Zone,
-		"Version": "v1", "Slots": w.settings.Slots, "State": state, "ColdLeftMs": 0, "SeqNo": w.sequence, "born": w.startedMs,
+		"Version": w.version(), "Slots": w.settings.Slots, "State": state, "ColdLeftMs": 0, "SeqNo": w.sequence, "born": w.startedMs,
 	}
 	if w.settings.Stage != "" {
 		entry["Stage"] = w.settings.Stage
@@ -280,6 +286,8 @@
 	return raw
 }
 
+func (w *Worker) version() string { return cmp.Or(w.settings.Version, DefaultVersion) }
+
 // ServeHTTP handles one request. It rejects requests that expect another instance
 // at this address.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -606,7 +614,7 @@
 		if !sleep(r.Context(), w.workTime()) || !w.waitWhilePaused(r.Context()) {
 			return
 		}
-		event := Event(attempt, i)
+		event := Event(attempt, w.version(), i)
 		if i >= cutAt {
 			_, _ = rw.Write(event[:len(event)/2])
 			panic(http.ErrAbortHandler)
@@ -618,9 +626,10 @@
 	}
 }
 
-// Event returns the server-sent event with id i of the stream for an attempt.
-func Event(attempt string, i int) []byte {
-	return []byte(fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, attempt, i))
+// Event returns the server-sent event with id i of the stream for an attempt, from a worker of
+// a version.
+func Event(attempt, version string, i int) []byte {
+	return []byte(fmt.Sprintf("id: %d\ndata: %s-%d %s\n\n", i, attempt, i, version))
 }
 
 // Answer returns the response body for an attempt with a request body.
--- a/standin/hostedworker/worker_test.go
+++ b/standin/hostedworker/worker_test.go
@@ -84,7 +84,7 @@
 		is.Equal(status, http.StatusOK)
 		var want []byte
 		for i := range events {
-			want = append(want, hostedworker.Event(attempt, i+1)...)
+			want = append(want, hostedworker.Event(attempt, hostedworker.DefaultVersion, i+1)...)
 		}
 		is.Equal(string(body), string(want))
 		is.True(time.Since(begin) > silence-without) // the stream ended before the silence
