--- a/bench/hosted/versions.go
+++ b/bench/hosted/versions.go
@@ -15,7 +15,7 @@
 	// longest pause between two of them.
 	releasedShare = 0.5
 	maxReleaseGap = 200 * time.Millisecond
-	// drainTime is for how long a worker that drains goes on.
+	// drainTime is the time between a worker's announcement that it drains and its end.
 	drainTime = 4 * time.Second
 )
 
@@ -28,7 +28,7 @@
 	version string
 }
 
-// resumable reports whether the next attempt goes on with the stream.
+// resumable reports whether the next attempt resumes the stream.
 func (s *receivedStream) resumable(m message) bool {
 	return m.kind == hostedsite.Resumable && s.events > 0
 }
@@ -43,7 +43,7 @@
 	*s = receivedStream{}
 }
 
-// rejected makes the next attempt begin the stream anew: the node cannot go on with it.
+// rejected makes the next attempt begin the stream from its start: it cannot be resumed.
 func (s *receivedStream) rejected(m message) {
 	if m.stream() {
 		*s = receivedStream{}
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -35,8 +35,8 @@
 	File: "core/state_query.go", Old: "		s.sendQuery(n, s.holder, StateQuery{})\n", New: "",
 }
 
-// withoutOwnRenewal makes nodes renew their reads of the desired state only if a peer reaches
-// them.
+// withoutOwnRenewal makes nodes renew their reads of the desired state only if a peer
+// names a later version.
 var withoutOwnRenewal = Edit{
 	File: "core/state_proof.go", Old: "		n.do(RenewStateRead{Latest: n.forward.lag.behind()})\n", New: "",
 }
@@ -95,7 +95,7 @@
 	{Rule: "ORDER", Mutant: Mutant{Name: "break-changes-version", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/stream_version.go", "	f.version = Some(f.versionOf(send))\n", "	_ = send\n",
 	}}}},
-	{Rule: "ORDER", Mutant: Mutant{Name: "unknown-version-goes-on", Promise: core.AnswerWhole, Edits: []Edit{
+	{Rule: "ORDER", Mutant: Mutant{Name: "unknown-version-resumed", Promise: core.AnswerWhole, Edits: []Edit{
 		{"core/stream_resume.go", "	if origin, known := s.lookUp(n, f.spec.ID, stream); known {\n", "	if origin, known := s.lookUp(n, f.spec.ID, stream); known || true {\n"},
 		{"core/stream_resume.go", "	f.version = Some(origin.version)\n", "	if origin.version != \"\" {\n		f.version = Some(origin.version)\n	}\n"},
 	}}},
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -148,7 +148,7 @@
 	addresses []core.NodeAddress
 	// killed nodes have ended for good.
 	killed bool
-	// unreached nodes get nothing from peers and reach none.
+	// unreached nodes receive nothing from peers, and peers nothing from them.
 	unreached bool
 	// placed counts the requests that the node has placed for others, as an owner.
 	placed int
--- a/core/hosted_addresses.go
+++ b/core/hosted_addresses.go
@@ -49,8 +49,8 @@
 }
 
 // cutOff reports whether this node has been without proof of its desired state, and without a
-// message of any peer, for StaleAfter. It cannot tell then whether callers are better off
-// elsewhere, so that it serves those that come but names itself to nobody.
+// message of any peer, for StaleAfter. Other nodes may be worse off, so that it serves callers
+// that connect, but its directory names no node.
 func (n *Node) cutOff() bool {
 	alone := n.now.Sub(n.members.heardAt) > n.Settings.StaleAfter && len(n.members.byID) > 0
 	return alone && n.now.Sub(n.forward.proof.at) > n.Settings.StaleAfter
--- a/core/instance.go
+++ b/core/instance.go
@@ -21,8 +21,8 @@
 )
 
 // SoftwareVersion is the version of an upstream's software. Versions have no order. What two
-// versions write does not fit together, so that a stream goes on only at the version that began
-// it.
+// versions write does not fit together, so that a stream is continued only by the version that
+// began it.
 type SoftwareVersion string
 
 // Instance is one incarnation of an upstream, as the store lists it.
--- a/core/state_proof.go
+++ b/core/state_proof.go
@@ -11,8 +11,8 @@
 	proofCheckFraction   = 0.05
 	overdueProofFraction = 1
 	// minRenewFraction and maxRenewFraction bound the age at which a node renews its read of
-	// the store. Each node draws its own, so that the proof of the first that reads reaches
-	// most of the others before they read too.
+	// the store. Each node draws its own, so that most nodes receive the proof of the first
+	// one that reads before they read too.
 	minRenewFraction = 0.55
 	maxRenewFraction = 0.75
 	// readerRenewFraction is the same for the first of the readers of the upstreams, which sends
@@ -128,8 +128,8 @@
 	return p.olderThan(n, fraction) && !renewed
 }
 
-// check renews the read of the store when the proof is old, whether or not a peer reaches this
-// node, and logs when the proof becomes overdue.
+// check renews the read of the store when the proof is old, whether or not peers send anything,
+// and logs when the proof becomes overdue.
 func (p *stateProof) check(n *Node) {
 	if !n.forward.stateKnown {
 		return
--- a/core/state_proof_test.go
+++ b/core/state_proof_test.go
@@ -99,8 +99,8 @@
 }
 
 // All connections of nine nodes in ten go silent for good, to the store and to peers, again and
-// again, while versions come in quick succession. No peer reaches these nodes any more. They
-// served by versions of up to 19 s before, and did not know it.
+// again, while versions come in quick succession. These nodes receive nothing from peers any
+// more. They served by versions of up to 19 s before, and did not know it.
 func TestNodesThatNobodyReachesHaveEachVersionInTime(t *testing.T) {
 	for _, nodes := range []int{8, 82, 410} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
@@ -140,8 +140,8 @@
 	return h
 }
 
-// No peer reaches a node, and its read of the store hangs. It went on for up to 28 s by the
-// state that it had.
+// A node receives nothing from peers, and its read of the store hangs. It used the state that
+// it had for up to 28 s.
 func TestNodeThatNobodyReachesRenewsItsRead(t *testing.T) {
 	is := is.New(t)
 	h := newConfirmedNode(20)
@@ -174,13 +174,13 @@
 	h := newConfirmedNode(20)
 	out := h.advance(core.DefaultSettings().StaleAfter + stateDelay)
 	is.Equal(len(commandsOf[core.NodeNotReady](out)), 1)
-	// It serves callers that come nevertheless: it cannot tell whether others are better off.
+	// It serves callers that connect nevertheless: other nodes may be worse off.
 	is.Equal(len(commandsOf[core.EndForward](h.deliver(forwardTo(1, "pay")))), 0)
 	h.deliver(core.StateConfirmed{})
 	is.Equal(len(commandsOf[core.NodeReady](h.advance(time.Second))), 1)
 }
 
-// The store is away for all. Nodes hear of each other, and go on to serve.
+// The store is away for all. Nodes receive each other's heartbeats, and serve as before.
 func TestNodesStayReadyWhileTheStoreIsAway(t *testing.T) {
 	is := is.New(t)
 	h := newConfirmedNode(20)
--- a/core/stream_keepers.go
+++ b/core/stream_keepers.go
@@ -25,8 +25,8 @@
 	}
 	add(n.Self.ID, n.Self.Domain)
 	for id, m := range n.members.byID {
-		// Nodes that were not heard of yet count: with hundreds of nodes it takes a while until
-		// all have heard of all.
+		// Unconfirmed members count: with hundreds of nodes it takes a while until all have
+		// exchanged heartbeats.
 		if m.status != Dead && m.status != Left && !m.node.Leaving {
 			add(id, m.node.Domain)
 		}
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -79,8 +79,8 @@
 	s.end(n, f, StreamVersionGone, 0)
 }
 
-// fits reports whether an upstream may run a request: one whose stream has begun goes on at the
-// version that began it.
+// fits reports whether an upstream may run a request: a stream that has begun is continued by
+// the version that began it.
 func (f *forwardedRequest) fits(u *upstream) bool {
 	version, known := f.version.Get()
 	return !known || u.Version == version
@@ -98,7 +98,7 @@
 	return g
 }
 
-// versionGone reports whether no upstream is left that may go on with a request's stream.
+// versionGone reports whether no upstream is left that may continue a request's stream.
 func (s *forwards) versionGone(f *forwardedRequest) bool {
 	if _, known := f.version.Get(); !known {
 		return false
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -29,8 +29,8 @@
 }
 
 // A stream's engine breaks off, or is silent, and engines of another version have more room.
-// The stream went on at one of these.
-func TestStreamGoesOnAtItsVersionWithinOneAnswer(t *testing.T) {
+// The stream was continued by one of these.
+func TestStreamKeepsItsVersionWithinOneAnswer(t *testing.T) {
 	for name, fault := range map[string]func(core.RunForward) core.Message{"broken off": runFailed, "silent": stalled} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -46,8 +46,8 @@
 	}
 }
 
-// The last engine of a stream's version breaks the stream off. The stream must not go on at
-// another version, nor wait for one.
+// The last engine of a stream's version breaks the stream off. The stream must not be continued
+// by another version, nor wait for one.
 func TestStreamEndsWithItsVersion(t *testing.T) {
 	is := is.New(t)
 	h := readyAlone(versionedEngines("v1")...)
@@ -91,9 +91,9 @@
 	return queries
 }
 
-// A caller resumes a stream at a node that has no part in its first attempt. The stream went on
-// at any version.
-func TestResumedStreamGoesOnAtItsVersion(t *testing.T) {
+// A caller resumes a stream at a node that has no part in its first attempt. The stream was
+// continued by any version.
+func TestResumedStreamKeepsItsVersion(t *testing.T) {
 	is := is.New(t)
 	list := versionedEngines("v1", "v1", "v2", "v2", "v2")
 	h := newResumer(list)
@@ -110,8 +110,8 @@
 	}
 }
 
-// No node knows which version began a stream: those that did have died. The stream went on at
-// any version. It cannot go on, and its caller learns that at once.
+// No node knows which version began a stream: those that did have died. The stream was
+// continued by any version. It is rejected at once, as no later attempt can succeed.
 func TestResumedStreamOfAnUnknownVersionIsRejectedAtOnce(t *testing.T) {
 	is := is.New(t)
 	h := newResumer(versionedEngines("v1", "v2"))
@@ -146,8 +146,8 @@
 	t.Error("no node was queried")
 }
 
-// One version alone can have begun any stream that callers may resume. No node has to be asked,
-// and none has to be told, which streams it began.
+// One version alone can have begun any stream that callers may resume. No node is queried,
+// and none is notified of streams that begin.
 func TestOneVersionNeedsNoMessages(t *testing.T) {
 	is := is.New(t)
 	h := newResumer(versionedEngines("v1", "v1"))
--- a/core/stream_version_world_test.go
+++ b/core/stream_version_world_test.go
@@ -66,7 +66,7 @@
 }
 
 // A third or half of the nodes die at once while engines of two versions serve, and callers
-// resume their streams elsewhere. Streams went on at the other version: about half of them.
+// resume their streams elsewhere. About half of them were continued by the other version.
 func TestStreamsKeepTheirVersionWhenManyNodesDieAtOnce(t *testing.T) {
 	for _, c := range []struct {
 		nodes, decoders int
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -81,7 +81,7 @@
 	settings platform.Settings
 	// settingsText is the content of the settings file when it was last parsed.
 	settingsText []byte
-	// advertisedPeer is the address at which other nodes reach this one.
+	// advertisedPeer is the address to which other nodes connect.
 	advertisedPeer string
 	// disabled has the mechanisms that --without disables.
 	disabled core.Set[core.Mechanism]
--- a/daisyshed/peer/transport_silent_test.go
+++ b/daisyshed/peer/transport_silent_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 )
 
-// silentBound is the time within which a node has to reach a peer again whose connections have
+// silentBound is the time within which messages have to arrive again after connections have
 // gone silent.
 const silentBound = 1500 * time.Millisecond
 
--- a/daisyshed/store/confirm_test.go
+++ b/daisyshed/store/confirm_test.go
@@ -13,9 +13,8 @@
 	"github.com/matryer/is"
 )
 
-// The waiting read of the desired state hangs, and nothing has changed. The core cannot tell
-// a store without news from one that does not reach the node, unless the renewed read is
-// answered at once.
+// The waiting read of the desired state hangs, and nothing has changed. Unless the
+// renewed read is answered at once, a store without news looks like a silent connection.
 func TestRenewedReadIsAnsweredWithoutNews(t *testing.T) {
 	is := is.New(t)
 	s, w, messages := newWatcher(t)
