Record resumed streams again; renew reads that may hang sooner

By reading: a stream that is resumed was recorded with the nodes that its first attempt had notified only, some of which may have died with that attempt's node; a second mass death would make it unknown. The node that resumes it notifies its keepers anew. Requests that wait for a version are found by the stream, not by a walk over all requests, and the longest timeout of a service's routes is computed once a state.

A renewed read that hangs too is renewed after half of StateDelay, where it was up to three quarters; idle connections to the store are closed only when a read is renewed. TestResumedStreamIsRecordedAgain.

--- a/core/forward.go
+++ b/core/forward.go
@@ -176,6 +176,7 @@
 	lag := s.lag.apply(n.now, d.Version)
 	s.state, s.stateKnown = d, true
 	s.routes = newRouteTable(d.Routes)
+	clear(s.versions.longest)
 	n.do(LimitBodies{Bytes: d.Limits.BodyBytes})
 	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
--- a/core/state_proof.go
+++ b/core/state_proof.go
@@ -18,6 +18,9 @@
 	// readerRenewFraction is the same for the first of the readers of the upstreams, which sends
 	// its proof to all nodes with the changes that it reads.
 	readerRenewFraction = 0.2
+	// renewRetryFraction bounds the time between two renewals, as a fraction of StateDelay: the
+	// renewed read may hang as well.
+	renewRetryFraction = 0.5
 	// proofStream is the stream of random numbers that stateProof draws from.
 	proofStream = 1<<32 + 1
 )
@@ -124,7 +127,7 @@
 	if p.olderThan(n, readerRenewFraction) && n.readerRank() == 0 {
 		fraction = readerRenewFraction
 	}
-	renewed := p.renewedAt != 0 && n.now.Sub(p.renewedAt) < fractionOf(n.Settings.StateDelay, fraction)
+	renewed := p.renewedAt != 0 && n.now.Sub(p.renewedAt) < fractionOf(n.Settings.StateDelay, min(fraction, renewRetryFraction))
 	return p.olderThan(n, fraction) && !renewed
 }
 
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -12,7 +12,8 @@
 	}
 	f.phase = forwardAwaitingVersion
 	f.step++
-	f.lookup = &versionLookup{stream: stream, asked: Set[NodeID]{}}
+	f.lookup = &versionLookup{asked: Set[NodeID]{}}
+	s.versions.lookups[stream] = append(s.versions.lookups[stream], f.ID)
 	for _, id := range n.streamKeepers(stream, streamQueries) {
 		if id != n.Self.ID {
 			f.lookup.asked.Add(id)
@@ -20,11 +21,13 @@
 		}
 	}
 	if len(f.lookup.asked) == 0 {
+		s.versions.dropLookup(stream, f.ID)
 		s.rejectResumption(n, f, StreamVersionUnknown)
 		return
 	}
 	step := f.step
 	n.afterFunc(versionLookupTimeout, func(n *Node) {
+		s.versions.dropLookup(stream, f.ID)
 		if s.live[f.ID] == f && f.step == step {
 			s.rejectResumption(n, f, StreamVersionUnknown)
 		}
@@ -33,9 +36,9 @@
 
 // handleVersionAnswer handles the answer of a keeper for all requests that wait for it.
 func (s *forwards) handleVersionAnswer(n *Node, from NodeID, m VersionAnswer) {
-	for _, id := range sortedKeys(s.live) {
+	for _, id := range slices.Clone(s.versions.lookups[m.Stream]) {
 		f := s.live[id]
-		if f == nil || f.phase != forwardAwaitingVersion || f.lookup.stream != m.Stream || !f.lookup.asked.Has(from) {
+		if f == nil || f.phase != forwardAwaitingVersion || !f.lookup.asked.Has(from) {
 			continue
 		}
 		if m.Known {
@@ -49,6 +52,14 @@
 	}
 }
 
+// dropLookup removes a request from those that wait for the origin of a stream.
+func (v *streamVersions) dropLookup(stream StreamKey, id ForwardID) {
+	rest := slices.DeleteFunc(v.lookups[stream], func(other ForwardID) bool { return other == id })
+	if v.lookups[stream] = rest; len(rest) == 0 {
+		delete(v.lookups, stream)
+	}
+}
+
 // resumeAt requests a placement at the service and the version that have begun the stream. The
 // route may no longer lead to that service, or divide its requests between several.
 func (s *forwards) resumeAt(n *Node, f *forwardedRequest, origin streamOrigin) {
@@ -61,6 +72,10 @@
 		}
 		f.spec = s.specOf(origin.service)
 	}
+	if _, sole := s.sole(n, origin.service); !sole {
+		// Some of the nodes that keep the version may have died.
+		s.reportStream(n, f)
+	}
 	s.requestPlacement(n, f)
 }
 
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -75,22 +75,36 @@
 	// outbox are streams of which keepers have not been notified.
 	outbox         map[NodeID]map[streamOrigin][]StreamKey
 	flushScheduled bool
+	// lookups are the requests that wait for the origin of a stream.
+	lookups map[StreamKey][]ForwardID
+	// longest is how long streams of a service may be resumed; it is computed when it is needed.
+	longest map[ServiceID]time.Duration
 }
 
 // versionLookup is a request's search for the version that began its stream.
 type versionLookup struct {
-	stream StreamKey
 	// asked are the keepers that have not answered.
 	asked Set[NodeID]
 }
 
 func streamKey(attempt string) StreamKey { return StreamKey(hash64(attempt)) }
 
+// beganBy returns the attempt that began the request's stream: an earlier one of its caller, or
+// the request's own.
+func (f *forwardedRequest) beganBy() string {
+	if attempt, resumes := f.Resumes.Get(); resumes {
+		return attempt
+	}
+	return f.Attempt
+}
+
 func (v *streamVersions) start() {
 	v.serving = map[streamOrigin]bool{}
 	v.seen = map[streamOrigin]Instant{}
 	v.streams = map[StreamKey]keptStream{}
 	v.outbox = map[NodeID]map[streamOrigin][]StreamKey{}
+	v.lookups = map[StreamKey][]ForwardID{}
+	v.longest = map[ServiceID]time.Duration{}
 }
 
 // observeList records the versions in a new list of upstreams, and reports whether there is one
@@ -140,12 +154,16 @@
 
 // longestStream returns how long after its first event a stream of a service may be resumed.
 func (s *forwards) longestStream(service ServiceID) time.Duration {
+	if longest, ok := s.versions.longest[service]; ok {
+		return longest
+	}
 	longest := time.Duration(0)
 	for _, r := range s.state.Routes {
 		if r.RetryPolicy == ResumeOnly && slices.ContainsFunc(r.Split, func(p Share) bool { return p.Service == service }) {
 			longest = max(longest, r.Timeout)
 		}
 	}
+	s.versions.longest[service] = longest + lateAnswerTime
 	return longest + lateAnswerTime
 }
 
@@ -187,11 +205,11 @@
 // reportStream keeps the version of a stream, and notifies its other keepers soon.
 func (s *forwards) reportStream(n *Node, f *forwardedRequest) {
 	version, known := f.version.Get()
-	if !known || f.reported {
+	if !known || f.reported || f.beganBy() == "" {
 		return
 	}
 	f.reported = true
-	v, stream := &s.versions, streamKey(f.Attempt)
+	v, stream := &s.versions, streamKey(f.beganBy())
 	origin := streamOrigin{service: f.spec.ID, version: version}
 	v.keep(n, stream, origin)
 	for _, id := range n.streamKeepers(stream, streamCopies) {
@@ -230,9 +248,6 @@
 func (s *forwards) versionsChanged(n *Node) {
 	for _, id := range sortedKeys(s.live) {
 		f := s.live[id]
-		if _, resumed := f.Resumes.Get(); resumed || f.route.RetryPolicy != ResumeOnly || !f.emitted {
-			continue
-		}
 		if _, sole := s.sole(n, f.spec.ID); !sole {
 			s.reportStream(n, f)
 		}
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -110,6 +110,26 @@
 	}
 }
 
+// A resumed stream is resumed once more, after the nodes have died that knew which version began
+// it. The node that resumed it first notifies others again.
+func TestResumedStreamIsRecordedAgain(t *testing.T) {
+	is := is.New(t)
+	h := newResumer(versionedEngines("v1", "v2"))
+	out := h.deliver(resuming(1, "first"))
+	for id, q := range versionQueries(out) {
+		out = h.deliver(core.PeerMessage{From: id, Incarnation: 1, Body: core.VersionAnswer{Stream: q.Stream, Known: true, Service: "model", Version: "v1"}})
+		begun := 0
+		for _, c := range commandsOf[core.SendPeer](append(out, h.advance(100*time.Millisecond)...)) {
+			if b, ok := c.Body.(core.StreamsBegun); ok {
+				is.Equal(b, core.StreamsBegun{Service: "model", Version: "v1", Streams: []core.StreamKey{q.Stream}})
+				begun++
+			}
+		}
+		is.True(begun >= 2)
+		return
+	}
+}
+
 // No node knows which version began a stream: those that did have died. The stream was
 // continued by any version. It is rejected at once, as no later attempt can succeed.
 func TestResumedStreamOfAnUnknownVersionIsRejectedAtOnce(t *testing.T) {
--- a/daisyshed/store/renewal.go
+++ b/daisyshed/store/renewal.go
@@ -71,15 +71,17 @@
 	return r.answeredAt
 }
 
-// renew ends the current read, and reports whether it did. It does not while a response
-// arrives, nor before the read is minAge old: a store that is slow must get to answer.
-func (r *renewal) renew(mode readMode, minAge time.Duration) bool {
+// renew ends the current read, after it has called before, and reports whether it did. It does
+// not while a response arrives, nor before the read is minAge old: a store that is slow must get
+// to answer.
+func (r *renewal) renew(mode readMode, minAge time.Duration, before func()) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.cancel == nil || r.receiving || time.Since(r.begun) < minAge {
 		return false
 	}
 	r.next = mode
+	before()
 	r.cancel()
 	return true
 }
@@ -93,8 +95,7 @@
 	if latest {
 		mode = latestRead
 	}
-	w.Store.HTTP.CloseIdleConnections()
-	if w.desiredRenewal.renew(mode, w.Store.Timeout) && latest {
+	if w.desiredRenewal.renew(mode, w.Store.Timeout, w.Store.HTTP.CloseIdleConnections) && latest {
 		w.Log.Warn().Str("Event", "ReadHung").Str("Topic", string(platform.Desired)).Send()
 	}
 }
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -125,7 +125,7 @@
 		if mode == promptRead && len(u.records) > 0 && t.name == platform.Desired {
 			// The read before had not returned them, so that the nodes' read may hang too.
 			w.Log.Warn().Str("Event", "ReadHung").Str("Topic", string(platform.Desired)).Send()
-			w.nodesRenewal.renew(promptRead, w.Store.Timeout)
+			w.nodesRenewal.renew(promptRead, w.Store.Timeout, func() {})
 		}
 		backoff = minBackoff
 		t.apply(u)
