End a stream at once when the only engine of its version was tried

Found by reading: a stream whose only engine broke it off, while the list still showed that engine, waited at the owner until its caller's deadline, as the owner may not use the engine again and has no other of the version. Engines that were tried for the request do not count as left. TestStreamEndsWithTheOnlyEngineOfItsVersion failed before.

--- a/core/command.go
+++ b/core/command.go
@@ -77,10 +77,10 @@
 	// CrashingRequest means that the request ends the upstreams that run it.
 	CrashingRequest
 	// StreamVersionUnknown means that it is not known which version of the upstreams' software
-	// began the stream that the caller resumes. It can only be begun anew.
+	// began the stream that the caller resumes. It can only be sent again from its start.
 	StreamVersionUnknown
 	// StreamVersionGone means that no upstream of the version that began the stream is left. It
-	// can only be begun anew.
+	// can only be sent again from its start.
 	StreamVersionGone
 )
 
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -38,7 +38,7 @@
 	prefill EngineID
 	waiting bool
 	addedAt Instant
-	// queryAge is the age at which the entry is queried next whether it holds the job.
+	// queryAge is the age at which the entry is next asked whether it holds the job.
 	queryAge time.Duration
 	// placedAt is when the job was placed. prefillIdle says that its prefill
 	// engine had no other prompt then.
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -113,13 +113,14 @@
 	return g
 }
 
-// versionGone reports whether no upstream is left that may continue a request's stream.
+// versionGone reports whether no upstream is left that may continue a request's stream and was
+// not tried.
 func (s *forwards) versionGone(f *forwardedRequest) bool {
 	if _, known := f.version.Get(); !known {
 		return false
 	}
 	for _, u := range s.upstreams.byService[f.spec.ID] {
-		if u.usable() && u.Role != Prefill && f.fits(u) {
+		if u.usable() && u.Role != Prefill && f.fits(u) && !f.tried.Has(u.ID) {
 			return false
 		}
 	}
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -56,6 +56,19 @@
 	is.Equal(endsOf(h.deliver(runFailed(first))), 1)
 }
 
+// The only engine of a stream's version breaks the stream off, and the list still shows it. The
+// answer must end at once: the engine is not tried again, and the owner has no other.
+func TestStreamEndsWithTheOnlyEngineOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	list := versionedEngines("v1", "v2")
+	h := readyAlone(list...)
+	first := startedStream(t, h, 1)
+	for id := core.ForwardID(2); versionOf(list, first.Engine) != "v1"; id++ {
+		first = startedStream(t, h, id)
+	}
+	is.Equal(endsOf(h.deliver(runFailed(first))), 1)
+}
+
 // resuming returns a caller's request that resumes a stream.
 func resuming(id core.ForwardID, attempt string) core.Forward {
 	m := streamTo(id, "resumable")
