End streams that wait for a version whose engines leave

Found by reading: a stream that waits for room at its version, at this node or at an owner, waited until its caller's deadline when the last engine of the version left. It ends with the list that shows it. TestWaitingStreamEndsWhenItsVersionLeaves failed before.

--- a/core/forward.go
+++ b/core/forward.go
@@ -195,6 +195,7 @@
 	if s.versions.observeList(n, s.upstreams.byID) {
 		s.versionsChanged(n)
 	}
+	s.endStreamsOfGoneVersions(n)
 	n.roles.forgetCompleted(n)
 	s.updateReady(n)
 	if before != len(list.Instances) {
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -94,6 +94,17 @@
 	s.end(n, f, StreamVersionGone, 0)
 }
 
+// endStreamsOfGoneVersions ends the requests that wait for an upstream of a version that has
+// left.
+func (s *forwards) endStreamsOfGoneVersions(n *Node) {
+	for _, id := range sortedKeys(s.live) {
+		f, ok := s.live[id]
+		if ok && (f.phase == forwardWaiting || f.phase == forwardAwaitingOwner) && s.versionGone(f) {
+			s.endWithoutVersion(n, f)
+		}
+	}
+}
+
 // fits reports whether an upstream may run a request: a stream that has begun is continued by
 // the version that began it.
 func (f *forwardedRequest) fits(u *upstream) bool {
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -69,6 +69,23 @@
 	is.Equal(endsOf(h.deliver(runFailed(first))), 1)
 }
 
+// A stream waits for room at its version, whose engines leave meanwhile. It waited until its
+// caller's deadline.
+func TestWaitingStreamEndsWhenItsVersionLeaves(t *testing.T) {
+	is := is.New(t)
+	h := newResumer(versionedEngines("v1", "v2"))
+	for id, q := range versionQueries(h.deliver(resuming(1, "first"))) {
+		out := h.deliver(core.PeerMessage{From: id, Incarnation: 1, Body: core.VersionAnswer{Stream: q.Stream, Known: true, Service: "model", Version: "v1"}})
+		lease := commandsOf[core.RequestLease](out)[0]
+		out = h.deliver(core.StepRefused{ID: 1, Send: lease.Send, Engine: lease.Engine, Step: core.LeaseStep})
+		is.Equal(endsOf(out), 0)
+		ends := commandsOf[core.EndForward](h.deliver(core.InstancesRead{Whole: true, Offset: 2, Changed: versionedEngines("v2", "v2")}))
+		is.Equal(len(ends), 1)
+		is.Equal(ends[0].Reason, core.StreamVersionGone)
+		return
+	}
+}
+
 // resuming returns a caller's request that resumes a stream.
 func resuming(id core.ForwardID, attempt string) core.Forward {
 	m := streamTo(id, "resumable")
