Record in the store which software versions serve

The three readers of the upstreams write each version once when it appears; the first removes one that has been gone for a minute. A node reads the record once, at its start. If it holds all versions of the service in the list and no other, the one version is the only one.

--- a/core/node.go
+++ b/core/node.go
@@ -89,6 +89,7 @@
 		n.feed.start(n)
 		n.forward.spread.start(n)
 		n.forward.proof.start(n)
+		n.forward.versions.record.start(n)
 		n.forward.startReports(n)
 		n.roles.start(n)
 		n.dispatcher.start(n)
@@ -203,7 +204,14 @@
 		n.forward.proof.confirm(n, m.Age)
 	case UpstreamSignal:
 		n.forward.upstreams.handleSignal(n, m)
+	case VersionsRead:
+		n.forward.versions.record.handleRead(n, m)
+	case VersionRecorded:
+		n.forward.versions.record.handleRecorded(m)
 	case StoreEraObserved:
+		if n.feed.latestEra != 0 && m.Era > n.feed.latestEra {
+			n.forward.versions.record.handleRestored()
+		}
 		n.feed.handleEra(n, m.Era)
 		n.roles.handleEra(n, m.Era)
 	case InstancesRead:
--- a/core/stream_keepers.go
+++ b/core/stream_keepers.go
@@ -2,11 +2,17 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
-func compareOrigins(a, b streamOrigin) int {
-	return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.version, b.version))
+func compareVersions(a, b ServiceVersion) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+}
+
+// sortedVersions returns the keys of a map in order.
+func sortedVersions[V any](m map[ServiceVersion]V) []ServiceVersion {
+	return slices.SortedFunc(maps.Keys(m), compareVersions)
 }
 
 // streamKeepers returns the first nodes to keep the version of a stream: those with the highest
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		if m.Known {
-			s.resumeAt(n, f, streamOrigin{m.Service, m.Version})
+			s.resumeAt(n, f, ServiceVersion{m.Service, m.Version})
 			continue
 		}
 		f.lookup.asked.Remove(from)
@@ -62,17 +62,17 @@
 
 // resumeAt requests a placement at the service and the version that have begun the stream. The
 // route may no longer lead to that service, or divide its requests between several.
-func (s *forwards) resumeAt(n *Node, f *forwardedRequest, origin streamOrigin) {
+func (s *forwards) resumeAt(n *Node, f *forwardedRequest, origin ServiceVersion) {
 	f.lookup = nil
-	f.version = Some(origin.version)
-	if origin.service != f.spec.ID {
-		if !slices.ContainsFunc(f.route.Split, func(p Share) bool { return p.Service == origin.service }) {
+	f.version = Some(origin.Version)
+	if origin.Service != f.spec.ID {
+		if !slices.ContainsFunc(f.route.Split, func(p Share) bool { return p.Service == origin.Service }) {
 			s.rejectResumption(n, f, StreamVersionGone)
 			return
 		}
-		f.spec = s.specOf(origin.service)
+		f.spec = s.specOf(origin.Service)
 	}
-	if _, sole := s.sole(n, origin.service); !sole {
+	if _, sole := s.sole(n, origin.Service); !sole {
 		// Some of the nodes that keep the version may have died.
 		s.reportStream(n, f)
 	}
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -49,15 +49,9 @@
 func (VersionQuery) isPeerBody()  {}
 func (VersionAnswer) isPeerBody() {}
 
-// streamOrigin is the service and the version that began streams.
-type streamOrigin struct {
-	service ServiceID
-	version SoftwareVersion
-}
-
 // keptStream is the origin of a stream and when it was recorded.
 type keptStream struct {
-	streamOrigin
+	ServiceVersion
 	at Instant
 }
 
@@ -67,13 +61,15 @@
 	// loadedAt is when this node had its first list of upstreams. serving are the versions in the
 	// list, and seen is when each was last in it.
 	loadedAt Instant
-	serving  map[streamOrigin]bool
-	seen     map[streamOrigin]Instant
+	serving  map[ServiceVersion]bool
+	seen     map[ServiceVersion]Instant
+	// record is the record of versions in the store.
+	record versionRecord
 	// streams are those that this node keeps, and order their keys by age.
 	streams map[StreamKey]keptStream
 	order   []StreamKey
 	// outbox are streams of which keepers have not been notified.
-	outbox         map[NodeID]map[streamOrigin][]StreamKey
+	outbox         map[NodeID]map[ServiceVersion][]StreamKey
 	flushScheduled bool
 	// lookups are the requests that wait for the origin of a stream.
 	lookups map[StreamKey][]ForwardID
@@ -99,10 +95,10 @@
 }
 
 func (v *streamVersions) start() {
-	v.serving = map[streamOrigin]bool{}
-	v.seen = map[streamOrigin]Instant{}
+	v.serving = map[ServiceVersion]bool{}
+	v.seen = map[ServiceVersion]Instant{}
 	v.streams = map[StreamKey]keptStream{}
-	v.outbox = map[NodeID]map[streamOrigin][]StreamKey{}
+	v.outbox = map[NodeID]map[ServiceVersion][]StreamKey{}
 	v.lookups = map[StreamKey][]ForwardID{}
 	v.longest = map[ServiceID]time.Duration{}
 }
@@ -118,7 +114,7 @@
 	}
 	clear(v.serving)
 	for _, u := range list {
-		v.serving[streamOrigin{u.Service, u.Version}] = true
+		v.serving[ServiceVersion{u.Service, u.Version}] = true
 	}
 	for o := range v.serving {
 		_, known := v.seen[o]
@@ -134,18 +130,19 @@
 }
 
 // sole returns the only version that can have begun a stream that callers may still resume. A
-// node that has just started does not know.
+// node that has just started knows it only from the record in the store.
 func (s *forwards) sole(n *Node, service ServiceID) (SoftwareVersion, bool) {
 	v := &s.versions
 	span := s.longestStream(service)
-	if v.loadedAt == 0 || n.now.Sub(v.loadedAt) < span {
+	watched := v.loadedAt != 0 && n.now.Sub(v.loadedAt) >= span
+	if !watched && !v.record.covers(v, service) {
 		return "", false
 	}
 	var sole SoftwareVersion
 	count := 0
 	for o, at := range v.seen {
-		if o.service == service && (v.serving[o] || n.now.Sub(at) < span) {
-			sole = o.version
+		if o.Service == service && (v.serving[o] || n.now.Sub(at) < span) {
+			sole = o.Version
 			count++
 		}
 	}
@@ -169,12 +166,12 @@
 
 // keep keeps the origin of a stream; the first one that is reported counts. The oldest are
 // dropped beyond maxStreams.
-func (v *streamVersions) keep(n *Node, stream StreamKey, origin streamOrigin) {
+func (v *streamVersions) keep(n *Node, stream StreamKey, origin ServiceVersion) {
 	if _, known := v.streams[stream]; known {
 		return
 	}
 	v.order = append(v.order, stream)
-	v.streams[stream] = keptStream{streamOrigin: origin, at: n.now}
+	v.streams[stream] = keptStream{ServiceVersion: origin, at: n.now}
 	for len(v.order) > maxStreams || n.now.Sub(v.streams[v.order[0]].at) > streamRetention {
 		delete(v.streams, v.order[0])
 		v.order = v.order[1:]
@@ -182,12 +179,12 @@
 }
 
 // lookUp returns the origin of a stream of a service, as far as this node knows.
-func (s *forwards) lookUp(n *Node, service ServiceID, stream StreamKey) (streamOrigin, bool) {
+func (s *forwards) lookUp(n *Node, service ServiceID, stream StreamKey) (ServiceVersion, bool) {
 	if kept, ok := s.versions.streams[stream]; ok && n.now.Sub(kept.at) <= streamRetention {
-		return kept.streamOrigin, true
+		return kept.ServiceVersion, true
 	}
 	version, sole := s.sole(n, service)
-	return streamOrigin{service, version}, sole
+	return ServiceVersion{service, version}, sole
 }
 
 // streamBegan records the version that has begun a request's stream, and notifies the keepers if
@@ -210,14 +207,14 @@
 	}
 	f.reported = true
 	v, stream := &s.versions, streamKey(f.beganBy())
-	origin := streamOrigin{service: f.spec.ID, version: version}
+	origin := ServiceVersion{Service: f.spec.ID, Version: version}
 	v.keep(n, stream, origin)
 	for _, id := range n.streamKeepers(stream, streamCopies) {
 		if id == n.Self.ID {
 			continue
 		}
 		if v.outbox[id] == nil {
-			v.outbox[id] = map[streamOrigin][]StreamKey{}
+			v.outbox[id] = map[ServiceVersion][]StreamKey{}
 		}
 		v.outbox[id][origin] = append(v.outbox[id][origin], stream)
 	}
@@ -231,13 +228,8 @@
 func (v *streamVersions) flush(n *Node) {
 	v.flushScheduled = false
 	for _, id := range sortedKeys(v.outbox) {
-		origins := make([]streamOrigin, 0, len(v.outbox[id]))
-		for o := range v.outbox[id] {
-			origins = append(origins, o)
-		}
-		slices.SortFunc(origins, compareOrigins)
-		for _, o := range origins {
-			n.send(id, StreamsBegun{Service: o.service, Version: o.version, Streams: v.outbox[id][o]})
+		for _, o := range sortedVersions(v.outbox[id]) {
+			n.send(id, StreamsBegun{Service: o.Service, Version: o.Version, Streams: v.outbox[id][o]})
 		}
 	}
 	clear(v.outbox)
@@ -256,7 +248,7 @@
 
 func (s *forwards) handleStreamsBegun(n *Node, m StreamsBegun) {
 	for _, stream := range m.Streams {
-		s.versions.keep(n, stream, streamOrigin{m.Service, m.Version})
+		s.versions.keep(n, stream, ServiceVersion{m.Service, m.Version})
 	}
 }
 
@@ -264,7 +256,7 @@
 	origin, known := s.lookUp(n, m.Service, m.Stream)
 	answer := VersionAnswer{Stream: m.Stream}
 	if known {
-		answer.Known, answer.Service, answer.Version = true, origin.service, origin.version
+		answer.Known, answer.Service, answer.Version = true, origin.Service, origin.Version
 	}
 	n.send(from, answer)
 }
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -29,6 +29,8 @@
 	ReadInstances(c core.ReadInstances)
 	// Ready makes readiness checks succeed.
 	Ready()
+	// RecordVersion records in the store which versions of upstreams serve. It does not block.
+	RecordVersion(c core.RecordVersion)
 	// RenewStateRead renews a waiting read of the desired state. It does not block.
 	RenewStateRead(c core.RenewStateRead)
 	// ObserveAnswers sets whether the core gets a message for each answer of an upstream. It
@@ -133,6 +135,8 @@
 		e.Runtime.ReadInstances(c)
 	case core.NodeReady:
 		e.Runtime.Ready()
+	case core.RecordVersion:
+		e.Runtime.RecordVersion(c)
 	case core.RenewStateRead:
 		e.Runtime.RenewStateRead(c)
 	case core.ObserveAnswers:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -241,6 +241,9 @@
 // Ready makes readiness checks succeed.
 func (h hostedRuntime) Ready() { h.directory.SetReady(true) }
 
+// RecordVersion records in the store which versions of upstreams serve.
+func (h hostedRuntime) RecordVersion(c core.RecordVersion) { h.watcher.RecordVersion(c) }
+
 // RenewStateRead renews a waiting read of the desired state.
 func (h hostedRuntime) RenewStateRead(c core.RenewStateRead) { h.watcher.RenewDesired(c.Latest) }
 
--- /dev/null
+++ b/daisyshed/store/versions.go
@@ -0,0 +1,60 @@
+package store
+
+import (
+	"context"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/platform"
+)
+
+// maxVersionReads bounds the attempts to read the recorded versions at a start. Without them the
+// node is sure of the versions after as long as streams can be resumed.
+const maxVersionReads = 8
+
+// readVersions reads the recorded versions of upstreams' software and sends them to the core.
+func (w *Watcher) readVersions(ctx context.Context) {
+	backoff := minBackoff
+	for range maxVersionReads {
+		p, err := w.Store.ReadLatest(ctx, platform.Versions)
+		if err == nil {
+			w.sendVersions(p.Records)
+			return
+		}
+		w.Log.Warn().Str("Event", "StoreLost").Str("Topic", string(platform.Versions)).Err(err).Send()
+		sleepWithJitter(ctx, backoff, nil)
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (w *Watcher) sendVersions(records []platform.Record) {
+	var m core.VersionsRead
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		v, err := platform.DecodeVersion(r.Value)
+		if err != nil {
+			w.Log.Warn().Str("Event", "Unreadable").Str("Topic", string(platform.Versions)).Err(err).Send()
+			continue
+		}
+		m.Versions = append(m.Versions, v)
+	}
+	w.SendToCore(m)
+}
+
+// RecordVersion records that a version serves, or removes it from the record, and sends the
+// outcome to the core. It does not block.
+func (w *Watcher) RecordVersion(c core.RecordVersion) {
+	go func() {
+		key, value, err := platform.EncodeVersion(c.ServiceVersion)
+		if c.Gone {
+			value = nil
+		}
+		if err == nil {
+			err = w.Store.Append(context.Background(), platform.Versions, key, value)
+		}
+		w.Log.Info().Str("Event", "VersionRecorded").Str("Service", string(c.Service)).Str("Software", string(c.Version)).
+			Bool("Gone", c.Gone).Err(err).Send()
+		w.SendToCore(core.VersionRecorded{RecordVersion: c, Failed: err != nil})
+	}()
+}
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -58,6 +58,7 @@
 // entries until ctx ends. Prepare must have been called.
 func (w *Watcher) Run(ctx context.Context) {
 	go w.keepAnnounced(ctx)
+	go w.readVersions(ctx)
 	go w.follow(ctx, &topic{name: platform.Desired, wait: desiredReadWait, apply: w.applyDesired, renewal: &w.desiredRenewal})
 	w.follow(ctx, &topic{name: platform.Nodes, wait: nodesReadWait, pause: nodesReadPause, endPause: w.announced, apply: w.nodesApplier(), renewal: &w.nodesRenewal})
 }
