--- a/core/version_record.go
+++ b/core/version_record.go
@@ -44,7 +44,14 @@
 
 func (r *versionRecord) start(n *Node) {
 	r.recorded, r.pending = map[ServiceVersion]bool{}, map[ServiceVersion]bool{}
-	n.every(versionRecordEvery, func(n *Node) { r.update(n) })
+	r.scheduleUpdate(n)
+}
+
+func (r *versionRecord) scheduleUpdate(n *Node) {
+	n.afterFunc(versionRecordEvery, func(n *Node) {
+		r.update(n)
+		r.scheduleUpdate(n)
+	})
 }
 
 // covers reports whether the record held all versions of a service that serve, so that it was
