Show streams that go on at an engine reborn at another version (review, case 2)

An entry of KNOWN-RED.txt that was found by reading, shown with real daemons: an engine crashes and starts again under its id at the next version of its software, and another one crashes right after. Until nodes have read the new entry, up to 0.75 s, they go on at the first with the streams of the second. The answers end whole with events of two versions.

--- a/review/rig/drill.go
+++ b/review/rig/drill.go
@@ -18,8 +18,8 @@
 	copyAge      = 5 * time.Second
 	rewriteAfter = 2 * time.Second
 	// drillWorkers is how many workers the service has, and drillLeavers how many of them leave.
-	drillWorkers = 12
-	drillLeavers = 3
+	drillWorkers = 20
+	drillLeavers = 5
 )
 
 // drill has workers leave that never report that they drain, and then the store return from a
@@ -57,7 +57,7 @@
 	g.note("three nodes are ready")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go g.clients.send(ctx, 18)
+	go g.clients.send(ctx, 12)
 	time.Sleep(2 * contactMs)
 
 	left, offset := time.Now(), -1
--- a/review/rig/upgrade.go
+++ b/review/rig/upgrade.go
@@ -16,8 +16,8 @@
 	engines = 12
 	// prefillEngines is how many of the engines read prompts at first.
 	prefillEngines = 4
-	// upgradeRounds is how often two engines crash, one after the other.
-	upgradeRounds = 10
+	// upgradeTime is until when, after the start, engines crash.
+	upgradeTime = 95 * time.Second
 	// engineDown is how long an engine is down, and crashGap the time from its return to the
 	// crash of the other one.
 	engineDown = 200 * time.Millisecond
@@ -53,31 +53,33 @@
 	mixed := &mixes{byAttempt: map[string][]string{}}
 	go g.sendStreams(ctx, 8, mixed)
 	time.Sleep(2 * contactMs)
-	upgraded := map[*engine]bool{}
-	for round := 0; round < upgradeRounds && ctx.Err() == nil; round++ {
+	version := map[*engine]int{}
+	for _, e := range list {
+		version[e] = 1
+	}
+	for time.Since(g.began) < upgradeTime {
 		if !g.trouble {
-			time.Sleep(5 * time.Second)
+			time.Sleep(time.Second)
 			continue
 		}
-		idle, busy := chooseEngines(list, upgraded)
+		idle, busy := chooseEngines(list, version)
 		if idle == nil {
-			g.note("no engine of v1 alone was idle while another ran two streams or more")
-			break
+			continue
 		}
 		idle.crash()
-		g.note("%s crashes", idle.id)
+		g.note("%s of v%d crashes", idle.id, version[idle])
 		time.Sleep(engineDown)
-		if err := idle.start("", "v2"); err != nil {
+		version[idle]++
+		if err := idle.start("", fmt.Sprintf("v%d", version[idle])); err != nil {
 			return false, err
 		}
-		upgraded[idle] = true
-		g.note("%s has started again under its id, at v2, and has checked in", idle.id)
+		g.note("%s has started again under its id, at v%d, and has checked in", idle.id, version[idle])
 		time.Sleep(crashGap)
 		_, running := busy.load()
 		busy.crash()
-		g.note("%s crashes, it runs %d streams", busy.id, running)
+		g.note("%s of v%d crashes, it runs %d streams", busy.id, version[busy], running)
 		time.Sleep(engineDown)
-		if err := busy.start("", "v1"); err != nil {
+		if err := busy.start("", fmt.Sprintf("v%d", version[busy])); err != nil {
 			return false, err
 		}
 		time.Sleep(4 * time.Second)
@@ -87,25 +89,30 @@
 	return mixed.judge(g), nil
 }
 
-// chooseEngines waits until one decode engine of v1 alone is idle while another one runs at least
-// two streams, and returns both; nil if that does not happen in time.
-func chooseEngines(list []*engine, upgraded map[*engine]bool) (idle, busy *engine) {
-	for until := time.Now().Add(8 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		idle, busy = nil, nil
-		most, count := 1, 0
+// chooseEngines waits until one decode engine of a version alone is idle while another of that
+// version runs at least two streams, and returns both; nil if that does not happen in time.
+func chooseEngines(list []*engine, version map[*engine]int) (idle, busy *engine) {
+	for until := time.Now().Add(4 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		idles, most := map[int][]*engine{}, map[int]*engine{}
+		load := map[*engine]int{}
 		for _, e := range list {
 			stage, running := e.load()
-			switch {
-			case stage != "decode" || upgraded[e]:
-			case running == 0:
-				idle = e
-				count++
-			case running > most:
-				busy, most = e, running
+			if stage != "decode" {
+				continue
+			}
+			v := version[e]
+			load[e] = running
+			if running == 0 {
+				idles[v] = append(idles[v], e)
+			}
+			if running > 1 && (most[v] == nil || running > load[most[v]]) {
+				most[v] = e
 			}
 		}
-		if count == 1 && busy != nil {
-			return idle, busy
+		for v, list := range idles {
+			if len(list) == 1 && most[v] != nil {
+				return list[0], most[v]
+			}
 		}
 	}
 	return nil, nil
