--- a/review/rig/drill.go
+++ b/review/rig/drill.go
@@ -10,8 +10,8 @@
 
 // The bounds of the settings, and the drill.
 const (
-	drainMs   = 2 * time.Second
-	contactMs = 3 * time.Second
+	drainDelay  = 2 * time.Second
+	contactTime = 3 * time.Second
 	// storeAway is how long the store is away in a drill, copyAge how old the copy is from
 	// which it returns, and rewriteAfter when what the worker had written is written again.
 	storeAway    = 500 * time.Millisecond
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go g.clients.send(ctx, 12)
-	time.Sleep(2 * contactMs)
+	time.Sleep(2 * contactTime)
 
 	left, offset := time.Now(), -1
 	for _, w := range leavers {
@@ -70,7 +70,7 @@
 	g.mu.Lock()
 	removed = offset
 	g.mu.Unlock()
-	time.Sleep(drainMs + 500*time.Millisecond)
+	time.Sleep(drainDelay + 500*time.Millisecond)
 	if g.trouble {
 		g.store.leave()
 		g.note("the store goes away")
@@ -115,7 +115,7 @@
 		switch {
 		case a.sentAt.Before(left):
 			before = append(before, r)
-		case ok && a.sentAt.Sub(acknowledged) > drainMs:
+		case ok && a.sentAt.Sub(acknowledged) > drainDelay:
 			late = append(late, r)
 		}
 	}
--- a/review/rig/upgrade.go
+++ b/review/rig/upgrade.go
@@ -52,7 +52,7 @@
 	defer cancel()
 	mixed := &mixes{byAttempt: map[string][]string{}}
 	go g.sendStreams(ctx, 8, mixed)
-	time.Sleep(2 * contactMs)
+	time.Sleep(2 * contactTime)
 	version := map[*engine]int{}
 	for _, e := range list {
 		version[e] = 1
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -138,7 +138,7 @@
 	defer func() { <-w.sem }()
 	w.onRun(run{attempt: attempt, worker: w.id, at: time.Now()})
 	work := w.work
-	exits := w.exitInRun && leaving && r.Method == http.MethodPost && time.Since(leftAt) > drainMs
+	exits := w.exitInRun && leaving && r.Method == http.MethodPost && time.Since(leftAt) > drainDelay
 	if exits {
 		work /= 2
 	}
