--- a/review/rig/nodes.go
+++ b/review/rig/nodes.go
@@ -18,6 +18,9 @@
 	portFront, portReady, portDirectory, portFirst, portLast = 28149, 28141, 28143, 27380, 27395
 )
 
+// maxDescriptors is MaxFds of the settings.
+const maxDescriptors = 4100
+
 // node is one machine of the system with its process.
 type node struct {
 	name, zone, ip string
@@ -51,7 +54,7 @@
 CpuShare = 0.4
 Cores = 1
 MemoryMb = 134
-MaxFds = 4100
+MaxFds = %d
 LinkMbps = 1000.0
 DiskMb = 0
 [Bounds]
@@ -84,7 +87,7 @@
 parts = 8
 AppendMs = 4.0
 keep_s = 300
-`, n.name, n.ip, n.zone, portFirst, portLast, bootstrap, n.ip, portFront, n.ip, portReady, n.ip, portDirectory, n.storeAddress)
+`, n.name, n.ip, n.zone, portFirst, portLast, bootstrap, n.ip, portFront, n.ip, portReady, n.ip, portDirectory, maxDescriptors, n.storeAddress)
 }
 
 // start starts the node's process with the command of the deploy file.
@@ -98,7 +101,8 @@
 		return err
 	}
 	defer log.Close()
-	n.cmd = exec.Command(bin, "--hosted")
+	// The platform limits a process's descriptors.
+	n.cmd = exec.Command("/bin/bash", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" --hosted`, maxDescriptors), bin)
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "DAISYSHED_SETTINGS=" + file}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	if err := n.cmd.Start(); err != nil {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -8,12 +8,17 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
 
-// heartbeat is the interval at which workers check in.
-const heartbeat = 1200 * time.Millisecond
+const (
+	// heartbeat is the interval at which workers check in.
+	heartbeat = 1200 * time.Millisecond
+	// slowWork is how long a worker works on a request of the slow route.
+	slowWork = 1200 * time.Millisecond
+)
 
 // run is one run of a request at a worker.
 type run struct {
@@ -26,8 +31,10 @@
 	id, service, zone string
 	slots             int
 	work              time.Duration
-	store             *store
-	onRun             func(run)
+	// slowWork is how long the worker works on requests of the slow route.
+	slowWork time.Duration
+	store    *store
+	onRun    func(run)
 
 	// exitInRun makes the worker exit in the middle of the first unsafe run that begins later
 	// than DrainMs after it has left; exited is called then.
@@ -138,6 +145,9 @@
 	defer func() { <-w.sem }()
 	w.onRun(run{attempt: attempt, worker: w.id, at: time.Now()})
 	work := w.work
+	if strings.HasPrefix(r.URL.Path, "/slow/") {
+		work = w.slowWork
+	}
 	exits := w.exitInRun && leaving && r.Method == http.MethodPost && time.Since(leftAt) > drainDelay
 	if exits {
 		work /= 2
