--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -68,6 +68,7 @@
 	go func() {
 		<-signals
 		g.endAll()
+		_ = os.RemoveAll(dir)
 		os.Exit(exitNotRun)
 	}()
 	broken, err := cases[os.Args[1]](g)
