--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -73,7 +73,7 @@
 
 // key returns the record's key, or an empty string if it has none.
 func (r record) key() string {
-	if len(r.data) <= int(r.data[0]) {
+	if len(r.data) == 0 || len(r.data) <= int(r.data[0]) {
 		return ""
 	}
 	return string(r.data[1 : 1+int(r.data[0])])
@@ -126,9 +126,14 @@
 // Put appends a new value of a key to a topic. An empty value deletes the key.
 func (s *Store) Put(name, key string, value []byte) {
 	data := append([]byte{byte(len(key))}, key...)
+	s.PutRecord(name, append(data, value...))
+}
+
+// PutRecord appends a record as it is, which need not have a key.
+func (s *Store) PutRecord(name string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.topic(name).append(append(data, value...), time.Now())
+	s.topic(name).append(data, time.Now())
 }
 
 // Restore returns the store from a copy that is the given time old: all records since
