--- a/daisyshed/store/instances.go
+++ b/daisyshed/store/instances.go
@@ -46,6 +46,7 @@
 		return m, err
 	}
 	m.Offset, m.More, m.Era = p.Next, p.More, max(p.Era, known)
+	w.logSkipped(platform.Instances, p)
 	newest := map[string]platform.Record{}
 	for _, r := range p.Records {
 		newest[r.Key] = r
@@ -64,6 +65,13 @@
 	return m, nil
 }
 
+// logSkipped logs that records of a page could not be decoded.
+func (w *Watcher) logSkipped(topic platform.Topic, p platform.Page) {
+	if p.Skipped != nil {
+		w.Log.Warn().Str("Event", "Unreadable").Str("Topic", string(topic)).Err(p.Skipped).Send()
+	}
+}
+
 // maxLoggedKeys bounds the size of a loggedKeys. Once it is full, further entries
 // that cannot be decoded are not logged.
 const maxLoggedKeys = 1024
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -160,6 +160,7 @@
 		return w.read(ctx, t, wait)
 	}
 	t.from = p.Next
+	w.logSkipped(t.name, p)
 	u := update{records: p.Records}
 	if !p.More {
 		u.asOf = t.renewal.receivedAt()
