--- a/daisyshed/store/instances.go
+++ b/daisyshed/store/instances.go
@@ -57,7 +57,9 @@
 			m.Changed = append(m.Changed, i)
 			continue
 		}
-		m.Removed = append(m.Removed, core.EngineID(key))
+		if platform.IsName(key) {
+			m.Removed = append(m.Removed, core.EngineID(key))
+		}
 		if len(r.Value) > 0 && w.loggedUnreadable.add(key) {
 			w.Log.Warn().Str("Event", "Unreadable").Int64("Offset", int64(r.Offset)).Err(err).Send()
 		}
