Keep a connection to a peer when a message cannot be encoded

A message that could not be encoded closed the connection to its receiver, was tried once more, and closed the next one as well. What another node had sent before was not harmed, but every message of this kind cost two connections, and the queue behind it waited for them.

Messages are now encoded before the connection is used; one that cannot be is dropped and reported.

"Message that cannot be encoded leaves its connection open" failed before and passes.

--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -51,33 +51,44 @@
 
 // sendWithRetry sends one message. If that fails on a connection that was used
 // before, which may have broken since, it retries once on a new one. A message that
-// cannot be sent is dropped.
+// cannot be encoded or sent is dropped.
 func (l *link) sendWithRetry(body core.PeerBody) {
+	m := core.PeerMessage{From: l.transport.Self, Incarnation: l.transport.Incarnation, Body: body}
+	frame, err := wire.EncodeFrame(m)
+	if err != nil {
+		l.drop(body, 0, err)
+		return
+	}
 	retry := l.used
-	err := l.send(body)
+	n, err := l.send(frame)
 	if err != nil && retry {
-		err = l.send(body)
+		n, err = l.send(frame)
 	}
 	if err != nil {
-		l.transport.Meter.PeerDropped()
-		l.transport.Meter.PeerFault(err)
+		l.drop(body, n, err)
 	}
 }
 
-// send writes one message to the stream, and disconnects if the write fails.
-func (l *link) send(body core.PeerBody) error {
+// drop counts and reports a message of which written bytes were sent.
+func (l *link) drop(body core.PeerBody, written int, cause error) {
+	l.transport.Meter.PeerDropped()
+	l.transport.Meter.PeerFault(&SendError{To: l.to, Message: fmt.Sprintf("%T", body), Written: written, Cause: cause})
+}
+
+// send writes one frame to the stream, and disconnects if the write fails. It returns the
+// number of bytes written.
+func (l *link) send(frame []byte) (int, error) {
 	if err := l.connect(); err != nil {
-		return err
+		return 0, err
 	}
-	m := core.PeerMessage{From: l.transport.Self, Incarnation: l.transport.Incarnation, Body: body}
-	n, err := wire.WriteFrame(partWriter{stream: l.stream, timeout: l.transport.Limits.WriteTimeout}, m)
+	n, err := partWriter{stream: l.stream, timeout: l.transport.Limits.WriteTimeout}.Write(frame)
 	if err != nil {
 		l.disconnect()
-		return &SendError{To: l.to, Message: fmt.Sprintf("%T", body), Written: n, Cause: err}
+		return n, err
 	}
 	l.used = true
 	l.prober.Load().sent(n)
-	return nil
+	return n, nil
 }
 
 // partBytes is the size of the parts in which a message is written.
--- a/daisyshed/peer/transport_test.go
+++ b/daisyshed/peer/transport_test.go
@@ -116,6 +116,7 @@
 	{"Invalid bytes end only their connection", invalidBytesEndOnlyTheirConnection},
 	{"Invalid frame ends only its connection", invalidFrameEndsOnlyItsConnection},
 	{"Connection without a stream is closed", connectionWithoutStreamIsClosed},
+	{"Message that cannot be encoded leaves its connection open", unencodableMessageLeavesItsConnectionOpen},
 }
 
 func TestTransport(t *testing.T) {
@@ -149,6 +150,23 @@
 	is.Equal(sent, received)
 }
 
+func unencodableMessageLeavesItsConnectionOpen(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	for _, body := range []core.PeerBody{
+		core.VMListQuery{}, core.VersionQuery{Service: "\xff"}, core.KeyCall{Body: make([]byte, wire.MaxEnvelopeBytes)}, core.VMListQuery{},
+	} {
+		p.a.Enqueue("b", "addr", body)
+	}
+	<-p.inbox
+	<-p.inbox
+	synctest.Wait()
+	is.Equal(p.connections(), 1)
+	is.Equal(p.meterA.droppedSoFar(), 2)
+	is.Equal(len(p.meterA.faultsSoFar()), 2)
+}
+
 func idleConnectionIsClosedAndReopened(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
--- a/wire/peer/frame.go
+++ b/wire/peer/frame.go
@@ -66,22 +66,32 @@
 // WriteFrame writes m as an envelope with a length prefix and returns the number
 // of bytes written.
 func WriteFrame(w io.Writer, m core.PeerMessage) (int, error) {
-	envelope, err := ToEnvelope(m)
+	frame, err := EncodeFrame(m)
 	if err != nil {
 		return 0, err
 	}
+	// A single write lets yamux send the length and the envelope in one frame.
+	return w.Write(frame)
+}
+
+// EncodeFrame encodes m as an envelope with a length prefix. What cannot be encoded gives
+// an *[UnknownBodyError], *[FrameTooLargeError] or *[EncodeError].
+func EncodeFrame(m core.PeerMessage) ([]byte, error) {
+	envelope, err := ToEnvelope(m)
+	if err != nil {
+		return nil, err
+	}
 	if size := proto.Size(envelope); size > MaxEnvelopeBytes {
-		return 0, &FrameTooLargeError{Size: size, Limit: MaxEnvelopeBytes}
+		return nil, &FrameTooLargeError{Size: size, Limit: MaxEnvelopeBytes}
 	}
 	data, err := proto.Marshal(envelope)
 	if err != nil {
-		return 0, &EncodeError{Cause: err}
+		return nil, &EncodeError{Cause: err}
 	}
 	if err := checkFields(data); err != nil {
-		return 0, &EncodeError{Cause: err}
+		return nil, &EncodeError{Cause: err}
 	}
-	// A single write lets yamux send the length and the envelope in one frame.
-	return w.Write(append(protowire.AppendVarint(nil, uint64(len(data))), data...))
+	return append(protowire.AppendVarint(nil, uint64(len(data))), data...), nil
 }
 
 // ReadFrame reads one envelope with a length prefix and returns its message. It
