Send placements of attempts whose id is no text (LOST)

A caller may use any bytes above 0x7f in the id of its attempt and in the parts of its prompt.

The id in a placement is for the owner's log: what is no text in it is replaced.

--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"time"
 
 	"daisyshed.dev/core"
@@ -102,7 +103,7 @@
 		ID: uint64(b.ID), Service: string(b.Group.Service), Index: uint32(b.Group.Index),
 		Prompt: int64(b.Prompt), Expected: int64(b.Expected), MaxOutput: int64(b.MaxOutput), Rank: int64(b.Rank),
 		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective), MaxPauseNanos: int64(b.MaxPause),
-		Prompted: uint64(b.PromptKey), Attempt: b.Attempt, WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: convertAll(b.Avoid, func(id core.EngineID) string { return string(id) }),
+		Prompted: uint64(b.PromptKey), Attempt: strings.ToValidUTF8(b.Attempt, "?"), WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: convertAll(b.Avoid, func(id core.EngineID) string { return string(id) }),
 		Version: fromVersion(b.Version),
 	}
 }
--- a/wire/peer/peer_test.go
+++ b/wire/peer/peer_test.go
@@ -72,6 +72,16 @@
 	is.True(ok)
 }
 
+// A caller chooses the id of its attempt; its placement must reach the owner whatever that is.
+func TestAttemptThatIsNoTextIsSent(t *testing.T) {
+	is := is.New(t)
+	data, err := peer.Encode(core.PeerMessage{Body: core.PlaceForward{ID: 3, Attempt: "a\xffb"}})
+	is.NoErr(err)
+	out, err := peer.Decode(data)
+	is.NoErr(err)
+	is.Equal(out.Body.(core.PlaceForward).ID, core.ForwardID(3))
+}
+
 func TestInvalidEnvelopesGiveTypedErrors(t *testing.T) {
 	is := is.New(t)
 	_, err := peer.Decode(nil)
