Skip a record of a list that cannot be decoded

One record of log-newest whose value was not base64, or whose key or offset had another type or did not fit, failed the whole list, and a node that started could not read its upstreams.

A list without a readable shape is refused as before, and so is a page of odd records alone that is not the last.

--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -145,6 +145,7 @@
 		if err != nil {
 			return update{}, err
 		}
+		w.logSkipped(t.name, p)
 		t.listed, t.from, t.era = true, p.Next, max(p.Era, known)
 		return update{records: p.Records, snapshot: true, asOf: began}, nil
 	}
