--- a/daisyshed/store/odd_record_test.go
+++ b/daisyshed/store/odd_record_test.go
@@ -152,6 +152,9 @@
 			if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() {
 				t.Errorf("address %q is no address of an upstream", i.Address)
 			}
+			if n := len(i.Service) + len(i.Domain) + len(i.Version) + len(i.ID); n > 2048 {
+				t.Errorf("names of %d bytes would be sent to all nodes", n)
+			}
 			if i.Slots < 1 || i.Slots+i.Slots/2 < i.Slots {
 				t.Errorf("slots %d are no slots of an upstream", i.Slots)
 			}
