Prove as of when the list of upstreams is complete

A node's list of upstreams had no age that decisions could ask for. A read of the store names the instant at which it was started; a complete one proves that the list held all that the store held then. Changes that peers forward prove nothing, as a node that was cut off or stood still handles old ones.

proveAfter calls back once the list is proven as of an instant, and reads the store if no read in flight started late enough. A read that hangs no longer blocks a later one: a second may be in flight, and the older result of a whole read is dropped.

--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -51,15 +51,18 @@
 type ReadInstances struct {
 	Whole bool
 	After Offset
+	// Started is when the read was started.
+	Started Instant
 }
 
 // InstancesRead answers ReadInstances with the entries that were changed or removed.
 // More is set if the store has later ones. Era is the store's era of the entries and of
-// Offset.
+// Offset. Whole, After and Started are those of the read.
 type InstancesRead struct {
 	Whole   bool
 	More    bool
 	After   Offset
+	Started Instant
 	Era     StoreEra
 	Offset  Offset
 	Changed []Instance
@@ -68,7 +71,11 @@
 
 // InstancesReadFailed reports that reading the entries failed. Compacted is set if the
 // store no longer has the changes after the offset, so that all entries must be read.
-type InstancesReadFailed struct{ Compacted bool }
+type InstancesReadFailed struct {
+	Compacted bool
+	// Started is that of the read.
+	Started Instant
+}
 
 // InstancesChanged forwards to other nodes the changes that a reader read: those after
 // the offset After, up to the offset Offset, both of the store's era Era.
@@ -110,10 +117,11 @@
 	expiring map[EngineID]Instant
 	// position is where the list is up to date, and latestEra the store's latest era
 	// that this node knows of.
-	position     feedPosition
-	latestEra    StoreEra
-	loaded       bool
-	readInFlight bool
+	position      feedPosition
+	latestEra     StoreEra
+	loaded        bool
+	readsInFlight int
+	proof         listProof
 	// changedAt and removedAt are the positions at which entries were last changed and
 	// removed. They are complete for all changes after historyStart. left holds the
 	// incarnations of those in removedAt that were draining before.
@@ -184,14 +192,21 @@
 
 // read starts a read of the store unless one is in flight.
 func (s *instanceFeed) read(n *Node) {
-	if s.readInFlight {
+	if s.readsInFlight == 0 {
+		s.startRead(n)
+	}
+}
+
+func (s *instanceFeed) startRead(n *Node) {
+	if s.readsInFlight >= feedMaxReads {
 		return
 	}
 	// A node that lacks more records than there are entries gets them sooner by
 	// reading all entries.
 	s.readAll = s.readAll || s.missedRecords > Offset(len(s.entries))
-	s.readInFlight, s.readAt = true, n.now
-	n.do(ReadInstances{Whole: s.readAll, After: s.position.offset})
+	s.readsInFlight++
+	s.readAt = n.now
+	n.do(ReadInstances{Whole: s.readAll, After: s.position.offset, Started: n.now})
 }
 
 // handleEra handles a new era of the store, which was restored from a copy: records that
@@ -222,7 +237,7 @@
 
 // applyRead applies the result of this node's read, and forwards the changes.
 func (s *instanceFeed) applyRead(n *Node, m InstancesRead) {
-	s.readInFlight = false
+	s.readsInFlight = max(s.readsInFlight-1, 0)
 	if s.storeUnreachable {
 		s.storeUnreachable, s.outageAt = false, n.now
 	}
@@ -235,13 +250,19 @@
 	case m.Era < s.latestEra:
 		// The store was restored while this read was in flight.
 		s.readAll = true
+		s.notProved(n, m.Started)
 		return
 	case !m.Whole && s.loaded && (m.Era != s.position.era || m.After > s.position.offset):
 		// The offset from which the store was read is of an earlier era.
 		s.readAll = true
 		s.read(n)
 		return
+	case m.Whole && m.Started < s.proof.at:
+		// A later read was answered before.
+		return
 	case !m.Whole && to.before(s.position):
+		// A peer has forwarded later changes meanwhile.
+		s.readEnded(n, m)
 		return
 	}
 	s.readAll = false
@@ -259,14 +280,21 @@
 	}
 	forward := !m.Whole && n.readerRank() < feedReaders+feedBackupReaders
 	s.apply(n, to, changed, removed)
-	if m.More {
-		s.read(n)
-	}
 	if forward {
 		n.broadcast(InstancesChanged{
 			Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed, ConfigOffset: n.stateOffset(), Proof: n.stateProof(),
 		})
 	}
+	s.readEnded(n, m)
+}
+
+// readEnded continues a read of which the store has more, and otherwise records what it proves.
+func (s *instanceFeed) readEnded(n *Node, m InstancesRead) {
+	if m.More {
+		s.startRead(n)
+		return
+	}
+	s.proved(n, m.Started)
 }
 
 // withoutStale returns the entries of a restored store without what this node knows to be
@@ -317,13 +345,14 @@
 // readFailed handles a failed read: it reads all entries if the changes were compacted,
 // and otherwise records an outage of the store.
 func (s *instanceFeed) readFailed(n *Node, m InstancesReadFailed) {
-	s.readInFlight = false
+	s.readsInFlight = max(s.readsInFlight-1, 0)
 	if m.Compacted {
 		s.readAll = true
-		s.read(n)
+		s.startRead(n)
 		return
 	}
 	s.storeUnreachable, s.outageAt = true, n.now
+	s.notProved(n, m.Started)
 }
 
 // handleChanges applies the changes that a reader forwarded. If they start after this
--- /dev/null
+++ b/core/instance_proof.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// feedMaxReads is how many reads of the store a node has in flight at most, and
+	// feedHungAfter is after which time without a response a second one is started.
+	feedMaxReads  = 2
+	feedHungAfter = 250 * time.Millisecond
+)
+
+// listProof tells as of when the list of upstreams is known to be complete. Changes that peers
+// forward prove nothing: their delay is unknown, and a node that stood still handles old ones.
+type listProof struct {
+	// at is when the newest complete read of the store was started.
+	at      Instant
+	waiting []*proofWait
+	// retryScheduled is set while a timer waits for a read that may hang.
+	retryScheduled bool
+}
+
+// proofWait waits for a proof that is not older than at.
+type proofWait struct {
+	at   Instant
+	then func(n *Node, proven bool)
+}
+
+// provenAt returns an instant at which the store held no entry of an upstream that this node
+// had not read; zero if there is none yet.
+func (s *instanceFeed) provenAt() Instant { return s.proof.at }
+
+// proveAfter calls then once provenAt is not earlier than at, which must not be in the future.
+// It reads the store if no read does that started late enough. If a read fails, or timeout
+// passes, it calls then with proven unset. It may call then before it returns.
+func (s *instanceFeed) proveAfter(n *Node, at Instant, timeout time.Duration, then func(n *Node, proven bool)) {
+	if s.proof.at != 0 && s.proof.at >= at {
+		then(n, true)
+		return
+	}
+	w := &proofWait{at: at, then: then}
+	s.proof.waiting = append(s.proof.waiting, w)
+	n.afterFunc(timeout, func(n *Node) {
+		if i := slices.Index(s.proof.waiting, w); i >= 0 {
+			s.proof.waiting = slices.Delete(s.proof.waiting, i, i+1)
+			then(n, false)
+		}
+	})
+	s.readForProof(n)
+}
+
+// readForProof starts a read if a proof is waited for that no read in flight can bring, unless
+// the latest read may soon be answered.
+func (s *instanceFeed) readForProof(n *Node) {
+	needed := slices.ContainsFunc(s.proof.waiting, func(w *proofWait) bool { return w.at > s.readAt })
+	if !needed || s.proof.retryScheduled {
+		return
+	}
+	hungAt := s.readAt.Add(feedHungAfter)
+	if s.readsInFlight > 0 && n.now < hungAt {
+		s.proof.retryScheduled = true
+		n.afterFunc(hungAt.Sub(n.now), func(n *Node) {
+			s.proof.retryScheduled = false
+			s.readForProof(n)
+		})
+		return
+	}
+	s.startRead(n)
+}
+
+// proved records a complete read that was started at an instant.
+func (s *instanceFeed) proved(n *Node, at Instant) {
+	s.proof.at = max(s.proof.at, at)
+	s.endWaits(n, at, true)
+	s.readForProof(n)
+}
+
+// notProved records the failure of a read that was started at an instant.
+func (s *instanceFeed) notProved(n *Node, at Instant) {
+	s.endWaits(n, at, false)
+	s.readForProof(n)
+}
+
+// endWaits ends the waits for a proof that is not older than at.
+func (s *instanceFeed) endWaits(n *Node, at Instant, proven bool) {
+	var ended []*proofWait
+	s.proof.waiting = slices.DeleteFunc(s.proof.waiting, func(w *proofWait) bool {
+		if w.at <= at {
+			ended = append(ended, w)
+		}
+		return w.at <= at
+	})
+	for _, w := range ended {
+		w.then(n, proven)
+	}
+}
--- a/daisyshed/store/instances.go
+++ b/daisyshed/store/instances.go
@@ -17,12 +17,12 @@
 		switch {
 		case errors.Is(err, platform.ErrCompacted):
 			w.Log.Info().Str("Event", "Compacted").Str("Topic", string(platform.Instances)).Int64("Offset", int64(c.After)).Send()
-			w.SendToCore(core.InstancesReadFailed{Compacted: true})
+			w.SendToCore(core.InstancesReadFailed{Compacted: true, Started: c.Started})
 		case err != nil:
 			if w.outage.callFailed() {
 				w.Log.Warn().Str("Event", "StoreLost").Str("Topic", string(platform.Instances)).Err(err).Send()
 			}
-			w.SendToCore(core.InstancesReadFailed{})
+			w.SendToCore(core.InstancesReadFailed{Started: c.Started})
 		default:
 			if w.outage.callSucceeded() {
 				w.Log.Info().Str("Event", "StoreRegained").Str("Topic", string(platform.Instances)).Send()
@@ -33,7 +33,7 @@
 }
 
 func (w *Watcher) readInstances(ctx context.Context, c core.ReadInstances) (core.InstancesRead, error) {
-	m := core.InstancesRead{Whole: c.Whole, After: c.After}
+	m := core.InstancesRead{Whole: c.Whole, After: c.After, Started: c.Started}
 	known := w.era.latest()
 	var p platform.Page
 	var err error
