Show that a late list decides which version began a stream

A node that is cut off from the store and its peers, or stands still, continues resumed streams at the only version in its list, and names it to other nodes that ask.

--- /dev/null
+++ b/core/stream_origin_test.go
@@ -0,0 +1,44 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+// newWatcher returns a node that has seen one version alone for longer than a stream can last,
+// and has then been cut off from the store and its peers.
+func newWatcher() *hostedNode {
+	h := newResumer(versionedEngines("v1", "v1"))
+	h.advance(2 * worldTimeout)
+	return h
+}
+
+// A node is cut off from the store and its peers while a new version appears and begins a stream,
+// whose caller resumes it there. The node continued it at the only version that it knew.
+func TestNodeThatIsCutOffDoesNotGuessTheVersion(t *testing.T) {
+	is := is.New(t)
+	h := newWatcher()
+	out := append(h.deliver(resuming(1, "first")), h.advance(worldTimeout)...)
+	is.Equal(len(commandsOf[core.RequestLease](out)), 0)
+	is.Equal(len(commandsOf[core.RunForward](out)), 0)
+	ends := commandsOf[core.EndForward](out)
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].Reason, core.StreamVersionUnknown)
+	is.True(ends[0].NotRun)
+	// Another node may know the version.
+	is.True(ends[0].RetryAfter > 0)
+}
+
+// A node whose list is late is asked by another node which version began a stream. It named the
+// only version that it knew.
+func TestLateNodeDoesNotVouchForItsVersion(t *testing.T) {
+	is := is.New(t)
+	h := newWatcher()
+	out := h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.VersionQuery{Service: "model", Stream: 1}})
+	for _, a := range sentTo[core.VersionAnswer](append(out, h.advance(time.Second)...), "n2") {
+		is.True(!a.Known)
+	}
+}
