Keep the origins of streams in the store while several versions serve

Cause: the origin of a stream was kept by nodes alone.

While another version may be taken for a stream's, its origin is also sent to the first two readers of the upstreams, which append it to the topic daisyshed.streams within 0.2 s, in one call for all nodes; a failed append is repeated for 5 s. A node that finds no record and several versions reads that topic before it rejects the stream. Records that cannot be decoded are logged and left out. With the store as a third copy, two other nodes keep a stream instead of three.

--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -402,12 +402,13 @@
 	_ = x[OriginUnknown-0]
 	_ = x[OriginKept-1]
 	_ = x[OriginFromPeer-2]
-	_ = x[OriginSole-3]
+	_ = x[OriginFromStore-3]
+	_ = x[OriginSole-4]
 }
 
-const _OriginSource_name = "OriginUnknownOriginKeptOriginFromPeerOriginSole"
+const _OriginSource_name = "OriginUnknownOriginKeptOriginFromPeerOriginFromStoreOriginSole"
 
-var _OriginSource_index = [...]uint8{0, 13, 23, 37, 47}
+var _OriginSource_index = [...]uint8{0, 13, 23, 37, 52, 62}
 
 func (i OriginSource) String() string {
 	idx := int(i) - 0
--- a/core/forward.go
+++ b/core/forward.go
@@ -63,11 +63,12 @@
 	prefillAtDecode bool
 
 	// version is the version that the request's stream is bound to, once it has begun or if its
-	// caller resumes it. lookup is the search for it, and keepers are the other nodes that were
-	// notified of it.
+	// caller resumes it. lookup is the search for it, keepers are the other nodes that were
+	// notified of it, and logged is set once it was sent to be appended to the store.
 	version Option[SoftwareVersion]
 	lookup  *versionLookup
 	keepers Set[NodeID]
+	logged  bool
 
 	decode *upstream
 	lease  LeaseID
--- a/core/node.go
+++ b/core/node.go
@@ -206,6 +206,10 @@
 		n.forward.upstreams.handleSignal(n, m)
 	case VersionsRead:
 		n.forward.versions.record.handleRead(n, m)
+	case StreamsAppended:
+		n.forward.versions.log.handleAppended(n, m)
+	case StreamsRead:
+		n.forward.handleStreamsRead(n, m)
 	case VersionRecorded:
 		n.forward.versions.record.handleRecorded(m)
 	case StoreEraObserved:
--- a/core/stream_search.go
+++ b/core/stream_search.go
@@ -13,6 +13,8 @@
 	OriginKept
 	// OriginFromPeer means that another node has named the origin.
 	OriginFromPeer
+	// OriginFromStore means that the log of the origins of streams in the store names it.
+	OriginFromStore
 	// OriginSole means that no other version can have begun the stream, by a list of upstreams
 	// that is not older than the request.
 	OriginSole
@@ -29,6 +31,7 @@
 // searchStore searches the store for the origin of a stream that had begun before the instant at.
 // An empty service stands for several, none of whose versions is the only one.
 func (s *forwards) searchStore(n *Node, service ServiceID, stream StreamKey, at Instant, timeout time.Duration, then func(*Node, originSearch)) {
+	until := n.now.Add(timeout)
 	n.feed.proveAfter(n, at, timeout, func(n *Node, proven bool) {
 		if origin, known := s.versions.recorded(n, stream); known {
 			then(n, originSearch{origin: origin, source: OriginKept})
@@ -42,6 +45,17 @@
 			then(n, originSearch{origin: ServiceVersion{service, version}, source: OriginSole})
 			return
 		}
-		then(n, originSearch{complete: s.versions.record.atStart != nil})
+		s.searchLog(n, stream, at, until, then)
+	})
+}
+
+// searchLog searches the log of the origins of streams for one.
+func (s *forwards) searchLog(n *Node, stream StreamKey, at, until Instant, then func(*Node, originSearch)) {
+	s.versions.log.readAfter(n, at, max(until.Sub(n.now), 0), func(n *Node, read bool) {
+		if origin, known := s.versions.recorded(n, stream); known {
+			then(n, originSearch{origin: origin, source: OriginFromStore})
+			return
+		}
+		then(n, originSearch{complete: read && s.versions.record.atStart != nil})
 	})
 }
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -6,10 +6,9 @@
 )
 
 const (
-	// streamCopies is how many other nodes keep the version that began a stream, and
-	// streamCopiesApart how many while another version may have begun it.
-	streamCopies      = 2
-	streamCopiesApart = 3
+	// streamCopies is how many other nodes keep the version that began a stream. While another
+	// version may have begun it, the store does too.
+	streamCopies = 2
 	// streamFlushDelay is for how long streams that have begun are collected before their
 	// keepers are notified.
 	streamFlushDelay = 50 * time.Millisecond
@@ -21,11 +20,13 @@
 // StreamKey is a hash of the attempt that brought the first event of a stream.
 type StreamKey uint64
 
-// StreamsBegun notifies a keeper of streams that an upstream of a version has begun.
+// StreamsBegun notifies a keeper of streams that an upstream of a version has begun. If Log is set,
+// the keeper appends them to the store, too.
 type StreamsBegun struct {
 	Service ServiceID
 	Version SoftwareVersion
 	Streams []StreamKey
+	Log     bool
 }
 
 // VersionQuery asks a node which version has begun a stream. If Search is set, a node without a
@@ -66,6 +67,8 @@
 	seen         map[ServiceVersion]Instant
 	// record is the record of versions in the store.
 	record versionRecord
+	// log is the log of the origins of streams in the store.
+	log streamLog
 	// streams are those that this node keeps, and order their keys by age.
 	streams map[StreamKey]keptStream
 	order   []StreamKey
@@ -96,6 +99,7 @@
 	v.outbox = map[NodeID]map[ServiceVersion][]StreamKey{}
 	v.lookups = map[StreamKey][]ForwardID{}
 	v.longest = map[ServiceID]time.Duration{}
+	v.log.start()
 }
 
 // observeList records the versions in a new list of upstreams, and reports whether there is one
@@ -230,14 +234,14 @@
 	v, stream := &s.versions, streamKey(f.beganBy())
 	origin := ServiceVersion{Service: f.spec.ID, Version: version}
 	v.keep(n, stream, origin)
-	copies := streamCopies
-	if _, sole := s.sole(n, f.spec.ID); !sole || len(f.route.Split) > 1 {
-		copies = streamCopiesApart
+	if _, sole := s.sole(n, f.spec.ID); !f.logged && (!sole || len(f.route.Split) > 1) {
+		f.logged = true
+		v.log.report(n, origin, stream)
 	}
 	if f.keepers == nil {
 		f.keepers = Set[NodeID]{}
 	}
-	for _, id := range n.streamKeepers(stream, copies) {
+	for _, id := range n.streamKeepers(stream, streamCopies) {
 		if id == n.Self.ID || f.keepers.Has(id) {
 			continue
 		}
@@ -264,8 +268,8 @@
 	clear(v.outbox)
 }
 
-// versionsChanged reports the streams that have begun to more nodes, and has the versions
-// recorded, once another version may be taken for theirs.
+// versionsChanged has the origins of the streams that have begun, and the versions, recorded in
+// the store, once another version may be taken for theirs.
 func (s *forwards) versionsChanged(n *Node) {
 	s.reportStreams(n)
 	if s.versions.record.atStart != nil {
@@ -304,6 +308,9 @@
 	for _, stream := range m.Streams {
 		s.versions.keep(n, stream, ServiceVersion{m.Service, m.Version})
 	}
+	if m.Log {
+		s.versions.log.add(n, ServiceVersion{m.Service, m.Version}, m.Streams)
+	}
 }
 
 func (s *forwards) handleVersionQuery(n *Node, from NodeID, m VersionQuery) {
--- a/core/version_record_test.go
+++ b/core/version_record_test.go
@@ -35,6 +35,7 @@
 			out = append(out, denyQueries(h, out)...)
 			is.Equal(len(commandsOf[core.RequestLease](out)), 0)
 			out = answerReads(h, out, nil)
+			out = append(out, answerLog(h, out)...)
 			is.Equal(len(commandsOf[core.RequestLease](out)) == 1, c.sure)
 			is.Equal(len(commandsOf[core.EndForward](out)) == 1, !c.sure)
 		})
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -29,6 +29,10 @@
 	ReadInstances(c core.ReadInstances)
 	// Ready makes readiness checks succeed.
 	Ready()
+	// AppendStreams appends to the store which versions began streams. It does not block.
+	AppendStreams(c core.AppendStreams)
+	// ReadStreams reads from the store which versions began streams. It does not block.
+	ReadStreams(c core.ReadStreams)
 	// ReadVersions reads the versions of upstreams that are recorded in the store. It does not
 	// block.
 	ReadVersions()
@@ -138,6 +142,10 @@
 		e.Runtime.ReadInstances(c)
 	case core.NodeReady:
 		e.Runtime.Ready()
+	case core.AppendStreams:
+		e.Runtime.AppendStreams(c)
+	case core.ReadStreams:
+		e.Runtime.ReadStreams(c)
 	case core.ReadVersions:
 		e.Runtime.ReadVersions()
 	case core.RecordVersion:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -241,6 +241,12 @@
 // Ready makes readiness checks succeed.
 func (h hostedRuntime) Ready() { h.directory.SetReady(true) }
 
+// AppendStreams appends to the store which versions began streams.
+func (h hostedRuntime) AppendStreams(c core.AppendStreams) { h.watcher.AppendStreams(c) }
+
+// ReadStreams reads from the store which versions began streams.
+func (h hostedRuntime) ReadStreams(c core.ReadStreams) { h.watcher.ReadStreams(c) }
+
 // ReadVersions reads the versions of upstreams that are recorded in the store.
 func (h hostedRuntime) ReadVersions() { h.watcher.ReadVersions() }
 
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -49,6 +49,7 @@
 	announceAgain  chan struct{}
 	desiredRenewal renewal
 	nodesRenewal   renewal
+	streams        streamsReader
 	// outage cancels waiting reads once the store has recovered, since they may
 	// wait on connections that broke during the outage.
 	outage outage
