Log and count how the version of a resumed stream was found

The log did not say which of a record, a peer, the store or the list had decided, so that the two faults of resumed streams could not be told apart. Each resumption now logs one of resume-kept, resume-peer, resume-log, resume-sole and resume-unknown, with the nodes asked and answered and the age of the list; the steps are counted by daisyshed_decisions_total.

--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -180,9 +180,9 @@
 // logLookup logs how a search for the version of a stream has ended.
 func (s *forwards) logLookup(n *Node, f *forwardedRequest, source OriginSource, version SoftwareVersion) {
 	l := f.lookup
-	d := s.newDecision(n, f, "resume", NoReason)
+	d := s.newDecision(n, f, source.step(), NoReason)
 	d.Waited = n.now.Sub(l.startedAt)
-	d.Detail = fmt.Sprintf("%s %q, asked %d, answered %d in %d rounds", source, version, len(l.asked), len(l.asked)-len(l.waiting), l.round)
+	d.Detail = fmt.Sprintf("version %q, asked %d, answered %d in %d rounds", version, len(l.asked), len(l.asked)-len(l.waiting), l.round)
 	if provenAt := n.feed.provenAt(); provenAt != 0 {
 		d.Detail += fmt.Sprintf(", list read %d ms ago", n.now.Sub(provenAt).Milliseconds())
 	}
--- a/core/stream_search.go
+++ b/core/stream_search.go
@@ -20,6 +20,13 @@
 	OriginSole
 )
 
+// step names the decision on a resumed stream whose origin a node learned in this way.
+func (s OriginSource) step() string {
+	return [...]string{
+		OriginUnknown: "resume-unknown", OriginKept: "resume-kept", OriginFromPeer: "resume-peer", OriginFromStore: "resume-log", OriginSole: "resume-sole",
+	}[s]
+}
+
 // originSearch is the result of a search. It is complete if the store holds nothing more that
 // could name the origin.
 type originSearch struct {
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -354,9 +355,20 @@
 	reads := commandsOf[core.ReadStreams](out)
 	is.Equal(len(reads), 1)
 	out = h.deliver(core.StreamsRead{Started: reads[0].Started, Origins: []core.StreamOrigins{{ServiceVersion: modelV2, Streams: []core.StreamKey{stream}}}})
+	is.Equal(stepsNamed(out), []string{"resume-log"})
 	is.Equal(versionOf(list, runStream(t, h, out).Engine), core.SoftwareVersion("v2"))
 }
 
+// stepsNamed returns the steps of the decisions on resumed streams among commands.
+func stepsNamed(out []core.Command) (steps []string) {
+	for _, c := range commandsOf[core.LogDecision](out) {
+		if strings.HasPrefix(c.Decision.Step, "resume-") {
+			steps = append(steps, c.Decision.Step)
+		}
+	}
+	return steps
+}
+
 // A node that keeps a running stream dies or is started again. Nobody kept the stream in its
 // place.
 func TestStreamIsReportedInPlaceOfAKeeperThatDied(t *testing.T) {
