--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -96,8 +96,7 @@
 		"core/stream_version.go", "	f.version = Some(f.versionOf(send))\n", "	_ = send\n",
 	}}}},
 	{Rule: "ORDER", Mutant: Mutant{Name: "unknown-version-resumed", Promise: core.AnswerWhole, Edits: []Edit{
-		{"core/stream_resume.go", "	if origin, known := s.lookUp(n, f.spec.ID, stream); known {\n", "	if origin, known := s.lookUp(n, f.spec.ID, stream); known || true {\n"},
-		{"core/stream_resume.go", "	f.version = Some(origin.Version)\n", "	if origin.Version != \"\" {\n		f.version = Some(origin.Version)\n	}\n"},
+		{"core/stream_resume.go", "f.ID)\n	s.queryKeepers(n, f)\n", "f.ID)\n	s.endLookup(f)\n	s.requestPlacement(n, f)\n"},
 	}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/crash_suspects.go", "	for _, key := range blocked {\n", "	blocked = nil\n	for _, key := range blocked {\n",
