Read the list before a stream's version counts as gone

A stream that a new version began was rejected for good at a node whose list of upstreams did not show that version yet: the cause of the joined streams, the age of a list, at another place. A resumption whose version is recorded and not in the list now waits for a read of the list that was started after the request arrived, and is rejected with a time to return if there is none.

TestVersionThatALateListLacksIsNotGone failed before. TestResumedStreamOfAVersionThatHasGoneIsRejectedAtOnce also demands that the list was read first, and fails on the code before; the rejection itself is as it was.

--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -146,7 +146,7 @@
 func (s *forwards) handleVersionAnswer(n *Node, from NodeID, m VersionAnswer) {
 	for _, id := range slices.Clone(s.versions.lookups[m.Stream]) {
 		f := s.live[id]
-		if f == nil || f.phase != forwardAwaitingVersion || !f.lookup.asked.Has(from) {
+		if f == nil || f.lookup == nil || !f.lookup.asked.Has(from) {
 			continue
 		}
 		if m.Known {
@@ -204,9 +204,33 @@
 	}
 	// Some of the nodes that keep the version may have died.
 	s.reportStream(n, f)
+	if s.versionGone(f) {
+		s.confirmGone(n, f)
+		return
+	}
 	s.requestPlacement(n, f)
 }
 
+// confirmGone reads the list of upstreams before it rejects a request of whose version it shows none:
+// the list may be later than that of the node that began the stream.
+func (s *forwards) confirmGone(n *Node, f *forwardedRequest) {
+	f.phase = forwardAwaitingVersion
+	f.step++
+	step := f.step
+	n.feed.proveAfter(n, f.arrived, f.lookupTime(n.now), func(n *Node, proven bool) {
+		switch {
+		case s.live[f.ID] != f || f.step != step:
+		case !s.versionGone(f):
+			s.requestPlacement(n, f)
+		case proven:
+			// No later attempt to resume can succeed: the caller may begin anew at once.
+			s.reject(n, f, StreamVersionGone, 0)
+		default:
+			s.reject(n, f, StreamVersionGone, n.jitter(versionRetryAfter))
+		}
+	})
+}
+
 // rejectUnknown rejects a request to resume a stream whose version was not found.
 func (s *forwards) rejectUnknown(n *Node, f *forwardedRequest, after time.Duration) {
 	s.logLookup(n, f, OriginUnknown, "")
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -257,20 +257,49 @@
 	}
 }
 
-// The version that began a stream has gone.
+// The version that began a stream has gone, by a list that was read since the request arrived.
 func TestResumedStreamOfAVersionThatHasGoneIsRejectedAtOnce(t *testing.T) {
 	is := is.New(t)
-	h := newResumer(versionedEngines("v2", "v2"))
-	for id, q := range versionQueries(h.deliver(resuming(1, "first"))) {
-		ends := commandsOf[core.EndForward](h.deliver(core.PeerMessage{
-			From: id, Incarnation: 1, Body: core.VersionAnswer{Stream: q.Stream, Known: true, Service: "model", Version: "v1"},
-		}))
+	out, h := resumedAtVersion(t, "v1", versionedEngines("v2", "v2"))
+	ends := commandsOf[core.EndForward](answerReads(h, out, nil))
+	is.Equal(len(ends), 1)
+	is.Equal(ends[0].Reason, core.StreamVersionGone)
+	is.True(ends[0].NotRun)
+	is.Equal(ends[0].RetryAfter, time.Duration(0))
+}
+
+// A new version began a stream, and the node where its caller resumes it does not list that
+// version yet. The stream was rejected for good.
+func TestVersionThatALateListLacksIsNotGone(t *testing.T) {
+	t.Run("read in time", func(t *testing.T) {
+		out, h := resumedAtVersion(t, "v2", versionedEngines("v1", "v1"))
+		list := versionedEngines("v1", "v1", "v2")
+		is.New(t).Equal(versionOf(list, runStream(t, h, answerReads(h, out, list)).Engine), core.SoftwareVersion("v2"))
+	})
+	t.Run("not read", func(t *testing.T) {
+		is := is.New(t)
+		out, h := resumedAtVersion(t, "v2", versionedEngines("v1", "v1"))
+		is.Equal(len(commandsOf[core.ReadInstances](out)), 1)
+		ends := commandsOf[core.EndForward](h.advance(worldTimeout / 2))
 		is.Equal(len(ends), 1)
 		is.Equal(ends[0].Reason, core.StreamVersionGone)
 		is.True(ends[0].NotRun)
-		return
+		is.True(ends[0].RetryAfter > 0 && ends[0].RetryAfter < time.Second)
+	})
+}
+
+// resumedAtVersion returns a node at which a stream is resumed that another node says a version
+// began, and the commands that follow.
+func resumedAtVersion(t *testing.T, version core.SoftwareVersion, list []core.Instance) ([]core.Command, *hostedNode) {
+	h := newResumer(list)
+	h.advance(time.Millisecond)
+	for id, q := range versionQueries(h.deliver(resuming(1, "first"))) {
+		out := h.deliver(core.PeerMessage{From: id, Incarnation: 1, Body: core.VersionAnswer{Stream: q.Stream, Known: true, Service: "model", Version: version}})
+		is.New(t).Equal(endsOf(out), 0)
+		return out, h
 	}
-	t.Error("no node was queried")
+	t.Fatal("no node was queried")
+	return nil, nil
 }
 
 // begunTo counts the streams that commands report, by node.
