Show with a test that streams are joined at engines that started again

Callers saw a stream that one software version began and another continued: its engine broke off, and an engine that had crashed and started again under its id at the next version was taken for its predecessor, as the list of upstreams still showed it. The emulated world can now start engines again before their entries are in the store.

--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -92,6 +92,9 @@
 	} else {
 		w.failed++
 	}
+	if w.resumes && r.resumes != "" && !notRun {
+		w.after(linkDelay, func() { w.resumed = append(w.resumed, w.requests[w.sendResumed(r)]) })
+	}
 }
 
 // sendRequest sends a caller's request to a random node.
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -125,6 +125,10 @@
 	// that a caller's request comes to; nil for any one.
 	namesLimits bool
 	pick        func() *worldNode
+	// resumes makes callers whose stream breaks off send their request again, to another node.
+	// resumed are these requests.
+	resumes bool
+	resumed []*worldRequest
 }
 
 type worldOrder struct {
@@ -338,9 +342,9 @@
 	case core.ReadInstances:
 		w.reads++
 		n.reads++
-		m := core.InstancesRead{Whole: c.Whole, After: c.After, Era: w.era, Offset: w.offset}
+		m := core.InstancesRead{Whole: c.Whole, After: c.After, Started: c.Started, Era: w.era, Offset: w.offset}
 		for _, id := range w.ids {
-			m.Changed = append(m.Changed, w.ups[id].Instance)
+			m.Changed = append(m.Changed, w.ups[id].entry())
 		}
 		n.deliverFromStore(m)
 	case core.ClaimOrders:
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -10,6 +10,8 @@
 // worldUpstream is an engine or an instance of a plain service.
 type worldUpstream struct {
 	core.Instance
+	// listed is the entry in the store, if it is not that of the present incarnation.
+	listed  core.Option[core.Instance]
 	free    core.Tokens
 	leases  map[core.LeaseID]core.Tokens
 	readyAt core.Instant
--- a/core/tainted_prompt_test.go
+++ b/core/tainted_prompt_test.go
@@ -33,6 +33,16 @@
 // crash ends an engine, which breaks off all its streams, and starts it again after
 // engineRestart.
 func (w *hostedWorld) crash(u *worldUpstream) {
+	w.end(u)
+	w.after(engineRestart, func() {
+		u.dead = false
+		u.Born++
+		w.offset++
+	})
+}
+
+// end ends an engine, which breaks off all its streams.
+func (w *hostedWorld) end(u *worldUpstream) {
 	w.crashes = append(w.crashes, w.now)
 	u.dead = true
 	for _, id := range sortedIDs(w.requests) {
@@ -52,11 +62,6 @@
 		}
 	}
 	u.plainRuns, u.waiting, u.running = nil, nil, 0
-	w.after(engineRestart, func() {
-		u.dead = false
-		u.Born++
-		w.offset++
-	})
 }
 
 func sortedIDs(requests map[core.ForwardID]*worldRequest) []core.ForwardID {
