--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -67,6 +67,8 @@
 	// Unframed says that the body has neither a length nor chunks, and ends with the
 	// connection.
 	Unframed bool
+	// OpenedAt is when the connection was opened.
+	OpenedAt time.Time
 
 	close       func(complete bool)
 	reportLimit func(error)
@@ -143,8 +145,10 @@
 type conn struct {
 	net.Conn
 	// r reads from the connection through in.
-	r          *bufio.Reader
-	in         *limitedReader
+	r  *bufio.Reader
+	in *limitedReader
+	// openedAt is when the connection was established, or later.
+	openedAt   time.Time
 	lastUsedAt time.Time
 	idleLimit  time.Duration
 }
@@ -156,13 +160,19 @@
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
+	return c.do(ctx, cn, r, func(cn *conn, h http.Header) { c.putIdle(r, cn, h) })
+}
+
+// do sends a request on a connection. keep receives the connection, with the head of the
+// response, if it can be used again.
+func (c *Client) do(ctx context.Context, cn *conn, r *Request, keep func(*conn, http.Header)) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		// The connection is discarded, so an error from closing it does not matter.
 		_ = cn.Close()
 		return nil, &UnsentError{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	response, err := c.roundTrip(cn, r)
+	response, err := c.roundTrip(cn, r, keep)
 	if err != nil {
 		c.reportLimit(r.Key, err)
 		stop()
@@ -176,7 +186,7 @@
 }
 
 // roundTrip writes a request and reads the head of the response.
-func (c *Client) roundTrip(cn *conn, r *Request) (*Response, error) {
+func (c *Client) roundTrip(cn *conn, r *Request, keep func(*conn, http.Header)) (*Response, error) {
 	written := make(chan error, 1)
 	if len(r.Body) <= maxInlineBody {
 		n, err := writeRequest(cn, r)
@@ -202,14 +212,14 @@
 		c.OnResponse(r.Key, response.StatusCode, response.Header)
 	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
-	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, OpenedAt: cn.openedAt}
 	out.Unframed = response.ContentLength < 0 && !isChunked(response)
 	out.Body = &bodyReader{r: response.Body, response: out}
 	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
 	out.complete = response.ContentLength == 0
 	out.close = func(complete bool) {
 		if complete && reusable && !response.Close && requestWritten(written) && cn.r.Buffered() == 0 {
-			c.putIdle(r, cn, response.Header)
+			keep(cn, response.Header)
 			return
 		}
 		// The connection is discarded, so an error from closing it does not matter.
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -24,7 +24,7 @@
 		return nil, err
 	}
 	in := &limitedReader{r: raw}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(in, readBufferSize), in: in}, nil
+	return &conn{Conn: raw, r: bufio.NewReaderSize(in, readBufferSize), in: in, openedAt: time.Now()}, nil
 }
 
 // takeIdle returns the most recently used connection to the upstream that is
@@ -68,6 +68,11 @@
 			cn.idleLimit = time.Duration(idleFraction * float64(d))
 		}
 	}
+	c.addIdle(r, cn)
+}
+
+// addIdle keeps a connection for as long as its idleLimit says, like putIdle.
+func (c *Client) addIdle(r *Request, cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := r.Key + r.Address
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -336,6 +336,8 @@
 		w.release(strings.TrimPrefix(r.URL.Path, "/-/hold-drop/"))
 	case strings.HasPrefix(r.URL.Path, "/-/kv-handle/"):
 		// KV caches take up no memory here, so there is nothing to free.
+	case r.URL.Path == "/-/report":
+		writeJSON(rw, map[string]any{"born": w.startedMs})
 	case r.URL.Path == "/-/order":
 		w.setStage(rw, body)
 	case r.Header.Get("Serving-Stage") == Prefill:
@@ -402,7 +404,7 @@
 	w.reservations[id] = request.Tokens
 	w.mu.Unlock()
 	time.AfterFunc(time.Duration(request.TTLMs)*time.Millisecond, func() { w.release(id) })
-	writeJSON(rw, map[string]any{"Hold": id})
+	writeJSON(rw, map[string]any{"Hold": id, "born": w.startedMs})
 }
 
 // release releases a reservation and returns its size in tokens, or zero if there
@@ -445,7 +447,7 @@
 	if !w.waitWhilePaused(r.Context()) {
 		return
 	}
-	writeJSON(rw, map[string]any{"KvHandle": id, "Tokens": 100, "Version": 1})
+	writeJSON(rw, map[string]any{"KvHandle": id, "Tokens": 100, "Version": 1, "born": w.startedMs})
 }
 
 // run runs a request to a plain service or a decode engine, or rejects it if the
