Continue a stream only at a verified incarnation of an engine

Callers saw streams of two software versions: an engine that had crashed and started again under its id and address at the next version was taken for its predecessor until the list of upstreams showed it, up to 0.6 s. Streams were continued there, and streams that began there were recorded as of the former version, because id, address and Expect-Instance are the same for both.

A run of a stream that is bound to a version is now sent only on a connection that is held for it, opened as the lease is requested. The engine says on it when it was born (its report), or a read of the list begun 100 ms after the connection was opened shows the same incarnation. Otherwise nothing is sent and the request is placed again. The version of a stream that begins on a younger connection is in doubt until such a list is seen: it is corrected at the keepers, or withdrawn if the run has broken off. A later born in the answer to a lease or a prefill has the list read at once. Other requests pay nothing.

--- a/core/forward.go
+++ b/core/forward.go
@@ -27,6 +27,9 @@
 	// forwardPrefilling requests wait for a prefill engine to compute the
 	// prompt's KV cache.
 	forwardPrefilling
+	// forwardVerifying requests wait until it is known which incarnation of their upstream is at
+	// the other end of a held connection.
+	forwardVerifying
 	// forwardRunning requests were sent to an upstream that runs them.
 	forwardRunning
 	// forwardResponding requests have sent part of the answer to their caller.
@@ -68,6 +71,13 @@
 	version  Option[SoftwareVersion]
 	lookup   *versionLookup
 	reported bool
+	// origin is the upstream that began the stream; nil if none did for this node, or if it is
+	// verified that the stream is of its listed version.
+	origin *streamOrigin
+	// hold is the connection that the upstream of a stream which has begun is to be reached on;
+	// nil if there is none. holds counts those of the request.
+	hold  *heldConnection
+	holds HoldNumber
 
 	decode *upstream
 	lease  LeaseID
@@ -191,7 +201,8 @@
 // because the list may bring room for waiting requests.
 func (s *forwards) applyInstances(n *Node, list InstanceList) {
 	before := len(s.upstreams.byID)
-	s.upstreams.replaceAll(list)
+	s.upstreams.replaceAll(list, &n.feed)
+	s.checkOrigins(n)
 	if s.versions.observeList(n, s.upstreams.byID) {
 		s.versionsChanged(n)
 	}
@@ -377,7 +388,7 @@
 		return
 	}
 	f.emitted = true
-	s.streamBegan(n, f, m.Send)
+	s.streamBegan(n, f, m.Send, m.OpenFor)
 	s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
 	f.goneOn++
 	s.endSilence(n, f, m.Send)
@@ -425,6 +436,7 @@
 // close removes a request and releases what it holds.
 func (s *forwards) close(n *Node, f *forwardedRequest) {
 	delete(s.live, f.ID)
+	s.doubt(n, f)
 	s.dequeue(f)
 	s.release(n, f)
 	if f.silent != nil {
--- a/core/forward_blame_test.go
+++ b/core/forward_blame_test.go
@@ -16,7 +16,7 @@
 	var runs []core.RunForward
 	for id := core.ForwardID(1); id <= 5; id++ {
 		run := runStream(t, h, h.deliver(streamTo(id, "resumable")))
-		h.deliver(core.ForwardResponseStarted{ID: id, Send: run.Send, Engine: run.Engine})
+		h.deliver(core.ForwardResponseStarted{ID: id, Send: run.Send, Engine: run.Engine, OpenFor: time.Minute})
 		runs = append(runs, run)
 	}
 	h.advance(1100 * time.Millisecond)
@@ -32,7 +32,7 @@
 	is := is.New(t)
 	h := readyAlone(engineInstances()...)
 	first := runStream(t, h, h.deliver(streamTo(1, "resumable")))
-	h.deliver(core.ForwardResponseStarted{ID: 1, Send: first.Send, Engine: first.Engine})
+	h.deliver(core.ForwardResponseStarted{ID: 1, Send: first.Send, Engine: first.Engine, OpenFor: time.Minute})
 	h.advance(time.Second)
 	second := runStream(t, h, h.deliver(core.ForwardStalled{ID: 1, Send: first.Send, Engine: first.Engine}))
 	h.deliver(core.ForwardResponseStarted{ID: 1, Send: second.Send, Engine: second.Engine})
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -95,6 +95,8 @@
 	Send   SendNumber
 	Engine EngineID
 	Lease  LeaseID
+	// Born is that of the engine's incarnation, if it says so.
+	Born Option[int64]
 }
 
 // PrefillFinished says that a prefill engine has computed the prompt's KV cache and
@@ -105,6 +107,8 @@
 	Engine EngineID
 	Handle HandleID
 	Tokens Tokens
+	// Born is that of the engine's incarnation, if it says so.
+	Born Option[int64]
 }
 
 // StepRefused says that an upstream rejected a step and provably did not carry
@@ -146,6 +150,8 @@
 	ID     ForwardID
 	Send   SendNumber
 	Engine EngineID
+	// OpenFor is for how long the run's connection has been open.
+	OpenFor time.Duration
 }
 
 // ForwardStalled says that a stream which has begun has had no event for the StallAfter of
@@ -228,6 +234,9 @@
 	Source string
 	Handle HandleID
 	Lease  LeaseID
+	// Hold is the number of the held connection on which the run must be sent; if it is not
+	// open any more, nothing is sent. Zero allows any connection.
+	Hold HoldNumber
 	// Patience is how long the caller still waits.
 	Patience time.Duration
 	// Once says that the request must run at most once.
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -52,10 +52,13 @@
 
 // runPlainAt sends a request of a plain service to the given upstream.
 func (s *forwards) runPlainAt(n *Node, f *forwardedRequest, u *upstream) {
-	f.phase = forwardRunning
 	f.placedAt = n.now
 	f.decode = u
 	u.ownRequests++
+	if !s.mayRunAt(n, f, u) {
+		return
+	}
+	f.phase = forwardRunning
 	f.step++
 	f.sends++
 	f.tried.Add(u.ID)
@@ -64,7 +67,7 @@
 	number := f.recordRun(n.now, u)
 	s.logRun(n, f)
 	n.do(RunForward{
-		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
+		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Hold: f.takeHold(), Patience: f.timeLeft(n.now),
 		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
 	})
 	if f.route.RetryPolicy == Repeatable {
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -57,7 +57,7 @@
 		return
 	}
 	s.setAside(n, f)
-	s.requestPlacement(n, f)
+	s.whenOriginKnown(n, f, func(n *Node) { s.requestPlacement(n, f) })
 }
 
 // setAside makes a request's present run its silent run, so that the request can be placed
--- a/core/forward_silent_random_test.go
+++ b/core/forward_silent_random_test.go
@@ -43,6 +43,7 @@
 	slot                 []core.Command
 	leases               []core.RequestLease
 	prefills             []core.RunPrefill
+	holds                []core.HoldConnection
 	runs                 []*modelRun
 	current, replacement *modelRun
 	lastEventAt          core.Instant
@@ -90,6 +91,11 @@
 		switch c := c.(type) {
 		case core.RequestLease, core.RunPrefill, core.RelayFailure:
 			m.put(c)
+		case core.HoldConnection:
+			m.log("command %T %+v", c, c)
+			if !m.over {
+				m.holds = append(m.holds, c)
+			}
 		case core.RunForward:
 			m.openLeases.Remove(c.Lease)
 			m.openHandles.Remove(c.Handle)
@@ -173,7 +179,7 @@
 	m.ends++
 	m.over = true
 	m.cancelRuns()
-	m.leases, m.prefills = nil, nil
+	m.leases, m.prefills, m.holds = nil, nil, nil
 }
 
 func (m *modelRuntime) startRun(c core.RunForward) {
@@ -236,7 +242,7 @@
 	switch {
 	case !r.started:
 		r.started = true
-		m.report(core.ForwardResponseStarted{ID: r.ID, Send: r.Send, Engine: r.Engine})
+		m.report(core.ForwardResponseStarted{ID: r.ID, Send: r.Send, Engine: r.Engine, OpenFor: time.Minute})
 	case r.stalled:
 		r.stalled = false
 		m.report(core.ForwardContinued{ID: r.ID, Send: r.Send, Engine: r.Engine})
@@ -274,7 +280,7 @@
 	m.prefer(r)
 	r.ended = true
 	if !r.started && !m.headSent {
-		m.report(core.ForwardResponseStarted{ID: r.ID, Send: r.Send, Engine: r.Engine})
+		m.report(core.ForwardResponseStarted{ID: r.ID, Send: r.Send, Engine: r.Engine, OpenFor: time.Minute})
 	}
 	m.headSent = true
 	m.report(core.ForwardResponseCompleted{ID: r.ID, Send: r.Send, Engine: r.Engine, Events: 3})
@@ -334,6 +340,22 @@
 	m.report(core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: handle, Tokens: worldPrompt})
 }
 
+// answerHold draws the result of opening a connection that is to be held.
+func (m *modelRuntime) answerHold() {
+	c := m.holds[0]
+	m.holds = m.holds[1:]
+	switch held := (core.ConnectionHeld{ID: c.ID, Hold: c.Hold}); {
+	case m.seldom():
+		m.report(core.ConnectionNotHeld{ID: c.ID, Hold: c.Hold})
+	case m.seldom():
+		held.Born = core.Some(m.h.born[c.Engine] + int64(rapid.IntRange(-1, 1).Draw(m.t, "born")))
+		m.report(held)
+	default:
+		held.Born = core.Some(m.h.born[c.Engine])
+		m.report(held)
+	}
+}
+
 // tellOwner has an owner handle a message of the node about its job.
 func (m *modelRuntime) tellOwner(c core.SendPeer) {
 	jobs, waiting := m.jobs[c.To], m.waiting[c.To]
@@ -406,6 +428,7 @@
 	add(12, len(m.outbox) > 0, m.handleNext)
 	add(8, len(m.leases) > 0, m.answerLease)
 	add(8, len(m.prefills) > 0, m.answerPrefill)
+	add(8, len(m.holds) > 0, m.answerHold)
 	add(8, m.ownerHasJob(), m.ownerAnswers)
 	add(4, len(live) > 0, func() {
 		if r := rapid.SampledFrom(live).Draw(m.t, "run"); m.streams() {
@@ -446,6 +469,8 @@
 			m.answerLease()
 		case len(m.prefills) > 0:
 			m.answerPrefill()
+		case len(m.holds) > 0:
+			m.answerHold()
 		case m.ownerHasJob():
 			m.ownerAnswers()
 		case m.current.live():
@@ -541,6 +566,8 @@
 			m.answerLease()
 		case len(m.prefills) > 0:
 			m.answerPrefill()
+		case len(m.holds) > 0:
+			m.answerHold()
 		case len(m.outbox) == 0:
 			m.advance(2 * modelStep)
 		}
--- a/core/forward_silent_test.go
+++ b/core/forward_silent_test.go
@@ -27,7 +27,7 @@
 func startedStream(t *testing.T, h *hostedNode, id core.ForwardID) core.RunForward {
 	t.Helper()
 	run := runStream(t, h, h.deliver(streamTo(id, "resumable")))
-	h.deliver(core.ForwardResponseStarted{ID: id, Send: run.Send, Engine: run.Engine})
+	h.deliver(core.ForwardResponseStarted{ID: id, Send: run.Send, Engine: run.Engine, OpenFor: time.Minute})
 	return run
 }
 
@@ -40,7 +40,7 @@
 }
 
 func started(c core.RunForward) core.Message {
-	return core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine}
+	return core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine, OpenFor: time.Minute}
 }
 
 func runFailed(c core.RunForward) core.Message {
--- a/core/forward_stale_test.go
+++ b/core/forward_stale_test.go
@@ -15,6 +15,7 @@
 func runStream(t *testing.T, h *hostedNode, out []core.Command) core.RunForward {
 	t.Helper()
 	for {
+		out = append(out, h.verifyHolds(out)...)
 		leases, prefills := commandsOf[core.RequestLease](out), commandsOf[core.RunPrefill](out)
 		runs := commandsOf[core.RunForward](out)
 		switch {
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -179,6 +179,7 @@
 	f.reserved = memory
 	u.ownRequests++
 	u.reservedTokens += f.reserved
+	s.holdFor(n, f, u)
 	engine, _ := f.spec.Engine.Get()
 	if engine.MaxLease == 0 {
 		s.startPrefill(n, f)
@@ -205,6 +206,11 @@
 		return
 	}
 	f.lease = m.Lease
+	s.observeBorn(n, f.decode, m.Born)
+	if f.decode.superseded && !f.fits(f.decode) {
+		s.leaseDenied(n, f, true)
+		return
+	}
 	engine, _ := f.spec.Engine.Get()
 	f.leasedUntil = n.now.Add(s.leaseTTL(f, engine))
 	f.placedAt = n.now
@@ -290,6 +296,7 @@
 		return
 	}
 	f.prefill.recordSuccess()
+	s.observeBorn(n, f.prefill, m.Born)
 	if f.owner != "" {
 		n.send(f.owner, ForwardPromptRead{ID: f.placement})
 	}
@@ -300,13 +307,16 @@
 // runStream sends the request to its decode engine. A draining engine accepts
 // nothing new, so whether it is usable is checked once more here.
 func (s *forwards) runStream(n *Node, f *forwardedRequest) {
+	if f.decode.usable() && !s.mayRunAt(n, f, f.decode) {
+		return
+	}
 	if !f.decode.mayFinish(n.now) || !f.fits(f.decode) {
 		s.release(n, f)
 		s.requestPlacement(n, f)
 		return
 	}
 	run := RunForward{
-		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Patience: f.timeLeft(n.now), MaxOverlap: maxOverlap,
+		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Hold: f.takeHold(), Patience: f.timeLeft(n.now), MaxOverlap: maxOverlap,
 		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil, GoneOn: f.goneOn,
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
@@ -352,7 +362,7 @@
 func (s *forwards) rerunElsewhere(n *Node, f *forwardedRequest) {
 	f.tried.Add(f.decode.ID)
 	s.release(n, f)
-	s.requestPlacement(n, f)
+	s.whenOriginKnown(n, f, func(n *Node) { s.requestPlacement(n, f) })
 }
 
 // streamRejected handles the rejection of a stream's step by an engine.
@@ -492,7 +502,7 @@
 	}
 	f.emitted = f.emitted || m.Emitted
 	if m.Emitted && m.Step == RunStep {
-		s.streamBegan(n, f, m.Send)
+		s.streamBegan(n, f, m.Send, 0)
 	}
 	d := s.newDecision(n, f, "step-failed", UpstreamFailed)
 	d.Detail = fmt.Sprintf("%s at %s, send %d, status %d, sent %t: %s", m.Step, m.Engine, m.Send, m.Status, !m.Unsent, m.Reason)
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -36,6 +36,8 @@
 	resumes string
 	version core.SoftwareVersion
 	mixed   bool
+	// held is the incarnation at the other end of the connection that is held for the request.
+	held core.EngineCrash
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
--- a/core/forward_world_events_test.go
+++ b/core/forward_world_events_test.go
@@ -21,6 +21,8 @@
 	u                       *worldUpstream
 	need                    core.Tokens
 	started, stalled, ended bool
+	// openedAt is when the connection was opened.
+	openedAt core.Instant
 }
 
 // worldEvents is what a node's runtime knows of a stream.
@@ -74,7 +76,7 @@
 		return
 	}
 	u.free -= need
-	run := &worldRun{RunForward: c, u: u, need: need}
+	run := &worldRun{RunForward: c, u: u, need: need, openedAt: w.now}
 	if c.TakesOver && e.current != nil {
 		e.replacement = run
 		w.after(modelOverlap, func() { n.endOverlap(r, run) })
@@ -127,7 +129,7 @@
 	switch {
 	case !run.started:
 		run.started = true
-		n.deliver(core.ForwardResponseStarted{ID: run.ID, Send: run.Send, Engine: run.Engine})
+		n.deliver(core.ForwardResponseStarted{ID: run.ID, Send: run.Send, Engine: run.Engine, OpenFor: w.now.Sub(run.openedAt)})
 	case run.stalled:
 		run.stalled = false
 		n.deliver(core.ForwardContinued{ID: run.ID, Send: run.Send, Engine: run.Engine})
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -125,6 +125,10 @@
 	// that a caller's request comes to; nil for any one.
 	namesLimits bool
 	pick        func() *worldNode
+	// namesBorn makes upstreams say which incarnation they are, and held counts the connections
+	// that nodes have asked for.
+	namesBorn bool
+	held      int
 	// resumes makes callers whose stream breaks off send their request again, to another node.
 	// resumed are these requests.
 	resumes bool
@@ -361,6 +365,8 @@
 		n.lease(c)
 	case core.ReleaseLease:
 		w.ups[c.Engine].release(c.Lease)
+	case core.HoldConnection:
+		n.hold(c)
 	case core.RunPrefill:
 		n.runPrefill(c)
 	case core.RunForward:
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -85,6 +85,24 @@
 	n.deliverAfter(2*linkDelay, core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: id})
 }
 
+// hold opens a connection to an upstream for a request.
+func (n *worldNode) hold(c core.HoldConnection) {
+	w, u, r := n.w, n.w.ups[c.Engine], n.w.requests[c.ID]
+	w.held++
+	w.after(linkDelay, func() {
+		if u.dead {
+			n.deliver(core.ConnectionNotHeld{ID: c.ID, Hold: c.Hold})
+			return
+		}
+		r.held = core.EngineCrash{Engine: u.ID, Born: u.Born}
+		m := core.ConnectionHeld{ID: c.ID, Hold: c.Hold, OpenFor: linkDelay}
+		if w.namesBorn {
+			m.Born = core.Some(u.Born)
+		}
+		n.deliverAfter(linkDelay, m)
+	})
+}
+
 func (n *worldNode) runPrefill(c core.RunPrefill) {
 	w, u := n.w, n.w.ups[c.Engine]
 	w.recordDeadly(c.ID)
@@ -111,7 +129,7 @@
 	r.runs++
 	w.recordDeadly(c.ID)
 	switch {
-	case u.dead:
+	case u.dead, c.Hold != 0 && r.held != core.EngineCrash{Engine: u.ID, Born: u.Born}:
 		n.deliverAfter(linkDelay, core.StepFailed{ID: c.ID, Send: c.Send, Engine: c.Engine, Step: core.RunStep, Unsent: true})
 	case u.Service == "ledger":
 		n.runPlain(u, c, r)
--- a/core/instance.go
+++ b/core/instance.go
@@ -54,6 +54,11 @@
 	// removed is set once the list no longer contains the instance. It is kept while
 	// requests of this node run there.
 	removed bool
+	// superseded is set once a later incarnation has answered at the upstream's address.
+	superseded bool
+	// provenBefore and updatedBefore are when the last list without this incarnation was proved
+	// and updated.
+	provenBefore, updatedBefore Instant
 	// ownRequests, reservedTokens and prefillTokens are this node's own load there:
 	// requests in progress, decode memory reserved, and prompt tokens in prefill.
 	ownRequests    int
@@ -141,8 +146,8 @@
 }
 
 // replaceAll replaces the view by a list and keeps what is known of instances in both.
-// A new incarnation under an old id starts without history.
-func (s *upstreams) replaceAll(list InstanceList) {
+// A new incarnation under an old id starts without history. feed has brought the list.
+func (s *upstreams) replaceAll(list InstanceList, feed *instanceFeed) {
 	s.loaded, s.era, s.offset = true, list.Era, list.Offset
 	old := s.byID
 	s.byID = make(map[EngineID]*upstream, len(list.Instances))
@@ -155,7 +160,7 @@
 			if ok {
 				u.removed = true
 			}
-			u = &upstream{Instance: i, successRate: 1, signals: s.signals[i.ID]}
+			u = &upstream{Instance: i, successRate: 1, signals: s.signals[i.ID], provenBefore: feed.provenAt(), updatedBefore: feed.updatedBefore}
 		}
 		s.byID[i.ID] = u
 		s.byService[i.Service] = append(s.byService[i.Service], u)
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -135,8 +135,9 @@
 	queriedAt     Instant
 	// readAt is when this node last read the store, and updatedAt when its list was
 	// last brought up to date, by its own read or by a peer.
-	readAt    Instant
-	updatedAt Instant
+	readAt Instant
+	// updatedBefore is the update before that one.
+	updatedAt, updatedBefore Instant
 	// storeUnreachable is set while reads of the store fail, and outageAt is the time of
 	// the last failed read or, after an outage, of the first successful one.
 	storeUnreachable bool
@@ -376,7 +377,7 @@
 		}
 		return
 	}
-	s.updatedAt = n.now
+	s.updated(n)
 	if m.Offset > s.position.offset {
 		s.apply(n, feedPosition{m.Era, m.Offset}, m.Changed, m.Removed)
 	}
@@ -448,12 +449,20 @@
 		delete(s.entries, id)
 	}
 	firstList := !s.loaded
-	s.loaded, s.position, s.updatedAt = true, to, n.now
+	s.loaded, s.position = true, to
+	s.updated(n)
 	if firstList || len(changed)+len(removed) > 0 {
 		s.publish(n)
 	}
 }
 
+// updated records that the list has just been brought up to date.
+func (s *instanceFeed) updated(n *Node) {
+	if n.now > s.updatedAt {
+		s.updatedAt, s.updatedBefore = n.now, s.updatedAt
+	}
+}
+
 // removeExpired removes entries that were not renewed in time after an outage.
 func (s *instanceFeed) removeExpired(n *Node) {
 	changed := false
--- a/core/instance_feed_test.go
+++ b/core/instance_feed_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"cmp"
 	"maps"
 	"testing"
 	"time"
@@ -15,6 +16,8 @@
 	node     *core.Node
 	now      core.Instant
 	commands []core.Command
+	// born is the incarnation of each upstream in the entries that the node has read.
+	born map[core.EngineID]int64
 }
 
 func newHosted(id core.NodeID, settings core.Settings) *hostedNode {
@@ -23,7 +26,7 @@
 			Self:        core.NodeInfo{ID: id, Domain: "d1", PeerAddress: string(id) + ":1", CallerAddress: string(id) + ":2"},
 			Incarnation: 1, Seed: 7, Settings: settings, Hosted: true,
 		},
-		now: core.Instant(time.Hour),
+		now: core.Instant(time.Hour), born: map[core.EngineID]int64{},
 	}
 }
 
@@ -32,6 +35,13 @@
 func (h *hostedNode) deliver(messages ...core.Message) []core.Command {
 	var out []core.Command
 	for _, m := range messages {
+		if read, ok := m.(core.InstancesRead); ok {
+			for _, i := range read.Changed {
+				h.born[i.ID] = i.Born
+			}
+			read.Started = cmp.Or(read.Started, h.now)
+			m = read
+		}
 		out = append(out, h.node.Update(h.now, m)...)
 	}
 	for {
@@ -45,6 +55,15 @@
 	return out
 }
 
+// verifyHolds has upstreams answer on the connections that are to be held.
+func (h *hostedNode) verifyHolds(out []core.Command) []core.Command {
+	var more []core.Command
+	for _, c := range commandsOf[core.HoldConnection](out) {
+		more = append(more, h.deliver(core.ConnectionHeld{ID: c.ID, Hold: c.Hold, Born: core.Some(h.born[c.Engine])})...)
+	}
+	return more
+}
+
 // advance moves the time forward and returns the commands of the timers that are due.
 func (h *hostedNode) advance(d time.Duration) []core.Command {
 	until := h.now.Add(d)
--- a/core/node.go
+++ b/core/node.go
@@ -230,6 +230,10 @@
 		n.forward.handleStepRefused(n, m)
 	case StepFailed:
 		n.forward.handleStepFailed(n, m)
+	case ConnectionHeld:
+		n.forward.handleConnectionHeld(n, m)
+	case ConnectionNotHeld:
+		n.forward.handleConnectionNotHeld(n, m)
 	case ForwardStalled:
 		n.forward.handleStalled(n, m)
 	case ForwardContinued:
--- a/core/reborn_engine_world_test.go
+++ b/core/reborn_engine_world_test.go
@@ -79,14 +79,15 @@
 	for _, c := range []struct {
 		nodes, decoders int
 		rate            float64
-	}{{8, 12, 10}, {82, 60, 40}, {410, 120, 90}} {
-		t.Run(fmt.Sprint(c.nodes, " nodes"), func(t *testing.T) {
+		namesBorn       bool
+	}{{8, 12, 10, false}, {8, 12, 10, true}, {82, 60, 40, false}, {82, 60, 40, true}, {410, 120, 90, true}} {
+		t.Run(fmt.Sprintf("%d nodes, engines say when they were born: %t", c.nodes, c.namesBorn), func(t *testing.T) {
 			if testing.Short() && c.nodes > 82 {
 				t.Skip("the race detector takes a minute for this size")
 			}
 			is := is.New(t)
 			w := newHostedWorld(worldOptions{nodes: c.nodes, prefillers: c.decoders / 3, decoders: c.decoders, versions: 2, domains: 3, seed: 11})
-			w.eventful, w.resumes = true, true
+			w.eventful, w.resumes, w.namesBorn = true, true, c.namesBorn
 			w.pick = func() *worldNode { return w.nodes[w.rng.IntN(len(w.nodes))] }
 			w.run(3 * time.Second)
 			w.load("resumable", c.rate, 20*time.Second)
@@ -107,7 +108,8 @@
 			for _, r := range w.resumed {
 				wentOn += btoi(r.events.relayed >= r.output)
 			}
-			t.Logf("%d streams, %d run again within one answer, %d resumed by callers, of which %d went on; %d of two versions; %d reads of the store in 16 s", len(w.requests), rerun, len(w.resumed), wentOn, mixed, reads)
+			t.Logf("%d streams, %d run again within one answer, %d resumed by callers, of which %d went on; %d of two versions; %d connections held; %d reads of the store in 16 s",
+				len(w.requests), rerun, len(w.resumed), wentOn, mixed, w.held, reads)
 			is.True(rerun+len(w.resumed) >= 40)
 			is.Equal(mixed, 0)
 		})
--- a/core/run_record.go
+++ b/core/run_record.go
@@ -9,8 +9,9 @@
 type runRecord struct {
 	number SendNumber
 	engine EngineID
-	// version is the engine's version when the request was sent.
+	// version and born are those of the engine in the list when the request was sent.
 	version SoftwareVersion
+	born    int64
 	// notRun is set once it is proved that the upstream did not run the request, and
 	// proof is what proves it. Without a proof the upstream may have run the request,
 	// or may still do so.
@@ -35,30 +36,23 @@
 // returns the number of the send.
 func (f *forwardedRequest) recordRun(now Instant, u *upstream) SendNumber {
 	number := f.nextSend()
-	f.runRecords = append(f.runRecords, runRecord{number: number, engine: u.ID, version: u.Version, sentAt: now})
+	f.runRecords = append(f.runRecords, runRecord{number: number, engine: u.ID, version: u.Version, born: u.Born, sentAt: now})
 	f.sentTo.Add(u.ID)
 	return number
 }
 
-// versionOf returns the version of the upstream to which a run was sent.
-func (f *forwardedRequest) versionOf(number SendNumber) SoftwareVersion {
+// runRecord returns the record of a run; a zero one if the number is not that of a run.
+func (f *forwardedRequest) runRecord(number SendNumber) runRecord {
 	for _, r := range f.runRecords {
 		if r.number == number {
-			return r.version
+			return r
 		}
 	}
-	return ""
+	return runRecord{}
 }
 
 // sentAt returns when a run was sent; zero if the number is not that of a run.
-func (f *forwardedRequest) sentAt(number SendNumber) Instant {
-	for _, r := range f.runRecords {
-		if r.number == number {
-			return r.sentAt
-		}
-	}
-	return 0
-}
+func (f *forwardedRequest) sentAt(number SendNumber) Instant { return f.runRecord(number).sentAt }
 
 // recordNotRun records the proof that a send was not run. A number that is not the
 // number of a run has no effect.
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -106,8 +106,15 @@
 }
 
 // fits reports whether an upstream may run a request: a stream that has begun is continued by
-// the version that began it.
+// the version that began it. Of an upstream that a later incarnation has replaced, the version
+// is not known.
 func (f *forwardedRequest) fits(u *upstream) bool {
+	if f.origin != nil && f.origin.lost {
+		return false
+	}
+	if u.superseded && f.route.RetryPolicy == ResumeOnly {
+		return false
+	}
 	version, known := f.version.Get()
 	return !known || u.Version == version
 }
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -28,6 +28,9 @@
 	Service ServiceID
 	Version SoftwareVersion
 	Streams []StreamKey
+	// Corrects says that the streams were recorded wrongly before. If Service is empty, it is not
+	// known which version has begun them.
+	Corrects bool
 }
 
 // VersionQuery asks a keeper which version has begun a stream.
@@ -75,6 +78,8 @@
 	lookups map[StreamKey][]ForwardID
 	// longest is how long streams of a service may be resumed; it is computed when it is needed.
 	longest map[ServiceID]time.Duration
+	// doubted are streams that have ended while their origin was not verified.
+	doubted []doubtedStream
 }
 
 // versionLookup is a request's search for the version that began its stream.
@@ -181,7 +186,7 @@
 // lookUp returns the origin of a stream of a service, as far as this node knows.
 func (s *forwards) lookUp(n *Node, service ServiceID, stream StreamKey) (ServiceVersion, bool) {
 	if kept, ok := s.versions.streams[stream]; ok && n.now.Sub(kept.at) <= streamRetention {
-		return kept.ServiceVersion, true
+		return kept.ServiceVersion, kept.Service != ""
 	}
 	version, sole := s.sole(n, service)
 	return ServiceVersion{service, version}, sole
@@ -189,11 +194,15 @@
 
 // streamBegan records the version that has begun a request's stream, and notifies the keepers if
 // another version could be taken for it. One that a caller resumes was recorded before.
-func (s *forwards) streamBegan(n *Node, f *forwardedRequest, send SendNumber) {
+// The connection of the run has been open for openFor.
+func (s *forwards) streamBegan(n *Node, f *forwardedRequest, send SendNumber, openFor time.Duration) {
 	if _, known := f.version.Get(); known || f.route.RetryPolicy != ResumeOnly {
 		return
 	}
-	f.version = Some(f.versionOf(send))
+	run := f.runRecord(send)
+	f.version = Some(run.version)
+	f.origin = &streamOrigin{engine: run.engine, born: run.born, send: send, openedAt: n.now.Add(-openFor)}
+	s.checkOrigin(n, f)
 	if _, sole := s.sole(n, f.spec.ID); !sole {
 		s.reportStream(n, f)
 	}
@@ -202,7 +211,7 @@
 // reportStream keeps the version of a stream, and notifies its other keepers soon.
 func (s *forwards) reportStream(n *Node, f *forwardedRequest) {
 	version, known := f.version.Get()
-	if !known || f.reported || f.beganBy() == "" {
+	if !known || f.reported || f.beganBy() == "" || f.origin != nil && f.origin.lost {
 		return
 	}
 	f.reported = true
@@ -248,6 +257,10 @@
 
 func (s *forwards) handleStreamsBegun(n *Node, m StreamsBegun) {
 	for _, stream := range m.Streams {
+		if m.Corrects {
+			s.versions.correct(n, stream, ServiceVersion{m.Service, m.Version})
+			continue
+		}
 		s.versions.keep(n, stream, ServiceVersion{m.Service, m.Version})
 	}
 }
--- a/daisyshed/ingress/core_test.go
+++ b/daisyshed/ingress/core_test.go
@@ -1,7 +1,10 @@
 package ingress_test
 
 import (
+	"cmp"
+	"maps"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -34,13 +37,16 @@
 	mu    sync.Mutex
 	node  *core.Node
 	timer *time.Timer
+	// list are the entries of the upstreams in the store, and offset is its end.
+	list   map[core.EngineID]core.Instance
+	offset core.Offset
 	// steps are the decisions about requests so far.
 	steps []string
 }
 
 // startNode starts a server with a core of its own that places requests alone.
 func startNode(t *testing.T, o nodeOptions) (*httptest.Server, *liveCore) {
-	n := &liveCore{started: time.Now(), node: &core.Node{
+	n := &liveCore{started: time.Now(), list: map[core.EngineID]core.Instance{}, node: &core.Node{
 		Self: core.NodeInfo{ID: "n1"}, Incarnation: 1, Seed: 1, Hosted: true,
 		DisabledMechanisms: core.SetOf(core.OwnedGroups), Settings: core.DefaultSettings(),
 	}}
@@ -79,8 +85,18 @@
 		return
 	}
 	now := func() core.Instant { return core.Instant(time.Hour + time.Since(n.started)) }
+	if read, ok := m.(core.InstancesRead); ok {
+		for _, i := range read.Changed {
+			n.list[i.ID] = i
+		}
+		n.offset = max(n.offset, read.Offset)
+		read.Started = cmp.Or(read.Started, now())
+		m = read
+	}
 	for _, c := range n.node.Update(now(), m) {
 		switch c := c.(type) {
+		case core.ReadInstances:
+			go n.update(core.InstancesRead{Whole: true, Started: c.Started, Offset: n.offset, Changed: slices.Collect(maps.Values(n.list))})
 		case core.LogDecision:
 			n.steps = append(n.steps, c.Decision.Step)
 		case core.ForwardCommand:
@@ -107,3 +123,11 @@
 	}
 	return count
 }
+
+// register writes the entry of an upstream to the store. The node does not read it at once.
+func (n *liveCore) register(i core.Instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.list[i.ID] = i
+	n.offset++
+}
--- a/daisyshed/ingress/errors.go
+++ b/daisyshed/ingress/errors.go
@@ -57,3 +57,10 @@
 
 // Error returns the message.
 func (SecondRunError) Error() string { return "another run of the request may have taken place" }
+
+// NotHeldError reports a run that was not begun, because the connection on which it must be
+// sent is not held any more.
+type NotHeldError struct{}
+
+// Error returns the message.
+func (NotHeldError) Error() string { return "the connection of the run is not held" }
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -44,6 +44,10 @@
 	mu sync.Mutex
 	// runs are the runs that may not have ended.
 	runs []*run
+	// held is the connection that is held for the request; nil if there is none. None is held
+	// any more once holdsEnded is set.
+	held       *heldConnection
+	holdsEnded bool
 
 	// failure is the upstream's own failure response, kept while the core
 	// decides whether to try another upstream.
@@ -75,6 +79,7 @@
 // serve executes commands and relays the responses to runs until the request
 // has ended.
 func (x *exchange) serve() {
+	defer x.releaseHeld()
 	defer x.cancelRuns()
 	x.overlap, x.stall = stoppedTimer(), stoppedTimer()
 	defer x.overlap.Stop()
@@ -194,7 +199,7 @@
 			x.reportStepFailed(s, &InvalidResponseError{Cause: err}, status)
 			return
 		}
-		x.server.SendToCore(core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: lease})
+		x.server.SendToCore(core.LeaseGranted{ID: c.ID, Send: c.Send, Engine: c.Engine, Lease: lease, Born: platform.DecodeBorn(body)})
 	default:
 		x.reportStepRefused(s, core.StatedNotRun, status)
 	}
@@ -229,17 +234,36 @@
 		x.reportStepFailed(s, &InvalidResponseError{Cause: err}, response.Status)
 		return
 	}
-	x.server.SendToCore(core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: handle, Tokens: tokens})
+	x.server.SendToCore(core.PrefillFinished{ID: c.ID, Send: c.Send, Engine: c.Engine, Handle: handle, Tokens: tokens, Born: platform.DecodeBorn(body)})
 }
 
 // send sends the caller's request to an upstream, with the headers h in place
 // of the caller's.
 func (x *exchange) send(ctx context.Context, id core.EngineID, address string, h http.Header, newConnection bool) (*upstream.Response, error) {
-	return x.server.Upstreams.Do(ctx, &upstream.Request{
+	r := x.request(id, address, h)
+	r.NewConnection = newConnection
+	return x.server.Upstreams.Do(ctx, r)
+}
+
+// request returns the caller's request as it is sent to an upstream.
+func (x *exchange) request(id core.EngineID, address string, h http.Header) *upstream.Request {
+	return &upstream.Request{
 		Key: string(id), Address: address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: h, Body: x.body, NewConnection: newConnection, ParseIdleTimeout: platform.IdleTimeout,
+		Header: h, Body: x.body, ParseIdleTimeout: platform.IdleTimeout,
 		Matches: func(h http.Header) bool { return platform.MatchesAttempt(h, x.forward.Attempt) },
-	})
+	}
+}
+
+// sendRun sends a run's request, on the connection that is held for it if there has to be one.
+func (x *exchange) sendRun(r *run, h http.Header) (*upstream.Response, error) {
+	if r.Hold == 0 {
+		return x.send(r.ctx, r.Engine, r.Address, h, r.NewConnection)
+	}
+	held := x.heldFor(r.Hold)
+	if held == nil {
+		return nil, &upstream.UnsentError{Cause: NotHeldError{}}
+	}
+	return held.Do(r.ctx, x.request(r.Engine, r.Address, h))
 }
 
 // reportStepFailed notifies the core that a step got no usable response.
--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -36,6 +36,8 @@
 	// started is set once an event has gone to the caller, and stalled while the core has
 	// been told that the run is silent. Only the goroutine of the exchange uses them.
 	started, stalled bool
+	// openedAt is when the run's connection was opened. It is set before the first result.
+	openedAt time.Time
 }
 
 func (r *run) step() step { return step{kind: core.RunStep, engine: r.Engine, send: r.Send} }
@@ -105,11 +107,12 @@
 
 // readResponse sends a run's request, reads the response and passes it on.
 func (x *exchange) readResponse(r *run, header http.Header) {
-	response, err := x.send(r.ctx, r.Engine, r.Address, header, r.NewConnection)
+	response, err := x.sendRun(r, header)
 	if err != nil {
 		x.passResult(runResult{run: r, err: err})
 		return
 	}
+	r.openedAt = response.OpenedAt
 	result := runResult{run: r, response: bufferedResponse{status: response.Status, header: response.Header}}
 	result.notRun = platform.NotRun(response.Status, response.Header, r.Engine)
 	_, rejected := result.notRun.Get()
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -167,6 +167,11 @@
 		go s.release(c.Engine, c.Address, platform.ReleaseLeaseCall(c))
 	case core.ReleaseHandle:
 		go s.release(c.Engine, c.Address, platform.ReleaseHandleCall(c))
+	case core.HoldConnection:
+		// It does not wait for the request's goroutine, and replaces no other command.
+		if x := s.find(c.ID); x != nil {
+			go x.hold(c)
+		}
 	case core.RequestLease:
 		s.deliver(c.ID, c)
 	case core.RunPrefill:
--- a/daisyshed/ingress/silence_test.go
+++ b/daisyshed/ingress/silence_test.go
@@ -41,6 +41,10 @@
 }
 
 func (e *silentEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/report" {
+		e.report(w)
+		return
+	}
 	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	if e.rejects.Load() {
 		w.Header().Set("Not-Executed", "1")
@@ -68,6 +72,11 @@
 	}
 }
 
+// report says which incarnation the engine is.
+func (e *silentEngine) report(w http.ResponseWriter) {
+	_, _ = fmt.Fprintf(w, `{"born":%d}`, e.Born)
+}
+
 // wholeStream is the answer of a silentEngine.
 func wholeStream() string {
 	s := ""
--- a/daisyshed/ingress/takeover.go
+++ b/daisyshed/ingress/takeover.go
@@ -97,7 +97,7 @@
 // reportStarted notifies the core that the first bytes of a run's answer go to the caller.
 func (x *exchange) reportStarted(r *run) {
 	x.goneOn++
-	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
+	x.server.SendToCore(core.ForwardResponseStarted{ID: x.forward.ID, Send: r.Send, Engine: r.Engine, OpenFor: time.Since(r.openedAt)})
 }
 
 // reportEvent notifies the core of the first event of a run, and of the first one after
--- a/wire/peer/convert_version.go
+++ b/wire/peer/convert_version.go
@@ -21,14 +21,14 @@
 func fromStreamsBegun(b core.StreamsBegun) *StreamsBegun {
 	return &StreamsBegun{
 		Service: string(b.Service), Version: string(b.Version),
-		Streams: convertAll(b.Streams, func(k core.StreamKey) uint64 { return uint64(k) }),
+		Streams: convertAll(b.Streams, func(k core.StreamKey) uint64 { return uint64(k) }), Corrects: b.Corrects,
 	}
 }
 
 func toStreamsBegun(b *StreamsBegun) core.PeerBody {
 	return core.StreamsBegun{
 		Service: core.ServiceID(b.GetService()), Version: core.SoftwareVersion(b.GetVersion()),
-		Streams: convertAll(b.GetStreams(), func(k uint64) core.StreamKey { return core.StreamKey(k) }),
+		Streams: convertAll(b.GetStreams(), func(k uint64) core.StreamKey { return core.StreamKey(k) }), Corrects: b.GetCorrects(),
 	}
 }
 
