--- a/core/forward.go
+++ b/core/forward.go
@@ -66,11 +66,12 @@
 	prefillAtDecode bool
 
 	// version is the version that the request's stream is bound to, once it has begun or if its
-	// caller resumes it. lookup is the search for it, and reported is set once the version was
-	// reported to other nodes.
-	version  Option[SoftwareVersion]
-	lookup   *versionLookup
-	reported bool
+	// caller resumes it. lookup is the search for it, keepers are the other nodes that were
+	// notified of it, and logged is set once it was sent to be appended to the store.
+	version Option[SoftwareVersion]
+	lookup  *versionLookup
+	keepers Set[NodeID]
+	logged  bool
 	// origin is the upstream that began the stream; nil if none did for this node, or if it is
 	// verified that the stream is of its listed version.
 	origin *streamOrigin
@@ -438,6 +439,7 @@
 	delete(s.live, f.ID)
 	s.doubt(n, f)
 	s.dequeue(f)
+	s.endLookup(f)
 	s.release(n, f)
 	if f.silent != nil {
 		s.releaseSilentRun(n, f, RunUnknown)
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -8,6 +8,9 @@
 	"daisyshed.dev/core"
 )
 
+// maxResumptions is how often a caller resumes a stream.
+const maxResumptions = 4
+
 // worldRequest is one attempt of a caller.
 type worldRequest struct {
 	node         *worldNode
@@ -38,6 +41,10 @@
 	mixed   bool
 	// held is the incarnation at the other end of the connection that is held for the request.
 	held core.EngineCrash
+	// resumedAs is the next attempt to resume the stream; nil if there is none. resumptions
+	// counts those before.
+	resumedAs   *worldRequest
+	resumptions int
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
@@ -82,6 +89,10 @@
 		w.rejections++
 		w.waitedInVain += w.now.Sub(r.arrived)
 	}
+	if notRun && retryAfter > 0 && r.resumes != "" && r.resumptions < maxResumptions {
+		w.after(retryAfter, func() { w.sendResumed(r) })
+		return
+	}
 	if notRun && retryAfter > 0 && !r.retried {
 		w.after(retryAfter, func() {
 			w.key = r.key
--- a/core/stream_origin.go
+++ b/core/stream_origin.go
@@ -2,9 +2,14 @@
 
 import "slices"
 
-// maxDoubted bounds how many streams a node remembers that have ended while their origin was not
-// verified.
-const maxDoubted = 4096
+const (
+	// maxDoubted bounds how many streams a node remembers that have ended while their origin was
+	// not verified.
+	maxDoubted = 4096
+	// correctedCopies is how many nodes are told of a wrong origin: the keepers, and those that
+	// may have been their keepers before.
+	correctedCopies = 5
+)
 
 // streamOrigin is the upstream that has begun a stream, as long as it is not verified that it was
 // the listed incarnation: the list may not have shown yet that it had started again.
@@ -24,6 +29,8 @@
 	stream StreamKey
 	ServiceVersion
 	endedAt Instant
+	// logged is set if the origin was sent to be appended to the store.
+	logged bool
 }
 
 // registered returns the instant at which the store must have had the entry of the process that
@@ -54,11 +61,15 @@
 		o.born = u.Born
 		f.version = Some(u.Version)
 		s.logOrigin(n, f, "begun by the later incarnation, version "+string(u.Version))
-		s.correctStream(n, f, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, u.Version})
+		if f.keepers != nil {
+			s.correctStream(n, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, u.Version}, true, f.logged)
+		}
 	default:
 		o.lost = true
 		s.logOrigin(n, f, "not known: the upstream has started again")
-		s.correctStream(n, f, streamKey(f.beganBy()), ServiceVersion{})
+		if f.keepers != nil {
+			s.correctStream(n, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, u.Version}, false, f.logged)
+		}
 	}
 }
 
@@ -75,7 +86,7 @@
 		case !listed || u.Born == d.born:
 			return false
 		case !s.listedBefore(n, &d.streamOrigin, u) && u.Version != d.Version:
-			s.correctStream(n, nil, d.stream, ServiceVersion{})
+			s.correctStream(n, d.stream, ServiceVersion{d.Service, u.Version}, false, d.logged)
 		}
 		return true
 	})
@@ -116,25 +127,29 @@
 // doubt remembers a stream that ends before its origin is verified.
 func (s *forwards) doubt(n *Node, f *forwardedRequest) {
 	version, known := f.version.Get()
-	if f.origin == nil || f.origin.lost || !known || !f.reported {
+	if f.origin == nil || f.origin.lost || !known || f.keepers == nil {
 		return
 	}
-	d := doubtedStream{*f.origin, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, version}, n.now}
+	d := doubtedStream{*f.origin, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, version}, n.now, f.logged}
 	if s.versions.doubted = append(s.versions.doubted, d); len(s.versions.doubted) > maxDoubted {
 		s.versions.doubted = slices.Delete(s.versions.doubted, 0, maxDoubted/2)
 	}
 }
 
-// correctStream replaces the recorded origin of a stream here and at its keepers; without a
-// service the origin is not known. f is the request of the stream, if it has not ended.
-func (s *forwards) correctStream(n *Node, f *forwardedRequest, stream StreamKey, origin ServiceVersion) {
-	if f != nil && !f.reported {
-		return
+// correctStream replaces the recorded origin of a stream here and at its keepers by the later
+// incarnation's, or records there that it is not known whether that is the origin. In the store, a
+// second origin has the same effect for both.
+func (s *forwards) correctStream(n *Node, stream StreamKey, later ServiceVersion, known, logged bool) {
+	if logged {
+		s.versions.log.report(n, later, stream)
 	}
-	s.versions.correct(n, stream, origin)
-	for _, id := range n.streamKeepers(stream, streamQueries) {
+	if !known {
+		later = ServiceVersion{}
+	}
+	s.versions.correct(n, stream, later)
+	for _, id := range n.streamKeepers(stream, correctedCopies) {
 		if id != n.Self.ID {
-			n.send(id, StreamsBegun{Service: origin.Service, Version: origin.Version, Streams: []StreamKey{stream}, Corrects: true})
+			n.send(id, StreamsBegun{Service: later.Service, Version: later.Version, Streams: []StreamKey{stream}, Corrects: true})
 		}
 	}
 }
@@ -143,11 +158,20 @@
 func (v *streamVersions) correct(n *Node, stream StreamKey, origin ServiceVersion) {
 	v.keep(n, stream, origin)
 	if kept, ok := v.streams[stream]; ok {
-		kept.ServiceVersion = origin
-		v.streams[stream] = kept
+		v.streams[stream] = keptStream{ServiceVersion: origin, at: kept.at, corrected: true}
 	}
 }
 
+// keepLogged keeps the origin of a stream that was read from the store. Of a stream that has two
+// there, the origin is not known, unless this node was told.
+func (v *streamVersions) keepLogged(n *Node, stream StreamKey, origin ServiceVersion) {
+	if kept, ok := v.streams[stream]; ok && !kept.corrected && kept.ServiceVersion != origin {
+		v.correct(n, stream, ServiceVersion{})
+		return
+	}
+	v.keep(n, stream, origin)
+}
+
 func (s *forwards) logOrigin(n *Node, f *forwardedRequest, detail string) {
 	d := s.newDecision(n, f, "stream-origin", NoReason)
 	d.Detail = string(f.origin.engine) + ": " + detail
