--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -39,6 +39,8 @@
 	resumes string
 	version core.SoftwareVersion
 	mixed   bool
+	// held is the incarnation at the other end of the connection that is held for the request.
+	held core.EngineCrash
 	// resumedAs is the next attempt to resume the stream; nil if there is none. resumptions
 	// counts those before.
 	resumedAs   *worldRequest
@@ -103,6 +105,9 @@
 	} else {
 		w.failed++
 	}
+	if w.resumes && r.resumes != "" && !notRun {
+		w.after(linkDelay, func() { w.resumed = append(w.resumed, w.requests[w.sendResumed(r)]) })
+	}
 }
 
 // sendRequest sends a caller's request to a random node.
--- a/core/forward_world_events_test.go
+++ b/core/forward_world_events_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	u                       *worldUpstream
 	need                    core.Tokens
 	started, stalled, ended bool
+	// openedAt is when the connection was opened.
+	openedAt core.Instant
 }
 
 // worldEvents is what a node's runtime knows of a stream.
@@ -73,7 +76,7 @@
 		return
 	}
 	u.free -= need
-	run := &worldRun{RunForward: c, u: u, need: need}
+	run := &worldRun{RunForward: c, u: u, need: need, openedAt: w.now}
 	if c.TakesOver && e.current != nil {
 		e.replacement = run
 		w.after(modelOverlap, func() { n.endOverlap(r, run) })
@@ -126,7 +129,7 @@
 	switch {
 	case !run.started:
 		run.started = true
-		n.deliver(core.ForwardResponseStarted{ID: run.ID, Send: run.Send, Engine: run.Engine})
+		n.deliver(core.ForwardResponseStarted{ID: run.ID, Send: run.Send, Engine: run.Engine, OpenFor: w.now.Sub(run.openedAt)})
 	case run.stalled:
 		run.stalled = false
 		n.deliver(core.ForwardContinued{ID: run.ID, Send: run.Send, Engine: run.Engine})
@@ -209,6 +212,9 @@
 	}
 	served, onTime, rejected := w.served, w.onTime, w.rejections
 	const streams = 8 * 5
+	// The same arrivals, whatever was drawn before: a burst among them may be rejected with
+	// nothing held.
+	w.rng = rand.New(rand.NewPCG(1, 1))
 	w.load("resumable", streams/2, 2*time.Second)
 	w.run(20 * time.Second)
 	t.Logf("afterwards served %d, on time %d, rejected %d", w.served-served, w.onTime-onTime, w.rejections-rejected)
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -128,6 +128,14 @@
 	// that a caller's request comes to; nil for any one.
 	namesLimits bool
 	pick        func() *worldNode
+	// namesBorn makes upstreams say which incarnation they are, and held counts the connections
+	// that nodes have asked for.
+	namesBorn bool
+	held      int
+	// resumes makes callers whose stream breaks off send their request again, to another node.
+	// resumed are these requests.
+	resumes bool
+	resumed []*worldRequest
 	// versions are the software versions that are recorded in the store.
 	versions map[core.ServiceVersion]bool
 	// streamLog is the log of the origins of streams in the store, and appends and logReads count
@@ -361,7 +369,7 @@
 		}
 		m := core.InstancesRead{Whole: c.Whole, After: c.After, Started: c.Started, Era: w.era, Offset: w.offset}
 		for _, id := range w.ids {
-			m.Changed = append(m.Changed, w.ups[id].Instance)
+			m.Changed = append(m.Changed, w.ups[id].entry())
 		}
 		n.deliverFromStore(m)
 	case core.RecordVersion, core.ReadVersions, core.AppendStreams, core.ReadStreams:
@@ -380,6 +388,8 @@
 		n.lease(c)
 	case core.ReleaseLease:
 		w.ups[c.Engine].release(c.Lease)
+	case core.HoldConnection:
+		n.hold(c)
 	case core.RunPrefill:
 		n.runPrefill(c)
 	case core.RunForward:
--- a/core/stream_log.go
+++ b/core/stream_log.go
@@ -185,7 +185,7 @@
 	v := &s.versions
 	for _, o := range m.Origins {
 		for _, stream := range o.Streams {
-			v.keep(n, stream, o.ServiceVersion)
+			v.keepLogged(n, stream, o.ServiceVersion)
 		}
 	}
 	v.log.reading = 0
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -27,6 +27,9 @@
 	Version SoftwareVersion
 	Streams []StreamKey
 	Log     bool
+	// Corrects says that the streams were recorded wrongly before. If Service is empty, it is not
+	// known which version has begun them.
+	Corrects bool
 }
 
 // VersionQuery asks a node which version has begun a stream. If Search is set, a node without a
@@ -55,6 +58,9 @@
 type keptStream struct {
 	ServiceVersion
 	at Instant
+	// corrected is set if the stream was recorded wrongly before. If Service is empty, the origin
+	// is not known.
+	corrected bool
 }
 
 // streamVersions knows which versions have begun streams.
@@ -79,6 +85,8 @@
 	lookups map[StreamKey][]ForwardID
 	// longest is how long streams of a service may be resumed; it is computed when it is needed.
 	longest map[ServiceID]time.Duration
+	// doubted are streams that have ended while their origin was not verified.
+	doubted []doubtedStream
 }
 
 func streamKey(attempt string) StreamKey { return StreamKey(hash64(attempt)) }
@@ -208,19 +216,23 @@
 	}
 }
 
-// recorded returns the origin of a stream, if this node keeps it.
+// recorded returns the origin of a stream, if this node keeps it and it is known.
 func (v *streamVersions) recorded(n *Node, stream StreamKey) (ServiceVersion, bool) {
 	kept, ok := v.streams[stream]
-	return kept.ServiceVersion, ok && n.now.Sub(kept.at) <= streamRetention
+	return kept.ServiceVersion, ok && kept.Service != "" && n.now.Sub(kept.at) <= streamRetention
 }
 
 // streamBegan records the version that has begun a request's stream, and notifies the keepers.
-// One that a caller resumes was recorded before.
-func (s *forwards) streamBegan(n *Node, f *forwardedRequest, send SendNumber) {
+// One that a caller resumes was recorded before. The connection of the run has been open for
+// openFor.
+func (s *forwards) streamBegan(n *Node, f *forwardedRequest, send SendNumber, openFor time.Duration) {
 	if _, known := f.version.Get(); known || f.route.RetryPolicy != ResumeOnly {
 		return
 	}
-	f.version = Some(f.versionOf(send))
+	run := f.runRecord(send)
+	f.version = Some(run.version)
+	f.origin = &streamOrigin{engine: run.engine, born: run.born, send: send, openedAt: n.now.Add(-openFor)}
+	s.checkOrigin(n, f)
 	s.reportStream(n, f)
 }
 
@@ -228,7 +240,7 @@
 // notified.
 func (s *forwards) reportStream(n *Node, f *forwardedRequest) {
 	version, known := f.version.Get()
-	if !known || f.beganBy() == "" {
+	if !known || f.beganBy() == "" || f.origin != nil && f.origin.lost {
 		return
 	}
 	v, stream := &s.versions, streamKey(f.beganBy())
@@ -306,6 +318,10 @@
 
 func (s *forwards) handleStreamsBegun(n *Node, m StreamsBegun) {
 	for _, stream := range m.Streams {
+		if m.Corrects {
+			s.versions.correct(n, stream, ServiceVersion{m.Service, m.Version})
+			continue
+		}
 		s.versions.keep(n, stream, ServiceVersion{m.Service, m.Version})
 	}
 	if m.Log {
