--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -23,7 +23,6 @@
 	}
 	return _ProfileKind_name[_ProfileKind_index[idx]:_ProfileKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -44,7 +43,6 @@
 	}
 	return _Role_name[_Role_index[idx]:_Role_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -86,7 +84,6 @@
 	}
 	return _RejectionReason_name[_RejectionReason_index[idx]:_RejectionReason_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -107,7 +104,6 @@
 	}
 	return _Outcome_name[_Outcome_index[idx]:_Outcome_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -127,7 +123,6 @@
 	}
 	return _EngineState_name[_EngineState_index[idx]:_EngineState_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -149,7 +144,6 @@
 	}
 	return _MemberStatus_name[_MemberStatus_index[idx]:_MemberStatus_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -170,7 +164,6 @@
 	}
 	return _OrderKind_name[_OrderKind_index[idx]:_OrderKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -192,7 +185,6 @@
 	}
 	return _EndReason_name[_EndReason_index[idx]:_EndReason_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -218,7 +210,6 @@
 	}
 	return _Promise_name[_Promise_index[idx]:_Promise_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -239,7 +230,6 @@
 	}
 	return _EngineStep_name[_EngineStep_index[idx]:_EngineStep_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -260,7 +250,6 @@
 	}
 	return _PlacementPolicy_name[_PlacementPolicy_index[idx]:_PlacementPolicy_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -281,7 +270,6 @@
 	}
 	return _RetryPolicy_name[_RetryPolicy_index[idx]:_RetryPolicy_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -302,7 +290,6 @@
 	}
 	return _ForwardStep_name[_ForwardStep_index[idx]:_ForwardStep_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -323,7 +310,6 @@
 	}
 	return _NotRunProof_name[_NotRunProof_index[idx]:_NotRunProof_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -345,7 +331,6 @@
 	}
 	return _RunOutcome_name[_RunOutcome_index[idx]:_RunOutcome_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -374,7 +359,6 @@
 	}
 	return _Mechanism_name[_Mechanism_index[idx]:_Mechanism_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
@@ -394,7 +378,6 @@
 	}
 	return _StateSource_name[_StateSource_index[idx]:_StateSource_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
