Blame the incarnation of an engine that a run was sent to

Engines that had just started again were avoided, and their crashes counted, for what their predecessors had done: the results of runs were assigned to the incarnation that the list shows when they arrive. They count for the one that it showed when the run was sent. Results of leases and prefills, which take a few hundred milliseconds at most, are assigned as before. TestFailuresOfAFormerIncarnationAreNotTheNextOnes failed before and passes now.

--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -86,7 +86,9 @@
 	if len(report.Parts) == 0 && report.Request == "" {
 		return
 	}
-	if u, ok := s.upstreams.byID[m.Engine]; ok {
+	if run := f.runRecord(m.Send); run.number != 0 {
+		report.Crash.Born = run.born
+	} else if u, ok := s.upstreams.byID[m.Engine]; ok {
 		report.Crash.Born = u.Born
 	}
 	d := s.newDecision(n, f, "broke-at-start", UpstreamFailed)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -490,10 +490,10 @@
 	if m.Status != 0 {
 		outcome = RunErred
 	}
-	if u, ok := s.upstreams.byID[m.Engine]; ok {
+	f, ok := s.live[m.ID]
+	if u, listed := s.upstreams.byID[m.Engine]; listed && !(ok && f.ranAtFormer(u, m.Send)) {
 		u.recordOutcome(n, outcome)
 	}
-	f, ok := s.live[m.ID]
 	if !ok {
 		return
 	}
--- a/core/run_record.go
+++ b/core/run_record.go
@@ -51,6 +51,13 @@
 	return runRecord{}
 }
 
+// ranAtFormer reports whether a send is a run that was sent when the list showed another
+// incarnation of an upstream than now.
+func (f *forwardedRequest) ranAtFormer(u *upstream, number SendNumber) bool {
+	r := f.runRecord(number)
+	return r.number != 0 && r.born != u.Born
+}
+
 // sentAt returns when a run was sent; zero if the number is not that of a run.
 func (f *forwardedRequest) sentAt(number SendNumber) Instant { return f.runRecord(number).sentAt }
 
