--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -137,7 +137,11 @@
 	// BrokenOff says that the upstream's end of the connection was closed or reset before
 	// the response was complete.
 	BrokenOff bool
-	Reason    string
+	// Relay is the node through which the connection went; empty for a direct one. PathFailed
+	// says that the relay, or the connection to it, failed and not the upstream.
+	Relay      NodeID
+	PathFailed bool
+	Reason     string
 }
 
 // ForwardResponseStarted says that the first bytes of a run's answer went to the caller.
--- a/core/node.go
+++ b/core/node.go
@@ -53,6 +53,7 @@
 	roles        roles
 	feed         instanceFeed
 	dispatcher   dispatcher
+	relays       relays
 	checks       checks
 }
 
@@ -85,6 +86,7 @@
 	n.entry.start(n)
 	n.owner.start(n)
 	n.forward.start()
+	n.relays.start()
 	if n.Hosted {
 		n.feed.start(n)
 		n.forward.spread.start(n)
@@ -238,6 +240,11 @@
 		n.forward.handleFirstBytes(n, m)
 	case ForwardResponseCompleted:
 		n.forward.handleAnswered(n, m)
+	case ConnectionObserved:
+	case RelayRequested:
+		n.relays.handleRequested(n, m)
+	case RelayEnded:
+		n.relays.handleEnded(m)
 	case Shutdown:
 		n.shutdown()
 	case PeerMessage:
--- /dev/null
+++ b/core/relay.go
@@ -0,0 +1,92 @@
+package core
+
+// Relay is a node through which connections to upstreams can be opened. Address is its peer
+// address.
+type Relay struct {
+	Node    NodeID
+	Address string
+}
+
+// UseRelays sets the nodes through which connections to upstreams are opened if a direct one
+// fails, in order of preference. If First is set, direct ones are not tried, and unused direct
+// connections are closed.
+type UseRelays struct {
+	Relays []Relay
+	First  bool
+}
+
+// RelayID identifies a connection that this node relays for another one.
+type RelayID uint64
+
+// RelayRequested asks this node to relay a connection of another node to an upstream.
+type RelayRequested struct {
+	ID     RelayID
+	From   NodeID
+	Engine EngineID
+}
+
+// OpenRelay opens the connection of a RelayRequested to the upstream.
+type OpenRelay struct {
+	ID      RelayID
+	Engine  EngineID
+	Address string
+}
+
+// RelayRejection is why a node does not relay a connection.
+type RelayRejection int
+
+// The reasons why a node does not relay a connection.
+const (
+	// RelayIsolated means that the node cannot reach upstreams itself.
+	RelayIsolated RelayRejection = iota
+	// RelayLeaving means that the node is shutting down.
+	RelayLeaving
+	// RelayFull means that the node relays as many connections as it may.
+	RelayFull
+	// RelayUnknownUpstream means that the upstream is not usable by the node's own list.
+	RelayUnknownUpstream
+)
+
+// RejectRelay rejects a RelayRequested.
+type RejectRelay struct {
+	ID     RelayID
+	Reason RelayRejection
+}
+
+// RelayEnded reports that a relayed connection has ended, or that it could not be opened. It
+// comes once for each OpenRelay. Sent and Received are the bytes copied to and from the
+// upstream.
+type RelayEnded struct {
+	ID             RelayID
+	Opened         bool
+	Sent, Received int64
+}
+
+func (RelayRequested) isMessage() {}
+func (RelayEnded) isMessage()     {}
+func (UseRelays) isCommand()      {}
+func (OpenRelay) isCommand()      {}
+func (RejectRelay) isCommand()    {}
+
+// relays tracks the connections that this node relays for others.
+type relays struct {
+	open map[RelayID]NodeID
+}
+
+func (r *relays) start() { r.open = map[RelayID]NodeID{} }
+
+// handleRequested accepts or rejects the relaying of a connection.
+func (r *relays) handleRequested(n *Node, m RelayRequested) {
+	u, ok := n.forward.upstreams.byID[m.Engine]
+	switch {
+	case n.leaving:
+		n.do(RejectRelay{ID: m.ID, Reason: RelayLeaving})
+	case !ok || !u.usable():
+		n.do(RejectRelay{ID: m.ID, Reason: RelayUnknownUpstream})
+	default:
+		r.open[m.ID] = m.From
+		n.do(OpenRelay{ID: m.ID, Engine: m.Engine, Address: u.Address})
+	}
+}
+
+func (r *relays) handleEnded(m RelayEnded) { delete(r.open, m.ID) }
--- /dev/null
+++ b/core/upstream_path.go
@@ -0,0 +1,38 @@
+package core
+
+// ConnectOutcome is how an attempt to connect to an upstream ended.
+type ConnectOutcome int
+
+// The outcomes of an attempt to connect.
+const (
+	// Connected means that the connection is open.
+	Connected ConnectOutcome = iota
+	// ConnectFailed means that it was refused or reset.
+	ConnectFailed
+	// ConnectTimedOut means that there was no answer in time.
+	ConnectTimedOut
+	// RelayRejected means that the relay accepts no connection now.
+	RelayRejected
+	// RelayFailed means that the relay could not connect to the upstream.
+	RelayFailed
+	// RelayUnanswered means that the relay did not answer in time.
+	RelayUnanswered
+)
+
+// ConnectionObserved reports how an attempt to connect to an upstream ended. Relay is the
+// node through which it was made; empty for a direct one.
+type ConnectionObserved struct {
+	Engine  EngineID
+	Relay   NodeID
+	Outcome ConnectOutcome
+}
+
+// ProbeUpstream opens a direct connection to an upstream and closes it. The outcome is
+// reported with a ConnectionObserved.
+type ProbeUpstream struct {
+	Engine  EngineID
+	Address string
+}
+
+func (ConnectionObserved) isMessage() {}
+func (ProbeUpstream) isCommand()      {}
