Test that nodes which cannot reach upstreams serve through others

The emulated world has connections: kept ones, direct ones that hang, are reset or are refused, and ones through other nodes.

--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -20,6 +20,7 @@
 	output  core.Tokens
 	kind    core.RouteID
 	ended   bool
+	served  bool
 	runs    int
 	// retried says that the caller has retried once already.
 	retried   bool
@@ -43,10 +44,10 @@
 // answer delivers the whole answer to the caller.
 func (n *worldNode) answer(c core.RunForward, r *worldRequest) {
 	w := n.w
-	if r.ended {
+	if r.ended || !n.resultArrives(c.ID, c.Send, false) {
 		return
 	}
-	r.ended = true
+	r.ended, r.served = true, true
 	if r.first == 0 {
 		r.first = w.now
 		n.deliver(core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine})
@@ -73,6 +74,7 @@
 		return
 	}
 	r.ended = true
+	n.dropSends(id, 0)
 	if r.drop != nil {
 		r.drop()
 	}
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -155,6 +155,10 @@
 	// controlStreams counts the streams whose versions the node has sent to other nodes, and
 	// controlMessages the messages for that.
 	controlStreams, controlMessages int
+	// paths are the node's connections to upstreams.
+	paths worldPaths
+	// peerMessages counts the messages that the node has sent to others.
+	peerMessages int
 }
 
 type worldOptions struct {
@@ -260,7 +264,7 @@
 
 // deliver passes a message to a node and carries out the resulting commands.
 func (n *worldNode) deliver(m core.Message) {
-	if n.frozen || n.killed {
+	if n.frozen || n.killed || !n.arrives(m) {
 		return
 	}
 	for _, c := range n.node.Update(n.w.now, m) {
@@ -274,6 +278,27 @@
 	n.w.after(max(at.Sub(n.w.now), 0), func() { n.deliver(core.Tick{}) })
 }
 
+// arrives reports whether a message arrives: the results of steps need a path.
+func (n *worldNode) arrives(m core.Message) bool {
+	switch m := m.(type) {
+	case core.LeaseGranted:
+		return n.resultArrives(m.ID, m.Send, true)
+	case core.PrefillFinished:
+		return n.resultArrives(m.ID, m.Send, true)
+	case core.StepRefused:
+		return n.resultArrives(m.ID, m.Send, true)
+	case core.ForwardResponseStarted:
+		return n.resultArrives(m.ID, m.Send, false)
+	case core.ForwardResponseCompleted:
+		return n.resultArrives(m.ID, m.Send, true)
+	case core.StepFailed:
+		n.dropSends(m.ID, m.Send)
+		return true
+	default:
+		return true
+	}
+}
+
 func (n *worldNode) deliverAfter(d time.Duration, m core.Message) {
 	n.w.after(d, func() { n.deliver(m) })
 }
@@ -354,13 +379,13 @@
 		w.orders = append(w.orders, worldOrder{at: w.now, from: n.node.Self.ID, Order: c.Order})
 		w.carryOutOrder(c.Order)
 	case core.RequestLease:
-		n.lease(c)
+		n.connect(&worldSend{id: c.ID, send: c.Send, engine: c.Engine, step: core.LeaseStep, timeout: leaseTimeout}, func() { n.lease(c) })
 	case core.ReleaseLease:
 		w.ups[c.Engine].release(c.Lease)
 	case core.RunPrefill:
-		n.runPrefill(c)
+		n.connect(&worldSend{id: c.ID, send: c.Send, engine: c.Engine, step: core.ReadPromptStep, timeout: c.Timeout}, func() { n.runPrefill(c) })
 	case core.RunForward:
-		n.runForward(c)
+		n.connect(&worldSend{id: c.ID, send: c.Send, engine: c.Engine, step: core.RunStep}, func() { n.runForward(c) })
 	case core.EndForward:
 		n.end(c.ID, c.NotRun, c.RetryAfter)
 	case core.RelayFailure:
@@ -369,5 +394,7 @@
 		n.closedAt = w.now
 	case core.AnswerAddresses:
 		n.addresses = c.Addresses
+	default:
+		n.carryOutPath(c)
 	}
 }
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -210,7 +210,7 @@
 		})
 	}
 	w.after(first, func() {
-		if !r.ended {
+		if !r.ended && n.resultArrives(c.ID, c.Send, false) {
 			n.nameLimit(u)
 			r.first = w.now
 			n.deliver(core.ForwardResponseStarted{ID: c.ID, Send: c.Send, Engine: c.Engine})
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -24,6 +24,7 @@
 // sendPeer delivers a message to another node unless it is lost.
 func (n *worldNode) sendPeer(c core.SendPeer) {
 	w, delay := n.w, linkDelay
+	n.peerMessages++
 	if _, ok := c.Body.(core.ForwardPlaced); ok {
 		n.placed++
 	}
--- a/core/upstream_path.go
+++ b/core/upstream_path.go
@@ -27,11 +27,13 @@
 	Outcome ConnectOutcome
 }
 
-// ProbeUpstream opens a direct connection to an upstream and closes it. The outcome is
-// reported with a ConnectionObserved.
+// ProbeUpstream opens a connection to an upstream and closes it. Relay is the node through
+// which it is opened; its zero value asks for a direct one. The outcome is reported with a
+// ConnectionObserved.
 type ProbeUpstream struct {
 	Engine  EngineID
 	Address string
+	Relay   Relay
 }
 
 func (ConnectionObserved) isMessage() {}
--- /dev/null
+++ b/core/upstream_path_test.go
@@ -0,0 +1,103 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+const (
+	// contactTime is the time after a cut from which first tries must be served.
+	contactTime = 3 * time.Second
+	cutTime     = 10 * time.Second
+)
+
+// cutWorld is a deployment under load, with nodes that are cut off from all upstreams.
+type cutWorld struct {
+	*hostedWorld
+	isCut func(*worldNode) bool
+	size  int
+	scale float64
+}
+
+func newCutWorld(nodes int, seed uint64, share float64) *cutWorld {
+	scale := min(nodes/8, 12)
+	w := newHostedWorld(worldOptions{
+		nodes: nodes, prefillers: 4 * scale, decoders: 8 * scale, plain: 6 * scale, slots: 4, domains: 3, seed: seed,
+	})
+	cut := map[*worldNode]bool{}
+	for _, i := range w.rng.Perm(nodes)[:int(share*float64(nodes)+0.5)] {
+		cut[w.nodes[i]] = true
+	}
+	w.run(3 * time.Second)
+	return &cutWorld{w, func(n *worldNode) bool { return cut[n] }, nodes, float64(scale)}
+}
+
+// loadAll sends requests of all kinds, at half of what upstreams can serve.
+func (w *cutWorld) loadAll(d time.Duration) {
+	w.load("draft", 0.25*modelCapacity*w.scale, d)
+	w.load("resumable", 0.25*modelCapacity*w.scale, d)
+	w.load("pay", 40*w.scale, d)
+	w.load("read", 40*w.scale, d)
+}
+
+// shares returns the shares of the first tries between two instants that were served, at nodes
+// that are cut off and at others.
+func (w *cutWorld) shares(from, to core.Instant) (cut, sound float64) {
+	var tries, served [2]float64
+	for _, r := range w.requests {
+		if r.retried || r.arrived < from || r.arrived > to {
+			continue
+		}
+		i := btoi(w.isCut(r.node))
+		tries[i]++
+		served[i] += float64(btoi(r.served))
+	}
+	return served[1] / max(tries[1], 1), served[0] / max(tries[0], 1)
+}
+
+// Guards against nodes that cannot reach any upstream and serve nobody: from contactTime after
+// the cut, first tries there must be served as often as elsewhere, and elsewhere as often as
+// without a cut.
+func TestNodesCutOffFromUpstreamsServeThroughOthers(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		share float64
+		how   worldCut
+	}{
+		{8, 0.4, hang}, {8, 0.6, reset}, {8, 0.75, refuse}, {8, 0.6, hang}, {8, 0.75, hang},
+		{82, 0.6, hang}, {82, 0.75, reset}, {410, 0.6, hang},
+	} {
+		t.Run(fmt.Sprintf("%d nodes, %.2f, %d", c.nodes, c.share, c.how), func(t *testing.T) {
+			is := is.New(t)
+			w := newCutWorld(c.nodes, 1, c.share)
+			w.loadAll(3*time.Second + 2*cutTime)
+			w.run(3 * time.Second)
+			began, messages := w.now, w.peerMessages()
+			w.cutOff(c.how, cutTime, w.isCut)
+			w.run(cutTime)
+			perSecond := float64(w.peerMessages()-messages) / cutTime.Seconds() / float64(c.nodes)
+			w.run(25 * time.Second)
+			early, _ := w.shares(began, began.Add(contactTime))
+			cut, sound := w.shares(began.Add(contactTime), began.Add(cutTime))
+			healed, other := w.shares(began.Add(cutTime+time.Second), w.now)
+			t.Logf("served: early %.3f; cut off %.3f, others %.3f; healed %.3f and %.3f; %.1f messages a second and node",
+				early, cut, sound, healed, other, perSecond)
+			is.True(cut >= 0.95*sound)
+			is.True(sound >= 0.95)
+			is.True(healed >= 0.95*other)
+		})
+	}
+}
+
+// peerMessages returns how many messages all nodes have sent to each other.
+func (w *cutWorld) peerMessages() int {
+	count := 0
+	for _, n := range w.nodes {
+		count += n.peerMessages
+	}
+	return count
+}
