Serve through other nodes when upstreams cannot be reached directly

Callers of a node that was partitioned from all upstreams got 503, and owners that were partitioned rejected the requests of others: each request was tried on direct connections only, and the failures were recorded against the upstreams.

A node is isolated now when direct connections to two upstreams failed and a relay reached one of them, or four failed and there is no relay; probes of other upstreams tell that quickly, and one direct connection that opens clears it. It then connects through relays first, announces that with its own member update, owns no group and claims no orders. What was recorded against upstreams meanwhile is withdrawn, and failures of its own path count neither there nor at owners; a request that reached no upstream is placed again. A node without a relay rejects at once. Probes end the isolation when two upstreams are reached.

--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -119,7 +119,7 @@
 func (d *dispatcher) handleDenied(n *Node, from NodeID, m ForwardDenied) {
 	d.allocation(m.Engine).deniedUntil = n.now.Add(n.jitter(deniedFor))
 	if u, ok := n.forward.upstreams.byID[m.Engine]; ok && m.Failed && from != n.Self.ID {
-		u.recordFailure(n.now)
+		u.recordReportedFailure(n, from)
 	}
 	d.handleReleased(n, from, ForwardReleased{ID: m.ID})
 }
@@ -131,7 +131,7 @@
 		u, listed := n.forward.upstreams.byID[j.prefill]
 		switch {
 		case m.Failed && listed && from != n.Self.ID:
-			u.recordFailure(n.now)
+			u.recordReportedFailure(n, from)
 		case !m.Failed && j.prefillIdle && j.prefill != "":
 			n.roles.costsOf(j.group).observePrefill(j.prompt, n.now.Sub(j.placedAt))
 		}
@@ -164,7 +164,15 @@
 	if !ok || from == n.Self.ID {
 		return
 	}
-	u.recordOutcome(n, outcome)
+	switch outcome {
+	case RunFailed:
+		u.recordReportedFailure(n, from)
+	case RunSucceeded:
+		u.recordSound(n.now, from)
+		fallthrough
+	default:
+		u.recordOutcome(n, outcome)
+	}
 }
 
 // recordCost records how long a job occupied its engine or slot, if it got as
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -15,6 +15,10 @@
 // there is no owner, or it does not answer, this node places the request by
 // itself.
 func (s *forwards) requestPlacement(n *Node, f *forwardedRequest) {
+	if n.pathless() {
+		s.end(n, f, NoUpstream, n.jitter(pathRetryAfter))
+		return
+	}
 	if quiet := s.quietFor(n, f); quiet > 0 {
 		s.end(n, f, NoCapacity, quiet)
 		return
--- a/core/dispatch_group.go
+++ b/core/dispatch_group.go
@@ -58,7 +58,7 @@
 
 // groupOwner returns the live node that places requests for a group: the one
 // with the highest score, so that a change of one node moves only the groups of
-// that node. It returns the empty id if no live node accepts new requests.
+// that node. One that is isolated is chosen only if all are. It returns the empty id if no live node accepts new requests.
 func (s *forwards) groupOwner(n *Node, g DispatchGroup) NodeID {
 	return highestScoring(n.acceptingNodes(), g.key())
 }
@@ -69,7 +69,7 @@
 }
 
 // acceptingNodes returns the live nodes that accept new requests, including this one
-// unless it is leaving. Every request needs the list, so it is cached until a
+// unless it is leaving. Isolated nodes are left out unless all are isolated. Every request needs the list, so it is cached until a
 // member changes.
 func (n *Node) acceptingNodes() []NodeID {
 	cached := &n.members.memberCache.acceptingNodes
@@ -85,5 +85,20 @@
 	if !n.leaving {
 		*cached = append(*cached, n.Self.ID)
 	}
+	if reachable := n.notIsolated(*cached); len(reachable) > 0 {
+		*cached = reachable
+	}
 	return *cached
 }
+
+// notIsolated returns the nodes that can connect to upstreams.
+func (n *Node) notIsolated(ids []NodeID) []NodeID {
+	reachable := make([]NodeID, 0, len(ids))
+	for _, id := range ids {
+		m, ok := n.members.byID[id]
+		if isolated := ok && m.node.Isolated || id == n.Self.ID && n.isolation.isolated; !isolated {
+			reachable = append(reachable, id)
+		}
+	}
+	return reachable
+}
--- a/core/forward.go
+++ b/core/forward.go
@@ -22,6 +22,9 @@
 	// forwardAwaitingVersion requests wait for nodes that may know which version began the
 	// stream that their caller resumes.
 	forwardAwaitingVersion
+	// forwardAwaitingPath requests wait before they are placed again, because no connection to
+	// the chosen upstream could be opened.
+	forwardAwaitingPath
 	// forwardLeasing requests wait for an engine to answer a lease request.
 	forwardLeasing
 	// forwardPrefilling requests wait for a prefill engine to compute the
@@ -83,7 +86,11 @@
 	// prompt. tried are the upstreams to avoid.
 	sends    int
 	prefills int
-	tried    Set[EngineID]
+	// pathRetries counts how often the request was placed again for a failure of this node's
+	// own path, and overdue is the step that had no answer in time.
+	pathRetries int
+	overdue     int
+	tried       Set[EngineID]
 	// lastSend is the number of the latest send, and current the one whose result the
 	// request waits for; zero if it waits for none. runRecords are the runs among the
 	// sends. sentTo are the upstreams that the request was sent to, for a prefill or a run.
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -67,6 +67,7 @@
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Patience: f.timeLeft(n.now),
 		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
 	})
+	s.watchNoAnswer(n, f, u, time.Duration(silentObjectives*float64(f.route.Objective)))
 	if f.route.RetryPolicy == Repeatable {
 		s.retryIfSilent(n, f)
 	}
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -31,6 +31,7 @@
 	if !ok || m.Send != f.current || f.silent != nil {
 		return
 	}
+	n.isolation.observeNoAnswer(n, f.decode)
 	s.replaceSilentRun(n, f)
 }
 
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -185,6 +185,7 @@
 		return
 	}
 	n.do(RequestLease{ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Tokens: f.reserved, TTL: s.leaseTTL(f, engine)})
+	s.watchNoAnswer(n, f, u, noAnswerAfter)
 }
 
 // leaseTTL returns the duration of the lease to request. It covers the prefill
@@ -324,6 +325,7 @@
 	run.Send = f.recordRun(n.now, f.decode)
 	s.logRun(n, f)
 	n.do(run)
+	s.watchNoAnswer(n, f, f.decode, time.Duration(firstEventObjectives*float64(f.route.Objective)))
 	if f.route.RetryPolicy != Once {
 		s.watchFirstEvent(n, f)
 	}
@@ -473,14 +475,29 @@
 	n.do(LogDecision{Decision: d})
 }
 
+// stepOutcome returns how a step that got no usable answer counts for its upstream: not at all
+// if the failure may be that of this node's own path.
+func stepOutcome(m StepFailed, ownPath bool) RunOutcome {
+	switch {
+	case m.Status != 0:
+		return RunErred
+	case ownPath:
+		return RunUnknown
+	default:
+		return RunFailed
+	}
+}
+
 // handleStepFailed handles a step that got no usable answer, by the kind of the
 // request.
 func (s *forwards) handleStepFailed(n *Node, m StepFailed) {
-	outcome := RunFailed
-	if m.Status != 0 {
-		outcome = RunErred
-	}
+	n.isolation.observeStep(n, m)
+	ownPath := m.Status == 0 && (m.PathFailed || n.isolation.doubtful(n))
+	outcome := stepOutcome(m, ownPath)
 	if u, ok := s.upstreams.byID[m.Engine]; ok {
+		if outcome == RunFailed {
+			n.isolation.recordBlame(n, u)
+		}
 		u.recordOutcome(n, outcome)
 	}
 	f, ok := s.live[m.ID]
@@ -504,7 +521,9 @@
 		s.observeFailureAnswer(n, f)
 		s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
 	}
-	s.reportCrash(n, f, m)
+	if !ownPath {
+		s.reportCrash(n, f, m)
+	}
 	if s.live[m.ID] != f {
 		// It was blocked by this.
 		return
@@ -520,6 +539,10 @@
 	if m.Step == RunStep && m.Unsent {
 		f.sends--
 	}
+	if ownPath && (m.Unsent || m.Step != RunStep) {
+		s.placeAfterPathFailure(n, f, m)
+		return
+	}
 	if _, engine := f.spec.Engine.Get(); engine {
 		s.streamFailed(n, f, m)
 		return
--- a/core/hosted_addresses.go
+++ b/core/hosted_addresses.go
@@ -11,10 +11,16 @@
 )
 
 // hostedAddresses answers with live nodes, only those in the caller's own failure
-// domain if there are enough. Callers choose among them at random.
+// domain if there are enough. Callers choose among them at random. Isolated nodes are left
+// out if there are enough others.
 func (n *Node) hostedAddresses(m AddressQuery) {
 	var near, all []NodeAddress
+	var isolated []NodeInfo
 	add := func(node NodeInfo) {
+		if node.Isolated {
+			isolated = append(isolated, node)
+			return
+		}
 		a := NodeAddress{Node: node.ID, Domain: node.Domain, Address: node.CallerAddress, Weight: 1}
 		all = append(all, a)
 		if node.Domain == m.Domain {
@@ -22,13 +28,21 @@
 		}
 	}
 	if !n.leaving && n.ready() {
-		add(n.Self)
+		self := n.Self
+		self.Isolated = n.isolation.isolated
+		add(self)
 	}
 	for _, id := range sortedKeys(n.members.byID) {
 		if m := n.members.byID[id]; m.available() && m.node.CallerAddress != "" {
 			add(m.node)
 		}
 	}
+	if len(all) < hostedMinNear {
+		for _, node := range isolated {
+			node.Isolated = false
+			add(node)
+		}
+	}
 	if len(all) == 0 {
 		n.addLeaving(add)
 	}
--- a/core/instance.go
+++ b/core/instance.go
@@ -66,6 +66,10 @@
 	avoidUntil Instant
 	// successRate is the exponentially weighted success rate.
 	successRate float64
+	// failedBy are the nodes that reported a failure to this one, as the owner, since the last
+	// success, and soundBy those that reported the latest successes, with when they did.
+	failedBy Set[NodeID]
+	soundBy  [2]soundReport
 	// allocation is what this node, as an owner, has allocated on the upstream; nil before
 	// the first use. It is the entry of the allocation table.
 	allocation *engineAllocation
@@ -96,6 +100,7 @@
 func (u *upstream) recordSuccess() {
 	u.failures = 0
 	u.avoidUntil = 0
+	u.failedBy = nil
 	u.successRate += successWeight * (1 - u.successRate)
 }
 
--- /dev/null
+++ b/core/isolation.go
@@ -0,0 +1,276 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// failureWindow is how long a failed direct connection counts.
+	failureWindow = 2 * time.Second
+	// minIsolating is how many upstreams a node must fail to connect to, and a relay reach one
+	// of them, before the node is isolated. minUnreached is how many it must be if no relay
+	// answers.
+	minIsolating = 2
+	minUnreached = 4
+	// minReached is how many upstreams a node must reach before it is isolated no more.
+	minReached = 2
+	// probeEvery is the period of probes of an isolated node, and the least time between two
+	// probes of one upstream before that. maxProbes bounds the probes in one period.
+	probeEvery = time.Second
+	maxProbes  = 6
+	// noAnswerAfter is how long a lease request may have no answer until its upstream is
+	// probed.
+	noAnswerAfter = 100 * time.Millisecond
+)
+
+// isolation tells whether this node is partitioned from the upstreams, by the outcomes of
+// direct connections to them. Failures of one upstream are that upstream's; so are those of
+// several if relays do not reach them either.
+type isolation struct {
+	isolated bool
+	since    Instant
+	// unreached is when a direct connection to an upstream last failed to open, since the last
+	// one that opened. relayed are those of them to which a relay has a connection.
+	unreached map[EngineID]Instant
+	relayed   Set[EngineID]
+	// reached are the upstreams to which an isolated node could connect, without a failure
+	// since.
+	reached Set[EngineID]
+	// probed is when an upstream was last probed.
+	probed map[EngineID]Instant
+	// blamed are the upstreams of which a failure was recorded since the last direct
+	// connection, with what was known of them before, and crashes the ends of upstreams that
+	// were reported.
+	blamed  map[EngineID]upstreamHealth
+	crashes map[EngineCrash]Instant
+}
+
+// upstreamHealth is what was recorded of an upstream's failures at an instant.
+type upstreamHealth struct {
+	at          Instant
+	failures    int
+	avoidUntil  Instant
+	successRate float64
+}
+
+func (s *isolation) start() {
+	s.clear()
+	s.probed = map[EngineID]Instant{}
+}
+
+func (s *isolation) clear() {
+	s.unreached = map[EngineID]Instant{}
+	s.relayed, s.reached = Set[EngineID]{}, Set[EngineID]{}
+	s.blamed, s.crashes = map[EngineID]upstreamHealth{}, map[EngineCrash]Instant{}
+}
+
+// doubtful reports whether failures may be those of this node's own path: it is isolated, or
+// direct connections to several upstreams have failed since the last one that opened.
+func (s *isolation) doubtful(n *Node) bool {
+	return s.isolated || s.recentlyUnreached(n) >= minIsolating
+}
+
+// recentlyUnreached returns how many upstreams could not be reached within failureWindow, and
+// drops the others.
+func (s *isolation) recentlyUnreached(n *Node) int {
+	for id, at := range s.unreached {
+		if n.now.Sub(at) > failureWindow {
+			delete(s.unreached, id)
+		}
+	}
+	return len(s.unreached)
+}
+
+// observeConnection handles the outcome of a connection to an upstream.
+func (s *isolation) observeConnection(n *Node, m ConnectionObserved) {
+	switch {
+	case m.Relay != "":
+		n.relayChoice.observe(n, m)
+		if _, failed := s.unreached[m.Engine]; failed && m.Outcome == Connected {
+			s.relayed.Add(m.Engine)
+		}
+	case m.Outcome == Connected:
+		s.observeReached(n, m.Engine)
+		return
+	default:
+		s.reached = Set[EngineID]{}
+		s.unreached[m.Engine] = n.now
+		if !s.isolated {
+			s.probeMore(n)
+		}
+	}
+	s.consider(n)
+}
+
+// observeReached handles a direct connection. One is enough before the node is isolated; some
+// are needed to end that.
+func (s *isolation) observeReached(n *Node, id EngineID) {
+	if !s.isolated {
+		s.clear()
+		return
+	}
+	s.reached.Add(id)
+	if len(s.reached) >= min(minReached, len(n.forward.upstreams.byID)) {
+		s.set(n, false, "direct connections to "+joinIDs(s.reached.Sorted()))
+		return
+	}
+	s.probeAny(n)
+}
+
+// consider makes the node isolated if the failures show that.
+func (s *isolation) consider(n *Node) {
+	if s.isolated {
+		return
+	}
+	unreached := s.recentlyUnreached(n)
+	if unreached < minIsolating {
+		return
+	}
+	detail := "no direct connection to " + joinIDs(sortedKeys(s.unreached))
+	switch relays := n.relayChoice.usable(n); {
+	case len(s.relayed) > 0:
+		s.set(n, true, detail+"; relays reach "+joinIDs(s.relayed.Sorted()))
+	case len(relays) == 0 && unreached >= min(minUnreached, len(n.forward.upstreams.byID)):
+		s.set(n, true, detail+"; no relay")
+	case len(relays) > 0:
+		n.relayChoice.probe(n)
+	}
+}
+
+// set begins or ends the isolation.
+func (s *isolation) set(n *Node, isolated bool, detail string) {
+	step := "reachable"
+	if isolated {
+		step = "isolated"
+		s.withdrawBlame(n)
+	} else {
+		detail += fmt.Sprintf(" after %v", n.now.Sub(s.since))
+	}
+	s.isolated, s.since = isolated, n.now
+	s.clear()
+	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: step, Detail: detail}})
+	n.members.announceIsolation(n)
+	n.relayChoice.update(n)
+	if isolated {
+		s.probeWhileIsolated(n)
+		n.forward.placeHangingAgain(n)
+	}
+}
+
+// probeWhileIsolated probes direct connections until the isolation ends.
+func (s *isolation) probeWhileIsolated(n *Node) {
+	since := s.since
+	n.afterFunc(n.jitter(probeEvery), func(n *Node) {
+		if s.isolated && s.since == since {
+			s.probeAny(n)
+			n.relayChoice.probe(n)
+			s.probeWhileIsolated(n)
+		}
+	})
+}
+
+// observeNoAnswer handles a step that had no answer in time: its upstream is probed, and if it
+// cannot be reached, others are.
+func (s *isolation) observeNoAnswer(n *Node, u *upstream) {
+	if !s.isolated && n.Hosted {
+		s.probe(n, u)
+	}
+}
+
+// observeStep handles a step that failed. If its upstream gave no answer, it is probed.
+func (s *isolation) observeStep(n *Node, m StepFailed) {
+	if m.PathFailed && m.Relay != "" {
+		n.relayChoice.leaveOut(n, m.Relay)
+	}
+	if m.Status != 0 || m.Relay != "" || m.PathFailed || s.isolated {
+		return
+	}
+	if u, ok := n.forward.upstreams.byID[m.Engine]; ok {
+		s.observeNoAnswer(n, u)
+	}
+}
+
+// probe opens a direct connection to an upstream, unless that was done just before.
+func (s *isolation) probe(n *Node, u *upstream) {
+	if at, probed := s.probed[u.ID]; probed && n.now.Sub(at) < probeEvery || len(s.probed) >= maxProbes {
+		return
+	}
+	s.probed[u.ID] = n.now
+	n.do(ProbeUpstream{Engine: u.ID, Address: u.Address})
+}
+
+// probeMore probes other upstreams after a failure, so that enough are tried to tell whose
+// failure it is.
+func (s *isolation) probeMore(n *Node) {
+	for range minUnreached - 1 {
+		s.probeAny(n)
+	}
+}
+
+// probeAny probes any usable upstream that was not probed just before.
+func (s *isolation) probeAny(n *Node) {
+	s.forgetProbes(n)
+	var may []EngineID
+	for _, id := range sortedKeys(n.forward.upstreams.byID) {
+		_, failed := s.unreached[id]
+		if _, probed := s.probed[id]; !probed && !failed && n.forward.upstreams.byID[id].usable() {
+			may = append(may, id)
+		}
+	}
+	if len(may) > 0 {
+		s.probe(n, n.forward.upstreams.byID[may[n.rng.IntN(len(may))]])
+	}
+}
+
+func (s *isolation) forgetProbes(n *Node) {
+	for id, at := range s.probed {
+		if n.now.Sub(at) >= probeEvery*9/10 {
+			delete(s.probed, id)
+		}
+	}
+}
+
+// recordBlame notes what was known of an upstream before a failure is recorded.
+func (s *isolation) recordBlame(n *Node, u *upstream) {
+	if before, noted := s.blamed[u.ID]; !noted || n.now.Sub(before.at) > failureWindow {
+		s.blamed[u.ID] = upstreamHealth{n.now, u.failures, u.avoidUntil, u.successRate}
+	}
+}
+
+// withdrawBlame takes back the failures that were recorded since the first one that belongs to
+// this node's own path.
+func (s *isolation) withdrawBlame(n *Node) {
+	for id, before := range s.blamed {
+		if u, ok := n.forward.upstreams.byID[id]; ok && n.now.Sub(before.at) <= failureWindow {
+			u.failures, u.avoidUntil, u.successRate, u.fullUntil = before.failures, before.avoidUntil, before.successRate, 0
+			n.dispatcher.allocation(id).deniedUntil = 0
+		}
+	}
+	var answered []EngineCrash
+	for crash, at := range s.crashes {
+		if n.now.Sub(at) <= failureWindow {
+			answered = append(answered, crash)
+		}
+	}
+	if len(answered) == 0 {
+		return
+	}
+	slices.SortFunc(answered, func(a, b EngineCrash) int { return strings.Compare(string(a.Engine), string(b.Engine)) })
+	for _, crash := range answered {
+		n.forward.retract(n, crash)
+	}
+	n.broadcast(SuspectsReported{Answered: answered})
+}
+
+// joinIDs returns the first of a list of upstreams, for the log.
+func joinIDs(ids []EngineID) string {
+	const most = 4
+	texts := make([]string, 0, most)
+	for _, id := range ids[:min(len(ids), most)] {
+		texts = append(texts, string(id))
+	}
+	return strings.Join(texts, " ")
+}
--- a/core/membership.go
+++ b/core/membership.go
@@ -137,6 +137,7 @@
 	m.sequence = 0
 	m.confirmed = true
 	m.node.Leaving = s.listed[m.node.ID].Leaving
+	m.node.Isolated = false
 	s.setStatus(n, m, leftOrAlive(m.node))
 	if wasAlive {
 		n.memberDied(m.node.ID, earlier)
@@ -170,6 +171,7 @@
 		s.reconcilePending = false
 		n.owner.reconcile(n)
 		n.forward.ownersChanged(n)
+		n.relayChoice.update(n)
 	})
 }
 
@@ -222,9 +224,12 @@
 	}
 	m.sequence = u.Sequence
 	m.addressUnconfirmed = false
-	leaving := m.node.Leaving
+	leaving, isolated := m.node.Leaving, m.node.Isolated
 	m.node = u.Node
 	m.node.Leaving = u.Node.Leaving || u.Status == Left || leaving
+	if m.node.Isolated && !isolated {
+		n.forward.memberIsolated(m.node.ID)
+	}
 	if u.Status != m.status {
 		s.setStatus(n, m, u.Status)
 		return
@@ -249,7 +254,7 @@
 // selfUpdate returns the update that this node sends about itself.
 func (s *members) selfUpdate(n *Node) MemberUpdate {
 	node := n.Self
-	node.Leaving = n.leaving
+	node.Leaving, node.Isolated = n.leaving, n.isolation.isolated
 	return MemberUpdate{
 		Node: node, Incarnation: n.Incarnation, Status: leftOrAlive(node), Sequence: s.sequence,
 	}
@@ -267,6 +272,23 @@
 	}
 }
 
+// announceIsolation notifies several members at once, and the nodes whose requests this one
+// places, that this node cannot connect to upstreams, or can again; they pass it on.
+func (s *members) announceIsolation(n *Node) {
+	s.sequence++
+	s.enqueueUpdate(n.Self.ID)
+	s.scheduleReconcile(n)
+	told := SetOf(s.sample(n, maxUpdatesPerMessage)...)
+	for key := range n.dispatcher.jobs {
+		if key.node != n.Self.ID {
+			told.Add(key.node)
+		}
+	}
+	for _, id := range told.Sorted() {
+		s.detector.sendHeartbeat(n, id)
+	}
+}
+
 // add makes a node a member. Until its first report it counts as having all of its
 // capacity free.
 func (s *members) add(node NodeInfo) *member {
--- a/core/membership_list.go
+++ b/core/membership_list.go
@@ -75,9 +75,9 @@
 	if !ok || old.ID == "" || old.PeerAddress == node.PeerAddress && old.CallerAddress == node.CallerAddress {
 		return
 	}
-	leaving := m.node.Leaving
+	leaving, isolated := m.node.Leaving, m.node.Isolated
 	m.node = node
-	m.node.Leaving = leaving
+	m.node.Leaving, m.node.Isolated = leaving, isolated
 	s.scheduleReconcile(n)
 }
 
--- a/core/node.go
+++ b/core/node.go
@@ -54,6 +54,8 @@
 	feed         instanceFeed
 	dispatcher   dispatcher
 	relays       relays
+	isolation    isolation
+	relayChoice  relayChoice
 	checks       checks
 }
 
@@ -87,6 +89,8 @@
 	n.owner.start(n)
 	n.forward.start()
 	n.relays.start()
+	n.relayChoice.start()
+	n.isolation.start()
 	if n.Hosted {
 		n.feed.start(n)
 		n.forward.spread.start(n)
@@ -241,6 +245,7 @@
 	case ForwardResponseCompleted:
 		n.forward.handleAnswered(n, m)
 	case ConnectionObserved:
+		n.isolation.observeConnection(n, m)
 	case RelayRequested:
 		n.relays.handleRequested(n, m)
 	case RelayEnded:
--- /dev/null
+++ b/core/path_failure.go
@@ -0,0 +1,83 @@
+package core
+
+import "time"
+
+const (
+	// maxPathRetries bounds how often a request is placed again because this node has no
+	// connection to the chosen upstream. pathRetryDelay is the delay before the second time; it
+	// doubles with each further one.
+	maxPathRetries = 6
+	pathRetryDelay = 25 * time.Millisecond
+	// pathRetryAfter is about when a caller may retry at a node without a path to upstreams.
+	pathRetryAfter = 300 * time.Millisecond
+)
+
+// placeAfterPathFailure requests another placement for a request after a failure of this node's
+// own path, by which no upstream has run it. The upstream may be chosen again.
+func (s *forwards) placeAfterPathFailure(n *Node, f *forwardedRequest, m StepFailed) {
+	paid := true
+	if m.Step == ReadPromptStep {
+		if m.Unsent {
+			f.prefills--
+		} else {
+			paid = s.spendRetryBudget(n, f, 1)
+		}
+	}
+	f.tried.Remove(m.Engine)
+	s.release(n, f)
+	f.pathRetries++
+	if !paid || f.pathRetries > maxPathRetries || n.now >= f.deadline {
+		s.end(n, f, NoUpstream, n.jitter(pathRetryAfter))
+		return
+	}
+	if f.pathRetries == 1 {
+		s.requestPlacement(n, f)
+		return
+	}
+	f.phase = forwardAwaitingPath
+	step := f.step
+	n.afterFunc(n.jitter(pathRetryDelay<<(f.pathRetries-2)), func(n *Node) {
+		if s.live[f.ID] == f && f.step == step {
+			s.requestPlacement(n, f)
+		}
+	})
+}
+
+// watchNoAnswer has the path to an upstream probed if a step there has no answer in time.
+func (s *forwards) watchNoAnswer(n *Node, f *forwardedRequest, u *upstream, after time.Duration) {
+	step, began := f.step, n.now
+	n.afterFunc(after, func(n *Node) {
+		if s.live[f.ID] != f || f.step != step || f.phase == forwardResponding {
+			return
+		}
+		f.overdue = step
+		n.isolation.observeNoAnswer(n, u)
+		if n.isolation.isolated && began < n.isolation.since {
+			s.placeHanging(n, f)
+		}
+	})
+}
+
+// placeHangingAgain places requests again whose steps have had no answer, because the node is
+// isolated and their connections may hang.
+func (s *forwards) placeHangingAgain(n *Node) {
+	for _, id := range sortedKeys(s.live) {
+		if f, ok := s.live[id]; ok && f.overdue == f.step {
+			s.placeHanging(n, f)
+		}
+	}
+}
+
+// placeHanging places a request again whose step hangs. A run that may be repeated is placed
+// again as a silent one is; one that must run once stays.
+func (s *forwards) placeHanging(n *Node, f *forwardedRequest) {
+	switch {
+	case f.phase == forwardLeasing:
+		s.release(n, f)
+		s.requestPlacement(n, f)
+	case f.phase == forwardRunning && f.silent == nil && f.route.RetryPolicy != Once:
+		if _, engine := f.spec.Engine.Get(); engine {
+			s.replaceSilentRun(n, f)
+		}
+	}
+}
--- a/core/profile.go
+++ b/core/profile.go
@@ -105,4 +105,6 @@
 	PeerAddress   string
 	CallerAddress string
 	Leaving       bool
+	// Isolated is set while the node cannot connect to upstreams.
+	Isolated bool
 }
--- a/core/relay.go
+++ b/core/relay.go
@@ -68,25 +68,48 @@
 func (OpenRelay) isCommand()      {}
 func (RejectRelay) isCommand()    {}
 
+const (
+	// maxRelayed bounds the connections that a node relays, and maxRelayedPerNode those for
+	// one node.
+	maxRelayed        = 1024
+	maxRelayedPerNode = 512
+)
+
 // relays tracks the connections that this node relays for others.
 type relays struct {
-	open map[RelayID]NodeID
+	open  map[RelayID]NodeID
+	count map[NodeID]int
 }
 
-func (r *relays) start() { r.open = map[RelayID]NodeID{} }
+func (r *relays) start() { r.open, r.count = map[RelayID]NodeID{}, map[NodeID]int{} }
 
-// handleRequested accepts or rejects the relaying of a connection.
+// handleRequested accepts or rejects the relaying of a connection. An isolated node relays
+// none, so that no connection goes through two relays.
 func (r *relays) handleRequested(n *Node, m RelayRequested) {
 	u, ok := n.forward.upstreams.byID[m.Engine]
 	switch {
+	case n.isolation.isolated:
+		n.do(RejectRelay{ID: m.ID, Reason: RelayIsolated})
 	case n.leaving:
 		n.do(RejectRelay{ID: m.ID, Reason: RelayLeaving})
+	case len(r.open) >= maxRelayed || r.count[m.From] >= maxRelayedPerNode:
+		n.do(RejectRelay{ID: m.ID, Reason: RelayFull})
 	case !ok || !u.usable():
 		n.do(RejectRelay{ID: m.ID, Reason: RelayUnknownUpstream})
 	default:
 		r.open[m.ID] = m.From
+		r.count[m.From]++
 		n.do(OpenRelay{ID: m.ID, Engine: m.Engine, Address: u.Address})
 	}
 }
 
-func (r *relays) handleEnded(m RelayEnded) { delete(r.open, m.ID) }
+func (r *relays) handleEnded(m RelayEnded) {
+	from, ok := r.open[m.ID]
+	if !ok {
+		return
+	}
+	delete(r.open, m.ID)
+	if r.count[from]--; r.count[from] == 0 {
+		delete(r.count, from)
+	}
+}
--- a/core/roles.go
+++ b/core/roles.go
@@ -268,7 +268,7 @@
 
 // planAndClaim sends the role changes that the groups of this node need to the node
 // that issues orders, and claims the right to issue them if this node has orders to
-// send.
+// send. An isolated node does not: orders go to engines directly, never through a relay.
 func (s *roles) planAndClaim(n *Node) {
 	if n.leaving || !n.uses(RoleChanges) {
 		return
@@ -277,7 +277,7 @@
 	if orders := s.plan(n); len(orders) > 0 && issuer != "" {
 		n.send(issuer, RolesWanted{Orders: orders})
 	}
-	if s.claiming || n.now < s.notBefore || len(s.pendingOrders(n)) == 0 {
+	if s.claiming || n.now < s.notBefore || n.isolation.doubtful(n) || len(s.pendingOrders(n)) == 0 {
 		return
 	}
 	s.claiming = true
@@ -435,7 +435,7 @@
 	}
 	s.claiming = false
 	s.claimsEnd = m.Offset + 1
-	if n.now.Sub(s.sentAt) > claimValid || n.resumedAt > s.sentAt || m.Era > s.storeEra {
+	if n.now.Sub(s.sentAt) > claimValid || n.resumedAt > s.sentAt || m.Era > s.storeEra || n.isolation.doubtful(n) {
 		return
 	}
 	orders := s.pendingOrders(n)
--- a/wire/peer/convert.go
+++ b/wire/peer/convert.go
@@ -71,6 +71,7 @@
 		PeerAddress:   n.PeerAddress,
 		CallerAddress: n.CallerAddress,
 		Leaving:       n.Leaving,
+		Isolated:      n.Isolated,
 	}
 }
 
@@ -82,6 +83,7 @@
 		PeerAddress:   n.GetPeerAddress(),
 		CallerAddress: n.GetCallerAddress(),
 		Leaving:       n.GetLeaving(),
+		Isolated:      n.GetIsolated(),
 	}
 }
 
