--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"daisyshed.dev/core"
 )
 
 const (
@@ -130,6 +132,8 @@
 	OnUnmatched func(key string, h http.Header)
 	// OnLimit is called with the error when a response exceeds a limit. It may be nil.
 	OnLimit func(key string, err error)
+	// DialThrough opens a connection to an upstream through another node. It may be nil.
+	DialThrough func(ctx context.Context, relay core.Relay, engine core.EngineID) (net.Conn, error)
 
 	mu sync.Mutex
 	// idle holds the unused connections of each upstream, the last used at the
