Relay connections to upstreams between nodes

A node can open connections to upstreams through another node: on a connection of its own, so that heartbeats do not queue behind bulk, with a yamux session and one stream for each. The end and the reset of the upstream's connection are told apart from a failure of the relay. Nothing uses this yet.

--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	conn = &countingConn{Conn: conn, meter: l.transport.Meter}
+	conn = &countingConn{Conn: conn, count: l.transport.Meter.ControlBytes}
 	l.closeConn = l.transport.track(conn)
 	conn, err = l.transport.secureClient(ctx, conn, l.to)
 	if err != nil {
--- /dev/null
+++ b/daisyshed/peer/relay_copy.go
@@ -0,0 +1,117 @@
+package peer
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	wire "daisyshed.dev/wire/peer"
+	"github.com/hashicorp/yamux"
+)
+
+// writeCheckInterval is how often a write to an upstream that does not read is interrupted to
+// find out whether the other node has reset the stream.
+const writeCheckInterval = 25 * time.Millisecond
+
+// relayCopy copies the bytes between an upstream and a stream.
+type relayCopy struct {
+	upstream net.Conn
+	stream   *yamux.Stream
+	chunks   wire.ChunkReader
+	// idle ends both directions when it fires, and sets expired.
+	idle      *time.Timer
+	idleAfter time.Duration
+	expired   atomic.Bool
+}
+
+// copyRelayed copies bytes both ways until the other node closes the stream, or no bytes are
+// sent for idleAfter, and returns the bytes sent to and received from the upstream. It closes
+// the upstream's connection.
+func copyRelayed(upstream net.Conn, stream *yamux.Stream, r *bufio.Reader, idleAfter time.Duration) (sent, received int64) {
+	c := &relayCopy{upstream: upstream, stream: stream, chunks: wire.ChunkReader{Source: r}, idleAfter: idleAfter}
+	c.idle = time.AfterFunc(idleAfter, func() {
+		c.expired.Store(true)
+		_ = upstream.Close()
+		_ = stream.SetDeadline(past)
+	})
+	defer c.idle.Stop()
+	done := make(chan int64, 1)
+	go func() { done <- c.fromUpstream() }()
+	sent = c.toUpstream()
+	// This ends the other direction, which may wait for either side. Neither is used again.
+	_ = upstream.Close()
+	_ = stream.SetWriteDeadline(past)
+	return sent, <-done
+}
+
+// toUpstream copies to the upstream until the stream ends, and returns the bytes copied. Once
+// the upstream takes no more, the rest is discarded; its answer may still be on the way.
+func (c *relayCopy) toUpstream() int64 {
+	buffer := make([]byte, wire.MaxChunkBytes)
+	sent, takes := int64(0), true
+	for {
+		n, err := c.chunks.Read(buffer)
+		if n > 0 && takes {
+			c.idle.Reset(c.idleAfter)
+			var w int
+			w, takes = c.write(buffer[:n])
+			sent += int64(w)
+		}
+		if err != nil || c.expired.Load() {
+			return sent
+		}
+	}
+}
+
+// write writes to the upstream, and reports whether the upstream takes more.
+func (c *relayCopy) write(p []byte) (int, bool) {
+	written := 0
+	for written < len(p) {
+		if err := c.upstream.SetWriteDeadline(time.Now().Add(writeCheckInterval)); err != nil {
+			return written, false
+		}
+		n, err := c.upstream.Write(p[written:])
+		written += n
+		if err != nil && (!errors.Is(err, os.ErrDeadlineExceeded) || c.isReset()) {
+			return written, false
+		}
+	}
+	return written, true
+}
+
+// isReset reports whether the stream is closed or was reset by the other node. Bytes that were
+// received but not read do not hide a reset.
+func (c *relayCopy) isReset() bool {
+	// Setting the deadline of a stream cannot fail. A read into nothing takes no bytes.
+	_ = c.stream.SetReadDeadline(past)
+	_, err := c.stream.Read(nil)
+	_ = c.stream.SetReadDeadline(time.Time{})
+	return err != nil && !errors.Is(err, yamux.ErrTimeout)
+}
+
+// fromUpstream copies from the upstream until it closes or breaks the connection, marks the
+// end as one of both, and returns the bytes copied.
+func (c *relayCopy) fromUpstream() int64 {
+	buffer := make([]byte, wire.MaxChunkBytes)
+	chunk := make([]byte, 0, wire.ChunkHeaderBytes+wire.MaxChunkBytes)
+	received := int64(0)
+	for {
+		n, err := c.upstream.Read(buffer)
+		if n > 0 {
+			c.idle.Reset(c.idleAfter)
+			received += int64(n)
+			if _, err := c.stream.Write(wire.AppendChunk(chunk[:0], buffer[:n])); err != nil {
+				return received
+			}
+		}
+		if err != nil {
+			// If the write fails, the other node sees that the stream ends without a mark.
+			_, _ = c.stream.Write(wire.AppendChunkEnd(chunk[:0], err == io.EOF))
+			return received
+		}
+	}
+}
--- a/daisyshed/peer/serve.go
+++ b/daisyshed/peer/serve.go
@@ -26,33 +26,63 @@
 	}
 }
 
-// ServeConn receives the messages on one connection until it breaks, is idle
-// for too long or carries an invalid message.
+// ServeConn receives the messages on one connection, or serves the relayed connections that
+// it carries, until it breaks, is idle for too long or carries an invalid message.
 func (t *Transport) ServeConn(conn net.Conn) {
-	conn = &countingConn{Conn: conn, meter: t.Meter}
-	defer t.track(conn)()
-	conn, check, err := t.secureServer(conn)
+	counting := &countingConn{Conn: conn, count: t.Meter.ControlBytes}
+	defer t.track(counting)()
+	conn, check, err := t.secureServer(counting)
 	if err != nil {
 		t.Meter.PeerFault(err)
 		return
 	}
-	session, err := yamux.Server(conn, t.sessionConfig())
+	startTimer := time.AfterFunc(t.Limits.DialTimeout, func() { _ = conn.Close() })
+	begun := bufio.NewReader(conn)
+	first, err := begun.Peek(1)
 	if err != nil {
-		t.Meter.PeerFault(err)
+		startTimer.Stop()
+		t.Meter.PeerFault(&NoStreamError{Cause: err})
 		return
 	}
+	conn = &bufferedConn{Conn: conn, r: begun}
+	if first[0] == wire.RelayPreamble {
+		counting.count = t.countRelaying
+		err = t.serveRelays(conn, begun, check, startTimer)
+	} else {
+		err = t.serveMessages(conn, check, startTimer)
+	}
+	if err != nil {
+		t.Meter.PeerFault(err)
+	}
+}
+
+// serveMessages receives the messages on a connection. startTimer closes it if no stream
+// opens.
+func (t *Transport) serveMessages(conn net.Conn, check identityCheck, startTimer *time.Timer) error {
+	session, err := yamux.Server(conn, t.sessionConfig())
+	if err != nil {
+		return err
+	}
 	defer session.Close()
-	streamTimer := time.AfterFunc(t.Limits.DialTimeout, func() { _ = conn.Close() })
 	stream, err := session.AcceptStream()
-	if !streamTimer.Stop() || err != nil {
-		t.Meter.PeerFault(&NoStreamError{Cause: err})
-		return
+	if !startTimer.Stop() || err != nil {
+		return &NoStreamError{Cause: err}
 	}
 	if err := t.receive(conn, stream, check); !errors.Is(err, io.EOF) {
-		t.Meter.PeerFault(err)
+		return err
 	}
+	return nil
 }
 
+// bufferedConn is a connection of which a part has been read into r.
+type bufferedConn struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (c *bufferedConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
 // receive passes the messages of a stream to t.Receive until the stream ends, or
 // until a message names a sender that the connection's certificate does not
 // allow.
@@ -120,22 +150,22 @@
 // Unwrap returns the error that yamux reported.
 func (e *NoStreamError) Unwrap() error { return e.Cause }
 
-// countingConn is a connection that reports its bytes to a Meter.
+// countingConn is a connection that reports its bytes.
 type countingConn struct {
 	net.Conn
-	meter Meter
+	count func(sent, received int)
 }
 
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.meter.ControlBytes(0, n)
+	c.count(0, n)
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.meter.ControlBytes(n, 0)
+	c.count(n, 0)
 	return n, err
 }
--- a/daisyshed/peer/transport.go
+++ b/daisyshed/peer/transport.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"daisyshed.dev/core"
@@ -28,13 +29,26 @@
 	// encrypted and senders are not checked.
 	TLS    *mutualtls.Source
 	Limits Limits
+	// DialUpstream opens a connection to an upstream for another node. If it is nil, this node
+	// relays none.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
+	// Relays records relayed connections. It may be nil if there are none.
+	Relays RelayMeter
+
+	lastRelay atomic.Uint64
+	// relayed and relaying count the open relayed connections of this node and of others.
+	relayed, relaying atomic.Int64
 
 	mu    sync.Mutex
 	links map[core.NodeID]*link
 	conns map[net.Conn]struct{}
 	// incoming is the connection on which each node sends.
 	incoming map[core.NodeID]net.Conn
-	closed   bool
+	// relays has the sessions with the nodes through which connections are opened, and
+	// decisions the requests of other nodes on which the core decides.
+	relays    map[core.NodeID]*relayLink
+	decisions map[core.RelayID]chan relayDecision
+	closed    bool
 }
 
 // Limits bounds a transport's queues and waiting times.
@@ -48,6 +62,11 @@
 	WriteTimeout time.Duration
 	// IdleTimeout is how long an unused connection stays open.
 	IdleTimeout time.Duration
+	// Relayed bounds the open relayed connections of this node, and separately those that it
+	// relays for others.
+	Relayed int
+	// RelayIdle is how long a relayed connection stays open on which no bytes are sent.
+	RelayIdle time.Duration
 }
 
 // Meter counts a transport's traffic and errors. Its methods must not block.
