Connect to upstreams through relays if a direct connection fails

Callers at a node that was partitioned from the upstreams got 503 although its peers reached them: the node's only path to an upstream was its own connection. If a direct one fails, or is not open after 100 ms, connections are now opened through the relays that the core names, the next one after 150 ms. The first to open carries the request, the others are closed unused; an upstream that was reached through a relay is reached that way without waiting for 2 s. Orders to engines stay direct. Steps report the relay and whether the path failed, and the core gets the outcomes that differ from what it knows.

--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/peer"
 	"daisyshed.dev/daisyshed/tcp"
 	"daisyshed.dev/daisyshed/upstream"
 	"daisyshed.dev/platform"
@@ -70,6 +72,8 @@
 	kind   core.ForwardStep
 	engine core.EngineID
 	send   core.SendNumber
+	// relay is the node through which the connection goes, if it is known.
+	relay core.NodeID
 }
 
 // serve executes commands and relays the responses to runs until the request
@@ -219,6 +223,7 @@
 		return
 	}
 	defer response.Close()
+	s.relay = response.Relay
 	body, err := response.ReadAll(maxBufferedBytes)
 	if err != nil || response.Status != http.StatusOK {
 		x.reportStepFailed(s, &InvalidResponseError{Cause: err}, response.Status)
@@ -246,10 +251,34 @@
 func (x *exchange) reportStepFailed(s step, err error, status int) {
 	x.server.SendToCore(core.StepFailed{
 		ID: x.forward.ID, Send: s.send, Engine: s.engine, Step: s.kind, Unsent: nothingSent(err), Status: status,
-		Emitted: x.headSent.Load(), Unresumable: x.unresumable.Load(), BrokenOff: brokenOff(err), Reason: err.Error(),
+		Emitted: x.headSent.Load(), Unresumable: x.unresumable.Load(), BrokenOff: brokenOff(err),
+		Relay: cmp.Or(s.relay, relayOf(err)), PathFailed: pathFailed(err), Reason: err.Error(),
 	})
 }
 
+// relayOf returns the node through which the connection of a failed request went; empty if it
+// was direct.
+func relayOf(err error) core.NodeID {
+	var unsent *upstream.UnsentError
+	var noResponse *upstream.NoResponseError
+	switch {
+	case errors.As(err, &unsent):
+		return unsent.Relay
+	case errors.As(err, &noResponse):
+		return noResponse.Relay
+	default:
+		return ""
+	}
+}
+
+// pathFailed reports whether an error says that a relay or the connection to it failed, and
+// nothing of the upstream.
+func pathFailed(err error) bool {
+	var path *peer.PathError
+	var connect *upstream.ConnectError
+	return errors.As(err, &path) || errors.As(err, &connect) && connect.PathFailed()
+}
+
 // nothingSent reports whether an error proves that no byte of a request was sent.
 func nothingSent(err error) bool {
 	var unsent *upstream.UnsentError
@@ -257,8 +286,11 @@
 }
 
 // brokenOff reports whether an error says that the upstream closed or reset the connection.
-// What this node has ended itself, or could not use, does not count.
+// What this node has ended itself, or could not use, does not count, nor does a relay.
 func brokenOff(err error) bool {
+	if pathFailed(err) {
+		return false
+	}
 	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, end) {
 			return true
--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"daisyshed.dev/core"
@@ -36,9 +37,17 @@
 	// started is set once an event has gone to the caller, and stalled while the core has
 	// been told that the run is silent. Only the goroutine of the exchange uses them.
 	started, stalled bool
+	// response is the response once its head has been read.
+	response atomic.Pointer[upstream.Response]
 }
 
-func (r *run) step() step { return step{kind: core.RunStep, engine: r.Engine, send: r.Send} }
+func (r *run) step() step {
+	s := step{kind: core.RunStep, engine: r.Engine, send: r.Send}
+	if response := r.response.Load(); response != nil {
+		s.relay = response.Relay
+	}
+	return s
+}
 
 // runResult is the response to a run, or the error that came in its place. The events of
 // a stream follow as streamEvents instead.
@@ -110,6 +119,7 @@
 		x.passResult(runResult{run: r, err: err})
 		return
 	}
+	r.response.Store(response)
 	result := runResult{run: r, response: bufferedResponse{status: response.Status, header: response.Header}}
 	result.notRun = platform.NotRun(response.Status, response.Header, r.Engine)
 	_, rejected := result.notRun.Get()
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -221,7 +221,8 @@
 			s.Log.Error().Str("Event", "Order").Err(err).Send()
 			return
 		}
-		status, _, err := s.call(ctx, c.Order.Engine, address, call)
+		// The engine takes the sender's machine for the holder, so no relay may send it.
+		status, _, err := s.callOn(ctx, c.Order.Engine, address, call, true)
 		s.Log.Info().Str("Event", "Ordered").Str("Engine", string(c.Order.Engine)).
 			Str("Role", c.Order.Role.String()).Int64("Fencing", int64(c.Order.Fencing)).Int("Status", status).Err(err).Send()
 	}()
@@ -240,10 +241,15 @@
 // call makes a call to an upstream's control interface and returns the status
 // and the body of the response.
 func (s *Server) call(ctx context.Context, id core.EngineID, address string, c platform.Call) (int, []byte, error) {
+	return s.callOn(ctx, id, address, c, false)
+}
+
+// callOn is call, on a direct connection if direct is set.
+func (s *Server) callOn(ctx context.Context, id core.EngineID, address string, c platform.Call, direct bool) (int, []byte, error) {
 	response, err := s.Upstreams.Do(ctx, &upstream.Request{
 		Key: string(id), Address: address, Method: c.Method, Target: c.Target, Host: address,
 		Header: c.Header, Body: c.Body, ParseIdleTimeout: platform.IdleTimeout,
-		Matches: platform.MatchesCall,
+		Matches: platform.MatchesCall, Direct: direct,
 	})
 	if err != nil {
 		return 0, nil, err
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -51,6 +51,8 @@
 	Body   []byte
 	// NewConnection prevents the reuse of an earlier connection.
 	NewConnection bool
+	// Direct prevents the use of a relay.
+	Direct bool
 	// Matches reports whether a response with these headers belongs to this
 	// request. If it is nil, every response does.
 	Matches func(http.Header) bool
@@ -59,6 +61,9 @@
 	ParseIdleTimeout func(http.Header) time.Duration
 }
 
+// poolKey identifies the upstream at its address.
+func (r *Request) poolKey() string { return r.Key + r.Address }
+
 // Response is the response of an upstream. The caller must call Close.
 type Response struct {
 	Status int
@@ -69,6 +74,8 @@
 	// Unframed says that the body has neither a length nor chunks, and ends with the
 	// connection.
 	Unframed bool
+	// Relay is the node through which the connection goes; empty if it is direct.
+	Relay core.NodeID
 
 	close       func(complete bool)
 	reportLimit func(error)
@@ -91,8 +98,12 @@
 	return body, err
 }
 
-// UnsentError reports that no byte of a request was sent.
-type UnsentError struct{ Cause error }
+// UnsentError reports that no byte of a request was sent. Relay is the node through which
+// the connection goes; empty if it is direct or could not be opened.
+type UnsentError struct {
+	Relay core.NodeID
+	Cause error
+}
 
 // Error returns the message with its cause.
 func (e *UnsentError) Error() string { return "upstream: request not sent: " + e.Cause.Error() }
@@ -101,8 +112,11 @@
 func (e *UnsentError) Unwrap() error { return e.Cause }
 
 // NoResponseError reports that a request may have been sent but got no usable
-// response.
-type NoResponseError struct{ Cause error }
+// response. Relay is the node through which the connection goes; empty if it is direct.
+type NoResponseError struct {
+	Relay core.NodeID
+	Cause error
+}
 
 // Error returns the message with its cause.
 func (e *NoResponseError) Error() string { return "upstream: no answer: " + e.Cause.Error() }
@@ -134,12 +148,23 @@
 	OnLimit func(key string, err error)
 	// DialThrough opens a connection to an upstream through another node. It may be nil.
 	DialThrough func(ctx context.Context, relay core.Relay, engine core.EngineID) (net.Conn, error)
+	// OnConnection is called with the outcomes of attempts to connect that differ from what
+	// was reported before, and from time to time with others. It may be nil.
+	OnConnection func(core.ConnectionObserved)
 
 	mu sync.Mutex
 	// idle holds the unused connections of each upstream, the last used at the
 	// end.
 	idle   map[string][]*conn
 	closed bool
+	// relays is the last argument of UseRelays, and known the relay through which an upstream
+	// was reached last.
+	relays core.UseRelays
+	known  map[string]relayPath
+	// observed is the last report on each path, and directFailing says that the last one on
+	// direct connections was a failure.
+	observed      map[observedPath]observation
+	directFailing bool
 }
 
 // conn is a connection to an upstream. While it is unused, it is kept for
@@ -149,6 +174,7 @@
 	// r reads from the connection through in.
 	r          *bufio.Reader
 	in         *limitedReader
+	relay      core.NodeID
 	lastUsedAt time.Time
 	idleLimit  time.Duration
 }
@@ -163,7 +189,7 @@
 	if err := ctx.Err(); err != nil {
 		// The connection is discarded, so an error from closing it does not matter.
 		_ = cn.Close()
-		return nil, &UnsentError{Cause: err}
+		return nil, &UnsentError{Relay: cn.relay, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	response, err := c.roundTrip(cn, r)
@@ -185,7 +211,7 @@
 	if len(r.Body) <= maxInlineBody {
 		n, err := writeRequest(cn, r)
 		if err != nil && n == 0 {
-			return nil, &UnsentError{Cause: err}
+			return nil, &UnsentError{Relay: cn.relay, Cause: err}
 		}
 		written <- err
 	} else {
@@ -200,13 +226,13 @@
 			// net/http may report the part that was read as malformed.
 			err = cn.in.exceeded
 		}
-		return nil, &NoResponseError{Cause: err}
+		return nil, &NoResponseError{Relay: cn.relay, Cause: err}
 	}
 	if c.OnResponse != nil {
 		c.OnResponse(r.Key, response.StatusCode, response.Header)
 	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
-	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Relay: cn.relay}
 	out.Unframed = response.ContentLength < 0 && !isChunked(response)
 	out.Body = &bodyReader{r: response.Body, response: out}
 	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
--- a/daisyshed/upstream/limits.go
+++ b/daisyshed/upstream/limits.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"net"
+	"syscall"
+
+	"daisyshed.dev/daisyshed/peer"
 )
 
 const (
@@ -63,7 +66,8 @@
 // connection failed, and a MalformedHeadError otherwise.
 func headError(err error) error {
 	var network net.Error
-	if errors.As(err, &network) || errors.Is(err, io.ErrUnexpectedEOF) {
+	var path *peer.PathError
+	if errors.As(err, &network) || errors.As(err, &path) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
 		return err
 	}
 	return &MalformedHeadError{Cause: err}
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -18,13 +19,12 @@
 			return cn, nil
 		}
 	}
-	d := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1}
-	raw, err := d.DialContext(ctx, "tcp", r.Address)
+	o, err := c.open(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	in := &limitedReader{r: raw}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(in, readBufferSize), in: in}, nil
+	in := &limitedReader{r: o.conn}
+	return &conn{Conn: o.conn, r: bufio.NewReaderSize(in, readBufferSize), in: in, relay: o.relay}, nil
 }
 
 // takeIdle returns the most recently used connection to the upstream that is
@@ -45,22 +45,24 @@
 }
 
 // popIdle removes and returns the most recently used connection to the
-// upstream; nil if there is none.
+// upstream that the request may use; nil if there is none.
 func (c *Client) popIdle(r *Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := r.Key + r.Address
+	key := r.poolKey()
 	list := c.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if cn := list[i]; cn.relay == "" || !r.Direct {
+			c.idle[key] = slices.Delete(list, i, i+1)
+			return cn
+		}
 	}
-	cn := list[len(list)-1]
-	c.idle[key] = list[:len(list)-1]
-	return cn
+	return nil
 }
 
 // putIdle keeps a connection for later requests to the same upstream. It closes
-// the connection if maxIdleConns are already kept or the client is closed.
+// the connection if maxIdleConns are already kept, its path is not used any more or the
+// client is closed.
 func (c *Client) putIdle(r *Request, cn *conn, h http.Header) {
 	cn.lastUsedAt, cn.idleLimit = time.Now(), defaultIdleTimeout
 	if r.ParseIdleTimeout != nil {
@@ -70,8 +72,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := r.Key + r.Address
-	if c.closed || len(c.idle[key]) >= maxIdleConns {
+	key := r.poolKey()
+	if c.closed || len(c.idle[key]) >= maxIdleConns || !c.allowed(cn) {
 		_ = cn.Close()
 		return
 	}
@@ -86,6 +88,7 @@
 func (c *Client) CloseExpired() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.forgetPaths()
 	open := 0
 	for key, list := range c.idle {
 		kept := list[:0]
@@ -122,6 +125,9 @@
 // no bytes. Bytes that arrive while no request is in flight belong to no
 // request, so the connection must not be reused.
 func nothingReceived(c net.Conn) bool {
+	if relayed, ok := c.(interface{ Unused() bool }); ok {
+		return relayed.Unused()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- /dev/null
+++ b/daisyshed/upstream/race.go
@@ -0,0 +1,196 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/peer"
+)
+
+// race opens one connection on the first path that works. The others are closed and never
+// carry a request.
+type race struct {
+	client *Client
+	r      *Request
+	plan   plan
+	// ctx ends the attempts through relays. They go on if the request ends first, so that
+	// the path is known to the next one.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	results chan opened
+	// pending counts the attempts under way, and next is the index of the next relay.
+	pending, next int
+	// unreached counts the relays that could not reach the upstream.
+	unreached int
+	failed    ConnectError
+	timer     *time.Timer
+}
+
+// open opens a connection to the upstream of a request.
+func (c *Client) open(ctx context.Context, r *Request) (opened, error) {
+	p := c.plan(r)
+	x := &race{client: c, r: r, plan: p, results: make(chan opened, 1+len(p.relays)), timer: time.NewTimer(directWait)}
+	defer x.timer.Stop()
+	x.ctx, x.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	o, err := x.run(ctx)
+	go x.closeOthers(o.conn != nil)
+	return o, err
+}
+
+// run returns the first connection that opens, or the errors of all attempts.
+func (x *race) run(ctx context.Context) (opened, error) {
+	if x.plan.direct {
+		x.pending++
+		go x.openDirect()
+	}
+	if x.plan.together {
+		x.startRelay()
+	}
+	for x.pending > 0 {
+		select {
+		case o := <-x.results:
+			x.pending--
+			if o.err == nil {
+				x.client.remember(x.r.poolKey(), o.relay)
+				return o, nil
+			}
+			x.fail(o)
+		case <-x.timer.C:
+			x.startRelay()
+		case <-ctx.Done():
+			return opened{}, ctx.Err()
+		}
+	}
+	if len(x.failed.Relayed) == 0 {
+		return opened{}, x.failed.Direct
+	}
+	return opened{}, &x.failed
+}
+
+// fail records a failed attempt and starts the next one.
+func (x *race) fail(o opened) {
+	if o.relay == "" {
+		x.failed.Direct = o.err
+		if x.next == 0 {
+			x.startRelay()
+		}
+		return
+	}
+	x.failed.Relayed = append(x.failed.Relayed, o.err)
+	if outcome(o) == core.RelayFailed {
+		x.unreached++
+	}
+	x.startRelay()
+}
+
+// startRelay tries the next relay, if there is one.
+func (x *race) startRelay() {
+	if x.next == len(x.plan.relays) || x.unreached >= maxRelayFailures {
+		return
+	}
+	relay := x.plan.relays[x.next]
+	x.next++
+	x.pending++
+	x.timer.Reset(relayWait)
+	go x.openThrough(relay)
+}
+
+// openDirect opens a direct connection. It goes on if another one opens first, or the request
+// ends, because the outcome matters to the core.
+func (x *race) openDirect() {
+	conn, err := x.client.dial(x.r.Address)
+	o := opened{conn: conn, err: err}
+	x.results <- o
+	if outcome(o) == core.ConnectTimedOut {
+		x.client.closeSilent(x.r.poolKey())
+	}
+	x.client.observe(x.r.Key, o)
+}
+
+func (x *race) openThrough(relay core.Relay) {
+	ctx, cancel := context.WithTimeout(x.ctx, relayTimeoutFactor*x.client.DialTimeout)
+	defer cancel()
+	conn, err := x.client.DialThrough(ctx, relay, core.EngineID(x.r.Key))
+	o := opened{conn: conn, relay: relay.Node, err: err}
+	x.results <- o
+	if !errors.Is(err, context.Canceled) {
+		x.client.observe(x.r.Key, o)
+	}
+}
+
+// closeOthers closes the connections that open after the race has ended. A relay that opens
+// one after the request has ended is remembered.
+func (x *race) closeOthers(won bool) {
+	if won {
+		x.cancel()
+	}
+	for ; x.pending > 0; x.pending-- {
+		o := <-x.results
+		if o.err != nil {
+			continue
+		}
+		if !won {
+			x.client.remember(x.r.poolKey(), o.relay)
+		}
+		// The connection is not used, so an error from closing it does not matter.
+		_ = o.conn.Close()
+	}
+	x.cancel()
+}
+
+// dial opens a direct connection.
+func (c *Client) dial(address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1}
+	return d.Dial("tcp", address)
+}
+
+// outcome returns how an attempt ended.
+func outcome(o opened) core.ConnectOutcome {
+	var relayed *peer.RelayError
+	var network net.Error
+	switch {
+	case o.err == nil:
+		return core.Connected
+	case errors.As(o.err, &relayed):
+		return relayed.Outcome
+	case o.relay != "":
+		return core.RelayUnanswered
+	case errors.As(o.err, &network) && network.Timeout():
+		return core.ConnectTimedOut
+	default:
+		return core.ConnectFailed
+	}
+}
+
+// ConnectError reports that a connection could be opened on no path.
+type ConnectError struct {
+	// Direct is the error of the direct connection; nil if none was tried.
+	Direct error
+	// Relayed are the errors of the relays.
+	Relayed []error
+}
+
+// Error returns the messages of all errors.
+func (e *ConnectError) Error() string { return errors.Join(e.Unwrap()...).Error() }
+
+// Unwrap returns all errors.
+func (e *ConnectError) Unwrap() []error {
+	if e.Direct == nil {
+		return e.Relayed
+	}
+	return append([]error{e.Direct}, e.Relayed...)
+}
+
+// PathFailed reports whether no relay has said that it cannot reach the upstream, so that
+// nothing is known of it.
+func (e *ConnectError) PathFailed() bool {
+	return !slices.ContainsFunc(e.Relayed, func(err error) bool {
+		var relayed *peer.RelayError
+		return errors.As(err, &relayed) && relayed.Outcome == core.RelayFailed
+	})
+}
