--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -38,6 +38,15 @@
 	ObserveAnswers(c core.ObserveAnswers)
 	// LimitBodies sets the largest body that later requests may have. It does not block.
 	LimitBodies(c core.LimitBodies)
+	// UseRelays sets the nodes through which connections to upstreams are opened. It does not
+	// block.
+	UseRelays(c core.UseRelays)
+	// ProbeUpstream opens a direct connection to an upstream and closes it. It does not block.
+	ProbeUpstream(c core.ProbeUpstream)
+	// OpenRelay opens a connection to an upstream for another node, and RejectRelay rejects to.
+	// They do not block.
+	OpenRelay(c core.OpenRelay)
+	RejectRelay(c core.RejectRelay)
 	// NotReady makes readiness checks fail until the next Ready.
 	NotReady()
 	// StopAccepting stops accepting callers' connections.
@@ -149,6 +158,22 @@
 		e.Runtime.StopAccepting()
 	case core.ReadVMList:
 		e.VMs.Read()
+	default:
+		e.executeOnPath(n, c)
+	}
+}
+
+// executeOnPath dispatches a command that concerns the paths to upstreams.
+func (e Executor) executeOnPath(n *core.Node, c core.Command) {
+	switch c := c.(type) {
+	case core.UseRelays:
+		e.Runtime.UseRelays(c)
+	case core.ProbeUpstream:
+		e.Runtime.ProbeUpstream(c)
+	case core.OpenRelay:
+		e.Runtime.OpenRelay(c)
+	case core.RejectRelay:
+		e.Runtime.RejectRelay(c)
 	default:
 		e.executeAtUpstream(n, c)
 	}
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -179,6 +179,8 @@
 	}
 	h.directory = &directory.Server{SendToCore: h.inbox.Send}
 	h.peers = h.newPeerTransport(incarnation)
+	h.upstreams.DialThrough = h.peers.DialThrough
+	h.upstreams.OnConnection = func(m core.ConnectionObserved) { h.inbox.Send(m) }
 	h.operators = &operator.Server{
 		Log: h.log, Metrics: h.metrics, Decisions: operator.NewDecisions(hostedDecisions),
 		SendToCore: h.inbox.Send, StatusEvery: time.Second, WatchInterval: time.Second, WriteTimeout: peerWriteTimeout,
@@ -345,7 +347,11 @@
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp", address)
 		},
-		Limits: peer.Limits{Queue: peerQueueSize, DialTimeout: hostedDialTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout},
+		Limits: peer.Limits{
+			Queue: peerQueueSize, DialTimeout: hostedDialTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
+			Relayed: h.maxRelayed(), RelayIdle: relayIdleTimeout,
+		},
+		DialUpstream: dialUpstream, Relays: &relayMeter{Metrics: h.metrics, log: h.log},
 	}
 }
 
@@ -474,6 +480,7 @@
 	if err != nil {
 		h.endRequests()
 	}
+	h.endRelayed(ctx)
 	h.log.Info().Str("Event", "Stopped").Int("Requests", h.ingress.InProgress()).Err(err).Send()
 	if err != nil {
 		return exitIncomplete
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -27,6 +27,7 @@
 	m.setInvariants(s)
 	m.setTargets(s.Profiles)
 	m.setProcessUsage()
+	m.relays.setGauges(m.scope)
 }
 
 func (m *Metrics) setGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -55,6 +55,7 @@
 	invalidLimits tally.Counter
 	firstBytes    tally.Histogram
 	totalTimes    tally.Histogram
+	relays        relayMetrics
 
 	tracker prefillTracker
 	// limited are the upstreams with a limit at the last status.
@@ -132,6 +133,7 @@
 	m.invalidLimits = m.scope.Counter("upstream_invalid_limits_total")
 	m.firstBytes = m.scope.Histogram("forward_first_bytes_seconds", latencyBuckets)
 	m.totalTimes = m.scope.Histogram("forward_seconds", latencyBuckets)
+	m.relays.register(m.scope)
 }
 
 // latencyBuckets covers calls of a few milliseconds up to long streams.
