Fail a connection to a dead upstream as soon as without relays

With relays, a request to an upstream that is dead for all waited 1.45 s for relays after its direct connection had failed after 0.4 s, and was reported as a failure of the path, which does not count against the upstream. A node that is not known to be partitioned waits for relays no longer than for a direct connection now, and only a failure of all relays where no direct connection was tried is one of the path. TestDeadUpstreamFailsAsSoonAsWithoutRelays failed before (1.45 s; two cases).

--- a/daisyshed/upstream/race.go
+++ b/daisyshed/upstream/race.go
@@ -25,8 +25,10 @@
 	results chan opened
 	// pending counts the attempts under way, and next is the index of the next relay.
 	pending, next int
-	// unreached counts the relays that could not reach the upstream.
+	// unreached counts the relays that could not reach the upstream, and expired is set once
+	// no more is to be waited for relays.
 	unreached int
+	expired   bool
 	failed    ConnectError
 	timer     *time.Timer
 }
@@ -51,7 +53,9 @@
 	if x.plan.together {
 		x.startRelay()
 	}
-	for x.pending > 0 {
+	expire := time.NewTimer(x.timeout())
+	defer expire.Stop()
+	for !x.over() {
 		select {
 		case o := <-x.results:
 			x.pending--
@@ -62,16 +66,38 @@
 			x.fail(o)
 		case <-x.timer.C:
 			x.startRelay()
+		case <-expire.C:
+			x.expired = true
 		case <-ctx.Done():
 			return opened{}, ctx.Err()
 		}
 	}
-	if len(x.failed.Relayed) == 0 {
+	if len(x.plan.relays) == 0 {
 		return opened{}, x.failed.Direct
 	}
+	if len(x.failed.Unwrap()) == 0 {
+		x.failed.Relayed = []error{context.DeadlineExceeded}
+	}
 	return opened{}, &x.failed
 }
 
+// timeout returns how long the race may take. A node that is not known to be partitioned does
+// not wait for relays any longer than for a direct connection.
+func (x *race) timeout() time.Duration {
+	if x.plan.direct {
+		return x.client.DialTimeout
+	}
+	return relayTimeoutFactor * x.client.DialTimeout
+}
+
+// over reports whether no connection is to be expected any more.
+func (x *race) over() bool {
+	if x.plan.direct && x.failed.Direct == nil {
+		return false
+	}
+	return x.pending == 0 || x.expired || x.unreached >= maxRelayFailures
+}
+
 // fail records a failed attempt and starts the next one.
 func (x *race) fail(o opened) {
 	if o.relay == "" {
@@ -186,10 +212,10 @@
 	return append([]error{e.Direct}, e.Relayed...)
 }
 
-// PathFailed reports whether no relay has said that it cannot reach the upstream, so that
-// nothing is known of it.
+// PathFailed reports whether only relays were tried and none has said that it cannot reach
+// the upstream, so that nothing is known of it.
 func (e *ConnectError) PathFailed() bool {
-	return !slices.ContainsFunc(e.Relayed, func(err error) bool {
+	return e.Direct == nil && !slices.ContainsFunc(e.Relayed, func(err error) bool {
 		var relayed *peer.RelayError
 		return errors.As(err, &relayed) && relayed.Outcome == core.RelayFailed
 	})
