--- a/daisyshed/operator/metrics_test.go
+++ b/daisyshed/operator/metrics_test.go
@@ -12,6 +12,7 @@
 	"daisyshed.dev/core"
 	"daisyshed.dev/daisyshed/caller"
 	"daisyshed.dev/daisyshed/operator"
+	"daisyshed.dev/daisyshed/peer"
 	"github.com/goccy/go-yaml"
 	"github.com/matryer/is"
 )
@@ -123,6 +124,26 @@
 	}
 }
 
+func TestRelayedConnectionsAreCountedByRole(t *testing.T) {
+	is := is.New(t)
+	text := scrape(t, func(m *operator.Metrics) {
+		m.RelayedOpened(peer.Relayed)
+		m.RelayedOpened(peer.Relaying)
+		m.RelayedClosed(peer.Relaying)
+		m.RelayedRejected(peer.Relayed, core.RelayFull)
+		m.RelayedFailed(peer.Relayed)
+		m.RelayedBytes(peer.Relaying, 5, 7)
+		m.RecordStatus(sampleStatus())
+	})
+	for _, line := range []string{
+		`connections{role="Relayed"} 1`, `connections{role="Relaying"} 0`, `connections_opened_total{role="Relaying"} 1`,
+		`connections_rejected_total{reason="RelayFull",role="Relayed"} 1`, `connections_failed_total{role="Relayed"} 1`,
+		`sent_bytes_total{role="Relaying"} 5`, `received_bytes_total{role="Relaying"} 7`,
+	} {
+		is.True(strings.Contains(text, "daisyshed_relayed_"+line+"\n"))
+	}
+}
+
 // alerts is a file of Prometheus alerting and recording rules.
 type alerts struct {
 	Groups []struct {
