Make room for relayed connections, and end those that cannot be written

Unused relayed connections are closed when as many are open as may be, and at most four are kept to an upstream. A relayed connection whose bytes could not be passed on to the other node ends, instead of waiting for it.

--- a/daisyshed/peer/relay_copy.go
+++ b/daisyshed/peer/relay_copy.go
@@ -22,10 +22,10 @@
 	upstream net.Conn
 	stream   *yamux.Stream
 	chunks   wire.ChunkReader
-	// idle ends both directions when it fires, and sets expired.
+	// idle ends both directions when it fires.
 	idle      *time.Timer
 	idleAfter time.Duration
-	expired   atomic.Bool
+	aborted   atomic.Bool
 }
 
 // copyRelayed copies bytes both ways until the other node closes the stream, or no bytes are
@@ -33,11 +33,7 @@
 // the upstream's connection.
 func copyRelayed(upstream net.Conn, stream *yamux.Stream, r *bufio.Reader, idleAfter time.Duration) (sent, received int64) {
 	c := &relayCopy{upstream: upstream, stream: stream, chunks: wire.ChunkReader{Source: r}, idleAfter: idleAfter}
-	c.idle = time.AfterFunc(idleAfter, func() {
-		c.expired.Store(true)
-		_ = upstream.Close()
-		_ = stream.SetDeadline(past)
-	})
+	c.idle = time.AfterFunc(idleAfter, c.abort)
 	defer c.idle.Stop()
 	done := make(chan int64, 1)
 	go func() { done <- c.fromUpstream() }()
@@ -48,6 +44,14 @@
 	return sent, <-done
 }
 
+// abort ends both directions.
+func (c *relayCopy) abort() {
+	c.aborted.Store(true)
+	// Neither side is used again. Setting the deadlines of a stream cannot fail.
+	_ = c.upstream.Close()
+	_ = c.stream.SetDeadline(past)
+}
+
 // toUpstream copies to the upstream until the stream ends, and returns the bytes copied. Once
 // the upstream takes no more, the rest is discarded; its answer may still be on the way.
 func (c *relayCopy) toUpstream() int64 {
@@ -61,7 +65,7 @@
 			w, takes = c.write(buffer[:n])
 			sent += int64(w)
 		}
-		if err != nil || c.expired.Load() {
+		if err != nil || c.aborted.Load() {
 			return sent
 		}
 	}
@@ -105,6 +109,8 @@
 			c.idle.Reset(c.idleAfter)
 			received += int64(n)
 			if _, err := c.stream.Write(wire.AppendChunk(chunk[:0], buffer[:n])); err != nil {
+				// Without the end of the stream, the other node would wait for what is lost.
+				c.abort()
 				return received
 			}
 		}
--- a/daisyshed/upstream/observe.go
+++ b/daisyshed/upstream/observe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/peer"
 )
 
 const (
@@ -59,6 +60,10 @@
 // localError reports whether this node lacks what a connection takes, which says nothing of
 // any path.
 func localError(err error) bool {
+	var tooMany *peer.TooManyRelayedError
+	if errors.As(err, &tooMany) {
+		return true
+	}
 	for _, lack := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
 		if errors.Is(err, lack) {
 			return true
--- a/daisyshed/upstream/paths.go
+++ b/daisyshed/upstream/paths.go
@@ -20,6 +20,9 @@
 	// maxRelayFailures is how many relays may fail to reach an upstream before no more are
 	// tried.
 	maxRelayFailures = 2
+	// maxIdleRelayed bounds the unused connections kept to one upstream if another one that goes
+	// through a relay is to be kept. They take memory of both nodes.
+	maxIdleRelayed = 4
 	// rememberPath is how long a relay that reached an upstream is tried without waiting for a
 	// direct connection.
 	rememberPath = 2 * time.Second
@@ -41,6 +44,15 @@
 	c.closeIdle(func(_ string, cn *conn) bool { return healed && cn.relay != "" || !c.allowed(cn) })
 }
 
+// full reports whether no more connections like this one are kept to an upstream. The caller
+// holds c.mu.
+func (c *Client) full(key string, cn *conn) bool {
+	if cn.relay == "" {
+		return len(c.idle[key]) >= maxIdleConns
+	}
+	return len(c.idle[key]) >= maxIdleRelayed
+}
+
 // allowed reports whether a connection may be kept for reuse. The caller holds c.mu.
 func (c *Client) allowed(cn *conn) bool {
 	if cn.relay == "" {
@@ -74,6 +86,13 @@
 	c.closeIdle(func(k string, cn *conn) bool { return k == key && cn.relay == "" })
 }
 
+// closeRelayed closes the unused connections that go through relays.
+func (c *Client) closeRelayed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeIdle(func(_ string, cn *conn) bool { return cn.relay != "" })
+}
+
 // plan is how a connection is to be opened.
 type plan struct {
 	direct bool
--- a/daisyshed/upstream/paths_test.go
+++ b/daisyshed/upstream/paths_test.go
@@ -241,6 +241,43 @@
 	is.Equal(len(p.reports()), 1)
 }
 
+// Connections that are kept unused must not prevent new ones.
+func TestUnusedRelayedConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	address, _, _ := echo(t)
+	var open atomic.Int32
+	p := newPaths(t, true, func(ctx context.Context, node core.NodeID) (net.Conn, error) {
+		if open.Load() == 1 {
+			return nil, &peer.TooManyRelayedError{Limit: 1}
+		}
+		c, err := dialTo(address)(ctx, node)
+		open.Add(1)
+		return countedConn{Conn: c, open: &open}, err
+	})
+	other := request(address, nil)
+	other.Key = "e2"
+	for range 3 {
+		_, err := p.do(address)
+		is.NoErr(err)
+		_, err = p.doRequest(other)
+		is.NoErr(err)
+	}
+	for _, m := range p.reports() {
+		is.Equal(m.Outcome, core.Connected)
+	}
+}
+
+// countedConn is a connection that counts as open until it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int32
+}
+
+func (c countedConn) Close() error {
+	c.open.Add(-1)
+	return c.Conn.Close()
+}
+
 // A direct connection that opens is news only after one that failed.
 func TestReportsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -73,7 +73,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := r.poolKey()
-	if c.closed || len(c.idle[key]) >= maxIdleConns || !c.allowed(cn) {
+	if c.closed || c.full(key, cn) || !c.allowed(cn) {
 		_ = cn.Close()
 		return
 	}
--- a/daisyshed/upstream/race.go
+++ b/daisyshed/upstream/race.go
@@ -141,7 +141,7 @@
 func (x *race) openThrough(relay core.Relay) {
 	ctx, cancel := context.WithTimeout(x.ctx, relayTimeoutFactor*x.client.DialTimeout)
 	defer cancel()
-	conn, err := x.client.DialThrough(ctx, relay, core.EngineID(x.r.Key))
+	conn, err := x.client.dialThrough(ctx, relay, x.r.Key)
 	o := opened{conn: conn, relay: relay.Node, err: err}
 	x.results <- o
 	if !errors.Is(err, context.Canceled) {
@@ -175,6 +175,18 @@
 	return d.Dial("tcp", address)
 }
 
+// dialThrough opens a connection through a relay. If as many are open as may be, it closes the
+// unused ones and tries once more.
+func (c *Client) dialThrough(ctx context.Context, relay core.Relay, key string) (net.Conn, error) {
+	conn, err := c.DialThrough(ctx, relay, core.EngineID(key))
+	var tooMany *peer.TooManyRelayedError
+	if !errors.As(err, &tooMany) {
+		return conn, err
+	}
+	c.closeRelayed()
+	return c.DialThrough(ctx, relay, core.EngineID(key))
+}
+
 // outcome returns how an attempt ended.
 func outcome(o opened) core.ConnectOutcome {
 	var relayed *peer.RelayError
