Probe upstreams through relays, and count relays that answered earlier

A relay may open its connection before the direct one times out; that counted for nothing, so that nodes whose connections hang were isolated late. Probes through relays were sent as direct ones.

--- a/core/isolation.go
+++ b/core/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -33,9 +34,9 @@
 	isolated bool
 	since    Instant
 	// unreached is when a direct connection to an upstream last failed to open, since the last
-	// one that opened. relayed are those of them to which a relay has a connection.
+	// one that opened, and relayed when a connection through a relay last opened.
 	unreached map[EngineID]Instant
-	relayed   Set[EngineID]
+	relayed   map[EngineID]Instant
 	// reached are the upstreams to which an isolated node could connect, without a failure
 	// since.
 	reached Set[EngineID]
@@ -62,8 +63,7 @@
 }
 
 func (s *isolation) clear() {
-	s.unreached = map[EngineID]Instant{}
-	s.relayed, s.reached = Set[EngineID]{}, Set[EngineID]{}
+	s.unreached, s.relayed, s.reached = map[EngineID]Instant{}, map[EngineID]Instant{}, Set[EngineID]{}
 	s.blamed, s.crashes = map[EngineID]upstreamHealth{}, map[EngineCrash]Instant{}
 }
 
@@ -76,21 +76,27 @@
 // recentlyUnreached returns how many upstreams could not be reached within failureWindow, and
 // drops the others.
 func (s *isolation) recentlyUnreached(n *Node) int {
-	for id, at := range s.unreached {
-		if n.now.Sub(at) > failureWindow {
-			delete(s.unreached, id)
-		}
-	}
+	old := func(_ EngineID, at Instant) bool { return n.now.Sub(at) > failureWindow }
+	maps.DeleteFunc(s.unreached, old)
+	maps.DeleteFunc(s.relayed, old)
 	return len(s.unreached)
 }
 
+// onlyRelayed returns the upstreams that a relay reached and direct connections did not.
+func (s *isolation) onlyRelayed() []EngineID {
+	return slices.DeleteFunc(sortedKeys(s.relayed), func(id EngineID) bool {
+		_, unreached := s.unreached[id]
+		return !unreached
+	})
+}
+
 // observeConnection handles the outcome of a connection to an upstream.
 func (s *isolation) observeConnection(n *Node, m ConnectionObserved) {
 	switch {
 	case m.Relay != "":
 		n.relayChoice.observe(n, m)
-		if _, failed := s.unreached[m.Engine]; failed && m.Outcome == Connected {
-			s.relayed.Add(m.Engine)
+		if m.Outcome == Connected && !s.isolated {
+			s.relayed[m.Engine] = n.now
 		}
 	case m.Outcome == Connected:
 		s.observeReached(n, m.Engine)
@@ -130,9 +136,9 @@
 		return
 	}
 	detail := "no direct connection to " + joinIDs(sortedKeys(s.unreached))
-	switch relays := n.relayChoice.usable(n); {
-	case len(s.relayed) > 0:
-		s.set(n, true, detail+"; relays reach "+joinIDs(s.relayed.Sorted()))
+	switch relays, relayed := n.relayChoice.usable(n), s.onlyRelayed(); {
+	case len(relayed) > 0:
+		s.set(n, true, detail+"; relays reach "+joinIDs(relayed))
 	case len(relays) == 0 && unreached >= min(minUnreached, len(n.forward.upstreams.byID)):
 		s.set(n, true, detail+"; no relay")
 	case len(relays) > 0:
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -41,7 +41,7 @@
 	// UseRelays sets the nodes through which connections to upstreams are opened. It does not
 	// block.
 	UseRelays(c core.UseRelays)
-	// ProbeUpstream opens a direct connection to an upstream and closes it. It does not block.
+	// ProbeUpstream opens a connection to an upstream and closes it. It does not block.
 	ProbeUpstream(c core.ProbeUpstream)
 	// OpenRelay opens a connection to an upstream for another node, and RejectRelay rejects to.
 	// They do not block.
--- a/daisyshed/hosted_relays.go
+++ b/daisyshed/hosted_relays.go
@@ -49,7 +49,7 @@
 	h.upstreams.UseRelays(c)
 }
 
-// ProbeUpstream opens a direct connection to an upstream and closes it.
+// ProbeUpstream opens a connection to an upstream and closes it.
 func (h hostedRuntime) ProbeUpstream(c core.ProbeUpstream) { h.upstreams.Probe(c) }
 
 // OpenRelay opens a connection to an upstream for another node.
--- a/daisyshed/upstream/observe.go
+++ b/daisyshed/upstream/observe.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"syscall"
 	"time"
@@ -28,22 +29,34 @@
 	at      time.Time
 }
 
-// Probe opens a direct connection, closes it and reports the outcome. It does not block.
+// Probe opens a connection, closes it and reports the outcome. It does not block.
 func (c *Client) Probe(p core.ProbeUpstream) {
 	go func() {
-		conn, err := c.dial(p.Address)
-		o := opened{conn: conn, err: err}
-		if err == nil {
+		o := c.openProbe(p)
+		if o.err == nil {
 			// The connection is not used, so an error from closing it does not matter.
-			_ = conn.Close()
+			_ = o.conn.Close()
+		}
+		if o.relay == "" {
+			c.mu.Lock()
+			c.directFailing = o.err != nil
+			c.mu.Unlock()
 		}
-		c.mu.Lock()
-		c.directFailing = err != nil
-		c.mu.Unlock()
 		c.report(string(p.Engine), o)
 	}()
 }
 
+func (c *Client) openProbe(p core.ProbeUpstream) opened {
+	if p.Relay.Node == "" {
+		conn, err := c.dial(p.Address)
+		return opened{conn: conn, err: err}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayTimeoutFactor*c.DialTimeout)
+	defer cancel()
+	conn, err := c.dialThrough(ctx, p.Relay, string(p.Engine))
+	return opened{conn: conn, relay: p.Relay.Node, err: err}
+}
+
 // observe reports how an attempt ended, unless that tells the core nothing new.
 func (c *Client) observe(key string, o opened) {
 	if !localError(o.err) && c.isNews(observedPath{key: key, relay: o.relay}, outcome(o)) {
