Go on probing after all upstreams have failed once

Nodes that were isolated for long stayed so after the partition had ended: an upstream that a probe did not reach was not probed again. TestIsolationEndsAfterALongCut failed before.

--- a/core/isolation.go
+++ b/core/isolation.go
@@ -101,12 +101,11 @@
 	case m.Outcome == Connected:
 		s.observeReached(n, m.Engine)
 		return
-	default:
+	case s.isolated:
 		s.reached = Set[EngineID]{}
+	default:
 		s.unreached[m.Engine] = n.now
-		if !s.isolated {
-			s.probeMore(n)
-		}
+		s.probeMore(n)
 	}
 	s.consider(n)
 }
--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -13,6 +13,8 @@
 	// contactTime is the time after a cut from which first tries must be served.
 	contactTime = 3 * time.Second
 	cutTime     = 10 * time.Second
+	// longCut is long enough for all upstreams of a small deployment to be probed.
+	longCut = 30 * time.Second
 )
 
 // cutWorld is a deployment under load, with nodes that are cut off from all upstreams.
@@ -101,3 +103,21 @@
 	}
 	return count
 }
+
+// Guards against a node that stays isolated after a long cut, because it has probed all
+// upstreams once.
+func TestIsolationEndsAfterALongCut(t *testing.T) {
+	is := is.New(t)
+	w := newCutWorld(8, 1, 0.6)
+	w.loadAll(longCut)
+	w.run(time.Second)
+	w.cutOff(hang, longCut, w.isCut)
+	w.run(longCut - time.Second)
+	for _, n := range w.nodes {
+		is.Equal(n.paths.relays.First, w.isCut(n))
+	}
+	w.run(4 * time.Second)
+	for _, n := range w.nodes {
+		is.True(!n.paths.relays.First)
+	}
+}
