Judge reports of failures by their reporter, and name relays of two domains

A failure that an owner is told of does not count any more if others succeed at that upstream and the reporter fails at several such ones, or alone. When a whole failure domain was partitioned (only new connections refused), its nodes named relays of their own domain only, and were isolated 3 to 8 s late: relays of the own domain and of others take turns now, a node that cannot open a connection for another one checks its own path, and so does one that learns of an isolated member.

--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -84,6 +84,8 @@
 	placeScheduled bool
 	// placers holds the nodes that place requests on the groups with limited upstreams.
 	placers map[DispatchGroup]*limitPlacers
+	// failedAt are the upstreams at which a node has failed since its last success.
+	failedAt map[NodeID]map[EngineID]Instant
 }
 
 func (d *dispatcher) start(n *Node) {
@@ -94,6 +96,7 @@
 	d.onTimeArrivals = map[DispatchGroup]*placementRate{}
 	d.returns = map[DispatchGroup]*returnSchedule{}
 	d.placers = map[DispatchGroup]*limitPlacers{}
+	d.failedAt = map[NodeID]map[EngineID]Instant{}
 	n.every(jobTTL/4, func(n *Node) { d.evictStale(n) })
 	n.every(queryCheckEvery, func(n *Node) { d.queryPlacements(n) })
 }
@@ -117,9 +120,9 @@
 // node placed there. One that gave no usable answer counts as failing: a dead engine
 // holds nothing, and would be the first choice again and again.
 func (d *dispatcher) handleDenied(n *Node, from NodeID, m ForwardDenied) {
-	d.allocation(m.Engine).deniedUntil = n.now.Add(n.jitter(deniedFor))
-	if u, ok := n.forward.upstreams.byID[m.Engine]; ok && m.Failed && from != n.Self.ID {
-		u.recordReportedFailure(n, from)
+	u, listed := n.forward.upstreams.byID[m.Engine]
+	if !m.Failed || from == n.Self.ID || listed && d.recordReportedFailure(n, from, u) {
+		d.allocation(m.Engine).deniedUntil = n.now.Add(n.jitter(deniedFor))
 	}
 	d.handleReleased(n, from, ForwardReleased{ID: m.ID})
 }
@@ -129,9 +132,12 @@
 func (d *dispatcher) handlePrefillDone(n *Node, from NodeID, m ForwardPromptRead) {
 	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
 		u, listed := n.forward.upstreams.byID[j.prefill]
+		if decode, ok := n.forward.upstreams.byID[j.decode]; ok && !m.Failed {
+			d.recordReportedSuccess(n, from, decode)
+		}
 		switch {
 		case m.Failed && listed && from != n.Self.ID:
-			u.recordReportedFailure(n, from)
+			d.recordReportedFailure(n, from, u)
 		case !m.Failed && j.prefillIdle && j.prefill != "":
 			n.roles.costsOf(j.group).observePrefill(j.prompt, n.now.Sub(j.placedAt))
 		}
@@ -166,9 +172,9 @@
 	}
 	switch outcome {
 	case RunFailed:
-		u.recordReportedFailure(n, from)
+		d.recordReportedFailure(n, from, u)
 	case RunSucceeded:
-		u.recordSound(n.now, from)
+		d.recordReportedSuccess(n, from, u)
 		fallthrough
 	default:
 		u.recordOutcome(n, outcome)
@@ -229,6 +235,7 @@
 
 // memberDied removes the jobs of a node that died or restarted.
 func (d *dispatcher) memberDied(n *Node, id NodeID) {
+	delete(d.failedAt, id)
 	for key, j := range d.jobs {
 		if key.node == id {
 			d.remove(n, j)
--- a/core/forward_world_path_test.go
+++ b/core/forward_world_path_test.go
@@ -165,7 +165,7 @@
 	case core.ProbeUpstream:
 		switch {
 		case c.Relay.Node != "":
-			n.connectThrough(c.Engine, []core.Relay{c.Relay}, func(r *worldNode, id core.RelayID) { r.endRelay(id) }, func() {})
+			n.connectThrough(c.Engine, []core.Relay{c.Relay}, func(r *worldNode, id core.RelayID) { r.endRelay(id, true) }, func() {})
 		case p.cut != uncut:
 			n.dial(c.Engine, dialTimeout, func() {})
 		case w.ups[c.Engine].dead:
@@ -177,7 +177,7 @@
 		outcome := core.Connected
 		if p.cut != uncut || w.ups[c.Engine].dead {
 			outcome = core.RelayFailed
-			n.endRelay(c.ID)
+			n.endRelay(c.ID, false)
 		}
 		p.waiting[c.ID](outcome)
 	case core.RejectRelay:
@@ -185,7 +185,9 @@
 	}
 }
 
-func (n *worldNode) endRelay(id core.RelayID) { n.deliverAfter(linkDelay, core.RelayEnded{ID: id}) }
+func (n *worldNode) endRelay(id core.RelayID, opened bool) {
+	n.deliverAfter(linkDelay, core.RelayEnded{ID: id, Opened: opened})
+}
 
 // resultArrives reports whether the path of a step's result works. The last result of a step
 // ends its relayed connection.
@@ -198,7 +200,7 @@
 		if last && open {
 			n.paths.sends = slices.Delete(n.paths.sends, i, i+1)
 			if s.relay != nil {
-				s.relay.endRelay(s.relayID)
+				s.relay.endRelay(s.relayID, true)
 			}
 		}
 		return open
@@ -211,7 +213,7 @@
 	n.paths.sends = slices.DeleteFunc(n.paths.sends, func(s *worldSend) bool {
 		drop := s.id == id && (send == 0 || s.send == send)
 		if drop && s.relay != nil {
-			s.relay.endRelay(s.relayID)
+			s.relay.endRelay(s.relayID, true)
 		}
 		return drop
 	})
--- a/core/isolation.go
+++ b/core/isolation.go
@@ -177,11 +177,25 @@
 	})
 }
 
-// observeNoAnswer handles a step that had no answer in time: its upstream is probed, and if it
-// cannot be reached, others are.
+// observeNoAnswer handles a step that had no answer in time: its upstream is probed, and
+// another one. If they cannot be reached, more are.
 func (s *isolation) observeNoAnswer(n *Node, u *upstream) {
-	if !s.isolated && n.Hosted {
-		s.probe(n, u)
+	if s.isolated || !n.Hosted {
+		return
+	}
+	s.forgetProbes(n)
+	if s.probe(n, u) {
+		s.probeAny(n)
+	}
+}
+
+// check probes some upstreams, unless any was probed just before.
+func (s *isolation) check(n *Node) {
+	if s.forgetProbes(n); s.isolated || len(s.probed) > 0 {
+		return
+	}
+	for range minIsolating {
+		s.probeAny(n)
 	}
 }
 
@@ -198,13 +212,15 @@
 	}
 }
 
-// probe opens a direct connection to an upstream, unless that was done just before.
-func (s *isolation) probe(n *Node, u *upstream) {
-	if at, probed := s.probed[u.ID]; probed && n.now.Sub(at) < probeEvery || len(s.probed) >= maxProbes {
-		return
+// probe opens a direct connection to an upstream, unless that was done just before, and reports
+// whether it does.
+func (s *isolation) probe(n *Node, u *upstream) bool {
+	if _, probed := s.probed[u.ID]; probed || len(s.probed) >= maxProbes {
+		return false
 	}
 	s.probed[u.ID] = n.now
 	n.do(ProbeUpstream{Engine: u.ID, Address: u.Address})
+	return true
 }
 
 // probeMore probes other upstreams after a failure, so that enough are tried to tell whose
--- a/core/membership.go
+++ b/core/membership.go
@@ -228,7 +228,7 @@
 	m.node = u.Node
 	m.node.Leaving = u.Node.Leaving || u.Status == Left || leaving
 	if m.node.Isolated && !isolated {
-		n.forward.memberIsolated(m.node.ID)
+		n.memberIsolated(m.node.ID)
 	}
 	if u.Status != m.status {
 		s.setStatus(n, m, u.Status)
--- a/core/node.go
+++ b/core/node.go
@@ -249,7 +249,7 @@
 	case RelayRequested:
 		n.relays.handleRequested(n, m)
 	case RelayEnded:
-		n.relays.handleEnded(m)
+		n.relays.handleEnded(n, m)
 	case Shutdown:
 		n.shutdown()
 	case PeerMessage:
--- a/core/relay.go
+++ b/core/relay.go
@@ -77,11 +77,11 @@
 
 // relays tracks the connections that this node relays for others.
 type relays struct {
-	open  map[RelayID]NodeID
+	open  map[RelayID]RelayRequested
 	count map[NodeID]int
 }
 
-func (r *relays) start() { r.open, r.count = map[RelayID]NodeID{}, map[NodeID]int{} }
+func (r *relays) start() { r.open, r.count = map[RelayID]RelayRequested{}, map[NodeID]int{} }
 
 // handleRequested accepts or rejects the relaying of a connection. An isolated node relays
 // none, so that no connection goes through two relays.
@@ -97,19 +97,24 @@
 	case !ok || !u.usable():
 		n.do(RejectRelay{ID: m.ID, Reason: RelayUnknownUpstream})
 	default:
-		r.open[m.ID] = m.From
+		r.open[m.ID] = m
 		r.count[m.From]++
 		n.do(OpenRelay{ID: m.ID, Engine: m.Engine, Address: u.Address})
 	}
 }
 
-func (r *relays) handleEnded(m RelayEnded) {
-	from, ok := r.open[m.ID]
+// handleEnded handles the end of a relayed connection. One that could not be opened may show
+// that this node is isolated.
+func (r *relays) handleEnded(n *Node, m RelayEnded) {
+	requested, ok := r.open[m.ID]
 	if !ok {
 		return
 	}
 	delete(r.open, m.ID)
-	if r.count[from]--; r.count[from] == 0 {
-		delete(r.count, from)
+	if r.count[requested.From]--; r.count[requested.From] == 0 {
+		delete(r.count, requested.From)
+	}
+	if u, listed := n.forward.upstreams.byID[requested.Engine]; listed && !m.Opened {
+		n.isolation.observeNoAnswer(n, u)
 	}
 }
--- a/core/relay_choice.go
+++ b/core/relay_choice.go
@@ -37,42 +37,43 @@
 // relayCandidate is a node that may relay.
 type relayCandidate struct {
 	Relay
-	remote bool
-	score  uint64
+	score uint64
 }
 
-// candidates returns up to maxRelays nodes that may relay, in order of preference: those in
-// this node's own failure domain first, because traffic between domains is expensive, and
-// otherwise in an order of this node's own, so that no node relays for most others.
+// candidates returns up to maxRelays nodes that may relay, in order of preference. Nodes in
+// this node's own failure domain, to which traffic is cheap, and others take turns, because a
+// whole domain may be partitioned. Otherwise the order is this node's own, so that no node
+// relays for most others.
 func (c *relayChoice) candidates(n *Node, may func(NodeID) bool) []Relay {
 	own := hash64(string(n.Self.ID))
-	best := make([]relayCandidate, 0, maxRelays+1)
+	var near, remote []relayCandidate
 	for id, m := range n.members.byID {
 		if !m.available() || m.node.Isolated || m.node.PeerAddress == "" || !may(id) {
 			continue
 		}
-		r := relayCandidate{Relay{id, m.node.PeerAddress}, m.node.Domain != n.Self.Domain, scoreOf(id, own)}
-		i, _ := slices.BinarySearchFunc(best, r, relayCandidate.compare)
-		best = slices.Insert(best, i, r)
-		best = best[:min(len(best), maxRelays)]
+		list := &remote
+		if m.node.Domain == n.Self.Domain {
+			list = &near
+		}
+		r := relayCandidate{Relay{id, m.node.PeerAddress}, scoreOf(id, own)}
+		i, _ := slices.BinarySearchFunc(*list, r, relayCandidate.compare)
+		*list = slices.Insert(*list, i, r)
+		*list = (*list)[:min(len(*list), maxRelays)]
 	}
-	relays := make([]Relay, len(best))
-	for i, r := range best {
-		relays[i] = r.Relay
+	var relays []Relay
+	for i := range maxRelays {
+		for _, list := range [][]relayCandidate{near, remote} {
+			if i < len(list) && len(relays) < maxRelays {
+				relays = append(relays, list[i].Relay)
+			}
+		}
 	}
 	return relays
 }
 
 // compare orders candidates by preference.
 func (r relayCandidate) compare(o relayCandidate) int {
-	switch {
-	case r.remote == o.remote:
-		return cmp.Or(cmp.Compare(o.score, r.score), cmp.Compare(r.Node, o.Node))
-	case o.remote:
-		return -1
-	default:
-		return 1
-	}
+	return cmp.Or(cmp.Compare(o.score, r.score), cmp.Compare(r.Node, o.Node))
 }
 
 // usable returns the candidates that are not left out.
--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -15,6 +15,8 @@
 	cutTime     = 10 * time.Second
 	// longCut is long enough for all upstreams of a small deployment to be probed.
 	longCut = 30 * time.Second
+	// wholeDomain takes the place of a share of the nodes.
+	wholeDomain = 0.0
 )
 
 // cutWorld is a deployment under load, with nodes that are cut off from all upstreams.
@@ -34,6 +36,9 @@
 	for _, i := range w.rng.Perm(nodes)[:int(share*float64(nodes)+0.5)] {
 		cut[w.nodes[i]] = true
 	}
+	for _, n := range w.nodes {
+		cut[n] = cut[n] || share == wholeDomain && n.node.Self.Domain == "d2"
+	}
 	w.run(3 * time.Second)
 	return &cutWorld{w, func(n *worldNode) bool { return cut[n] }, nodes, float64(scale)}
 }
@@ -71,7 +76,7 @@
 		how   worldCut
 	}{
 		{8, 0.4, hang}, {8, 0.6, reset}, {8, 0.75, refuse}, {8, 0.6, hang}, {8, 0.75, hang},
-		{82, 0.6, hang}, {82, 0.75, reset}, {410, 0.6, hang},
+		{8, wholeDomain, refuse}, {82, wholeDomain, refuse}, {82, 0.6, hang}, {82, 0.75, reset}, {410, 0.6, hang},
 	} {
 		t.Run(fmt.Sprintf("%d nodes, %.2f, %d", c.nodes, c.share, c.how), func(t *testing.T) {
 			is := is.New(t)
