--- a/core/node.go
+++ b/core/node.go
@@ -53,6 +53,9 @@
 	roles        roles
 	feed         instanceFeed
 	dispatcher   dispatcher
+	relays       relays
+	isolation    isolation
+	relayChoice  relayChoice
 	checks       checks
 }
 
@@ -85,6 +88,9 @@
 	n.entry.start(n)
 	n.owner.start(n)
 	n.forward.start()
+	n.relays.start()
+	n.relayChoice.start()
+	n.isolation.start()
 	if n.Hosted {
 		n.feed.start(n)
 		n.forward.spread.start(n)
@@ -246,6 +252,12 @@
 		n.forward.handleFirstBytes(n, m)
 	case ForwardResponseCompleted:
 		n.forward.handleAnswered(n, m)
+	case ConnectionObserved:
+		n.isolation.observeConnection(n, m)
+	case RelayRequested:
+		n.relays.handleRequested(n, m)
+	case RelayEnded:
+		n.relays.handleEnded(n, m)
 	case Shutdown:
 		n.shutdown()
 	case PeerMessage:
--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"daisyshed.dev/core"
@@ -38,9 +39,17 @@
 	started, stalled bool
 	// openedAt is when the run's connection was opened. It is set before the first result.
 	openedAt time.Time
+	// response is the response once its head has been read.
+	response atomic.Pointer[upstream.Response]
 }
 
-func (r *run) step() step { return step{kind: core.RunStep, engine: r.Engine, send: r.Send} }
+func (r *run) step() step {
+	s := step{kind: core.RunStep, engine: r.Engine, send: r.Send}
+	if response := r.response.Load(); response != nil {
+		s.relay = response.Relay
+	}
+	return s
+}
 
 // runResult is the response to a run, or the error that came in its place. The events of
 // a stream follow as streamEvents instead.
@@ -113,6 +122,7 @@
 		return
 	}
 	r.openedAt = response.OpenedAt
+	r.response.Store(response)
 	result := runResult{run: r, response: bufferedResponse{status: response.Status, header: response.Header}}
 	result.notRun = platform.NotRun(response.Status, response.Header, r.Engine)
 	_, rejected := result.notRun.Get()
