Send and log the origins of streams at once

Each now sends what it has at once, and what comes meanwhile after 50 or 100 ms, so that calls and messages keep their bounds. Two tests count the notifications from their start, as these come earlier; the counts are as before.

--- a/core/stream_log.go
+++ b/core/stream_log.go
@@ -9,11 +9,11 @@
 	// streamLoggers is how many of the nodes that read the upstreams append the origins of streams
 	// to the store on behalf of all.
 	streamLoggers = 2
-	// streamLogDelay is for how long a node collects origins before it sends them to these, and
-	// streamAppendDelay for how long they collect them before they append them. A failed append is
-	// repeated after streamAppendRetry, up to streamAppendTimeout after the origins came.
-	streamLogDelay      = 100 * time.Millisecond
-	streamAppendDelay   = 100 * time.Millisecond
+	// streamLogEvery is the least time between two notifications of these, and streamAppendEvery
+	// between two appends. A failed append is repeated after streamAppendRetry, up to
+	// streamAppendTimeout after the origins came.
+	streamLogEvery      = 100 * time.Millisecond
+	streamAppendEvery   = 100 * time.Millisecond
 	streamAppendRetry   = 300 * time.Millisecond
 	streamAppendTimeout = 5 * time.Second
 	// maxStreamAppend is how many streams are appended at once.
@@ -62,9 +62,11 @@
 	// outbox are streams of which the loggers have not been notified.
 	outbox         map[ServiceVersion][]StreamKey
 	flushScheduled bool
+	flushedAt      Instant
 	// pending are the streams to append, and appending those of the append in flight.
 	pending, appending []pendingStream
 	appendScheduled    bool
+	appendedAt         Instant
 	fresh              freshness
 	// reading is when the read in flight was started; zero if there is none.
 	reading Instant
@@ -84,13 +86,13 @@
 	l.outbox[origin] = append(l.outbox[origin], stream)
 	if !l.flushScheduled {
 		l.flushScheduled = true
-		n.afterFunc(streamLogDelay, func(n *Node) { l.flush(n) })
+		n.afterFunc(n.untilNext(l.flushedAt, streamLogEvery), func(n *Node) { l.flush(n) })
 	}
 }
 
 // flush notifies the loggers.
 func (l *streamLog) flush(n *Node) {
-	l.flushScheduled = false
+	l.flushScheduled, l.flushedAt = false, n.now
 	for _, o := range sortedVersions(l.outbox) {
 		for _, id := range n.loggers() {
 			n.send(id, StreamsBegun{Service: o.Service, Version: o.Version, Streams: l.outbox[o], Log: true})
@@ -107,7 +109,7 @@
 	if excess := len(l.pending) - maxStreams; excess > 0 {
 		l.drop(n, excess)
 	}
-	l.scheduleAppend(n, streamAppendDelay)
+	l.scheduleAppend(n, n.untilNext(l.appendedAt, streamAppendEvery))
 }
 
 // drop drops the oldest streams that wait to be appended.
@@ -140,6 +142,7 @@
 	if count == 0 {
 		return
 	}
+	l.appendedAt = n.now
 	l.appending, l.pending = slices.Clone(l.pending[:count]), slices.Delete(l.pending, 0, count)
 	byOrigin := map[ServiceVersion][]StreamKey{}
 	for _, p := range l.appending {
@@ -155,7 +158,7 @@
 // handleAppended handles the end of an append. A failed one may have taken effect; its streams are
 // appended again, as the first origin that is read counts.
 func (l *streamLog) handleAppended(n *Node, m StreamsAppended) {
-	after := streamAppendDelay
+	after := n.untilNext(l.appendedAt, streamAppendEvery)
 	if m.Failed {
 		after = streamAppendRetry
 		l.pending = append(l.appending, l.pending...)
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -9,9 +9,9 @@
 	// streamCopies is how many other nodes keep the version that began a stream. While another
 	// version may have begun it, the store does too.
 	streamCopies = 2
-	// streamFlushDelay is for how long streams that have begun are collected before their
-	// keepers are notified.
-	streamFlushDelay = 50 * time.Millisecond
+	// streamFlushEvery is the least time between two notifications of keepers. Streams that begin
+	// meanwhile are collected.
+	streamFlushEvery = 50 * time.Millisecond
 	// streamRetention is how long the version of a stream is kept, and maxStreams how many.
 	streamRetention = time.Minute
 	maxStreams      = 1 << 16
@@ -75,6 +75,7 @@
 	// outbox are streams of which keepers have not been notified.
 	outbox         map[NodeID]map[ServiceVersion][]StreamKey
 	flushScheduled bool
+	flushedAt      Instant
 	// lookups are the requests that wait for the origin of a stream.
 	lookups map[StreamKey][]ForwardID
 	// longest is how long streams of a service may be resumed; it is computed when it is needed.
@@ -253,13 +254,13 @@
 	}
 	if !v.flushScheduled {
 		v.flushScheduled = true
-		n.afterFunc(streamFlushDelay, func(n *Node) { v.flush(n) })
+		n.afterFunc(n.untilNext(v.flushedAt, streamFlushEvery), func(n *Node) { v.flush(n) })
 	}
 }
 
 // flush notifies the keepers.
 func (v *streamVersions) flush(n *Node) {
-	v.flushScheduled = false
+	v.flushScheduled, v.flushedAt = false, n.now
 	for _, id := range sortedKeys(v.outbox) {
 		for _, o := range sortedVersions(v.outbox[id]) {
 			n.send(id, StreamsBegun{Service: o.Service, Version: o.Version, Streams: v.outbox[id][o]})
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -325,7 +325,8 @@
 	first.Attempt = "known"
 	run := runStream(t, h, h.deliver(first))
 	h.deliver(core.ForwardResponseStarted{ID: 2, Send: run.Send, Engine: run.Engine})
-	begun := begunTo(h.advance(100 * time.Millisecond))
+	h.advance(100 * time.Millisecond)
+	begun := begunTo(h.commands)
 	is.Equal(len(begun), 2)
 	for _, streams := range begun {
 		is.Equal(streams, 1)
@@ -415,9 +416,10 @@
 			h := newResumer(versionedEngines("v1", "v1"))
 			h.deliver(core.VersionsRead{Versions: []core.ServiceVersion{modelV1}})
 			startedStream(t, h, 1)
-			for id := range begunTo(h.advance(100 * time.Millisecond)) {
-				h.deliver(fault(id))
-				is.Equal(len(begunTo(h.advance(100*time.Millisecond))), 1)
+			h.advance(100 * time.Millisecond)
+			for id := range begunTo(h.commands) {
+				out := h.deliver(fault(id))
+				is.Equal(len(begunTo(append(out, h.advance(100*time.Millisecond)...))), 1)
 				return
 			}
 			t.Error("no node was notified")
--- a/core/timer.go
+++ b/core/timer.go
@@ -68,6 +68,15 @@
 // afterFunc calls f once d has passed.
 func (n *Node) afterFunc(d time.Duration, f func(n *Node)) { n.after(d, callback(f)) }
 
+// untilNext returns the time until something may be done again that is done once in a period at
+// most and was last done at an instant; zero for never.
+func (n *Node) untilNext(last Instant, period time.Duration) time.Duration {
+	if last == 0 {
+		return 0
+	}
+	return max(last.Add(period).Sub(n.now), 0)
+}
+
 // every calls f after each period, which varies at random by up to a tenth so that nodes
 // do not act at the same time.
 func (n *Node) every(period time.Duration, f func(n *Node)) {
