--- a/daisyshed/peer/relay_test.go
+++ b/daisyshed/peer/relay_test.go
@@ -231,13 +231,15 @@
 	p.frozen.mu.Lock()
 	time.Sleep(time.Second)
 	is.True(!near.(interface{ Unused() bool }).Unused())
+	p.a.Dial = dialTCP
+	began := time.Now()
+	p.open() // on a session of its own
+	is.True(time.Since(began) < 400*time.Millisecond)
 	_, err := far.Write([]byte("late"))
 	is.NoErr(err)
 	go p.frozen.mu.Unlock()
 	_, err = io.ReadFull(near, make([]byte, 4))
 	is.NoErr(err)
-	_ = near.Close()
-	p.open()
 }
 
 // A node that is cut off from the relay for good must not keep connections to upstreams open.
