End relay sessions without busy reads

The connection now makes the reader the one that ends the session. A relayed connection whose upstream does not read also ends with its session now.

--- a/daisyshed/peer/relay_copy.go
+++ b/daisyshed/peer/relay_copy.go
@@ -87,9 +87,12 @@
 	return written, true
 }
 
-// isReset reports whether the stream is closed or was reset by the other node. Bytes that were
-// received but not read do not hide a reset.
+// isReset reports whether the stream was reset by the other node or has ended with its session.
+// Bytes that were received but not read do not hide that.
 func (c *relayCopy) isReset() bool {
+	if c.stream.Session().IsClosed() {
+		return true
+	}
 	// Setting the deadline of a stream cannot fail. A read into nothing takes no bytes.
 	_ = c.stream.SetReadDeadline(past)
 	_, err := c.stream.Read(nil)
--- a/daisyshed/peer/relay_serve.go
+++ b/daisyshed/peer/relay_serve.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	defer session.session.Close()
+	defer session.end()
 	for {
 		stream, err := session.session.AcceptStream()
 		if err != nil {
--- a/daisyshed/peer/relay_session.go
+++ b/daisyshed/peer/relay_session.go
@@ -38,10 +38,16 @@
 	silent  atomic.Bool
 }
 
-// liveConn is a connection that knows when bytes were last received.
+// liveConn is the connection of a session. It knows when bytes were last received, and has
+// yamux end the session from its own reader: from anywhere else, reads of the session's streams
+// are busy until that reader has run.
 type liveConn struct {
 	net.Conn
 	opened time.Time
+	// ended returns a channel that is closed once the session has ended. It may be called once
+	// started is closed.
+	started chan struct{}
+	ended   func() <-chan struct{}
 	// receivedAfter is the time of the last bytes, in nanoseconds after opened.
 	receivedAfter atomic.Int64
 }
@@ -52,6 +58,22 @@
 	if n > 0 {
 		c.receivedAfter.Store(int64(time.Since(c.opened)))
 	}
+	if err != nil {
+		// yamux closes the connection next, and must not wait there for a write to end.
+		_ = c.Close()
+	}
+	return n, err
+}
+
+// Write implements net.Conn. If it fails, it returns once the session has ended.
+func (c *liveConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		// This ends the session's reader. The connection is not used again.
+		_ = c.Close()
+		<-c.started
+		<-c.ended()
+	}
 	return n, err
 }
 
@@ -63,7 +85,7 @@
 // newRelaySession starts a session on conn. Its end closes conn.
 func (t *Transport) newRelaySession(conn net.Conn, role RelayRole, node core.NodeID) (*relaySession, error) {
 	s := &relaySession{
-		conn: &liveConn{Conn: conn, opened: time.Now()}, role: role, node: node, meter: t.relayMeter(),
+		conn: &liveConn{Conn: conn, opened: time.Now(), started: make(chan struct{})}, role: role, node: node, meter: t.relayMeter(),
 		timeout: t.Limits.WriteTimeout, idleTimeout: t.Limits.IdleTimeout,
 	}
 	start := yamux.Client
@@ -76,6 +98,8 @@
 		return nil, err
 	}
 	s.session = session
+	s.conn.ended = session.CloseChan
+	close(s.conn.started)
 	s.meter.RelaySession(role, node, nil)
 	go s.watch()
 	return s, nil
@@ -87,7 +111,8 @@
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false
 	cfg.ConnectionWriteTimeout = relayEndFactor * t.Limits.WriteTimeout
-	cfg.StreamOpenTimeout = relayEndFactor * t.Limits.WriteTimeout
+	// The pings find out whether the session is silent.
+	cfg.StreamOpenTimeout = 0
 	cfg.StreamCloseTimeout = relayCloseTimeout
 	cfg.AcceptBacklog = relayBacklog
 	cfg.LogOutput = io.Discard
@@ -152,8 +177,7 @@
 		return false
 	}
 	if s.silent.Load() || now.Sub(s.conn.receivedAt()) > s.idleTimeout {
-		// The session is not used again, so an error of Close does not matter.
-		_ = s.session.Close()
+		s.end()
 	}
 	return true
 }
@@ -169,7 +193,12 @@
 		s.meter.RelaySession(s.role, s.node, &SilentError{To: s.node, After: quiet})
 	}
 	if quiet > relayEndFactor*s.timeout {
-		// The session is not used again, so an error of Close does not matter.
-		_ = s.session.Close()
+		s.end()
 	}
 }
+
+// end ends the session.
+func (s *relaySession) end() {
+	// The session's reader notices. An error means that it has done so already.
+	_ = s.conn.Close()
+}
