Let a node's connections have a local address of choice

--source-address is the local address of connections to upstreams, other nodes and the store, on a VM with several addresses. The soak needs it to tell nodes' connections apart on one machine, so that it can cut one node off from upstreams or peers that others reach.

--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -83,6 +83,8 @@
 	settingsText []byte
 	// advertisedPeer is the address to which other nodes connect.
 	advertisedPeer string
+	// source is the local address of connections; nil leaves it to the system.
+	source net.Addr
 	// disabled has the mechanisms that --without disables.
 	disabled core.Set[core.Mechanism]
 	// invalidRetryAfter logs the first invalid retry delay of an upstream, and invalidLimit
@@ -113,7 +115,7 @@
 }
 
 // runHosted runs the daemon on the platform and returns the exit code.
-func runHosted(check bool, advertised string, disabled core.Set[core.Mechanism]) int {
+func runHosted(check bool, advertised string, source net.Addr, disabled core.Set[core.Mechanism]) int {
 	// A signal that arrives while the process starts or exits must not end it, so the handler
 	// comes first and stays.
 	signals := make(chan os.Signal, 4)
@@ -132,7 +134,7 @@
 		return exitOK
 	}
 	limitMemory(s)
-	h, closeHosted := openHosted(s, raw, advertised, disabled)
+	h, closeHosted := openHosted(s, raw, advertised, source, disabled)
 	defer closeHosted()
 	return h.run(path, signals)
 }
@@ -140,9 +142,9 @@
 // openHosted builds the components of a hosted daemon; run opens the
 // listeners. The clean-up function closes the inbox, the connections to peers
 // and upstreams, the metrics and the log.
-func openHosted(s platform.Settings, raw []byte, advertised string, disabled core.Set[core.Mechanism]) (*hosted, func()) {
+func openHosted(s platform.Settings, raw []byte, advertised string, source net.Addr, disabled core.Set[core.Mechanism]) (*hosted, func()) {
 	started := time.Now()
-	h := &hosted{settings: s, settingsText: raw, advertisedPeer: cmp.Or(advertised, s.PeerAddress), disabled: disabled, serveErrors: make(chan error, 8), stopAccepting: make(chan struct{})}
+	h := &hosted{settings: s, settingsText: raw, advertisedPeer: cmp.Or(advertised, s.PeerAddress), source: source, disabled: disabled, serveErrors: make(chan error, 8), stopAccepting: make(chan struct{})}
 	writer, closeWriter := operator.NewLogWriter(os.Stdout, func(n int) { h.metrics.LinesDropped(n) })
 	h.log = zerolog.New(writer).With().Timestamp().Str("Node", string(s.Node)).Logger()
 	metrics, closeMetrics := operator.NewMetrics(func(err error) { h.log.Warn().Str("Event", "Fault").Err(err).Send() })
@@ -171,7 +173,7 @@
 func (h *hosted) build(incarnation core.Incarnation, clock func() core.Instant) {
 	s := h.settings
 	h.upstreams = &upstream.Client{
-		DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched, OnLimit: h.recordUpstreamLimit,
+		DialTimeout: hostedDialTimeout, LocalAddr: h.source, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched, OnLimit: h.recordUpstreamLimit,
 	}
 	h.ingress = &ingress.Server{
 		Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node,
@@ -187,7 +189,7 @@
 	}
 	h.watcher = &store.Watcher{
 		Store: &platform.Store{
-			Address: s.Store, Timeout: storeTimeout, HTTP: platform.NewStoreClient(hostedDialTimeout), OnLimit: h.recordStoreLimit,
+			Address: s.Store, Timeout: storeTimeout, HTTP: platform.NewStoreClient(&net.Dialer{Timeout: hostedDialTimeout, LocalAddr: h.source}), OnLimit: h.recordStoreLimit,
 		},
 		SendToCore: h.inbox.Send, Log: h.log, Self: h.self(),
 	}
@@ -353,14 +355,14 @@
 	return &peer.Transport{
 		Self: h.settings.Node, Incarnation: incarnation, Receive: h.inbox.Send, Meter: h.metrics,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			var d net.Dialer
+			d := net.Dialer{LocalAddr: h.source}
 			return d.DialContext(ctx, "tcp", address)
 		},
 		Limits: peer.Limits{
 			Queue: peerQueueSize, DialTimeout: hostedDialTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
 			Relayed: h.maxRelayed(), RelayIdle: relayIdleTimeout,
 		},
-		DialUpstream: dialUpstream, Relays: &relayMeter{Metrics: h.metrics, log: h.log},
+		DialUpstream: h.dialUpstream, Relays: &relayMeter{Metrics: h.metrics, log: h.log},
 	}
 }
 
--- a/daisyshed/hosted_relays.go
+++ b/daisyshed/hosted_relays.go
@@ -74,8 +74,8 @@
 }
 
 // dialUpstream opens a connection to an upstream for another node.
-func dialUpstream(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAlive: -1}
+func (h *hosted) dialUpstream(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1, LocalAddr: h.source}
 	return d.DialContext(ctx, "tcp", address)
 }
 
--- a/daisyshed/main.go
+++ b/daisyshed/main.go
@@ -5,6 +5,8 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 
 	"daisyshed.dev/core"
@@ -42,6 +44,7 @@
 	Hosted    bool     `long:"hosted" description:"run on the platform, with the settings file that DAISYSHED_SETTINGS names"`
 	Without   []string `long:"without" value-name:"MECHANISM" description:"with --hosted, leave a part of the placement out, to measure what it gives; may be repeated: OwnedGroups, ShortFirst, LearnedOutput, RoleChanges, KnownReturners, EarlyRefusal"`
 	Advertise string   `long:"advertise-peer" value-name:"ADDRESS" description:"with --hosted, the address at which other nodes reach this one, if it is not the one that it listens on"`
+	Source    string   `long:"source-address" value-name:"IP" description:"with --hosted, the local address of connections to upstreams, other nodes and the store, on a VM with several"`
 	Check     bool     `long:"check" description:"check the settings and exit"`
 }
 
@@ -71,7 +74,11 @@
 		if err != nil {
 			return fail(err)
 		}
-		return runHosted(opts.Check, opts.Advertise, disabled)
+		source, err := parseSource(opts.Source)
+		if err != nil {
+			return fail(err)
+		}
+		return runHosted(opts.Check, opts.Advertise, source, disabled)
 	}
 	if opts.Settings == "" {
 		return fail(&MissingSettingsError{})
@@ -106,6 +113,26 @@
 	return "daisyshed: either --settings FILE or --hosted is required"
 }
 
+// SourceAddressError reports a --source-address that is no IP address.
+type SourceAddressError struct{ Value string }
+
+// Error returns the message with the value.
+func (e *SourceAddressError) Error() string {
+	return "daisyshed: --source-address: not an IP address: " + e.Value
+}
+
+// parseSource parses the local address of connections; nil leaves it to the system.
+func parseSource(value string) (net.Addr, error) {
+	if value == "" {
+		return nil, nil
+	}
+	ip, err := netip.ParseAddr(value)
+	if err != nil {
+		return nil, &SourceAddressError{Value: value}
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)), nil
+}
+
 // parseMechanisms parses the names of mechanisms given with --without.
 func parseMechanisms(names []string) (core.Set[core.Mechanism], error) {
 	set := core.Set[core.Mechanism]{}
@@ -143,6 +170,7 @@
 		missingErr   *MissingSettingsError
 		platformErr  *platform.SettingsError
 		mechanismErr *core.UnknownMechanismError
+		sourceErr    *SourceAddressError
 		readErr      *settings.ReadError
 		faults       wire.Faults
 		tlsErr       *mutualtls.LoadError
@@ -150,7 +178,7 @@
 	)
 	switch {
 	case errors.As(err, &flagErr), errors.As(err, &extraErr), errors.As(err, &readErr), errors.As(err, &missingErr), errors.As(err, &platformErr),
-		errors.As(err, &mechanismErr), errors.As(err, &faults),
+		errors.As(err, &mechanismErr), errors.As(err, &sourceErr), errors.As(err, &faults),
 		errors.As(err, &tlsErr):
 		return exitSettings
 	case errors.As(err, &inUseErr):
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -140,6 +140,8 @@
 type Client struct {
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
+	// LocalAddr is the local address of connections; nil leaves it to the system.
+	LocalAddr net.Addr
 	// OnResponse is called with the head of each response that belongs to its request.
 	// It may be nil.
 	OnResponse func(key string, status int, h http.Header)
--- a/daisyshed/upstream/race.go
+++ b/daisyshed/upstream/race.go
@@ -171,7 +171,7 @@
 
 // dial opens a direct connection.
 func (c *Client) dial(address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: c.DialTimeout, KeepAlive: -1, LocalAddr: c.LocalAddr}
 	return d.Dial("tcp", address)
 }
 
