Soak nodes that are out of step and engines that are reborn (ORDER, LOST)

The soak could not break the rule: no node's list of upstreams was late while callers reached it, no engine was started again under its id, and callers rarely resumed streams. Half of its nodes had no callers at all: all asked the directories for addresses in one failure domain.

New faults: a partition of a node from the store and all peers, or SIGSTOP, during a release, in a fifth of the runs as the first release that the nodes see; a release during which all nodes are killed at once; engines that crash and start again under their ids and addresses at a new version, whose entry shows it with the next heartbeat only. Callers lose their connections in the middle of streams meanwhile and resume elsewhere. Partitions drop the first packets of new connections by their source address, so that a node's dial times out, and let open ones hang until they end.

The judge now counts the streams that callers take up again and compares the share that goes on with that of new ones (LOST, as the platform has it), checks that no process goes back behind a version of the desired state by which it has served, and that fencing numbers of orders to an incarnation of an engine neither go back nor have two holders.

--- a/bench/cmd/hostedsoak/main.go
+++ b/bench/cmd/hostedsoak/main.go
@@ -22,6 +22,7 @@
 	Parallel int           `long:"parallel" value-name:"N" description:"runs at a time; each has some ten processes' load" default:"3"`
 	Nodes    int           `long:"nodes" value-name:"N" description:"daemons of a run" default:"4"`
 	Callers  int           `long:"callers" value-name:"N" description:"callers of a run" default:"24"`
+	Faults   []string      `long:"faults" value-name:"TEXT" description:"only faults whose names contain this; may be repeated"`
 }
 
 // interrupted is the exit code after a signal.
@@ -52,7 +53,7 @@
 			defer wait.Done()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			result, err := hosted.Run(opts.Bin, opts.Seed+uint64(i), opts.Length, hosted.Size{Nodes: opts.Nodes, Callers: opts.Callers})
+			result, err := hosted.Run(opts.Bin, opts.Seed+uint64(i), opts.Length, hosted.Size{Nodes: opts.Nodes, Callers: opts.Callers, Faults: opts.Faults})
 			mu.Lock()
 			defer mu.Unlock()
 			for kind, n := range result.Injected {
--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -87,6 +87,9 @@
 	// limitsFirst says that a run with faults of the upstreams only begins with workers that
 	// name limits, and not with a request that ends workers.
 	limitsFirst bool
+	// lateFirst says that a run with faults of the nodes begins with one that is out of step during a
+	// release.
+	lateFirst bool
 	// noRetries says that the retry budget allows no retries, so that nodes can only wait
 	// for the worker that a request was sent to.
 	noRetries bool
@@ -103,6 +106,8 @@
 	links      []*proxy
 	peerLinks  []*proxy
 	lastWorker int
+	// breakStreams is set while callers break connections off in the middle of streams.
+	breakStreams atomic.Bool
 	// version is the latest version of the desired state. Only the goroutine that injects
 	// faults changes it.
 	version int
@@ -110,6 +115,8 @@
 	published atomic.Int64
 	// release is how many releases of the engines' software there were.
 	release atomic.Int64
+	// wholeRelease is set if all engines that start are of the latest version.
+	wholeRelease atomic.Bool
 	// silencedAt is when open connections were last silenced, in Unix nanoseconds.
 	silencedAt atomic.Int64
 	// addedRoutes is how many routes without requests the desired state has.
@@ -127,13 +134,19 @@
 	limits      limitRecord
 	faultsEnded chan struct{}
 	// closed is set at shutdown; no process may be started afterwards.
-	closed   bool
+	closed bool
+	// watching waits for the goroutines that watch the nodes' versions of the desired state.
+	watching sync.WaitGroup
 	cleanups []func()
 	done     chan struct{}
 }
 
 // workerHandle is a running worker with its link and the means to end it.
 type workerHandle struct {
+	number         int
+	stage, version string
+	// draining is set once the worker has announced that it leaves.
+	draining      bool
 	worker        *hostedworker.Worker
 	link          *proxy
 	service       string
@@ -168,7 +181,7 @@
 	}
 	d := &deployment{
 		size: size, grace: grace, dir: dir, bin: bin, block: int(seed % addressBlocks), rng: rand.New(rand.NewPCG(seed, 2)),
-		upstreamsOnly: seed%3 == 0, limitsFirst: seed%2 == 0, noRetries: seed%4 == 1, memoryMB: memoryLimits[seed%uint64(len(memoryLimits))],
+		upstreamsOnly: seed%3 == 0, limitsFirst: seed%2 == 0, lateFirst: seed%3 != 0 && seed%5 == 2, noRetries: seed%4 == 1, memoryMB: memoryLimits[seed%uint64(len(memoryLimits))],
 		store: &metastore.Store{Delay: 2 * time.Millisecond}, judge: newJudge(grace),
 		workers: map[string]*workerHandle{}, done: make(chan struct{}),
 		limits: newLimitRecord(), faultsEnded: make(chan struct{}),
@@ -296,13 +309,19 @@
 	d.lastWorker++
 	n := d.lastWorker
 	d.mu.Unlock()
+	d.startWorker(n, service, stage, d.engineVersion(n), 0)
+}
+
+// startWorker starts the worker with a number, which may have run before, and its heartbeats
+// after a delay.
+func (d *deployment) startWorker(n int, service, stage, version string, delay time.Duration) {
 	id := fmt.Sprintf("i-%03d", n)
 	last, round := 1+n%maxWorkerAddresses, n/maxWorkerAddresses
 	own, advertised := d.address(workerNetwork, last, workerPort+round), d.address(workerNetwork, last, linkPort+round)
 	settings := hostedworker.Settings{
-		ID: id, Service: service, Zone: fmt.Sprintf("z%d", n%2), Stage: stage,
-		Version: d.engineVersion(n), Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
-		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival, EndsWorker: d.handleRequest,
+		ID: id, Service: service, Zone: zoneOf(n), Stage: stage,
+		Version: version, Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
+		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnOrder: d.recordOrder, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival, EndsWorker: d.handleRequest,
 	}
 	if n%2 == 0 {
 		settings.IdleTimeout = shortIdleTimeout
@@ -318,14 +337,14 @@
 		d.judge.reportViolation(fmt.Sprintf("the link to worker %s did not open: %v", id, err))
 		return
 	}
-	m := &workerHandle{worker: w, link: link, service: service, stopHeartbeat: make(chan struct{}), stop: func() {
+	m := &workerHandle{number: n, stage: stage, version: version, worker: w, link: link, service: service, stopHeartbeat: make(chan struct{}), stop: func() {
 		stop()
 		closeLink()
 	}}
 	d.mu.Lock()
 	d.workers[id] = m
 	d.mu.Unlock()
-	go d.sendHeartbeats(id, m)
+	time.AfterFunc(delay, func() { d.sendHeartbeats(id, m) })
 }
 
 // sendHeartbeats renews a worker's entry until the worker or the run ends. The
@@ -338,7 +357,12 @@
 		case <-time.After(heartbeatInterval):
 		case <-m.stopHeartbeat:
 			time.Sleep(expireAfter)
-			d.store.Put(metastore.UpstreamTopic, id, nil)
+			d.mu.Lock()
+			_, reborn := d.workers[id]
+			d.mu.Unlock()
+			if !reborn {
+				d.store.Put(metastore.UpstreamTopic, id, nil)
+			}
 			return
 		case <-d.done:
 			return
@@ -363,6 +387,11 @@
 	}
 }
 
+// zoneOf returns the failure domain of the node, worker or caller with a number.
+func zoneOf(n int) string { return fmt.Sprintf("z%d", n%2) }
+
+func nodeName(index int) string { return fmt.Sprintf("n%d", index+1) }
+
 // writeSettings writes a daemon's settings file.
 func (d *deployment) writeSettings(p *process) (path string, err error) {
 	d.mu.Lock()
@@ -372,7 +401,7 @@
 		slack = 0
 	}
 	settings := hostedsite.Node{
-		Name: fmt.Sprintf("n%d", n), Domain: fmt.Sprintf("z%d", n%2), IP: fmt.Sprintf("127.%d.%d.%d", nodeNetwork, d.block, n),
+		Name: nodeName(p.index), Domain: zoneOf(n), IP: fmt.Sprintf("127.%d.%d.%d", nodeNetwork, d.block, n),
 		CallerPort: callerPort, ReadyPort: readyPort, AddressesPort: directoryPort, PeerPort: peerPort,
 		BeatEvery: heartbeatInterval, MemoryMB: d.memoryMB, RetryRatio: p.ratio, RetrySlack: slack, Grace: d.grace,
 		Store: d.address(storeNetwork, n, storePort),
@@ -403,7 +432,7 @@
 	if d.closed || p.running() {
 		return nil
 	}
-	cmd := exec.Command(d.bin, "--hosted", "--advertise-peer", d.address(peerNetwork, n, peerPort))
+	cmd := exec.Command(d.bin, "--hosted", "--advertise-peer", d.address(peerNetwork, n, peerPort), "--source-address", d.source(p.index).String())
 	cmd.Env = append(os.Environ(), hostedsite.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
--- a/bench/hosted/harm_string.go
+++ b/bench/hosted/harm_string.go
@@ -10,17 +10,19 @@
 	var x [1]struct{}
 	_ = x[nodeKilled-0]
 	_ = x[nodeFrozen-1]
-	_ = x[nodeStopped-2]
-	_ = x[workerCrashed-3]
-	_ = x[workerFrozen-4]
-	_ = x[workerExpired-5]
-	_ = x[workerSilent-6]
-	_ = x[linkHarmed-7]
+	_ = x[nodeCutOff-2]
+	_ = x[nodeStopped-3]
+	_ = x[workerCrashed-4]
+	_ = x[workerFrozen-5]
+	_ = x[workerExpired-6]
+	_ = x[workerSilent-7]
+	_ = x[linkHarmed-8]
+	_ = x[storeHarmed-9]
 }
 
-const _harmKind_name = "killedfrozenstoppedcrashedfrozenexpiredsilentlink harmed"
+const _harmKind_name = "killedfrozencut offstoppedcrashedfrozenexpiredsilentlink harmedstore harmed"
 
-var _harmKind_index = [...]uint8{0, 6, 12, 19, 26, 32, 39, 45, 56}
+var _harmKind_index = [...]uint8{0, 6, 12, 19, 26, 33, 39, 46, 52, 63, 75}
 
 func (i harmKind) String() string {
 	idx := int(i) - 0
--- a/bench/hosted/harms.go
+++ b/bench/hosted/harms.go
@@ -17,6 +17,8 @@
 	// nodeKilled is a SIGKILL, and nodeFrozen a SIGSTOP until the SIGCONT.
 	nodeKilled harmKind = iota // killed
 	nodeFrozen                 // frozen
+	// nodeCutOff is a partition of a node from the store.
+	nodeCutOff // cut off
 	// nodeStopped is a SIGTERM until the process has ended.
 	nodeStopped // stopped
 	// workerCrashed has no end: a worker that takes the place has an ID of its own.
@@ -29,8 +31,13 @@
 	workerSilent // silent
 	// linkHarmed is a fault of the link between the nodes and a worker.
 	linkHarmed // link harmed
+	// storeHarmed is a fault of the store.
+	storeHarmed // store harmed
 )
 
+// theStore is the subject of harms to the store.
+const theStore = "store"
+
 // harm is something that was done to a node, a worker or a link. to is zero until it has
 // ended.
 type harm struct {
--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -97,3 +97,33 @@
 		})
 	}
 }
+
+// soakOf runs soaks of seeds with the faults whose names contain one of the texts.
+func soakOf(t *testing.T, length time.Duration, seeds []uint64, faults ...string) {
+	if testing.Short() {
+		t.Skip("the soak takes a while")
+	}
+	bin, size := build(t), hosted.DefaultSize
+	size.Faults = faults
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			result, err := hosted.Run(bin, seed, length, size)
+			is.NoErr(err)
+			t.Log(result.Injected, result.Counts)
+			is.Equal(result.Violations, nil)
+		})
+	}
+}
+
+// Engines crash and start again under their ids at another version.
+func TestStreamsKeepTheirVersionWhenEnginesAreReborn(t *testing.T) {
+	soakOf(t, 8*time.Second, []uint64{421201}, "reborn")
+}
+
+// A node stands still, or is cut off from the store and the others, while engines of a new version
+// join.
+func TestStreamsKeepTheirVersionAtLateNodes(t *testing.T) {
+	soakOf(t, time.Second, []uint64{421127, 421142}, "nothing else")
+}
--- a/bench/hosted/judge.go
+++ b/bench/hosted/judge.go
@@ -27,8 +27,12 @@
 	// deadline is when the caller gives up, and leaves says that it leaves before that.
 	deadline time.Time
 	leaves   bool
-	// stream says that the answer is a stream.
-	stream bool
+	// stream says that the answer is a stream, resumable that it may be resumed, and resumes that
+	// the attempt does so. engines is how many engines of its version served.
+	stream, resumable, resumes bool
+	engines                    int
+	// served says that the answer was a success.
+	served bool
 	runs   []*workerRun
 	// promise is how the caller was told that the attempt has not run and will not run;
 	// empty if it was not.
@@ -65,6 +69,8 @@
 	// harms holds what was done to each node, by its address, and to each worker or the
 	// link to it, by the worker's ID.
 	harms map[string][]*harm
+	// orders holds the orders that have reached each worker.
+	orders map[string][]sentOrder
 	// grace is the time between SIGTERM and SIGKILL.
 	grace time.Duration
 	// disturbed counts the current faults of nodes, links or the store. Bounds on
@@ -76,7 +82,7 @@
 func newJudge(grace time.Duration) *judge {
 	return &judge{
 		requests: map[requestID]*callerRequest{}, attempts: map[string]*attempt{}, counts: map[string]int{},
-		harms: map[string][]*harm{}, grace: grace,
+		harms: map[string][]*harm{}, orders: map[string][]sentOrder{}, grace: grace,
 	}
 }
 
@@ -176,6 +182,9 @@
 	for id, r := range j.requests {
 		violations = append(violations, j.checkRequest(id, r)...)
 	}
+	for _, check := range []func() []string{j.checkResumptions, j.checkOrders} {
+		violations = append(violations, check()...)
+	}
 	return violations
 }
 
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -64,7 +64,7 @@
 		go func() {
 			defer l.wait.Done()
 			c := &caller{
-				load: l, judge: l.deployment.judge, rng: rand.New(rand.NewPCG(uint64(i), uint64(l.deployment.block))),
+				load: l, judge: l.deployment.judge, rng: rand.New(rand.NewPCG(uint64(i), uint64(l.deployment.block))), zone: zoneOf(i),
 				open: map[string]*callerConn{},
 			}
 			defer c.closeAll()
@@ -79,8 +79,10 @@
 // caller sends one request at a time. It keeps its connections open, and uses them until
 // the node closes them or announces that it will.
 type caller struct {
-	load            *load
-	judge           *judge
+	load  *load
+	judge *judge
+	// zone is the failure domain that the caller is in.
+	zone            string
 	rng             *rand.Rand
 	open            map[string]*callerConn
 	addresses       []string
@@ -114,7 +116,7 @@
 
 func (c *caller) refreshAddresses(node int) bool {
 	q := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	a, err := q.Get(hostedsite.AddressesURL(c.load.deployment.nodeAddress(node, directoryPort), host))
+	a, err := q.Get(hostedsite.AddressesURL(c.load.deployment.nodeAddress(node, directoryPort), host, c.zone))
 	if err != nil {
 		return false
 	}
@@ -175,6 +177,8 @@
 	deadline time.Time
 	// leave is when the caller leaves early; zero if it does not.
 	leave time.Time
+	// breakAfter is the event after which the caller loses its connection; zero if it does not.
+	breakAfter int
 	// received is what the caller has of a stream.
 	received *receivedStream
 }
@@ -219,6 +223,9 @@
 	if kind, _ := c.load.deployment.deadlyKind.Load().(string); kind == m.kind && c.rng.Float64() < deadlyShare {
 		m.whole, m.body = true, deadlyBody
 	}
+	if m.kind == hostedsite.Resumable && c.load.deployment.breakStreams.Load() && c.rng.Float64() < breakShare {
+		m.breakAfter = 1 + c.rng.IntN(maxBreakEvent)
+	}
 	if c.rng.Float64() < leaveShare {
 		m.leave = time.Now().Add(time.Duration(c.rng.Int64N(int64(maxStay))))
 	}
@@ -261,6 +268,7 @@
 // not, whether the caller may send the request again.
 func (c *caller) send(conn *callerConn, m message, attemptID string) (good, again bool) {
 	c.judge.recordAttempt(m, attemptID, conn.address)
+	c.recordStreamOf(m, attemptID)
 	r, err := m.encode(attemptID)
 	if err != nil {
 		c.judge.reportViolation(err.Error())
@@ -280,6 +288,7 @@
 	if signature != hostedworker.Signature(attemptID, m.body) {
 		c.judge.reportViolation("MIXED: " + attemptID + ": the signature is another request's")
 	}
+	c.judge.recordServed(attemptID)
 	m.received.begin(m, c.judge)
 	ended, good := c.checkBody(m, attemptID, a)
 	if ended == answered && signature == "" && a.ContentLength == 0 {
@@ -413,6 +422,9 @@
 		}
 		seen = n
 		m.received.add(n, attemptID)
+		if c.breaksOff(m, n, attemptID) {
+			return left, false
+		}
 	}
 	if err := lines.Err(); err != nil {
 		return c.countBrokenBody("stream cut", err), false
--- a/bench/hosted/proxy.go
+++ b/bench/hosted/proxy.go
@@ -45,6 +45,8 @@
 	// carry nothing more.
 	usedAt map[net.Conn]time.Time
 	hung   map[net.Conn]bool
+	// cuts are the partitions in effect.
+	cuts []*partition
 }
 
 // openProxy listens on an address and forwards connections to a target. The
@@ -76,7 +78,7 @@
 // connection.
 func (p *proxy) connect(from net.Conn) {
 	to, err := net.DialTimeout("tcp", p.target, time.Second)
-	if err != nil {
+	if err != nil || p.cutOf(sourceOf(from), cutReset) != nil {
 		reset(from)
 		return
 	}
@@ -103,6 +105,7 @@
 	lost, buffer := false, make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
+		p.waitWhileCut(connection)
 		fault := linkFault(p.fault.Load())
 		lost = lost || fault == linkDropBoth || fault == cut || p.use(connection)
 		if p.bytesPerSecond > 0 && cut == linkDropFromTarget {
@@ -194,7 +197,7 @@
 	n := d.rng.IntN(len(d.links) + len(workers))
 	endHarm, p := func() {}, (*proxy)(nil)
 	if n < len(d.links) {
-		p = d.links[n]
+		p, endHarm = d.links[n], d.judge.beginHarm(d.nodeAddress(n, callerPort), nodeCutOff)
 	} else {
 		worker := workers[n-len(d.links)]
 		p = d.workers[worker].link
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -62,6 +62,8 @@
 	// Nodes is the number of daemons, and Callers the number of callers, each with
 	// connections of its own.
 	Nodes, Callers int
+	// Faults selects the faults whose names contain one of these texts; all if there are none.
+	Faults []string
 }
 
 // DefaultSize is the size of most runs.
@@ -101,6 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &load{deployment: d, callers: size.Callers}
 	l.run(ctx)
+	d.watchVersions()
 	injected := d.injectFaults(length)
 	d.endFaults()
 	time.Sleep(recoveryTime)
@@ -110,6 +113,7 @@
 	cancel()
 	l.wait.Wait()
 	d.checkLatestInForce()
+	d.watching.Wait()
 	d.checkEngineEnds()
 	d.checkRequestEnds()
 	d.checkLimits()
@@ -175,6 +179,8 @@
 	kinds := map[string]func(){
 		"node killed": d.killNode, "node stopped": d.stopNode, "node frozen": d.freezeNode,
 		"nodes rolled": d.rollNodes, "nodes killed together": d.killNodesTogether,
+		"node cut off during release": d.releaseBesideCutNode, "node frozen during release": d.releaseBesideFrozenNode,
+		"all nodes killed during release": d.killAllDuringRelease, "workers reborn": d.rebirthWorkers,
 		"node signalled in series": d.signalInSeries, "node frozen while stopping": d.freezeStoppingNode,
 		"worker frozen": d.freezeWorker, "worker slow": d.slowWorker,
 		"store away": d.interruptStore, "store restored": d.restoreStore, "store loses answers": d.loseStoreAnswers, "store compacted": d.compactStore,
@@ -191,6 +197,11 @@
 		// The change would be one of the retry budget.
 		delete(kinds, "settings changed")
 	}
+	if len(d.size.Faults) > 0 {
+		maps.DeleteFunc(kinds, func(name string, _ func()) bool {
+			return !slices.ContainsFunc(d.size.Faults, func(text string) bool { return strings.Contains(name, text) })
+		})
+	}
 	if d.upstreamsOnly {
 		maps.DeleteFunc(kinds, func(name string, _ func()) bool {
 			return !strings.HasPrefix(name, "worker") && !strings.HasSuffix(name, "changed")
@@ -200,6 +211,9 @@
 	injected := map[string]int{}
 	// Bounds that begin some seconds after a fault need one that begins early.
 	switch {
+	case d.lateFirst:
+		injected[d.beginLate()]++
+	case len(d.size.Faults) > 0:
 	case d.upstreamsOnly && d.limitsFirst:
 		injected["worker names limit"]++
 		d.limitService()
@@ -208,7 +222,7 @@
 		d.beginDeadlyRequests()
 	}
 	until := time.Now().Add(length)
-	for time.Now().Before(until) {
+	for time.Now().Before(until) && len(names) > 0 {
 		name := names[d.rng.IntN(len(names))]
 		injected[name]++
 		kinds[name]()
@@ -224,6 +238,7 @@
 	d.deadlyPrompts.Store(false)
 	d.deadlyKind.Store("")
 	close(d.faultsEnded)
+	d.breakStreams.Store(false)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, m := range d.workers {
@@ -401,8 +416,17 @@
 	d.judge.reportViolation(fmt.Sprintf("n%d: changed settings were not in force after %v", p.index+1, reloadTimeout))
 }
 
+// harmStore records the start of a fault of the store. The returned function records its end.
+func (d *deployment) harmStore() func() {
+	end, endHarm := d.judge.beginDisturbance(), d.judge.beginHarm(theStore, storeHarmed)
+	return func() {
+		endHarm()
+		end()
+	}
+}
+
 func (d *deployment) interruptStore() {
-	end := d.judge.beginDisturbance()
+	end := d.harmStore()
 	d.store.SetMode(metastore.Mode(1 + d.rng.IntN(int(metastore.Unresponsive))))
 	d.afterRandomDelay(3*time.Second, func() {
 		d.store.SetMode(metastore.Serving)
@@ -413,7 +437,7 @@
 // restoreStore returns the store from a copy that is up to three seconds old, in half of
 // the cases after an outage. Operators and workers write again what was lost.
 func (d *deployment) restoreStore() {
-	end := d.judge.beginDisturbance()
+	end := d.harmStore()
 	age := time.Duration(d.rng.Int64N(int64(3 * time.Second)))
 	outage := time.Duration(0)
 	if d.rng.IntN(2) == 0 {
@@ -431,7 +455,7 @@
 }
 
 func (d *deployment) loseStoreAnswers() {
-	end := d.judge.beginDisturbance()
+	end := d.harmStore()
 	d.store.SetLostReplyShare(0.4)
 	d.afterRandomDelay(2*time.Second, func() {
 		d.store.SetLostReplyShare(0)
--- a/bench/hosted/versions.go
+++ b/bench/hosted/versions.go
@@ -26,6 +26,8 @@
 	first  string
 	// version is the software version of the worker that sent the first event.
 	version string
+	// broken is set once the caller has lost its connection in the middle of the stream.
+	broken bool
 }
 
 // resumable reports whether the next attempt resumes the stream.
@@ -40,13 +42,13 @@
 		j.count("stream resumed")
 		return
 	}
-	*s = receivedStream{}
+	*s = receivedStream{broken: s.broken}
 }
 
 // rejected makes the next attempt begin the stream from its start: it cannot be resumed.
 func (s *receivedStream) rejected(m message) {
 	if m.stream() {
-		*s = receivedStream{}
+		*s = receivedStream{broken: s.broken}
 	}
 }
 
@@ -67,6 +69,7 @@
 		m.received.version = version
 	case m.received.version != version:
 		c.judge.reportViolation(fmt.Sprintf("ORDER: %s: an event of version %s follows events of version %s", attemptID, version, m.received.version))
+		m.received.version = version
 	}
 }
 
@@ -78,10 +81,10 @@
 }
 
 // engineVersion returns the software version of a new engine. Half of the engines that start
-// after a release are of the version before it.
+// after a release are of the version before it, unless the release has a late node beside it.
 func (d *deployment) engineVersion(worker int) string {
 	release := int(d.release.Load())
-	if release > 0 && worker%2 == 0 {
+	if release > 0 && worker%2 == 0 && !d.wholeRelease.Load() {
 		release--
 	}
 	return fmt.Sprintf("v%d", release)
@@ -90,6 +93,17 @@
 // releaseEngines replaces half of the engines, one after the other, by ones of a new version,
 // and in half of the cases kills half of the nodes meanwhile.
 func (d *deployment) releaseEngines() {
+	d.beginRelease(false)
+	if !d.upstreamsOnly && d.rng.IntN(2) == 0 {
+		time.Sleep(time.Duration(d.rng.Int64N(int64(silentFault))))
+		d.killNodesTogether()
+	}
+}
+
+// beginRelease replaces half of the engines, one after the other, by ones of a new version: all of
+// them if whole is set.
+func (d *deployment) beginRelease(whole bool) {
+	d.wholeRelease.Store(whole)
 	d.release.Add(1)
 	d.mu.Lock()
 	var engines []string
@@ -111,10 +125,6 @@
 			time.Sleep(gap)
 		}
 	}()
-	if !d.upstreamsOnly && d.rng.IntN(2) == 0 {
-		time.Sleep(time.Duration(d.rng.Int64N(int64(silentFault))))
-		d.killNodesTogether()
-	}
 }
 
 // drain announces that a worker is draining, and ends it some seconds later.
@@ -125,6 +135,9 @@
 	if !running {
 		return
 	}
+	d.mu.Lock()
+	m.draining = true
+	d.mu.Unlock()
 	m.worker.Drain()
 	d.store.Put(metastore.UpstreamTopic, id, m.worker.Entry())
 	go func() {
--- a/standin/hostedsite/caller.go
+++ b/standin/hostedsite/caller.go
@@ -14,9 +14,9 @@
 func ReadyURL(address string) string { return "http://" + address + "/-/ready" }
 
 // AddressesURL returns the URL at which a node's directory lists the addresses that
-// callers of host should connect to.
-func AddressesURL(address, host string) string {
-	return "http://" + address + "/-/resolve?Name=" + host + "&Zone=z0&Region=r"
+// callers of host in a zone should connect to.
+func AddressesURL(address, host, zone string) string {
+	return "http://" + address + "/-/resolve?Name=" + host + "&Zone=" + zone + "&Region=r"
 }
 
 // DecodeAddresses decodes the response to a GET request for an AddressesURL.
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -131,6 +131,8 @@
 	// EndsWorker is called with the body of a request when it arrives, and when it begins to
 	// run; running says which. If it returns true, the request gets no answer. It may be nil.
 	EndsWorker func(worker string, body []byte, running bool) bool
+	// OnOrder is called with each order to change the worker's stage. It may be nil.
+	OnOrder func(Order)
 	// OnArrival is called when a request of a caller arrives, whether or not it is run. It may
 	// be nil.
 	OnArrival func(worker string)
@@ -165,6 +167,17 @@
 	At        time.Time
 }
 
+// Order records an order to change a worker's stage.
+type Order struct {
+	Worker string
+	// Born is when this incarnation of the worker started, in Unix milliseconds.
+	Born int64
+	// Holder is the node that sent the order, and Fence the order's fencing number.
+	Holder string
+	Fence  int64
+	At     time.Time
+}
+
 // Worker is one upstream, served by ServeHTTP. Its methods are safe for concurrent
 // use.
 type Worker struct {
@@ -420,7 +433,10 @@
 
 // setStage handles an order to change the engine's stage.
 func (w *Worker) setStage(rw http.ResponseWriter, body []byte) {
-	var request struct{ Stage string }
+	var request struct {
+		Stage, Holder string
+		Fence         int64
+	}
 	if json.Unmarshal(body, &request) != nil || request.Stage == "" {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
@@ -428,6 +444,9 @@
 	w.mu.Lock()
 	w.settings.Stage = request.Stage
 	w.mu.Unlock()
+	if w.settings.OnOrder != nil {
+		w.settings.OnOrder(Order{Worker: w.settings.ID, Born: w.startedMs, Holder: request.Holder, Fence: request.Fence, At: time.Now()})
+	}
 	rw.WriteHeader(http.StatusAccepted)
 }
 
