Soak nodes that reach no upstream (RECOVER)

New fault: some nodes, up to three quarters, are partitioned from all upstreams for 4.5 to 7 s, also from those that start meanwhile, while callers, the store and the others reach them. New connections time out; open ones hang, are reset, or live on. The judge compares first attempts at these nodes, from contactTime after the cut, with those at the others, as the platform does.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -106,6 +106,8 @@
 	links      []*proxy
 	peerLinks  []*proxy
 	lastWorker int
+	// strands are the partitions of nodes from all upstreams.
+	strands []*strand
 	// breakStreams is set while callers break connections off in the middle of streams.
 	breakStreams atomic.Bool
 	// version is the latest version of the desired state. Only the goroutine that injects
@@ -343,6 +345,7 @@
 	}}
 	d.mu.Lock()
 	d.workers[id] = m
+	d.strandFrom(link)
 	d.mu.Unlock()
 	time.AfterFunc(delay, func() { d.sendHeartbeats(id, m) })
 }
--- a/bench/hosted/harm_string.go
+++ b/bench/hosted/harm_string.go
@@ -11,18 +11,19 @@
 	_ = x[nodeKilled-0]
 	_ = x[nodeFrozen-1]
 	_ = x[nodeCutOff-2]
-	_ = x[nodeStopped-3]
-	_ = x[workerCrashed-4]
-	_ = x[workerFrozen-5]
-	_ = x[workerExpired-6]
-	_ = x[workerSilent-7]
-	_ = x[linkHarmed-8]
-	_ = x[storeHarmed-9]
+	_ = x[nodeStranded-3]
+	_ = x[nodeStopped-4]
+	_ = x[workerCrashed-5]
+	_ = x[workerFrozen-6]
+	_ = x[workerExpired-7]
+	_ = x[workerSilent-8]
+	_ = x[linkHarmed-9]
+	_ = x[storeHarmed-10]
 }
 
-const _harmKind_name = "killedfrozencut offstoppedcrashedfrozenexpiredsilentlink harmedstore harmed"
+const _harmKind_name = "killedfrozencut offstrandedstoppedcrashedfrozenexpiredsilentlink harmedstore harmed"
 
-var _harmKind_index = [...]uint8{0, 6, 12, 19, 26, 33, 39, 46, 52, 63, 75}
+var _harmKind_index = [...]uint8{0, 6, 12, 19, 27, 34, 41, 47, 54, 60, 71, 83}
 
 func (i harmKind) String() string {
 	idx := int(i) - 0
--- a/bench/hosted/harms.go
+++ b/bench/hosted/harms.go
@@ -17,8 +17,10 @@
 	// nodeKilled is a SIGKILL, and nodeFrozen a SIGSTOP until the SIGCONT.
 	nodeKilled harmKind = iota // killed
 	nodeFrozen                 // frozen
-	// nodeCutOff is a partition of a node from the store.
-	nodeCutOff // cut off
+	// nodeCutOff is a partition of a node from the store, and nodeStranded one from all
+	// upstreams.
+	nodeCutOff   // cut off
+	nodeStranded // stranded
 	// nodeStopped is a SIGTERM until the process has ended.
 	nodeStopped // stopped
 	// workerCrashed has no end: a worker that takes the place has an ID of its own.
--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -127,3 +127,8 @@
 func TestStreamsKeepTheirVersionAtLateNodes(t *testing.T) {
 	soakOf(t, time.Second, []uint64{421127, 421142}, "nothing else")
 }
+
+// Nodes reach no upstream for some seconds, while callers, the store and the other nodes reach them.
+func TestStrandedNodesServe(t *testing.T) {
+	soakOf(t, 12*time.Second, []uint64{422005, 422008}, "stranded")
+}
--- a/bench/hosted/judge.go
+++ b/bench/hosted/judge.go
@@ -182,7 +182,7 @@
 	for id, r := range j.requests {
 		violations = append(violations, j.checkRequest(id, r)...)
 	}
-	for _, check := range []func() []string{j.checkResumptions, j.checkOrders} {
+	for _, check := range []func() []string{j.checkResumptions, j.checkStranded, j.checkOrders} {
 		violations = append(violations, check()...)
 	}
 	return violations
--- a/bench/hosted/judge_lost.go
+++ b/bench/hosted/judge_lost.go
@@ -96,7 +96,7 @@
 // gaveUpRun reports whether a node ended the last run of an attempt, at a sound worker, and
 // the caller waited for an answer afterwards.
 func (j *judge) gaveUpRun(a *attempt) bool {
-	if a.leaves || len(a.runs) == 0 || j.harmed(a.node, a.sent, a.endedAt, nodeKilled, nodeFrozen) {
+	if a.leaves || len(a.runs) == 0 || j.harmed(a.node, a.sent, a.endedAt, nodeKilled, nodeFrozen, nodeStranded) {
 		return false
 	}
 	last := a.lastRun()
@@ -136,6 +136,8 @@
 		return "the node was killed"
 	case j.harmed(a.node, a.sent, a.endedAt, nodeFrozen):
 		return "the node was frozen"
+	case j.harmed(a.node, a.sent, a.endedAt, nodeStranded):
+		return "the node was stranded"
 	case j.graceRanOut(a):
 		return "the grace ran out"
 	case len(a.runs) == 0:
--- a/bench/hosted/judge_overlap.go
+++ b/bench/hosted/judge_overlap.go
@@ -48,5 +48,5 @@
 // outOfReach reports whether an attempt's node could not end a run between two times, or
 // the worker could not notice that.
 func (j *judge) outOfReach(a *attempt, r *workerRun, from, to time.Time) bool {
-	return j.harmed(r.Worker, r.At, to, workerFrozen, workerCrashed, linkHarmed) || j.harmed(a.node, from, to, nodeKilled, nodeFrozen)
+	return j.harmed(r.Worker, r.At, to, workerFrozen, workerCrashed, linkHarmed) || j.harmed(a.node, from, to, nodeKilled, nodeFrozen, nodeStranded)
 }
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -180,7 +180,7 @@
 		"node killed": d.killNode, "node stopped": d.stopNode, "node frozen": d.freezeNode,
 		"nodes rolled": d.rollNodes, "nodes killed together": d.killNodesTogether,
 		"node cut off during release": d.releaseBesideCutNode, "node frozen during release": d.releaseBesideFrozenNode,
-		"all nodes killed during release": d.killAllDuringRelease, "workers reborn": d.rebirthWorkers,
+		"all nodes killed during release": d.killAllDuringRelease, "nodes stranded": d.strandNodes, "workers reborn": d.rebirthWorkers,
 		"node signalled in series": d.signalInSeries, "node frozen while stopping": d.freezeStoppingNode,
 		"worker frozen": d.freezeWorker, "worker slow": d.slowWorker,
 		"store away": d.interruptStore, "store restored": d.restoreStore, "store loses answers": d.loseStoreAnswers, "store compacted": d.compactStore,
