--- a/bench/hosted/export_test.go
+++ b/bench/hosted/export_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"strconv"
 	"time"
 
 	"daisyshed.dev/standin/hostedworker"
@@ -113,3 +114,45 @@
 	j.recordRunEnd(hostedworker.RunEnd{Number: 7, Attempt: "a.1", Worker: "w1", At: begin.Add(time.Second)})
 	return j.verdict()
 }
+
+// RecordedShare is a number of first attempts of the same kind at a node, an hour ago.
+type RecordedShare struct {
+	Node            string
+	Count           int
+	Resumes, Served bool
+}
+
+// JudgeShares returns the verdict on attempts of resumable streams, while harm has been done to
+// node "n1" for longer than contactTime.
+func JudgeShares(harmed harmKind, shares ...RecordedShare) []string {
+	j := newJudge(time.Second)
+	sent := time.Now().Add(-time.Hour)
+	j.harms["n1"] = []*harm{{kind: harmed, from: sent.Add(-contactTime - time.Second), to: sent.Add(time.Minute)}}
+	for _, s := range shares {
+		for range s.Count {
+			id := requestID(strconv.Itoa(len(j.requests)))
+			a := &attempt{
+				id: string(id) + ".1", node: s.Node, sent: sent, endedAt: sent.Add(time.Second), deadline: sent.Add(time.Minute),
+				ending: answered, resumable: true, resumes: s.Resumes, served: s.Served, engines: minEngines,
+			}
+			j.requests[id] = &callerRequest{attempts: []*attempt{a}}
+			j.attempts[a.id] = a
+		}
+	}
+	return j.verdict()
+}
+
+// JudgeOrders returns the verdict on orders to one worker.
+func JudgeOrders(orders ...hostedworker.Order) []string {
+	j := newJudge(time.Second)
+	for _, o := range orders {
+		j.orders["w"] = append(j.orders["w"], sentOrder{Order: o})
+	}
+	return j.verdict()
+}
+
+// Harms to nodes that judges of shares regard.
+const (
+	NodeCutOff   = nodeCutOff
+	NodeStranded = nodeStranded
+)
