--- a/daisyshed/peer/serve.go
+++ b/daisyshed/peer/serve.go
@@ -12,20 +12,42 @@
 	"github.com/hashicorp/yamux"
 )
 
-// Serve accepts connections from other nodes until the listener is closed.
+// minAcceptPause and maxAcceptPause bound the pause after a failed Accept. It doubles with each
+// further failure.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = 250 * time.Millisecond
+)
+
+// Serve accepts connections from other nodes until the listener is closed. Accept fails for a
+// while if the process or its machine has no descriptor or buffer left.
 func (t *Transport) Serve(l net.Listener) error {
+	pause := minAcceptPause
 	for {
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return err
+			t.Meter.PeerFault(&AcceptError{Cause: err})
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
 		}
+		pause = minAcceptPause
 		go t.ServeConn(conn)
 	}
 }
 
+// AcceptError reports that a connection of another node could not be accepted.
+type AcceptError struct{ Cause error }
+
+// Error implements error.
+func (e *AcceptError) Error() string { return "peer: accept failed: " + e.Cause.Error() }
+
+// Unwrap returns the error of the listener.
+func (e *AcceptError) Unwrap() error { return e.Cause }
+
 // ServeConn receives the messages on one connection until it breaks, is idle
 // for too long or carries an invalid message.
 func (t *Transport) ServeConn(conn net.Conn) {
