--- a/core/desired.go
+++ b/core/desired.go
@@ -120,10 +120,10 @@
 	IdleTimeout   time.Duration
 }
 
-// LimitBodies sets the largest body that later requests of callers may have.
-type LimitBodies struct{ Bytes int64 }
+// LimitCallers sets the limits of later requests of callers and of their connections.
+type LimitCallers struct{ CallerLimits }
 
-func (LimitBodies) isCommand() {}
+func (LimitCallers) isCommand() {}
 
 // routeTable holds the routes of each host.
 type routeTable map[string][]Route
--- a/core/forward.go
+++ b/core/forward.go
@@ -177,7 +177,7 @@
 	s.state, s.stateKnown = d, true
 	s.routes = newRouteTable(d.Routes)
 	clear(s.versions.longest)
-	n.do(LimitBodies{Bytes: d.Limits.BodyBytes})
+	n.do(LimitCallers{d.Limits})
 	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
--- a/core/state_order_test.go
+++ b/core/state_order_test.go
@@ -15,7 +15,7 @@
 	h.deliver(core.Tick{}, core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("e1")}})
 	latest := worldState()
 	latest.Version, latest.Limits.BodyBytes = 5, 4096
-	is.Equal(commandsOf[core.LimitBodies](h.deliver(latest)), []core.LimitBodies{{Bytes: 4096}})
+	is.Equal(commandsOf[core.LimitCallers](h.deliver(latest)), []core.LimitCallers{{CallerLimits: core.CallerLimits{BodyBytes: 4096}}})
 	older := worldState()
 	older.Version, older.Source, older.Routes, older.Limits.BodyBytes = 4, core.StateFromPeer, nil, 16
 	is.Equal(len(h.deliver(older)), 0)
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -36,8 +36,9 @@
 	// ObserveAnswers sets whether the core gets a message for each answer of an upstream. It
 	// does not block.
 	ObserveAnswers(c core.ObserveAnswers)
-	// LimitBodies sets the largest body that later requests may have. It does not block.
-	LimitBodies(c core.LimitBodies)
+	// LimitCallers sets the limits of later requests and of callers' connections. It does not
+	// block.
+	LimitCallers(c core.LimitCallers)
 	// NotReady makes readiness checks fail until the next Ready.
 	NotReady()
 	// StopAccepting stops accepting callers' connections.
@@ -141,8 +142,8 @@
 		e.Runtime.RenewStateRead(c)
 	case core.ObserveAnswers:
 		e.Runtime.ObserveAnswers(c)
-	case core.LimitBodies:
-		e.Runtime.LimitBodies(c)
+	case core.LimitCallers:
+		e.Runtime.LimitCallers(c)
 	case core.NodeNotReady:
 		e.Runtime.NotReady()
 	case core.StopAccepting:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -53,12 +53,16 @@
 	// hostedHeaderBytes bounds the headers of callers' requests from the start,
 	// when the desired state with the operators' limits is not known yet.
 	hostedHeaderBytes = 64 << 10
-	// hostedHeaderTimeout is the timeout for reading a request's headers, and
-	// hostedIdleTimeout that of idle connections from callers. Both are longer than
-	// the values that operators set, so that callers that keep to those are
-	// never disconnected.
+	// hostedHeaderTimeout is the timeout for reading a request's headers. It is longer than
+	// the values that operators set, so that callers that keep to those are never
+	// disconnected. hostedIdleTimeout is that of idle connections; operators set a shorter
+	// one for callers.
 	hostedHeaderTimeout = 10 * time.Second
 	hostedIdleTimeout   = 5 * time.Minute
+	// callerFileShare is the fraction of the process's descriptors that callers' connections
+	// may use. The others are for upstreams, peers and the store: a node that cannot open
+	// these serves nobody.
+	callerFileShare = 0.6
 	// queryReadTimeout bounds the time to read the body of a readiness check, a query or a
 	// scrape, which needs none, and queryWriteTimeout that to write the response.
 	queryReadTimeout  = time.Second
@@ -104,6 +108,8 @@
 	upstreams    *upstream.Client
 	watcher      *store.Watcher
 	callerServer *http.Server
+	// callerIdle is for how long callers' connections may be idle.
+	callerIdle tcp.IdleTimeout
 	// callerListener is the listener of callerServer; nil until it is open.
 	callerListener net.Listener
 	serveErrors    chan error
@@ -250,8 +256,12 @@
 // ObserveAnswers sets whether answers that say nothing of their upstream are passed on too.
 func (h hostedRuntime) ObserveAnswers(c core.ObserveAnswers) { h.observeAll.Store(c.All) }
 
-// LimitBodies sets the largest body that later requests may have.
-func (h hostedRuntime) LimitBodies(c core.LimitBodies) { h.ingress.LimitBodies(c.Bytes) }
+// LimitCallers sets the largest body that later requests may have, and how long callers'
+// connections may be idle.
+func (h hostedRuntime) LimitCallers(c core.LimitCallers) {
+	h.ingress.LimitBodies(c.BodyBytes)
+	h.callerIdle.Set(c.IdleTimeout)
+}
 
 // NotReady makes readiness checks fail until Ready.
 func (h hostedRuntime) NotReady() { h.directory.SetReady(false) }
@@ -418,7 +428,11 @@
 		{s.MetricsAddress, h.newQueryServer(h.operators.Handler())},
 	}
 	for _, endpoint := range endpoints {
-		l, err := tcp.Listen(endpoint.address, s.MaxFiles)
+		limit, idle := s.MaxFiles, &tcp.IdleTimeout{}
+		if endpoint.server == h.callerServer {
+			limit, idle = int(callerFileShare*float64(s.MaxFiles)), &h.callerIdle
+		}
+		l, err := tcp.ListenWithIdleTimeout(endpoint.address, limit, idle)
 		if err != nil {
 			return oops.In("daisyshed").With("Node", s.Node).Wrap(err)
 		}
--- a/daisyshed/tcp/conn.go
+++ b/daisyshed/tcp/conn.go
@@ -12,8 +12,9 @@
 // slotConn is a connection that occupies a slot until it is closed.
 type slotConn struct {
 	net.Conn
-	release func()
-	closed  atomic.Bool
+	listener *limitedListener
+	release  func()
+	closed   atomic.Bool
 	// broken is set once a write has failed. The server closes the connection after that.
 	broken atomic.Bool
 
@@ -22,6 +23,10 @@
 	// one, and interrupted once a read that waits for a request has been ended.
 	busy        bool
 	interrupted bool
+	// idleSince is when the server began to wait for the next request; zero before the first
+	// one has been answered. idleTimer ends the connection after the listener's idle timeout.
+	idleSince time.Time
+	idleTimer *time.Timer
 }
 
 // Read reads from the connection.
@@ -48,6 +53,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
+	if c.idleTimer != nil {
+		c.idleTimer.Stop()
+	}
 	if c.interrupted {
 		c.interrupted = false
 		// If the deadline cannot be set, the next read fails.
@@ -59,7 +67,33 @@
 func (c *slotConn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy, c.idleSince = false, time.Now()
+	timeout := c.listener.idle.get()
+	switch {
+	case timeout <= 0:
+	case c.idleTimer == nil:
+		c.idleTimer = time.AfterFunc(timeout, c.expire)
+	default:
+		c.idleTimer.Reset(timeout)
+	}
+}
+
+// expire ends the connection if it has been idle for the listener's idle timeout.
+func (c *slotConn) expire() {
+	c.mu.Lock()
+	idle := !c.busy && time.Since(c.idleSince) >= c.listener.idle.get()
+	c.mu.Unlock()
+	if idle {
+		c.interrupt()
+	}
+}
+
+// idleFrom returns since when the connection has waited for a further request; false if it
+// does not, or is being closed.
+func (c *slotConn) idleFrom() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleSince, !c.busy && !c.interrupted && !c.idleSince.IsZero()
 }
 
 // interrupt ends the read that waits for a request, so that the server closes the
@@ -79,6 +113,11 @@
 func (c *slotConn) Close() error {
 	defer c.release()
 	c.closed.Store(true)
+	c.mu.Lock()
+	if c.idleTimer != nil {
+		c.idleTimer.Stop()
+	}
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/daisyshed/tcp/listen.go
+++ b/daisyshed/tcp/listen.go
@@ -5,9 +5,15 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
+// evictEvery is the pause between two idle connections that are closed for a connection that
+// waits for a slot.
+const evictEvery = 20 * time.Millisecond
+
 // InUseError reports that another listener already uses an address.
 type InUseError struct{ Address string }
 
@@ -29,7 +35,8 @@
 func (e *ListenError) Unwrap() error { return e.Cause }
 
 // Listen listens on address and keeps at most limit accepted connections open at
-// a time. Further connections wait in the operating system's backlog.
+// a time. A further one replaces the connection that has been idle for longest, and waits in
+// the operating system's backlog while none is idle.
 func Listen(address string, limit int) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if errors.Is(err, syscall.EADDRINUSE) {
@@ -44,7 +51,7 @@
 // Limit returns a listener that keeps at most limit connections of l open at a time.
 func Limit(l net.Listener, limit int) net.Listener {
 	return &limitedListener{
-		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), open: map[*slotConn]struct{}{},
+		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), idle: &IdleTimeout{}, open: map[*slotConn]struct{}{},
 	}
 }
 
@@ -56,23 +63,43 @@
 	closed chan struct{}
 	once   sync.Once
 
+	idle *IdleTimeout
+
 	mu   sync.Mutex
 	open map[*slotConn]struct{}
 }
 
-// Accept waits for a free slot, then for a connection.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
+// IdleTimeout is for how long a server keeps connections that wait for a further request. Its zero
+// value sets no limit. It is safe for concurrent use.
+type IdleTimeout struct{ d atomic.Int64 }
+
+// Set changes the timeout of connections that become idle from now on.
+func (t *IdleTimeout) Set(d time.Duration) { t.d.Store(int64(d)) }
+
+func (t *IdleTimeout) get() time.Duration { return time.Duration(t.d.Load()) }
+
+// ListenWithIdleTimeout is Listen for a server whose idle connections end after a timeout that may
+// change.
+func ListenWithIdleTimeout(address string, limit int, idle *IdleTimeout) (net.Listener, error) {
+	l, err := Listen(address, limit)
+	if limited, ok := l.(*limitedListener); ok {
+		limited.idle = idle
 	}
+	return l, err
+}
+
+// Accept waits for a connection, then for a free slot.
+func (l *limitedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
-		<-l.slots
 		return nil, err
 	}
-	c := &slotConn{Conn: conn}
+	if err := l.takeSlot(); err != nil {
+		// The connection has not been used, so an error from closing it does not matter.
+		_ = conn.Close()
+		return nil, err
+	}
+	c := &slotConn{Conn: conn, listener: l}
 	c.release = sync.OnceFunc(func() {
 		l.mu.Lock()
 		delete(l.open, c)
@@ -85,6 +112,45 @@
 	return c, nil
 }
 
+// takeSlot waits for a free slot, and has the server close the connection that has been idle for
+// longest while there is none.
+func (l *limitedListener) takeSlot() error {
+	for {
+		select {
+		case l.slots <- struct{}{}:
+			return nil
+		default:
+		}
+		l.closeLongestIdle()
+		t := time.NewTimer(evictEvery)
+		select {
+		case l.slots <- struct{}{}:
+			t.Stop()
+			return nil
+		case <-l.closed:
+			t.Stop()
+			return net.ErrClosed
+		case <-t.C:
+		}
+	}
+}
+
+// closeLongestIdle has the server close the connection that has been idle for longest, if one is.
+func (l *limitedListener) closeLongestIdle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var oldest *slotConn
+	var since time.Time
+	for c := range l.open {
+		if at, idle := c.idleFrom(); idle && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
+		}
+	}
+	if oldest != nil {
+		oldest.interrupt()
+	}
+}
+
 // Close closes the listener and unblocks Accept.
 func (l *limitedListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
