--- a/core/admission.go
+++ b/core/admission.go
@@ -116,6 +116,12 @@
 	return count
 }
 
+// RetryAfter returns the retry delay for a caller that was rejected before the core knew of it. Its
+// arguments are those of retryAfter.
+func RetryAfter(patience time.Duration, draw float64) time.Duration {
+	return retryAfter(patience, draw)
+}
+
 // retryAfter returns the retry delay for a rejected caller with the given patience.
 // draw is a random number from 0 to 1 that spreads the delays between minRetryShare
 // of the longest delay that the caller honours and all of it.
--- a/core/command.go
+++ b/core/command.go
@@ -82,6 +82,8 @@
 	// StreamVersionGone means that no upstream of the version that began the stream is left. It
 	// can only be sent again from its start.
 	StreamVersionGone
+	// MemoryFull means that the node has no memory for the body of the request.
+	MemoryFull
 )
 
 // SendPeer sends a message to another node. Delivery is not guaranteed.
--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -71,11 +71,12 @@
 	_ = x[CrashingRequest-21]
 	_ = x[StreamVersionUnknown-22]
 	_ = x[StreamVersionGone-23]
+	_ = x[MemoryFull-24]
 }
 
-const _RejectionReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachableAlreadyAnsweredNoRouteDeadlinePassedCallerClosedCrashingPromptCrashingRequestStreamVersionUnknownStreamVersionGone"
+const _RejectionReason_name = "NoReasonUnknownProfileNoCapacityOverShareNoUpstreamLeavingStaleConfigurationKeyMissingKeyExpiredKeyReusedLogUnavailableUpstreamFailedNothingToResumeInProgressTooLongOwnerUnreachableAlreadyAnsweredNoRouteDeadlinePassedCallerClosedCrashingPromptCrashingRequestStreamVersionUnknownStreamVersionGoneMemoryFull"
 
-var _RejectionReason_index = [...]uint16{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181, 196, 203, 217, 229, 243, 258, 278, 295}
+var _RejectionReason_index = [...]uint16{0, 8, 22, 32, 41, 51, 58, 76, 86, 96, 105, 119, 133, 148, 158, 165, 181, 196, 203, 217, 229, 243, 258, 278, 295, 305}
 
 func (i RejectionReason) String() string {
 	idx := int(i) - 0
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -34,6 +34,9 @@
 	// runtime gets as its own limit. The rest is for stacks, sockets and kernel
 	// memory.
 	memoryShare = 0.7
+	// bodyShare is the fraction of the process's memory limit that the bodies of callers'
+	// requests may hold. Garbage, buffers of connections and answers need the rest.
+	bodyShare = 0.25
 	// hostedInboxSize is the size of the control goroutine's inbox, in messages.
 	hostedInboxSize = 4096
 	// hostedDialTimeout is the dial timeout for upstreams, peers and the store.
@@ -195,6 +198,7 @@
 		},
 		SendToCore: h.inbox.Send, Log: h.log, Self: h.self(),
 	}
+	h.ingress.LimitMemory(bodyBytes(s))
 	settings := bounds(s).Apply(core.DefaultSettings())
 	h.loop = &control.Loop{
 		Node: &core.Node{
--- a/daisyshed/hosted_reload.go
+++ b/daisyshed/hosted_reload.go
@@ -22,6 +22,9 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 }
 
+// bodyBytes returns how many bytes the bodies of callers' requests may hold.
+func bodyBytes(s platform.Settings) int64 { return int64(bodyShare * float64(s.MemoryBytes)) }
+
 // bounds returns the settings that may change while a node runs. The grace
 // period is shortened by killMargin, so that the node exits before SIGKILL.
 func bounds(s platform.Settings) core.BoundsChanged {
@@ -60,6 +63,7 @@
 		return
 	}
 	limitMemory(s)
+	h.ingress.LimitMemory(bodyBytes(s))
 	h.settings.Bounds = s.Bounds
 	h.inbox.Send(bounds(s))
 	h.log.Info().Str("Event", "Reload").Float64("RetryRatio", s.Bounds.Retries.Ratio).Send()
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -51,6 +51,7 @@
 	lastID       atomic.Uint64
 	closing      atomic.Bool
 	maxBodyBytes atomic.Int64
+	bodies       bodyBudget
 	mu           sync.Mutex
 	live         map[core.ForwardID]*exchange
 }
@@ -99,6 +100,10 @@
 // zero sets a default of 8 MiB.
 func (s *Server) LimitBodies(n int64) { s.maxBodyBytes.Store(n) }
 
+// LimitMemory sets how many bytes the bodies of all requests may hold together; zero sets no
+// limit. A request whose body does not fit is rejected.
+func (s *Server) LimitMemory(n int64) { s.bodies.limit.Store(n) }
+
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int {
 	s.mu.Lock()
@@ -120,10 +125,11 @@
 	if !ok {
 		return
 	}
+	defer body.release()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	x := &exchange{
-		server: s, w: w, r: r, ctx: ctx, body: body, forward: forward, startedAt: time.Now(),
+		server: s, w: w, r: r, ctx: ctx, body: body.bytes, forward: forward, startedAt: time.Now(),
 		header:   platform.UpstreamRequestHeader(r.Header),
 		commands: newCommandSlot(),
 		results:  make(chan runResult),
@@ -131,7 +137,7 @@
 		unproven: core.Set[core.SendNumber]{},
 	}
 	x.forward.ID = core.ForwardID(s.lastID.Add(1))
-	x.forward.Key = platform.RequestKey(r, body)
+	x.forward.Key = platform.RequestKey(r, body.bytes)
 	s.add(x)
 	defer s.remove(x)
 	s.SendToCore(x.forward)
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -185,10 +185,7 @@
 		}
 		written <- err
 	} else {
-		go func() {
-			_, err := writeRequest(cn, r)
-			written <- err
-		}()
+		go func() { written <- writeLongRequest(cn, r) }()
 	}
 	response, err := c.readResponse(cn, r)
 	if err != nil {
@@ -280,6 +277,15 @@
 	return cn.Write(buffer)
 }
 
+// writeLongRequest writes a request without a copy of its body.
+func writeLongRequest(cn *conn, r *Request) error {
+	if _, err := cn.Write(encodeHead(r)); err != nil {
+		return err
+	}
+	_, err := cn.Write(r.Body)
+	return err
+}
+
 // bodyReader reads the body of a response and records when it has been read to its end.
 type bodyReader struct {
 	r        io.Reader
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -140,9 +140,12 @@
 }
 
 // encodeRequest returns a request as it is written to the connection.
-func encodeRequest(r *Request) []byte {
+func encodeRequest(r *Request) []byte { return append(encodeHead(r), r.Body...) }
+
+// encodeHead returns the request line and the headers as they are written to the connection.
+func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writing to a bytes.Buffer cannot fail.
 	_ = r.Header.Write(&b)
@@ -150,6 +153,5 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
