--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -43,8 +43,6 @@
 	// ObserveAnswers sets whether the core gets a message for each answer of an upstream. It
 	// does not block.
 	ObserveAnswers(c core.ObserveAnswers)
-	// LimitBodies sets the largest body that later requests may have. It does not block.
-	LimitBodies(c core.LimitBodies)
 	// UseRelays sets the nodes through which connections to upstreams are opened. It does not
 	// block.
 	UseRelays(c core.UseRelays)
@@ -54,6 +52,9 @@
 	// They do not block.
 	OpenRelay(c core.OpenRelay)
 	RejectRelay(c core.RejectRelay)
+	// LimitCallers sets the limits of later requests and of callers' connections. It does not
+	// block.
+	LimitCallers(c core.LimitCallers)
 	// NotReady makes readiness checks fail until the next Ready.
 	NotReady()
 	// StopAccepting stops accepting callers' connections.
@@ -163,8 +164,8 @@
 		e.Runtime.RenewStateRead(c)
 	case core.ObserveAnswers:
 		e.Runtime.ObserveAnswers(c)
-	case core.LimitBodies:
-		e.Runtime.LimitBodies(c)
+	case core.LimitCallers:
+		e.Runtime.LimitCallers(c)
 	case core.NodeNotReady:
 		e.Runtime.NotReady()
 	case core.StopAccepting:
