Count reports of a node that fails at several upstreams unless others succeed there since

TestDeadEnginesAreRetriedSlowly failed since: all nodes failed at several engines that had just died, and the successes from before their end counted against the reports. Only successes after the reporter's failure count now. A node that is isolated releases the places of plain runs without an answer, of which the owner took the capacity for used.

--- a/core/path_failure.go
+++ b/core/path_failure.go
@@ -62,22 +62,35 @@
 // isolated and their connections may hang.
 func (s *forwards) placeHangingAgain(n *Node) {
 	for _, id := range sortedKeys(s.live) {
-		if f, ok := s.live[id]; ok && f.overdue == f.step {
+		f, ok := s.live[id]
+		switch {
+		case !ok:
+		case f.overdue == f.step:
 			s.placeHanging(n, f)
+		case f.plainRun() && n.now.Sub(f.placedAt) > noAnswerAfter:
+			s.releaseAtOwner(n, f)
 		}
 	}
 }
 
+// plainRun reports whether the request runs at an upstream of a plain service, which has not
+// answered.
+func (f *forwardedRequest) plainRun() bool {
+	_, engine := f.spec.Engine.Get()
+	return !engine && f.phase == forwardRunning
+}
+
 // placeHanging places a request again whose step hangs. A run that may be repeated is placed
-// again as a silent one is; one that must run once stays.
+// again as a silent one is; one that must run once stays. The place of a plain run is released:
+// the upstream has answered, or will not receive the request as long as its connection hangs.
 func (s *forwards) placeHanging(n *Node, f *forwardedRequest) {
 	switch {
 	case f.phase == forwardLeasing:
 		s.release(n, f)
 		s.requestPlacement(n, f)
+	case f.plainRun():
+		s.releaseAtOwner(n, f)
 	case f.phase == forwardRunning && f.silent == nil && f.route.RetryPolicy != Once:
-		if _, engine := f.spec.Engine.Get(); engine {
-			s.replaceSilentRun(n, f)
-		}
+		s.replaceSilentRun(n, f)
 	}
 }
--- a/core/reported_failure.go
+++ b/core/reported_failure.go
@@ -3,17 +3,11 @@
 import (
 	"maps"
 	"slices"
-	"time"
 )
 
-const (
-	// soundFromOthers is how long the success of another node's request shows that an upstream
-	// is sound, although one node reports failures.
-	soundFromOthers = time.Second
-	// maxFailedAlike is at how many upstreams that are sound for others a node may fail, without
-	// a success since, until its reports do not count.
-	maxFailedAlike = 2
-)
+// maxFailedAlike is at how many upstreams a node may fail, without a success since, until its
+// reports do not count if others succeed there.
+const maxFailedAlike = 2
 
 // soundReport is a success at an upstream that a node reported.
 type soundReport struct {
@@ -31,47 +25,53 @@
 }
 
 // recordReportedFailure records that another node reported a failure at an upstream, and
-// reports whether it counts. The node's own path may have failed if it is isolated, or if others
-// succeed at the upstream and it fails there alone, or at several of that kind.
+// reports whether it counts. The node's own path may have failed if it is isolated, or fails at
+// several upstreams while others succeed there.
 func (d *dispatcher) recordReportedFailure(n *Node, from NodeID, u *upstream) bool {
 	if m, ok := n.members.byID[from]; ok && m.node.Isolated {
 		return false
 	}
-	if u.failedBy == nil {
-		u.failedBy = Set[NodeID]{}
-	}
-	sound := u.soundForOthers(n.now, from)
-	if sound && d.failsAlike(n, from, u) {
+	if d.failsAlone(n, from, u) {
 		d.withdrawReports(n, from)
 		return false
 	}
-	u.failedBy.Add(from)
-	if sound && len(u.failedBy) == 1 {
-		return false
+	if u.failedBy == nil {
+		u.failedBy = Set[NodeID]{}
 	}
+	u.failedBy.Add(from)
 	u.recordFailure(n.now)
 	return true
 }
 
-// soundForOthers reports whether a request of a node other than from has just succeeded at the
-// upstream.
-func (u *upstream) soundForOthers(now Instant, from NodeID) bool {
-	return slices.ContainsFunc(u.soundBy[:], func(r soundReport) bool {
-		return r.from != "" && r.from != from && now.Sub(r.at) < soundFromOthers
-	})
-}
-
-// failsAlike records that a node fails at an upstream at which others succeed, and reports
-// whether it does so at several.
-func (d *dispatcher) failsAlike(n *Node, from NodeID, u *upstream) bool {
+// failsAlone records that a node fails at an upstream, and reports whether it fails at several
+// and others have succeeded at one of them since.
+func (d *dispatcher) failsAlone(n *Node, from NodeID, u *upstream) bool {
 	failed, ok := d.failedAt[from]
 	if !ok {
 		failed = map[EngineID]Instant{}
 		d.failedAt[from] = failed
 	}
-	failed[u.ID] = n.now
 	maps.DeleteFunc(failed, func(_ EngineID, at Instant) bool { return n.now.Sub(at) > failureWindow })
-	return len(failed) >= maxFailedAlike
+	if _, known := failed[u.ID]; !known {
+		failed[u.ID] = n.now
+	}
+	if len(failed) < maxFailedAlike {
+		return false
+	}
+	for id, at := range failed {
+		if u, ok := n.forward.upstreams.byID[id]; ok && u.soundForOthers(from, at) {
+			return true
+		}
+	}
+	return false
+}
+
+// soundForOthers reports whether a request of a node other than from has succeeded at the
+// upstream since an instant.
+func (u *upstream) soundForOthers(from NodeID, since Instant) bool {
+	return slices.ContainsFunc(u.soundBy[:], func(r soundReport) bool {
+		return r.from != "" && r.from != from && r.at > since
+	})
 }
 
 // withdrawReports takes back the failures that only the given node reported.
