--- a/core/addresses.go
+++ b/core/addresses.go
@@ -194,7 +194,13 @@
 		Checks:       n.checks.checked,
 		Violations:   n.checks.violated,
 	}
-	s.Node.Leaving = n.leaving
+	s.Node.Leaving, s.Node.Isolated = n.leaving, n.isolation.isolated
+	if n.isolation.isolated {
+		s.Isolated = Some(n.now.Sub(n.isolation.since))
+		for _, r := range n.relayChoice.sent.Relays {
+			s.Relays = append(s.Relays, r.Node)
+		}
+	}
 	snapshot := n.config.folded.Snapshot()
 	s.Profiles, s.Pools = snapshot.Profiles, snapshot.Pools
 	for _, id := range sortedKeys(n.members.byID) {
--- a/core/status.go
+++ b/core/status.go
@@ -19,6 +19,10 @@
 	Upstreams    []UpstreamStatus
 	Requests     int
 	Leaving      bool
+	// Isolated is for how long the node has been unable to connect to upstreams; None if it
+	// can. Relays are the nodes through which it connects then.
+	Isolated Option[time.Duration]
+	Relays   []NodeID
 	// Limits are the limits on requests that upstreams have named and that are in force.
 	Limits []LimitStatus
 	// Suspects is how many parts of prompts and whole requests are suspected of ending
--- a/daisyctl/command/status.go
+++ b/daisyctl/command/status.go
@@ -88,8 +88,11 @@
 
 func nodeRow(s core.Status, highest core.Offset) []string {
 	state := "serving"
-	if s.Leaving {
+	switch {
+	case s.Leaving:
 		state = "leaving"
+	case s.Node.Isolated:
+		state = "isolated"
 	}
 	log := "unreachable"
 	if s.LogReachable {
--- a/daisyctl/command/watch.go
+++ b/daisyctl/command/watch.go
@@ -113,6 +113,7 @@
 	out[node+"offset"] = fmt.Sprint(s.ConfigOffset)
 	out[node+"log reachable"] = yesNo(s.LogReachable)
 	out[node+"leaving"] = yesNo(s.Leaving)
+	out[node+"isolated"] = yesNo(s.Node.Isolated)
 	out[node+"violations"] = fmt.Sprint(total(s.Violations))
 	for _, m := range s.Members {
 		out[node+"believes "+string(m.Node.ID)] = m.Status.String()
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -15,6 +15,7 @@
 	m.setGauge("config_age_seconds", s.ConfigAge.Seconds())
 	m.setGauge("log_reachable", boolValue(s.LogReachable))
 	m.setGauge("leaving", boolValue(s.Leaving))
+	m.setGauge("isolated", boolValue(s.Node.Isolated))
 	m.setGauge("requests_in_progress", float64(s.Requests))
 	m.setGauge("upstreams", float64(len(s.Upstreams)))
 	m.setGauge("publications_rejected", float64(len(s.Rejected)))
