--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -126,3 +126,56 @@
 		is.True(!n.paths.relays.First)
 	}
 }
+
+// Relays that die, freeze or are cut off themselves, and partitions that begin again and end
+// while nodes find out, must not keep isolated nodes from serving.
+func TestIsolatedNodesServeWhileRelaysFail(t *testing.T) {
+	faults := map[string]func(w *cutWorld, i int, sound []*worldNode){
+		"relays die":    func(w *cutWorld, i int, sound []*worldNode) { w.killRelay(sound[i]) },
+		"relays freeze": func(w *cutWorld, i int, sound []*worldNode) { w.freeze(sound[i].node.Self.ID, 1500*time.Millisecond) },
+		"relays leave":  func(_ *cutWorld, i int, sound []*worldNode) { sound[i].deliver(core.Shutdown{}) },
+		"relays are cut off": func(w *cutWorld, i int, sound []*worldNode) {
+			w.cutOff(hang, 3*time.Second, func(n *worldNode) bool { return n == sound[i] })
+		},
+		"partitions come back": func(w *cutWorld, _ int, _ []*worldNode) {
+			w.cutOff(uncut, 0, w.isCut)
+			w.after(400*time.Millisecond, func() { w.cutOff(reset, 30*time.Second, w.isCut) })
+		},
+	}
+	for name, fault := range faults {
+		for seed := range uint64(3) {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				w := newCutWorld(16, seed+1, 0.5)
+				var sound []*worldNode
+				for _, n := range w.nodes {
+					if !w.isCut(n) {
+						sound = append(sound, n)
+					}
+				}
+				w.pick = func() *worldNode {
+					for {
+						if n := w.nodes[w.rng.IntN(len(w.nodes))]; !n.killed && !n.frozen && n.closedAt == 0 {
+							return n
+						}
+					}
+				}
+				w.loadAll(24 * time.Second)
+				w.run(2 * time.Second)
+				w.cutOff(hang, 30*time.Second, w.isCut)
+				w.run(contactTime)
+				began := w.now
+				for i := range 4 {
+					fault(w, i, sound)
+					w.run(4 * time.Second)
+				}
+				until := w.now
+				w.run(20 * time.Second)
+				cut, others := w.shares(began, until)
+				t.Logf("served: cut off %.3f, others %.3f", cut, others)
+				is.True(cut >= 0.95*others)
+				is.True(others >= 0.95)
+			})
+		}
+	}
+}
