--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -75,8 +75,16 @@
 		share float64
 		how   worldCut
 	}{
-		{8, 0.4, hang}, {8, 0.6, reset}, {8, 0.75, refuse}, {8, 0.6, hang}, {8, 0.75, hang},
-		{8, wholeDomain, refuse}, {82, wholeDomain, refuse}, {82, 0.6, hang}, {82, 0.75, reset}, {410, 0.6, hang},
+		{8, 0.4, hang},
+		{8, 0.6, reset},
+		{8, 0.75, refuse},
+		{8, 0.6, hang},
+		{8, 0.75, hang},
+		{8, wholeDomain, refuse},
+		{82, wholeDomain, refuse},
+		{82, 0.6, hang},
+		{82, 0.75, reset},
+		{410, 0.6, hang},
 	} {
 		t.Run(fmt.Sprintf("%d nodes, %.2f, %d", c.nodes, c.share, c.how), func(t *testing.T) {
 			is := is.New(t)
