--- a/bench/hosted/harm_string.go
+++ b/bench/hosted/harm_string.go
@@ -10,17 +10,20 @@
 	var x [1]struct{}
 	_ = x[nodeKilled-0]
 	_ = x[nodeFrozen-1]
-	_ = x[nodeStopped-2]
-	_ = x[workerCrashed-3]
-	_ = x[workerFrozen-4]
-	_ = x[workerExpired-5]
-	_ = x[workerSilent-6]
-	_ = x[linkHarmed-7]
+	_ = x[nodeCutOff-2]
+	_ = x[nodeStranded-3]
+	_ = x[nodeStopped-4]
+	_ = x[workerCrashed-5]
+	_ = x[workerFrozen-6]
+	_ = x[workerExpired-7]
+	_ = x[workerSilent-8]
+	_ = x[linkHarmed-9]
+	_ = x[storeHarmed-10]
 }
 
-const _harmKind_name = "killedfrozenstoppedcrashedfrozenexpiredsilentlink harmed"
+const _harmKind_name = "killedfrozencut offstrandedstoppedcrashedfrozenexpiredsilentlink harmedstore harmed"
 
-var _harmKind_index = [...]uint8{0, 6, 12, 19, 26, 32, 39, 45, 56}
+var _harmKind_index = [...]uint8{0, 6, 12, 19, 27, 34, 41, 47, 54, 60, 71, 83}
 
 func (i harmKind) String() string {
 	idx := int(i) - 0
--- a/core/forward.go
+++ b/core/forward.go
@@ -30,6 +30,9 @@
 	// forwardPrefilling requests wait for a prefill engine to compute the
 	// prompt's KV cache.
 	forwardPrefilling
+	// forwardVerifying requests wait until it is known which incarnation of their upstream is at
+	// the other end of a held connection.
+	forwardVerifying
 	// forwardRunning requests were sent to an upstream that runs them.
 	forwardRunning
 	// forwardResponding requests have sent part of the answer to their caller.
@@ -66,11 +69,19 @@
 	prefillAtDecode bool
 
 	// version is the version that the request's stream is bound to, once it has begun or if its
-	// caller resumes it. lookup is the search for it, and reported is set once the version was
-	// reported to other nodes.
-	version  Option[SoftwareVersion]
-	lookup   *versionLookup
-	reported bool
+	// caller resumes it. lookup is the search for it, keepers are the other nodes that were
+	// notified of it, and logged is set once it was sent to be appended to the store.
+	version Option[SoftwareVersion]
+	lookup  *versionLookup
+	keepers Set[NodeID]
+	logged  bool
+	// origin is the upstream that began the stream; nil if none did for this node, or if it is
+	// verified that the stream is of its listed version.
+	origin *streamOrigin
+	// hold is the connection that the upstream of a stream which has begun is to be reached on;
+	// nil if there is none. holds counts those of the request.
+	hold  *heldConnection
+	holds HoldNumber
 
 	decode *upstream
 	lease  LeaseID
@@ -184,7 +195,7 @@
 	s.state, s.stateKnown = d, true
 	s.routes = newRouteTable(d.Routes)
 	clear(s.versions.longest)
-	n.do(LimitBodies{Bytes: d.Limits.BodyBytes})
+	n.do(LimitCallers{d.Limits})
 	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
@@ -198,7 +209,8 @@
 // because the list may bring room for waiting requests.
 func (s *forwards) applyInstances(n *Node, list InstanceList) {
 	before := len(s.upstreams.byID)
-	s.upstreams.replaceAll(list)
+	s.upstreams.replaceAll(list, &n.feed)
+	s.checkOrigins(n)
 	if s.versions.observeList(n, s.upstreams.byID) {
 		s.versionsChanged(n)
 	}
@@ -384,7 +396,7 @@
 		return
 	}
 	f.emitted = true
-	s.streamBegan(n, f, m.Send)
+	s.streamBegan(n, f, m.Send, m.OpenFor)
 	s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
 	f.goneOn++
 	s.endSilence(n, f, m.Send)
@@ -432,7 +444,9 @@
 // close removes a request and releases what it holds.
 func (s *forwards) close(n *Node, f *forwardedRequest) {
 	delete(s.live, f.ID)
+	s.doubt(n, f)
 	s.dequeue(f)
+	s.endLookup(f)
 	s.release(n, f)
 	if f.silent != nil {
 		s.releaseSilentRun(n, f, RunUnknown)
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -8,6 +8,9 @@
 	"daisyshed.dev/core"
 )
 
+// maxResumptions is how often a caller resumes a stream.
+const maxResumptions = 4
+
 // worldRequest is one attempt of a caller.
 type worldRequest struct {
 	node         *worldNode
@@ -37,6 +40,12 @@
 	resumes string
 	version core.SoftwareVersion
 	mixed   bool
+	// held is the incarnation at the other end of the connection that is held for the request.
+	held core.EngineCrash
+	// resumedAs is the next attempt to resume the stream; nil if there is none. resumptions
+	// counts those before.
+	resumedAs   *worldRequest
+	resumptions int
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
@@ -82,6 +91,10 @@
 		w.rejections++
 		w.waitedInVain += w.now.Sub(r.arrived)
 	}
+	if notRun && retryAfter > 0 && r.resumes != "" && r.resumptions < maxResumptions {
+		w.after(retryAfter, func() { w.sendResumed(r) })
+		return
+	}
 	if notRun && retryAfter > 0 && !r.retried {
 		w.after(retryAfter, func() {
 			w.key = r.key
@@ -94,6 +107,9 @@
 	} else {
 		w.failed++
 	}
+	if w.resumes && r.resumes != "" && !notRun {
+		w.after(linkDelay, func() { w.resumed = append(w.resumed, w.requests[w.sendResumed(r)]) })
+	}
 }
 
 // sendRequest sends a caller's request to a random node.
--- a/core/forward_world_path_test.go
+++ b/core/forward_world_path_test.go
@@ -219,8 +219,8 @@
 	})
 }
 
-// cutOff partitions nodes from all upstreams for a time.
-func (w *hostedWorld) cutOff(how worldCut, d time.Duration, which func(*worldNode) bool) {
+// cutUpstreams partitions nodes from all upstreams for a time.
+func (w *hostedWorld) cutUpstreams(how worldCut, d time.Duration, which func(*worldNode) bool) {
 	for _, n := range w.nodes {
 		if !which(n) {
 			continue
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// feedReaders is how many nodes read the upstreams' entries from the store on
@@ -51,24 +54,33 @@
 type ReadInstances struct {
 	Whole bool
 	After Offset
+	// Started is when the read was started.
+	Started Instant
 }
 
 // InstancesRead answers ReadInstances with the entries that were changed or removed.
 // More is set if the store has later ones. Era is the store's era of the entries and of
-// Offset.
+// Offset. Whole, After and Started are those of the read.
 type InstancesRead struct {
 	Whole   bool
 	More    bool
 	After   Offset
+	Started Instant
 	Era     StoreEra
 	Offset  Offset
 	Changed []Instance
 	Removed []EngineID
+	// Versions are those of all records read, also of ones that later records replace.
+	Versions []ServiceVersion
 }
 
 // InstancesReadFailed reports that reading the entries failed. Compacted is set if the
 // store no longer has the changes after the offset, so that all entries must be read.
-type InstancesReadFailed struct{ Compacted bool }
+type InstancesReadFailed struct {
+	Compacted bool
+	// Started is that of the read.
+	Started Instant
+}
 
 // InstancesChanged forwards to other nodes the changes that a reader read: those after
 // the offset After, up to the offset Offset, both of the store's era Era.
@@ -78,6 +90,9 @@
 	Offset  Offset
 	Changed []Instance
 	Removed []EngineID
+	// Passed are versions that upstreams may have had since After and that are not in the
+	// sender's list.
+	Passed []ServiceVersion
 	// ConfigOffset and Proof are as in Heartbeat.
 	ConfigOffset Offset
 	Proof        StateProof
@@ -110,10 +125,12 @@
 	expiring map[EngineID]Instant
 	// position is where the list is up to date, and latestEra the store's latest era
 	// that this node knows of.
-	position     feedPosition
-	latestEra    StoreEra
-	loaded       bool
-	readInFlight bool
+	position  feedPosition
+	latestEra StoreEra
+	loaded    bool
+	// reads are the instants at which the reads in flight were started.
+	reads []Instant
+	proof listProof
 	// changedAt and removedAt are the positions at which entries were last changed and
 	// removed. They are complete for all changes after historyStart. left holds the
 	// incarnations of those in removedAt that were draining before.
@@ -127,8 +144,9 @@
 	queriedAt     Instant
 	// readAt is when this node last read the store, and updatedAt when its list was
 	// last brought up to date, by its own read or by a peer.
-	readAt    Instant
-	updatedAt Instant
+	readAt Instant
+	// updatedBefore is the update before that one.
+	updatedAt, updatedBefore Instant
 	// storeUnreachable is set while reads of the store fail, and outageAt is the time of
 	// the last failed read or, after an outage, of the first successful one.
 	storeUnreachable bool
@@ -184,14 +202,31 @@
 
 // read starts a read of the store unless one is in flight.
 func (s *instanceFeed) read(n *Node) {
-	if s.readInFlight {
-		return
+	if len(s.reads) == 0 {
+		s.startRead(n)
+	}
+}
+
+// startRead starts a read unless too many are in flight, and reports whether it did.
+func (s *instanceFeed) startRead(n *Node) bool {
+	if len(s.reads) >= feedMaxReads {
+		return false
 	}
 	// A node that lacks more records than there are entries gets them sooner by
 	// reading all entries.
 	s.readAll = s.readAll || s.missedRecords > Offset(len(s.entries))
-	s.readInFlight, s.readAt = true, n.now
-	n.do(ReadInstances{Whole: s.readAll, After: s.position.offset})
+	s.reads = append(s.reads, n.now)
+	s.readAt = n.now
+	n.do(ReadInstances{Whole: s.readAll, After: s.position.offset, Started: n.now})
+	return true
+}
+
+// readAnswered removes a read from those in flight.
+func (s *instanceFeed) readAnswered(started Instant) {
+	if len(s.reads) > 0 {
+		i := max(slices.Index(s.reads, started), 0)
+		s.reads = slices.Delete(s.reads, i, i+1)
+	}
 }
 
 // handleEra handles a new era of the store, which was restored from a copy: records that
@@ -222,7 +257,7 @@
 
 // applyRead applies the result of this node's read, and forwards the changes.
 func (s *instanceFeed) applyRead(n *Node, m InstancesRead) {
-	s.readInFlight = false
+	s.readAnswered(m.Started)
 	if s.storeUnreachable {
 		s.storeUnreachable, s.outageAt = false, n.now
 	}
@@ -230,18 +265,25 @@
 		m.Era = s.latestEra
 	}
 	s.handleEra(n, m.Era)
+	n.forward.notePassed(n, m.Versions)
 	to := feedPosition{m.Era, m.Offset}
 	switch {
 	case m.Era < s.latestEra:
 		// The store was restored while this read was in flight.
 		s.readAll = true
+		s.notProved(n, m.Started)
 		return
 	case !m.Whole && s.loaded && (m.Era != s.position.era || m.After > s.position.offset):
 		// The offset from which the store was read is of an earlier era.
 		s.readAll = true
-		s.read(n)
+		s.startRead(n)
+		return
+	case m.Whole && m.Started < s.proof.at:
+		// A later read was answered before.
 		return
 	case !m.Whole && to.before(s.position):
+		// A peer has forwarded later changes meanwhile.
+		s.readEnded(n, m)
 		return
 	}
 	s.readAll = false
@@ -257,16 +299,27 @@
 		s.outageAt, s.historyStart = n.now, to
 		changed = s.withoutStale(changed)
 	}
+	if m.Whole && s.loaded {
+		n.forward.versions.restartWatch(n)
+	}
 	forward := !m.Whole && n.readerRank() < feedReaders+feedBackupReaders
 	s.apply(n, to, changed, removed)
-	if m.More {
-		s.read(n)
-	}
 	if forward {
 		n.broadcast(InstancesChanged{
-			Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed, ConfigOffset: n.stateOffset(), Proof: n.stateProof(),
+			Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed, Passed: n.forward.versions.notServing(m.Versions),
+			ConfigOffset: n.stateOffset(), Proof: n.stateProof(),
 		})
 	}
+	s.readEnded(n, m)
+}
+
+// readEnded continues a read of which the store has more, and otherwise records what it proves.
+func (s *instanceFeed) readEnded(n *Node, m InstancesRead) {
+	if m.More {
+		s.startRead(n)
+		return
+	}
+	s.proved(n, m.Started)
 }
 
 // withoutStale returns the entries of a restored store without what this node knows to be
@@ -317,13 +370,16 @@
 // readFailed handles a failed read: it reads all entries if the changes were compacted,
 // and otherwise records an outage of the store.
 func (s *instanceFeed) readFailed(n *Node, m InstancesReadFailed) {
-	s.readInFlight = false
+	s.readAnswered(m.Started)
 	if m.Compacted {
 		s.readAll = true
-		s.read(n)
+		s.startRead(n)
 		return
 	}
-	s.storeUnreachable, s.outageAt = true, n.now
+	if s.proof.readAt == 0 || m.Started != s.proof.readAt {
+		s.storeUnreachable, s.outageAt = true, n.now
+	}
+	s.notProved(n, m.Started)
 }
 
 // handleChanges applies the changes that a reader forwarded. If they start after this
@@ -347,7 +403,8 @@
 		}
 		return
 	}
-	s.updatedAt = n.now
+	s.updated(n)
+	n.forward.notePassed(n, m.Passed)
 	if m.Offset > s.position.offset {
 		s.apply(n, feedPosition{m.Era, m.Offset}, m.Changed, m.Removed)
 	}
@@ -359,7 +416,7 @@
 	if !s.loaded || m.Era != s.position.era || after.before(s.historyStart) || s.position.before(after) {
 		return
 	}
-	missed := InstancesChanged{Era: m.Era, After: m.After, Offset: s.position.offset}
+	missed := InstancesChanged{Era: m.Era, After: m.After, Offset: s.position.offset, Passed: n.forward.versions.notServing(sortedVersions(n.forward.versions.seen))}
 	for _, id := range sortedKeys(s.changedAt) {
 		if after.before(s.changedAt[id]) {
 			missed.Changed = append(missed.Changed, s.entries[id])
@@ -419,12 +476,20 @@
 		delete(s.entries, id)
 	}
 	firstList := !s.loaded
-	s.loaded, s.position, s.updatedAt = true, to, n.now
+	s.loaded, s.position = true, to
+	s.updated(n)
 	if firstList || len(changed)+len(removed) > 0 {
 		s.publish(n)
 	}
 }
 
+// updated records that the list has just been brought up to date.
+func (s *instanceFeed) updated(n *Node) {
+	if n.now > s.updatedAt {
+		s.updatedAt, s.updatedBefore = n.now, s.updatedAt
+	}
+}
+
 // removeExpired removes entries that were not renewed in time after an outage.
 func (s *instanceFeed) removeExpired(n *Node) {
 	changed := false
--- a/core/node.go
+++ b/core/node.go
@@ -212,6 +212,10 @@
 		n.forward.upstreams.handleSignal(n, m)
 	case VersionsRead:
 		n.forward.versions.record.handleRead(n, m)
+	case StreamsAppended:
+		n.forward.versions.log.handleAppended(n, m)
+	case StreamsRead:
+		n.forward.handleStreamsRead(n, m)
 	case VersionRecorded:
 		n.forward.versions.record.handleRecorded(m)
 	case StoreEraObserved:
@@ -236,6 +240,10 @@
 		n.forward.handleStepRefused(n, m)
 	case StepFailed:
 		n.forward.handleStepFailed(n, m)
+	case ConnectionHeld:
+		n.forward.handleConnectionHeld(n, m)
+	case ConnectionNotHeld:
+		n.forward.handleConnectionNotHeld(n, m)
 	case ForwardStalled:
 		n.forward.handleStalled(n, m)
 	case ForwardContinued:
--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -92,7 +92,7 @@
 			w.loadAll(3*time.Second + 2*cutTime)
 			w.run(3 * time.Second)
 			began, messages := w.now, w.peerMessages()
-			w.cutOff(c.how, cutTime, w.isCut)
+			w.cutUpstreams(c.how, cutTime, w.isCut)
 			w.run(cutTime)
 			perSecond := float64(w.peerMessages()-messages) / cutTime.Seconds() / float64(c.nodes)
 			w.run(25 * time.Second)
@@ -124,7 +124,7 @@
 	w := newCutWorld(8, 1, 0.6)
 	w.loadAll(longCut)
 	w.run(time.Second)
-	w.cutOff(hang, longCut, w.isCut)
+	w.cutUpstreams(hang, longCut, w.isCut)
 	w.run(longCut - time.Second)
 	for _, n := range w.nodes {
 		is.Equal(n.paths.relays.First, w.isCut(n))
--- a/daisyshed/control/executor.go
+++ b/daisyshed/control/executor.go
@@ -29,6 +29,13 @@
 	ReadInstances(c core.ReadInstances)
 	// Ready makes readiness checks succeed.
 	Ready()
+	// AppendStreams appends to the store which versions began streams. It does not block.
+	AppendStreams(c core.AppendStreams)
+	// ReadStreams reads from the store which versions began streams. It does not block.
+	ReadStreams(c core.ReadStreams)
+	// ReadVersions reads the versions of upstreams that are recorded in the store. It does not
+	// block.
+	ReadVersions()
 	// RecordVersion records in the store which versions of upstreams serve. It does not block.
 	RecordVersion(c core.RecordVersion)
 	// RenewStateRead renews a waiting read of the desired state. It does not block.
@@ -36,8 +43,6 @@
 	// ObserveAnswers sets whether the core gets a message for each answer of an upstream. It
 	// does not block.
 	ObserveAnswers(c core.ObserveAnswers)
-	// LimitBodies sets the largest body that later requests may have. It does not block.
-	LimitBodies(c core.LimitBodies)
 	// UseRelays sets the nodes through which connections to upstreams are opened. It does not
 	// block.
 	UseRelays(c core.UseRelays)
@@ -47,6 +52,9 @@
 	// They do not block.
 	OpenRelay(c core.OpenRelay)
 	RejectRelay(c core.RejectRelay)
+	// LimitCallers sets the limits of later requests and of callers' connections. It does not
+	// block.
+	LimitCallers(c core.LimitCallers)
 	// NotReady makes readiness checks fail until the next Ready.
 	NotReady()
 	// StopAccepting stops accepting callers' connections.
@@ -144,14 +152,20 @@
 		e.Runtime.ReadInstances(c)
 	case core.NodeReady:
 		e.Runtime.Ready()
+	case core.AppendStreams:
+		e.Runtime.AppendStreams(c)
+	case core.ReadStreams:
+		e.Runtime.ReadStreams(c)
+	case core.ReadVersions:
+		e.Runtime.ReadVersions()
 	case core.RecordVersion:
 		e.Runtime.RecordVersion(c)
 	case core.RenewStateRead:
 		e.Runtime.RenewStateRead(c)
 	case core.ObserveAnswers:
 		e.Runtime.ObserveAnswers(c)
-	case core.LimitBodies:
-		e.Runtime.LimitBodies(c)
+	case core.LimitCallers:
+		e.Runtime.LimitCallers(c)
 	case core.NodeNotReady:
 		e.Runtime.NotReady()
 	case core.StopAccepting:
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -34,6 +34,9 @@
 	// runtime gets as its own limit. The rest is for stacks, sockets and kernel
 	// memory.
 	memoryShare = 0.7
+	// bodyShare is the fraction of the process's memory limit that the bodies of callers'
+	// requests may hold. Garbage, buffers of connections and answers need the rest.
+	bodyShare = 0.25
 	// hostedInboxSize is the size of the control goroutine's inbox, in messages.
 	hostedInboxSize = 4096
 	// hostedDialTimeout is the dial timeout for upstreams, peers and the store.
@@ -53,12 +56,16 @@
 	// hostedHeaderBytes bounds the headers of callers' requests from the start,
 	// when the desired state with the operators' limits is not known yet.
 	hostedHeaderBytes = 64 << 10
-	// hostedHeaderTimeout is the timeout for reading a request's headers, and
-	// hostedIdleTimeout that of idle connections from callers. Both are longer than
-	// the values that operators set, so that callers that keep to those are
-	// never disconnected.
+	// hostedHeaderTimeout is the timeout for reading a request's headers. It is longer than
+	// the values that operators set, so that callers that keep to those are never
+	// disconnected. hostedIdleTimeout is that of idle connections; operators set a shorter
+	// one for callers.
 	hostedHeaderTimeout = 10 * time.Second
 	hostedIdleTimeout   = 5 * time.Minute
+	// callerFileShare is the fraction of the process's descriptors that callers' connections
+	// may use. The others are for upstreams, peers and the store: a node that cannot open
+	// these serves nobody.
+	callerFileShare = 0.6
 	// queryReadTimeout bounds the time to read the body of a readiness check, a query or a
 	// scrape, which needs none, and queryWriteTimeout that to write the response.
 	queryReadTimeout  = time.Second
@@ -83,6 +90,8 @@
 	settingsText []byte
 	// advertisedPeer is the address to which other nodes connect.
 	advertisedPeer string
+	// source is the local address of connections; nil leaves it to the system.
+	source net.Addr
 	// disabled has the mechanisms that --without disables.
 	disabled core.Set[core.Mechanism]
 	// invalidRetryAfter logs the first invalid retry delay of an upstream, and invalidLimit
@@ -104,6 +113,8 @@
 	upstreams    *upstream.Client
 	watcher      *store.Watcher
 	callerServer *http.Server
+	// callerIdle is for how long callers' connections may be idle.
+	callerIdle tcp.IdleTimeout
 	// callerListener is the listener of callerServer; nil until it is open.
 	callerListener net.Listener
 	serveErrors    chan error
@@ -113,7 +124,7 @@
 }
 
 // runHosted runs the daemon on the platform and returns the exit code.
-func runHosted(check bool, advertised string, disabled core.Set[core.Mechanism]) int {
+func runHosted(check bool, advertised string, source net.Addr, disabled core.Set[core.Mechanism]) int {
 	// A signal that arrives while the process starts or exits must not end it, so the handler
 	// comes first and stays.
 	signals := make(chan os.Signal, 4)
@@ -132,7 +143,7 @@
 		return exitOK
 	}
 	limitMemory(s)
-	h, closeHosted := openHosted(s, raw, advertised, disabled)
+	h, closeHosted := openHosted(s, raw, advertised, source, disabled)
 	defer closeHosted()
 	return h.run(path, signals)
 }
@@ -140,9 +151,9 @@
 // openHosted builds the components of a hosted daemon; run opens the
 // listeners. The clean-up function closes the inbox, the connections to peers
 // and upstreams, the metrics and the log.
-func openHosted(s platform.Settings, raw []byte, advertised string, disabled core.Set[core.Mechanism]) (*hosted, func()) {
+func openHosted(s platform.Settings, raw []byte, advertised string, source net.Addr, disabled core.Set[core.Mechanism]) (*hosted, func()) {
 	started := time.Now()
-	h := &hosted{settings: s, settingsText: raw, advertisedPeer: cmp.Or(advertised, s.PeerAddress), disabled: disabled, serveErrors: make(chan error, 8), stopAccepting: make(chan struct{})}
+	h := &hosted{settings: s, settingsText: raw, advertisedPeer: cmp.Or(advertised, s.PeerAddress), source: source, disabled: disabled, serveErrors: make(chan error, 8), stopAccepting: make(chan struct{})}
 	writer, closeWriter := operator.NewLogWriter(os.Stdout, func(n int) { h.metrics.LinesDropped(n) })
 	h.log = zerolog.New(writer).With().Timestamp().Str("Node", string(s.Node)).Logger()
 	metrics, closeMetrics := operator.NewMetrics(func(err error) { h.log.Warn().Str("Event", "Fault").Err(err).Send() })
@@ -171,7 +182,7 @@
 func (h *hosted) build(incarnation core.Incarnation, clock func() core.Instant) {
 	s := h.settings
 	h.upstreams = &upstream.Client{
-		DialTimeout: hostedDialTimeout, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched, OnLimit: h.recordUpstreamLimit,
+		DialTimeout: hostedDialTimeout, LocalAddr: h.source, OnResponse: h.observeUpstream, OnUnmatched: h.recordUnmatched, OnLimit: h.recordUpstreamLimit,
 	}
 	h.ingress = &ingress.Server{
 		Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node,
@@ -187,10 +198,11 @@
 	}
 	h.watcher = &store.Watcher{
 		Store: &platform.Store{
-			Address: s.Store, Timeout: storeTimeout, HTTP: platform.NewStoreClient(hostedDialTimeout), OnLimit: h.recordStoreLimit,
+			Address: s.Store, Timeout: storeTimeout, HTTP: platform.NewStoreClient(&net.Dialer{Timeout: hostedDialTimeout, LocalAddr: h.source}), OnLimit: h.recordStoreLimit,
 		},
 		SendToCore: h.inbox.Send, Log: h.log, Self: h.self(),
 	}
+	h.ingress.LimitMemory(bodyBytes(s))
 	settings := bounds(s).Apply(core.DefaultSettings())
 	h.loop = &control.Loop{
 		Node: &core.Node{
@@ -243,6 +255,15 @@
 // Ready makes readiness checks succeed.
 func (h hostedRuntime) Ready() { h.directory.SetReady(true) }
 
+// AppendStreams appends to the store which versions began streams.
+func (h hostedRuntime) AppendStreams(c core.AppendStreams) { h.watcher.AppendStreams(c) }
+
+// ReadStreams reads from the store which versions began streams.
+func (h hostedRuntime) ReadStreams(c core.ReadStreams) { h.watcher.ReadStreams(c) }
+
+// ReadVersions reads the versions of upstreams that are recorded in the store.
+func (h hostedRuntime) ReadVersions() { h.watcher.ReadVersions() }
+
 // RecordVersion records in the store which versions of upstreams serve.
 func (h hostedRuntime) RecordVersion(c core.RecordVersion) { h.watcher.RecordVersion(c) }
 
@@ -252,8 +273,12 @@
 // ObserveAnswers sets whether answers that say nothing of their upstream are passed on too.
 func (h hostedRuntime) ObserveAnswers(c core.ObserveAnswers) { h.observeAll.Store(c.All) }
 
-// LimitBodies sets the largest body that later requests may have.
-func (h hostedRuntime) LimitBodies(c core.LimitBodies) { h.ingress.LimitBodies(c.Bytes) }
+// LimitCallers sets the largest body that later requests may have, and how long callers'
+// connections may be idle.
+func (h hostedRuntime) LimitCallers(c core.LimitCallers) {
+	h.ingress.LimitBodies(c.BodyBytes)
+	h.callerIdle.Set(c.IdleTimeout)
+}
 
 // NotReady makes readiness checks fail until Ready.
 func (h hostedRuntime) NotReady() { h.directory.SetReady(false) }
@@ -344,14 +369,14 @@
 	return &peer.Transport{
 		Self: h.settings.Node, Incarnation: incarnation, Receive: h.inbox.Send, Meter: h.metrics,
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			var d net.Dialer
+			d := net.Dialer{LocalAddr: h.source}
 			return d.DialContext(ctx, "tcp", address)
 		},
 		Limits: peer.Limits{
 			Queue: peerQueueSize, DialTimeout: hostedDialTimeout, WriteTimeout: peerWriteTimeout, IdleTimeout: peerIdleTimeout,
 			Relayed: h.maxRelayed(), RelayIdle: relayIdleTimeout,
 		},
-		DialUpstream: dialUpstream, Relays: &relayMeter{Metrics: h.metrics, log: h.log},
+		DialUpstream: h.dialUpstream, Relays: &relayMeter{Metrics: h.metrics, log: h.log},
 	}
 }
 
@@ -424,7 +449,11 @@
 		{s.MetricsAddress, h.newQueryServer(h.operators.Handler())},
 	}
 	for _, endpoint := range endpoints {
-		l, err := tcp.Listen(endpoint.address, s.MaxFiles)
+		limit, idle := s.MaxFiles, &tcp.IdleTimeout{}
+		if endpoint.server == h.callerServer {
+			limit, idle = int(callerFileShare*float64(s.MaxFiles)), &h.callerIdle
+		}
+		l, err := tcp.ListenWithIdleTimeout(endpoint.address, limit, idle)
 		if err != nil {
 			return oops.In("daisyshed").With("Node", s.Node).Wrap(err)
 		}
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -49,6 +49,7 @@
 	announceAgain  chan struct{}
 	desiredRenewal renewal
 	nodesRenewal   renewal
+	streams        streamsReader
 	// outage cancels waiting reads once the store has recovered, since they may
 	// wait on connections that broke during the outage.
 	outage outage
@@ -145,6 +146,7 @@
 		if err != nil {
 			return update{}, err
 		}
+		w.logSkipped(t.name, p)
 		t.listed, t.from, t.era = true, p.Next, max(p.Era, known)
 		return update{records: p.Records, snapshot: true, asOf: began}, nil
 	}
@@ -160,6 +162,7 @@
 		return w.read(ctx, t, wait)
 	}
 	t.from = p.Next
+	w.logSkipped(t.name, p)
 	u := update{records: p.Records}
 	if !p.More {
 		u.asOf = t.renewal.receivedAt()
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -74,6 +74,8 @@
 	// Unframed says that the body has neither a length nor chunks, and ends with the
 	// connection.
 	Unframed bool
+	// OpenedAt is when the connection was opened.
+	OpenedAt time.Time
 	// Relay is the node through which the connection goes; empty if it is direct.
 	Relay core.NodeID
 
@@ -138,6 +140,8 @@
 type Client struct {
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
+	// LocalAddr is the local address of connections; nil leaves it to the system.
+	LocalAddr net.Addr
 	// OnResponse is called with the head of each response that belongs to its request.
 	// It may be nil.
 	OnResponse func(key string, status int, h http.Header)
@@ -172,9 +176,12 @@
 type conn struct {
 	net.Conn
 	// r reads from the connection through in.
-	r          *bufio.Reader
-	in         *limitedReader
-	relay      core.NodeID
+	r  *bufio.Reader
+	in *limitedReader
+	// relay is the node through which the connection goes; empty if it is direct.
+	relay core.NodeID
+	// openedAt is when the connection was established, or later.
+	openedAt   time.Time
 	lastUsedAt time.Time
 	idleLimit  time.Duration
 }
@@ -186,13 +193,19 @@
 	if err != nil {
 		return nil, &UnsentError{Cause: err}
 	}
+	return c.do(ctx, cn, r, func(cn *conn, h http.Header) { c.putIdle(r, cn, h) })
+}
+
+// do sends a request on a connection. keep receives the connection, with the head of the
+// response, if it can be used again.
+func (c *Client) do(ctx context.Context, cn *conn, r *Request, keep func(*conn, http.Header)) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		// The connection is discarded, so an error from closing it does not matter.
 		_ = cn.Close()
 		return nil, &UnsentError{Relay: cn.relay, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	response, err := c.roundTrip(cn, r)
+	response, err := c.roundTrip(cn, r, keep)
 	if err != nil {
 		c.reportLimit(r.Key, err)
 		stop()
@@ -206,7 +219,7 @@
 }
 
 // roundTrip writes a request and reads the head of the response.
-func (c *Client) roundTrip(cn *conn, r *Request) (*Response, error) {
+func (c *Client) roundTrip(cn *conn, r *Request, keep func(*conn, http.Header)) (*Response, error) {
 	written := make(chan error, 1)
 	if len(r.Body) <= maxInlineBody {
 		n, err := writeRequest(cn, r)
@@ -215,10 +228,7 @@
 		}
 		written <- err
 	} else {
-		go func() {
-			_, err := writeRequest(cn, r)
-			written <- err
-		}()
+		go func() { written <- writeLongRequest(cn, r) }()
 	}
 	response, err := c.readResponse(cn, r)
 	if err != nil {
@@ -232,14 +242,14 @@
 		c.OnResponse(r.Key, response.StatusCode, response.Header)
 	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
-	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Relay: cn.relay}
+	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, OpenedAt: cn.openedAt, Relay: cn.relay}
 	out.Unframed = response.ContentLength < 0 && !isChunked(response)
 	out.Body = &bodyReader{r: response.Body, response: out}
 	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
 	out.complete = response.ContentLength == 0
 	out.close = func(complete bool) {
 		if complete && reusable && !response.Close && requestWritten(written) && cn.r.Buffered() == 0 {
-			c.putIdle(r, cn, response.Header)
+			keep(cn, response.Header)
 			return
 		}
 		// The connection is discarded, so an error from closing it does not matter.
@@ -310,6 +320,15 @@
 	return cn.Write(buffer)
 }
 
+// writeLongRequest writes a request without a copy of its body.
+func writeLongRequest(cn *conn, r *Request) error {
+	if _, err := cn.Write(encodeHead(r)); err != nil {
+		return err
+	}
+	_, err := cn.Write(r.Body)
+	return err
+}
+
 // bodyReader reads the body of a response and records when it has been read to its end.
 type bodyReader struct {
 	r        io.Reader
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -24,7 +24,7 @@
 		return nil, err
 	}
 	in := &limitedReader{r: o.conn}
-	return &conn{Conn: o.conn, r: bufio.NewReaderSize(in, readBufferSize), in: in, relay: o.relay}, nil
+	return &conn{Conn: o.conn, r: bufio.NewReaderSize(in, readBufferSize), in: in, relay: o.relay, openedAt: time.Now()}, nil
 }
 
 // takeIdle returns the most recently used connection to the upstream that is
@@ -70,6 +70,11 @@
 			cn.idleLimit = time.Duration(idleFraction * float64(d))
 		}
 	}
+	c.addIdle(r, cn)
+}
+
+// addIdle keeps a connection for as long as its idleLimit says, like putIdle.
+func (c *Client) addIdle(r *Request, cn *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := r.poolKey()
@@ -146,9 +151,12 @@
 }
 
 // encodeRequest returns a request as it is written to the connection.
-func encodeRequest(r *Request) []byte {
+func encodeRequest(r *Request) []byte { return append(encodeHead(r), r.Body...) }
+
+// encodeHead returns the request line and the headers as they are written to the connection.
+func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writing to a bytes.Buffer cannot fail.
 	_ = r.Header.Write(&b)
@@ -156,6 +164,5 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -131,6 +131,8 @@
 	// EndsWorker is called with the body of a request when it arrives, and when it begins to
 	// run; running says which. If it returns true, the request gets no answer. It may be nil.
 	EndsWorker func(worker string, body []byte, running bool) bool
+	// OnOrder is called with each order to change the worker's stage. It may be nil.
+	OnOrder func(Order)
 	// OnArrival is called when a request of a caller arrives, whether or not it is run. It may
 	// be nil.
 	OnArrival func(worker string)
@@ -165,6 +167,17 @@
 	At        time.Time
 }
 
+// Order records an order to change a worker's stage.
+type Order struct {
+	Worker string
+	// Born is when this incarnation of the worker started, in Unix milliseconds.
+	Born int64
+	// Holder is the node that sent the order, and Fence the order's fencing number.
+	Holder string
+	Fence  int64
+	At     time.Time
+}
+
 // Worker is one upstream, served by ServeHTTP. Its methods are safe for concurrent
 // use.
 type Worker struct {
@@ -336,6 +349,8 @@
 		w.release(strings.TrimPrefix(r.URL.Path, "/-/hold-drop/"))
 	case strings.HasPrefix(r.URL.Path, "/-/kv-handle/"):
 		// KV caches take up no memory here, so there is nothing to free.
+	case r.URL.Path == "/-/report":
+		writeJSON(rw, map[string]any{"born": w.startedMs})
 	case r.URL.Path == "/-/order":
 		w.setStage(rw, body)
 	case r.Header.Get("Serving-Stage") == Prefill:
@@ -402,7 +417,7 @@
 	w.reservations[id] = request.Tokens
 	w.mu.Unlock()
 	time.AfterFunc(time.Duration(request.TTLMs)*time.Millisecond, func() { w.release(id) })
-	writeJSON(rw, map[string]any{"Hold": id})
+	writeJSON(rw, map[string]any{"Hold": id, "born": w.startedMs})
 }
 
 // release releases a reservation and returns its size in tokens, or zero if there
@@ -418,7 +433,10 @@
 
 // setStage handles an order to change the engine's stage.
 func (w *Worker) setStage(rw http.ResponseWriter, body []byte) {
-	var request struct{ Stage string }
+	var request struct {
+		Stage, Holder string
+		Fence         int64
+	}
 	if json.Unmarshal(body, &request) != nil || request.Stage == "" {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
@@ -426,6 +444,9 @@
 	w.mu.Lock()
 	w.settings.Stage = request.Stage
 	w.mu.Unlock()
+	if w.settings.OnOrder != nil {
+		w.settings.OnOrder(Order{Worker: w.settings.ID, Born: w.startedMs, Holder: request.Holder, Fence: request.Fence, At: time.Now()})
+	}
 	rw.WriteHeader(http.StatusAccepted)
 }
 
@@ -445,7 +466,7 @@
 	if !w.waitWhilePaused(r.Context()) {
 		return
 	}
-	writeJSON(rw, map[string]any{"KvHandle": id, "Tokens": 100, "Version": 1})
+	writeJSON(rw, map[string]any{"KvHandle": id, "Tokens": 100, "Version": 1, "born": w.startedMs})
 }
 
 // run runs a request to a plain service or a decode engine, or rejects it if the
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"time"
 
 	"daisyshed.dev/core"
@@ -73,6 +74,7 @@
 		After: int64(b.After), Era: int64(b.Era), Offset: int64(b.Offset),
 		Changed: convertAll(b.Changed, fromInstance),
 		Removed: convertAll(b.Removed, func(id core.EngineID) string { return string(id) }), ConfigOffset: int64(b.ConfigOffset), Proof: fromStateProof(b.Proof),
+		Passed: fromServiceVersions(b.Passed),
 	}
 }
 
@@ -85,7 +87,7 @@
 		After: core.Offset(b.GetAfter()),
 		Era:   core.StoreEra(b.GetEra()), Offset: core.Offset(b.GetOffset()), Changed: list,
 		Removed: convertAll(b.GetRemoved(), func(id string) core.EngineID { return core.EngineID(id) }), ConfigOffset: core.Offset(b.GetConfigOffset()),
-		Proof: toStateProof(b.GetProof()),
+		Proof: toStateProof(b.GetProof()), Passed: toServiceVersions(b.GetPassed()),
 	}, nil
 }
 
@@ -102,7 +104,7 @@
 		ID: uint64(b.ID), Service: string(b.Group.Service), Index: uint32(b.Group.Index),
 		Prompt: int64(b.Prompt), Expected: int64(b.Expected), MaxOutput: int64(b.MaxOutput), Rank: int64(b.Rank),
 		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective), MaxPauseNanos: int64(b.MaxPause),
-		Prompted: uint64(b.PromptKey), Attempt: b.Attempt, WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: convertAll(b.Avoid, func(id core.EngineID) string { return string(id) }),
+		Prompted: uint64(b.PromptKey), Attempt: strings.ToValidUTF8(b.Attempt, "?"), WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: convertAll(b.Avoid, func(id core.EngineID) string { return string(id) }),
 		Version: fromVersion(b.Version),
 	}
 }
