--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -143,11 +143,11 @@
 		"relays freeze": func(w *cutWorld, i int, sound []*worldNode) { w.freeze(sound[i].node.Self.ID, 1500*time.Millisecond) },
 		"relays leave":  func(_ *cutWorld, i int, sound []*worldNode) { sound[i].deliver(core.Shutdown{}) },
 		"relays are cut off": func(w *cutWorld, i int, sound []*worldNode) {
-			w.cutOff(hang, 3*time.Second, func(n *worldNode) bool { return n == sound[i] })
+			w.cutUpstreams(hang, 3*time.Second, func(n *worldNode) bool { return n == sound[i] })
 		},
 		"partitions come back": func(w *cutWorld, _ int, _ []*worldNode) {
-			w.cutOff(uncut, 0, w.isCut)
-			w.after(400*time.Millisecond, func() { w.cutOff(reset, 30*time.Second, w.isCut) })
+			w.cutUpstreams(uncut, 0, w.isCut)
+			w.after(400*time.Millisecond, func() { w.cutUpstreams(reset, 30*time.Second, w.isCut) })
 		},
 	}
 	for name, fault := range faults {
@@ -170,7 +170,7 @@
 				}
 				w.loadAll(24 * time.Second)
 				w.run(2 * time.Second)
-				w.cutOff(hang, 30*time.Second, w.isCut)
+				w.cutUpstreams(hang, 30*time.Second, w.isCut)
 				w.run(contactTime)
 				began := w.now
 				for i := range 4 {
