Search for the version of a stream for 0.6 s at most

A search that ends well takes milliseconds. It now ends after 0.6 s, and the caller may come back after some 0.15 s.

--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -15,13 +15,13 @@
 	versionQueryTimeout = 150 * time.Millisecond
 	// versionSearchTimeout bounds a search of the store on behalf of another node.
 	versionSearchTimeout = time.Second
-	// lookupShare is the share of a request's time, and of its caller's patience with a gap, for
-	// which the version is searched for.
-	lookupShare   = 0.2
-	patienceShare = 0.5
+	// lookupShare is the share of a request's time for which the version is searched for, up to
+	// maxLookup: the caller needs the rest to go to another node.
+	lookupShare = 0.2
+	maxLookup   = 600 * time.Millisecond
 	// versionRetryAfter is after which time a caller may come back whose stream may be known to
 	// nodes that have not answered.
-	versionRetryAfter = 300 * time.Millisecond
+	versionRetryAfter = 150 * time.Millisecond
 )
 
 // versionLookup is a request's search for the version that began its stream.
@@ -57,11 +57,7 @@
 
 // lookupTime returns for how long the version of the request's stream is searched for.
 func (f *forwardedRequest) lookupTime(now Instant) time.Duration {
-	d := fractionOf(f.timeLeft(now), lookupShare)
-	if f.route.GapPatience > 0 {
-		d = min(d, fractionOf(f.route.GapPatience, patienceShare))
-	}
-	return d
+	return min(fractionOf(f.timeLeft(now), lookupShare), maxLookup)
 }
 
 // queryKeepers starts a round of queries: to nodes that have not been asked, and to those that have
