--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -93,7 +93,7 @@
 		"core/forward.go", "		s.resume(n, f, attempt)\n", "		_ = attempt\n		s.requestPlacement(n, f)\n",
 	}}}},
 	{Rule: "ORDER", Mutant: Mutant{Name: "break-changes-version", Promise: core.AnswerWhole, Edits: []Edit{{
-		"core/stream_version.go", "	f.version = Some(f.versionOf(send))\n", "	_ = send\n",
+		"core/stream_version.go", "	f.version = Some(run.version)\n", "",
 	}}}},
 	{Rule: "ORDER", Mutant: Mutant{Name: "unknown-version-resumed", Promise: core.AnswerWhole, Edits: []Edit{
 		{"core/stream_resume.go", "f.ID)\n	s.queryKeepers(n, f)\n", "f.ID)\n	s.endLookup(f)\n	s.requestPlacement(n, f)\n"},
