--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -50,7 +50,7 @@
 		"platform/upstream.go", "	case h.Get(headerNotRun) != \"\":\n", "	case h.Get(headerNotRun) != \"\" || status == http.StatusServiceUnavailable:\n",
 	}}}},
 	{Rule: "TWICE", Mutant: Mutant{Name: "lost-answer-counts-as-unsent", Promise: core.AtMostOnce, Edits: []Edit{{
-		"daisyshed/upstream/client.go", "return nil, &NoResponseError{Cause: err}", "return nil, &UnsentError{Cause: err}",
+		"daisyshed/upstream/client.go", "return nil, &NoResponseError{Relay: cn.relay, Cause: err}", "return nil, &UnsentError{Relay: cn.relay, Cause: err}",
 	}}}},
 	{Rule: "TWICE", Mutant: Mutant{Name: "failed-run-is-repeated", Promise: core.AtMostOnce, Edits: []Edit{
 		{"core/forward.go", "	default:\n		return f.unprovenRuns() == 0\n", "	default:\n		return true\n"},
