--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -206,6 +206,12 @@
 	}
 }
 
+// cutOff reports whether neither the store nor a reader has reached this node for longer than
+// leaving upstreams may go unnoticed.
+func (s *instanceFeed) cutOff(n *Node) bool {
+	return s.storeUnreachable && n.now.Sub(s.updatedAt) > n.Settings.DrainDelay
+}
+
 // startRead starts a read unless too many are in flight, and reports whether it did.
 func (s *instanceFeed) startRead(n *Node) bool {
 	if len(s.reads) >= feedMaxReads {
--- a/core/stream_origin_test.go
+++ b/core/stream_origin_test.go
@@ -42,3 +42,16 @@
 		is.True(!a.Known)
 	}
 }
+
+// Callers that had resumed streams at a node that was cut off had no time left to go to another.
+func TestNodeThatIsCutOffRejectsResumedStreamsSoon(t *testing.T) {
+	is := is.New(t)
+	h := newWatcher()
+	h.deliver(core.InstancesReadFailed{})
+	h.advance(2 * time.Second)
+	out := append(h.deliver(resuming(1, "first")), h.advance(200*time.Millisecond)...)
+	ends := commandsOf[core.EndForward](out)
+	is.Equal(len(ends), 1)
+	is.True(ends[0].NotRun)
+	is.True(ends[0].RetryAfter > 0)
+}
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -44,7 +44,7 @@
 // placement at that version.
 func (s *forwards) resume(n *Node, f *forwardedRequest, attempt string) {
 	stream := streamKey(attempt)
-	f.lookup = &versionLookup{stream: stream, startedAt: n.now, until: n.now.Add(f.lookupTime(n.now)), asked: Set[NodeID]{}, waiting: Set[NodeID]{}}
+	f.lookup = &versionLookup{stream: stream, startedAt: n.now, until: n.now.Add(f.lookupTime(n)), asked: Set[NodeID]{}, waiting: Set[NodeID]{}}
 	if origin, known := s.versions.recorded(n, stream); known {
 		s.resumeAt(n, f, origin, OriginKept)
 		return
@@ -55,9 +55,14 @@
 	s.queryKeepers(n, f)
 }
 
-// lookupTime returns for how long the version of the request's stream is searched for.
-func (f *forwardedRequest) lookupTime(now Instant) time.Duration {
-	return min(fractionOf(f.timeLeft(now), lookupShare), maxLookup)
+// lookupTime returns for how long the version of the request's stream is searched for: one round
+// of queries by a node that is cut off, as its caller is better off elsewhere.
+func (f *forwardedRequest) lookupTime(n *Node) time.Duration {
+	longest := maxLookup
+	if n.feed.cutOff(n) {
+		longest = versionQueryTimeout
+	}
+	return min(fractionOf(f.timeLeft(n.now), lookupShare), longest)
 }
 
 // queryKeepers starts a round of queries: to nodes that have not been asked, and to those that have
@@ -213,7 +218,7 @@
 	f.phase = forwardAwaitingVersion
 	f.step++
 	step := f.step
-	n.feed.proveAfter(n, f.arrived, f.lookupTime(n.now), func(n *Node, proven bool) {
+	n.feed.proveAfter(n, f.arrived, f.lookupTime(n), func(n *Node, proven bool) {
 		switch {
 		case s.live[f.ID] != f || f.step != step:
 		case !s.versionGone(f):
