Judge a cut stream by the run that was in progress

Trace: its first engine was silent, a second one took over, sent events and crashed 105 ms later, which ends the answer as both runs are used; the first engine began to run the request 211 ms after the end of the attempt. The judge took that for the last run, and its engine had not crashed.

The last run of an attempt is now the one that began last before the attempt ended. A crash of a worker that began later excuses nothing any more.

TestRunAfterTheEndOfAnAttemptIsNotItsLast failed before on both cases and passes.

--- a/bench/hosted/judge_lost.go
+++ b/bench/hosted/judge_lost.go
@@ -188,11 +188,13 @@
 	return false
 }
 
-// lastRun returns the run that began last. The attempt has at least one.
+// lastRun returns the run that began last before the attempt ended, or the first if none did: a worker
+// that was suspended may begin a run when its caller has left. The attempt has at least one.
 func (a *attempt) lastRun() *workerRun {
-	last := a.runs[0]
-	for _, r := range a.runs[1:] {
-		if r.At.After(last.At) {
+	runs := slices.SortedFunc(slices.Values(a.runs), func(r, other *workerRun) int { return r.At.Compare(other.At) })
+	last := runs[0]
+	for _, r := range runs[1:] {
+		if !r.At.After(a.endedAt) {
 			last = r
 		}
 	}
--- a/bench/hosted/judge_test.go
+++ b/bench/hosted/judge_test.go
@@ -292,3 +292,17 @@
 type errorReader struct{}
 
 func (errorReader) Read([]byte) (int, error) { return 0, errBroken }
+
+// A run that a worker begins after the answer was cut says nothing of why (seed 424016).
+func TestRunAfterTheEndOfAnAttemptIsNotItsLast(t *testing.T) {
+	late := hosted.RecordedRun{Worker: "late", From: 1200 * ms, To: 1201 * ms, Cancelled: true}
+	for crashed, violations := range map[string]int{"w": 0, "late": 1} {
+		t.Run(crashed, func(t *testing.T) {
+			r := cutStream()
+			r.Runs = append(r.Runs, late)
+			r.Harms = []hosted.RecordedHarm{{Subject: crashed, Kind: hosted.WorkerCrashed, From: time.Second}}
+			verdict, _ := r.Judge()
+			is.New(t).Equal(len(verdict), violations)
+		})
+	}
+}
