End a worker's limit when it is started again

Trace: the worker was started again under its id, named 12 a second at 13:13:28, and the nodes followed that; the soak still judged it by the limit of the incarnation before.

--- a/bench/hosted/late_list.go
+++ b/bench/hosted/late_list.go
@@ -134,6 +134,7 @@
 		return
 	}
 	end := d.judge.beginHarm(id, workerCrashed)
+	d.limits.endAll(id)
 	close(m.stopHeartbeat)
 	m.stop()
 	beat := time.Duration(d.rng.Int64N(int64(heartbeatInterval)))
--- a/bench/hosted/limits.go
+++ b/bench/hosted/limits.go
@@ -53,10 +53,26 @@
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		t.end()
+	}
+}
+
+// end ends the time unless it has ended.
+func (t *limitTime) end() {
+	if t.to.IsZero() {
 		t.to = time.Now()
 	}
 }
 
+// endAll ends the limits that a worker names: it is started again and names none.
+func (r *limitRecord) endAll(worker string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.times[worker] {
+		t.end()
+	}
+}
+
 // violations returns the spans in which a worker got more than its limit allows.
 func (r *limitRecord) violations() []string {
 	r.mu.Lock()
