--- a/bench/cmd/mutants/hosted.go
+++ b/bench/cmd/mutants/hosted.go
@@ -30,8 +30,13 @@
 	if err := build.Run(); err != nil {
 		return "", err
 	}
-	for i := range o.Seeds {
-		result, err := hosted.Run(program, o.Seed+uint64(i), hostedLength, hosted.DefaultSize)
+	size, seeds := hosted.DefaultSize, m.Seeds
+	size.Faults = m.Faults
+	for i := 0; i < o.Seeds && len(m.Seeds) == 0; i++ {
+		seeds = append(seeds, o.Seed+uint64(i))
+	}
+	for _, seed := range seeds {
+		result, err := hosted.Run(program, seed, hostedLength, size)
 		if err != nil {
 			return "", err
 		}
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -8,8 +8,15 @@
 	Mutant
 	// Rule is the rule that the soak's judge must find broken.
 	Rule string
+	// Faults selects faults of the soak as hosted.Size does, and Seeds the seeds to try; those of the
+	// command line if there are none.
+	Faults []string
+	Seeds  []uint64
 }
 
+// lateSeeds are seeds of the soak that begin with a node that is cut off during a release.
+var lateSeeds = []uint64{421112, 421127, 421147, 421162, 421172, 421177, 421187}
+
 // The edits that remove the ingress server's own checks, which would prevent what a
 // mutant of the core does.
 var (
@@ -98,6 +105,10 @@
 	{Rule: "ORDER", Mutant: Mutant{Name: "unknown-version-resumed", Promise: core.AnswerWhole, Edits: []Edit{
 		{"core/stream_resume.go", "f.ID)\n	s.queryKeepers(n, f)\n", "f.ID)\n	s.endLookup(f)\n	s.requestPlacement(n, f)\n"},
 	}}},
+	{Rule: "ORDER", Faults: []string{"nothing else"}, Seeds: lateSeeds, Mutant: Mutant{Name: "sole-version-without-proof", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/stream_search.go", "	n.feed.proveAfter(n, at, timeout, func(n *Node, proven bool) {\n",
+		"	withoutProof := func(then func(*Node, bool)) { then(n, true) }\n	withoutProof(func(n *Node, proven bool) {\n",
+	}}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/crash_suspects.go", "	for _, key := range blocked {\n", "	blocked = nil\n	for _, key := range blocked {\n",
 	}}}},
