--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -17,6 +17,9 @@
 // lateSeeds are seeds of the soak that begin with a node that is cut off during a release.
 var lateSeeds = []uint64{421112, 421127, 421147, 421162, 421172, 421177, 421187}
 
+// strandedSeeds are seeds of the soak for nodes that reach no upstream.
+var strandedSeeds = []uint64{422005, 422006, 422008, 422009}
+
 // The edits that remove the ingress server's own checks, which would prevent what a
 // mutant of the core does.
 var (
@@ -109,6 +112,12 @@
 		"core/stream_search.go", "	n.feed.proveAfter(n, at, timeout, func(n *Node, proven bool) {\n",
 		"	withoutProof := func(then func(*Node, bool)) { then(n, true) }\n	withoutProof(func(n *Node, proven bool) {\n",
 	}}}},
+	{Rule: "RECOVER", Faults: []string{"stranded"}, Seeds: strandedSeeds, Mutant: Mutant{Name: "no-relays", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/relay_choice.go", "	use := UseRelays{Relays: c.usable(n), First: n.isolation.isolated}\n", "	use := UseRelays{}\n",
+	}}}},
+	{Rule: "RECOVER", Faults: []string{"stranded"}, Seeds: strandedSeeds, Mutant: Mutant{Name: "isolated-owners-stay", Promise: core.AnswerWhole, Edits: []Edit{{
+		"core/dispatch_group.go", "n.isolation.isolated; !isolated {\n", "n.isolation.isolated; !isolated || true {\n",
+	}}}},
 	{Rule: "BUDGET", Mutant: Mutant{Name: "ends-of-engines-forgotten", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/crash_suspects.go", "	for _, key := range blocked {\n", "	blocked = nil\n	for _, key := range blocked {\n",
 	}}}},
