Free a worker's address before it is started again

A worker that is started again under its id may be down for no time at all, and its listener was closed but not yet released by the goroutine that accepts.

--- a/bench/hosted/proxy.go
+++ b/bench/hosted/proxy.go
@@ -57,9 +57,15 @@
 		return nil, nil, err
 	}
 	p := &proxy{target: target, listener: l, open: map[net.Conn]struct{}{}, usedAt: map[net.Conn]time.Time{}, hung: map[net.Conn]bool{}}
-	go p.serve()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		p.serve()
+	}()
 	return p, func() {
 		_ = l.Close()
+		// The address is free once the listener is not used any more.
+		<-served
 		p.resetAll()
 	}, nil
 }
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -225,11 +225,17 @@
 	w.server = &http.Server{
 		Handler: w, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: s.IdleTimeout, ConnContext: withRecorder,
 	}
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		// Serve returns when the stop function closes the server.
 		_ = w.server.Serve(recordingListener{l})
 	}()
-	return w, func() { _ = w.server.Close() }, nil
+	return w, func() {
+		_ = w.server.Close()
+		// The address is free once the listener is not used any more.
+		<-served
+	}, nil
 }
 
 // SetFault injects a fault into a share of the subsequent requests.
