Read the log of streams for as long as streams can be resumed (LOST)

A node that had no other record of a stream rejected it for good although the store named its version: it read the last 1024 records only, which are some 25 s of two versions, and fewer of more.

It reads 16,384 now; TestLogOfStreamsIsReadBackForAMinute failed before (1024 of 2400 records) and passes.

--- a/daisyshed/store/streams.go
+++ b/daisyshed/store/streams.go
@@ -11,8 +11,9 @@
 
 const (
 	// maxStreamRecords is how many of the last records of the log of streams a node reads when it
-	// does not follow the log yet. Later streams have ended by then.
-	maxStreamRecords = 1024
+	// does not follow the log yet. Two nodes append a record for each service and version up to
+	// ten times a second, and streams may be resumed for a minute.
+	maxStreamRecords = 1 << 14
 	// maxStreamPages bounds the pages of a read of that log.
 	maxStreamPages = 64
 )
--- a/daisyshed/store/streams_test.go
+++ b/daisyshed/store/streams_test.go
@@ -51,3 +51,24 @@
 	w.AppendStreams(core.AppendStreams{Origins: []core.StreamOrigins{{Streams: []core.StreamKey{1}}}})
 	is.Equal(nextMessage[core.StreamsAppended](t, messages), core.StreamsAppended{Failed: true})
 }
+
+// Two nodes append every 100 ms the streams of two versions. A node that starts must read those of
+// the time within which streams can be resumed, a minute.
+func TestLogOfStreamsIsReadBackForAMinute(t *testing.T) {
+	is := is.New(t)
+	_, w, messages := newWatcher(t)
+	const appends = 2 * 10 * 60
+	for i := range core.StreamKey(appends) {
+		var list []core.StreamOrigins
+		for _, v := range []core.SoftwareVersion{"v1", "v2"} {
+			list = append(list, core.StreamOrigins{ServiceVersion: core.ServiceVersion{Service: "s", Version: v}, Streams: []core.StreamKey{i + 1}})
+		}
+		w.AppendStreams(core.AppendStreams{Origins: list})
+		is.Equal(nextMessage[core.StreamsAppended](t, messages), core.StreamsAppended{})
+	}
+	late := &store.Watcher{Store: w.Store, SendToCore: w.SendToCore, Log: w.Log}
+	late.ReadStreams(core.ReadStreams{})
+	m := nextMessage[core.StreamsRead](t, messages)
+	is.Equal(m.Failed, false)
+	is.Equal(len(m.Origins), 2*appends)
+}
