--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -502,7 +502,7 @@
 // request.
 func (s *forwards) handleStepFailed(n *Node, m StepFailed) {
 	n.isolation.observeStep(n, m)
-	ownPath := m.Status == 0 && (m.PathFailed || n.isolation.doubtful(n))
+	ownPath := m.Status == 0 && (m.PathFailed || m.Relay == "" && n.isolation.doubtful(n))
 	outcome := stepOutcome(m, ownPath)
 	f, ok := s.live[m.ID]
 	if u, listed := s.upstreams.byID[m.Engine]; listed && !(ok && f.ranAtFormer(u, m.Send)) {
--- a/core/tainted_prompt_test.go
+++ b/core/tainted_prompt_test.go
@@ -51,7 +51,7 @@
 			if run != nil && run.u == u && !run.ended && !r.ended {
 				run.drop()
 				r.node.deliverAfter(linkDelay, core.StepFailed{
-					ID: run.ID, Send: run.Send, Engine: run.Engine, Step: core.RunStep, BrokenOff: true, Emitted: r.events.relayed > 0,
+					ID: run.ID, Send: run.Send, Engine: run.Engine, Step: core.RunStep, BrokenOff: true, Emitted: r.events.relayed > 0, Relay: r.node.relayOf(run.ID, run.Send),
 				})
 			}
 		}
@@ -139,3 +139,12 @@
 		}
 	}
 }
+
+func (n *worldNode) relayOf(id core.ForwardID, send core.SendNumber) core.NodeID {
+	for _, s := range n.paths.sends {
+		if s.id == id && s.send == send && s.relay != nil {
+			return s.relay.node.Self.ID
+		}
+	}
+	return ""
+}
