--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -409,13 +409,14 @@
 	_ = x[ConnectFailed-1]
 	_ = x[ConnectTimedOut-2]
 	_ = x[RelayRejected-3]
-	_ = x[RelayFailed-4]
-	_ = x[RelayUnanswered-5]
+	_ = x[RelayDeclined-4]
+	_ = x[RelayFailed-5]
+	_ = x[RelayUnanswered-6]
 }
 
-const _ConnectOutcome_name = "ConnectedConnectFailedConnectTimedOutRelayRejectedRelayFailedRelayUnanswered"
+const _ConnectOutcome_name = "ConnectedConnectFailedConnectTimedOutRelayRejectedRelayDeclinedRelayFailedRelayUnanswered"
 
-var _ConnectOutcome_index = [...]uint8{0, 9, 22, 37, 50, 61, 76}
+var _ConnectOutcome_index = [...]uint8{0, 9, 22, 37, 50, 63, 74, 89}
 
 func (i ConnectOutcome) String() string {
 	idx := int(i) - 0
--- a/core/relay_choice.go
+++ b/core/relay_choice.go
@@ -113,6 +113,7 @@
 		if unreached.Add(m.Engine); len(unreached) >= relayFailures {
 			c.leaveOut(n, m.Relay)
 		}
+	case RelayDeclined:
 	default:
 		c.leaveOut(n, m.Relay)
 	}
--- a/core/upstream_path.go
+++ b/core/upstream_path.go
@@ -11,8 +11,11 @@
 	ConnectFailed
 	// ConnectTimedOut means that there was no answer in time.
 	ConnectTimedOut
-	// RelayRejected means that the relay accepts no connection now.
+	// RelayRejected means that the relay is isolated or leaving, and accepts no connection.
 	RelayRejected
+	// RelayDeclined means that the relay does not list the upstream as usable, or relays as many
+	// connections as it may. That says nothing of connections to other upstreams, or later.
+	RelayDeclined
 	// RelayFailed means that the relay could not connect to the upstream.
 	RelayFailed
 	// RelayUnanswered means that the relay did not answer in time.
--- a/daisyshed/peer/relay_dial.go
+++ b/daisyshed/peer/relay_dial.go
@@ -49,7 +49,7 @@
 	}
 	switch {
 	case errors.Is(err, context.Canceled):
-	case failed.Outcome == core.RelayRejected:
+	case failed.Outcome == core.RelayRejected || failed.Outcome == core.RelayDeclined:
 		t.relayMeter().RelayedRejected(Relayed, relay.Node, failed.Rejection)
 	default:
 		t.relayMeter().RelayedFailed(Relayed)
@@ -57,6 +57,15 @@
 	return nil, failed
 }
 
+// rejectedBy returns the error of a connection that a relay rejected.
+func rejectedBy(relay core.NodeID, reason core.RelayRejection) error {
+	outcome := core.RelayRejected
+	if reason == core.RelayUnknownUpstream || reason == core.RelayFull {
+		outcome = core.RelayDeclined
+	}
+	return &RelayError{Relay: relay, Outcome: outcome, Rejection: reason}
+}
+
 // openThrough opens a connection on the session with the relay.
 func (t *Transport) openThrough(ctx context.Context, relay core.Relay, engine core.EngineID) (net.Conn, error) {
 	session, err := t.relaySession(ctx, relay)
@@ -111,7 +120,7 @@
 	case !stop() && err == nil:
 		err = context.Cause(ctx)
 	case err == nil && reply.Rejected:
-		err = &RelayError{Relay: relay, Outcome: core.RelayRejected, Rejection: reply.Rejection}
+		err = rejectedBy(relay, reply.Rejection)
 	case err == nil && !reply.Opened:
 		err = &RelayError{Relay: relay, Outcome: core.RelayFailed}
 	}
--- a/daisyshed/peer/relay_errors.go
+++ b/daisyshed/peer/relay_errors.go
@@ -7,11 +7,11 @@
 )
 
 // RelayError reports that a connection to an upstream could not be opened through a node.
-// Outcome is RelayRejected, RelayFailed or RelayUnanswered.
+// Outcome is RelayRejected, RelayDeclined, RelayFailed or RelayUnanswered.
 type RelayError struct {
 	Relay   core.NodeID
 	Outcome core.ConnectOutcome
-	// Rejection is the node's reason if Outcome is RelayRejected.
+	// Rejection is the node's reason if Outcome is RelayRejected or RelayDeclined.
 	Rejection core.RelayRejection
 	// Cause is nil if the node answered.
 	Cause error
@@ -22,7 +22,7 @@
 	switch {
 	case e.Cause != nil:
 		return fmt.Sprintf("peer: %s through %s: %s", e.Outcome, e.Relay, e.Cause)
-	case e.Outcome == core.RelayRejected:
+	case e.Outcome == core.RelayRejected || e.Outcome == core.RelayDeclined:
 		return fmt.Sprintf("peer: %s by %s: %s", e.Outcome, e.Relay, e.Rejection)
 	default:
 		return fmt.Sprintf("peer: %s at %s", e.Outcome, e.Relay)
--- a/daisyshed/upstream/paths_test.go
+++ b/daisyshed/upstream/paths_test.go
@@ -183,6 +183,7 @@
 		"not reached, first":  {true, core.RelayFailed, 2, false},
 		"rejected":            {false, core.RelayRejected, 4, false},
 		"rejected, first":     {true, core.RelayRejected, 4, true},
+		"declined, first":     {true, core.RelayDeclined, 4, true},
 		"not answered, first": {true, core.RelayUnanswered, 4, true},
 	} {
 		t.Run(name, func(t *testing.T) {
