Open another connection after a hold that a request had dropped (ORDER)

A stream that broke off could wait for its caller's deadline: it was placed at an engine to which a connection had not opened before, and the answer about that connection had come while the request had no place there. The hold stayed with the request, and no other connection was opened.

A hold ends with the placement now.

--- a/core/forward.go
+++ b/core/forward.go
@@ -486,6 +486,8 @@
 		f.decode.fullUntil = 0
 	}
 	f.decode, f.lease, f.reserved = nil, "", 0
+	// The answer about a connection that was being opened is not waited for any more.
+	f.hold = nil
 }
 
 func (s *forwards) dequeue(f *forwardedRequest) {
--- a/core/stream_origin_test.go
+++ b/core/stream_origin_test.go
@@ -55,3 +55,20 @@
 	is.True(ends[0].NotRun)
 	is.True(ends[0].RetryAfter > 0)
 }
+
+// A silent stream continues while a connection to the engine that was to take over is opened, and
+// none opens. When the stream broke off, it was placed at that engine again, and waited for the
+// connection until its deadline.
+func TestPlacementAfterAFailedHoldOpensAnotherConnection(t *testing.T) {
+	is := is.New(t)
+	list := versionedEngines("v1", "v1")
+	h := readyAlone(list...)
+	first := startedStream(t, h, 1)
+	holds := commandsOf[core.HoldConnection](h.deliver(stalled(first)))
+	is.Equal(len(holds), 1)
+	h.deliver(continued(first), core.ConnectionNotHeld{ID: 1, Hold: holds[0].Hold})
+	h.advance(time.Second)
+	out := h.deliver(runFailed(first))
+	is.Equal(len(commandsOf[core.HoldConnection](out)), 1)
+	is.Equal(runStream(t, h, out).Engine, holds[0].Engine)
+}
