Blame no upstream for a hold that fails on the own path (RECOVER)

A node that cannot reach upstreams avoided those to which it could not hold a connection, for streams that are bound to a version.

--- a/core/held_connection.go
+++ b/core/held_connection.go
@@ -156,7 +156,9 @@
 
 func (s *forwards) handleConnectionNotHeld(n *Node, m ConnectionNotHeld) {
 	if f := s.heldRequest(m.ID, m.Hold); f != nil {
-		f.hold.upstream.recordFailure(n.now)
+		if !n.isolation.doubtful(n) {
+			f.hold.upstream.recordFailure(n.now)
+		}
 		s.holdFailed(n, f, m.Reason)
 	}
 }
