--- a/core/held_connection.go
+++ b/core/held_connection.go
@@ -149,7 +149,7 @@
 }
 
 // knownToAll reports whether a list of an age would hold an entry that was written at an instant,
-// unless this node stood still. It is used where nothing can be proved.
+// unless this node was paused. It is used where nothing can be proved.
 func (s *forwards) knownToAll(n *Node, listAt, written Instant) bool {
 	return listAt.Sub(written) >= fractionOf(n.Settings.DrainDelay, peerNewsFraction)
 }
--- a/core/instance_proof.go
+++ b/core/instance_proof.go
@@ -10,7 +10,7 @@
 )
 
 // listProof tells as of when the list of upstreams is known to be complete. Changes that peers
-// forward prove nothing: their delay is unknown, and a node that stood still handles old ones.
+// forward prove nothing: their delay is unknown, and a node that was paused handles old ones.
 type listProof struct {
 	freshness
 	// readAt is when the last read was started that was made for a proof alone. If that fails,
--- a/core/stream_origin.go
+++ b/core/stream_origin.go
@@ -6,7 +6,7 @@
 	// maxDoubted bounds how many streams a node remembers that have ended while their origin was
 	// not verified.
 	maxDoubted = 4096
-	// correctedCopies is how many nodes are told of a wrong origin: the keepers, and those that
+	// correctedCopies is how many nodes are notified of a wrong origin: the keepers, and those that
 	// may have been their keepers before.
 	correctedCopies = 5
 )
@@ -44,8 +44,8 @@
 }
 
 // checkOrigin verifies which incarnation has begun a request's stream, if the list shows another
-// one than when the request was sent: the process is the later one if the run goes on; otherwise
-// nothing tells which of the two it was.
+// one than when the request was sent: the process is the later one if the run still has its
+// connection; otherwise it may have been either.
 func (s *forwards) checkOrigin(n *Node, f *forwardedRequest) {
 	o := f.origin
 	if o == nil || o.lost {
@@ -163,7 +163,7 @@
 }
 
 // keepLogged keeps the origin of a stream that was read from the store. Of a stream that has two
-// there, the origin is not known, unless this node was told.
+// there, the origin is not known, unless this node was notified of a correction.
 func (v *streamVersions) keepLogged(n *Node, stream StreamKey, origin ServiceVersion) {
 	if kept, ok := v.streams[stream]; ok && !kept.corrected && kept.ServiceVersion != origin {
 		v.correct(n, stream, ServiceVersion{})
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -19,8 +19,8 @@
 	// maxLookup: the caller needs the rest to go to another node.
 	lookupShare = 0.2
 	maxLookup   = 600 * time.Millisecond
-	// versionRetryAfter is after which time a caller may come back whose stream may be known to
-	// nodes that have not answered.
+	// versionRetryAfter is the retry delay of a caller whose stream may be known to nodes that
+	// have not answered.
 	versionRetryAfter = 150 * time.Millisecond
 )
 
@@ -98,8 +98,8 @@
 	}
 }
 
-// continueLookup goes on with a search after a round has ended, or all nodes that were asked
-// have answered.
+// continueLookup takes the next step of a lookup, after a round has timed out or all nodes that
+// were asked have answered.
 func (s *forwards) continueLookup(n *Node, f *forwardedRequest) {
 	l := f.lookup
 	answered := len(l.waiting) == 0
--- a/daisyshed/upstream/race.go
+++ b/daisyshed/upstream/race.go
@@ -17,8 +17,8 @@
 	client *Client
 	r      *Request
 	plan   plan
-	// ctx ends the attempts through relays. They go on if the request ends first, so that
-	// the path is known to the next one.
+	// ctx ends the attempts through relays. They are not cancelled if the request ends first,
+	// so that the path is known to the next one.
 	ctx    context.Context
 	cancel context.CancelFunc
 
@@ -126,8 +126,8 @@
 	go x.openThrough(relay)
 }
 
-// openDirect opens a direct connection. It goes on if another one opens first, or the request
-// ends, because the outcome matters to the core.
+// openDirect opens a direct connection. It is not cancelled if another one opens first, or the
+// request ends, because the outcome matters to the core.
 func (x *race) openDirect() {
 	conn, err := x.client.dial(x.r.Address)
 	o := opened{conn: conn, err: err}
