--- a/core/isolation.go
+++ b/core/isolation.go
@@ -138,6 +138,8 @@
 	switch relays, relayed := n.relayChoice.usable(n), s.onlyRelayed(); {
 	case len(relayed) > 0:
 		s.set(n, true, detail+"; relays reach "+joinIDs(relayed))
+	case len(relays) == 0 && n.relayChoice.confirmsFailures(n):
+		// Upstreams that relays cannot reach either have failed.
 	case len(relays) == 0 && unreached >= min(minUnreached, len(n.forward.upstreams.byID)):
 		s.set(n, true, detail+"; no relay")
 	case len(relays) > 0:
--- a/core/isolation_test.go
+++ b/core/isolation_test.go
@@ -125,3 +125,21 @@
 	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: wanted})
 	is.Equal(len(commandsOf[core.ClaimOrders](h.advance(time.Second))), 0)
 }
+
+// Requests end four upstreams, and the relays that cannot reach these either are left out for that.
+// The node took itself for isolated then, and withdrew its reports of the ends.
+func TestUpstreamsThatRelaysCannotReachIsolateNobody(t *testing.T) {
+	is := is.New(t)
+	h := newPathNode()
+	var out []core.Command
+	for _, id := range []core.EngineID{"s1", "s2", "s3", "s4"} {
+		out = append(out, h.unreached(id)...)
+		for _, relay := range []core.NodeID{"n2", "n3", "n4"} {
+			out = append(out, h.deliver(core.ConnectionObserved{Engine: id, Relay: relay, Outcome: core.RelayFailed})...)
+		}
+	}
+	out = append(out, h.unreached("s1", "s2", "s3", "s4")...)
+	for _, c := range commandsOf[core.UseRelays](out) {
+		is.True(!c.First)
+	}
+}
--- a/core/relay_choice.go
+++ b/core/relay_choice.go
@@ -81,6 +81,11 @@
 	return c.candidates(n, func(id NodeID) bool { return c.leftOut[id] <= n.now })
 }
 
+// confirmsFailures reports whether a relay has lately failed to reach upstreams as well.
+func (c *relayChoice) confirmsFailures(n *Node) bool {
+	return len(c.candidates(n, func(id NodeID) bool { return len(c.unreached[id]) > 0 })) > 0
+}
+
 // update tells the runtime which relays to use, if they have changed. An isolated node uses
 // them first.
 func (c *relayChoice) update(n *Node) {
