--- a/daisyshed/tcp/idle_test.go
+++ b/daisyshed/tcp/idle_test.go
@@ -13,13 +13,20 @@
 )
 
 // serveIdle serves empty answers on a listener and returns a function that connects to it, has one
-// request answered and leaves the connection open.
+// request answered, leaves the connection open and returns once the server counts it as idle.
 func serveIdle(t *testing.T, limit int, idle *tcp.IdleTimeout) (connect func() net.Conn) {
 	t.Helper()
 	is := is.New(t)
 	l, err := tcp.ListenWithIdleTimeout("127.0.0.1:0", limit, idle)
 	is.NoErr(err)
-	s := &http.Server{ReadHeaderTimeout: time.Second, ConnState: tcp.TrackState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	idleConns := make(chan struct{}, 64)
+	track := func(c net.Conn, state http.ConnState) {
+		tcp.TrackState(c, state)
+		if state == http.StateIdle {
+			idleConns <- struct{}{}
+		}
+	}
+	s := &http.Server{ReadHeaderTimeout: time.Second, ConnState: track, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return func() net.Conn {
@@ -27,6 +34,7 @@
 		is.NoErr(err)
 		t.Cleanup(func() { _ = c.Close() })
 		exchange(t, c)
+		<-idleConns
 		return c
 	}
 }
