--- a/bench/hosted/judge.go
+++ b/bench/hosted/judge.go
@@ -31,8 +31,9 @@
 	// the attempt does so. engines is how many engines of its version served.
 	stream, resumable, resumes bool
 	engines                    int
-	// served says that the answer was a success.
+	// served says that the answer was a success. status is that of its head; zero without one.
 	served bool
+	status int
 	runs   []*workerRun
 	// promise is how the caller was told that the attempt has not run and will not run;
 	// empty if it was not.
--- a/bench/hosted/judge_resume.go
+++ b/bench/hosted/judge_resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"daisyshed.dev/standin/hostedsite"
 )
@@ -15,11 +16,13 @@
 	minEngines = 2
 )
 
-// recordServed records that an attempt was answered with success.
-func (j *judge) recordServed(attemptID string) {
+// recordStatus records the status of an attempt's answer.
+func (j *judge) recordStatus(attemptID string, status int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.attempts[attemptID].served = true
+	a := j.attempts[attemptID]
+	a.status, a.served = status, status == http.StatusOK
+	j.counts[fmt.Sprintf("status %d", status)]++
 }
 
 // recordStream records that an attempt begins or resumes a stream that may be resumed, and how many
--- a/bench/hosted/judge_stranded.go
+++ b/bench/hosted/judge_stranded.go
@@ -28,6 +28,8 @@
 			stranded++
 			if a.served {
 				servedStranded++
+			} else {
+				j.counts["first tries not served there: "+a.describeFailure()]++
 			}
 		case !j.harmed(a.node, a.sent, a.endedAt, nodeStranded):
 			others++
@@ -50,6 +52,23 @@
 	return []string{fmt.Sprintf("RECOVER: nodes that reach no upstream served %d of %d first tries, the others %d of %d", servedStranded, stranded, servedOthers, others)}
 }
 
+// describeFailure returns how an attempt that was not served ended, and whether an upstream ran it.
+func (a *attempt) describeFailure() string {
+	ran := "not run"
+	switch {
+	case len(a.runs) > 1:
+		ran = "run again"
+	case len(a.runs) == 1 && a.lastRun().cancelled:
+		ran = "run cancelled"
+	case len(a.runs) == 1:
+		ran = "run"
+	}
+	if a.status != 0 {
+		return fmt.Sprintf("status %d, %s", a.status, ran)
+	}
+	return a.ending.String() + ", " + ran
+}
+
 // strandedAt reports whether a node had been partitioned from all upstreams for contactTime.
 func (j *judge) strandedAt(node string, at time.Time) bool {
 	for _, h := range j.harms[node] {
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -280,7 +280,7 @@
 		return false, c.handleNoAnswer(m, attemptID, err)
 	}
 	defer a.Body.Close()
-	c.judge.count(fmt.Sprintf("status %d", a.StatusCode))
+	c.judge.recordStatus(attemptID, a.StatusCode)
 	if a.StatusCode != http.StatusOK {
 		return false, c.handleFailure(conn, m, attemptID, a)
 	}
@@ -288,7 +288,6 @@
 	if signature != hostedworker.Signature(attemptID, m.body) {
 		c.judge.reportViolation("MIXED: " + attemptID + ": the signature is another request's")
 	}
-	c.judge.recordServed(attemptID)
 	m.received.begin(m, c.judge)
 	ended, good := c.checkBody(m, attemptID, a)
 	if ended == answered && signature == "" && a.ContentLength == 0 {
