Have the soak say and choose whether connections open in a cut

The socket filter that drops new connections of a stranded node is not supported by every kernel, and its error was ignored: connections opened, and hung, were reset, or worked although only open ones should live on. The soak counts the error now, resets new connections where open ones live on, and lets new connections open in each second cut on every machine, as they do behind a load balancer.

--- a/bench/hosted/cut.go
+++ b/bench/hosted/cut.go
@@ -7,8 +7,8 @@
 	"syscall"
 )
 
-// cutKind is what a partition between a node and the target of a proxy does to connections.
-// New ones always time out.
+// cutKind is what a partition between a node and the target of a proxy does to open connections.
+// New ones time out, or open if the partition is behind what accepts them.
 type cutKind int
 
 const (
@@ -16,7 +16,7 @@
 	cutHang cutKind = iota
 	// cutReset resets open connections.
 	cutReset
-	// cutNew leaves open connections as they are.
+	// cutNew leaves open connections as they are. New ones that open are reset.
 	cutNew
 	numCutKinds
 )
@@ -25,12 +25,14 @@
 type partition struct {
 	source netip.Addr
 	kind   cutKind
-	ended  chan struct{}
+	// opens says that new connections open, and then hang or are reset.
+	opens bool
+	ended chan struct{}
 }
 
 // cut begins a partition. The returned function ends it.
-func (p *proxy) cut(source netip.Addr, kind cutKind) (heal func()) {
-	c := &partition{source: source, kind: kind, ended: make(chan struct{})}
+func (p *proxy) cut(source netip.Addr, kind cutKind, opens bool) (heal func()) {
+	c := &partition{source: source, kind: kind, opens: opens, ended: make(chan struct{})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cuts = append(p.cuts, c)
@@ -59,13 +61,13 @@
 	return a.Addr()
 }
 
-// cutOf returns the partition that a new or open connection of a source suffers from; nil if
-// there is none.
-func (p *proxy) cutOf(source netip.Addr, kind cutKind) *partition {
+// cutOf returns the partition of one of some kinds that a connection of a source suffers from; nil
+// if there is none.
+func (p *proxy) cutOf(source netip.Addr, kinds ...cutKind) *partition {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.cuts {
-		if c.source == source && c.kind == kind {
+		if c.source == source && slices.Contains(kinds, c.kind) {
 			return c
 		}
 	}
@@ -91,7 +93,8 @@
 )
 
 // filterNew has the system drop what nodes on the other side of a partition send to open a
-// connection. The caller holds p.mu.
+// connection. If it cannot, connections open, as they do behind a load balancer. The caller holds
+// p.mu.
 func (p *proxy) filterNew() {
 	l, ok := p.listener.(syscall.Conn)
 	if !ok {
@@ -99,18 +102,35 @@
 	}
 	raw, err := l.SyscallConn()
 	if err != nil {
+		p.noFilter = err
 		return
 	}
+	var dropped []netip.Addr
+	for _, c := range p.cuts {
+		if !c.opens {
+			dropped = append(dropped, c.source)
+		}
+	}
 	filter := []syscall.SockFilter{*syscall.LsfStmt(syscall.BPF_LD+syscall.BPF_W+syscall.BPF_ABS, networkHeader+sourceOffset)}
-	for i, c := range p.cuts {
-		ip := c.source.As4()
+	for i, source := range dropped {
+		ip := source.As4()
 		k := int(ip[0])<<24 | int(ip[1])<<16 | int(ip[2])<<8 | int(ip[3])
-		filter = append(filter, *syscall.LsfJump(syscall.BPF_JMP+syscall.BPF_JEQ+syscall.BPF_K, k, len(p.cuts)-i, 0))
+		filter = append(filter, *syscall.LsfJump(syscall.BPF_JMP+syscall.BPF_JEQ+syscall.BPF_K, k, len(dropped)-i, 0))
 	}
 	const all = 0xffffffff
 	filter = append(filter, *syscall.LsfStmt(syscall.BPF_RET+syscall.BPF_K, all), *syscall.LsfStmt(syscall.BPF_RET+syscall.BPF_K, 0))
-	// The listener may be closed.
-	_ = raw.Control(func(fd uintptr) { _ = syscall.AttachLsf(int(fd), filter) })
+	attach := func(fd uintptr) { p.noFilter = syscall.AttachLsf(int(fd), filter) }
+	if err := raw.Control(attach); err != nil {
+		// The listener is closed.
+		p.noFilter = nil
+	}
+}
+
+// filterError returns the last error of filterNew; nil if there was none.
+func (p *proxy) filterError() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.noFilter
 }
 
 // source returns the local address of a node's connections.
@@ -122,10 +142,10 @@
 // reach it. The returned function ends that.
 func (d *deployment) cutOff(index int) (heal func()) {
 	end, endHarm := d.judge.beginDisturbance(), d.judge.beginHarm(d.nodeAddress(index, callerPort), nodeCutOff)
-	heals := []func(){d.links[index].cut(d.source(index), cutHang)}
+	heals := []func(){d.links[index].cut(d.source(index), cutHang, false)}
 	for i := range d.nodes {
 		if i != index {
-			heals = append(heals, d.peerLinks[index].cut(d.source(i), cutHang), d.peerLinks[i].cut(d.source(index), cutHang))
+			heals = append(heals, d.peerLinks[index].cut(d.source(i), cutHang, false), d.peerLinks[i].cut(d.source(index), cutHang, false))
 		}
 	}
 	return func() {
--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -106,8 +106,10 @@
 	links      []*proxy
 	peerLinks  []*proxy
 	lastWorker int
-	// strands are the partitions of nodes from all upstreams.
-	strands []*strand
+	// strands are the partitions of nodes from all upstreams, and stranded counts how often there
+	// were any.
+	strands  []*strand
+	stranded int
 	// breakStreams is set while callers break connections off in the middle of streams.
 	breakStreams atomic.Bool
 	// version is the latest version of the desired state. Only the goroutine that injects
--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -130,5 +130,5 @@
 
 // Nodes reach no upstream for some seconds, while callers, the store and the other nodes reach them.
 func TestStrandedNodesServe(t *testing.T) {
-	soakOf(t, 12*time.Second, []uint64{422005, 422008}, "stranded")
+	soakOf(t, 12*time.Second, []uint64{422005, 422006, 422008}, "stranded")
 }
--- a/bench/hosted/proxy.go
+++ b/bench/hosted/proxy.go
@@ -45,8 +45,10 @@
 	// carry nothing more.
 	usedAt map[net.Conn]time.Time
 	hung   map[net.Conn]bool
-	// cuts are the partitions in effect.
-	cuts []*partition
+	// cuts are the partitions in effect, and noFilter is why the system does not drop new
+	// connections for them; nil if it does.
+	cuts     []*partition
+	noFilter error
 }
 
 // openProxy listens on an address and forwards connections to a target. The
@@ -84,7 +86,7 @@
 // connection.
 func (p *proxy) connect(from net.Conn) {
 	to, err := net.DialTimeout("tcp", p.target, time.Second)
-	if err != nil || p.cutOf(sourceOf(from), cutReset) != nil {
+	if err != nil || p.cutOf(sourceOf(from), cutReset, cutNew) != nil {
 		reset(from)
 		return
 	}
--- a/bench/hosted/stranded.go
+++ b/bench/hosted/stranded.go
@@ -10,6 +10,7 @@
 type strand struct {
 	source netip.Addr
 	kind   cutKind
+	opens  bool
 	heals  []func()
 }
 
@@ -20,11 +21,15 @@
 )
 
 // strandNodes partitions some nodes, up to three quarters, from all upstreams, while callers, the
-// store and the others reach them, unless some are already: the others have to serve meanwhile. It
-// returns at once.
+// store and the others reach them, unless some are already: the others have to serve meanwhile. Each
+// second time, new connections open. It returns at once.
 func (d *deployment) strandNodes() {
 	d.mu.Lock()
 	busy := len(d.strands) > 0
+	if !busy {
+		d.stranded++
+	}
+	opens := d.stranded%2 == 0
 	d.mu.Unlock()
 	if busy {
 		return
@@ -33,18 +38,22 @@
 	kind := cutKind(d.rng.IntN(int(numCutKinds)))
 	length := minStrand + time.Duration(d.rng.Int64N(int64(maxStrand-minStrand)))
 	for _, i := range d.rng.Perm(len(d.nodes))[:count] {
-		d.strand(i, kind, length)
+		d.strand(i, kind, opens, length)
 	}
 }
 
-func (d *deployment) strand(index int, kind cutKind, length time.Duration) {
-	s := &strand{source: d.source(index), kind: kind}
+func (d *deployment) strand(index int, kind cutKind, opens bool, length time.Duration) {
+	s := &strand{source: d.source(index), kind: kind, opens: opens}
 	endHarm := d.judge.beginHarm(d.nodeAddress(index, callerPort), nodeStranded)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.strands = append(d.strands, s)
 	for _, id := range d.workerIDs() {
-		s.heals = append(s.heals, d.workers[id].link.cut(s.source, kind))
+		link := d.workers[id].link
+		s.heals = append(s.heals, link.cut(s.source, kind, opens))
+		if err := link.filterError(); err != nil {
+			d.judge.count("new connections open in a cut: " + err.Error())
+		}
 	}
 	go func() {
 		select {
@@ -65,6 +74,6 @@
 // caller holds d.mu.
 func (d *deployment) strandFrom(link *proxy) {
 	for _, s := range d.strands {
-		s.heals = append(s.heals, link.cut(s.source, s.kind))
+		s.heals = append(s.heals, link.cut(s.source, s.kind, s.opens))
 	}
 }
