Do not take a connection that opens for an upstream that answers

Each direct connection that opened cleared what was known of failures, so such a node was never isolated and tried no relay. A probe now closes its side and waits for the upstream to close the other; a request's connection counts as sound once a response was received on it. Failures of connections that open isolate a node only if the upstream answers through a relay and then still not directly, so that upstreams that are silent for a moment isolate nobody. Relays pass the close of one side on.

--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -115,6 +115,9 @@
 	{Rule: "RECOVER", Faults: []string{"stranded"}, Seeds: strandedSeeds, Mutant: Mutant{Name: "no-relays", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/relay_choice.go", "	use := UseRelays{Relays: c.usable(n), First: n.isolation.isolated}\n", "	use := UseRelays{}\n",
 	}}}},
+	{Rule: "RECOVER", Faults: []string{"stranded"}, Seeds: strandedSeeds, Mutant: Mutant{Name: "open-connections-count-as-answered", Promise: core.AnswerWhole, Edits: []Edit{{
+		"daisyshed/upstream/observe.go", "			result = c.awaitClose(o.conn)\n", "			result = core.Answered\n			_ = o.conn.Close()\n",
+	}}}},
 	{Rule: "RECOVER", Faults: []string{"stranded"}, Seeds: strandedSeeds, Mutant: Mutant{Name: "isolated-owners-stay", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/dispatch_group.go", "n.isolation.isolated; !isolated {\n", "n.isolation.isolated; !isolated || true {\n",
 	}}}},
--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -406,17 +406,19 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Connected-0]
-	_ = x[ConnectFailed-1]
-	_ = x[ConnectTimedOut-2]
-	_ = x[RelayRejected-3]
-	_ = x[RelayDeclined-4]
-	_ = x[RelayFailed-5]
-	_ = x[RelayUnanswered-6]
+	_ = x[Answered-1]
+	_ = x[ConnectFailed-2]
+	_ = x[ConnectTimedOut-3]
+	_ = x[Unanswered-4]
+	_ = x[RelayRejected-5]
+	_ = x[RelayDeclined-6]
+	_ = x[RelayFailed-7]
+	_ = x[RelayUnanswered-8]
 }
 
-const _ConnectOutcome_name = "ConnectedConnectFailedConnectTimedOutRelayRejectedRelayDeclinedRelayFailedRelayUnanswered"
+const _ConnectOutcome_name = "ConnectedAnsweredConnectFailedConnectTimedOutUnansweredRelayRejectedRelayDeclinedRelayFailedRelayUnanswered"
 
-var _ConnectOutcome_index = [...]uint8{0, 9, 22, 37, 50, 63, 74, 89}
+var _ConnectOutcome_index = [...]uint8{0, 9, 17, 30, 45, 55, 68, 81, 92, 107}
 
 func (i ConnectOutcome) String() string {
 	idx := int(i) - 0
--- a/core/forward_world_path_test.go
+++ b/core/forward_world_path_test.go
@@ -17,6 +17,8 @@
 	relayTimeout = 150 * time.Millisecond
 	relayLost    = time.Second
 	leaseTimeout = 200 * time.Millisecond
+	// answerTimeout is how long a probe waits for an answer once its connection is open.
+	answerTimeout = 200 * time.Millisecond
 	// keptFor is how long an unused connection is kept.
 	keptFor = time.Second
 )
@@ -30,8 +32,17 @@
 	hang
 	reset
 	refuse
+	// openHang and openReset let new connections open, and make them hang or break them off then.
+	openHang
+	openReset
 )
 
+// opens reports whether new connections open.
+func (c worldCut) opens() bool { return c == uncut || c == openHang || c == openReset }
+
+// hangs reports whether connections hang.
+func (c worldCut) hangs() bool { return c == hang || c == openHang }
+
 // worldSend is a step at an upstream that has no result yet. relay is nil for a direct
 // connection, and lost is set once the result cannot arrive.
 type worldSend struct {
@@ -85,11 +96,10 @@
 		}
 		p.kept[s.engine] = n.w.now
 		use(nil, 0)
-	case kept && !p.relays.First && p.cut == hang:
+	case !p.relays.First && (kept && p.cut == hang || p.cut.opens()):
 		delete(p.kept, s.engine)
-		s.lost = true
 		p.sends = append(p.sends, s)
-		n.timeOut(s)
+		n.lose(s)
 	case p.relays.First:
 		n.connectThrough(s.engine, p.relays.Relays, use, func() { n.unsent(s) })
 	default:
@@ -99,6 +109,16 @@
 	}
 }
 
+// lose ends a step whose connection the cut of the node affects.
+func (n *worldNode) lose(s *worldSend) {
+	s.lost = true
+	if n.paths.cut.hangs() {
+		n.timeOut(s)
+		return
+	}
+	n.deliverAfter(linkDelay, core.StepFailed{ID: s.id, Send: s.send, Engine: s.engine, Step: s.step, BrokenOff: true})
+}
+
 // timeOut ends a step of which nothing is received.
 func (n *worldNode) timeOut(s *worldSend) {
 	if s.timeout > 0 {
@@ -110,11 +130,18 @@
 	n.deliver(core.StepFailed{ID: s.id, Send: s.send, Engine: s.engine, Step: s.step, Unsent: true, PathFailed: len(n.paths.relays.Relays) > 0})
 }
 
-// dial opens a direct connection of a node that is cut off, which fails, and calls failed.
+// dial opens a direct connection of a node that is cut off, which fails or is not answered, and
+// calls failed.
 func (n *worldNode) dial(id core.EngineID, timeout time.Duration, failed func()) {
 	outcome, d := core.ConnectFailed, 2*linkDelay
 	if n.paths.cut == hang {
-		outcome, d = core.ConnectTimedOut, timeout
+		outcome = core.ConnectTimedOut
+	}
+	if n.paths.cut.opens() {
+		outcome, timeout = core.Unanswered, answerTimeout
+	}
+	if n.paths.cut.hangs() {
+		d = timeout
 	}
 	n.w.after(d, func() {
 		n.deliver(core.ConnectionObserved{Engine: id, Outcome: outcome})
@@ -165,13 +192,16 @@
 	case core.ProbeUpstream:
 		switch {
 		case c.Relay.Node != "":
-			n.connectThrough(c.Engine, []core.Relay{c.Relay}, func(r *worldNode, id core.RelayID) { r.endRelay(id, true) }, func() {})
+			n.connectThrough(c.Engine, []core.Relay{c.Relay}, func(r *worldNode, id core.RelayID) {
+				r.endRelay(id, true)
+				n.deliver(core.ConnectionObserved{Engine: c.Engine, Relay: c.Relay.Node, Outcome: core.Answered})
+			}, func() {})
 		case p.cut != uncut:
 			n.dial(c.Engine, dialTimeout, func() {})
 		case w.ups[c.Engine].dead:
 			n.deliverAfter(2*linkDelay, core.ConnectionObserved{Engine: c.Engine, Outcome: core.ConnectFailed})
 		default:
-			n.deliverAfter(2*linkDelay, core.ConnectionObserved{Engine: c.Engine, Outcome: core.Connected})
+			n.deliverAfter(2*linkDelay, core.ConnectionObserved{Engine: c.Engine, Outcome: core.Answered})
 		}
 	case core.OpenRelay:
 		outcome := core.Connected
@@ -234,19 +264,14 @@
 		if how == refuse {
 			continue
 		}
-		if how == reset {
+		if how == reset || how == openReset {
 			n.paths.kept = nil
 		}
 		for _, s := range n.paths.sends {
 			if s.relay != nil || s.lost {
 				continue
 			}
-			s.lost = true
-			if how == reset {
-				n.deliverAfter(linkDelay, core.StepFailed{ID: s.id, Send: s.send, Engine: s.engine, Step: s.step, BrokenOff: true})
-			} else {
-				n.timeOut(s)
-			}
+			n.lose(s)
 		}
 	}
 }
--- a/core/isolation.go
+++ b/core/isolation.go
@@ -33,10 +33,12 @@
 type isolation struct {
 	isolated bool
 	since    Instant
-	// unreached is when a direct connection to an upstream last failed to open, since the last
-	// one that opened, and relayed when a connection through a relay last opened.
-	unreached map[EngineID]Instant
-	relayed   map[EngineID]Instant
+	// unreached are the last failures of direct connections to upstreams, since the last one that
+	// worked, and relayed the last successes through relays.
+	unreached map[EngineID]pathFailure
+	relayed   map[EngineID]pathSuccess
+	// opens says that the failures by which the node is isolated were of connections that opened.
+	opens bool
 	// reached are the upstreams to which an isolated node could connect, without a failure
 	// since.
 	reached Set[EngineID]
@@ -49,6 +51,16 @@
 	crashes map[EngineCrash]Instant
 }
 
+// pathFailure is a failure of a direct connection. opened says that it opened, and was not answered.
+type pathFailure struct {
+	at     Instant
+	opened bool
+}
+
+// pathSuccess is a connection through a relay. answeredAt is when one was last answered; zero if
+// none was.
+type pathSuccess struct{ at, answeredAt Instant }
+
 // upstreamHealth is what was recorded of an upstream's failures at an instant.
 type upstreamHealth struct {
 	at          Instant
@@ -63,7 +75,7 @@
 }
 
 func (s *isolation) clear() {
-	s.unreached, s.relayed, s.reached = map[EngineID]Instant{}, map[EngineID]Instant{}, Set[EngineID]{}
+	s.unreached, s.relayed, s.reached = map[EngineID]pathFailure{}, map[EngineID]pathSuccess{}, Set[EngineID]{}
 	s.blamed, s.crashes = map[EngineID]upstreamHealth{}, map[EngineCrash]Instant{}
 }
 
@@ -76,17 +88,19 @@
 // recentlyUnreached returns how many upstreams could not be reached within failureWindow, and
 // drops the others.
 func (s *isolation) recentlyUnreached(n *Node) int {
-	old := func(_ EngineID, at Instant) bool { return n.now.Sub(at) > failureWindow }
-	maps.DeleteFunc(s.unreached, old)
-	maps.DeleteFunc(s.relayed, old)
+	maps.DeleteFunc(s.unreached, func(_ EngineID, f pathFailure) bool { return n.now.Sub(f.at) > failureWindow })
+	maps.DeleteFunc(s.relayed, func(_ EngineID, r pathSuccess) bool { return n.now.Sub(r.at) > failureWindow })
 	return len(s.unreached)
 }
 
-// onlyRelayed returns the upstreams that a relay reached and direct connections did not.
+// onlyRelayed returns the upstreams that a relay reached and direct connections did not. One that
+// accepts connections may have been silent for a moment: it has to answer through the relay, and
+// then still not on a direct connection.
 func (s *isolation) onlyRelayed() []EngineID {
 	return slices.DeleteFunc(sortedKeys(s.relayed), func(id EngineID) bool {
-		_, unreached := s.unreached[id]
-		return !unreached
+		f, unreached := s.unreached[id]
+		r := s.relayed[id]
+		return !unreached || f.opened && (r.answeredAt == 0 || f.at <= r.answeredAt)
 	})
 }
 
@@ -95,21 +109,57 @@
 	switch {
 	case m.Relay != "":
 		n.relayChoice.observe(n, m)
-		if m.Outcome == Connected && !s.isolated {
-			s.relayed[m.Engine] = n.now
-		}
+		s.observeRelayed(n, m)
+	case m.Outcome == Answered || m.Outcome == Connected && !s.acceptedOnly():
+		s.observeReached(n, m.Engine)
+		return
 	case m.Outcome == Connected:
+		// Connections open, and it is not known whether they are answered.
+		return
+	case s.isolated && m.Outcome == Unanswered && !s.opens:
 		s.observeReached(n, m.Engine)
 		return
 	case s.isolated:
 		s.reached = Set[EngineID]{}
 	default:
-		s.unreached[m.Engine] = n.now
+		s.unreached[m.Engine] = pathFailure{at: n.now, opened: m.Outcome == Unanswered}
 		s.probeMore(n)
 	}
 	s.consider(n)
 }
 
+// acceptedOnly reports whether direct connections have opened and not been answered, so that one
+// that opens says nothing.
+func (s *isolation) acceptedOnly() bool {
+	if s.isolated {
+		return s.opens
+	}
+	for _, f := range s.unreached {
+		if f.opened {
+			return true
+		}
+	}
+	return false
+}
+
+// observeRelayed records that a relay reached an upstream. If direct connections to it open and
+// were not answered, another one is probed.
+func (s *isolation) observeRelayed(n *Node, m ConnectionObserved) {
+	if s.isolated || m.Outcome != Connected && m.Outcome != Answered {
+		return
+	}
+	r := s.relayed[m.Engine]
+	r.at = n.now
+	f, unreached := s.unreached[m.Engine]
+	if m.Outcome == Answered && (r.answeredAt == 0 || f.at > r.answeredAt) {
+		r.answeredAt = n.now
+		if u, ok := n.forward.upstreams.byID[m.Engine]; ok && unreached && f.opened {
+			n.do(ProbeUpstream{Engine: u.ID, Address: u.Address})
+		}
+	}
+	s.relayed[m.Engine] = r
+}
+
 // observeReached handles a direct connection. One is enough before the node is isolated; some
 // are needed to end that.
 func (s *isolation) observeReached(n *Node, id EngineID) {
@@ -156,6 +206,7 @@
 	} else {
 		detail += fmt.Sprintf(" after %v", n.now.Sub(s.since))
 	}
+	s.opens = isolated && s.acceptedOnly()
 	s.isolated, s.since = isolated, n.now
 	s.clear()
 	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: step, Detail: detail}})
--- a/core/relay_choice.go
+++ b/core/relay_choice.go
@@ -103,13 +103,13 @@
 // observe handles the outcome of a connection through a relay.
 func (c *relayChoice) observe(n *Node, m ConnectionObserved) {
 	switch m.Outcome {
-	case Connected:
+	case Connected, Answered:
 		delete(c.unreached, m.Relay)
 		if _, left := c.leftOut[m.Relay]; left {
 			delete(c.leftOut, m.Relay)
 			c.update(n)
 		}
-	case RelayFailed:
+	case RelayFailed, Unanswered:
 		unreached, ok := c.unreached[m.Relay]
 		if !ok {
 			unreached = Set[EngineID]{}
--- a/core/upstream_path.go
+++ b/core/upstream_path.go
@@ -5,12 +5,17 @@
 
 // The outcomes of an attempt to connect.
 const (
-	// Connected means that the connection is open.
+	// Connected means that the connection is open. That does not show that the upstream answers.
 	Connected ConnectOutcome = iota
+	// Answered means that the upstream has answered on it.
+	Answered
 	// ConnectFailed means that it was refused or reset.
 	ConnectFailed
 	// ConnectTimedOut means that there was no answer in time.
 	ConnectTimedOut
+	// Unanswered means that a probe's connection was open, and was reset or carried nothing until
+	// the probe's timeout.
+	Unanswered
 	// RelayRejected means that the relay is isolated or leaving, and accepts no connection.
 	RelayRejected
 	// RelayDeclined means that the relay does not list the upstream as usable, or relays as many
@@ -30,9 +35,9 @@
 	Outcome ConnectOutcome
 }
 
-// ProbeUpstream opens a connection to an upstream and closes it. Relay is the node through
-// which it is opened; its zero value asks for a direct one. The outcome is reported with a
-// ConnectionObserved.
+// ProbeUpstream opens a connection to an upstream, closes this node's side of it and waits for the
+// upstream to close the other one. Relay is the node through which it is opened; its zero value
+// asks for a direct one. The outcome is reported with a ConnectionObserved.
 type ProbeUpstream struct {
 	Engine  EngineID
 	Address string
--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -85,6 +85,10 @@
 		{82, 0.6, hang},
 		{82, 0.75, reset},
 		{410, 0.6, hang},
+		{8, 0.4, openReset},
+		{8, 0.75, openHang},
+		{82, 0.6, openHang},
+		{410, wholeDomain, openReset},
 	} {
 		t.Run(fmt.Sprintf("%d nodes, %.2f, %d", c.nodes, c.share, c.how), func(t *testing.T) {
 			is := is.New(t)
--- a/daisyshed/peer/relay_conn.go
+++ b/daisyshed/peer/relay_conn.go
@@ -75,6 +75,12 @@
 	return written, nil
 }
 
+// CloseWrite closes this node's side of the upstream's connection. No write may follow.
+func (c *relayedConn) CloseWrite() error {
+	_, err := c.Stream.Write(wire.AppendChunkEnd(nil, true))
+	return c.pathError(err)
+}
+
 // unsent reports whether an error of yamux's first write proves that it sent nothing.
 func unsent(err error) bool {
 	return errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, yamux.ErrTimeout)
--- a/daisyshed/peer/relay_copy.go
+++ b/daisyshed/peer/relay_copy.go
@@ -53,7 +53,8 @@
 }
 
 // toUpstream copies to the upstream until the stream ends, and returns the bytes copied. Once
-// the upstream takes no more, the rest is discarded; its answer may still be on the way.
+// the upstream takes no more, the rest is discarded; its answer may still be on the way. So it may
+// be once the other node has closed its side.
 func (c *relayCopy) toUpstream() int64 {
 	buffer := make([]byte, wire.MaxChunkBytes)
 	sent, takes := int64(0), true
@@ -65,12 +66,25 @@
 			w, takes = c.write(buffer[:n])
 			sent += int64(w)
 		}
+		if err == io.EOF && !c.aborted.Load() {
+			c.closeWrite()
+			return sent
+		}
 		if err != nil || c.aborted.Load() {
 			return sent
 		}
 	}
 }
 
+// closeWrite closes the relay's side of the upstream's connection and waits until the stream ends.
+func (c *relayCopy) closeWrite() {
+	if half, ok := c.upstream.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	// What ends the stream does not matter.
+	_, _ = io.Copy(io.Discard, c.chunks.Source)
+}
+
 // write writes to the upstream, and reports whether the upstream takes more.
 func (c *relayCopy) write(p []byte) (int, bool) {
 	written := 0
--- a/daisyshed/peer/relay_test.go
+++ b/daisyshed/peer/relay_test.go
@@ -155,6 +155,25 @@
 	is.Equal(p.dials.Load(), int32(1)) // one session for both
 }
 
+// The upstream sees that this node has closed its side, and may still answer.
+func TestClosingOneSideIsSeenThroughRelay(t *testing.T) {
+	is := is.New(t)
+	p := newRelayPair(t)
+	near, far := p.open()
+	_, err := near.Write([]byte("ask"))
+	is.NoErr(err)
+	is.NoErr(near.(interface{ CloseWrite() error }).CloseWrite())
+	got, err := io.ReadAll(far)
+	is.NoErr(err)
+	is.Equal(string(got), "ask")
+	_, err = far.Write([]byte("answer"))
+	is.NoErr(err)
+	is.NoErr(far.Close())
+	got, err = io.ReadAll(near)
+	is.NoErr(err)
+	is.Equal(string(got), "answer")
+}
+
 // An answer that the upstream breaks off must not look complete.
 func TestResetOfUpstreamIsSeenThroughRelay(t *testing.T) {
 	is := is.New(t)
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -165,10 +165,10 @@
 	// was reached last.
 	relays core.UseRelays
 	known  map[string]relayPath
-	// observed is the last report on each path, and directFailing says that the last one on
-	// direct connections was a failure.
-	observed      map[observedPath]observation
-	directFailing bool
+	// observed is the last report on each path, and direct what the last ones said of direct
+	// connections.
+	observed map[observedPath]observation
+	direct   pathState
 }
 
 // conn is a connection to an upstream. While it is unused, it is kept for
@@ -180,6 +180,8 @@
 	in *limitedReader
 	// relay is the node through which the connection goes; empty if it is direct.
 	relay core.NodeID
+	// answered says that a response was received on it.
+	answered bool
 	// openedAt is when the connection was established, or later.
 	openedAt   time.Time
 	lastUsedAt time.Time
@@ -238,6 +240,7 @@
 		}
 		return nil, &NoResponseError{Relay: cn.relay, Cause: err}
 	}
+	c.observeAnswer(r.Key, cn)
 	if c.OnResponse != nil {
 		c.OnResponse(r.Key, response.StatusCode, response.Header)
 	}
--- a/daisyshed/upstream/observe.go
+++ b/daisyshed/upstream/observe.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"syscall"
 	"time"
 
@@ -15,6 +17,8 @@
 	// successPause between two that the same relay reaches the same upstream.
 	failurePause = 200 * time.Millisecond
 	successPause = time.Second
+	// answerTimeout is how long the upstream may take to close a probe's connection.
+	answerTimeout = 200 * time.Millisecond
 )
 
 // observedPath is a path to an upstream.
@@ -29,23 +33,62 @@
 	at      time.Time
 }
 
-// Probe opens a connection, closes it and reports the outcome. It does not block.
+// pathState is what is known of direct connections.
+type pathState int
+
+const (
+	// working means that the last report was a success.
+	working pathState = iota
+	// notOpening means that it was of a connection that did not open, and notAnswering of one
+	// that opened.
+	notOpening
+	notAnswering
+)
+
+// Probe opens a connection, has the upstream close it and reports the outcome. It does not block.
 func (c *Client) Probe(p core.ProbeUpstream) {
 	go func() {
 		o := c.openProbe(p)
-		if o.err == nil {
-			// The connection is not used, so an error from closing it does not matter.
-			_ = o.conn.Close()
+		result := outcome(o)
+		if result == core.Connected {
+			result = c.awaitClose(o.conn)
 		}
 		if o.relay == "" {
 			c.mu.Lock()
-			c.directFailing = o.err != nil
+			c.direct = stateAfter(result)
 			c.mu.Unlock()
 		}
-		c.report(string(p.Engine), o)
+		c.report(string(p.Engine), o.relay, result)
 	}()
 }
 
+// awaitClose closes this side of a connection and waits until the other side does.
+func (c *Client) awaitClose(cn net.Conn) core.ConnectOutcome {
+	// The connection carries nothing else, so an error from closing it does not matter.
+	defer cn.Close()
+	half, ok := cn.(interface{ CloseWrite() error })
+	if !ok || cn.SetDeadline(time.Now().Add(answerTimeout)) != nil || half.CloseWrite() != nil {
+		return core.Unanswered
+	}
+	switch n, err := cn.Read(make([]byte, 1)); {
+	case n > 0 || errors.Is(err, io.EOF):
+		return core.Answered
+	default:
+		return core.Unanswered
+	}
+}
+
+func stateAfter(outcome core.ConnectOutcome) pathState {
+	switch outcome {
+	case core.Connected, core.Answered:
+		return working
+	case core.Unanswered:
+		return notAnswering
+	default:
+		return notOpening
+	}
+}
+
 func (c *Client) openProbe(p core.ProbeUpstream) opened {
 	if p.Relay.Node == "" {
 		conn, err := c.dial(p.Address)
@@ -60,13 +103,23 @@
 // observe reports how an attempt ended, unless that tells the core nothing new.
 func (c *Client) observe(key string, o opened) {
 	if !localError(o.err) && c.isNews(observedPath{key: key, relay: o.relay}, outcome(o)) {
-		c.report(key, o)
+		c.report(key, o.relay, outcome(o))
 	}
 }
 
-func (c *Client) report(key string, o opened) {
+// observeAnswer reports that the first response was received on a direct connection, unless that
+// tells the core nothing new. Later ones say nothing of new connections.
+func (c *Client) observeAnswer(key string, cn *conn) {
+	first := !cn.answered
+	cn.answered = true
+	if first && cn.relay == "" && c.isNews(observedPath{key: key}, core.Answered) {
+		c.report(key, "", core.Answered)
+	}
+}
+
+func (c *Client) report(key string, relay core.NodeID, outcome core.ConnectOutcome) {
 	if c.OnConnection != nil {
-		c.OnConnection(core.ConnectionObserved{Engine: core.EngineID(key), Relay: o.relay, Outcome: outcome(o)})
+		c.OnConnection(core.ConnectionObserved{Engine: core.EngineID(key), Relay: relay, Outcome: outcome})
 	}
 }
 
@@ -86,17 +139,21 @@
 }
 
 // isNews reports whether an outcome is to be reported, and records that it is. A direct
-// success is news only after a failure, of any upstream.
+// success is news only after a failure, of any upstream; a connection that opens only after one
+// that did not.
 func (c *Client) isNews(path observedPath, outcome core.ConnectOutcome) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if path.relay == "" && outcome == core.Connected {
-		news := c.directFailing
-		c.directFailing = false
+	success := stateAfter(outcome) == working
+	if path.relay == "" && success {
+		news := c.direct == notOpening || c.direct == notAnswering && outcome == core.Answered
+		if news {
+			c.direct = working
+		}
 		return news
 	}
 	pause := failurePause
-	if outcome == core.Connected {
+	if success {
 		pause = successPause
 	}
 	last, ok := c.observed[path]
@@ -108,7 +165,7 @@
 	}
 	c.observed[path] = observation{outcome: outcome, at: time.Now()}
 	if path.relay == "" {
-		c.directFailing = true
+		c.direct = max(c.direct, stateAfter(outcome))
 	}
 	return true
 }
--- a/daisyshed/upstream/paths_test.go
+++ b/daisyshed/upstream/paths_test.go
@@ -359,3 +359,43 @@
 func (noMeter) ControlBytes(int, int) {}
 func (noMeter) PeerDropped()          {}
 func (noMeter) PeerFault(error)       {}
+
+// Guards against probes that take an open connection for an upstream that answers.
+func TestProbeWaitsForTheUpstream(t *testing.T) {
+	is := is.New(t)
+	address, _, _ := echo(t)
+	silent := serve(t, func(net.Conn, *bufio.Reader) { <-t.Context().Done() })
+	p := newPaths(t, false, dialTo(silent))
+	relay := core.Relay{Node: "r1"}
+	for _, c := range []core.ProbeUpstream{
+		{Engine: "e1", Address: address},
+		{Engine: "e2", Address: silent},
+		{Engine: "e3", Address: address, Relay: relay},
+		{Engine: "e4", Address: serve(t, func(c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() })},
+	} {
+		p.Probe(c)
+	}
+	got := map[core.EngineID]core.ConnectOutcome{}
+	for _, m := range p.reports() {
+		got[m.Engine] = m.Outcome
+	}
+	is.Equal(got, map[core.EngineID]core.ConnectOutcome{"e1": core.Answered, "e2": core.Unanswered, "e3": core.Unanswered, "e4": core.Unanswered})
+}
+
+// Guards against a connection that opens, taken for a sound path after one that was not answered.
+func TestOpenConnectionIsNoNewsAfterAnUnansweredOne(t *testing.T) {
+	is := is.New(t)
+	silent := serve(t, func(net.Conn, *bufio.Reader) { <-t.Context().Done() })
+	address, _, _ := echo(t)
+	p := newPaths(t, false, dialTo(refusing(t)))
+	p.Probe(core.ProbeUpstream{Engine: "e2", Address: silent})
+	is.Equal(len(p.reports()), 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := p.Do(ctx, request(silent, nil))
+	is.True(err != nil)
+	is.Equal(len(p.reports()), 1)
+	_, err = p.do(address)
+	is.NoErr(err)
+	is.Equal(p.reports()[1], core.ConnectionObserved{Engine: "e1", Outcome: core.Answered})
+}
