Wait for probes before a node without relays counts as isolated

Four failures within a millisecond were enough without a relay, before the probes of other upstreams had an answer. A node without a relay waits for the time of a probe after the first failure now; one that opens clears it.

TestUpstreamsThatFailTogetherIsolateNobody failed before.

--- a/core/isolation.go
+++ b/core/isolation.go
@@ -22,6 +22,9 @@
 	// probes of one upstream before that. maxProbes bounds the probes in one period.
 	probeEvery = time.Second
 	maxProbes  = 6
+	// probeTimeout is within what time probes of other upstreams have ended. Without a relay,
+	// only these tell whether several upstreams failed together.
+	probeTimeout = 500 * time.Millisecond
 	// noAnswerAfter is how long a lease request may have no answer until its upstream is
 	// probed.
 	noAnswerAfter = 100 * time.Millisecond
@@ -37,6 +40,8 @@
 	// worked, and relayed the last successes through relays.
 	unreached map[EngineID]pathFailure
 	relayed   map[EngineID]pathSuccess
+	// failingSince is when the first of the failures was.
+	failingSince Instant
 	// opens says that the failures by which the node is isolated were of connections that opened.
 	opens bool
 	// reached are the upstreams to which an isolated node could connect, without a failure
@@ -122,6 +127,9 @@
 	case s.isolated:
 		s.reached = Set[EngineID]{}
 	default:
+		if s.recentlyUnreached(n) == 0 {
+			s.failingSince = n.now
+		}
 		s.unreached[m.Engine] = pathFailure{at: n.now, opened: m.Outcome == Unanswered}
 		s.probeMore(n)
 	}
@@ -191,6 +199,10 @@
 	case len(relays) == 0 && n.relayChoice.confirmsFailures(n):
 		// Upstreams that relays cannot reach either have failed.
 	case len(relays) == 0 && unreached >= min(minUnreached, len(n.forward.upstreams.byID)):
+		if wait := probeTimeout - n.now.Sub(s.failingSince); wait > 0 {
+			n.afterFunc(wait, func(n *Node) { s.consider(n) })
+			return
+		}
 		s.set(n, true, detail+"; no relay")
 	case len(relays) > 0:
 		n.relayChoice.probe(n)
--- a/core/isolation_unanswered_test.go
+++ b/core/isolation_unanswered_test.go
@@ -58,3 +58,21 @@
 	first, _ := relaysFirst(out).Get()
 	is.True(!first)
 }
+
+// Guards against several upstreams that fail together, taken for a partition of the node before the
+// probes of the others are answered: its relays did not answer in time either (soak seed 427039).
+func TestUpstreamsThatFailTogetherIsolateNobody(t *testing.T) {
+	is := is.New(t)
+	h := newPathNode()
+	h.unreached("s1", "s2")
+	for _, relay := range []core.NodeID{"n2", "n3", "n4"} {
+		h.deliver(core.ConnectionObserved{Engine: "s1", Relay: relay, Outcome: core.RelayUnanswered})
+	}
+	out := h.unreached("s3", "s4")
+	out = append(out, h.advance(100*time.Millisecond)...)
+	out = append(out, h.deliver(core.ConnectionObserved{Engine: "s5", Outcome: core.Connected})...)
+	out = append(out, h.advance(time.Second)...)
+	for _, c := range commandsOf[core.UseRelays](out) {
+		is.True(!c.First)
+	}
+}
