Count ends of upstreams at the same moment once the suspect ends more later

Ends less than 100 ms apart count once, as upstreams or connections that end together may have another cause in common. The others were forgotten for good, also when the request ended more upstreams later, and when the one that was counted was taken back as its upstream answered.

Ends of the same moment are kept now, five at most, and count once another end comes a second or more after the first. A moment alone still blocks nothing.

TestRequestThatCallersSendAtOnceIsBlocked (5 of 8 cases), TestRunsAtTheSameMomentEndUpstreamsEach, TestEnginesThatEndTwiceAtOneMomentBlockAPart and TestUpstreamsThatAnswerAfterAMomentDoNotCount failed before; TestEnginesThatEndWithinASecondBlockNoPart guards the other side. sendDeadly takes the time between two requests; its other caller passes the same as before.

--- a/core/crash_suspects.go
+++ b/core/crash_suspects.go
@@ -16,8 +16,10 @@
 	crashesToBlockIfSound = 5
 	// minCrashGap is the least time between two ends of upstreams that count, unless the
 	// second one ended under a run that began after the first. Upstreams or connections that
-	// end at the same moment have another cause in common.
+	// end at the same moment may have another cause in common. If others end minCauseGap
+	// later, the suspect is that cause, and all of them count.
 	minCrashGap = 100 * time.Millisecond
+	minCauseGap = time.Second
 	// suspectFor is how long the end of an engine counts, and soundFor how long a sound
 	// answer does.
 	suspectFor = 2 * time.Minute
@@ -74,11 +76,73 @@
 
 // suspicion is that of a suspect under which upstreams ended, without a sound answer since.
 type suspicion struct {
-	crashes []EngineCrash
+	crashes []suspectCrash
 	// countedAt is when a crash was counted last.
 	countedAt Instant
 }
 
+// suspectCrash is the end of an upstream under a suspect. together says that it came less than
+// minCrashGap after the last one before it that did not.
+type suspectCrash struct {
+	EngineCrash
+	at       Instant
+	together bool
+}
+
+// counts reports whether an end counts.
+func (s *suspicion) counts(c suspectCrash) bool {
+	return !c.together || s.crashes[len(s.crashes)-1].at.Sub(s.crashes[0].at) >= minCauseGap
+}
+
+// counted returns the ends that count, and count how many there are.
+func (s *suspicion) counted() []EngineCrash {
+	var list []EngineCrash
+	for _, c := range s.crashes {
+		if s.counts(c) {
+			list = append(list, c.EngineCrash)
+		}
+	}
+	return list
+}
+
+func (s *suspicion) count() int {
+	n := 0
+	for _, c := range s.crashes {
+		if s.counts(c) {
+			n++
+		}
+	}
+	return n
+}
+
+// add adds the end of an upstream unless there are enough of its kind.
+func (s *suspicion) add(c suspectCrash) {
+	same := 0
+	for _, known := range s.crashes {
+		if known.EngineCrash == c.EngineCrash {
+			return
+		}
+		if known.together == c.together {
+			same++
+		}
+	}
+	if same >= crashesToBlockIfSound {
+		return
+	}
+	s.crashes = append(s.crashes, c)
+	if !c.together {
+		s.countedAt = c.at
+	}
+}
+
+// remove removes the end of an upstream.
+func (s *suspicion) remove(crash EngineCrash) {
+	s.crashes = slices.DeleteFunc(s.crashes, func(c suspectCrash) bool { return c.EngineCrash == crash })
+	if len(s.crashes) > 0 {
+		s.crashes[0].together = false
+	}
+}
+
 // blockedSuspect is a suspect that ends upstreams. Requests with it are rejected until the
 // time until; then one of them is a trial.
 type blockedSuspect struct {
@@ -163,7 +227,7 @@
 		blocked = append(blocked, whole)
 	}
 	for _, key := range blocked {
-		crashes := l.suspicions[key].crashes
+		crashes := l.suspicions[key].counted()
 		l.block(now, key, minBlock)
 		if b, ok := l.blocked[key]; ok {
 			b.crashes = crashes
@@ -203,11 +267,8 @@
 	}
 	since := now.Sub(s.countedAt)
 	apart := len(s.crashes) == 0 || since >= minCrashGap || key.Request != "" && r.RanFor <= since
-	if apart && !slices.Contains(s.crashes, r.Crash) && len(s.crashes) < crashesToBlockIfSound {
-		s.crashes = append(s.crashes, r.Crash)
-		s.countedAt = now
-	}
-	return len(s.crashes)
+	s.add(suspectCrash{EngineCrash: r.Crash, at: now, together: !apart})
+	return s.count()
 }
 
 // evictSuspects makes room for other suspects: a quarter of them goes, those with the fewest
@@ -217,7 +278,7 @@
 	keys := slices.Collect(maps.Keys(l.suspicions))
 	slices.SortFunc(keys, func(a, b CrashSuspect) int {
 		x, y := l.suspicions[a], l.suspicions[b]
-		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), cmp.Compare(x.countedAt, y.countedAt), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Service, b.Service))
+		return cmp.Or(cmp.Compare(x.count(), y.count()), cmp.Compare(x.countedAt, y.countedAt), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Service, b.Service))
 	})
 	for _, key := range keys[:(len(keys)+3)/4] {
 		delete(l.suspicions, key)
@@ -231,7 +292,7 @@
 		return slices.DeleteFunc(slices.Clone(list), func(c EngineCrash) bool { return c == crash })
 	}
 	for key, s := range l.suspicions {
-		if s.crashes = without(s.crashes); len(s.crashes) == 0 {
+		if s.remove(crash); len(s.crashes) == 0 {
 			delete(l.suspicions, key)
 		}
 	}
@@ -254,7 +315,7 @@
 	if !ok || now.Sub(s.countedAt) > suspectFor {
 		return nil, 0
 	}
-	return s.crashes, s.countedAt
+	return s.counted(), s.countedAt
 }
 
 // block blocks a suspect for at least a duration.
--- a/core/crash_suspects_test.go
+++ b/core/crash_suspects_test.go
@@ -198,3 +198,29 @@
 	}
 	is.True(h.rejected(promptTo(1, "deadly")))
 }
+
+// Two engines end at the same moment under prompts with a part, and one later. Those of the same
+// moment counted as one, so that a fourth one ended.
+func TestEnginesThatEndTwiceAtOneMomentBlockAPart(t *testing.T) {
+	is := is.New(t)
+	h := newEngineNode()
+	h.reportCrash(1, "first", "deadly")
+	h.reportCrashNow(2, "second", "deadly")
+	h.advance(2 * time.Second)
+	is.True(!h.rejected(promptTo(1, "other", "deadly")))
+	h.reportCrash(3, "third", "deadly")
+	is.True(h.rejected(promptTo(2, "other", "deadly")))
+	is.True(!h.rejected(promptTo(3, "third")))
+}
+
+// Many engines end within a second, as when a failure domain loses its power, each with a request on a
+// prompt that many callers share. The reports arrive at different times.
+func TestEnginesThatEndWithinASecondBlockNoPart(t *testing.T) {
+	is := is.New(t)
+	h := newEngineNode()
+	for i := range 8 {
+		h.reportCrashNow(i, "popular")
+		h.advance(20 * time.Millisecond)
+	}
+	is.True(!h.rejected(promptTo(1, "popular")))
+}
--- a/core/deadly_request_test.go
+++ b/core/deadly_request_test.go
@@ -12,14 +12,14 @@
 const (
 	// deadlyEnds is how many upstreams a request may end before the bound counts.
 	deadlyEnds = 3
-	// deadlyEvery is the time between two attempts of a deadly request.
+	// deadlyEvery is the usual time between two attempts of a deadly request.
 	deadlyEvery = 700 * time.Millisecond
 )
 
-// sendDeadly has a deadly request come again at any node, for a duration of d.
-func (w *hostedWorld) sendDeadly(kind core.RouteID, d time.Duration) {
+// sendDeadly has a deadly request come again at any node, every so often for a duration of d.
+func (w *hostedWorld) sendDeadly(kind core.RouteID, d, every time.Duration) {
 	w.deadlyKey = "deadly key"
-	for at := time.Duration(0); at < d; at += deadlyEvery {
+	for at := time.Duration(0); at < d; at += every {
 		w.after(at, func() {
 			w.key = w.deadlyKey
 			w.sendRequest(kind, worldOutput, w.now, true, 0)
@@ -88,7 +88,7 @@
 				w.load("resumable", 2, 36*time.Second)
 				w.run(5 * time.Second)
 				began := w.now
-				w.sendDeadly(c.kind, 30*time.Second)
+				w.sendDeadly(c.kind, 30*time.Second, deadlyEvery)
 				w.run(30 * time.Second)
 				late := w.lateDeadlyArrivals(deadlyEnds)
 				is.True(len(w.crashes) > 0)
@@ -105,6 +105,32 @@
 	}
 }
 
+// Three callers at a time send the request that ends upstreams. Their ends, at the same moment, counted
+// as one.
+func TestRequestThatCallersSendAtOnceIsBlocked(t *testing.T) {
+	for _, every := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%v, seed %d", every, seed+1), func(t *testing.T) {
+				is := is.New(t)
+				w := newHostedWorld(worldOptions{nodes: 8, prefillers: 2, decoders: 3, plain: 8, slots: 6, seed: seed + 1})
+				w.eventful = true
+				w.run(3 * time.Second)
+				w.load("read", 10, 36*time.Second)
+				w.load("pay", 20, 36*time.Second)
+				w.run(2 * time.Second)
+				for range 3 {
+					w.sendDeadly("pay", 30*time.Second, every)
+				}
+				w.run(30 * time.Second)
+				late := w.lateDeadlyArrivals(deadlyEnds)
+				t.Logf("%d upstreams ended, %d late arrivals", len(w.crashes), late)
+				is.True(len(w.crashes) >= deadlyEnds)
+				is.True(late <= toleratedArrivals)
+			})
+		}
+	}
+}
+
 // crashOf reports to a node that an upstream ended under a whole request.
 func (h *hostedNode) crashOf(key core.RequestKey, upstream int, ranFor time.Duration) {
 	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Crashes: []core.CrashReport{{
@@ -156,6 +182,42 @@
 	is.True(!h.blockedAs(3, "other"))
 }
 
+// Two callers send the request that ends upstreams at the same moment, and one of them again later.
+// The two ends counted as one, so that the request ended a fourth and a fifth upstream (a replay
+// of soak seed 425019).
+func TestRunsAtTheSameMomentEndUpstreamsEach(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	h.crashOf("deadly", 1, 42*time.Millisecond)
+	h.crashOf("deadly", 2, 42*time.Millisecond)
+	h.advance(2 * time.Second)
+	is.True(!h.blockedAs(1, "deadly"))
+	h.crashOf("deadly", 3, 42*time.Millisecond)
+	is.True(h.blockedAs(2, "deadly"))
+	is.True(!h.blockedAs(3, "other"))
+}
+
+// Connections break off at the same moment under a request, and all but one of their upstreams answer
+// after that. Two more ends are needed.
+func TestUpstreamsThatAnswerAfterAMomentDoNotCount(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	for i := range 4 {
+		h.crashOf("deadly", i, 50*time.Millisecond)
+	}
+	var answered []core.EngineCrash
+	for i := range 3 {
+		answered = append(answered, core.EngineCrash{Engine: core.EngineID(fmt.Sprint("e", i)), Born: 1})
+	}
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Answered: answered}})
+	h.advance(2 * time.Second)
+	h.crashOf("deadly", 5, 50*time.Millisecond)
+	is.True(!h.blockedAs(1, "deadly"))
+	h.advance(2 * time.Second)
+	h.crashOf("deadly", 6, 50*time.Millisecond)
+	is.True(h.blockedAs(2, "deadly"))
+}
+
 // Three connections break off at the same moment under attempts of one request, as when the
 // connections of a node are reset. The request is not the cause.
 func TestUpstreamsThatEndTogetherBlockNoRequest(t *testing.T) {
