Repeat the correction of a stream's origin until it is confirmed

A stream that had begun at an engine started again at another version was corrected at its present keepers only, once. A keeper that was suspected at that moment, or whose connection broke, kept the former version and named it to the node where the caller resumed the stream, so that the stream was joined from two versions. Found by reading; no run has shown it.

Cause: f.keepers loses members that may be gone, which may still have the record, and nothing showed whether a correction had arrived.

All nodes that were notified of a stream get its correction, whatever their state is now, each time with a query for the stream, whose answer confirms the correction or not. No message between nodes changes.

--- a/core/forward.go
+++ b/core/forward.go
@@ -70,11 +70,13 @@
 
 	// version is the version that the request's stream is bound to, once it has begun or if its
 	// caller resumes it. lookup is the search for it, keepers are the other nodes that were
-	// notified of it, and logged is set once it was sent to be appended to the store.
-	version Option[SoftwareVersion]
-	lookup  *versionLookup
-	keepers Set[NodeID]
-	logged  bool
+	// notified of it and may keep it still, reported are all that were notified, and logged is
+	// set once it was sent to be appended to the store.
+	version  Option[SoftwareVersion]
+	lookup   *versionLookup
+	keepers  Set[NodeID]
+	reported Set[NodeID]
+	logged   bool
 	// origin is the upstream that began the stream; nil if none did for this node, or if it is
 	// verified that the stream is of its listed version.
 	origin *streamOrigin
--- a/core/stream_origin.go
+++ b/core/stream_origin.go
@@ -6,8 +6,8 @@
 	// maxDoubted bounds how many streams a node remembers that have ended while their origin was
 	// not verified.
 	maxDoubted = 4096
-	// correctedCopies is how many nodes are notified of a wrong origin: the keepers, and those that
-	// may have been their keepers before.
+	// correctedCopies is how many nodes are notified of a wrong origin, beside those that were
+	// notified of the stream: others may have been notified by a node that resumed it.
 	correctedCopies = 5
 )
 
@@ -29,8 +29,10 @@
 	stream StreamKey
 	ServiceVersion
 	endedAt Instant
-	// logged is set if the origin was sent to be appended to the store.
-	logged bool
+	// reported are the nodes that were notified of the origin, and logged is set if it was sent to
+	// be appended to the store.
+	reported Set[NodeID]
+	logged   bool
 }
 
 // registered returns the instant at which the store must have had the entry of the process that
@@ -62,13 +64,13 @@
 		f.version = Some(u.Version)
 		s.logOrigin(n, f, "begun by the later incarnation, version "+string(u.Version))
 		if f.keepers != nil {
-			s.correctStream(n, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, u.Version}, true, f.logged)
+			s.correctStream(n, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, u.Version}, true, f.reported, f.logged)
 		}
 	default:
 		o.lost = true
 		s.logOrigin(n, f, "not known: the upstream has started again")
 		if f.keepers != nil {
-			s.correctStream(n, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, u.Version}, false, f.logged)
+			s.correctStream(n, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, u.Version}, false, f.reported, f.logged)
 		}
 	}
 }
@@ -86,7 +88,7 @@
 		case !listed || u.Born == d.born:
 			return false
 		case !s.listedBefore(n, &d.streamOrigin, u) && u.Version != d.Version:
-			s.correctStream(n, d.stream, ServiceVersion{d.Service, u.Version}, false, d.logged)
+			s.correctStream(n, d.stream, ServiceVersion{d.Service, u.Version}, false, d.reported, d.logged)
 		}
 		return true
 	})
@@ -130,16 +132,16 @@
 	if f.origin == nil || f.origin.lost || !known || f.keepers == nil {
 		return
 	}
-	d := doubtedStream{*f.origin, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, version}, n.now, f.logged}
+	d := doubtedStream{*f.origin, streamKey(f.beganBy()), ServiceVersion{f.spec.ID, version}, n.now, f.reported, f.logged}
 	if s.versions.doubted = append(s.versions.doubted, d); len(s.versions.doubted) > maxDoubted {
 		s.versions.doubted = slices.Delete(s.versions.doubted, 0, maxDoubted/2)
 	}
 }
 
-// correctStream replaces the recorded origin of a stream here and at its keepers by the later
-// incarnation's, or records there that it is not known whether that is the origin. In the store, a
-// second origin has the same effect for both.
-func (s *forwards) correctStream(n *Node, stream StreamKey, later ServiceVersion, known, logged bool) {
+// correctStream replaces the recorded origin of a stream here and at the nodes that may keep it by
+// the later incarnation's, or records there that it is not known whether that is the origin. In the
+// store, a second origin has the same effect for both.
+func (s *forwards) correctStream(n *Node, stream StreamKey, later ServiceVersion, known bool, reported Set[NodeID], logged bool) {
 	if logged {
 		s.versions.log.report(n, later, stream)
 	}
@@ -147,11 +149,11 @@
 		later = ServiceVersion{}
 	}
 	s.versions.correct(n, stream, later)
-	for _, id := range n.streamKeepers(stream, correctedCopies) {
-		if id != n.Self.ID {
-			n.send(id, StreamsBegun{Service: later.Service, Version: later.Version, Streams: []StreamKey{stream}, Corrects: true})
-		}
+	nodes := SetOf(n.streamKeepers(stream, correctedCopies)...)
+	for id := range reported {
+		nodes.Add(id)
 	}
+	s.versions.corrections.add(n, stream, later, nodes)
 }
 
 // correct replaces the origin of a stream, whether or not it is kept already.
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -143,8 +143,10 @@
 	})
 }
 
-// handleVersionAnswer handles the answer of a node for all requests that wait for it.
+// handleVersionAnswer handles the answer of a node for all requests that wait for it, and for a
+// correction of the stream's origin.
 func (s *forwards) handleVersionAnswer(n *Node, from NodeID, m VersionAnswer) {
+	s.versions.corrections.handleAnswer(from, m)
 	for _, id := range slices.Clone(s.versions.lookups[m.Stream]) {
 		f := s.live[id]
 		if f == nil || f.lookup == nil || !f.lookup.asked.Has(from) {
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -88,6 +88,8 @@
 	longest map[ServiceID]time.Duration
 	// doubted are streams that have ended while their origin was not verified.
 	doubted []doubtedStream
+	// corrections are those that other nodes have not confirmed.
+	corrections streamCorrections
 }
 
 func streamKey(attempt string) StreamKey { return StreamKey(hash64(attempt)) }
@@ -109,6 +111,7 @@
 	v.lookups = map[StreamKey][]ForwardID{}
 	v.longest = map[ServiceID]time.Duration{}
 	v.log.start()
+	v.corrections.start()
 }
 
 // observeList records the versions in a new list of upstreams, and reports whether there is one
@@ -252,13 +255,14 @@
 		v.log.report(n, origin, stream)
 	}
 	if f.keepers == nil {
-		f.keepers = Set[NodeID]{}
+		f.keepers, f.reported = Set[NodeID]{}, Set[NodeID]{}
 	}
 	for _, id := range n.streamKeepers(stream, streamCopies) {
 		if id == n.Self.ID || f.keepers.Has(id) {
 			continue
 		}
 		f.keepers.Add(id)
+		f.reported.Add(id)
 		if v.outbox[id] == nil {
 			v.outbox[id] = map[ServiceVersion][]StreamKey{}
 		}
