Remember versions for as long as streams may be resumed

Where a resumable route's timeout is over a minute, a node took the only version left in its list for the one that had begun any stream, although one that had gone 61 s before could have begun it too, and resumed the stream there: joined from two versions. The store's record lost the former version after the same minute, so that nodes that had just started did likewise, and keepers forgot the streams.

Cause: a fixed retention of a minute beside a span that is derived from routes.

The retention is now the longest timeout of the resumable routes of the desired state and the second that late answers have, and a minute at least. The bounds on the number of streams stay.

TestVersionsAreRememberedForAsLongAsStreamsAreResumed failed on the code before, in each of its three parts by itself: the version was removed from the store's record, a keeper did not know its stream, and the node named the other version.

--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -12,9 +12,10 @@
 	// streamFlushEvery is the least time between two notifications of keepers. Streams that begin
 	// meanwhile are collected.
 	streamFlushEvery = 50 * time.Millisecond
-	// streamRetention is how long the version of a stream is kept, and maxStreams how many.
-	streamRetention = time.Minute
-	maxStreams      = 1 << 16
+	// minStreamRetention is the least time for which the version of a stream is kept; it is kept
+	// for as long as the streams of any route may be resumed. maxStreams is how many are.
+	minStreamRetention = time.Minute
+	maxStreams         = 1 << 16
 )
 
 // StreamKey is a hash of the attempt that brought the first event of a stream.
@@ -85,7 +86,9 @@
 	// lookups are the requests that wait for the origin of a stream.
 	lookups map[StreamKey][]ForwardID
 	// longest is how long streams of a service may be resumed; it is computed when it is needed.
-	longest map[ServiceID]time.Duration
+	// retention is how long versions, and those of streams, are remembered.
+	longest   map[ServiceID]time.Duration
+	retention time.Duration
 	// doubted are streams that have ended while their origin was not verified.
 	doubted []doubtedStream
 	// corrections are those that other nodes have not confirmed.
@@ -110,6 +113,7 @@
 	v.outbox = map[NodeID]map[ServiceVersion][]StreamKey{}
 	v.lookups = map[StreamKey][]ForwardID{}
 	v.longest = map[ServiceID]time.Duration{}
+	v.retention = minStreamRetention
 	v.log.start()
 	v.corrections.start()
 }
@@ -131,7 +135,7 @@
 		added = v.note(n, o) || added
 	}
 	for o, at := range v.seen {
-		if n.now.Sub(at) > streamRetention {
+		if n.now.Sub(at) > v.retention {
 			delete(v.seen, o)
 		}
 	}
@@ -206,6 +210,17 @@
 	return longest + lateAnswerTime
 }
 
+// applyRoutes derives from the routes of a new desired state how long streams may be resumed.
+func (v *streamVersions) applyRoutes(routes []Route) {
+	clear(v.longest)
+	v.retention = minStreamRetention
+	for _, r := range routes {
+		if r.RetryPolicy == ResumeOnly {
+			v.retention = max(v.retention, r.Timeout+lateAnswerTime)
+		}
+	}
+}
+
 // keep keeps the origin of a stream; the first one that is reported counts. The oldest are
 // dropped beyond maxStreams.
 func (v *streamVersions) keep(n *Node, stream StreamKey, origin ServiceVersion) {
@@ -214,7 +229,7 @@
 	}
 	v.order = append(v.order, stream)
 	v.streams[stream] = keptStream{ServiceVersion: origin, at: n.now}
-	for len(v.order) > maxStreams || n.now.Sub(v.streams[v.order[0]].at) > streamRetention {
+	for len(v.order) > maxStreams || n.now.Sub(v.streams[v.order[0]].at) > v.retention {
 		delete(v.streams, v.order[0])
 		v.order = v.order[1:]
 	}
@@ -223,7 +238,7 @@
 // recorded returns the origin of a stream, if this node keeps it and it is known.
 func (v *streamVersions) recorded(n *Node, stream StreamKey) (ServiceVersion, bool) {
 	kept, ok := v.streams[stream]
-	return kept.ServiceVersion, ok && kept.Service != "" && n.now.Sub(kept.at) <= streamRetention
+	return kept.ServiceVersion, ok && kept.Service != "" && n.now.Sub(kept.at) <= v.retention
 }
 
 // streamBegan records the version that has begun a request's stream, and notifies the keepers.
--- a/core/version_record_test.go
+++ b/core/version_record_test.go
@@ -110,3 +110,27 @@
 	answers := sentTo[core.InstancesChanged](h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.InstancesQuery{After: 1}}), "n2")
 	is.Equal(answers[0].Passed, []core.ServiceVersion{modelV2})
 }
+
+// The streams of a route can be resumed for minutes. The version that began one was forgotten after
+// a minute, at nodes and in the store, and another one taken for the only version.
+func TestVersionsAreRememberedForAsLongAsStreamsAreResumed(t *testing.T) {
+	is := is.New(t)
+	h := newResumer(versionedEngines("v2", "v2"))
+	state := worldState()
+	state.Version, state.Routes[1].Timeout = 2, 3*time.Minute
+	h.deliver(state, core.VersionsRead{Versions: []core.ServiceVersion{modelV1, modelV2}})
+	begun := core.StreamsBegun{Service: "model", Version: "v1", Streams: []core.StreamKey{1}}
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: begun})
+	for i := range core.Offset(20) {
+		h.advance(5 * time.Second)
+		list := versionedEngines("v2")
+		list[0].Slots += int(i)
+		h.deliver(core.InstancesRead{After: 1 + i, Offset: 2 + i, Changed: list})
+	}
+	is.Equal(len(commandsOf[core.RecordVersion](h.commands)), 0)
+	out := h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.VersionQuery{Service: "model", Stream: 1}})
+	is.Equal(sentTo[core.VersionAnswer](out, "n2")[0].Version, core.SoftwareVersion("v1"))
+	out = h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.VersionQuery{Service: "model", Stream: 2, Search: true}})
+	out = append(out, answerLog(h, out)...)
+	is.True(!sentTo[core.VersionAnswer](out, "n2")[0].Known)
+}
--- a/daisyshed/store/streams.go
+++ b/daisyshed/store/streams.go
@@ -12,7 +12,7 @@
 const (
 	// maxStreamRecords is how many of the last records of the log of streams a node reads when it
 	// does not follow the log yet. Two nodes append a record for each service and version up to
-	// ten times a second, and streams may be resumed for a minute.
+	// ten times a second, and streams may be resumed for minutes.
 	maxStreamRecords = 1 << 14
 	// maxStreamPages bounds the pages of a read of that log.
 	maxStreamPages = 64
