Remove versions from the store's record by a proved list only

The first reader of the upstreams removed a version from the record once its own list had not shown it for a minute. If it had stood still for that minute, the version may have come, begun streams and left meanwhile. Nodes that are started again find the other version alone in the record then, and resume these streams at it.

A version counts as gone if the list is proved as of an instant that is later than its last appearance by the time for which records are kept. If changes of the list may have been missed, that time starts anew.

TestReaderThatStoodStillRemovesNoVersion failed on the code before (1 removal). TestReadersRecordVersions expected the removal on a node whose reads of the store are never answered; it now expects none until a read is answered, and the removal then. It also failed on the code before.

--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -167,6 +167,12 @@
 	return slices.DeleteFunc(slices.Clone(versions), func(o ServiceVersion) bool { return v.serving[o] })
 }
 
+// gone reports whether a version has not served for as long as its streams may be resumed. Only a
+// list that is proved tells: this node may have stood still.
+func (v *streamVersions) gone(n *Node, o ServiceVersion) bool {
+	return !v.serving[o] && n.feed.provenAt().Sub(max(v.seen[o], v.watchedSince)) > v.retention
+}
+
 // restartWatch records that changes of the list may have been missed. As at a start, the versions
 // before are known from the record in the store only.
 func (v *streamVersions) restartWatch(n *Node) {
--- a/core/version_record.go
+++ b/core/version_record.go
@@ -84,9 +84,7 @@
 		}
 	}
 	for _, o := range sortedVersions(r.recorded) {
-		seenAt, seen := v.seen[o]
-		gone := !v.serving[o] && (!seen || n.now.Sub(seenAt) > v.retention)
-		if rank == 0 && gone && !r.pending[o] {
+		if rank == 0 && v.gone(n, o) && !r.pending[o] {
 			r.pending[o] = true
 			n.do(RecordVersion{ServiceVersion: o, Gone: true})
 		}
