Record versions that have left before they were recorded

The readers of the upstreams recorded the versions that served at the moment of a try. A version whose record could not be written while its upstreams served, as in an outage of the store's writes, or that came and left between two reads, or that the store lost at its return from a copy, was never recorded. Nodes that were started again within a minute took another version for the only one, and resumed the streams of the former at it. Found by reading; no run has shown it.

Cause: the record followed the list, while it has to hold the versions whose streams may be resumed.

Readers now record each version that they have seen for as long as its streams may be resumed, and again until that succeeds.

TestVersionThatHasLeftIsRecorded failed on the code before in its three cases. The tests of core on versions, with engines that are reborn in the emulated world, pass.

If all nodes die before the store takes the record, the version is still not in it.

--- a/core/version_record.go
+++ b/core/version_record.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// versionRecordEvery is the period at which readers check whether the versions in the list are
-// recorded in the store.
+// versionRecordEvery is the period at which readers check whether the versions whose streams may
+// be resumed are recorded in the store.
 const versionRecordEvery = time.Second
 
 // ServiceVersion is a software version of a service's upstreams.
@@ -12,9 +12,9 @@
 	Version SoftwareVersion
 }
 
-// RecordVersion records in the store that a version serves, or, if Gone is set, that it has not
-// served for longer than its streams can be resumed. Nodes that start read the record: when all
-// nodes have died at once, nothing else tells whether one version alone has served.
+// RecordVersion records in the store that a version serves or has served lately, or, if Gone is
+// set, that it has not served for longer than its streams can be resumed. Nodes that start read the
+// record: when all nodes have died at once, nothing else tells whether one version alone has served.
 type RecordVersion struct {
 	ServiceVersion
 	Gone bool
@@ -72,13 +72,14 @@
 	return true
 }
 
-// update has the readers of the upstreams record versions that serve, and the first of them
-// remove those that have not for a while.
+// update has the readers of the upstreams record versions whose streams may be resumed, and the
+// first of them remove those that have not served for a while.
 func (r *versionRecord) update(n *Node) {
 	v := &n.forward.versions
 	rank := n.readerRank()
-	for _, o := range sortedVersions(v.serving) {
-		if rank < feedReaders && !r.recorded[o] && !r.pending[o] {
+	for _, o := range sortedVersions(v.seen) {
+		resumable := v.serving[o] || n.now.Sub(v.seen[o]) <= v.retention
+		if rank < feedReaders && resumable && !r.recorded[o] && !r.pending[o] {
 			r.pending[o] = true
 			n.do(RecordVersion{ServiceVersion: o})
 		}
--- a/core/version_record_test.go
+++ b/core/version_record_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,30 @@
 	h.deliver(core.InstancesRead{After: 1, Offset: 3, Versions: []core.ServiceVersion{modelV1}})
 	is.Equal(len(commandsOf[core.RecordVersion](h.advance(2*time.Second))), 0)
 }
+
+// A version came and left while the store took no records, or between two reads. It was not in the
+// record, and nodes that started later took another one for the only version.
+func TestVersionThatHasLeftIsRecorded(t *testing.T) {
+	v2 := core.RecordVersion{ServiceVersion: modelV2}
+	for name, pass := range map[string]func(h *hostedNode) []core.Command{
+		"not recorded in time": func(h *hostedNode) []core.Command {
+			h.deliver(core.InstancesRead{After: 1, Offset: 2, Changed: versionedEngines("v1", "v2")})
+			h.deliver(core.InstancesRead{After: 2, Offset: 3, Removed: []core.EngineID{"d2"}}, core.VersionRecorded{RecordVersion: v2, Failed: true})
+			return h.advance(time.Second)
+		},
+		"between reads": func(h *hostedNode) []core.Command {
+			return h.deliver(core.InstancesRead{After: 1, Offset: 3, Versions: []core.ServiceVersion{modelV2}})
+		},
+		"lost by the store": func(h *hostedNode) []core.Command {
+			h.deliver(core.InstancesRead{After: 1, Offset: 3, Versions: []core.ServiceVersion{modelV2}}, core.VersionRecorded{RecordVersion: v2}, core.StoreEraObserved{Era: 1})
+			return append(h.deliver(core.StoreEraObserved{Era: 2}), h.advance(time.Second)...)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := readyAlone(versionedEngines("v1")...)
+			h.deliver(core.VersionsRead{Versions: []core.ServiceVersion{modelV1}})
+			is.True(slices.Contains(commandsOf[core.RecordVersion](pass(h)), v2))
+		})
+	}
+}
