Record a version again that returns after its removal

The first reader removes a version from the store's record once it has gone; the other readers still took it for recorded. If that reader died or left and the version returned, nobody recorded it, so that nodes that were started later took another version for the only one and resumed streams at it.

Readers other than the first drop what they know to be recorded once the version has gone by their own proved list. A version that comes back after that counts as new, so that it is recorded at once.

TestVersionThatReturnsIsRecordedAgain failed on the code before (no record).

--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -127,6 +127,11 @@
 	for o := range v.serving {
 		v.seen[o] = n.now
 	}
+	for o, at := range v.seen {
+		if n.now.Sub(at) > v.retention {
+			delete(v.seen, o)
+		}
+	}
 	clear(v.serving)
 	for _, u := range list {
 		v.serving[ServiceVersion{u.Service, u.Version}] = true
@@ -134,11 +139,6 @@
 	for o := range v.serving {
 		added = v.note(n, o) || added
 	}
-	for o, at := range v.seen {
-		if n.now.Sub(at) > v.retention {
-			delete(v.seen, o)
-		}
-	}
 	return added
 }
 
--- a/core/version_record.go
+++ b/core/version_record.go
@@ -85,9 +85,14 @@
 		}
 	}
 	for _, o := range sortedVersions(r.recorded) {
-		if rank == 0 && v.gone(n, o) && !r.pending[o] {
+		switch {
+		case !v.gone(n, o) || r.pending[o]:
+		case rank == 0:
 			r.pending[o] = true
 			n.do(RecordVersion{ServiceVersion: o, Gone: true})
+		default:
+			// The first reader removes it.
+			delete(r.recorded, o)
 		}
 	}
 }
--- a/core/version_record_test.go
+++ b/core/version_record_test.go
@@ -176,3 +176,20 @@
 		})
 	}
 }
+
+// The first reader removed a version that had gone, and left. When the version returned, the other
+// readers took it for recorded.
+func TestVersionThatReturnsIsRecordedAgain(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.deliver(core.Tick{})
+	addPeer(h, "n2")
+	h.deliver(core.InstancesRead{Whole: true, Offset: 1, Changed: versionedEngines("v2")}, core.VersionsRead{Versions: []core.ServiceVersion{modelV1, modelV2}})
+	for range 700 {
+		h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.Heartbeat{Sequence: 2}}, core.InstancesRead{After: 1, Offset: 1})
+		h.advance(100 * time.Millisecond)
+	}
+	is.Equal(len(commandsOf[core.RecordVersion](h.commands)), 0)
+	out := h.deliver(core.InstancesRead{After: 1, Offset: 2, Changed: versionedEngines("v1")})
+	is.Equal(commandsOf[core.RecordVersion](out), []core.RecordVersion{{ServiceVersion: modelV1}})
+}
