Have the soak notice that engines are not verified

The mutant without the verification of held connections and of streams' origins was not noticed by the soak. Cause: the stand-in's engines say in their answer to a lease when they started, and a node gives no resumable stream to an engine that has started later than the list shows. That check, which the mutant left in place, is enough where all engines say so.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -40,6 +40,9 @@
 	// shortIdleTimeout is after how long every second worker closes unused connections
 	// without notice.
 	shortIdleTimeout = 150 * time.Millisecond
+	// omitBornEvery is which of the workers do not say in their answers when they started, with
+	// Size.OmitBorn.
+	omitBornEvery = 3
 	// heartbeatInterval is the interval at which upstreams renew their entries,
 	// and expireAfter the time after which an entry that is not renewed expires.
 	heartbeatInterval = 400 * time.Millisecond
@@ -316,6 +319,9 @@
 	d.startWorker(n, service, stage, d.engineVersion(n), 0)
 }
 
+// omitsBorn reports whether the worker with a number does not say in its answers when it started.
+func (d *deployment) omitsBorn(n int) bool { return d.size.OmitBorn && n%omitBornEvery == 0 }
+
 // startWorker starts the worker with a number, which may have run before, and its heartbeats
 // after a delay.
 func (d *deployment) startWorker(n int, service, stage, version string, delay time.Duration) {
@@ -324,7 +330,7 @@
 	own, advertised := d.address(workerNetwork, last, workerPort+round), d.address(workerNetwork, last, linkPort+round)
 	settings := hostedworker.Settings{
 		ID: id, Service: service, Zone: zoneOf(n), Stage: stage,
-		Version: version, Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
+		Version: version, OmitBorn: d.omitsBorn(n), Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
 		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnOrder: d.recordOrder, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival, EndsWorker: d.handleRequest,
 	}
 	if n%2 == 0 {
--- a/bench/hosted/late_list.go
+++ b/bench/hosted/late_list.go
@@ -26,6 +26,9 @@
 	// for how long one is down at most.
 	rebornShare = 0.4
 	maxDown     = 300 * time.Millisecond
+	// maxRegistration is the longest time until the entry of a worker shows that it has started
+	// again, if its answers do not say so.
+	maxRegistration = 50 * time.Millisecond
 )
 
 // breakStreamsFor has callers lose their connections in the middle of streams for a while.
@@ -124,7 +127,7 @@
 }
 
 // rebirth has a worker crash, and starts it again soon at a version. Its entry shows that with the
-// worker's next heartbeat only.
+// worker's next heartbeat only, or soon if its answers do not.
 func (d *deployment) rebirth(id, version string) {
 	d.mu.Lock()
 	m, running := d.workers[id]
@@ -138,6 +141,9 @@
 	close(m.stopHeartbeat)
 	m.stop()
 	beat := time.Duration(d.rng.Int64N(int64(heartbeatInterval)))
+	if d.omitsBorn(m.number) {
+		beat = min(beat, maxRegistration)
+	}
 	d.afterRandomDelay(maxDown, func() {
 		end()
 		d.mu.Lock()
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -64,6 +64,9 @@
 	Nodes, Callers int
 	// Faults selects the faults whose names contain one of these texts; all if there are none.
 	Faults []string
+	// OmitBorn has some workers not say in their answers when they started, so that the list alone
+	// tells an incarnation from the next one.
+	OmitBorn bool
 }
 
 // DefaultSize is the size of most runs.
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -17,6 +17,9 @@
 // lateSeeds are seeds of the soak that begin with a node that is cut off during a release.
 var lateSeeds = []uint64{421112, 421127, 421147, 421162, 421172, 421177, 421187}
 
+// rebornSeeds are seeds of the soak for engines that start again under their ids.
+var rebornSeeds = []uint64{421201, 421202, 421203, 421205}
+
 // strandedSeeds are seeds of the soak for nodes that reach no upstream.
 var strandedSeeds = []uint64{422005, 422006, 422008, 422009}
 
@@ -112,6 +115,12 @@
 		"core/stream_search.go", "	n.feed.proveAfter(n, at, timeout, func(n *Node, proven bool) {\n",
 		"	withoutProof := func(then func(*Node, bool)) { then(n, true) }\n	withoutProof(func(n *Node, proven bool) {\n",
 	}}}},
+	{Rule: "ORDER", Faults: []string{"reborn"}, Seeds: rebornSeeds, Mutant: Mutant{Name: "engines-not-verified", Promise: core.AnswerWhole, Edits: []Edit{
+		{"core/held_connection.go", "	return bound\n", "	return bound && false\n"},
+		{"core/held_connection.go", "	born, ok := said.Get()\n", "	born, ok := said.Get()\n	ok = false\n"},
+		{"core/stream_origin.go", "	if o == nil || o.lost {\n", "	if true {\n"},
+		{"core/stream_origin.go", "	if o == nil {\n		then(n)\n", "	if true {\n		then(n)\n"},
+	}}},
 	{Rule: "RECOVER", Faults: []string{"stranded"}, Seeds: strandedSeeds, Mutant: Mutant{Name: "no-relays", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/relay_choice.go", "	use := UseRelays{Relays: c.usable(n), First: n.isolation.isolated}\n", "	use := UseRelays{}\n",
 	}}}},
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -104,6 +104,9 @@
 	// Version is the version of the worker's software, which its events name; empty for
 	// DefaultVersion.
 	Version string
+	// OmitBorn leaves out when this incarnation started from answers to control calls and
+	// prefills. The entry names it.
+	OmitBorn bool
 	// Slots is the number of concurrent requests. As many more wait in a queue until
 	// their deadline.
 	Slots int
@@ -305,6 +308,14 @@
 	return raw
 }
 
+// withBorn adds to an answer when this incarnation started.
+func (w *Worker) withBorn(answer map[string]any) map[string]any {
+	if !w.settings.OmitBorn {
+		answer["born"] = w.startedMs
+	}
+	return answer
+}
+
 func (w *Worker) version() string { return cmp.Or(w.settings.Version, DefaultVersion) }
 
 // ServeHTTP handles one request. It rejects requests that expect another instance
@@ -356,7 +367,7 @@
 	case strings.HasPrefix(r.URL.Path, "/-/kv-handle/"):
 		// KV caches take up no memory here, so there is nothing to free.
 	case r.URL.Path == "/-/report":
-		writeJSON(rw, map[string]any{"born": w.startedMs})
+		writeJSON(rw, w.withBorn(map[string]any{}))
 	case r.URL.Path == "/-/order":
 		w.setStage(rw, body)
 	case r.Header.Get("Serving-Stage") == Prefill:
@@ -423,7 +434,7 @@
 	w.reservations[id] = request.Tokens
 	w.mu.Unlock()
 	time.AfterFunc(time.Duration(request.TTLMs)*time.Millisecond, func() { w.release(id) })
-	writeJSON(rw, map[string]any{"Hold": id, "born": w.startedMs})
+	writeJSON(rw, w.withBorn(map[string]any{"Hold": id}))
 }
 
 // release releases a reservation and returns its size in tokens, or zero if there
@@ -472,7 +483,7 @@
 	if !w.waitWhilePaused(r.Context()) {
 		return
 	}
-	writeJSON(rw, map[string]any{"KvHandle": id, "Tokens": 100, "Version": 1, "born": w.startedMs})
+	writeJSON(rw, w.withBorn(map[string]any{"KvHandle": id, "Tokens": 100, "Version": 1}))
 }
 
 // run runs a request to a plain service or a decode engine, or rejects it if the
