--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -12,9 +12,10 @@
 	// streamFlushEvery is the least time between two notifications of keepers. Streams that begin
 	// meanwhile are collected.
 	streamFlushEvery = 50 * time.Millisecond
-	// streamRetention is how long the version of a stream is kept, and maxStreams how many.
-	streamRetention = time.Minute
-	maxStreams      = 1 << 16
+	// minStreamRetention is the least time for which the version of a stream is kept; it is kept
+	// for as long as the streams of any route may be resumed. maxStreams is how many are.
+	minStreamRetention = time.Minute
+	maxStreams         = 1 << 16
 )
 
 // StreamKey is a hash of the attempt that brought the first event of a stream.
@@ -85,9 +86,13 @@
 	// lookups are the requests that wait for the origin of a stream.
 	lookups map[StreamKey][]ForwardID
 	// longest is how long streams of a service may be resumed; it is computed when it is needed.
-	longest map[ServiceID]time.Duration
+	// retention is how long versions, and those of streams, are remembered.
+	longest   map[ServiceID]time.Duration
+	retention time.Duration
 	// doubted are streams that have ended while their origin was not verified.
 	doubted []doubtedStream
+	// corrections are those that other nodes have not confirmed.
+	corrections streamCorrections
 }
 
 func streamKey(attempt string) StreamKey { return StreamKey(hash64(attempt)) }
@@ -108,7 +113,9 @@
 	v.outbox = map[NodeID]map[ServiceVersion][]StreamKey{}
 	v.lookups = map[StreamKey][]ForwardID{}
 	v.longest = map[ServiceID]time.Duration{}
+	v.retention = minStreamRetention
 	v.log.start()
+	v.corrections.start()
 }
 
 // observeList records the versions in a new list of upstreams, and reports whether there is one
@@ -120,6 +127,11 @@
 	for o := range v.serving {
 		v.seen[o] = n.now
 	}
+	for o, at := range v.seen {
+		if n.now.Sub(at) > v.retention {
+			delete(v.seen, o)
+		}
+	}
 	clear(v.serving)
 	for _, u := range list {
 		v.serving[ServiceVersion{u.Service, u.Version}] = true
@@ -127,11 +139,6 @@
 	for o := range v.serving {
 		added = v.note(n, o) || added
 	}
-	for o, at := range v.seen {
-		if n.now.Sub(at) > streamRetention {
-			delete(v.seen, o)
-		}
-	}
 	return added
 }
 
@@ -160,6 +167,12 @@
 	return slices.DeleteFunc(slices.Clone(versions), func(o ServiceVersion) bool { return v.serving[o] })
 }
 
+// gone reports whether a version has not served for as long as its streams may be resumed. Only a
+// list that is proved tells: this node may have stood still.
+func (v *streamVersions) gone(n *Node, o ServiceVersion) bool {
+	return !v.serving[o] && n.feed.provenAt().Sub(max(v.seen[o], v.watchedSince)) > v.retention
+}
+
 // restartWatch records that changes of the list may have been missed. As at a start, the versions
 // before are known from the record in the store only.
 func (v *streamVersions) restartWatch(n *Node) {
@@ -203,6 +216,17 @@
 	return longest + lateAnswerTime
 }
 
+// applyRoutes derives from the routes of a new desired state how long streams may be resumed.
+func (v *streamVersions) applyRoutes(routes []Route) {
+	clear(v.longest)
+	v.retention = minStreamRetention
+	for _, r := range routes {
+		if r.RetryPolicy == ResumeOnly {
+			v.retention = max(v.retention, r.Timeout+lateAnswerTime)
+		}
+	}
+}
+
 // keep keeps the origin of a stream; the first one that is reported counts. The oldest are
 // dropped beyond maxStreams.
 func (v *streamVersions) keep(n *Node, stream StreamKey, origin ServiceVersion) {
@@ -211,7 +235,7 @@
 	}
 	v.order = append(v.order, stream)
 	v.streams[stream] = keptStream{ServiceVersion: origin, at: n.now}
-	for len(v.order) > maxStreams || n.now.Sub(v.streams[v.order[0]].at) > streamRetention {
+	for len(v.order) > maxStreams || n.now.Sub(v.streams[v.order[0]].at) > v.retention {
 		delete(v.streams, v.order[0])
 		v.order = v.order[1:]
 	}
@@ -220,7 +244,7 @@
 // recorded returns the origin of a stream, if this node keeps it and it is known.
 func (v *streamVersions) recorded(n *Node, stream StreamKey) (ServiceVersion, bool) {
 	kept, ok := v.streams[stream]
-	return kept.ServiceVersion, ok && kept.Service != "" && n.now.Sub(kept.at) <= streamRetention
+	return kept.ServiceVersion, ok && kept.Service != "" && n.now.Sub(kept.at) <= v.retention
 }
 
 // streamBegan records the version that has begun a request's stream, and notifies the keepers.
@@ -252,13 +276,14 @@
 		v.log.report(n, origin, stream)
 	}
 	if f.keepers == nil {
-		f.keepers = Set[NodeID]{}
+		f.keepers, f.reported = Set[NodeID]{}, Set[NodeID]{}
 	}
 	for _, id := range n.streamKeepers(stream, streamCopies) {
 		if id == n.Self.ID || f.keepers.Has(id) {
 			continue
 		}
 		f.keepers.Add(id)
+		f.reported.Add(id)
 		if v.outbox[id] == nil {
 			v.outbox[id] = map[ServiceVersion][]StreamKey{}
 		}
