Have the stand-in's operators write their newest state again, never an older one

What was seen: soak ended with version 11 as the newest in the store, though the operator had written up to 13, and no node could have 13.

Cause: the stand-in for the store returns from a copy twice within the 300 ms after which what the first return lost is written again. Each return wrote again what it had lost itself, so that an older version was written after the newest one; so was a version that the operator had replaced meanwhile, and an upstream's entry before its draining. No operator and no upstream does that: each writes what it wrote last.

Change: the stand-in remembers what was last written for each key, and writes that again. The soak's checks are as they were.

That this happened in that run is inferred: its log shows version 11 as the newest in the store after a return from a copy, and the stand-in always writes again what was lost.

--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -61,8 +61,14 @@
 	calls          int
 	// restores counts the returns from a copy.
 	restores int64
+	// written holds the last record of each key that operators and upstreams have written,
+	// whether the store still has it or not.
+	written map[topicKey][]byte
 }
 
+// topicKey is a key of a topic.
+type topicKey struct{ topic, key string }
+
 // record is one record of a topic. data is the length of the key in one byte, the
 // key and the value.
 type record struct {
@@ -133,23 +139,23 @@
 func (s *Store) PutRecord(name string, data []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.written == nil {
+		s.written = map[topicKey][]byte{}
+	}
+	s.written[topicKey{name, record{data: data}.key()}] = data
 	s.topic(name).append(data, time.Now())
 }
 
 // Restore returns the store from a copy that is the given time old: all records since
 // then are lost, their offsets are given out again, and the era rises. The connections
-// of waiting reads are closed. The returned function writes the newest lost records of operators
-// and upstreams again.
+// of waiting reads are closed. The returned function has operators and upstreams write the keys
+// again of which records were lost, each with the last record that they have written.
 func (s *Store) Restore(age time.Duration) (rewrite func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.restores++
 	cut := time.Now().Add(-age)
-	type lostRecord struct {
-		topic string
-		record
-	}
-	var lost []lostRecord
+	lost := map[topicKey]bool{}
 	for name, t := range s.topics {
 		history := t.history
 		t.end, t.records, t.history = 0, nil, nil
@@ -159,7 +165,7 @@
 		first := t.first
 		for _, r := range history {
 			if r.at.After(cut) {
-				lost = append(lost, lostRecord{topic: name, record: r})
+				lost[topicKey{name, r.key()}] = true
 				continue
 			}
 			t.append(r.data, r.at)
@@ -171,13 +177,9 @@
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		newest := map[string]lostRecord{}
-		for _, l := range lost {
-			newest[l.topic+"/"+l.key()] = l
-		}
-		for _, l := range newest {
-			if l.topic == OperatorTopic || l.topic == UpstreamTopic {
-				s.topic(l.topic).append(l.data, time.Now())
+		for key := range lost {
+			if key.topic == OperatorTopic || key.topic == UpstreamTopic {
+				s.topic(key.topic).append(s.written[key], time.Now())
 			}
 		}
 	}
