Stop waiting for a version of the desired state that no node has

What callers saw: after the store had returned from a copy and all nodes had died, every node answered 503 (StaleConfiguration) for routes that its state does not have, for as long as it lived, and each node that started did so too (soak).

Cause: a node that lacks a version names it in its heartbeats (KnownOffset), and whoever hears of it lacks it as well. Nothing distinguished what a peer has from what it was told, and what was told had no age: two nodes name the version to each other for good, and to those that start later, though neither a node nor the store has it. Class: hearsay that renews itself. While they wait, their proofs are not renewed, so that each also reads the store again and again.

Change: later versions count as lost once the store has answered a read without them that began a StateDelay after a peer last had a later version, and after the node learned of the latest of them. From then on only a peer that has it makes the node lack it again. No node goes back: the state in force is only ever replaced by a later one. While a reachable node has the version it is heard from, and nothing is given up; while the store does not answer neither.

--- a/core/state_lag.go
+++ b/core/state_lag.go
@@ -6,6 +6,9 @@
 	// staleStateFraction is the part of StateDelay for which a node serves by a desired state
 	// that it knows to be older than that of most peers.
 	staleStateFraction = 0.5
+	// lostStateFraction is the part of StateDelay for which no peer may have had a later version
+	// before an answer of the store without it shows that the version is lost.
+	lostStateFraction = 1.0
 	// maxLacking bounds the later versions that a node remembers to lack.
 	maxLacking = 16
 )
@@ -25,6 +28,10 @@
 	// current and older count the messages of peers that have named the first of lacking or
 	// a later version, and an older one, since this node learned of it.
 	current, older int
+	// heldAt is when a peer last had a later version than this node. lost is the latest version
+	// that counts as lost: only a peer that has it makes this node lack it again.
+	heldAt Instant
+	lost   int64
 }
 
 // behind reports whether a peer has a later version.
@@ -38,10 +45,22 @@
 	return l.lacking[len(l.lacking)-1].version
 }
 
+// credible returns the latest version that a peer knows of and that is not lost, where has is the
+// one that it has.
+func (l *stateLag) credible(has, known int64) int64 {
+	if known <= l.lost {
+		return has
+	}
+	return known
+}
+
 // observe records the version that a peer has, and the latest that it knows of, where own
 // is the version of this node. It reports whether the latter is the first that this node
 // lacks.
 func (l *stateLag) observe(now Instant, own, has, known int64) (first bool) {
+	if has > own {
+		l.heldAt = now
+	}
 	first = len(l.lacking) == 0 && known > own
 	switch {
 	case known <= max(own, l.latest()):
@@ -77,6 +96,18 @@
 	return lag
 }
 
+// giveUpLost gives up the lacking versions if they are lost, because the store had none of them at
+// asOf and no peer had one for patience before that. Peers that lack a version too name it to each
+// other for good otherwise, also to those that start later. It returns the latest of them.
+func (l *stateLag) giveUpLost(asOf Instant, patience time.Duration) (version int64, lost bool) {
+	if !l.behind() || asOf.Sub(max(l.heldAt, l.lacking[len(l.lacking)-1].since)) < patience {
+		return 0, false
+	}
+	l.lost = l.latest()
+	l.lacking, l.current, l.older = nil, 0, 0
+	return l.lost, true
+}
+
 // stale reports whether this node has lacked a version for limit or longer that most
 // peers have. While most lack it as well, as in an outage of the store, serving by the
 // older version is better than not serving at all.
@@ -92,7 +123,7 @@
 // observeStateVersion records the version of the desired state that a peer has, and the
 // latest that it knows of. The first one that this node lacks is logged.
 func (s *forwards) observeStateVersion(n *Node, from NodeID, has, known int64) {
-	before := s.lag.latest()
+	before, known := s.lag.latest(), s.lag.credible(has, known)
 	first := s.lag.observe(n.now, s.state.Version, has, known)
 	if s.lag.behind() && known == s.lag.latest() {
 		s.spread.learned(n, from, has == known, known > before)
@@ -120,3 +151,16 @@
 func (s *forwards) servesState(n *Node) bool {
 	return s.stateKnown && !s.lag.stale(n.now, n.staleStateLimit())
 }
+
+// giveUpLostState stops waiting for later versions that are lost, after an answer of the store that
+// had none of them at asOf.
+func (s *forwards) giveUpLostState(n *Node, asOf Instant) {
+	version, lost := s.lag.giveUpLost(asOf, fractionOf(n.Settings.StateDelay, lostStateFraction))
+	if !lost {
+		return
+	}
+	// Peers are notified again if one has it after all.
+	s.spread.notified = min(s.spread.notified, s.state.Version)
+	s.updateReady(n)
+	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "state-lost", Version: version}})
+}
--- a/core/state_proof.go
+++ b/core/state_proof.go
@@ -84,11 +84,16 @@
 
 // confirm handles an answer of the store.
 func (p *stateProof) confirm(n *Node, age time.Duration) {
-	if !n.forward.stateKnown || n.forward.lag.behind() {
+	if !n.forward.stateKnown {
+		return
+	}
+	asOf := n.now.Add(-age)
+	n.forward.giveUpLostState(n, asOf)
+	if n.forward.lag.behind() {
 		return
 	}
 	p.number++
-	p.renew(n, n.now.Add(-age))
+	p.renew(n, asOf)
 }
 
 // adopt handles the proof of a peer whose state has the given version. It also holds for a
