End limits of upstreams with the first answer without one, whatever nodes repeat

What callers saw: requests to upstreams that had named a low limit were rejected as NoCapacity long after the limit had ended.

Cause: an answer without a limit does not count within 300 ms after an answer that named it, as it may be late. Nodes repeat limits in force with their heartbeats, and each repetition set the time of the last such answer anew, at the owner several times a second. An upstream that is asked every few seconds had its one answer without a limit taken for a late one, again and again. Class: hearsay that renews itself, as with versions of the desired state that no node has.

Change: only an answer to the node itself, or the first report of a limit, sets that time. For how long a limit is passed on to a new owner still counts from the last report.

TestLowLimitsEndThoughNodesRepeatThem failed before at 4 and 8 nodes with limits of 0 and 0.5 (4 of its 18 cases), TestRepeatedReportsDoNotKeepALimit too. The tests of core named Limit, Owner or Placer pass.

--- a/core/limit_spread.go
+++ b/core/limit_spread.go
@@ -11,7 +11,7 @@
 	limitReportEvery = time.Second
 	// limitLogEvery is the least time between two lines of the log on changes of a limit.
 	limitLogEvery = time.Second
-	// limitFresh is how long after a limit was named a node tells a new owner of it.
+	// limitFresh is how long after it was told of a limit a node tells a new owner of it.
 	limitFresh = 10 * time.Second
 	// maxSentLimits bounds the limits of one message.
 	maxSentLimits = 64
@@ -55,7 +55,7 @@
 		}
 	}
 	changed := limited != m.NamesLimit || before != rate
-	s.setLimit(n, u, named, "answer")
+	s.setLimit(n, u, named, n.now, "answer")
 	signals := u.signals
 	if changed || n.now.Sub(signals.reportedAt) >= limitReportEvery {
 		signals.reportedAt = n.now
@@ -84,14 +84,14 @@
 	n.broadcast(LimitsReported{Limits: []NamedLimit{named}})
 }
 
-// setLimit sets or ends the limit of an upstream. It logs that with the source, and of limits
-// that change with each answer some.
-func (s *upstreams) setLimit(n *Node, u *upstream, named NamedLimit, source string) {
+// setLimit sets a limit of an upstream, which an answer last named at namedAt, or ends it. It logs
+// that with the source, and of limits that change with each answer some.
+func (s *upstreams) setLimit(n *Node, u *upstream, named NamedLimit, namedAt Instant, source string) {
 	before, limited := u.limit().Get()
 	signals := s.signalsOf(n, u)
 	detail := "none, was " + describeRate(before)
 	if named.Limited {
-		signals.limit = Some(upstreamLimit{born: named.Born, rate: named.Rate, namedAt: n.now})
+		signals.limit = Some(upstreamLimit{born: named.Born, rate: named.Rate, namedAt: namedAt, toldAt: n.now})
 		detail = describeRate(named.Rate)
 		s.addLimited(n, u.ID)
 	} else {
@@ -120,10 +120,15 @@
 		owns := n.forward.groupOwner(n, n.forward.groupOfUpstream(u)) == n.Self.ID
 		l, limited := s.signalsOf(n, u).limit.Get()
 		if owns && !named.Limited && limited && n.now.Sub(l.namedAt) < limitOverlap {
-			// Another node has just had an answer with the limit.
+			// The limit has just begun, or an answer to this node has just named it.
 			continue
 		}
-		s.setLimit(n, u, named, string(from))
+		namedAt := n.now
+		if limited && l.born == named.Born {
+			// Nodes repeat what they know to each other, also after the limit has ended.
+			namedAt = l.namedAt
+		}
+		s.setLimit(n, u, named, namedAt, string(from))
 		if owns {
 			s.spreadLimit(n, u, named, limited && !named.Limited)
 		}
@@ -138,7 +143,7 @@
 		u := s.byID[l.Engine]
 		named, _ := u.signals.limit.Get()
 		owner := n.forward.groupOwner(n, n.forward.groupOfUpstream(u))
-		known := owner == n.Self.ID || owner == to && n.now.Sub(named.namedAt) < limitFresh
+		known := owner == n.Self.ID || owner == to && n.now.Sub(named.toldAt) < limitFresh
 		if known && len(m.Limits) < maxSentLimits {
 			m.Limits = append(m.Limits, NamedLimit{Engine: l.Engine, Born: s.byID[l.Engine].Born, Limited: true, Rate: l.Rate})
 		}
--- a/core/upstream_limit.go
+++ b/core/upstream_limit.go
@@ -32,8 +32,9 @@
 type upstreamLimit struct {
 	born int64
 	rate RequestRate
-	// namedAt is when an answer was last known to name it.
-	namedAt Instant
+	// namedAt is when an answer to this node last named it, or when this node was first told of
+	// it. toldAt is when this node was last told of it, by an answer or another node.
+	namedAt, toldAt Instant
 }
 
 // limitUse is how much of an upstream's limit this node may use now, in requests. The owner
