Send each of the soak's probes for a version as another request

What was seen: in soak all nodes rejected the probes for version 4 as CrashingRequest until the end, and the judge took that for nodes that lack the version (CONFIG).

Cause: the soak's watchers probe each node five times a second, at the end five times in a row, always with the same method, host, path and body, and no caller. To the nodes that is one request that comes again: what identifies a request is what all its attempts share, and nothing else can, as the users' rule counts "the same path, caller and body, at any node". Three upstreams ended under probes for other reasons, with no sound answer in between, so that the request was blocked.

The harness was wrong: the rejection says nothing about versions. The block itself is bounded. It ends by one attempt after two minutes if its ends were coincidences, which TestBlockOfARequestByChanceEndsInTwoMinutes now shows for whole requests (it passed at once; for parts of prompts TestBlockEndsByOneTrial did). A run of the soak is shorter than that.

Change: each probe has a number in its query, and an id of its own for the judge. What the checks accept is unchanged, and none is left out; the judge's other checks look at each attempt of a probe as before.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -117,6 +117,8 @@
 	version int
 	// published is the same for other goroutines.
 	published atomic.Int64
+	// probes counts the probes of versions.
+	probes atomic.Int64
 	// release is how many releases of the engines' software there were.
 	release atomic.Int64
 	// wholeRelease is set if all engines that start are of the latest version.
--- a/bench/hosted/export_test.go
+++ b/bench/hosted/export_test.go
@@ -37,6 +37,7 @@
 	HasRaceDetector = hasRaceDetector
 	ReadBody        = readBody
 	EndingOf        = endingOf
+	ProbeRequest    = probeRequest
 )
 
 // Recorded is an attempt at node "n" with what the judge knows of it. Times are relative to
--- a/bench/hosted/state_force.go
+++ b/bench/hosted/state_force.go
@@ -106,12 +106,12 @@
 func (d *deployment) probe(index, version int) (status int, own bool) {
 	c := http.Client{Timeout: probeLimit}
 	defer c.CloseIdleConnections()
-	r, err := http.NewRequest(http.MethodGet, "http://"+d.nodeAddress(index, callerPort)+"/"+hostedsite.VersionRoute(version)+"/probe", nil)
+	number := d.probes.Add(1)
+	r, err := probeRequest(d.nodeAddress(index, callerPort), version, number)
 	if err != nil {
 		return 0, false
 	}
-	r.Host = host
-	m := message{id: requestID(fmt.Sprintf("probe-%d-%d", version, index)), deadline: time.Now().Add(probeLimit)}
+	m := message{id: requestID(fmt.Sprintf("probe-%d-%d-%d", version, index, number)), deadline: time.Now().Add(probeLimit)}
 	attempt := fmt.Sprintf("%s-%d", m.id, time.Now().UnixNano())
 	d.judge.recordAttempt(m, attempt, d.nodeAddress(index, callerPort))
 	hostedsite.SetAttemptHeaders(r.Header, attempt, probeLimit)
@@ -124,3 +124,15 @@
 	d.judge.recordEnding(attempt, answered, true)
 	return a.StatusCode, hostedsite.Signature(a.Header) == ""
 }
+
+// probeRequest returns the probe with the given number of a node. Each is another request: one that
+// comes again, and was on several workers when they ended, is blocked for minutes.
+func probeRequest(address string, version int, number int64) (*http.Request, error) {
+	target := fmt.Sprintf("http://%s/%s/probe?Number=%d", address, hostedsite.VersionRoute(version), number)
+	r, err := http.NewRequest(http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	r.Host = host
+	return r, nil
+}
--- a/core/deadly_request_test.go
+++ b/core/deadly_request_test.go
@@ -282,6 +282,25 @@
 	is.Equal(tried, 2)
 }
 
+// A sound request was on three upstreams that ended by chance. It is blocked for two minutes and
+// no longer: then one attempt is let through, and its answer ends the block.
+func TestBlockOfARequestByChanceEndsInTwoMinutes(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.deliver(core.Tick{}, worldState(), core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("s1")}})
+	for i := range 3 {
+		h.crashOf("chance", i, 50*time.Millisecond)
+		h.advance(time.Second)
+	}
+	is.True(h.blockedAs(1, "chance"))
+	h.advance(2 * time.Minute)
+	for id := core.ForwardID(2); id < 5; id++ {
+		runs := commandsOf[core.RunForward](h.deliver(keyed(id, "chance")))
+		is.Equal(len(runs), 1)
+		h.deliver(core.ForwardResponseStarted{ID: id, Send: runs[0].Send, Engine: runs[0].Engine}, core.ForwardResponseCompleted{ID: id, Send: runs[0].Send, Engine: runs[0].Engine})
+	}
+}
+
 // Callers invent requests during whose runs connections break off. The one that has ended two
 // upstreams must not be forgotten for them.
 func TestInventedRequestsDoNotDisplaceDeadlyOnes(t *testing.T) {
