Do not extend a block by the delay of the messages that repeat it

What callers see: a request, or a part of prompts, that was on three upstreams which ended for other reasons is blocked. The trial that ends such a block is due after two minutes.

Cause: nodes tell each other with their heartbeats for how long suspects are blocked yet. Each message adds its delay to that, and whoever receives it passes the later end on, again and again. Class: hearsay that renews itself, as with lost versions of the desired state and with limits that have ended.

Change: a report extends a known block only by more than a message may be late (10 s), as after a trial that ended another upstream, which doubles it.

--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -15,6 +15,10 @@
 	minRestart = time.Second
 	// blockedRetryAfter bounds the time that a rejection of a blocked part names.
 	blockedRetryAfter = time.Minute
+	// maxReportDelay bounds the time that a report of a block is on its way. One that extends a
+	// known block by less says nothing new: nodes repeat blocks to each other, and each message
+	// adds its delay.
+	maxReportDelay = 10 * time.Second
 	// reportTargets is how many members a node sends its blocked parts and the limits that it
 	// knows of to in each period of the heartbeat, and maxSentBlocks bounds the parts of one
 	// message.
@@ -239,7 +243,9 @@
 		if !ok && s.suspects.isSound(n.now, b.CrashSuspect) {
 			continue
 		}
-		s.suspects.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
+		if !ok || n.now.Add(b.Left) > known.until.Add(maxReportDelay) {
+			s.suspects.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
+		}
 		if !ok {
 			s.suspectBlocked(n, b.CrashSuspect)
 		}
