Have a sound trial end the block of a request at all nodes

What callers see: a request that was blocked by chance, and whose trial had a sound answer, was rejected again at nearly all nodes, trial after trial. Seen in emulation, with messages that take 150 ms and of which one in twenty is lost.

Cause: the news that a request is sound is sent once. A node that it does not reach keeps the block and tells the others of it with its heartbeats; they had forgotten that they had cleared it, as whole requests were not remembered as sound. Class: hearsay that renews itself.

Change: a request that was cleared from a block is remembered as sound, until an upstream ends under it again. Whoever hears of its old block tells the sender that it is sound.

TestSoundTrialEndsABlockAtAllNodes failed before (7 of 8 and 81 of 82 nodes rejected the request after sound trials; with 4 nodes none did); none does now. TestClearedRequestIsBlockedAgainByNewEnds guards that new ends still block it.

--- a/core/block_hearsay_test.go
+++ b/core/block_hearsay_test.go
@@ -64,3 +64,47 @@
 		})
 	}
 }
+
+// The trial of a request that was blocked by chance has a sound answer. Nodes that the news did
+// not reach told the others of the block again.
+func TestSoundTrialEndsABlockAtAllNodes(t *testing.T) {
+	for _, nodes := range []int{4, 8, 82} {
+		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
+			if testing.Short() && nodes > 8 {
+				t.Skip("the race detector takes long for this size")
+			}
+			is := is.New(t)
+			w := newBlockedWorld(nodes, "chance")
+			w.run(firstBlock + lateTrial)
+			next := 0
+			w.pick = func() *worldNode { next++; return w.nodes[next%len(w.nodes)] }
+			for range 2 * nodes {
+				w.key = "chance"
+				w.sendRequest("read", worldOutput, w.now, true, 0)
+				w.run(50 * time.Millisecond)
+			}
+			w.run(contact)
+			is.Equal(w.blockedNodes("chance", 1), 0)
+		})
+	}
+}
+
+// A node has cleared a request by a trial. It tells those that have not heard of that, but takes
+// over a block that began later, whose trial is long to come.
+func TestClearedRequestIsBlockedAgainByNewEnds(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1", "s2", "s3")
+	suspect := core.CrashSuspect{Service: "ledger", Request: "cleared"}
+	blocked := func(left time.Duration) []core.Command {
+		return h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Blocked: []core.SuspectBlock{{CrashSuspect: suspect, Left: left}}}})
+	}
+	blocked(0)
+	h.advance(time.Second)
+	h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.SuspectsReported{Sound: []core.CrashSuspect{suspect}}})
+	told := sentTo[core.SuspectsReported](blocked(time.Second), "n2")
+	is.Equal(len(told), 1)
+	is.Equal(told[0].Sound, []core.CrashSuspect{suspect})
+	is.True(!h.blockedAs(1, "cleared"))
+	is.Equal(len(sentTo[core.SuspectsReported](blocked(firstBlock), "n2")), 0)
+	is.True(h.blockedAs(2, "cleared"))
+}
--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// handleSuspectsReported handles what another node has seen. If it suspects a part on which
-// this node has had sound answers, it is told so.
+// handleSuspectsReported handles what another node has seen. If it suspects a part on which this
+// node has had sound answers, or blocks a request that a trial has cleared, it is told so.
 func (s *forwards) handleSuspectsReported(n *Node, from NodeID, m SuspectsReported) {
 	s.suspects.observeSound(n.now, n.now, m.Sound)
 	var sound []CrashSuspect
@@ -232,15 +232,17 @@
 		}
 		s.observeCrashReport(n, c)
 	}
-	if len(sound) > 0 {
-		n.send(from, SuspectsReported{Sound: sound})
-	}
 	for _, crash := range m.Answered {
 		s.retract(n, crash)
 	}
 	for _, b := range m.Blocked {
 		known, ok := s.suspects.blocked[b.CrashSuspect]
-		if !ok && s.suspects.isSound(n.now, b.CrashSuspect) {
+		// Trials clear requests whose block is over. One that has long to go is another block.
+		another := b.Request != "" && b.Left > maxReportDelay
+		if !ok && !another && s.suspects.isSound(n.now, b.CrashSuspect) {
+			if b.Request != "" {
+				sound = append(sound, b.CrashSuspect)
+			}
 			continue
 		}
 		if !ok || n.now.Add(b.Left) > known.until.Add(maxReportDelay) {
@@ -253,4 +255,7 @@
 			known.trials = max(known.trials, b.Trials)
 		}
 	}
+	if len(sound) > 0 {
+		n.send(from, SuspectsReported{Sound: sound})
+	}
 }
--- a/core/crash_suspects.go
+++ b/core/crash_suspects.go
@@ -151,6 +151,7 @@
 	}
 	whole, wholeMost := CrashSuspect{}, 0
 	for _, key := range wholeRequest(r.Service, r.Request) {
+		delete(l.sound, key)
 		if n := l.suspect(now, key, r); n >= wholeMost {
 			whole, wholeMost = key, n
 		}
@@ -324,8 +325,9 @@
 		}
 		delete(l.suspicions, key)
 		delete(l.blocked, key)
-		if key.Part == "" {
-			// Whole requests are not remembered as sound: each one is another.
+		if key.Part == "" && !blocked {
+			// Whole requests are not remembered as sound, as each one is another, unless nodes may
+			// tell of their block yet.
 			continue
 		}
 		if l.sound == nil || len(l.sound) >= maxSoundParts && l.sound[key] == 0 {
