--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -15,6 +15,10 @@
 	minRestart = time.Second
 	// blockedRetryAfter bounds the time that a rejection of a blocked part names.
 	blockedRetryAfter = time.Minute
+	// maxReportDelay bounds the time that a report of a block is on its way. One that extends a
+	// known block by less says nothing new: nodes repeat blocks to each other, and each message
+	// adds its delay.
+	maxReportDelay = 10 * time.Second
 	// reportTargets is how many members a node sends its blocked parts and the limits that it
 	// knows of to in each period of the heartbeat, and maxSentBlocks bounds the parts of one
 	// message.
@@ -237,8 +241,8 @@
 	}
 }
 
-// handleSuspectsReported handles what another node has seen. If it suspects a part on which
-// this node has had sound answers, it is told so.
+// handleSuspectsReported handles what another node has seen. If it suspects a part on which this
+// node has had sound answers, or blocks a request that a trial has cleared, it is told so.
 func (s *forwards) handleSuspectsReported(n *Node, from NodeID, m SuspectsReported) {
 	s.suspects.observeSound(n.now, n.now, m.Sound)
 	var sound []CrashSuspect
@@ -250,18 +254,22 @@
 		}
 		s.observeCrashReport(n, c)
 	}
-	if len(sound) > 0 {
-		n.send(from, SuspectsReported{Sound: sound})
-	}
 	for _, crash := range m.Answered {
 		s.retract(n, crash)
 	}
 	for _, b := range m.Blocked {
 		known, ok := s.suspects.blocked[b.CrashSuspect]
-		if !ok && s.suspects.isSound(n.now, b.CrashSuspect) {
+		// Trials clear requests whose block is over. One that has long to go is another block.
+		another := b.Request != "" && b.Left > maxReportDelay
+		if !ok && !another && s.suspects.isSound(n.now, b.CrashSuspect) {
+			if b.Request != "" {
+				sound = append(sound, b.CrashSuspect)
+			}
 			continue
 		}
-		s.suspects.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
+		if !ok || n.now.Add(b.Left) > known.until.Add(maxReportDelay) {
+			s.suspects.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
+		}
 		if !ok {
 			s.suspectBlocked(n, b.CrashSuspect)
 		}
@@ -269,4 +277,7 @@
 			known.trials = max(known.trials, b.Trials)
 		}
 	}
+	if len(sound) > 0 {
+		n.send(from, SuspectsReported{Sound: sound})
+	}
 }
