Do not count failures behind a relay that is isolated (RECOVER)

A node that reaches upstreams through a relay took it for ends of these upstreams when the relay was cut off by resets, avoided them, and reported the ends to all nodes, so that sound requests could be rejected as CrashingRequest.

Failures were recorded by upstream, and only those of the node's own path were withdrawn when that turned out to be cut off; ends behind a sound relay were withdrawn with them. They are recorded by path now: the news that a relay is isolated withdraws what failed through it, and nothing that fails there later counts. A relay probes upstreams when a relayed connection breaks, so that it finds out sooner.

An owner still counts what a node that is not isolated reports of such a connection, within the bound on nodes that fail alone.

--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -95,7 +95,7 @@
 	d.Detail = fmt.Sprintf("%s, after %v, parts %s", CrashSuspect{Request: report.Request}, report.RanFor, joinParts(report.Parts))
 	n.do(LogDecision{Decision: d})
 	s.observeCrashReport(n, report)
-	n.isolation.crashes[report.Crash] = n.now
+	n.isolation.recordCrash(n, m.Relay, report.Crash)
 	n.broadcast(SuspectsReported{Crashes: []CrashReport{report}})
 }
 
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -486,12 +486,12 @@
 }
 
 // stepOutcome returns how a step that got no usable answer counts for its upstream: not at all
-// if the failure may be that of this node's own path.
-func stepOutcome(m StepFailed, ownPath bool) RunOutcome {
+// if the failure may be that of the path to it.
+func stepOutcome(m StepFailed, ofPath bool) RunOutcome {
 	switch {
 	case m.Status != 0:
 		return RunErred
-	case ownPath:
+	case ofPath:
 		return RunUnknown
 	default:
 		return RunFailed
@@ -502,12 +502,12 @@
 // request.
 func (s *forwards) handleStepFailed(n *Node, m StepFailed) {
 	n.isolation.observeStep(n, m)
-	ownPath := m.Status == 0 && (m.PathFailed || m.Relay == "" && n.isolation.doubtful(n))
-	outcome := stepOutcome(m, ownPath)
+	ofPath := m.Status == 0 && (m.PathFailed || n.isolation.failsAt(n, m.Relay))
+	outcome := stepOutcome(m, ofPath)
 	f, ok := s.live[m.ID]
 	if u, listed := s.upstreams.byID[m.Engine]; listed && !(ok && f.ranAtFormer(u, m.Send)) {
 		if outcome == RunFailed {
-			n.isolation.recordBlame(n, u)
+			n.isolation.recordBlame(n, m.Relay, u)
 		}
 		u.recordOutcome(n, outcome)
 	}
@@ -531,7 +531,7 @@
 		s.observeFailureAnswer(n, f)
 		s.observeAnswer(n, m.Engine, f.sentAt(m.Send))
 	}
-	if !ownPath {
+	if !ofPath {
 		s.reportCrash(n, f, m)
 	}
 	if s.live[m.ID] != f {
@@ -549,7 +549,7 @@
 	if m.Step == RunStep && m.Unsent {
 		f.sends--
 	}
-	if ownPath && (m.Unsent || m.Step != RunStep) {
+	if ofPath && (m.Unsent || m.Step != RunStep) {
 		s.placeAfterPathFailure(n, f, m)
 		return
 	}
--- a/core/forward_world_path_test.go
+++ b/core/forward_world_path_test.go
@@ -210,6 +210,8 @@
 			n.endRelay(c.ID, false)
 		}
 		p.waiting[c.ID](outcome)
+	case core.LogDecision:
+		w.blocked += btoi(c.Decision.Step == "part-blocked")
 	case core.RejectRelay:
 		outcome := core.RelayRejected
 		if c.Reason == core.RelayUnknownUpstream || c.Reason == core.RelayFull {
@@ -273,6 +275,25 @@
 			}
 			n.lose(s)
 		}
+		w.breakRelayed(n)
+	}
+}
+
+// breakRelayed breaks off the connections that a node relays, if its cut resets connections.
+func (w *hostedWorld) breakRelayed(relay *worldNode) {
+	if relay.paths.cut != reset && relay.paths.cut != openReset {
+		return
+	}
+	for _, n := range w.nodes {
+		for _, s := range n.paths.sends {
+			if s.relay == relay && !s.lost {
+				s.lost = true
+				n.deliverAfter(2*linkDelay, core.StepFailed{
+					ID: s.id, Send: s.send, Engine: s.engine, Step: s.step, Relay: relay.node.Self.ID, BrokenOff: true,
+				})
+				relay.deliverAfter(linkDelay, core.RelayEnded{ID: s.relayID, Opened: true, BrokenOff: true})
+			}
+		}
 	}
 }
 
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -91,6 +91,8 @@
 	// another engine took over, and stalls the reports of silent ones.
 	eventful          bool
 	takenOver, stalls int
+	// blocked counts the requests that a node took for those that end upstreams.
+	blocked int
 	// deadly is the part of prompts that ends engines in an eventful world; none if empty.
 	// parts returns the parts of the next prompt; nil for none.
 	deadly core.PromptPart
--- a/core/isolation.go
+++ b/core/isolation.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// failureWindow is how long a failed direct connection counts.
+	// failureWindow is how long a failure on a path counts.
 	failureWindow = 2 * time.Second
 	// minIsolating is how many upstreams a node must fail to connect to, and a relay reach one
 	// of them, before the node is isolated. minUnreached is how many it must be if no relay
@@ -49,11 +49,9 @@
 	reached Set[EngineID]
 	// probed is when an upstream was last probed.
 	probed map[EngineID]Instant
-	// blamed are the upstreams of which a failure was recorded since the last direct
-	// connection, with what was known of them before, and crashes the ends of upstreams that
-	// were reported.
-	blamed  map[EngineID]upstreamHealth
-	crashes map[EngineCrash]Instant
+	// blamed are the failures that were recorded against upstreams, by the relay of the path; of
+	// this node's own path, since the last direct connection.
+	blamed map[NodeID]pathBlame
 }
 
 // pathFailure is a failure of a direct connection. opened says that it opened, and was not answered.
@@ -66,22 +64,15 @@
 // none was.
 type pathSuccess struct{ at, answeredAt Instant }
 
-// upstreamHealth is what was recorded of an upstream's failures at an instant.
-type upstreamHealth struct {
-	at          Instant
-	failures    int
-	avoidUntil  Instant
-	successRate float64
-}
-
 func (s *isolation) start() {
+	s.blamed = map[NodeID]pathBlame{}
 	s.clear()
 	s.probed = map[EngineID]Instant{}
 }
 
 func (s *isolation) clear() {
 	s.unreached, s.relayed, s.reached = map[EngineID]pathFailure{}, map[EngineID]pathSuccess{}, Set[EngineID]{}
-	s.blamed, s.crashes = map[EngineID]upstreamHealth{}, map[EngineCrash]Instant{}
+	delete(s.blamed, "")
 }
 
 // doubtful reports whether failures may be those of this node's own path: it is isolated, or
@@ -214,7 +205,7 @@
 	step := "reachable"
 	if isolated {
 		step = "isolated"
-		s.withdrawBlame(n)
+		s.withdrawBlame(n, "")
 	} else {
 		detail += fmt.Sprintf(" after %v", n.now.Sub(s.since))
 	}
@@ -319,38 +310,6 @@
 	}
 }
 
-// recordBlame notes what was known of an upstream before a failure is recorded.
-func (s *isolation) recordBlame(n *Node, u *upstream) {
-	if before, noted := s.blamed[u.ID]; !noted || n.now.Sub(before.at) > failureWindow {
-		s.blamed[u.ID] = upstreamHealth{n.now, u.failures, u.avoidUntil, u.successRate}
-	}
-}
-
-// withdrawBlame takes back the failures that were recorded since the first one that belongs to
-// this node's own path.
-func (s *isolation) withdrawBlame(n *Node) {
-	for id, before := range s.blamed {
-		if u, ok := n.forward.upstreams.byID[id]; ok && n.now.Sub(before.at) <= failureWindow {
-			u.failures, u.avoidUntil, u.successRate, u.fullUntil = before.failures, before.avoidUntil, before.successRate, 0
-			n.dispatcher.allocation(id).deniedUntil = 0
-		}
-	}
-	var answered []EngineCrash
-	for crash, at := range s.crashes {
-		if n.now.Sub(at) <= failureWindow {
-			answered = append(answered, crash)
-		}
-	}
-	if len(answered) == 0 {
-		return
-	}
-	slices.SortFunc(answered, func(a, b EngineCrash) int { return strings.Compare(string(a.Engine), string(b.Engine)) })
-	for _, crash := range answered {
-		n.forward.retract(n, crash)
-	}
-	n.broadcast(SuspectsReported{Answered: answered})
-}
-
 // joinIDs returns the first of a list of upstreams, for the log.
 func joinIDs(ids []EngineID) string {
 	const most = 4
--- a/core/relay.go
+++ b/core/relay.go
@@ -54,12 +54,12 @@
 }
 
 // RelayEnded reports that a relayed connection has ended, or that it could not be opened. It
-// comes once for each OpenRelay. Sent and Received are the bytes copied to and from the
-// upstream.
+// comes once for each OpenRelay. BrokenOff says that the connection to the upstream broke. Sent and
+// Received are the bytes copied to and from the upstream.
 type RelayEnded struct {
-	ID             RelayID
-	Opened         bool
-	Sent, Received int64
+	ID                RelayID
+	Opened, BrokenOff bool
+	Sent, Received    int64
 }
 
 func (RelayRequested) isMessage() {}
@@ -103,8 +103,8 @@
 	}
 }
 
-// handleEnded handles the end of a relayed connection. One that could not be opened may show
-// that this node is isolated.
+// handleEnded handles the end of a relayed connection. One that could not be opened, or broke, may
+// show that this node is isolated.
 func (r *relays) handleEnded(n *Node, m RelayEnded) {
 	requested, ok := r.open[m.ID]
 	if !ok {
@@ -114,7 +114,7 @@
 	if r.count[requested.From]--; r.count[requested.From] == 0 {
 		delete(r.count, requested.From)
 	}
-	if u, listed := n.forward.upstreams.byID[requested.Engine]; listed && !m.Opened {
+	if u, listed := n.forward.upstreams.byID[requested.Engine]; listed && (!m.Opened || m.BrokenOff) {
 		n.isolation.observeNoAnswer(n, u)
 	}
 }
--- a/core/reported_failure.go
+++ b/core/reported_failure.go
@@ -87,12 +87,13 @@
 	}
 }
 
-// memberIsolated handles the news that a node is isolated: its reports do not count, and this
-// node looks whether it is isolated too.
+// memberIsolated handles the news that a node is isolated: its reports do not count, nor what
+// failed on connections through it, and this node looks whether it is isolated too.
 func (n *Node) memberIsolated(id NodeID) {
 	if !n.Hosted {
 		return
 	}
 	n.dispatcher.withdrawReports(n, id)
+	n.isolation.withdrawBlame(n, id)
 	n.isolation.check(n)
 }
--- a/core/upstream_path_test.go
+++ b/core/upstream_path_test.go
@@ -152,6 +152,12 @@
 		"relays are cut off": func(w *cutWorld, i int, sound []*worldNode) {
 			w.cutUpstreams(hang, 3*time.Second, func(n *worldNode) bool { return n == sound[i] })
 		},
+		"relays are reset": func(w *cutWorld, i int, sound []*worldNode) {
+			w.cutUpstreams(reset, 3*time.Second, func(n *worldNode) bool { return n == sound[i] })
+		},
+		"relays are reset behind what accepts connections": func(w *cutWorld, i int, sound []*worldNode) {
+			w.cutUpstreams(openReset, 3*time.Second, func(n *worldNode) bool { return n == sound[i] })
+		},
 		"partitions come back": func(w *cutWorld, _ int, _ []*worldNode) {
 			w.cutUpstreams(uncut, 0, w.isCut)
 			w.after(400*time.Millisecond, func() { w.cutUpstreams(reset, 30*time.Second, w.isCut) })
@@ -187,9 +193,10 @@
 				until := w.now
 				w.run(20 * time.Second)
 				cut, others := w.shares(began, until)
-				t.Logf("served: cut off %.3f, others %.3f", cut, others)
+				t.Logf("served: cut off %.3f, others %.3f; %d requests blocked at nodes", cut, others, w.blocked)
 				is.True(cut >= 0.95*others)
 				is.True(others >= 0.95)
+				is.Equal(w.blocked, 0) // no upstream has ended
 			})
 		}
 	}
--- a/daisyshed/peer/relay_copy.go
+++ b/daisyshed/peer/relay_copy.go
@@ -28,20 +28,28 @@
 	aborted   atomic.Bool
 }
 
+// relayedBytes are the bytes sent to and received from an upstream, and whether the connection to it
+// broke.
+type relayedBytes struct {
+	sent, received int64
+	brokenOff      bool
+}
+
 // copyRelayed copies bytes both ways until the other node closes the stream, or no bytes are
-// sent for idleAfter, and returns the bytes sent to and received from the upstream. It closes
-// the upstream's connection.
-func copyRelayed(upstream net.Conn, stream *yamux.Stream, r *bufio.Reader, idleAfter time.Duration) (sent, received int64) {
+// sent for idleAfter. It closes the upstream's connection.
+func copyRelayed(upstream net.Conn, stream *yamux.Stream, r *bufio.Reader, idleAfter time.Duration) relayedBytes {
 	c := &relayCopy{upstream: upstream, stream: stream, chunks: wire.ChunkReader{Source: r}, idleAfter: idleAfter}
 	c.idle = time.AfterFunc(idleAfter, c.abort)
 	defer c.idle.Stop()
-	done := make(chan int64, 1)
+	done := make(chan relayedBytes, 1)
 	go func() { done <- c.fromUpstream() }()
-	sent = c.toUpstream()
+	sent := c.toUpstream()
 	// This ends the other direction, which may wait for either side. Neither is used again.
 	_ = upstream.Close()
 	_ = stream.SetWriteDeadline(past)
-	return sent, <-done
+	b := <-done
+	b.sent = sent
+	return b
 }
 
 // abort ends both directions.
@@ -115,26 +123,26 @@
 }
 
 // fromUpstream copies from the upstream until it closes or breaks the connection, marks the
-// end as one of both, and returns the bytes copied.
-func (c *relayCopy) fromUpstream() int64 {
+// end as one of both, and returns what was received.
+func (c *relayCopy) fromUpstream() (b relayedBytes) {
 	buffer := make([]byte, wire.MaxChunkBytes)
 	chunk := make([]byte, 0, wire.ChunkHeaderBytes+wire.MaxChunkBytes)
-	received := int64(0)
 	for {
 		n, err := c.upstream.Read(buffer)
 		if n > 0 {
 			c.idle.Reset(c.idleAfter)
-			received += int64(n)
+			b.received += int64(n)
 			if _, err := c.stream.Write(wire.AppendChunk(chunk[:0], buffer[:n])); err != nil {
 				// Without the end of the stream, the other node would wait for what is lost.
 				c.abort()
-				return received
+				return b
 			}
 		}
 		if err != nil {
 			// If the write fails, the other node sees that the stream ends without a mark.
 			_, _ = c.stream.Write(wire.AppendChunkEnd(chunk[:0], err == io.EOF))
-			return received
+			b.brokenOff = err != io.EOF && !errors.Is(err, net.ErrClosed)
+			return b
 		}
 	}
 }
--- a/daisyshed/peer/relay_serve.go
+++ b/daisyshed/peer/relay_serve.go
@@ -166,7 +166,6 @@
 	}
 	t.relayMeter().RelayedOpened(Relaying)
 	defer t.relayMeter().RelayedClosed(Relaying)
-	ended.Opened = true
-	ended.Sent, ended.Received = copyRelayed(upstream, stream, r, t.Limits.RelayIdle)
-	return ended
+	b := copyRelayed(upstream, stream, r, t.Limits.RelayIdle)
+	return core.RelayEnded{ID: id, Opened: true, BrokenOff: b.brokenOff, Sent: b.sent, Received: b.received}
 }
--- a/daisyshed/peer/relay_test.go
+++ b/daisyshed/peer/relay_test.go
@@ -189,6 +189,8 @@
 	is.True(errors.Is(err, syscall.ECONNRESET))
 	var path *peer.PathError
 	is.True(!errors.As(err, &path))
+	is.NoErr(near.Close())
+	is.Equal(<-p.ended, core.RelayEnded{ID: 1, Opened: true, BrokenOff: true, Received: 4})
 }
 
 // A relay that ends must not be taken for an upstream that does.
