--- a/core/path_failure.go
+++ b/core/path_failure.go
@@ -13,20 +13,24 @@
 )
 
 // placeAfterPathFailure requests another placement for a request after a failure of this node's
-// own path, by which no upstream has run it. The upstream may be chosen again.
+// own path, by which no upstream has run it. The upstream may be chosen again, unless it was sent
+// the prompt.
 func (s *forwards) placeAfterPathFailure(n *Node, f *forwardedRequest, m StepFailed) {
-	paid := true
-	if m.Step == ReadPromptStep {
-		if m.Unsent {
-			f.prefills--
-		} else {
-			paid = s.spendRetryBudget(n, f, 1)
-		}
+	may := true
+	switch {
+	case m.Step == ReadPromptStep && !m.Unsent:
+		// The engine may compute it.
+		f.tried.Add(m.Engine)
+		may = f.prefills < maxSends && s.spendRetryBudget(n, f, 1)
+	case m.Step == ReadPromptStep:
+		f.prefills--
+		f.tried.Remove(m.Engine)
+	default:
+		f.tried.Remove(m.Engine)
 	}
-	f.tried.Remove(m.Engine)
 	s.release(n, f)
 	f.pathRetries++
-	if !paid || f.pathRetries > maxPathRetries || n.now >= f.deadline {
+	if !may || f.pathRetries > maxPathRetries || n.now >= f.deadline {
 		s.end(n, f, NoUpstream, n.jitter(pathRetryAfter))
 		return
 	}
