Test that a failed first write of a relayed connection may have been sent

Nothing noticed a client that takes each failed first write for one that was not sent, so that a request may run twice (review, by reading).

--- a/daisyshed/peer/relay_test.go
+++ b/daisyshed/peer/relay_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -346,6 +347,45 @@
 	is.Equal(n, 0)
 }
 
+// heldConn is a connection whose writes of a request return once held is closed, although their
+// bytes are sent.
+type heldConn struct {
+	net.Conn
+	held chan struct{}
+}
+
+func (c heldConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if bytes.Contains(p, []byte("request")) {
+		<-c.held
+	}
+	return n, err
+}
+
+// Guards against a request that runs twice: its first write fails as the relay ends, and counts as
+// not sent, although the upstream has received it.
+func TestFailedFirstWriteMayHaveBeenSent(t *testing.T) {
+	is := is.New(t)
+	p := newRelayPair(t)
+	held := make(chan struct{})
+	defer close(held)
+	p.a.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		c, err := dialTCP(ctx, address)
+		return heldConn{Conn: c, held: held}, err
+	}
+	near, far := p.open()
+	written := make(chan int, 1)
+	go func() {
+		n, err := near.Write([]byte("request"))
+		is.True(err != nil)
+		written <- n
+	}()
+	_, err := io.ReadFull(far, make([]byte, len("request")))
+	is.NoErr(err)
+	p.b.Close()
+	is.True(<-written > 0)
+}
+
 func TestIdleRelayedConnectionIsClosed(t *testing.T) {
 	is := is.New(t)
 	p := newRelayPair(t)
