Take a connection that is reset while it opens for one that opened (RECOVER)

TestProbeWaitsForTheUpstream failed beside load (8 of 12 runs, load of 32 on 8 cores): the probe of an upstream that resets each connection at once had ConnectFailed. Whether the reset arrives before or after the dial has returned is a matter of some microseconds, and the two gave different outcomes. A node behind something that accepts and resets its connections thus saw failures to open, after which one that opens counts as a sound path again.

The test is unchanged.

--- a/core/upstream_path.go
+++ b/core/upstream_path.go
@@ -9,12 +9,12 @@
 	Connected ConnectOutcome = iota
 	// Answered means that the upstream has answered on it.
 	Answered
-	// ConnectFailed means that it was refused or reset.
+	// ConnectFailed means that it did not open, as when it is refused.
 	ConnectFailed
 	// ConnectTimedOut means that there was no answer in time.
 	ConnectTimedOut
-	// Unanswered means that a probe's connection was open, and was reset or carried nothing until
-	// the probe's timeout.
+	// Unanswered means that the connection was open, and was reset at once, or was a probe's and
+	// was reset or carried nothing until the probe's timeout.
 	Unanswered
 	// RelayRejected means that the relay is isolated or leaving, and accepts no connection.
 	RelayRejected
--- a/daisyshed/upstream/race.go
+++ b/daisyshed/upstream/race.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"daisyshed.dev/core"
@@ -200,6 +201,9 @@
 		return core.RelayUnanswered
 	case errors.As(o.err, &network) && network.Timeout():
 		return core.ConnectTimedOut
+	case errors.Is(o.err, syscall.ECONNRESET):
+		// It was open: one that is refused gives ECONNREFUSED.
+		return core.Unanswered
 	default:
 		return core.ConnectFailed
 	}
