Name the relay of plain runs that end with their upstream, in the emulated world

Runs at plain upstreams that went through a relay ended as direct ones do. The tests of requests and prompts that end upstreams pass with it.

--- a/core/tainted_prompt_test.go
+++ b/core/tainted_prompt_test.go
@@ -58,7 +58,9 @@
 	}
 	for _, id := range sortedIDs(w.requests) {
 		if run, ok := u.plainRuns[id]; ok && !w.requests[id].ended {
-			run.n.deliverAfter(linkDelay, core.StepFailed{ID: id, Send: run.c.Send, Engine: u.ID, Step: core.RunStep, BrokenOff: true})
+			run.n.deliverAfter(linkDelay, core.StepFailed{
+				ID: id, Send: run.c.Send, Engine: u.ID, Step: core.RunStep, BrokenOff: true, Relay: run.n.relayOf(id, run.c.Send),
+			})
 		}
 	}
 	u.plainRuns, u.waiting, u.running = nil, nil, 0
