--- a/core/path_failure_test.go
+++ b/core/path_failure_test.go
@@ -39,3 +39,17 @@
 	is.Equal(len(engines), 3)
 	is.Equal(len(core.SetOf(engines...)), 3)
 }
+
+// Guards against requests of all nodes that an owner without a path to upstreams places.
+func TestIsolatedNodeOwnsNoGroup(t *testing.T) {
+	is := is.New(t)
+	h, owner := readyWithOwner()
+	node := core.NodeInfo{ID: owner, Domain: "d1", PeerAddress: string(owner) + ":1", CallerAddress: string(owner) + ":2", Isolated: true}
+	u := core.MemberUpdate{Node: node, Incarnation: 1, Status: core.Alive, Sequence: 100}
+	h.deliver(core.PeerMessage{From: owner, Incarnation: 1, Body: core.Heartbeat{Sequence: 2, Updates: []core.MemberUpdate{u}}})
+	for id := range core.ForwardID(8) {
+		for _, c := range commandsOf[core.SendPeer](h.deliver(streamTo(id+1, "draft"))) {
+			is.True(c.To != owner)
+		}
+	}
+}
