--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -79,18 +79,18 @@
 }
 
 // handleCrash handles a step after which its upstream may have ended: it is reported, unless the
-// failure may be that of this node's own path.
-func (s *forwards) handleCrash(n *Node, f *forwardedRequest, m StepFailed, ownPath bool) {
-	if ownPath && (m.PathFailed || n.isolation.isolated) {
+// failure may be that of the path to it.
+func (s *forwards) handleCrash(n *Node, f *forwardedRequest, m StepFailed, ofPath bool) {
+	if ofPath && (m.PathFailed || m.Relay != "" || n.isolation.isolated) {
 		return
 	}
 	report, ok := s.crashReport(n, f, m)
 	switch {
 	case !ok:
-	case ownPath:
+	case ofPath:
 		s.holdCrash(n, report)
 	default:
-		s.reportCrash(n, report)
+		s.reportCrash(n, m.Relay, report)
 	}
 }
 
@@ -117,10 +117,10 @@
 	return report, true
 }
 
-// reportCrash records that an upstream ended under a request, and notifies all nodes.
-func (s *forwards) reportCrash(n *Node, report CrashReport) {
+// reportCrash records that an upstream ended under a request on a path, and notifies all nodes.
+func (s *forwards) reportCrash(n *Node, relay NodeID, report CrashReport) {
 	s.observeCrashReport(n, report)
-	n.isolation.crashes[report.Crash] = n.now
+	n.isolation.recordCrash(n, relay, report.Crash)
 	n.broadcast(SuspectsReported{Crashes: []CrashReport{report}})
 }
 
--- a/core/held_crashes.go
+++ b/core/held_crashes.go
@@ -97,7 +97,7 @@
 
 func (s *forwards) reportHeld(n *Node, ended func(heldCrash) bool) {
 	for _, h := range n.isolation.takeHeld(ended) {
-		s.reportCrash(n, h.CrashReport)
+		s.reportCrash(n, "", h.CrashReport)
 	}
 }
 
