Drop removed upstreams once readers have updated a node for the grace (DRAIN)

Cause: an entry that is removed within 2.5 s of a failed read is kept until the node's own reads succeed again. A node that the readers update does not read, so that one failed read of its own kept such upstreams for as long as the readers went on. What a node knew of the store was taken from its own reads alone, although the readers' updates show it as well.

Change: updates without a gap for the whole grace end it too: the store has been read all the while, and live upstreams have renewed their entries.

The test failed before: e1 was still listed 2 s after the grace.

Also ruled out: reading the store again at each node that has failed once, which costs a read of every node after each outage.

--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -147,6 +147,8 @@
 	readAt Instant
 	// updatedBefore is the update before that one.
 	updatedAt, updatedBefore Instant
+	// steadySince is since when updates have come without a gap in which backup readers read.
+	steadySince Instant
 	// storeUnreachable is set while reads of the store fail, and outageAt is the time of
 	// the last failed read or, after an outage, of the first successful one.
 	storeUnreachable bool
@@ -492,15 +494,29 @@
 // updated records that the list has just been brought up to date.
 func (s *instanceFeed) updated(n *Node) {
 	if n.now > s.updatedAt {
+		if s.updatesStopped(n) {
+			s.steadySince = n.now
+		}
 		s.updatedAt, s.updatedBefore = n.now, s.updatedAt
 	}
 }
 
+// updatesStopped reports whether readers have been silent for so long that backup readers read.
+func (s *instanceFeed) updatesStopped(n *Node) bool {
+	return n.now.Sub(s.updatedAt) > fractionOf(n.Settings.DrainDelay, feedBackupFraction)
+}
+
+// steady reports whether the store has been read all through the last renewalGrace, by this node
+// or by the readers that update it: live upstreams have renewed their entries by now.
+func (s *instanceFeed) steady(n *Node) bool {
+	return !s.updatesStopped(n) && n.now.Sub(s.steadySince) > renewalGrace
+}
+
 // removeExpired removes entries that were not renewed in time after an outage.
 func (s *instanceFeed) removeExpired(n *Node) {
 	changed := false
 	for id, until := range s.expiring {
-		if n.now > until && !s.storeUnreachable {
+		if n.now > until && (!s.storeUnreachable || s.steady(n)) {
 			delete(s.expiring, id)
 			delete(s.entries, id)
 			delete(s.changedAt, id)
--- a/core/instance_feed_test.go
+++ b/core/instance_feed_test.go
@@ -169,6 +169,27 @@
 	is.Equal(h.node.InstanceAddress("e2"), "")
 }
 
+// A node whose own read failed while it was cut off, and that the readers update since, does not
+// read any more. It kept upstreams that left just after the cut until it happened to read again.
+func TestNodeThatWasCutOffDropsUpstreamsThatLeft(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	h.deliver(core.Tick{})
+	addPeer(h, "n2")
+	h.deliver(core.InstancesRead{Whole: true, Offset: 10, Changed: []core.Instance{plainInstance("e1"), plainInstance("e2")}})
+	h.advance(2 * time.Second)
+	h.deliver(core.InstancesReadFailed{})
+	removed := map[core.Offset][]core.EngineID{13: {"e1"}}
+	for offset := core.Offset(10); offset < 20; offset++ {
+		h.deliver(core.PeerMessage{From: "n2", Incarnation: 1, Body: core.InstancesChanged{
+			After: offset, Offset: offset + 1, Removed: removed[offset+1],
+		}})
+		h.advance(300 * time.Millisecond)
+	}
+	is.Equal(h.node.InstanceAddress("e1"), "")
+	is.Equal(h.node.InstanceAddress("e2"), "e2:80")
+}
+
 // Without an outage, a removed entry is dropped at once.
 func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
 	is := is.New(t)
