--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -35,6 +35,9 @@
 	// renewalGrace is how long after an outage of the store upstreams may take to
 	// renew entries that expired during it.
 	renewalGrace = 2500 * time.Millisecond
+	// staleEntryTimeout is how long after its return from a copy the store may hold entries of
+	// upstreams that had left: for three of their check-in intervals.
+	staleEntryTimeout = 5 * time.Second
 )
 
 // feedPosition is a position in the store's log of upstreams' entries. Offsets of
@@ -96,6 +99,7 @@
 	// ConfigOffset and Proof are as in Heartbeat.
 	ConfigOffset Offset
 	Proof        StateProof
+	Settled      SettledRemovals
 }
 
 // InstancesQuery asks a node for the changes after an offset of an era of the store. A
@@ -120,9 +124,8 @@
 // forward the changes; the others read only if they receive nothing from a reader.
 type instanceFeed struct {
 	entries map[EngineID]Instance
-	// expiring holds entries that were removed from the store during or right after an
-	// outage of it, with the time until which they still count.
-	expiring map[EngineID]Instant
+	// expiring holds removed entries that still count.
+	expiring map[EngineID]expiringEntry
 	// position is where the list is up to date, and latestEra the store's latest era
 	// that this node knows of.
 	position  feedPosition
@@ -133,7 +136,7 @@
 	proof listProof
 	// changedAt and removedAt are the positions at which entries were last changed and
 	// removed. They are complete for all changes after historyStart. left holds the
-	// incarnations of those in removedAt that were draining before.
+	// incarnations of those in removedAt that were draining before, or that were dropped.
 	changedAt    map[EngineID]feedPosition
 	removedAt    map[EngineID]feedPosition
 	left         map[EngineID]int64
@@ -147,6 +150,8 @@
 	readAt Instant
 	// updatedBefore is the update before that one.
 	updatedAt, updatedBefore Instant
+	// steadySince is since when updates have come without a gap in which backup readers read.
+	steadySince Instant
 	// storeUnreachable is set while reads of the store fail, and outageAt is the time of
 	// the last failed read or, after an outage, of the first successful one.
 	storeUnreachable bool
@@ -157,7 +162,7 @@
 
 func (s *instanceFeed) start(n *Node) {
 	s.entries = map[EngineID]Instance{}
-	s.expiring = map[EngineID]Instant{}
+	s.expiring = map[EngineID]expiringEntry{}
 	s.changedAt = map[EngineID]feedPosition{}
 	s.removedAt = map[EngineID]feedPosition{}
 	s.left = map[EngineID]int64{}
@@ -303,7 +308,7 @@
 	}
 	if s.loaded && s.position.era != m.Era {
 		s.outageAt, s.historyStart = n.now, to
-		changed = s.withoutStale(changed)
+		changed = s.withoutStale(n, changed)
 	}
 	if m.Whole && s.loaded {
 		n.forward.versions.restartWatch(n)
@@ -313,7 +318,7 @@
 	if forward {
 		n.broadcast(InstancesChanged{
 			Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed, Passed: n.forward.versions.notServing(m.Versions),
-			ConfigOffset: n.stateOffset(), Proof: n.stateProof(),
+			ConfigOffset: n.stateOffset(), Proof: n.stateProof(), Settled: s.settledRemovals(n),
 		})
 	}
 	s.readEnded(n, m)
@@ -329,8 +334,11 @@
 }
 
 // withoutStale returns the entries of a restored store without what this node knows to be
-// out of date in them: an incarnation that was draining is draining still, or has left.
-func (s *instanceFeed) withoutStale(restored []Instance) []Instance {
+// out of date in them: an incarnation that was draining is draining still, or has left. One that
+// was dropped without draining counts again once it has renewed its entry. Another node may have
+// read the renewal, so that all entries are read once more when the store has removed those that
+// nobody renews.
+func (s *instanceFeed) withoutStale(n *Node, restored []Instance) []Instance {
 	var list []Instance
 	for _, i := range restored {
 		if born, ok := s.left[i.ID]; ok && born == i.Born {
@@ -341,6 +349,12 @@
 		}
 		list = append(list, i)
 	}
+	if len(list) < len(restored) {
+		n.afterFunc(staleEntryTimeout, func(n *Node) {
+			s.readAll = true
+			s.read(n)
+		})
+	}
 	return list
 }
 
@@ -414,6 +428,7 @@
 	if m.Offset > s.position.offset {
 		s.apply(n, feedPosition{m.Era, m.Offset}, m.Changed, m.Removed)
 	}
+	s.handleSettled(n, m.Settled)
 }
 
 // handleQuery answers a node that missed changes.
@@ -422,7 +437,10 @@
 	if !s.loaded || m.Era != s.position.era || after.before(s.historyStart) || s.position.before(after) {
 		return
 	}
-	missed := InstancesChanged{Era: m.Era, After: m.After, Offset: s.position.offset, Passed: n.forward.versions.notServing(sortedVersions(n.forward.versions.seen))}
+	missed := InstancesChanged{
+		Era: m.Era, After: m.After, Offset: s.position.offset, Passed: n.forward.versions.notServing(sortedVersions(n.forward.versions.seen)),
+		Settled: s.settledRemovals(n),
+	}
 	for _, id := range sortedKeys(s.changedAt) {
 		if after.before(s.changedAt[id]) {
 			missed.Changed = append(missed.Changed, s.entries[id])
@@ -462,7 +480,8 @@
 }
 
 // apply applies changes to the list. Entries removed during or right after an outage of
-// the store are kept for renewalGrace, since live upstreams renew them.
+// the store are kept for renewalGrace, since live upstreams renew them, unless a peer shows
+// that their removal is final.
 func (s *instanceFeed) apply(n *Node, to feedPosition, changed []Instance, removed []EngineID) {
 	s.recordHistory(to, changed, removed)
 	s.missedRecords = 0
@@ -476,10 +495,14 @@
 			continue
 		}
 		if outage {
-			s.expiring[id] = s.outageAt.Add(renewalGrace)
+			at := to
+			if e, ok := s.expiring[id]; ok {
+				at = e.at
+			}
+			s.expiring[id] = expiringEntry{at: at, until: s.outageAt.Add(renewalGrace)}
 			continue
 		}
-		delete(s.entries, id)
+		s.drop(id)
 	}
 	firstList := !s.loaded
 	s.loaded, s.position = true, to
@@ -492,24 +515,22 @@
 // updated records that the list has just been brought up to date.
 func (s *instanceFeed) updated(n *Node) {
 	if n.now > s.updatedAt {
+		if s.updatesStopped(n) {
+			s.steadySince = n.now
+		}
 		s.updatedAt, s.updatedBefore = n.now, s.updatedAt
 	}
 }
 
-// removeExpired removes entries that were not renewed in time after an outage.
-func (s *instanceFeed) removeExpired(n *Node) {
-	changed := false
-	for id, until := range s.expiring {
-		if n.now > until && !s.storeUnreachable {
-			delete(s.expiring, id)
-			delete(s.entries, id)
-			delete(s.changedAt, id)
-			changed = true
-		}
-	}
-	if changed {
-		s.publish(n)
-	}
+// updatesStopped reports whether readers have been silent for so long that backup readers read.
+func (s *instanceFeed) updatesStopped(n *Node) bool {
+	return n.now.Sub(s.updatedAt) > fractionOf(n.Settings.DrainDelay, feedBackupFraction)
+}
+
+// steady reports whether the store has been read all through the last renewalGrace, by this node
+// or by the readers that update it: live upstreams have renewed their entries by now.
+func (s *instanceFeed) steady(n *Node) bool {
+	return !s.updatesStopped(n) && n.now.Sub(s.steadySince) > renewalGrace
 }
 
 // publish passes the list to the forwarding of requests, which selects upstreams from it.
