--- a/bench/hosted/state_force.go
+++ b/bench/hosted/state_force.go
@@ -121,6 +121,7 @@
 		return 0, false
 	}
 	defer a.Body.Close()
+	d.judge.recordStatus(attempt, a.StatusCode)
 	d.judge.recordEnding(attempt, answered, true)
 	return a.StatusCode, hostedsite.Signature(a.Header) == ""
 }
