Verify an origin in doubt before a stream is resumed by it

A stream had begun at an engine that had started again at another version, before the list showed it. Its caller resumed it at the same node, or at one that asked that node, before the next read of the list: the node went by its record of the former version, and the stream was joined from two.

Cause: a node verifies an origin in doubt before it continues the stream itself, but its record of the stream, which others and later requests go by, did not say that it was in doubt.

The record holds the doubt. A request that resumes the stream there, and a query by another node, wait until the list is proved as of when the engine had registered; the record is corrected by then if it was wrong. If nothing proves it, the caller is told to retry, and the other node that nothing is known.

TestRecordInDoubtIsNotUsedBeforeTheListIsProved failed on the code before (a lease and an answer at once). TestOneVersionNeedsNoCallToTheStore resumed a stream 100 ms after it had begun on a connection that had just been opened, and wanted no call to the store; such a stream is in doubt now. Its connection has been open for a second, all checks are the same.

Keepers that have the record are not mended: they do not know the engine.

--- a/core/reborn_engine_test.go
+++ b/core/reborn_engine_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -189,3 +190,38 @@
 	second := runStream(t, h, h.deliver(runFailed(run)))
 	is.Equal(versionOf(list, second.Engine), later)
 }
+
+// A stream begins at an engine that has started again at another version, and its caller resumes it
+// at the same node, or at one that asks it, before the list shows the engine. The node went by its
+// record of the former version.
+func TestRecordInDoubtIsNotUsedBeforeTheListIsProved(t *testing.T) {
+	for _, reborn := range []bool{false, true} {
+		t.Run(fmt.Sprint(reborn), func(t *testing.T) {
+			is := is.New(t)
+			list := versionedEngines("v1", "v1", "v2", "v2")
+			h := newResumer(list)
+			first := streamTo(1, "resumable")
+			first.Attempt = "first"
+			run := runStream(t, h, h.deliver(first))
+			h.deliver(core.ForwardResponseStarted{ID: 1, Send: run.Send, Engine: run.Engine, OpenFor: 30 * time.Millisecond})
+			h.advance(60 * time.Millisecond)
+			var stream core.StreamKey
+			for _, c := range commandsOf[core.SendPeer](h.commands) {
+				if b, ok := c.Body.(core.StreamsBegun); ok {
+					stream = b.Streams[0]
+				}
+			}
+			h.deliver(core.ForwardCallerDisconnected{ID: 1})
+			out := h.deliver(resuming(2, "first"), core.PeerMessage{From: "n3", Incarnation: 1, Body: core.VersionQuery{Service: "model", Stream: stream}})
+			out = append(out, h.advance(20*time.Millisecond)...)
+			is.Equal(len(commandsOf[core.RequestLease](out))+len(sentTo[core.VersionAnswer](out, "n3")), 0)
+			if reborn {
+				list = rebornAs(list, run.Engine, "v3")
+			}
+			out = answerReads(h, out, list)
+			is.Equal(len(commandsOf[core.RequestLease](out)), btoi(!reborn))
+			is.Equal(endsOf(out), btoi(reborn))
+			is.Equal(sentTo[core.VersionAnswer](out, "n3")[0].Known, !reborn)
+		})
+	}
+}
--- a/core/stream_origin.go
+++ b/core/stream_origin.go
@@ -1,6 +1,9 @@
 package core
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxDoubted bounds how many streams a node remembers that have ended while their origin was
@@ -94,6 +97,25 @@
 	})
 }
 
+// whenSettled calls then once it is verified which incarnation began a stream that was recorded in
+// doubt, or with settled unset after timeout. The record is corrected by then if it was wrong.
+func (s *forwards) whenSettled(n *Node, o *streamOrigin, timeout time.Duration, then func(n *Node, settled bool)) {
+	if o == nil || s.knownToAll(n, n.feed.updatedAt, o.registered()) {
+		then(n, true)
+		return
+	}
+	prove := func(n *Node) {
+		n.feed.proveAfter(n, o.registered(), timeout, func(n *Node, proven bool) {
+			then(n, proven || s.knownToAll(n, n.feed.updatedAt, o.registered()))
+		})
+	}
+	if wait := o.registered().Sub(n.now); wait > 0 {
+		n.afterFunc(wait, prove)
+		return
+	}
+	prove(n)
+}
+
 // whenOriginKnown calls then once it is verified which incarnation began a stream that is to be
 // continued elsewhere, and ends the request if that cannot be known.
 func (s *forwards) whenOriginKnown(n *Node, f *forwardedRequest, then func(n *Node)) {
@@ -105,25 +127,19 @@
 	f.phase = forwardVerifying
 	f.step++
 	step := f.step
-	verify := func(n *Node, proven bool) {
+	s.whenSettled(n, o, listProofTimeout, func(n *Node, settled bool) {
 		switch {
 		case s.live[f.ID] != f || f.step != step:
 			return
 		case f.origin == nil:
-		case o.lost, !proven && !s.knownToAll(n, n.feed.updatedAt, o.registered()):
+		case o.lost, !settled:
 			s.end(n, f, StreamVersionUnknown, 0)
 			return
 		default:
 			f.origin = nil
 		}
 		then(n)
-	}
-	prove := func(n *Node) { n.feed.proveAfter(n, o.registered(), listProofTimeout, verify) }
-	if wait := o.registered().Sub(n.now); wait > 0 {
-		n.afterFunc(wait, prove)
-		return
-	}
-	prove(n)
+	})
 }
 
 // doubt remembers a stream that ends before its origin is verified.
--- a/core/stream_resume.go
+++ b/core/stream_resume.go
@@ -45,8 +45,8 @@
 func (s *forwards) resume(n *Node, f *forwardedRequest, attempt string) {
 	stream := streamKey(attempt)
 	f.lookup = &versionLookup{stream: stream, startedAt: n.now, until: n.now.Add(f.lookupTime(n)), asked: Set[NodeID]{}, waiting: Set[NodeID]{}}
-	if origin, known := s.versions.recorded(n, stream); known {
-		s.resumeAt(n, f, origin, OriginKept)
+	if _, known := s.versions.recorded(n, stream); known {
+		s.resumeKept(n, f)
 		return
 	}
 	f.phase = forwardAwaitingVersion
@@ -55,6 +55,30 @@
 	s.queryKeepers(n, f)
 }
 
+// resumeKept resumes a stream that this node keeps, once its origin is verified if this node has
+// recorded it in doubt.
+func (s *forwards) resumeKept(n *Node, f *forwardedRequest) {
+	l := f.lookup
+	f.phase = forwardAwaitingVersion
+	f.step++
+	step := f.step
+	s.whenSettled(n, s.versions.streams[l.stream].doubt, l.until.Sub(n.now), func(n *Node, settled bool) {
+		if s.live[f.ID] != f || f.step != step {
+			return
+		}
+		origin, known := s.versions.recorded(n, l.stream)
+		switch {
+		case known && settled:
+			s.resumeAt(n, f, origin, OriginKept)
+		case settled:
+			// The record was withdrawn.
+			s.rejectUnknown(n, f, 0)
+		default:
+			s.rejectUnknown(n, f, n.jitter(versionRetryAfter))
+		}
+	})
+}
+
 // lookupTime returns for how long the version of the request's stream is searched for: one round
 // of queries by a node that is cut off, as its caller is better off elsewhere.
 func (f *forwardedRequest) lookupTime(n *Node) time.Duration {
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -59,6 +59,9 @@
 type keptStream struct {
 	ServiceVersion
 	at Instant
+	// doubt is the upstream that began the stream, if it did so for this node and its version was
+	// not verified then.
+	doubt *streamOrigin
 	// corrected is set if the stream was recorded wrongly before. If Service is empty, the origin
 	// is not known.
 	corrected bool
@@ -271,6 +274,10 @@
 	v, stream := &s.versions, streamKey(f.beganBy())
 	origin := ServiceVersion{Service: f.spec.ID, Version: version}
 	v.keep(n, stream, origin)
+	if kept, ok := v.streams[stream]; ok && f.origin != nil && kept.ServiceVersion == origin {
+		kept.doubt = f.origin
+		v.streams[stream] = kept
+	}
 	if _, sole := s.sole(n, f.spec.ID); !f.logged && (!sole || len(f.route.Split) > 1) {
 		f.logged = true
 		v.log.report(n, origin, stream)
@@ -363,9 +370,12 @@
 		}
 		n.send(from, a)
 	}
-	origin, known := s.versions.recorded(n, m.Stream)
+	_, known := s.versions.recorded(n, m.Stream)
 	if known || !m.Search {
-		answer(n, origin, known)
+		s.whenSettled(n, s.versions.streams[m.Stream].doubt, versionSearchTimeout, func(n *Node, settled bool) {
+			origin, known := s.versions.recorded(n, m.Stream)
+			answer(n, origin, known && settled)
+		})
 		return
 	}
 	s.searchStore(n, m.Service, m.Stream, n.now, versionSearchTimeout, func(n *Node, found originSearch) {
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -325,7 +325,7 @@
 	first := streamTo(2, "resumable")
 	first.Attempt = "known"
 	run := runStream(t, h, h.deliver(first))
-	h.deliver(core.ForwardResponseStarted{ID: 2, Send: run.Send, Engine: run.Engine})
+	h.deliver(core.ForwardResponseStarted{ID: 2, Send: run.Send, Engine: run.Engine, OpenFor: time.Second})
 	h.advance(100 * time.Millisecond)
 	begun := begunTo(h.commands)
 	is.Equal(len(begun), 2)
