Let nodes in touch settle removals for nodes that were cut off (DRAIN)

Cause: entries that are removed right after an outage of the store are kept for 2.5 s, counted from the node's own first read after it. A node that was cut off alone took its own cut for an outage of the store, and its late first read for the end of it. Other nodes had read the store all the while.

Change: nodes that have been updated without a gap for the grace, and keep no removed entry, name the offset that their list has reached, in heartbeats, their answers and changes of upstreams. A node drops what was removed up to there. Nodes that may have missed an outage themselves (failed reads, a gap in the updates, a start, a new era) say nothing, so that entries of live upstreams survive an outage.

The emulated world's store can remove entries for this.

peer.proto has new fields; older nodes send none, and keep the former grace.

--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -54,15 +54,16 @@
 
 // hostedWorld emulates nodes, engines and plain services in virtual time.
 type hostedWorld struct {
-	now    core.Instant
-	queue  scheduledEvents
-	order  int
-	rng    *rand.Rand
-	nodes  []*worldNode
-	list   core.VMList
-	ups    map[core.EngineID]*worldUpstream
-	ids    []core.EngineID
-	offset core.Offset
+	now      core.Instant
+	queue    scheduledEvents
+	order    int
+	rng      *rand.Rand
+	nodes    []*worldNode
+	list     core.VMList
+	ups      map[core.EngineID]*worldUpstream
+	ids      []core.EngineID
+	offset   core.Offset
+	removals worldRemovals
 	// claims is the offset at which the confirmed claims to give orders end.
 	claims core.Offset
 	// era is the store's era; zero if its responses do not name it.
@@ -195,7 +196,7 @@
 func newHostedWorld(o worldOptions) *hostedWorld {
 	w := &hostedWorld{
 		now: core.Instant(time.Hour), rng: rand.New(rand.NewPCG(o.seed, 1)), ups: map[core.EngineID]*worldUpstream{},
-		requests: map[core.ForwardID]*worldRequest{}, steps: map[core.EngineID]int{},
+		requests: map[core.ForwardID]*worldRequest{}, steps: map[core.EngineID]int{}, removals: worldRemovals{},
 	}
 	add := func(id string, service core.ServiceID, role core.Role, slots int) {
 		version := core.SoftwareVersion(fmt.Sprint("v", len(w.ids)%max(o.versions, 1)))
@@ -394,7 +395,11 @@
 		}
 		m := core.InstancesRead{Whole: c.Whole, After: c.After, Started: c.Started, Era: w.era, Offset: w.offset}
 		for _, id := range w.ids {
-			m.Changed = append(m.Changed, w.ups[id].entry())
+			if at, removed := w.removals[id]; !removed {
+				m.Changed = append(m.Changed, w.ups[id].entry())
+			} else if !c.Whole && at > c.After {
+				m.Removed = append(m.Removed, id)
+			}
 		}
 		n.deliverFromStore(m)
 	case core.RecordVersion, core.ReadVersions, core.AppendStreams, core.ReadStreams:
--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -96,6 +96,7 @@
 	// ConfigOffset and Proof are as in Heartbeat.
 	ConfigOffset Offset
 	Proof        StateProof
+	Settled      SettledRemovals
 }
 
 // InstancesQuery asks a node for the changes after an offset of an era of the store. A
@@ -120,9 +121,8 @@
 // forward the changes; the others read only if they receive nothing from a reader.
 type instanceFeed struct {
 	entries map[EngineID]Instance
-	// expiring holds entries that were removed from the store during or right after an
-	// outage of it, with the time until which they still count.
-	expiring map[EngineID]Instant
+	// expiring holds removed entries that still count.
+	expiring map[EngineID]expiringEntry
 	// position is where the list is up to date, and latestEra the store's latest era
 	// that this node knows of.
 	position  feedPosition
@@ -159,7 +159,7 @@
 
 func (s *instanceFeed) start(n *Node) {
 	s.entries = map[EngineID]Instance{}
-	s.expiring = map[EngineID]Instant{}
+	s.expiring = map[EngineID]expiringEntry{}
 	s.changedAt = map[EngineID]feedPosition{}
 	s.removedAt = map[EngineID]feedPosition{}
 	s.left = map[EngineID]int64{}
@@ -315,7 +315,7 @@
 	if forward {
 		n.broadcast(InstancesChanged{
 			Era: m.Era, After: after, Offset: m.Offset, Changed: changed, Removed: removed, Passed: n.forward.versions.notServing(m.Versions),
-			ConfigOffset: n.stateOffset(), Proof: n.stateProof(),
+			ConfigOffset: n.stateOffset(), Proof: n.stateProof(), Settled: s.settledRemovals(n),
 		})
 	}
 	s.readEnded(n, m)
@@ -416,6 +416,7 @@
 	if m.Offset > s.position.offset {
 		s.apply(n, feedPosition{m.Era, m.Offset}, m.Changed, m.Removed)
 	}
+	s.handleSettled(n, m.Settled)
 }
 
 // handleQuery answers a node that missed changes.
@@ -424,7 +425,10 @@
 	if !s.loaded || m.Era != s.position.era || after.before(s.historyStart) || s.position.before(after) {
 		return
 	}
-	missed := InstancesChanged{Era: m.Era, After: m.After, Offset: s.position.offset, Passed: n.forward.versions.notServing(sortedVersions(n.forward.versions.seen))}
+	missed := InstancesChanged{
+		Era: m.Era, After: m.After, Offset: s.position.offset, Passed: n.forward.versions.notServing(sortedVersions(n.forward.versions.seen)),
+		Settled: s.settledRemovals(n),
+	}
 	for _, id := range sortedKeys(s.changedAt) {
 		if after.before(s.changedAt[id]) {
 			missed.Changed = append(missed.Changed, s.entries[id])
@@ -464,7 +468,8 @@
 }
 
 // apply applies changes to the list. Entries removed during or right after an outage of
-// the store are kept for renewalGrace, since live upstreams renew them.
+// the store are kept for renewalGrace, since live upstreams renew them, unless a peer shows
+// that their removal is final.
 func (s *instanceFeed) apply(n *Node, to feedPosition, changed []Instance, removed []EngineID) {
 	s.recordHistory(to, changed, removed)
 	s.missedRecords = 0
@@ -478,7 +483,11 @@
 			continue
 		}
 		if outage {
-			s.expiring[id] = s.outageAt.Add(renewalGrace)
+			at := to
+			if e, ok := s.expiring[id]; ok {
+				at = e.at
+			}
+			s.expiring[id] = expiringEntry{at: at, until: s.outageAt.Add(renewalGrace)}
 			continue
 		}
 		delete(s.entries, id)
@@ -512,22 +521,6 @@
 	return !s.updatesStopped(n) && n.now.Sub(s.steadySince) > renewalGrace
 }
 
-// removeExpired removes entries that were not renewed in time after an outage.
-func (s *instanceFeed) removeExpired(n *Node) {
-	changed := false
-	for id, until := range s.expiring {
-		if n.now > until && (!s.storeUnreachable || s.steady(n)) {
-			delete(s.expiring, id)
-			delete(s.entries, id)
-			delete(s.changedAt, id)
-			changed = true
-		}
-	}
-	if changed {
-		s.publish(n)
-	}
-}
-
 // publish passes the list to the forwarding of requests, which selects upstreams from it.
 func (s *instanceFeed) publish(n *Node) {
 	list := InstanceList{Era: s.position.era, Offset: s.position.offset}
--- a/core/membership_detector.go
+++ b/core/membership_detector.go
@@ -79,6 +79,7 @@
 	d.sequence++
 	n.send(to, Heartbeat{
 		Sequence: d.sequence, Updates: n.members.updatesFor(n, to), ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(), Proof: n.stateProof(),
+		Settled: n.feed.settledRemovals(n),
 	})
 	return d.sequence
 }
@@ -138,10 +139,12 @@
 func (s *members) handleHeartbeat(n *Node, from NodeID, m Heartbeat) {
 	s.applyUpdates(n, m.Updates)
 	n.handleStateOffset(from, m.ConfigOffset, m.KnownOffset, m.Proof)
+	n.feed.handleSettled(n, m.Settled)
 	s.recordConfigOffset(from, m.ConfigOffset)
 	n.send(from, HeartbeatAck{
 		Sequence: m.Sequence, OnBehalfOf: m.OnBehalfOf, Updates: s.updatesFor(n, from),
 		ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(), Proof: n.stateProof(), Spare: n.spare(),
+		Settled: n.feed.settledRemovals(n),
 	})
 }
 
@@ -154,6 +157,7 @@
 		return
 	}
 	n.handleStateOffset(from, m.ConfigOffset, m.KnownOffset, m.Proof)
+	n.feed.handleSettled(n, m.Settled)
 	s.recordAck(from, m)
 }
 
@@ -188,6 +192,7 @@
 	n.send(m.Target, Heartbeat{
 		Sequence: m.Sequence, OnBehalfOf: from,
 		Updates: s.updatesFor(n, m.Target), ConfigOffset: n.stateOffset(), KnownOffset: n.knownStateOffset(), Proof: n.stateProof(),
+		Settled: n.feed.settledRemovals(n),
 	})
 }
 
--- a/core/peer.go
+++ b/core/peer.go
@@ -40,7 +40,8 @@
 	// KnownOffset is the latest offset that the sender knows of, if it lacks it, else zero.
 	KnownOffset Offset
 	// Proof is the sender's proof that its desired state is the latest.
-	Proof StateProof
+	Proof   StateProof
+	Settled SettledRemovals
 }
 
 // HeartbeatAck answers a Heartbeat.
@@ -49,9 +50,10 @@
 	OnBehalfOf   NodeID
 	Updates      []MemberUpdate
 	ConfigOffset Offset
-	// KnownOffset and Proof are as in Heartbeat.
+	// KnownOffset, Proof and Settled are as in Heartbeat.
 	KnownOffset Offset
 	Proof       StateProof
+	Settled     SettledRemovals
 	// Spare is the free fraction of the node's request capacity.
 	Spare float64
 }
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -18,6 +18,7 @@
 			ConfigOffset: offset(t, "config"),
 			KnownOffset:  offset(t, "known"),
 			Proof:        core.StateProof{Number: rapid.Uint64().Draw(t, "proof"), Age: duration(t, "age")},
+			Settled:      core.SettledRemovals{Era: era(t, "settled era"), Through: offset(t, "settled")},
 		}
 	},
 	"HeartbeatAck": func(t *rapid.T) core.PeerBody {
@@ -28,6 +29,7 @@
 			ConfigOffset: offset(t, "config"),
 			KnownOffset:  offset(t, "known"),
 			Proof:        core.StateProof{Number: rapid.Uint64().Draw(t, "proof"), Age: duration(t, "age")},
+			Settled:      core.SettledRemovals{Era: era(t, "settled era"), Through: offset(t, "settled")},
 			Spare:        rapid.Float64().Draw(t, "spare"),
 		}
 	},
@@ -85,7 +87,8 @@
 			Passed: list(t, "passed", func(t *rapid.T) core.ServiceVersion {
 				return core.ServiceVersion{Service: text[core.ServiceID](t, "service"), Version: text[core.SoftwareVersion](t, "version")}
 			}),
-			Proof: core.StateProof{Number: rapid.Uint64().Draw(t, "proof"), Age: duration(t, "age")},
+			Proof:   core.StateProof{Number: rapid.Uint64().Draw(t, "proof"), Age: duration(t, "age")},
+			Settled: core.SettledRemovals{Era: era(t, "settled era"), Through: offset(t, "settled")},
 		}
 	},
 	"RolesOrdered": func(t *rapid.T) core.PeerBody { return core.RolesOrdered{Orders: list(t, "orders", roleOrder)} },
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -74,7 +74,7 @@
 		After: int64(b.After), Era: int64(b.Era), Offset: int64(b.Offset),
 		Changed: convertAll(b.Changed, fromInstance),
 		Removed: convertAll(b.Removed, func(id core.EngineID) string { return string(id) }), ConfigOffset: int64(b.ConfigOffset), Proof: fromStateProof(b.Proof),
-		Passed: fromServiceVersions(b.Passed),
+		Passed: fromServiceVersions(b.Passed), Settled: fromSettledRemovals(b.Settled),
 	}
 }
 
@@ -87,7 +87,7 @@
 		After: core.Offset(b.GetAfter()),
 		Era:   core.StoreEra(b.GetEra()), Offset: core.Offset(b.GetOffset()), Changed: list,
 		Removed: convertAll(b.GetRemoved(), func(id string) core.EngineID { return core.EngineID(id) }), ConfigOffset: core.Offset(b.GetConfigOffset()),
-		Proof: toStateProof(b.GetProof()), Passed: toServiceVersions(b.GetPassed()),
+		Proof: toStateProof(b.GetProof()), Passed: toServiceVersions(b.GetPassed()), Settled: toSettledRemovals(b.GetSettled()),
 	}, nil
 }
 
--- a/wire/peer/convert_member.go
+++ b/wire/peer/convert_member.go
@@ -47,6 +47,18 @@
 	return core.StateProof{Number: p.GetNumber(), Age: time.Duration(p.GetAgeNanos())}
 }
 
+// fromSettledRemovals returns nil if nothing is said.
+func fromSettledRemovals(r core.SettledRemovals) *SettledRemovals {
+	if r == (core.SettledRemovals{}) {
+		return nil
+	}
+	return &SettledRemovals{Era: int64(r.Era), Through: int64(r.Through)}
+}
+
+func toSettledRemovals(r *SettledRemovals) core.SettledRemovals {
+	return core.SettledRemovals{Era: core.StoreEra(r.GetEra()), Through: core.Offset(r.GetThrough())}
+}
+
 func fromHeartbeat(b core.Heartbeat) *Heartbeat {
 	return &Heartbeat{
 		Sequence:     b.Sequence,
@@ -55,6 +67,7 @@
 		ConfigOffset: int64(b.ConfigOffset),
 		KnownOffset:  int64(b.KnownOffset),
 		Proof:        fromStateProof(b.Proof),
+		Settled:      fromSettledRemovals(b.Settled),
 	}
 }
 
@@ -70,6 +83,7 @@
 		ConfigOffset: core.Offset(b.GetConfigOffset()),
 		KnownOffset:  core.Offset(b.GetKnownOffset()),
 		Proof:        toStateProof(b.GetProof()),
+		Settled:      toSettledRemovals(b.GetSettled()),
 	}, nil
 }
 
@@ -81,6 +95,7 @@
 		ConfigOffset: int64(b.ConfigOffset),
 		KnownOffset:  int64(b.KnownOffset),
 		Proof:        fromStateProof(b.Proof),
+		Settled:      fromSettledRemovals(b.Settled),
 		Spare:        b.Spare,
 	}
 }
@@ -97,6 +112,7 @@
 		ConfigOffset: core.Offset(b.GetConfigOffset()),
 		KnownOffset:  core.Offset(b.GetKnownOffset()),
 		Proof:        toStateProof(b.GetProof()),
+		Settled:      toSettledRemovals(b.GetSettled()),
 		Spare:        b.GetSpare(),
 	}, nil
 }
