--- a/core/instance_feed.go
+++ b/core/instance_feed.go
@@ -35,6 +35,9 @@
 	// renewalGrace is how long after an outage of the store upstreams may take to
 	// renew entries that expired during it.
 	renewalGrace = 2500 * time.Millisecond
+	// staleEntryTimeout is how long after its return from a copy the store may hold entries of
+	// upstreams that had left: for three of their check-in intervals.
+	staleEntryTimeout = 5 * time.Second
 )
 
 // feedPosition is a position in the store's log of upstreams' entries. Offsets of
@@ -133,7 +136,7 @@
 	proof listProof
 	// changedAt and removedAt are the positions at which entries were last changed and
 	// removed. They are complete for all changes after historyStart. left holds the
-	// incarnations of those in removedAt that were draining before.
+	// incarnations of those in removedAt that were draining before, or that were dropped.
 	changedAt    map[EngineID]feedPosition
 	removedAt    map[EngineID]feedPosition
 	left         map[EngineID]int64
@@ -305,7 +308,7 @@
 	}
 	if s.loaded && s.position.era != m.Era {
 		s.outageAt, s.historyStart = n.now, to
-		changed = s.withoutStale(changed)
+		changed = s.withoutStale(n, changed)
 	}
 	if m.Whole && s.loaded {
 		n.forward.versions.restartWatch(n)
@@ -331,8 +334,11 @@
 }
 
 // withoutStale returns the entries of a restored store without what this node knows to be
-// out of date in them: an incarnation that was draining is draining still, or has left.
-func (s *instanceFeed) withoutStale(restored []Instance) []Instance {
+// out of date in them: an incarnation that was draining is draining still, or has left. One that
+// was dropped without draining counts again once it has renewed its entry. Another node may have
+// read the renewal, so that all entries are read once more when the store has removed those that
+// nobody renews.
+func (s *instanceFeed) withoutStale(n *Node, restored []Instance) []Instance {
 	var list []Instance
 	for _, i := range restored {
 		if born, ok := s.left[i.ID]; ok && born == i.Born {
@@ -343,6 +349,12 @@
 		}
 		list = append(list, i)
 	}
+	if len(list) < len(restored) {
+		n.afterFunc(staleEntryTimeout, func(n *Node) {
+			s.readAll = true
+			s.read(n)
+		})
+	}
 	return list
 }
 
@@ -490,7 +502,7 @@
 			s.expiring[id] = expiringEntry{at: at, until: s.outageAt.Add(renewalGrace)}
 			continue
 		}
-		delete(s.entries, id)
+		s.drop(id)
 	}
 	firstList := !s.loaded
 	s.loaded, s.position = true, to
--- a/core/removal_settled.go
+++ b/core/removal_settled.go
@@ -44,7 +44,7 @@
 	for id, e := range s.expiring {
 		if over(e) {
 			delete(s.expiring, id)
-			delete(s.entries, id)
+			s.drop(id)
 			delete(s.changedAt, id)
 			changed = true
 		}
@@ -53,3 +53,11 @@
 		s.publish(n)
 	}
 }
+
+// drop removes an entry whose removal is final.
+func (s *instanceFeed) drop(id EngineID) {
+	if old, ok := s.entries[id]; ok {
+		s.left[id] = old.Born
+		delete(s.entries, id)
+	}
+}
--- a/core/store_era_test.go
+++ b/core/store_era_test.go
@@ -48,6 +48,40 @@
 	is.Equal(instancesOf(h), map[core.EngineID]core.Instance{"e1": both[0], "e2": both[1]})
 }
 
+// The store returns from a copy in which upstreams are listed whose removal this node has read,
+// and which had not been draining. They got requests again. One that renews its entry is alive, as
+// is one that the store lists for longer than it keeps the entries of others.
+func TestRestoredStoreRevivesNoRemovedUpstream(t *testing.T) {
+	is := is.New(t)
+	h := newHosted("n1", core.Settings{})
+	all := []core.Instance{plainInstance("e1"), plainInstance("e2"), plainInstance("e3")}
+	h.deliver(core.Tick{}, worldState(), core.StoreEraObserved{Era: 1}, core.InstancesRead{Whole: true, Era: 1, Offset: 10, Changed: all})
+	h.deliver(core.InstancesRead{After: 10, Era: 1, Offset: 13, Removed: []core.EngineID{"e2", "e3"}})
+	h.deliver(core.StoreEraObserved{Era: 2})
+	h.advance(600 * time.Millisecond)
+	h.deliver(core.InstancesRead{Whole: true, Era: 2, Offset: 10, Changed: all})
+	is.Equal(instancesOf(h), map[core.EngineID]core.Instance{"e1": all[0]})
+	h.deliver(core.InstancesRead{After: 10, Era: 2, Offset: 12, Changed: all[1:2]})
+	is.Equal(instancesOf(h), map[core.EngineID]core.Instance{"e1": all[0], "e2": all[1]})
+	is.True(!h.readsWhole(3 * time.Second))
+	is.True(h.readsWhole(3 * time.Second))
+	h.deliver(core.InstancesRead{Whole: true, Era: 2, Offset: 12, Changed: all})
+	is.Equal(len(instancesOf(h)), 3)
+}
+
+// readsWhole answers a node's reads for a time, and reports whether one was of all entries.
+func (h *hostedNode) readsWhole(d time.Duration) bool {
+	for until := h.now.Add(d); h.now < until; {
+		for _, r := range commandsOf[core.ReadInstances](h.advance(100 * time.Millisecond)) {
+			if r.Whole {
+				return true
+			}
+			h.deliver(core.InstancesRead{After: 12, Era: 2, Offset: 12, Started: r.Started})
+		}
+	}
+	return false
+}
+
 // An upstream that registered shortly before the store returned from a copy is missing
 // from the copy. It stays in use for the time that it needs to write its entry again.
 func TestUpstreamMissingFromRestoredStoreStaysForAMoment(t *testing.T) {
