Remember versions for as long as the former desired state said

A desired state with a shorter timeout made nodes forget versions at once whose streams had begun under the former one; the record in the store lost them too, and another version could be taken for the only one.

The time for which versions are remembered was that of the present state. It becomes shorter now only once the former one has passed.

TestVersionsAreRememberedThoughTimeoutsBecomeShorter failed before.

--- a/core/forward.go
+++ b/core/forward.go
@@ -196,7 +196,7 @@
 	lag := s.lag.apply(n.now, d.Version)
 	s.state, s.stateKnown = d, true
 	s.routes = newRouteTable(d.Routes)
-	s.versions.applyRoutes(d.Routes)
+	s.versions.applyRoutes(n, d.Routes)
 	n.do(LimitCallers{d.Limits})
 	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -92,6 +92,9 @@
 	// retention is how long versions, and those of streams, are remembered.
 	longest   map[ServiceID]time.Duration
 	retention time.Duration
+	// wanted is what the desired state asks for, and shortenAt when retention becomes that.
+	wanted    time.Duration
+	shortenAt Instant
 	// doubted are streams that have ended while their origin was not verified.
 	doubted []doubtedStream
 	// corrections are those that other nodes have not confirmed.
@@ -219,15 +222,27 @@
 	return longest + lateAnswerTime
 }
 
-// applyRoutes derives from the routes of a new desired state how long streams may be resumed.
-func (v *streamVersions) applyRoutes(routes []Route) {
+// applyRoutes derives from the routes of a new desired state how long streams may be resumed. Those
+// that began under the former state may be for as long as that said.
+func (v *streamVersions) applyRoutes(n *Node, routes []Route) {
 	clear(v.longest)
-	v.retention = minStreamRetention
+	v.wanted = minStreamRetention
 	for _, r := range routes {
 		if r.RetryPolicy == ResumeOnly {
-			v.retention = max(v.retention, r.Timeout+lateAnswerTime)
+			v.wanted = max(v.wanted, r.Timeout+lateAnswerTime)
 		}
 	}
+	if v.retention < v.wanted {
+		v.retention = v.wanted
+	}
+	if v.retention > v.wanted {
+		v.shortenAt = n.now.Add(v.retention)
+		n.afterFunc(v.retention, func(n *Node) {
+			if n.now >= v.shortenAt {
+				v.retention = v.wanted
+			}
+		})
+	}
 }
 
 // keep keeps the origin of a stream; the first one that is reported counts. The oldest are
