Do not report an end of an upstream that was reached since

Only the list of upstreams, by which it may have started again, has it reported then.

TestSecondCutEndsNoUpstreamThatWasReached failed before.

--- a/core/held_crashes.go
+++ b/core/held_crashes.go
@@ -13,10 +13,12 @@
 )
 
 // heldCrash is the end of a connection to an upstream, when it was seen, and when the upstream was
-// probed for it last; zero if it was not.
+// probed for it last; zero if it was not. reached says that it was reached then, so that the list
+// alone shows whether it has started again.
 type heldCrash struct {
 	CrashReport
 	at, probedAt Instant
+	reached      bool
 }
 
 // holdCrash holds the end of an upstream back while it may be that of this node's own path only.
@@ -67,7 +69,7 @@
 	for i := range n.isolation.held {
 		h := &n.isolation.held[i]
 		switch id := h.Crash.Engine; {
-		case h.probedAt != 0 && n.now.Sub(h.probedAt) < probeEvery:
+		case h.reached || h.probedAt != 0 && n.now.Sub(h.probedAt) < probeEvery:
 			continue
 		case probed.Has(id):
 		case len(probed) >= maxProbes:
@@ -85,13 +87,17 @@
 // of which the list of upstreams does not tell yet.
 func (s *forwards) settleHeld(n *Node, id EngineID, failed bool) {
 	if failed {
-		s.reportHeld(n, func(h heldCrash) bool { return h.Crash.Engine == id && h.probedAt != 0 })
+		s.reportHeld(n, func(h heldCrash) bool { return h.Crash.Engine == id && h.probedAt != 0 && !h.reached })
 		return
 	}
 	s.dropHeld(n, func(h heldCrash) bool {
 		u, ok := s.upstreams.byID[id]
 		return h.Crash.Engine == id && ok && u.Born == h.Crash.Born && n.now.Sub(h.at) < minRestart
 	})
+	for i := range n.isolation.held {
+		h := &n.isolation.held[i]
+		h.reached = h.reached || h.Crash.Engine == id
+	}
 	s.verifyHeld(n)
 }
 
