Do not begin a block anew that is over

A report that names no time left extends nothing.

TestRepeatedReportsDoNotHideASoundTrial and TestBlockThatNobodyAsksForIsForgotten failed before.

--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -267,7 +267,7 @@
 			}
 			continue
 		}
-		if !ok || n.now.Add(b.Left) > known.until.Add(maxReportDelay) {
+		if !ok || b.Left > 0 && n.now.Add(b.Left) > known.until.Add(maxReportDelay) {
 			s.suspects.block(n.now, b.CrashSuspect, min(b.Left, maxBlock))
 		}
 		if !ok {
