Run tests in a synctest bubble in a process of their own

The package's tests ended twice in 31 runs with "reset of synctest timer from outside bubble": connections of other tests end in the background, and yamux keeps its timers in a pool of the process. The same tests run in a process each.

--- a/daisyshed/peer/transport_silent_test.go
+++ b/daisyshed/peer/transport_silent_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -107,8 +106,9 @@
 // A link's connection goes silent for good in both directions, again and again. Messages were
 // written to it for as long as its buffers took them, and none arrived.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	defer runtime.GC()
-	defer runtime.GC()
+	if !alone(t) {
+		return
+	}
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := newPair()
@@ -139,8 +139,9 @@
 // All connections of a node to its peers go silent. The first that is found silent has the
 // others checked, so that the next message to any peer arrives.
 func TestSilentConnectionHasTheOthersChecked(t *testing.T) {
-	defer runtime.GC()
-	defer runtime.GC()
+	if !alone(t) {
+		return
+	}
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := newPair()
--- a/daisyshed/peer/transport_test.go
+++ b/daisyshed/peer/transport_test.go
@@ -4,7 +4,8 @@
 	"context"
 	"errors"
 	"net"
-	"runtime"
+	"os"
+	"os/exec"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -102,6 +103,25 @@
 	p.b.Close()
 }
 
+// aloneKey is set in the environment of a process that runs one test in a synctest bubble.
+const aloneKey = "PEER_TEST_ALONE"
+
+// alone reports whether this process runs the test alone. If not, it runs it in one that does: yamux
+// keeps its timers in a pool of the process, and those of a bubble must not be used outside it, where
+// connections of other tests may end yet.
+func alone(t *testing.T) bool {
+	if os.Getenv(aloneKey) != "" {
+		return true
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$", "-test.v")
+	cmd.Env = append(os.Environ(), aloneKey+"=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Errorf("%v: %s", err, out)
+	}
+	return false
+}
+
 // transportCases run one after the other in one synctest bubble: yamux keeps its
 // timers in a pool shared by the whole process, and a timer must not be used in
 // two bubbles.
@@ -120,10 +140,9 @@
 }
 
 func TestTransport(t *testing.T) {
-	// Two garbage collections empty yamux's timer pool, so that the test can run
-	// again in the same process (-count).
-	defer runtime.GC()
-	defer runtime.GC()
+	if !alone(t) {
+		return
+	}
 	synctest.Test(t, func(t *testing.T) {
 		for _, c := range transportCases {
 			t.Log(c.name)
