Do not take silent upstreams for an isolation, nor a reset for its end

A node without relays took four upstreams that accept connections and are silent for its own isolation, and rejected all requests (TestSilentUpstreamsDoNotIsolateANodeWithoutRelays): without a relay, only connections that do not open count now. The first relay that reached an upstream after a standstill isolated the node by a direct failure from before (TestUpstreamsThatGoOnDoNotIsolate): the failure has to be about as recent, or the upstream is probed again. Two connections that were reset ended an isolation that had begun with others that hung (TestConnectionsThatAreResetDoNotEndAnIsolation): a reset is an outcome of its own, ConnectBroken, which ends one only if the node has no relay.

--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -410,15 +410,16 @@
 	_ = x[ConnectFailed-2]
 	_ = x[ConnectTimedOut-3]
 	_ = x[Unanswered-4]
-	_ = x[RelayRejected-5]
-	_ = x[RelayDeclined-6]
-	_ = x[RelayFailed-7]
-	_ = x[RelayUnanswered-8]
+	_ = x[ConnectBroken-5]
+	_ = x[RelayRejected-6]
+	_ = x[RelayDeclined-7]
+	_ = x[RelayFailed-8]
+	_ = x[RelayUnanswered-9]
 }
 
-const _ConnectOutcome_name = "ConnectedAnsweredConnectFailedConnectTimedOutUnansweredRelayRejectedRelayDeclinedRelayFailedRelayUnanswered"
+const _ConnectOutcome_name = "ConnectedAnsweredConnectFailedConnectTimedOutUnansweredConnectBrokenRelayRejectedRelayDeclinedRelayFailedRelayUnanswered"
 
-var _ConnectOutcome_index = [...]uint8{0, 9, 17, 30, 45, 55, 68, 81, 92, 107}
+var _ConnectOutcome_index = [...]uint8{0, 9, 17, 30, 45, 55, 68, 81, 94, 105, 120}
 
 func (i ConnectOutcome) String() string {
 	idx := int(i) - 0
--- a/core/false_isolation_test.go
+++ b/core/false_isolation_test.go
@@ -42,5 +42,7 @@
 	is := is.New(t)
 	h := newPathNode()
 	h.isolate()
-	is.Equal(relaysFirst(h.unanswered("s3", "s4")), core.None[bool]())
+	for _, id := range []core.EngineID{"s3", "s4"} {
+		is.Equal(relaysFirst(h.deliver(core.ConnectionObserved{Engine: id, Outcome: core.ConnectBroken})), core.None[bool]())
+	}
 }
--- a/core/forward_world_path_test.go
+++ b/core/forward_world_path_test.go
@@ -140,6 +140,9 @@
 	if n.paths.cut.opens() {
 		outcome, timeout = core.Unanswered, answerTimeout
 	}
+	if n.paths.cut == openReset {
+		outcome = core.ConnectBroken
+	}
 	if n.paths.cut.hangs() {
 		d = timeout
 	}
--- a/core/isolation.go
+++ b/core/isolation.go
@@ -93,14 +93,33 @@
 	return len(s.unreached)
 }
 
-// onlyRelayed returns the upstreams that a relay reached and direct connections did not. One that
-// accepts connections may have been silent for a moment: it has to answer through the relay, and
-// then still not on a direct connection.
+// closed returns to how many upstreams no direct connection opens. Without a relay, those that open
+// and are not answered may be of upstreams that are silent for a moment.
+func (s *isolation) closed() int {
+	count := 0
+	for _, f := range s.unreached {
+		if !f.opened {
+			count++
+		}
+	}
+	return count
+}
+
+// outlasted reports whether a direct connection failed although the upstream could be reached: at
+// about the same time, or still after that. One that opened has to fail still after the upstream has
+// answered, as the upstream may have been silent for a moment.
+func (r pathSuccess) outlasted(f pathFailure) bool {
+	if f.opened {
+		return r.answeredAt != 0 && f.at > r.answeredAt
+	}
+	return r.at.Sub(f.at) <= probeTimeout
+}
+
+// onlyRelayed returns the upstreams that a relay reached and direct connections did not.
 func (s *isolation) onlyRelayed() []EngineID {
 	return slices.DeleteFunc(sortedKeys(s.relayed), func(id EngineID) bool {
 		f, unreached := s.unreached[id]
-		r := s.relayed[id]
-		return !unreached || f.opened && (r.answeredAt == 0 || f.at <= r.answeredAt)
+		return !unreached || !s.relayed[id].outlasted(f)
 	})
 }
 
@@ -116,7 +135,8 @@
 	case m.Outcome == Connected:
 		// Connections open, and it is not known whether they are answered.
 		return
-	case s.isolated && m.Outcome == Unanswered && !s.opens:
+	case s.isolated && (m.Outcome == Unanswered && !s.opens || m.Outcome == ConnectBroken && n.pathless()):
+		// It opened, as none did when the isolation began.
 		s.observeReached(n, m.Engine)
 		return
 	case s.isolated:
@@ -125,7 +145,7 @@
 		if s.recentlyUnreached(n) == 0 {
 			s.failingSince = n.now
 		}
-		s.unreached[m.Engine] = pathFailure{at: n.now, opened: m.Outcome == Unanswered}
+		s.unreached[m.Engine] = pathFailure{at: n.now, opened: m.Outcome == Unanswered || m.Outcome == ConnectBroken}
 		if m.Outcome != Unanswered {
 			n.forward.settleHeld(n, m.Engine, true)
 		}
@@ -148,8 +168,8 @@
 	return false
 }
 
-// observeRelayed records that a relay reached an upstream. If direct connections to it open and
-// were not answered, another one is probed.
+// observeRelayed records that a relay reached an upstream. If a direct connection to it failed before,
+// another one is probed.
 func (s *isolation) observeRelayed(n *Node, m ConnectionObserved) {
 	if s.isolated || m.Outcome != Connected && m.Outcome != Answered {
 		return
@@ -157,13 +177,14 @@
 	r := s.relayed[m.Engine]
 	r.at = n.now
 	f, unreached := s.unreached[m.Engine]
-	if m.Outcome == Answered && (r.answeredAt == 0 || f.at > r.answeredAt) {
+	answers := m.Outcome == Answered && (r.answeredAt == 0 || f.at > r.answeredAt)
+	if answers {
 		r.answeredAt = n.now
-		if u, ok := n.forward.upstreams.byID[m.Engine]; ok && unreached && f.opened {
-			n.do(ProbeUpstream{Engine: u.ID, Address: u.Address})
-		}
 	}
 	s.relayed[m.Engine] = r
+	if u, ok := n.forward.upstreams.byID[m.Engine]; ok && unreached && !r.outlasted(f) && (answers || !f.opened) {
+		n.do(ProbeUpstream{Engine: u.ID, Address: u.Address})
+	}
 }
 
 // observeReached handles a direct connection. One is enough before the node is isolated; some
@@ -197,7 +218,7 @@
 		s.set(n, true, detail+"; relays reach "+joinIDs(relayed))
 	case len(relays) == 0 && n.relayChoice.confirmsFailures(n):
 		// Upstreams that relays cannot reach either have failed.
-	case len(relays) == 0 && unreached >= min(minUnreached, len(n.forward.upstreams.byID)):
+	case len(relays) == 0 && s.closed() >= min(minUnreached, len(n.forward.upstreams.byID)):
 		if wait := probeTimeout - n.now.Sub(s.failingSince); wait > 0 {
 			n.afterFunc(wait, func(n *Node) { s.consider(n) })
 			return
--- a/core/relay_choice.go
+++ b/core/relay_choice.go
@@ -109,7 +109,7 @@
 			delete(c.leftOut, m.Relay)
 			c.update(n)
 		}
-	case RelayFailed, Unanswered:
+	case RelayFailed, Unanswered, ConnectBroken:
 		unreached, ok := c.unreached[m.Relay]
 		if !ok {
 			unreached = Set[EngineID]{}
--- a/core/upstream_path.go
+++ b/core/upstream_path.go
@@ -13,9 +13,10 @@
 	ConnectFailed
 	// ConnectTimedOut means that there was no answer in time.
 	ConnectTimedOut
-	// Unanswered means that the connection was open, and was reset at once, or was a probe's and
-	// was reset or carried nothing until the probe's timeout.
+	// Unanswered means that it was open and carried nothing until the timeout of a probe.
 	Unanswered
+	// ConnectBroken means that it was open and was reset.
+	ConnectBroken
 	// RelayRejected means that the relay is isolated or leaving, and accepts no connection.
 	RelayRejected
 	// RelayDeclined means that the relay does not list the upstream as usable, or relays as many
--- a/daisyshed/upstream/observe.go
+++ b/daisyshed/upstream/observe.go
@@ -73,6 +73,8 @@
 	switch n, err := cn.Read(make([]byte, 1)); {
 	case n > 0 || errors.Is(err, io.EOF):
 		return core.Answered
+	case errors.Is(err, syscall.ECONNRESET):
+		return core.ConnectBroken
 	default:
 		return core.Unanswered
 	}
@@ -82,7 +84,7 @@
 	switch outcome {
 	case core.Connected, core.Answered:
 		return working
-	case core.Unanswered:
+	case core.Unanswered, core.ConnectBroken:
 		return notAnswering
 	default:
 		return notOpening
--- a/daisyshed/upstream/paths_test.go
+++ b/daisyshed/upstream/paths_test.go
@@ -360,16 +360,24 @@
 func (noMeter) PeerDropped()          {}
 func (noMeter) PeerFault(error)       {}
 
+// silent returns the address of an upstream that accepts connections and keeps them open.
+func silent(t *testing.T) string {
+	return serve(t, func(c net.Conn, _ *bufio.Reader) {
+		<-t.Context().Done()
+		_ = c.Close()
+	})
+}
+
 // Guards against probes that take an open connection for an upstream that answers.
 func TestProbeWaitsForTheUpstream(t *testing.T) {
 	is := is.New(t)
 	address, _, _ := echo(t)
-	silent := serve(t, func(net.Conn, *bufio.Reader) { <-t.Context().Done() })
-	p := newPaths(t, false, dialTo(silent))
+	quiet := silent(t)
+	p := newPaths(t, false, dialTo(quiet))
 	relay := core.Relay{Node: "r1"}
 	for _, c := range []core.ProbeUpstream{
 		{Engine: "e1", Address: address},
-		{Engine: "e2", Address: silent},
+		{Engine: "e2", Address: quiet},
 		{Engine: "e3", Address: address, Relay: relay},
 		{Engine: "e4", Address: serve(t, func(c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() })},
 	} {
@@ -379,20 +387,20 @@
 	for _, m := range p.reports() {
 		got[m.Engine] = m.Outcome
 	}
-	is.Equal(got, map[core.EngineID]core.ConnectOutcome{"e1": core.Answered, "e2": core.Unanswered, "e3": core.Unanswered, "e4": core.Unanswered})
+	is.Equal(got, map[core.EngineID]core.ConnectOutcome{"e1": core.Answered, "e2": core.Unanswered, "e3": core.Unanswered, "e4": core.ConnectBroken})
 }
 
 // Guards against a connection that opens, taken for a sound path after one that was not answered.
 func TestOpenConnectionIsNoNewsAfterAnUnansweredOne(t *testing.T) {
 	is := is.New(t)
-	silent := serve(t, func(net.Conn, *bufio.Reader) { <-t.Context().Done() })
+	quiet := silent(t)
 	address, _, _ := echo(t)
 	p := newPaths(t, false, dialTo(refusing(t)))
-	p.Probe(core.ProbeUpstream{Engine: "e2", Address: silent})
+	p.Probe(core.ProbeUpstream{Engine: "e2", Address: quiet})
 	is.Equal(len(p.reports()), 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := p.Do(ctx, request(silent, nil))
+	_, err := p.Do(ctx, request(quiet, nil))
 	is.True(err != nil)
 	is.Equal(len(p.reports()), 1)
 	_, err = p.do(address)
--- a/daisyshed/upstream/race.go
+++ b/daisyshed/upstream/race.go
@@ -203,7 +203,7 @@
 		return core.ConnectTimedOut
 	case errors.Is(o.err, syscall.ECONNRESET):
 		// It was open: one that is refused gives ECONNREFUSED.
-		return core.Unanswered
+		return core.ConnectBroken
 	default:
 		return core.ConnectFailed
 	}
