Do not take an upstream that resets connections for one that has ended

An end that is held back was reported if a probe's connection opened and was reset, as upstreams with too many connections do, since a reset has an outcome of its own. Only connections that do not open show that an upstream has ended.

TestUpstreamThatResetsConnectionsHasNotEnded fails with the condition before.

--- a/core/isolation.go
+++ b/core/isolation.go
@@ -93,9 +93,9 @@
 	return len(s.unreached)
 }
 
-// closed returns to how many upstreams no direct connection opens. Without a relay, those that open
-// and are not answered may be of upstreams that are silent for a moment.
-func (s *isolation) closed() int {
+// unopened returns to how many upstreams no direct connection opens. Without a relay, those that
+// open and are not answered may be of upstreams that are silent for a moment.
+func (s *isolation) unopened() int {
 	count := 0
 	for _, f := range s.unreached {
 		if !f.opened {
@@ -145,8 +145,9 @@
 		if s.recentlyUnreached(n) == 0 {
 			s.failingSince = n.now
 		}
-		s.unreached[m.Engine] = pathFailure{at: n.now, opened: m.Outcome == Unanswered || m.Outcome == ConnectBroken}
-		if m.Outcome != Unanswered {
+		f := pathFailure{at: n.now, opened: m.Outcome == Unanswered || m.Outcome == ConnectBroken}
+		s.unreached[m.Engine] = f
+		if !f.opened {
 			n.forward.settleHeld(n, m.Engine, true)
 		}
 		s.probeMore(n)
@@ -218,7 +219,7 @@
 		s.set(n, true, detail+"; relays reach "+joinIDs(relayed))
 	case len(relays) == 0 && n.relayChoice.confirmsFailures(n):
 		// Upstreams that relays cannot reach either have failed.
-	case len(relays) == 0 && s.closed() >= min(minUnreached, len(n.forward.upstreams.byID)):
+	case len(relays) == 0 && s.unopened() >= min(minUnreached, len(n.forward.upstreams.byID)):
 		if wait := probeTimeout - n.now.Sub(s.failingSince); wait > 0 {
 			n.afterFunc(wait, func(n *Node) { s.consider(n) })
 			return
--- a/core/second_cut_test.go
+++ b/core/second_cut_test.go
@@ -24,3 +24,17 @@
 	out = h.unreached("none", "any", "s1")
 	is.Equal(crashesSent(out), 0)
 }
+
+// Guards against an upstream that resets connections, as one with too many does, taken for one that
+// has ended.
+func TestUpstreamThatResetsConnectionsHasNotEnded(t *testing.T) {
+	is := is.New(t)
+	h := newLedgerNode("s1")
+	runs := commandsOf[core.RunForward](h.deliver(keyed(1, "sound")))
+	h.unreached("none", "any")
+	out := h.breakOff(1, runs[0])
+	out = append(out, h.advanceWithPeer(600*time.Millisecond)...)
+	out = append(out, h.deliver(core.ConnectionObserved{Engine: "none", Outcome: core.Connected})...)
+	out = append(out, h.probesOf("s1", core.ConnectBroken, out, 2*time.Second)...)
+	is.Equal(crashesSent(out), 0)
+}
