Choose a keeper in the tests of corrections

One of the three is sent it to append it to the store's log only, keeps nothing, and is corrected by the log.

--- a/core/stream_correction_test.go
+++ b/core/stream_correction_test.go
@@ -50,8 +50,11 @@
 		later = "v1"
 	}
 	h.advance(60 * time.Millisecond)
-	for id := range begunTo(h.commands) {
-		keeper = id
+	for _, c := range commandsOf[core.SendPeer](h.commands) {
+		// Those that only append it to the store keep nothing.
+		if b, ok := c.Body.(core.StreamsBegun); ok && !b.Log {
+			keeper = c.To
+		}
 	}
 	change(h, keeper)
 	return h, h.deliver(core.InstancesRead{Whole: true, Offset: 2, Changed: rebornAs(list, run.Engine, later)}), keeper, later
