--- a/bench/hosted/judge_back.go
+++ b/bench/hosted/judge_back.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// versionKnowledge is what a probe tells of a node and a version of the desired state.
+// versionKnowledge is the result of a probe: whether a node has a version of the desired state.
 type versionKnowledge int
 
 const (
--- a/bench/hosted/judge_shares_test.go
+++ b/bench/hosted/judge_shares_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 )
 
-// Few resumed streams that go on are a loss, unless their nodes are cut off from the store or new
-// streams fare as badly.
+// A low share of resumed streams that continue is a loss, unless their nodes are cut off from the
+// store or new streams fail as often.
 func TestJudgeOfResumedStreams(t *testing.T) {
 	type share = hosted.RecordedShare
 	for _, c := range []struct {
--- a/bench/hosted/late_list.go
+++ b/bench/hosted/late_list.go
@@ -20,7 +20,7 @@
 	// breakShare is the share of resumable streams whose caller loses its connection, and resumes
 	// at another node, while versions change.
 	breakShare = 0.4
-	// breakTime is for how long that goes on after a change of versions.
+	// breakTime is for how long callers do that after a change of versions.
 	breakTime = 4 * time.Second
 	// rebornShare is the share of the engines that are started again under their ids, and maxDown
 	// for how long one is down at most.
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -64,8 +64,8 @@
 	Nodes, Callers int
 	// Faults selects the faults whose names contain one of these texts; all if there are none.
 	Faults []string
-	// OmitBorn has some workers not say in their answers when they started, so that the list alone
-	// tells an incarnation from the next one.
+	// OmitBorn has some workers omit their start time from their answers. Then only the list of
+	// workers distinguishes an incarnation from the next one.
 	OmitBorn bool
 }
 
--- a/core/block_hearsay_test.go
+++ b/core/block_hearsay_test.go
@@ -47,8 +47,8 @@
 	return count
 }
 
-// Nodes tell each other for how long requests are blocked yet. Each message added its delay to
-// that, again and again, so that the trial which ends a block never came where messages are slow.
+// Nodes report to each other how much time is left of a block. Each report extended the block by the
+// delay of its message, so that with slow messages the trial that ends a block never came.
 func TestSlowMessagesDoNotExtendABlock(t *testing.T) {
 	for _, nodes := range []int{4, 8, 82} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
@@ -65,8 +65,8 @@
 	}
 }
 
-// The trial of a request that was blocked by chance has a sound answer. Nodes that the news did
-// not reach told the others of the block again.
+// The trial of a request that was blocked by chance has a sound answer. Nodes that did not receive
+// the report of that made the others block the request again.
 func TestSoundTrialEndsABlockAtAllNodes(t *testing.T) {
 	for _, nodes := range []int{4, 8, 82} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
@@ -89,8 +89,8 @@
 	}
 }
 
-// A node has cleared a request by a trial. It tells those that have not heard of that, but takes
-// over a block that began later, whose trial is long to come.
+// A trial has cleared a request at a node. The node answers reports of the old block with that, but
+// accepts a block that began after it.
 func TestClearedRequestIsBlockedAgainByNewEnds(t *testing.T) {
 	is := is.New(t)
 	h := newLedgerNode("s1", "s2", "s3")
--- a/core/crash_spread.go
+++ b/core/crash_spread.go
@@ -242,7 +242,7 @@
 }
 
 // handleSuspectsReported handles what another node has seen. If it suspects a part on which this
-// node has had sound answers, or blocks a request that a trial has cleared, it is told so.
+// node has had sound answers, or blocks a request that a trial has cleared, this node replies that.
 func (s *forwards) handleSuspectsReported(n *Node, from NodeID, m SuspectsReported) {
 	s.suspects.observeSound(n.now, n.now, m.Sound)
 	var sound []CrashSuspect
--- a/core/crash_suspects.go
+++ b/core/crash_suspects.go
@@ -387,8 +387,8 @@
 		delete(l.suspicions, key)
 		delete(l.blocked, key)
 		if key.Part == "" && !blocked {
-			// Whole requests are not remembered as sound, as each one is another, unless nodes may
-			// tell of their block yet.
+			// Whole requests rarely come again, so they are not remembered as sound, unless other
+			// nodes may still report their block.
 			continue
 		}
 		if l.sound == nil || len(l.sound) >= maxSoundParts && l.sound[key] == 0 {
--- a/core/false_isolation_test.go
+++ b/core/false_isolation_test.go
@@ -21,8 +21,8 @@
 	is.Equal(len(commandsOf[core.EndForward](h.deliver(forwardTo(1, "pay")))), 0)
 }
 
-// Guards against upstreams that stand still for a moment and go on, taken for a partition: relays could
-// not reach them either, and the first one that does again shows nothing of the direct path.
+// Guards against upstreams that hang for a moment, mistaken for a partition of the node: relays could
+// not reach them either, and the first success through a relay proves nothing about the direct path.
 func TestUpstreamsThatGoOnDoNotIsolate(t *testing.T) {
 	is := is.New(t)
 	h := newPathNode()
@@ -36,8 +36,8 @@
 	is.True(!first)
 }
 
-// Guards against connections that are reset, which end an isolation that began with others that hung:
-// some upstreams' connections hang in a cut, and those of others are reset.
+// Guards against resets that end an isolation too early: in one partition, connections to some
+// upstreams may hang while those to others are reset.
 func TestConnectionsThatAreResetDoNotEndAnIsolation(t *testing.T) {
 	is := is.New(t)
 	h := newPathNode()
--- a/core/freshness.go
+++ b/core/freshness.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// freshness tells as of when a copy of something in the store is known to be complete, and holds
+// freshness is the time as of which a copy of something in the store is known to be complete, with
 // what waits until it is complete as of a later instant.
 type freshness struct {
 	// at is when the newest complete read was started; zero before the first.
--- a/core/held_connection.go
+++ b/core/held_connection.go
@@ -18,8 +18,8 @@
 
 // HoldConnection asks the runtime to hold a connection to an upstream for a request, instead of
 // the one that it holds for the request already, and to ask the upstream on it which incarnation
-// it is. A connection belongs to one process: unlike the id and the address, it tells an
-// incarnation from the next one.
+// it is. A connection belongs to one process, so that, unlike the id and the address, it identifies
+// an incarnation.
 type HoldConnection struct {
 	ID      ForwardID
 	Hold    HoldNumber
--- a/core/held_crashes.go
+++ b/core/held_crashes.go
@@ -83,8 +83,8 @@
 }
 
 // settleHeld handles a direct connection to an upstream. One that could not be reached after this
-// node's path worked has ended; one that was reached soon has not. Later it may have started again,
-// of which the list of upstreams does not tell yet.
+// node's path worked has ended; one that was reached soon has not. One that is reached later may have
+// restarted before the list of upstreams shows it.
 func (s *forwards) settleHeld(n *Node, id EngineID, failed bool) {
 	if failed {
 		s.reportHeld(n, func(h heldCrash) bool { return h.Crash.Engine == id && h.probedAt != 0 && !h.reached })
--- a/core/instance_proof.go
+++ b/core/instance_proof.go
@@ -9,7 +9,7 @@
 	feedHungAfter = 250 * time.Millisecond
 )
 
-// listProof tells as of when the list of upstreams is known to be complete. Changes that peers
+// listProof is the time as of which the list of upstreams is known to be complete. Changes that peers
 // forward prove nothing: their delay is unknown, and a node that was paused handles old ones.
 type listProof struct {
 	freshness
--- a/core/isolation.go
+++ b/core/isolation.go
@@ -22,16 +22,16 @@
 	// probes of one upstream before that. maxProbes bounds the probes in one period.
 	probeEvery = time.Second
 	maxProbes  = 6
-	// probeTimeout is within what time probes of other upstreams have ended. Without a relay,
-	// only these tell whether several upstreams failed together.
+	// probeTimeout is the time within which probes of other upstreams end. Without a relay, only
+	// they show whether several upstreams failed together.
 	probeTimeout = 500 * time.Millisecond
 	// noAnswerAfter is how long a lease request may have no answer until its upstream is
 	// probed.
 	noAnswerAfter = 100 * time.Millisecond
 )
 
-// isolation tells whether this node is partitioned from the upstreams, by the outcomes of
-// direct connections to them. Failures of one upstream are that upstream's; so are those of
+// isolation detects that this node is partitioned from the upstreams, by the outcomes of direct
+// connections to them. Failures of one upstream are that upstream's; so are those of
 // several if relays do not reach them either.
 type isolation struct {
 	isolated bool
@@ -310,8 +310,8 @@
 	return true
 }
 
-// probeMore probes other upstreams after a failure, so that enough are tried to tell whose
-// failure it is.
+// probeMore probes other upstreams after a failure, enough of them to distinguish a failure of the
+// upstream from one of this node's path.
 func (s *isolation) probeMore(n *Node) {
 	for range minUnreached - 1 {
 		s.probeAny(n)
--- a/core/limit_loss_test.go
+++ b/core/limit_loss_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against low limits that nodes tell each other of again after they have ended, as the news of
-// the end was lost on the way to one of them.
+// Guards against limits that come back after they have ended, because a node that did not receive the
+// message with the end reports the old limit again.
 func TestLowLimitsEndThoughMessagesAreLost(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/core/limit_spread.go
+++ b/core/limit_spread.go
@@ -11,7 +11,7 @@
 	limitReportEvery = time.Second
 	// limitLogEvery is the least time between two lines of the log on changes of a limit.
 	limitLogEvery = time.Second
-	// limitFresh is how long after it was told of a limit a node tells a new owner of it.
+	// limitFresh is how long a node forwards a reported limit to a new owner.
 	limitFresh = 10 * time.Second
 	// maxSentLimits bounds the limits of one message.
 	maxSentLimits = 64
--- a/core/reborn_engine_test.go
+++ b/core/reborn_engine_test.go
@@ -64,8 +64,8 @@
 	is.Equal(versionOf(list, second.Engine), later)
 }
 
-// The same stream breaks off before the list shows the engine. Nothing tells which version has
-// begun it, so that it is not continued and its record is withdrawn.
+// The same stream breaks off before the list shows the engine. It is not known which version began
+// it, so that it is not continued and its record is withdrawn.
 func TestStreamOfAnUnknownIncarnationIsNotContinued(t *testing.T) {
 	is := is.New(t)
 	list := versionedEngines("v1", "v1", "v2", "v2")
--- a/core/reborn_engine_world_test.go
+++ b/core/reborn_engine_world_test.go
@@ -73,8 +73,8 @@
 }
 
 // Engines start again under their ids at another version, and engines of their former version
-// break off before the list of upstreams shows it. Streams went on at the engines that had
-// started again, and those that had begun there were resumed at their former version.
+// break off before the list of upstreams shows it. Streams were continued at the restarted engines,
+// and streams that had begun there were resumed at the engines' former version.
 func TestStreamsKeepTheirVersionWhenEnginesAreReborn(t *testing.T) {
 	for _, c := range []struct {
 		nodes, decoders int
--- a/core/relay_choice.go
+++ b/core/relay_choice.go
@@ -86,7 +86,7 @@
 	return len(c.candidates(n, func(id NodeID) bool { return len(c.unreached[id]) > 0 })) > 0
 }
 
-// update tells the runtime which relays to use, if they have changed. An isolated node uses
+// update sends the runtime the relays to use, if they have changed. An isolated node uses
 // them first.
 func (c *relayChoice) update(n *Node) {
 	if !n.Hosted {
--- a/core/removal_settled.go
+++ b/core/removal_settled.go
@@ -14,8 +14,8 @@
 	Through Offset
 }
 
-// settledRemovals returns what this node may tell others about removals: it has seen no outage
-// for so long that live upstreams have renewed their entries, or it never saw one.
+// settledRemovals returns the removals that this node reports as final: it has seen no outage of the
+// store within the time in which live upstreams renew their entries.
 func (s *instanceFeed) settledRemovals(n *Node) SettledRemovals {
 	outage := s.outageAt != 0 && n.now.Sub(s.outageAt) < renewalGrace
 	if !s.loaded || outage || len(s.expiring) > 0 || s.position.era != s.latestEra || !s.steady(n) {
@@ -24,8 +24,8 @@
 	return SettledRemovals{Era: s.position.era, Through: s.position.offset}
 }
 
-// handleSettled drops the removed entries that a peer keeps no longer. The outage that this node
-// saw was its own then, or is over for longer than this node can tell.
+// handleSettled drops the removed entries that a peer has dropped. Either only this node had lost the
+// store, or the outage has been over for longer than this node knows.
 func (s *instanceFeed) handleSettled(n *Node, m SettledRemovals) {
 	s.dropExpiring(n, func(e expiringEntry) bool { return e.at.era == m.Era && e.at.offset <= m.Through })
 }
--- a/core/reported_failure.go
+++ b/core/reported_failure.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// memberIsolated handles the news that a node is isolated: its reports do not count, nor what
-// failed on connections through it, and this node looks whether it is isolated too.
+// memberIsolated handles the report that a node is isolated: its reports and failures on connections
+// through it do not count, and this node probes whether it is isolated too.
 func (n *Node) memberIsolated(id NodeID) {
 	if !n.Hosted {
 		return
--- a/core/state_lost_test.go
+++ b/core/state_lost_test.go
@@ -33,7 +33,7 @@
 }
 
 // A version was lost when the store returned from a copy, with the nodes that had it. The others
-// tell each other of it, and so did those that started later: all waited for it for good, and
+// kept naming it in their heartbeats, also to nodes that started later: all waited for it forever, and
 // answered 503 for the routes that the store's version does not have.
 func TestVersionThatNoNodeHasIsNotAwaitedForGood(t *testing.T) {
 	for _, nodes := range []int{8, 82} {
--- a/core/stream_log.go
+++ b/core/stream_log.go
@@ -27,7 +27,7 @@
 }
 
 // AppendStreams appends origins of streams to a log in the store. When all nodes have died at
-// once, nothing else tells which version began a stream.
+// once, it is the only record of which version began a stream.
 type AppendStreams struct{ Origins []StreamOrigins }
 
 // StreamsAppended answers AppendStreams.
--- a/core/stream_version.go
+++ b/core/stream_version.go
@@ -173,8 +173,8 @@
 	return slices.DeleteFunc(slices.Clone(versions), func(o ServiceVersion) bool { return v.serving[o] })
 }
 
-// gone reports whether a version has not served for as long as its streams may be resumed. Only a
-// list that is proved tells: this node may have stood still.
+// gone reports whether no upstream has had a version for longer than its streams may be resumed. It
+// goes by the proven time of the list, because this node may have been paused.
 func (v *streamVersions) gone(n *Node, o ServiceVersion) bool {
 	return !v.serving[o] && n.feed.provenAt().Sub(max(v.seen[o], v.watchedSince)) > v.retention
 }
--- a/core/stream_version_test.go
+++ b/core/stream_version_test.go
@@ -213,8 +213,8 @@
 	is.Equal(ends[0].RetryAfter, time.Duration(0))
 }
 
-// The nodes that know a stream do not answer for a while. Its caller was told that it is gone for
-// good, after 150 ms.
+// The nodes that keep a stream's version do not answer for a while. The resumption was rejected for
+// good after 150 ms, as if no node knew the stream.
 func TestWhatNobodyHasAnsweredIsNotGone(t *testing.T) {
 	for name, answers := range map[string]func(h *hostedNode, out []core.Command) []core.Command{
 		"nobody answers":       func(*hostedNode, []core.Command) []core.Command { return nil },
--- a/core/stream_version_world_test.go
+++ b/core/stream_version_world_test.go
@@ -150,8 +150,7 @@
 	return resumed
 }
 
-// wentOn counts the streams that were resumed and went on to their end, and those that hold
-// events of two versions.
+// wentOn counts the resumed streams that were completed, and those that hold events of two versions.
 func wentOn(resumed []*worldRequest) (count, mixed int) {
 	for _, r := range resumed {
 		for r.resumedAs != nil {
@@ -187,7 +186,7 @@
 
 // Engines of two versions serve, or those of the second appear, while nodes die, are started again
 // or are cut off. Callers resume their streams elsewhere. Up to half of them were continued by the
-// other version, or rejected as unknown. Nine tenths of them must go on, each at its version.
+// other version, or rejected as unknown. Nine tenths of them must continue, each at its version.
 func TestStreamsKeepTheirVersionWhenManyNodesDieAtOnce(t *testing.T) {
 	for name, c := range map[string]struct {
 		versions int
--- a/core/upstream_limit.go
+++ b/core/upstream_limit.go
@@ -32,8 +32,8 @@
 type upstreamLimit struct {
 	born int64
 	rate RequestRate
-	// namedAt is when an answer to this node last named it, or when this node was first told of
-	// it. toldAt is when this node was last told of it, by an answer or another node.
+	// namedAt is when an answer to this node last named it, or when another node first reported it.
+	// toldAt is when an answer or another node last reported it.
 	namedAt, toldAt Instant
 }
 
--- a/core/version_record.go
+++ b/core/version_record.go
@@ -14,7 +14,7 @@
 
 // RecordVersion records in the store that a version serves or has served lately, or, if Gone is
 // set, that it has not served for longer than its streams can be resumed. Nodes that start read the
-// record: when all nodes have died at once, nothing else tells whether one version alone has served.
+// record: when all nodes have died at once, nothing else shows whether only one version has served.
 type RecordVersion struct {
 	ServiceVersion
 	Gone bool
--- a/daisyshed/hosted_relays.go
+++ b/daisyshed/hosted_relays.go
@@ -17,9 +17,9 @@
 const (
 	// relayIdleTimeout is the idle timeout of a connection that a node relays.
 	relayIdleTimeout = 5 * time.Minute
-	// relayMemoryShare is the fraction of the process's memory limit that the buffers of
-	// relayed connections may take in each direction, and relayFileShare that of its
-	// descriptors.
+	// relayMemoryShare is the fraction of the process's memory limit for the buffers of relayed
+	// connections: once for those of this node, and once for those that it relays.
+	// relayFileShare is the fraction of its file descriptors for them.
 	relayMemoryShare = 0.2
 	relayFileShare   = 0.2
 	// relayBuffer is the most that one relayed connection buffers, in bytes: the receive
--- a/daisyshed/ingress/hold_test.go
+++ b/daisyshed/ingress/hold_test.go
@@ -81,7 +81,7 @@
 }
 
 // An engine breaks a stream off while another one has started again under its id at another
-// version, of which the list does not tell. The stream was continued there.
+// version, which the list does not show yet. The stream was continued there.
 func TestStreamIsNotContinuedAtAnEngineThatStartedAgain(t *testing.T) {
 	for name, reports := range map[string]bool{"it reports that": true, "the store shows it": false} {
 		t.Run(name, func(t *testing.T) {
@@ -107,7 +107,7 @@
 	}
 }
 
-// The stream goes on at an engine that is verified, on the connection on which it was.
+// The stream continues at a verified engine, on the connection on which that was verified.
 func TestStreamGoesOnOnTheVerifiedConnection(t *testing.T) {
 	for name, set := range map[string]func(*versionedEngine){
 		"the engine reports":             func(e *versionedEngine) { e.reports = true },
--- a/daisyshed/ingress/relayed_test.go
+++ b/daisyshed/ingress/relayed_test.go
@@ -68,8 +68,8 @@
 func (noMeter) PeerDropped()          {}
 func (noMeter) PeerFault(error)       {}
 
-// startRelayed starts a server that sends requests to an upstream at an address that it cannot
-// reach, and rejects those that fail. It returns the failures.
+// startRelayed starts a server whose upstream has an address that cannot be reached directly. The
+// server rejects requests whose step fails, and the failures are sent to the channel.
 func startRelayed(t *testing.T, client *upstream.Client) (url string, failures chan core.StepFailed) {
 	dead := unreachable(t)
 	failures = make(chan core.StepFailed, 1)
--- a/daisyshed/peer/relay_serve.go
+++ b/daisyshed/peer/relay_serve.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// refuse tells the other node that the connection is not opened, and waits a moment for it to
-// close the stream, which a reset could overtake.
+// refuse replies that the connection is not opened, and waits briefly for the other node to close the
+// stream: a reset could overtake the reply.
 func (t *Transport) refuse(session *relaySession, stream *yamux.Stream, reply wire.RelayReply) {
 	if reply.Rejected {
 		t.relayMeter().RelayedRejected(Relaying, session.node, reply.Rejection)
--- a/daisyshed/upstream/held_test.go
+++ b/daisyshed/upstream/held_test.go
@@ -69,7 +69,7 @@
 	is.Equal(len(requests), 0)
 }
 
-// A hold ends while a request on its connection goes on. The connection is kept afterwards.
+// A hold ends while a request is in progress on its connection. The connection is kept afterwards.
 func TestHoldThatEndsDuringARequestKeepsTheConnection(t *testing.T) {
 	is := is.New(t)
 	address, connections, _ := serveResponses(t)
--- a/daisyshed/upstream/observe.go
+++ b/daisyshed/upstream/observe.go
@@ -102,15 +102,15 @@
 	return opened{conn: conn, relay: p.Relay.Node, err: err}
 }
 
-// observe reports how an attempt ended, unless that tells the core nothing new.
+// observe reports how an attempt ended, unless the core knows that already.
 func (c *Client) observe(key string, o opened) {
 	if !localError(o.err) && c.isNews(observedPath{key: key, relay: o.relay}, outcome(o)) {
 		c.report(key, o.relay, outcome(o))
 	}
 }
 
-// observeAnswer reports that the first response was received on a direct connection, unless that
-// tells the core nothing new. Later ones say nothing of new connections.
+// observeAnswer reports that the first response was received on a direct connection, unless the core
+// knows that already. Later responses prove nothing about new connections.
 func (c *Client) observeAnswer(key string, cn *conn) {
 	first := !cn.answered
 	cn.answered = true
--- a/daisyshed/upstream/paths_test.go
+++ b/daisyshed/upstream/paths_test.go
@@ -279,7 +279,7 @@
 	return c.Conn.Close()
 }
 
-// A direct connection that opens is news only after one that failed.
+// A direct connection that opens is reported only after one that failed.
 func TestReportsAreBounded(t *testing.T) {
 	is := is.New(t)
 	address, _, _ := echo(t)
