Name the types and messages of tenants and usage caps

Cause: keys, tenants and usage caps are unknown to the code, and several parts that are built side by side need the same names. Nothing uses them yet.

--- a/core/desired.go
+++ b/core/desired.go
@@ -46,6 +46,10 @@
 	Routes   []Route
 	Services map[ServiceID]ServiceSpec
 	Limits   CallerLimits
+	// HasTenants says that callers need the key of a tenant on routes that are not public. Tenants may
+	// be empty then.
+	HasTenants bool
+	Tenants    []Tenant
 	// Encoded is the state as encoded for peers, which may lack it or not reach the store.
 	Encoded []byte
 }
@@ -70,6 +74,8 @@
 	GapPatience time.Duration
 	// Rank is the priority of the route under load; zero is the most urgent.
 	Rank int
+	// Public routes need no key.
+	Public bool
 	// MaxRuns is how many times upstreams may run one request of a caller. A send
 	// that the upstream rejected or never received does not count.
 	MaxRuns int
--- a/core/dispatch_message.go
+++ b/core/dispatch_message.go
@@ -42,6 +42,13 @@
 	Avoid []EngineID
 	// Version is the software version that the upstream must have; None for any.
 	Version Option[SoftwareVersion]
+	// Tenant is the tenant of the request; empty if there is none. Usage is what the request counts
+	// towards the tenant's usage cap, and Charged says that it has been counted already.
+	Tenant  TenantID
+	Usage   Tokens
+	Charged bool
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 }
 
 // ForwardQueued notifies an entry that its request is queued at the owner.
@@ -64,6 +71,8 @@
 type ForwardTurnedAway struct {
 	ID         ForwardID
 	RetryAfter time.Duration
+	// OverCap says that the request exceeds the usage cap of its tenant.
+	OverCap bool
 }
 
 // ForwardDenied notifies an owner that an engine denied the lease, or gave no usable
@@ -104,6 +113,8 @@
 	Outcome RunOutcome
 	// Output is the length of a whole answer of a model engine, else zero.
 	Output Tokens
+	// NotRun says that no upstream has run or may still run the request.
+	NotRun bool
 }
 
 // ForwardHeld notifies a new owner of what a request holds at an engine.
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -31,6 +31,10 @@
 	Path string
 	// Patience is how long the caller still waits.
 	Patience time.Duration
+	// Credential is the digest of the caller's key, if the request carries one.
+	Credential Option[CredentialDigest]
+	// BodyBytes is the size of the request's body.
+	BodyBytes int64
 	// Generation is present for requests to model engines.
 	Generation Option[Generation]
 	// Resumes is present if the caller already has part of the answer, a stream. It is the
--- a/core/ids.go
+++ b/core/ids.go
@@ -100,3 +100,11 @@
 	Holder      NodeID
 	Incarnation Incarnation
 }
+
+// ProtocolVersion is a version of the protocol between nodes. A later version knows all messages of an
+// earlier one. Zero stands for builds that do not name it.
+type ProtocolVersion uint32
+
+// LatestProtocol is the version that this build knows. Version 1 adds [UsageReported] and
+// [UsageGranted].
+const LatestProtocol ProtocolVersion = 1
--- a/core/message.go
+++ b/core/message.go
@@ -108,7 +108,9 @@
 type PeerMessage struct {
 	From        NodeID
 	Incarnation Incarnation
-	Body        PeerBody
+	// Protocol is the version of the protocol that the sender knows.
+	Protocol ProtocolVersion
+	Body     PeerBody
 }
 
 // EngineState is the state that an engine reports.
--- a/core/node.go
+++ b/core/node.go
@@ -129,7 +129,7 @@
 // the network.
 func (n *Node) send(to NodeID, body PeerBody) {
 	if to == n.Self.ID {
-		n.after(0, PeerMessage{From: to, Incarnation: n.Incarnation, Body: body})
+		n.after(0, PeerMessage{From: to, Incarnation: n.Incarnation, Protocol: LatestProtocol, Body: body})
 		return
 	}
 	n.do(SendPeer{To: to, Body: body})
--- /dev/null
+++ b/core/tenant.go
@@ -0,0 +1,78 @@
+package core
+
+import "time"
+
+// TenantID names a tenant, on whose behalf callers send requests.
+type TenantID string
+
+// CredentialDigest is the SHA-256 digest of a caller's key. The key itself never reaches the core.
+type CredentialDigest [32]byte
+
+// UsageUnit is what a usage cap counts.
+type UsageUnit int
+
+// The units of usage caps.
+const (
+	// RequestUnit counts each request as one.
+	RequestUnit UsageUnit = iota
+	// TokenUnit counts a request's prompt tokens and the upper bound of its output tokens.
+	TokenUnit
+)
+
+// UsageCap bounds what a tenant may use at all nodes together: Rate units a second and a burst of
+// Burst units. A Rate of zero sets no limit.
+type UsageCap struct {
+	Rate, Burst float64
+	Unit        UsageUnit
+	// PlainTokens is the usage of a request that names no token counts, if tokens are counted.
+	PlainTokens Tokens
+}
+
+// Tenant is one tenant of the desired state.
+type Tenant struct {
+	ID   TenantID
+	Keys []CredentialDigest
+	// Rank replaces the rank of the routes, if present.
+	Rank Option[int]
+	Cap  UsageCap
+}
+
+// TenantUsage reports what a node admits of a tenant's requests, in units of the tenant's cap.
+type TenantUsage struct {
+	Tenant TenantID
+	// Demand is the rate at which requests have asked for usage lately, in units a second, and Used
+	// what the node has admitted since it started.
+	Demand, Used float64
+	// Rate is the share of the cap that the node holds, in units a second, for the time Left. Level is
+	// what its bucket contains.
+	Rate, Level float64
+	Left        time.Duration
+}
+
+// UsageReported reports a node's usage to the allocator of the tenants' caps, which is to grant it
+// shares.
+type UsageReported struct {
+	// Version is the version of the desired state with the caps.
+	Version int64
+	Tenants []TenantUsage
+}
+
+// UsageShare is a share of a tenant's cap: Rate units a second and a burst of Burst units, for the
+// time Left.
+type UsageShare struct {
+	Tenant      TenantID
+	Rate, Burst float64
+	Left        time.Duration
+	// UsedElsewhere is what the tenant has used at other nodes, in units.
+	UsedElsewhere float64
+}
+
+// UsageGranted grants shares of tenants' caps to the node that has reported its usage.
+type UsageGranted struct {
+	Version int64
+	Shares  []UsageShare
+}
+
+func (UsageReported) isPeerBody() {}
+
+func (UsageGranted) isPeerBody() {}
--- a/daisyshed/peer/link.go
+++ b/daisyshed/peer/link.go
@@ -53,7 +53,7 @@
 // before, which may have broken since, it retries once on a new one. A message that
 // cannot be encoded or sent is dropped.
 func (l *link) sendWithRetry(body core.PeerBody) {
-	m := core.PeerMessage{From: l.transport.Self, Incarnation: l.transport.Incarnation, Body: body}
+	m := core.PeerMessage{From: l.transport.Self, Incarnation: l.transport.Incarnation, Protocol: core.LatestProtocol, Body: body}
 	frame, err := wire.EncodeFrame(m)
 	if err != nil {
 		l.drop(body, 0, err)
--- a/wire/peer/bodies_test.go
+++ b/wire/peer/bodies_test.go
@@ -44,8 +44,25 @@
 			Prompt: tokens(t, "prompt"), Expected: tokens(t, "expected"), MaxOutput: tokens(t, "max output"), Rank: rapid.IntRange(0, 9).Draw(t, "rank"),
 			OnTime: duration(t, "on time"), Patience: duration(t, "patience"), Objective: duration(t, "objective"), MaxPause: duration(t, "pause"),
 			PromptKey: core.PromptKey(rapid.Uint64().Draw(t, "prompted")), Attempt: text[string](t, "attempt"), Waited: duration(t, "waited"), Again: rapid.Bool().Draw(t, "again"), Avoid: list(t, "avoid", func(t *rapid.T) core.EngineID { return text[core.EngineID](t, "engine") }), Version: version(t),
+			Tenant: text[core.TenantID](t, "tenant"), Usage: tokens(t, "usage"), Charged: rapid.Bool().Draw(t, "charged"), BodyBytes: rapid.Int64Min(0).Draw(t, "body bytes"),
 		}
 	},
+	"UsageReported": func(t *rapid.T) core.PeerBody {
+		return core.UsageReported{Version: rapid.Int64().Draw(t, "version"), Tenants: list(t, "tenants", func(t *rapid.T) core.TenantUsage {
+			return core.TenantUsage{
+				Tenant: text[core.TenantID](t, "tenant"), Demand: rapid.Float64().Draw(t, "demand"), Used: rapid.Float64().Draw(t, "used"),
+				Rate: rapid.Float64().Draw(t, "rate"), Level: rapid.Float64().Draw(t, "level"), Left: duration(t, "left"),
+			}
+		})}
+	},
+	"UsageGranted": func(t *rapid.T) core.PeerBody {
+		return core.UsageGranted{Version: rapid.Int64().Draw(t, "version"), Shares: list(t, "shares", func(t *rapid.T) core.UsageShare {
+			return core.UsageShare{
+				Tenant: text[core.TenantID](t, "tenant"), Rate: rapid.Float64().Draw(t, "rate"), Burst: rapid.Float64().Draw(t, "burst"),
+				Left: duration(t, "left"), UsedElsewhere: rapid.Float64().Draw(t, "elsewhere"),
+			}
+		})}
+	},
 	"StreamsBegun": func(t *rapid.T) core.PeerBody {
 		return core.StreamsBegun{
 			Service: text[core.ServiceID](t, "service"), Version: text[core.SoftwareVersion](t, "version"), Streams: list(t, "streams", streamKey), Log: rapid.Bool().Draw(t, "log"),
@@ -66,7 +83,7 @@
 		return core.ForwardPlaced{ID: forwardID(t), Decode: text[core.EngineID](t, "decode"), Prefill: text[core.EngineID](t, "prefill"), PrefillAtDecode: rapid.Bool().Draw(t, "at decode"), Memory: tokens(t, "memory")}
 	},
 	"ForwardTurnedAway": func(t *rapid.T) core.PeerBody {
-		return core.ForwardTurnedAway{ID: forwardID(t), RetryAfter: duration(t, "retry after")}
+		return core.ForwardTurnedAway{ID: forwardID(t), RetryAfter: duration(t, "retry after"), OverCap: rapid.Bool().Draw(t, "over cap")}
 	},
 	"ForwardDenied": func(t *rapid.T) core.PeerBody {
 		return core.ForwardDenied{ID: forwardID(t), Engine: text[core.EngineID](t, "engine"), Failed: rapid.Bool().Draw(t, "failed")}
@@ -75,7 +92,7 @@
 		return core.ForwardPromptRead{ID: forwardID(t), Failed: rapid.Bool().Draw(t, "failed")}
 	},
 	"ForwardReleased": func(t *rapid.T) core.PeerBody {
-		return core.ForwardReleased{ID: forwardID(t), Outcome: enum(t, "outcome", core.RunFailed), Output: tokens(t, "output")}
+		return core.ForwardReleased{ID: forwardID(t), Outcome: enum(t, "outcome", core.RunFailed), Output: tokens(t, "output"), NotRun: rapid.Bool().Draw(t, "not run")}
 	},
 	"ForwardHeld": func(t *rapid.T) core.PeerBody {
 		return core.ForwardHeld{ID: forwardID(t), Group: dispatchGroup(t), Decode: text[core.EngineID](t, "decode"), Memory: tokens(t, "memory")}
--- a/wire/peer/convert_hosted.go
+++ b/wire/peer/convert_hosted.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return core.ForwardReleased{ID: core.ForwardID(b.GetID()), Outcome: outcome, Output: core.Tokens(b.GetOutput())}, nil
+	return core.ForwardReleased{ID: core.ForwardID(b.GetID()), Outcome: outcome, Output: core.Tokens(b.GetOutput()), NotRun: b.GetNotRun()}, nil
 }
 
 func fromPlaceForward(b core.PlaceForward) *PlaceForward {
@@ -105,7 +105,7 @@
 		Prompt: int64(b.Prompt), Expected: int64(b.Expected), MaxOutput: int64(b.MaxOutput), Rank: int64(b.Rank),
 		OnTimeNanos: int64(b.OnTime), PatienceNanos: int64(b.Patience), ObjectiveNanos: int64(b.Objective), MaxPauseNanos: int64(b.MaxPause),
 		Prompted: uint64(b.PromptKey), Attempt: strings.ToValidUTF8(b.Attempt, "?"), WaitedNanos: int64(b.Waited), Again: b.Again, Avoid: convertAll(b.Avoid, func(id core.EngineID) string { return string(id) }),
-		Version: fromVersion(b.Version),
+		Version: fromVersion(b.Version), Tenant: string(b.Tenant), Usage: int64(b.Usage), Charged: b.Charged, BodyBytes: b.BodyBytes,
 	}
 }
 
@@ -117,6 +117,7 @@
 		OnTime: time.Duration(b.GetOnTimeNanos()), Patience: time.Duration(b.GetPatienceNanos()),
 		Objective: time.Duration(b.GetObjectiveNanos()), MaxPause: time.Duration(b.GetMaxPauseNanos()), PromptKey: core.PromptKey(b.GetPrompted()), Attempt: b.GetAttempt(), Waited: time.Duration(b.GetWaitedNanos()), Again: b.GetAgain(),
 		Avoid: convertAll(b.GetAvoid(), func(id string) core.EngineID { return core.EngineID(id) }), Version: toVersion(b.Version),
+		Tenant: core.TenantID(b.GetTenant()), Usage: core.Tokens(b.GetUsage()), Charged: b.GetCharged(), BodyBytes: b.GetBodyBytes(),
 	}
 }
 
--- a/wire/peer/decode.go
+++ b/wire/peer/decode.go
@@ -30,6 +30,7 @@
 	return core.PeerMessage{
 		From:        core.NodeID(e.GetFrom()),
 		Incarnation: core.Incarnation(e.GetIncarnation()),
+		Protocol:    core.ProtocolVersion(e.GetProtocol()),
 		Body:        body,
 	}, nil
 }
@@ -93,7 +94,7 @@
 		return toForwardPlaced(b.ForwardPlaced), nil
 	case *Envelope_ForwardTurnedAway:
 		return core.ForwardTurnedAway{
-			ID: core.ForwardID(b.ForwardTurnedAway.GetID()), RetryAfter: time.Duration(b.ForwardTurnedAway.GetRetryAfterNanos()),
+			ID: core.ForwardID(b.ForwardTurnedAway.GetID()), RetryAfter: time.Duration(b.ForwardTurnedAway.GetRetryAfterNanos()), OverCap: b.ForwardTurnedAway.GetOverCap(),
 		}, nil
 	case *Envelope_ForwardDenied:
 		return core.ForwardDenied{
@@ -117,6 +118,10 @@
 		return toLimitsReported(b.LimitsReported), nil
 	case *Envelope_PlacerAnnounced:
 		return toPlacerAnnounced(b.PlacerAnnounced), nil
+	case *Envelope_UsageReported:
+		return toUsageReported(b.UsageReported), nil
+	case *Envelope_UsageGranted:
+		return toUsageGranted(b.UsageGranted), nil
 	case *Envelope_PromptsReported:
 		return toSuspectsReported(b.PromptsReported), nil
 	case *Envelope_InstancesQuery:
--- a/wire/peer/encode.go
+++ b/wire/peer/encode.go
@@ -29,7 +29,7 @@
 
 // ToEnvelope converts m to an [Envelope].
 func ToEnvelope(m core.PeerMessage) (*Envelope, error) {
-	e := &Envelope{From: string(m.From), Incarnation: uint64(m.Incarnation)}
+	e := &Envelope{From: string(m.From), Incarnation: uint64(m.Incarnation), Protocol: uint32(m.Protocol)}
 	switch b := m.Body.(type) {
 	case core.Heartbeat:
 		e.Body = &Envelope_Heartbeat{fromHeartbeat(b)}
@@ -94,13 +94,13 @@
 	case core.ForwardPlaced:
 		e.Body = &Envelope_ForwardPlaced{&ForwardPlaced{ID: uint64(b.ID), Decode: string(b.Decode), Prefill: string(b.Prefill), PrefillAtDecode: b.PrefillAtDecode, Memory: int64(b.Memory)}}
 	case core.ForwardTurnedAway:
-		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID), RetryAfterNanos: int64(b.RetryAfter)}}
+		e.Body = &Envelope_ForwardTurnedAway{&ForwardTurnedAway{ID: uint64(b.ID), RetryAfterNanos: int64(b.RetryAfter), OverCap: b.OverCap}}
 	case core.ForwardDenied:
 		e.Body = &Envelope_ForwardDenied{&ForwardDenied{ID: uint64(b.ID), Engine: string(b.Engine), Failed: b.Failed}}
 	case core.ForwardPromptRead:
 		e.Body = &Envelope_ForwardPromptRead{&ForwardPromptRead{ID: uint64(b.ID), Failed: b.Failed}}
 	case core.ForwardReleased:
-		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID), Outcome: uint32(b.Outcome), Output: int64(b.Output)}}
+		e.Body = &Envelope_ForwardReleased{&ForwardReleased{ID: uint64(b.ID), Outcome: uint32(b.Outcome), Output: int64(b.Output), NotRun: b.NotRun}}
 	case core.ForwardHeld:
 		e.Body = &Envelope_ForwardHeld{fromForwardHeld(b)}
 	case core.InstancesChanged:
@@ -113,6 +113,10 @@
 		e.Body = &Envelope_LimitsReported{fromLimitsReported(b)}
 	case core.PlacerAnnounced:
 		e.Body = &Envelope_PlacerAnnounced{fromPlacerAnnounced(b)}
+	case core.UsageReported:
+		e.Body = &Envelope_UsageReported{fromUsageReported(b)}
+	case core.UsageGranted:
+		e.Body = &Envelope_UsageGranted{fromUsageGranted(b)}
 	case core.SuspectsReported:
 		e.Body = &Envelope_PromptsReported{fromSuspectsReported(b)}
 	case core.InstancesQuery:
