Check the keys of callers and name their tenants to upstreams

Cause: keys and tenants are unknown to the code: requests with unknown keys run, and keys are passed on to upstreams. The core finds the tenant at the entry, before anything is spent on the request, applies its rank, and rejects an unknown key with 401, or with 503 if a later state might have it. Prefill and run replace key and Tenant-Id by the tenant's name, and owners are told of the tenant. Faulty rows of tenants are left out one by one and listed in TenantFaults.

--- a/core/command.go
+++ b/core/command.go
@@ -84,6 +84,8 @@
 	StreamVersionGone
 	// MemoryFull means that the node has no memory for the body of the request.
 	MemoryFull
+	// UnknownKey means that the request needs the key of a tenant and has none.
+	UnknownKey
 )
 
 // SendPeer sends a message to another node. Delivery is not guaranteed.
--- a/core/desired.go
+++ b/core/desired.go
@@ -50,6 +50,8 @@
 	// be empty then.
 	HasTenants bool
 	Tenants    []Tenant
+	// TenantFaults are the parts of the tenants that could not be used.
+	TenantFaults []TenantFault
 	// Encoded is the state as encoded for peers, which may lack it or not reach the store.
 	Encoded []byte
 }
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -43,6 +43,7 @@
 		ID: f.placement, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
 		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective, MaxPause: f.route.MaxPause,
 		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Version: f.version, Again: f.sends > 0, Avoid: s.unwanted(n, f),
+		Tenant: f.tenant,
 	})
 	step := f.step
 	n.afterFunc(ownerTimeout, func(n *Node) {
--- a/core/forward.go
+++ b/core/forward.go
@@ -44,10 +44,17 @@
 type forwardedRequest struct {
 	Forward
 	queueEntry
-	route    Route
-	spec     ServiceSpec
-	deadline Instant
-	phase    forwardPhase
+	route Route
+	spec  ServiceSpec
+	// tenant is the tenant of the caller's key; empty if there is none. tenantRank is the rank of the
+	// tenant, and keyOutcome that of the check of its key. hidesKey is set if the state by which the
+	// request was admitted has tenants.
+	tenant     TenantID
+	tenantRank Option[int]
+	keyOutcome KeyOutcome
+	hidesKey   bool
+	deadline   Instant
+	phase      forwardPhase
 	// step counts the steps taken. A timer does nothing if step has changed
 	// since the timer was set.
 	step int
@@ -132,6 +139,7 @@
 	state         DesiredState
 	stateKnown    bool
 	routes        routeTable
+	tenants       tenantTable
 	upstreams     upstreams
 	live          map[ForwardID]*forwardedRequest
 	queue         []*forwardedRequest
@@ -195,7 +203,7 @@
 	}
 	lag := s.lag.apply(n.now, d.Version)
 	s.state, s.stateKnown = d, true
-	s.routes = newRouteTable(d.Routes)
+	s.routes, s.tenants = newRouteTable(d.Routes), newTenantTable(d.Tenants)
 	s.versions.applyRoutes(n, d.Routes)
 	n.do(LimitCallers{d.Limits})
 	s.updateReady(n)
@@ -225,7 +233,7 @@
 	s.placeWaiting(n)
 }
 
-// handleRequest handles a caller's request: it finds the route and the service, and
+// handleRequest handles a caller's request: it finds the route, the tenant and the service, and
 // requests a placement or rejects the request.
 func (s *forwards) handleRequest(n *Node, m Forward) {
 	f := &forwardedRequest{Forward: m, placement: m.ID, tried: Set[EngineID]{}, sentTo: Set[EngineID]{}}
@@ -245,8 +253,12 @@
 		s.reject(n, f, NoRoute, 0)
 		return
 	}
+	f.route = route
+	if !s.checkKey(n, f) {
+		return
+	}
 	service := route.pick(n.rng.Float64())
-	f.route, f.spec = route, s.specOf(service)
+	f.spec = s.specOf(service)
 	if n.mayOutliveNode(min(f.Patience, route.Timeout)) {
 		s.reject(n, f, Leaving, retryAfter(f.Patience, n.rng.Float64()))
 		return
@@ -277,7 +289,7 @@
 	patience := min(f.Patience, f.route.Timeout)
 	f.deadline = n.now.Add(patience)
 	f.queueEntry = queueEntry{
-		rank:           f.route.Rank,
+		rank:           f.ownRank(),
 		arrived:        n.now,
 		latestOnTime:   n.now.Add(f.route.Objective - s.usualFirstByteTime(f)),
 		callerDeadline: f.deadline,
--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -220,6 +220,10 @@
 	Timeout time.Duration
 	// NewConnection asks for a connection that has carried no request before.
 	NewConnection bool
+	// Tenant is the tenant of the request; empty if there is none. HideKey says that the caller's key,
+	// and the tenant that the caller itself names, must not reach the upstream.
+	Tenant  TenantID
+	HideKey bool
 }
 
 // ReleaseHandle frees a KV cache that no decode engine will fetch. The request
@@ -264,6 +268,10 @@
 	// that the core has handled. If the runtime has sent more, a run goes on of which the
 	// core did not know yet, and a run that is to take over is not begun.
 	GoneOn int
+	// Tenant is the tenant of the request; empty if there is none. HideKey says that the caller's key,
+	// and the tenant that the caller itself names, must not reach the upstream.
+	Tenant  TenantID
+	HideKey bool
 }
 
 // RelayFailure relays the upstream's own failure answer to the caller. The
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -69,6 +69,7 @@
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Hold: f.takeHold(), Patience: f.timeLeft(n.now),
 		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
+		Tenant: f.tenant, HideKey: s.mustHideKey(f),
 	})
 	s.watchNoAnswer(n, f, u, time.Duration(silentObjectives*float64(f.route.Objective)))
 	if f.route.RetryPolicy == Repeatable {
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -241,6 +241,7 @@
 	s.logDecision(n, f, "place", NoReason)
 	n.do(RunPrefill{
 		ID: f.ID, Send: f.nextSend(), Engine: u.ID, Address: u.Address, Timeout: s.prefillTimeout(n, f), NewConnection: f.sentTo.Has(u.ID),
+		Tenant: f.tenant, HideKey: s.mustHideKey(f),
 	})
 	f.sentTo.Add(u.ID)
 }
@@ -319,6 +320,7 @@
 	run := RunForward{
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Hold: f.takeHold(), Patience: f.timeLeft(n.now), MaxOverlap: maxOverlap,
 		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil, GoneOn: f.goneOn,
+		Tenant: f.tenant, HideKey: s.mustHideKey(f),
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
 		run.StallAfter = max(fractionOf(f.route.GapPatience, stallShare), minStallAfter)
--- /dev/null
+++ b/core/key_check_test.go
@@ -0,0 +1,141 @@
+package core_test
+
+import (
+	"testing"
+
+	"daisyshed.dev/core"
+	"github.com/matryer/is"
+)
+
+// keyedState returns the version of worldState that has the given tenants.
+func keyedState(version int64, tenants ...core.Tenant) core.DesiredState {
+	d := worldState()
+	d.Version, d.HasTenants, d.Tenants = version, true, tenants
+	return d
+}
+
+// keyOf returns the digest of a key, by its first byte.
+func keyOf(b byte) core.CredentialDigest { return core.CredentialDigest{b} }
+
+func withKey(f core.Forward, b byte) core.Forward {
+	f.Credential = core.Some(keyOf(b))
+	return f
+}
+
+// readyWith returns a node that knows the state to be the latest one.
+func readyWith(d core.DesiredState, instances ...core.Instance) *hostedNode {
+	h := readyAlone(instances...)
+	h.deliver(d, core.StateConfirmed{})
+	return h
+}
+
+// endOf returns the end of a request that the commands contain.
+func endOf(t *testing.T, out []core.Command) core.EndForward {
+	t.Helper()
+	ends := commandsOf[core.EndForward](out)
+	if len(ends) != 1 {
+		t.Fatalf("%d requests ended: %v", len(ends), out)
+	}
+	return ends[0]
+}
+
+// A request without the key of a tenant must not run, nor have a prompt prefilled.
+func TestUnknownKeyIsRejected(t *testing.T) {
+	is := is.New(t)
+	h := readyWith(keyedState(2, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1)}}), append(engineInstances(), plainInstance("e1"))...)
+	for i, f := range []core.Forward{forwardTo(1, "pay"), withKey(forwardTo(2, "read"), 9), withKey(streamTo(3, "resumable"), 9)} {
+		out := h.deliver(f)
+		end := endOf(t, out)
+		is.Equal(end.Reason, core.UnknownKey)
+		is.True(end.NotRun)
+		is.Equal(stepsOf(out), 1) // only the rejection
+		is.Equal(end.ID, core.ForwardID(i+1))
+	}
+}
+
+// A node that may lack the version with a key must not promise the caller that the key is unknown.
+func TestUnknownKeyIsNotRejectedForGoodByAnOldState(t *testing.T) {
+	is := is.New(t)
+	h := readyWith(keyedState(2), plainInstance("e1"))
+	h.advance(2 * core.DefaultSettings().StateDelay)
+	end := endOf(t, h.deliver(withKey(forwardTo(1, "pay"), 1)))
+	is.Equal(end.Reason, core.StaleConfiguration)
+	is.True(end.NotRun && end.RetryAfter > 0)
+}
+
+// The upstream must get the tenant and never the key, in the run and in the prefill.
+func TestTenantGoesWithEachSend(t *testing.T) {
+	is := is.New(t)
+	h := readyWith(keyedState(2, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1)}}), append(engineInstances(), plainInstance("e1"))...)
+	run := commandsOf[core.RunForward](h.deliver(withKey(forwardTo(1, "pay"), 1)))[0]
+	is.Equal(run.Tenant, core.TenantID("acme"))
+	is.True(run.HideKey)
+	out := h.deliver(withKey(streamTo(2, "draft"), 1))
+	lease := commandsOf[core.RequestLease](out)[0]
+	out = h.deliver(core.LeaseGranted{ID: 2, Send: lease.Send, Engine: lease.Engine, Lease: "l"})
+	prefill := commandsOf[core.RunPrefill](out)[0]
+	is.Equal(prefill.Tenant, core.TenantID("acme"))
+	is.True(prefill.HideKey)
+	run = runStream(t, h, out)
+	is.Equal(run.Tenant, core.TenantID("acme"))
+	is.True(run.HideKey)
+}
+
+// A public route needs no key, and must not pass an unknown one on either. Without tenants, nothing
+// about keys may change.
+func TestPublicRoutesAndStatesWithoutTenants(t *testing.T) {
+	is := is.New(t)
+	d := keyedState(2, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1)}})
+	for i := range d.Routes {
+		d.Routes[i].Public = true
+	}
+	h := readyWith(d, plainInstance("e1"))
+	for id, want := range []core.TenantID{"", "acme"} {
+		run := commandsOf[core.RunForward](h.deliver(withKey(forwardTo(core.ForwardID(id+1), "read"), byte(id))))[0]
+		is.Equal(run.Tenant, want)
+		is.True(run.HideKey)
+	}
+	h = readyWith(worldState(), plainInstance("e1"))
+	run := commandsOf[core.RunForward](h.deliver(withKey(forwardTo(1, "read"), 1)))[0]
+	is.Equal(run.Tenant, core.TenantID(""))
+	is.True(!run.HideKey)
+}
+
+// The rank of a tenant replaces that of the route, so the owner must be told of it and of the tenant.
+func TestOwnerIsToldOfTheTenantAndItsRank(t *testing.T) {
+	is := is.New(t)
+	d := keyedState(2,
+		core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1)}, Rank: core.Some(2)},
+		core.Tenant{ID: "zeta", Keys: []core.CredentialDigest{keyOf(2)}})
+	for i := range d.Routes {
+		d.Routes[i].Rank = 1
+	}
+	h := newHosted("n1", core.Settings{})
+	h.deliver(core.Tick{}, d, core.StateConfirmed{}, core.InstancesRead{Whole: true, Offset: 1, Changed: []core.Instance{plainInstance("e1")}})
+	for i := range 20 {
+		addPeer(h, core.NodeID("p")+core.NodeID(rune('a'+i)))
+	}
+	for i, want := range []core.PlaceForward{{Tenant: "acme", Rank: 2}, {Tenant: "zeta", Rank: 1}} {
+		out := h.deliver(withKey(forwardTo(core.ForwardID(i+1), "read"), byte(i+1)))
+		var places []core.PlaceForward
+		for _, c := range commandsOf[core.SendPeer](out) {
+			if p, ok := c.Body.(core.PlaceForward); ok {
+				places = append(places, p)
+			}
+		}
+		is.Equal(len(places), 1)
+		is.Equal(places[0].Tenant, want.Tenant)
+		is.Equal(places[0].Rank, want.Rank)
+	}
+}
+
+// A key that a later version adds or removes takes effect with that version, also for callers that
+// have used it before.
+func TestKeysChangeWithTheState(t *testing.T) {
+	is := is.New(t)
+	h := readyWith(keyedState(2, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1)}}), plainInstance("e1"))
+	is.Equal(len(commandsOf[core.RunForward](h.deliver(withKey(forwardTo(1, "pay"), 1)))), 1)
+	h.deliver(keyedState(3, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(2)}}))
+	is.Equal(endOf(t, h.deliver(withKey(forwardTo(2, "pay"), 1))).Reason, core.UnknownKey)
+	is.Equal(len(commandsOf[core.RunForward](h.deliver(withKey(forwardTo(3, "pay"), 2)))), 1)
+}
--- a/core/tenant.go
+++ b/core/tenant.go
@@ -76,3 +76,33 @@
 func (UsageReported) isPeerBody() {}
 
 func (UsageGranted) isPeerBody() {}
+
+// TenantProblem is what is wrong with a part of a tenant list.
+type TenantProblem int
+
+// The problems of tenant lists.
+const (
+	// RowUnreadable means that a row could not be decoded. It is left out.
+	RowUnreadable TenantProblem = iota
+	// NameInvalid means that a row has no usable name. It is left out.
+	NameInvalid
+	// NameRepeated means that an earlier row has the same name. Its keys are added to that one's, and
+	// the rest of it is ignored.
+	NameRepeated
+	// KeyInvalid means that a key is empty, or a digest malformed. The key is left out.
+	KeyInvalid
+	// KeyShared means that an earlier row has the same key. The key remains that of the earlier one.
+	KeyShared
+	// PriorityInvalid means that the tenant's priority is no rank. The rank of the route applies.
+	PriorityInvalid
+	// CapInvalid means that a number of the usage cap is invalid. The tenant has no cap.
+	CapInvalid
+)
+
+// TenantFault is a part of a tenant list that could not be used. It never holds a key.
+type TenantFault struct {
+	// Row is the index of the row, from zero, and Tenant its name if it has a usable one.
+	Row     int
+	Tenant  TenantID
+	Problem TenantProblem
+}
