Divide the room of a group between tenants and ranks at its owner

Change: where the state has tenants or a service's routes differ in rank, the owner orders its queue by package fairshare, rejects at once what others displace, and keeps the least shares. Rejected callers return by tenant and rank. Mechanisms FairShares and RankShares switch it off. The queue is ordered only if something can be placed. Decisions turn-away, place and the new dispatch name tenant, rank and cause; owner_rejections_total counts by rank. Ruled out: urgency itself.

--- a/core/decision.go
+++ b/core/decision.go
@@ -20,13 +20,18 @@
 	Attempt  Attempt
 	Profile  ProfileID
 	Customer CustomerID
+	// Tenant is the tenant of a forwarded request, and Rank its rank.
+	Tenant TenantID
+	Rank   int
 	// Step names the decision, for example place, move, refuse, adopt and finish
 	// for requests, call for calls, drain and returned for engines, and claim,
 	// order, ordered and order-refused for exclusive orders.
-	Step       string
-	Prefill    EngineID
-	Decode     EngineID
-	Reason     RejectionReason
+	Step    string
+	Prefill EngineID
+	Decode  EngineID
+	Reason  RejectionReason
+	// Cause is why an owner rejects a request.
+	Cause      TurnAwayCause
 	Candidates []Candidate
 	Predicted  time.Duration
 	Actual     time.Duration
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -33,48 +33,68 @@
 	c := n.roles.costsOf(j.group)
 	j.memory = c.outputs.expectedMemory(n, m.Prompt, m.Expected, m.MaxOutput)
 	j.lengthPenalty = c.lengthPenaltyOf(n, j.memory-j.prompt, m.Objective)
-	d.recogniseReturning(n, j, m)
+	returning := d.recogniseReturning(n, j, m)
+	shares := d.sharesOf(n, j.group)
+	if shares != nil {
+		shares.arrive(n, j, m, returning)
+	}
 	if !j.late(n.now) && !j.sentBefore {
 		getOrCreate(d.onTimeArrivals, j.group).record(n.now)
 	}
-	before, rate := d.prospects(n, j)
-	if why, exceeds := d.exceedsLimits(n, j, before); exceeds {
-		d.logRejection(n, j, why+", entry "+string(from))
-		d.reject(n, j)
-		return
-	}
-	if !j.sentBefore && n.uses(EarlyRefusal) && exceedsDeadline(n.now, j.queueEntry, before, rate) {
-		d.logRejection(n, j, fmt.Sprintf("exceeds deadline: %d before it at %.1f/s, entry %s", before, rate, from))
+	if cause, why := d.rejectsArrival(n, j, shares != nil); cause != NoCause {
+		d.logRejection(n, j, cause, why)
 		d.reject(n, j)
 		return
 	}
 	d.jobs[key] = j
 	d.queue = append(d.queue, j)
 	d.placeWaiting(n)
+	j.queued = j.waiting
+	if shares != nil && j.waiting && d.jobs[key] == j {
+		d.displace(n, shares, j)
+	}
 	if j.waiting && d.jobs[key] == j {
 		n.send(from, ForwardQueued{ID: m.ID})
 	}
 }
 
+// rejectsArrival returns why a job is rejected when it arrives; NoCause if it is not. In a
+// divided group, jobs that cannot expect a place are found once they are queued.
+func (d *dispatcher) rejectsArrival(n *Node, j *dispatchJob, divided bool) (cause TurnAwayCause, why string) {
+	if divided && len(n.forward.upstreams.limited) == 0 {
+		return NoCause, ""
+	}
+	before, rate := d.prospects(n, j)
+	if why, exceeds := d.exceedsLimits(n, j, before); exceeds {
+		return ExceedsLimits, why
+	}
+	if !divided && !j.sentBefore && n.uses(EarlyRefusal) && exceedsDeadline(n.now, j.queueEntry, before, rate) {
+		return ExceedsDeadline, fmt.Sprintf("exceeds deadline: %d before it at %.1f/s", before, rate)
+	}
+	return NoCause, ""
+}
+
 // recogniseReturning handles a caller who retries after a rejection: whether
 // its request is on time counts from when it first arrived. The caller's
-// deadline does not show this, because callers differ in how long they wait.
-func (d *dispatcher) recogniseReturning(n *Node, j *dispatchJob, m PlaceForward) {
+// deadline does not show this, because callers differ in how long they wait. It reports whether
+// the caller is one.
+func (d *dispatcher) recogniseReturning(n *Node, j *dispatchJob, m PlaceForward) bool {
 	first, ok := d.rejectedPrompts[m.PromptKey]
 	if !ok || m.PromptKey == 0 || !n.uses(KnownReturners) {
-		return
+		return false
 	}
 	delete(d.rejectedPrompts, m.PromptKey)
 	j.firstArrived = first
 	j.latestOnTime = j.latestOnTime.Add(-n.now.Sub(first))
+	return true
 }
 
 // logRejection logs why a job is rejected.
-func (d *dispatcher) logRejection(n *Node, j *dispatchJob, why string) {
+func (d *dispatcher) logRejection(n *Node, j *dispatchJob, cause TurnAwayCause, why string) {
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "turn-away", Request: RequestID(j.attempt), Profile: ProfileID(j.group.Service),
-		Reason: NoCapacity, Waited: n.now.Sub(j.arrived), Slack: j.latestOnTime.Sub(j.arrived), Detail: why,
-		Version: n.forward.state.Version,
+		Reason: NoCapacity, Cause: cause, Tenant: j.share.tenant, Rank: j.rank, Waited: n.now.Sub(j.arrived), Slack: j.latestOnTime.Sub(j.arrived),
+		Detail: why + ", entry " + string(j.key.node), Version: n.forward.state.Version,
 	}})
 }
 
@@ -90,14 +110,13 @@
 // placeWaiting places waiting jobs in order, as far as engines have room, and
 // rejects those that have expired.
 func (d *dispatcher) placeWaiting(n *Node) {
-	sortWaiting(n.now, d.queue)
-	pass := placementPass{}
+	pass := placementPass{full: d.sortQueue(n)}
 	rest := d.queue[:0]
 	for _, j := range d.queue {
 		switch {
 		case !j.sentBefore && j.expired(n.now):
 			delete(d.jobs, j.key)
-			d.logRejection(n, j, fmt.Sprintf("expired with %d waiting, entry %s", len(d.queue), j.key.node))
+			d.logRejection(n, j, NotPlacedInTime, fmt.Sprintf("expired with %d waiting", len(d.queue)))
 			d.reject(n, j)
 		case !pass.place(n, d, j):
 			rest = append(rest, j)
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"daisyshed.dev/core/fairshare"
+)
 
 // jobTTL is how long an owner keeps a job of which it receives no release.
 // Streams are much shorter, and the death of an entry is detected sooner.
@@ -30,6 +34,7 @@
 	expected   Tokens
 	memory     Tokens
 	sentBefore bool
+	share      jobShare
 	avoid      Set[EngineID]
 	// version is the software version that the upstream must have; None for any.
 	version Option[SoftwareVersion]
@@ -37,6 +42,8 @@
 	decode  EngineID
 	prefill EngineID
 	waiting bool
+	// queued is set once the job has had to wait for a place.
+	queued  bool
 	addedAt Instant
 	// queryAge is the age at which the entry is next asked whether it holds the job.
 	queryAge time.Duration
@@ -82,6 +89,10 @@
 	onTimeArrivals map[DispatchGroup]*placementRate
 	returns        map[DispatchGroup]*returnSchedule
 	placeScheduled bool
+	// counters are the virtual token counters of tenants, and shares the division of groups
+	// whose room is divided.
+	counters fairshare.Counters
+	shares   map[DispatchGroup]*groupShares
 	// placers holds the nodes that place requests on the groups with limited upstreams.
 	placers map[DispatchGroup]*limitPlacers
 	// failedAt are the upstreams at which a node has failed since its last success.
@@ -95,6 +106,7 @@
 	d.rejectedPrompts = map[PromptKey]Instant{}
 	d.onTimeArrivals = map[DispatchGroup]*placementRate{}
 	d.returns = map[DispatchGroup]*returnSchedule{}
+	d.shares = map[DispatchGroup]*groupShares{}
 	d.placers = map[DispatchGroup]*limitPlacers{}
 	d.failedAt = map[NodeID]map[EngineID]Instant{}
 	n.every(jobTTL/4, func(n *Node) { d.evictStale(n) })
@@ -124,6 +136,11 @@
 	if !m.Failed || from == n.Self.ID || listed && d.recordReportedFailure(n, from, u) {
 		d.allocation(m.Engine).deniedUntil = n.now.Add(n.jitter(deniedFor))
 	}
+	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
+		if s, ok := d.shares[j.group]; ok {
+			s.refund(n, j)
+		}
+	}
 	d.handleReleased(n, from, ForwardReleased{ID: m.ID})
 }
 
@@ -201,13 +218,16 @@
 }
 
 // remove removes a job from the allocation table and the queue.
-func (d *dispatcher) remove(_ *Node, j *dispatchJob) {
+func (d *dispatcher) remove(n *Node, j *dispatchJob) {
 	delete(d.jobs, j.key)
 	d.releasePrefill(j)
 	if j.decode != "" {
 		d.allocation(j.decode).memory -= j.memory
 		d.allocation(j.decode).requests--
 		j.decode = ""
+		if s, ok := d.shares[j.group]; ok {
+			s.release(n, j)
+		}
 	}
 	if j.waiting {
 		rest := d.queue[:0]
@@ -228,7 +248,11 @@
 	if _, ok := d.jobs[key]; ok {
 		return
 	}
-	d.jobs[key] = &dispatchJob{key: key, group: m.Group, memory: m.Memory, decode: m.Decode, addedAt: n.now}
+	j := &dispatchJob{key: key, group: m.Group, memory: m.Memory, decode: m.Decode, addedAt: n.now}
+	d.jobs[key] = j
+	if s := d.sharesOf(n, m.Group); s != nil {
+		s.hold(j)
+	}
 	d.allocation(m.Decode).memory += m.Memory
 	d.allocation(m.Decode).requests++
 }
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -48,13 +48,7 @@
 	}
 	c, domain := n.roles.costsOf(j.group), n.domainOf(j.key.node)
 	decode := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
-		requests := d.allocationOf(u).requests
-		room := engine.KVCapacityTokens
-		if requests > 0 {
-			room -= c.overrunReserve(n, requests+1)
-		}
-		free := u.Slots == 0 || requests < u.Slots
-		return free && j.fits(u) && n.roles.canServe(n, u, Decode) && d.fits(n, u, j.memory, room) && d.withinLimit(n, u, j.group)
+		return j.fits(u) && d.hasMemory(n, u, c, engine, j.memory) && d.withinLimit(n, u, j.group)
 	}, func(u *upstream) float64 {
 		cost := float64(d.allocationOf(u).memory)
 		if u.Domain != domain {
@@ -75,9 +69,7 @@
 		if !d.withinLimit(n, u, j.group) {
 			return false
 		}
-		backlog := d.allocationOf(u).prefillTokens
-		ahead, measured := c.backlogTime(backlog)
-		return backlog == 0 || measured && ahead <= maxPrefillBacklog
+		return d.prefillsSoon(u, c)
 	}, func(u *upstream) float64 {
 		cost := float64(d.allocationOf(u).prefillTokens)
 		if u.Domain != decode.Domain {
@@ -108,6 +100,25 @@
 	return assigned
 }
 
+// hasMemory reports whether a decode engine has a slot and memory for a request that needs the
+// given amount.
+func (d *dispatcher) hasMemory(n *Node, u *upstream, c *engineCosts, engine EngineSpec, need Tokens) bool {
+	requests := d.allocationOf(u).requests
+	room := engine.KVCapacityTokens
+	if requests > 0 {
+		room -= c.overrunReserve(n, requests+1)
+	}
+	free := u.Slots == 0 || requests < u.Slots
+	return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, need, room)
+}
+
+// prefillsSoon reports whether a prefill engine begins another prompt soon.
+func (d *dispatcher) prefillsSoon(u *upstream, c *engineCosts) bool {
+	backlog := d.allocationOf(u).prefillTokens
+	ahead, measured := c.backlogTime(backlog)
+	return backlog == 0 || measured && ahead <= maxPrefillBacklog
+}
+
 // assignPlain chooses an upstream of a plain service by its free slots and its
 // success rate. Requests beyond the slots wait at the owner, where urgent ones
 // and those that can still be on time go first.
@@ -212,6 +223,12 @@
 	cost, _ := d.limitCost(n, j.group)
 	u.takeAsOwner(cost)
 	d.placementsOf(j.group).record(n.now)
+	if s := d.sharesOf(n, j.group); s != nil {
+		s.place(n, j)
+		if j.queued {
+			d.logDispatch(n, s, j)
+		}
+	}
 	n.send(j.key.node, ForwardPlaced{ID: j.key.id, Decode: j.decode, Prefill: j.prefill, PrefillAtDecode: j.prefillAtDecode, Memory: j.memory})
 }
 
--- a/core/forward.go
+++ b/core/forward.go
@@ -136,10 +136,14 @@
 // forwards routes, places and tracks opaque requests according to the desired
 // state.
 type forwards struct {
-	state         DesiredState
-	stateKnown    bool
-	routes        routeTable
-	tenants       tenantTable
+	state      DesiredState
+	stateKnown bool
+	routes     routeTable
+	tenants    tenantTable
+	// ranked are the services whose routes have different ranks, and weights those of the
+	// tenants.
+	ranked        Set[ServiceID]
+	weights       tenantWeights
 	upstreams     upstreams
 	live          map[ForwardID]*forwardedRequest
 	queue         []*forwardedRequest
@@ -204,6 +208,7 @@
 	lag := s.lag.apply(n.now, d.Version)
 	s.state, s.stateKnown = d, true
 	s.routes, s.tenants = newRouteTable(d.Routes), newTenantTable(d.Tenants)
+	s.ranked, s.weights = rankedServices(d.Routes), newTenantWeights(d.Tenants)
 	s.versions.applyRoutes(n, d.Routes)
 	n.do(LimitCallers{d.Limits})
 	s.updateReady(n)
@@ -539,7 +544,7 @@
 	d := Decision{
 		At: n.now, Node: n.Self.ID, Request: RequestID(f.Attempt), Attempt: Attempt(f.sends),
 		Profile: ProfileID(f.route.ID), Step: step, Reason: reason, Waited: f.waited(n.now),
-		Version: s.state.Version, Tokens: f.reserved, Slack: f.latestOnTime.Sub(f.arrived),
+		Version: s.state.Version, Tokens: f.reserved, Slack: f.latestOnTime.Sub(f.arrived), Tenant: f.tenant, Rank: f.rank,
 	}
 	if f.prefill != nil {
 		d.Prefill = f.prefill.ID
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -24,6 +24,7 @@
 	kind    core.RouteID
 	ended   bool
 	served  bool
+	onTime  bool
 	runs    int
 	// retried says that the caller has retried once already.
 	retried   bool
@@ -34,6 +35,8 @@
 	parts []core.PromptPart
 	// key is the key of all attempts of the request.
 	key core.RequestKey
+	// credential is the key of the caller's tenant.
+	credential core.Option[core.CredentialDigest]
 	// resumes is the attempt that brought the first event; empty if the caller has no event.
 	// mixed is set once upstreams of two versions have sent events, and version is that of the
 	// first.
@@ -66,15 +69,24 @@
 	if r.output >= longOutput {
 		w.longServed++
 	}
-	limit, from := worldObjective, r.firstArrived
-	if r.kind == "pay" || r.kind == "read" {
-		limit, from = 150*time.Millisecond, r.arrived
+	from := r.firstArrived
+	if r.plain() {
+		from = r.arrived
 	}
-	if r.first.Sub(from) <= limit {
-		w.onTime++
+	r.onTime = r.first.Sub(from) <= w.objectives[r.kind]
+	w.onTime += btoi(r.onTime)
+	w.observeEnd(r)
+}
+
+func (w *hostedWorld) observeEnd(r *worldRequest) {
+	if w.observe != nil {
+		w.observe(r)
 	}
 }
 
+// plain reports whether the request is one to the plain service.
+func (r *worldRequest) plain() bool { return r.kind == "pay" || r.kind == "read" }
+
 // end ends a request without an answer. Its caller retries once if it was given
 // a retry time.
 func (n *worldNode) end(id core.ForwardID, notRun bool, retryAfter time.Duration) {
@@ -97,7 +109,7 @@
 	}
 	if notRun && retryAfter > 0 && !r.retried {
 		w.after(retryAfter, func() {
-			w.key = r.key
+			w.key, w.credential = r.key, r.credential
 			w.sendRequest(r.kind, r.output, r.firstArrived, true, core.PromptKey(r.promptKey))
 		})
 		return
@@ -107,6 +119,7 @@
 	} else {
 		w.failed++
 	}
+	w.observeEnd(r)
 	if w.resumes && r.resumes != "" && !notRun {
 		w.after(linkDelay, func() { w.resumed = append(w.resumed, w.requests[w.sendResumed(r)]) })
 	}
@@ -138,10 +151,10 @@
 		key = core.RequestKey(fmt.Sprint("key", id))
 	}
 	w.requests[id] = &worldRequest{
-		key: key, parts: parts, node: n, firstArrived: firstArrived, arrived: w.now, output: output, kind: kind, retried: retried, promptKey: core.Instant(promptKey),
+		key: key, credential: w.credential, parts: parts, node: n, firstArrived: firstArrived, arrived: w.now, output: output, kind: kind, retried: retried, promptKey: core.Instant(promptKey),
 	}
-	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Key: key, Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond}
-	if kind == "draft" || kind == "resumable" {
+	m := core.Forward{ID: id, Attempt: fmt.Sprint(id), Key: key, Host: "h", Path: "/" + string(kind) + "/x", Patience: 1500 * time.Millisecond, Credential: w.credential}
+	if !w.requests[id].plain() {
 		m.Patience = worldTimeout
 		estimate := output
 		if w.estimate != nil {
@@ -170,13 +183,16 @@
 // arrive sends requests at random instants for a duration of d; factor draws
 // outputs as multiples of the mean.
 func (w *hostedWorld) arrive(kind core.RouteID, rate float64, d time.Duration, factor func() float64) {
-	at := time.Duration(0)
+	at, credential := time.Duration(0), w.credential
 	for {
 		at += time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
 		if at > d {
 			return
 		}
 		output := core.Tokens(float64(worldOutput) * factor())
-		w.after(at, func() { w.sendRequest(kind, output, w.now, false, 0) })
+		w.after(at, func() {
+			w.credential = credential
+			w.sendRequest(kind, output, w.now, false, 0)
+		})
 	}
 }
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -121,6 +121,14 @@
 	// states holds the desired states by offset, and applied the instants at which each
 	// node has applied a version.
 	states map[core.Offset]core.DesiredState
+	// state is the desired state that nodes start with, and objectives are those of its routes.
+	state      func() core.DesiredState
+	objectives map[core.RouteID]time.Duration
+	// credential is that of the next request. observe is called with each caller's request that
+	// has ended for good, and observeDecision with each decision; nil for neither.
+	credential      core.Option[core.CredentialDigest]
+	observe         func(*worldRequest)
+	observeDecision func(core.Decision)
 	// store is the store's desired state; nil if the world delivers states itself.
 	store   *worldStore
 	applied map[int64]map[core.NodeID]core.Instant
@@ -193,18 +201,29 @@
 	stateDelay time.Duration
 	// domains is how many failure domains the nodes are in; zero for one.
 	domains int
+	// memory is the memory of an engine; zero for worldMemory. state is the desired state; nil
+	// for worldState.
+	memory core.Tokens
+	state  func() core.DesiredState
 }
 
 func newHostedWorld(o worldOptions) *hostedWorld {
 	w := &hostedWorld{
 		now: core.Instant(time.Hour), rng: rand.New(rand.NewPCG(o.seed, 1)), ups: map[core.EngineID]*worldUpstream{},
 		requests: map[core.ForwardID]*worldRequest{}, steps: map[core.EngineID]int{}, removals: worldRemovals{},
+		state: worldState, objectives: map[core.RouteID]time.Duration{},
+	}
+	if o.state != nil {
+		w.state = o.state
+	}
+	for _, r := range w.state().Routes {
+		w.objectives[r.ID] = r.Objective
 	}
 	add := func(id string, service core.ServiceID, role core.Role, slots int) {
 		version := core.SoftwareVersion(fmt.Sprint("v", len(w.ids)%max(o.versions, 1)))
 		u := &worldUpstream{Instance: core.Instance{
 			ID: core.EngineID(id), Service: service, Domain: "d1", Address: id + ":1", Slots: slots, Role: role, Born: 1, Version: version,
-		}, free: worldMemory, leases: map[core.LeaseID]core.Tokens{}}
+		}, free: cmp.Or(o.memory, worldMemory), leases: map[core.LeaseID]core.Tokens{}}
 		w.ups[u.ID] = u
 		w.ids = append(w.ids, u.ID)
 	}
@@ -244,7 +263,7 @@
 func (n *worldNode) start() {
 	n.deliver(core.Tick{})
 	n.deliver(n.w.list)
-	n.deliver(worldState())
+	n.deliver(n.w.state())
 }
 
 // worldState is the desired state of the emulated deployment.
@@ -388,6 +407,9 @@
 		n.renewRead()
 	case core.LogDecision:
 		n.recordApplied(c.Decision)
+		if w.observeDecision != nil {
+			w.observeDecision(c.Decision)
+		}
 	case core.ReadInstances:
 		w.reads++
 		n.reads++
--- a/core/mechanism.go
+++ b/core/mechanism.go
@@ -34,6 +34,11 @@
 	// ReturnSchedule spreads the returns of rejected callers over the time in which
 	// they can be served.
 	ReturnSchedule
+	// FairShares divides the room between tenants by virtual token counters.
+	FairShares
+	// RankShares keeps the least share of each rank, and places late requests behind less
+	// urgent ones that can be on time.
+	RankShares
 	mechanisms
 )
 
--- a/core/placement_pass.go
+++ b/core/placement_pass.go
@@ -1,5 +1,7 @@
 package core
 
+import "slices"
+
 // placementPass is one pass over an owner's queue.
 //
 // Load pattern: a crest, with a hundred requests and more in the queue, while every
@@ -8,6 +10,8 @@
 // or as long a prefill, as one that could not be placed in the same pass is skipped.
 type placementPass struct {
 	late lateRoom
+	// full are divided groups of which no job can be placed.
+	full []DispatchGroup
 	// failedMemory and failedPrompt are, by group, the least memory and the shortest
 	// prompt for which no upstream had room.
 	failedMemory map[DispatchGroup]Tokens
@@ -22,6 +26,9 @@
 	if m, failed := p.failedPrompt[j.group]; failed && j.prompt >= m {
 		return false
 	}
+	if slices.Contains(p.full, j.group) {
+		return false
+	}
 	if !p.late.has(n, d, j) {
 		return false
 	}
--- a/core/profile.go
+++ b/core/profile.go
@@ -13,7 +13,7 @@
 	Service
 )
 
-//go:generate stringer -type=ProfileKind,Role,RejectionReason,Outcome,EngineState,MemberStatus,OrderKind,EndReason,Promise,EngineStep,PlacementPolicy,RetryPolicy,ForwardStep,NotRunProof,RunOutcome,Mechanism,StateSource,OriginSource,KeyOutcome,TenantProblem,ConnectOutcome,RelayRejection -output=enums_string.go
+//go:generate stringer -type=ProfileKind,Role,RejectionReason,Outcome,EngineState,MemberStatus,OrderKind,EndReason,Promise,EngineStep,PlacementPolicy,RetryPolicy,ForwardStep,NotRunProof,RunOutcome,Mechanism,StateSource,OriginSource,KeyOutcome,TenantProblem,ConnectOutcome,RelayRejection,TurnAwayCause -output=enums_string.go
 
 // Role is the kind of work that an upstream does.
 type Role int
--- a/core/return_schedule.go
+++ b/core/return_schedule.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"daisyshed.dev/core/fairshare"
+)
 
 // returnSchedule tells rejected callers when to return.
 //
@@ -29,12 +33,24 @@
 	}
 	longest := fractionOf(j.callerDeadline.Sub(n.now), maxRetryShare)
 	if rate, _, all := d.limitedRate(n, j.group); all {
-		return max(getOrCreate(d.returns, j.group).assign(n.now, rate, longest), 0)
+		return d.returnAfter(n, j, rate, longest)
 	}
 	_, generates := n.forward.state.Services[j.group.Service].Engine.Get()
 	if !generates {
 		return 0
 	}
 	rate := max(d.capacity(n, j.group)-getOrCreate(d.onTimeArrivals, j.group).measured(n.now), minPlacementRate)
-	return max(getOrCreate(d.returns, j.group).assign(n.now, rate, longest), 0)
+	return d.returnAfter(n, j, rate, longest)
+}
+
+// returnAfter assigns the retry delay of a rejected job, at the rate at which returning callers
+// can be served. In a divided group, tenants and ranks have returns of their own.
+func (d *dispatcher) returnAfter(n *Node, j *dispatchJob, rate float64, longest time.Duration) time.Duration {
+	s := d.sharesOf(n, j.group)
+	if s == nil {
+		return max(getOrCreate(d.returns, j.group).assign(n.now, rate, longest), 0)
+	}
+	now := n.instant()
+	earliest, latest := now+fractionOf(longest, minRetryShare), now+longest
+	return max(s.returns.Assign(now, fairshare.Tenant(j.share.tenant), j.rank, j.share.weight, rate, earliest, latest)-now, 0)
 }
--- a/daisyctl/command/explain.go
+++ b/daisyctl/command/explain.go
@@ -91,11 +91,15 @@
 	printLine(w, "%s %s, attempt %d on %s", d.Step, d.Request, d.Attempt, d.Node)
 	detail(w, "profile", string(d.Profile))
 	detail(w, "customer", string(d.Customer))
+	detail(w, "tenant", string(d.Tenant))
 	detail(w, "prefill", string(d.Prefill))
 	detail(w, "decode", string(d.Decode))
 	if d.Reason != core.NoReason {
 		detail(w, "refused", d.Reason.String())
 	}
+	if d.Cause != core.NoCause {
+		detail(w, "cause", fmt.Sprintf("%s, rank %d", d.Cause, d.Rank))
+	}
 	detailDuration(w, "waited", d.Waited)
 	detailDuration(w, "first token predicted", d.Predicted)
 	detailDuration(w, "first token measured", d.Actual)
--- a/daisyshed/operator/log.go
+++ b/daisyshed/operator/log.go
@@ -16,9 +16,12 @@
 		Uint32("Attempt", uint32(d.Attempt)).
 		Str("Profile", string(d.Profile)).
 		Str("Customer", string(d.Customer)).
+		Str("Tenant", string(d.Tenant)).
+		Int("Rank", d.Rank).
 		Str("Prefill", string(d.Prefill)).
 		Str("Decode", string(d.Decode)).
 		Str("Reason", d.Reason.String()).
+		Str("Cause", d.Cause.String()).
 		Array("Candidates", candidates(d.Candidates)).
 		Dur("PredictedMs", d.Predicted).
 		Dur("ActualMs", d.Actual).
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -242,6 +242,10 @@
 		m.prefillTokens.Inc(int64(c.Prompt.Tokens + c.Emitted))
 	case core.LogDecision:
 		m.scope.Tagged(map[string]string{"step": c.Decision.Step}).Counter("decisions_total").Inc(1)
+		if c.Decision.Cause != core.NoCause {
+			tags := map[string]string{"rank": strconv.Itoa(c.Decision.Rank), "cause": c.Decision.Cause.String()}
+			m.scope.Tagged(tags).Counter("owner_rejections_total").Inc(1)
+		}
 		if c.Decision.Step == "desired" {
 			m.scope.Tagged(map[string]string{"source": c.Decision.Detail}).
 				Histogram("desired_state_lag_seconds", latencyBuckets).RecordDuration(c.Decision.Waited)
