Reject keys that a node may not know to be removed

Cause: a node that is partitioned from the store and its peers went on running requests with keys that had been removed meanwhile. Change: while its proof is older than StateDelay, a node rejects known keys with 503 and a retry delay if a peer has named a later version, or if it is in contact with half of the nodes or fewer. A poll of up to 32 members tells a partition from a store that is away for all, where keys are accepted as before. The mechanism ProvenKeys turns it off. Decisions name the tenant and why a key was rejected, and status and metrics count checks and tenants in force.

--- a/core/addresses.go
+++ b/core/addresses.go
@@ -213,6 +213,7 @@
 		s.ProofAge = Some(proof.Age)
 	}
 	s.Limits = n.forward.upstreams.limits()
+	s.Tenants, s.KeyChecks = n.forward.tenantsInForce(), n.forward.keyChecks
 	s.Suspects, s.Blocked = len(n.forward.suspects.suspicions), len(n.forward.suspects.blocked)
 	for _, u := range n.members.upstreams() {
 		s.Upstreams = append(s.Upstreams, n.upstreamStatus(u))
--- a/core/enums_string.go
+++ b/core/enums_string.go
@@ -347,12 +347,13 @@
 	_ = x[DecodePrefill-7]
 	_ = x[OverrunReserve-8]
 	_ = x[ReturnSchedule-9]
-	_ = x[mechanisms-10]
+	_ = x[ProvenKeys-10]
+	_ = x[mechanisms-11]
 }
 
-const _Mechanism_name = "OwnedGroupsShortFirstLearnedOutputRoleChangesKnownReturnersEarlyRefusalLateReserveDecodePrefillOverrunReserveReturnSchedulemechanisms"
+const _Mechanism_name = "OwnedGroupsShortFirstLearnedOutputRoleChangesKnownReturnersEarlyRefusalLateReserveDecodePrefillOverrunReserveReturnScheduleProvenKeysmechanisms"
 
-var _Mechanism_index = [...]uint8{0, 11, 21, 34, 45, 59, 71, 82, 95, 109, 123, 133}
+var _Mechanism_index = [...]uint8{0, 11, 21, 34, 45, 59, 71, 82, 95, 109, 123, 133, 143}
 
 func (i Mechanism) String() string {
 	idx := int(i) - 0
@@ -409,12 +410,14 @@
 	_ = x[NoKeyNeeded-0]
 	_ = x[KeyKnown-1]
 	_ = x[KeyUnknown-2]
-	_ = x[KeyUnproven-3]
+	_ = x[KeyNotYetKnown-3]
+	_ = x[KeyUnproven-4]
+	_ = x[numKeyOutcomes-5]
 }
 
-const _KeyOutcome_name = "NoKeyNeededKeyKnownKeyUnknownKeyUnproven"
+const _KeyOutcome_name = "NoKeyNeededKeyKnownKeyUnknownKeyNotYetKnownKeyUnprovennumKeyOutcomes"
 
-var _KeyOutcome_index = [...]uint8{0, 11, 19, 29, 40}
+var _KeyOutcome_index = [...]uint8{0, 11, 19, 29, 43, 54, 68}
 
 func (i KeyOutcome) String() string {
 	idx := int(i) - 0
--- a/core/forward.go
+++ b/core/forward.go
@@ -47,12 +47,12 @@
 	route Route
 	spec  ServiceSpec
 	// tenant is the tenant of the caller's key; empty if there is none. tenantRank is the rank of the
-	// tenant, and keyOutcome that of the check of its key. hidesKey is set if the state by which the
-	// request was admitted has tenants.
+	// tenant. hidesKey is set if the state by which the request was admitted has tenants, and
+	// keyProblem tells the log why the check of the key has rejected the request.
 	tenant     TenantID
 	tenantRank Option[int]
-	keyOutcome KeyOutcome
 	hidesKey   bool
+	keyProblem string
 	deadline   Instant
 	phase      forwardPhase
 	// step counts the steps taken. A timer does nothing if step has changed
@@ -140,6 +140,7 @@
 	stateKnown    bool
 	routes        routeTable
 	tenants       tenantTable
+	keyChecks     KeyChecks
 	upstreams     upstreams
 	live          map[ForwardID]*forwardedRequest
 	queue         []*forwardedRequest
@@ -211,6 +212,7 @@
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
 		Detail: d.Source.String(), Waited: lag,
 	}})
+	s.logTenants(n)
 	s.spread.notify(n)
 	s.spread.answerParked(n)
 }
@@ -372,7 +374,7 @@
 func (s *forwards) reject(n *Node, f *forwardedRequest, reason RejectionReason, after time.Duration) {
 	s.checkNotRun(n, f)
 	d := s.newDecision(n, f, "refuse", reason)
-	d.Detail = f.describeProof()
+	d.Detail = f.describeProof() + f.keyProblem
 	n.do(LogDecision{Decision: d})
 	n.do(EndForward{ID: f.ID, Reason: reason, NotRun: true, RetryAfter: after})
 	s.close(n, f)
@@ -538,7 +540,7 @@
 func (s *forwards) newDecision(n *Node, f *forwardedRequest, step string, reason RejectionReason) Decision {
 	d := Decision{
 		At: n.now, Node: n.Self.ID, Request: RequestID(f.Attempt), Attempt: Attempt(f.sends),
-		Profile: ProfileID(f.route.ID), Step: step, Reason: reason, Waited: f.waited(n.now),
+		Profile: ProfileID(f.route.ID), Customer: CustomerID(f.tenant), Step: step, Reason: reason, Waited: f.waited(n.now),
 		Version: s.state.Version, Tokens: f.reserved, Slack: f.latestOnTime.Sub(f.arrived),
 	}
 	if f.prefill != nil {
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -71,6 +71,8 @@
 	orders []worldOrder
 	// reads counts reads of the list of upstreams.
 	reads int
+	// tenants returns the tenants of a version of the desired state; nil if it has none.
+	tenants func(version int64) []core.Tenant
 	// orderDelay is the additional time after which orders are carried out.
 	orderDelay time.Duration
 	requests   map[core.ForwardID]*worldRequest
@@ -171,6 +173,8 @@
 	// unreached nodes receive nothing from peers, and peers nothing from them. Those that are
 	// cutOff do not reach the store either.
 	unreached, cutOff bool
+	// side is the side of a partition between nodes.
+	side int
 	// placed counts the requests that the node has placed for others, as an owner.
 	placed int
 	// controlStreams counts the streams whose versions the node has sent to other nodes, and
--- a/core/hosted_addresses.go
+++ b/core/hosted_addresses.go
@@ -57,9 +57,10 @@
 }
 
 // ready reports whether a hosted node may accept requests: it knows a desired state that
-// it may serve by, and the list of upstreams.
+// it may serve by, and the list of upstreams. One that would reject the keys of all callers may not.
 func (n *Node) ready() bool {
-	return n.forward.servesState(n) && n.forward.upstreams.loaded && !n.cutOff()
+	rejectsKeys := n.forward.state.HasTenants && n.forward.keysOutdated(n)
+	return n.forward.servesState(n) && n.forward.upstreams.loaded && !n.cutOff() && !rejectsKeys
 }
 
 // cutOff reports whether this node has been without proof of its desired state, and without a
--- a/core/key_check_test.go
+++ b/core/key_check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"daisyshed.dev/core"
 	"github.com/matryer/is"
@@ -139,3 +140,54 @@
 	is.Equal(endOf(t, h.deliver(withKey(forwardTo(2, "pay"), 1))).Reason, core.UnknownKey)
 	is.Equal(len(commandsOf[core.RunForward](h.deliver(withKey(forwardTo(3, "pay"), 2)))), 1)
 }
+
+// What a decision says of a rejected key is all that an operator has, as the key itself is not logged.
+func TestDecisionsTellOfKeysAndTenants(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(plainInstance("e1"))
+	d := keyedState(2, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1), keyOf(2)}})
+	d.TenantFaults = []core.TenantFault{{Row: 3, Tenant: "zeta", Problem: core.KeyShared}}
+	decisions := func(out []core.Command, step string) core.Decision {
+		for _, c := range commandsOf[core.LogDecision](out) {
+			if c.Decision.Step == step {
+				return c.Decision
+			}
+		}
+		t.Fatalf("no decision %q", step)
+		return core.Decision{}
+	}
+	in := decisions(h.deliver(d, core.StateConfirmed{}), "tenants")
+	is.Equal(in.Tokens, core.Tokens(1))
+	is.Equal(in.Detail, `2 keys; row 3 "zeta": KeyShared`)
+	is.Equal(decisions(h.deliver(forwardTo(1, "pay")), "refuse").Detail, "never sent, KeyUnknown (none given)")
+	is.Equal(decisions(h.deliver(withKey(forwardTo(2, "pay"), 9)), "refuse").Detail, "never sent, KeyUnknown")
+	is.Equal(decisions(h.deliver(withKey(forwardTo(3, "pay"), 1)), "run").Customer, core.CustomerID("acme"))
+	h.deliver(core.ForwardCallerDisconnected{ID: 3})
+	status := commandsOf[core.AnswerStatus](h.deliver(core.StatusQuery{}))[0].Status
+	is.Equal(status.Tenants, core.TenantsInForce{KeysNeeded: true, Tenants: 1, Keys: 2, Faults: 1})
+	is.Equal(status.KeyChecks[core.KeyUnknown], uint64(2))
+	is.Equal(status.KeyChecks[core.KeyKnown], uint64(1))
+}
+
+// Peers name a later version that none of them can send. It may have removed the key, so that the
+// request must not run by the state that this node has.
+func TestKeyIsNotAcceptedForLongByAStateKnownToBeOld(t *testing.T) {
+	is := is.New(t)
+	h := newConfirmedNode(8)
+	h.deliver(keyedState(2, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1)}}), core.StateConfirmed{})
+	const step = 100 * time.Millisecond
+	// All peers answer heartbeats, and know what this node knows, or of a later version too.
+	answer := func(known core.Offset) {
+		for range stateDelay/step + 2 {
+			for _, c := range commandsOf[core.SendPeer](h.advance(step)) {
+				if b, ok := c.Body.(core.Heartbeat); ok {
+					h.deliver(core.PeerMessage{From: c.To, Incarnation: 1, Body: core.HeartbeatAck{Sequence: b.Sequence, ConfigOffset: 2, KnownOffset: known}})
+				}
+			}
+		}
+	}
+	answer(2)
+	is.Equal(len(commandsOf[core.EndForward](h.deliver(withKey(forwardTo(1, "pay"), 1)))), 0)
+	answer(3)
+	is.Equal(endOf(t, h.deliver(withKey(forwardTo(2, "pay"), 1))).Reason, core.StaleConfiguration)
+}
--- a/core/mechanism.go
+++ b/core/mechanism.go
@@ -34,6 +34,9 @@
 	// ReturnSchedule spreads the returns of rejected callers over the time in which
 	// they can be served.
 	ReturnSchedule
+	// ProvenKeys rejects requests for which a key is needed while this node is partitioned from
+	// the store and from most nodes, since the key may have been removed.
+	ProvenKeys
 	mechanisms
 )
 
--- a/core/membership.go
+++ b/core/membership.go
@@ -83,6 +83,7 @@
 	// reconcilePending is set while a call of the owner's reconcile is scheduled.
 	reconcilePending bool
 	detector         detector
+	poll             contactPoll
 	list             vmListState
 	memberCache      memberCache
 }
--- a/core/membership_detector.go
+++ b/core/membership_detector.go
@@ -164,6 +164,7 @@
 // recordAck records what a member's answer says about the member itself. An answer
 // that came through a relay describes the target of the heartbeat, not the relay.
 func (s *members) recordAck(from NodeID, m HeartbeatAck) {
+	s.poll.handleAck(m.Sequence)
 	p, waiting := s.detector.probes[m.Sequence]
 	if waiting {
 		delete(s.detector.probes, m.Sequence)
--- a/core/state_proof.go
+++ b/core/state_proof.go
@@ -142,6 +142,7 @@
 	if !n.forward.stateKnown {
 		return
 	}
+	n.members.pollIfDue(n)
 	n.forward.updateReady(n)
 	if p.renewalDue(n) {
 		p.renewedAt = n.now
--- a/core/state_proof_test.go
+++ b/core/state_proof_test.go
@@ -50,7 +50,7 @@
 // answerRead delivers the latest state and begins the next read.
 func (n *worldNode) answerRead() {
 	s, id := n.w.store, n.node.Self.ID
-	if s.away {
+	if s.away || n.cutOff {
 		return
 	}
 	s.readAt[id] = n.w.now
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -39,7 +39,7 @@
 		return
 	}
 	for _, to := range w.nodes {
-		if to.node.Self.ID == c.To && !n.unreached && !to.unreached {
+		if to.node.Self.ID == c.To && !n.unreached && !to.unreached && n.side == to.side {
 			to.deliverAfter(delay, core.PeerMessage{From: n.node.Self.ID, Incarnation: n.node.Incarnation, Body: c.Body})
 		}
 	}
@@ -63,6 +63,9 @@
 func (w *hostedWorld) largeState(version int64) core.DesiredState {
 	d := worldState()
 	d.Version, d.Offset, d.Encoded = version, core.Offset(version), make([]byte, largeStateBytes)
+	if w.tenants != nil {
+		d.HasTenants, d.Tenants = true, w.tenants(version)
+	}
 	if w.states == nil {
 		w.states = map[core.Offset]core.DesiredState{}
 	}
--- a/core/status.go
+++ b/core/status.go
@@ -31,6 +31,10 @@
 	// ProofAge is how old a hosted node's proof is that its desired state is the latest; None
 	// without one.
 	ProofAge Option[time.Duration]
+	// Tenants describes the tenants of a hosted node's desired state. KeyChecks counts the requests
+	// whose key was checked, by KeyOutcome.
+	Tenants   TenantsInForce
+	KeyChecks KeyChecks
 	// Checks and Violations count invariant checks and violations by Promise.
 	Checks     [9]uint64
 	Violations [9]uint64
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -24,6 +24,7 @@
 	m.setMembers(s)
 	m.setLimits(s.Limits)
 	m.setProofAge(s.ProofAge)
+	m.setTenants(s)
 	m.setAllocations(s)
 	m.setInvariants(s)
 	m.setTargets(s.Profiles)
@@ -58,6 +59,17 @@
 	m.setGauge("desired_state_proof_age_seconds", seconds)
 }
 
+// setTenants sets the number of tenants and of faults in their list, and of the checks of keys by
+// their outcome.
+func (m *Metrics) setTenants(s core.Status) {
+	m.setGauge("tenants_in_force", float64(s.Tenants.Tenants))
+	m.setGauge("tenant_faults", float64(s.Tenants.Faults))
+	for outcome, n := range s.KeyChecks {
+		tags := map[string]string{"outcome": core.KeyOutcome(outcome).String()}
+		m.scope.Tagged(tags).Gauge("key_checks").Update(float64(n))
+	}
+}
+
 // setLimits sets the limits that upstreams have named, in requests a second. The gauge of an
 // upstream whose limit has ended is set to -1, as no upstream names it.
 func (m *Metrics) setLimits(limits []core.LimitStatus) {
