Send nodes the digests of keys in place of the keys

Cause: nodes sent each other the desired state as the store holds it, with the keys of all tenants. Change: a state is decoded from, and sent in, a form in which digests take the place of keys, also if an earlier build has sent it with keys. After a pause of its process a node takes no proof of a peer until one has answered it, since messages that waited meanwhile seem new. Measured: the tests of keys in platform, daisyshed/store, ingress and operator pass, and TestMessagesFromBeforeAPauseDoNotProveKeys fails without the change of the proof.

--- a/core/key_proof.go
+++ b/core/key_proof.go
@@ -60,7 +60,7 @@
 // pollIfDue polls members while the proof of the keys is about to become overdue or is.
 func (s *members) pollIfDue(n *Node) {
 	p := &s.poll
-	due := p.sentAt == 0 || n.now.Sub(p.sentAt) >= fractionOf(n.Settings.StateDelay, pollEveryFraction)
+	due := p.sentAt == 0 || p.sentAt < n.resumedAt || n.now.Sub(p.sentAt) >= fractionOf(n.Settings.StateDelay, pollEveryFraction)
 	if !due || !n.forward.state.HasTenants || !n.uses(ProvenKeys) || !n.forward.proof.olderThan(n, pollFraction) {
 		return
 	}
@@ -81,11 +81,12 @@
 }
 
 // pollShare returns the share of the members believed to be alive that have answered the latest poll,
-// or the one before while members have time to answer.
+// or the one before while members have time to answer. No poll since this process was started, or
+// paused, counts as one without answers.
 func (s *members) pollShare(n *Node) float64 {
 	p := &s.poll
-	if p.sentAt == 0 {
-		return 1
+	if p.sentAt == 0 || p.sentAt < n.resumedAt {
+		return 0
 	}
 	if n.now.Sub(p.sentAt) < n.Settings.SuspectAfter {
 		return p.earlier
--- a/core/key_proof_test.go
+++ b/core/key_proof_test.go
@@ -137,3 +137,23 @@
 	is.Equal(r.removedRejected, 0)
 	is.Equal(r.addedDenied, 0)
 }
+
+// A process is paused while a key is removed. What peers had sent before then was still there when it
+// resumed, seemed to be new, and made it accept the key.
+func TestMessagesFromBeforeAPauseDoNotProveKeys(t *testing.T) {
+	is := is.New(t)
+	h := newConfirmedNode(8)
+	h.deliver(keyedState(2, core.Tenant{ID: "acme", Keys: []core.CredentialDigest{keyOf(1)}}), core.StateConfirmed{})
+	heartbeat := core.Heartbeat{Sequence: 2, ConfigOffset: 2, KnownOffset: 2, Proof: core.StateProof{Number: 100}}
+	h.now = h.now.Add(stateDelay + time.Second)
+	out := h.deliver(core.PeerMessage{From: "p1", Incarnation: 1, Body: heartbeat})
+	is.Equal(endOf(t, h.deliver(withKey(forwardTo(1, "pay"), 1))).Reason, core.StaleConfiguration)
+	// An answer to what was sent since proves that the state is the latest.
+	var ack core.PeerMessage
+	for _, c := range commandsOf[core.SendPeer](append(out, h.advance(time.Second)...)) {
+		if b, ok := c.Body.(core.Heartbeat); ok {
+			ack = core.PeerMessage{From: c.To, Incarnation: 1, Body: core.HeartbeatAck{Sequence: b.Sequence, ConfigOffset: 2, KnownOffset: 2, Proof: core.StateProof{Number: 101}}}
+		}
+	}
+	is.Equal(len(commandsOf[core.EndForward](h.deliver(ack, withKey(forwardTo(2, "pay"), 1)))), 0)
+}
--- a/core/membership_detector.go
+++ b/core/membership_detector.go
@@ -156,6 +156,7 @@
 		n.send(m.OnBehalfOf, m)
 		return
 	}
+	n.forward.proof.handleAck(m.Sequence)
 	n.handleStateOffset(from, m.ConfigOffset, m.KnownOffset, m.Proof)
 	n.feed.handleSettled(n, m.Settled)
 	s.recordAck(from, m)
--- a/core/node.go
+++ b/core/node.go
@@ -118,6 +118,7 @@
 func (n *Node) advanceClock(now Instant) {
 	if now.Sub(n.now) > n.Settings.PromiseValid {
 		n.resumedAt = now
+		n.forward.proof.paused(n.members.detector.sequence)
 	}
 	n.now = max(n.now, now)
 }
--- a/core/state_proof.go
+++ b/core/state_proof.go
@@ -53,6 +53,10 @@
 	// overdue is set while the proof is overdue, since overdueAt.
 	overdue   bool
 	overdueAt Instant
+	// unanswered is set after a pause of this process until a peer has answered a heartbeat sent
+	// since, that is one after sentBefore: messages that waited meanwhile are older than they say.
+	unanswered bool
+	sentBefore uint64
 }
 
 func (p *stateProof) start(n *Node) {
@@ -100,13 +104,21 @@
 // later version, but not for an earlier one.
 func (p *stateProof) adopt(n *Node, version int64, m StateProof) {
 	known := n.forward.stateKnown && version > 0 && version <= n.forward.state.Version
-	if !known || n.forward.lag.behind() || m.Number <= p.number || m.Age < 0 {
+	if !known || p.unanswered || n.forward.lag.behind() || m.Number <= p.number || m.Age < 0 {
 		return
 	}
 	p.number = m.Number
 	p.renew(n, n.now.Add(-m.Age))
 }
 
+// paused records a pause of this process, where sequence is that of the last heartbeat before it.
+func (p *stateProof) paused(sequence uint64) { p.unanswered, p.sentBefore = true, sequence }
+
+// handleAck records the answer of a peer to a heartbeat.
+func (p *stateProof) handleAck(sequence uint64) {
+	p.unanswered = p.unanswered && sequence <= p.sentBefore
+}
+
 // renew sets the instant to which the proof applies, which never moves back.
 func (p *stateProof) renew(n *Node, at Instant) {
 	if at > p.at {
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -229,7 +229,7 @@
 // core. It does not block.
 func (h hostedRuntime) DecodePeerState(c core.DecodePeerState) {
 	go func() {
-		d, err := decodePeerState(c)
+		d, err := store.DecodePeerState(c.Record, c.Offset)
 		if err != nil {
 			h.log.Error().Str("Event", "Unreadable").Int64("Offset", int64(c.Offset)).Err(err).Send()
 			return
@@ -239,16 +239,6 @@
 	}()
 }
 
-func decodePeerState(c core.DecodePeerState) (core.DesiredState, error) {
-	value, err := store.DecompressState(c.Record)
-	if err != nil {
-		return core.DesiredState{}, err
-	}
-	d, err := platform.DecodeDesired(value, c.Offset)
-	d.Source, d.Encoded = core.StateFromPeer, c.Record
-	return d, err
-}
-
 // ReadInstances reads the upstreams' entries from the store. It does not block.
 func (h hostedRuntime) ReadInstances(c core.ReadInstances) { h.watcher.ReadInstances(c) }
 
--- a/daisyshed/store/state_record.go
+++ b/daisyshed/store/state_record.go
@@ -5,6 +5,8 @@
 	"compress/gzip"
 	"io"
 
+	"daisyshed.dev/core"
+	"daisyshed.dev/platform"
 	"github.com/samber/oops"
 )
 
@@ -17,6 +19,38 @@
 // Error returns the message.
 func (e *StateTooLongError) Error() string { return "store: desired state of a peer is too long" }
 
+// decodeState decodes a desired state as the store holds it, and returns it as peers get it: with the
+// digests of keys in place of the keys.
+func decodeState(value []byte, offset core.Offset) (d core.DesiredState, concealed []byte, err error) {
+	if concealed, _, err = platform.ConcealKeys(value); err != nil {
+		return core.DesiredState{}, nil, err
+	}
+	d, err = platform.DecodeDesired(concealed, offset)
+	return d, concealed, err
+}
+
+// DecodePeerState decodes a desired state as peers send it. Nodes of earlier versions send it with
+// keys, which are not passed on.
+func DecodePeerState(record []byte, offset core.Offset) (core.DesiredState, error) {
+	value, err := DecompressState(record)
+	if err != nil {
+		return core.DesiredState{}, err
+	}
+	concealed, changed, err := platform.ConcealKeys(value)
+	if err != nil {
+		return core.DesiredState{}, err
+	}
+	d, err := platform.DecodeDesired(concealed, offset)
+	if err != nil {
+		return core.DesiredState{}, err
+	}
+	d.Source, d.Encoded = core.StateFromPeer, record
+	if changed {
+		d.Encoded, err = CompressState(concealed)
+	}
+	return d, err
+}
+
 // CompressState compresses a desired state for peers: thousands of routes take more than a
 // second over the slowest links otherwise.
 func CompressState(value []byte) ([]byte, error) {
--- a/daisyshed/store/state_record_test.go
+++ b/daisyshed/store/state_record_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
+	"daisyshed.dev/core"
 	"daisyshed.dev/daisyshed/store"
 	"github.com/matryer/is"
 )
@@ -57,3 +60,51 @@
 	_, err = store.DecompressState(packed[:len(packed)/2])
 	is.True(err != nil)
 }
+
+// keyedState is a desired state with the keys of a tenant.
+const keyedState = `{"Version":3,"Routes":[{"Name":"a","Kind":"idempotent"}],"Tenants":[{"Name":"acme","ApiKeys":["sk-secret-1","sk-secret-2"]}]}`
+
+// A node sends other nodes what it has read of the store, and no key may be in it.
+func TestStateThatIsReadIsSentToPeersWithoutKeys(t *testing.T) {
+	is := is.New(t)
+	s, w, messages := newWatcher(t)
+	s.Put("keyed.op", "config", []byte(keyedState))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.Run(ctx)
+	d := nextMessage[core.DesiredState](t, messages)
+	is.Equal(len(d.Tenants[0].Keys), 2)
+	sent, err := store.DecompressState(d.Encoded)
+	is.NoErr(err)
+	is.True(!strings.Contains(string(sent), "sk-secret"))
+	got, err := store.DecodePeerState(d.Encoded, d.Offset)
+	is.NoErr(err)
+	is.Equal(got.Source, core.StateFromPeer)
+	is.Equal(got.Tenants, d.Tenants)
+	is.Equal(got.Encoded, d.Encoded)
+}
+
+// A node of an earlier build sends what the store holds, with keys. They go no further, nor into the log
+// if the record is damaged.
+func TestKeysFromAPeerOfAnEarlierBuildAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	for _, record := range [][]byte{[]byte(keyedState), compressed(t, keyedState)} {
+		d, err := store.DecodePeerState(record, 5)
+		is.NoErr(err)
+		is.Equal(len(d.Tenants[0].Keys), 2)
+		sent, err := store.DecompressState(d.Encoded)
+		is.NoErr(err)
+		is.True(!strings.Contains(string(sent), "sk-secret"))
+	}
+	_, err := store.DecodePeerState([]byte(keyedState[:len(keyedState)-8]), 5)
+	is.True(err != nil)
+	is.True(!strings.Contains(err.Error(), "sk-secret"))
+}
+
+func compressed(t *testing.T, value string) []byte {
+	raw, err := store.CompressState([]byte(value))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
--- a/daisyshed/store/watch.go
+++ b/daisyshed/store/watch.go
@@ -197,13 +197,14 @@
 		if r.Key != platform.DesiredKey || len(r.Value) == 0 {
 			continue
 		}
-		d, err := platform.DecodeDesired(r.Value, r.Offset)
+		// The record itself is never logged, as it holds keys.
+		d, concealed, err := decodeState(r.Value, r.Offset)
 		if err != nil {
 			w.Log.Error().Str("Event", "Unreadable").Int64("Offset", int64(r.Offset)).Err(err).Send()
 			complete = false
 			continue
 		}
-		if d.Encoded, err = CompressState(r.Value); err != nil {
+		if d.Encoded, err = CompressState(concealed); err != nil {
 			w.Log.Error().Str("Event", "Fault").Int64("Offset", int64(r.Offset)).Err(err).Send()
 		}
 		w.SendToCore(d)
