Check keys and tenants in the soak of hosted daemons

Cause: no randomised run covered keys, tenants and their changes. Change: in three of five seeds the desired state has tenants, whose keys are added and removed with its versions, also while a node is cut off from the store and the others. Callers send valid, removed, unknown and no keys. The judge checks at workers that no key is passed on, that the tenant is right and that no removed key runs later than the bound, and that 401 is only given to keys that a version in force may lack; daemons' logs must hold no key.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -67,6 +67,8 @@
 	// the number of retries besides, in runs that have a retry budget.
 	initialRetryRatio = 0.2
 	retrySlack        = 40
+	// Of keyedOf seeds in a row, the first keyedSeeds have tenants.
+	keyedOf, keyedSeeds = 5, 3
 	// defaultGrace is the time between SIGTERM and SIGKILL in most runs.
 	defaultGrace = 8 * time.Second
 )
@@ -100,6 +102,8 @@
 	memoryMB int
 	store    *metastore.Store
 	judge    *judge
+	// keys are the keys of tenants; nil if the desired state has none.
+	keys *keyRing
 
 	mu      sync.Mutex
 	nodes   []*process
@@ -195,6 +199,9 @@
 		workers: map[string]*workerHandle{}, done: make(chan struct{}),
 		limits: newLimitRecord(), faultsEnded: make(chan struct{}),
 	}
+	if seed%keyedOf < keyedSeeds {
+		d.keys = newKeyRing(seed)
+	}
 	d.cleanups = append(d.cleanups, register(d))
 	if err := d.start(); err != nil {
 		d.close()
@@ -333,7 +340,7 @@
 	settings := hostedworker.Settings{
 		ID: id, Service: service, Zone: zoneOf(n), Stage: stage,
 		Version: version, OmitBorn: d.omitsBorn(n), Slots: workerSlots, Work: workerWork, Events: streamEvents, Memory: 4000, Advertised: advertised,
-		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnOrder: d.recordOrder, OnPrompt: d.handlePrompt, OnArrival: d.limits.recordArrival, EndsWorker: d.handleRequest,
+		FaultyShare: faultyShare, OnRunEnd: d.judge.recordRunEnd, OnOrder: d.recordOrder, OnPrompt: d.handlePrompt, OnArrival: d.recordArrival, EndsWorker: d.handleRequest,
 	}
 	if n%2 == 0 {
 		settings.IdleTimeout = shortIdleTimeout
--- a/bench/hosted/harm_string.go
+++ b/bench/hosted/harm_string.go
@@ -13,17 +13,18 @@
 	_ = x[nodeCutOff-2]
 	_ = x[nodeStranded-3]
 	_ = x[nodeStopped-4]
-	_ = x[workerCrashed-5]
-	_ = x[workerFrozen-6]
-	_ = x[workerExpired-7]
-	_ = x[workerSilent-8]
-	_ = x[linkHarmed-9]
-	_ = x[storeHarmed-10]
+	_ = x[nodeFormer-5]
+	_ = x[workerCrashed-6]
+	_ = x[workerFrozen-7]
+	_ = x[workerExpired-8]
+	_ = x[workerSilent-9]
+	_ = x[linkHarmed-10]
+	_ = x[storeHarmed-11]
 }
 
-const _harmKind_name = "killedfrozencut offstrandedstoppedcrashedfrozenexpiredsilentlink harmedstore harmed"
+const _harmKind_name = "killedfrozencut offstrandedstoppedother programcrashedfrozenexpiredsilentlink harmedstore harmed"
 
-var _harmKind_index = [...]uint8{0, 6, 12, 19, 27, 34, 41, 47, 54, 60, 71, 83}
+var _harmKind_index = [...]uint8{0, 6, 12, 19, 27, 34, 47, 54, 60, 67, 73, 84, 96}
 
 func (i harmKind) String() string {
 	idx := int(i) - 0
--- a/bench/hosted/harms.go
+++ b/bench/hosted/harms.go
@@ -23,6 +23,8 @@
 	nodeStranded // stranded
 	// nodeStopped is a SIGTERM until the process has ended.
 	nodeStopped // stopped
+	// nodeFormer is a node whose program is the other one of a run with two, which knows no keys.
+	nodeFormer // other program
 	// workerCrashed has no end: a worker that takes the place has an ID of its own.
 	workerCrashed // crashed
 	// workerFrozen is a worker that is suspended, with its heartbeats, and workerExpired
--- a/bench/hosted/hosted_test.go
+++ b/bench/hosted/hosted_test.go
@@ -128,6 +128,11 @@
 	soakOf(t, time.Second, []uint64{421127, 421142}, "nothing else")
 }
 
+// Keys are removed while nodes are cut off from the store and the others, and callers still reach them.
+func TestRemovedKeysDoNotRunAtNodesThatAreCutOff(t *testing.T) {
+	soakOf(t, 8*time.Second, []uint64{16, 22}, "keys change")
+}
+
 // Nodes reach no upstream for some seconds, while callers, the store and the other nodes reach them.
 func TestStrandedNodesServe(t *testing.T) {
 	soakOf(t, 12*time.Second, []uint64{422005, 422006, 422008}, "stranded")
--- a/bench/hosted/judge.go
+++ b/bench/hosted/judge.go
@@ -31,6 +31,9 @@
 	// the attempt does so. engines is how many engines of its version served.
 	stream, resumable, resumes bool
 	engines                    int
+	// key is the caller's key, and public says that the route needs none.
+	key    string
+	public bool
 	// served says that the answer was a success. status is that of its head; zero without one.
 	served bool
 	status int
@@ -123,7 +126,7 @@
 		r = &callerRequest{once: m.once()}
 		j.requests[m.id] = r
 	}
-	a := &attempt{id: attemptID, node: node, sent: time.Now(), deadline: m.deadline, leaves: m.leavesEarly(), stream: m.stream()}
+	a := &attempt{id: attemptID, node: node, sent: time.Now(), deadline: m.deadline, leaves: m.leavesEarly(), stream: m.stream(), key: m.key, public: m.public}
 	r.attempts = append(r.attempts, a)
 	j.attempts[attemptID] = a
 	if len(r.attempts) > 1 {
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -65,7 +65,7 @@
 			defer l.wait.Done()
 			c := &caller{
 				load: l, judge: l.deployment.judge, rng: rand.New(rand.NewPCG(uint64(i), uint64(l.deployment.block))), zone: zoneOf(i),
-				open: map[string]*callerConn{},
+				open: map[string]*callerConn{}, keyRNG: rand.New(rand.NewPCG(uint64(i), 3)),
 			}
 			defer c.closeAll()
 			for ctx.Err() == nil {
@@ -84,6 +84,7 @@
 	// zone is the failure domain that the caller is in.
 	zone            string
 	rng             *rand.Rand
+	keyRNG          *rand.Rand
 	open            map[string]*callerConn
 	addresses       []string
 	addressesExpire time.Time
@@ -179,6 +180,11 @@
 	leave time.Time
 	// breakAfter is the event after which the caller loses its connection; zero if it does not.
 	breakAfter int
+	// keyUse is what key the caller sends, and key that of an attempt. public says that the route
+	// needs none.
+	keyUse keyUse
+	key    string
+	public bool
 	// received is what the caller has of a stream.
 	received *receivedStream
 }
@@ -210,7 +216,7 @@
 		body:     []byte(strings.Repeat("x", 1+c.rng.IntN(20000))),
 		prompt:   c.rng.Uint64(),
 		deadline: time.Now().Add(patience),
-		received: &receivedStream{},
+		received: &receivedStream{}, keyUse: drawKeyUse(c.keyRNG),
 	}
 	m.id = requestID(fmt.Sprintf("%s-%d-%d", m.kind, c.load.deployment.block, c.load.lastRequest.Add(1)))
 	switch draw := c.rng.Float64(); {
@@ -236,7 +242,7 @@
 // that, and checks the answers.
 func (c *caller) sendRequest(ctx context.Context) {
 	m := c.newMessage()
-	patient := time.Until(m.deadline) > maxShortPatience && m.leave.IsZero()
+	patient := time.Until(m.deadline) > maxShortPatience && m.leave.IsZero() && m.keyUse == validKey
 	calm := c.load.calm.Load()
 	good := c.sendUntilAnswered(m)
 	if calm && c.load.calm.Load() && ctx.Err() == nil && patient {
@@ -267,6 +273,7 @@
 // send sends one attempt, checks the answer, and reports whether it arrived whole and, if
 // not, whether the caller may send the request again.
 func (c *caller) send(conn *callerConn, m message, attemptID string) (good, again bool) {
+	m.key = c.load.deployment.keys.key(m.keyUse, c.keyRNG)
 	c.judge.recordAttempt(m, attemptID, conn.address)
 	c.recordStreamOf(m, attemptID)
 	r, err := m.encode(attemptID)
@@ -281,6 +288,9 @@
 	}
 	defer a.Body.Close()
 	c.judge.recordStatus(attemptID, a.StatusCode)
+	if a.StatusCode == http.StatusUnauthorized {
+		c.load.deployment.checkRejectedKey(attemptID)
+	}
 	if a.StatusCode != http.StatusOK {
 		return false, c.handleFailure(conn, m, attemptID, a)
 	}
@@ -309,6 +319,7 @@
 		return nil, err
 	}
 	hostedsite.SetAttemptHeaders(r.Header, attemptID, time.Until(m.deadline))
+	hostedsite.SetKey(r.Header, m.key)
 	if m.stream() {
 		hostedsite.SetPromptHeaders(r.Header, m.prompt, m.deadly)
 		if m.received.resumable(m) {
@@ -367,7 +378,7 @@
 		c.judge.recordEnding(attemptID, answered, true)
 		c.keep(conn, a)
 	}
-	if m.once() && !promised {
+	if m.once() && !promised || a.StatusCode == http.StatusUnauthorized {
 		return false
 	}
 	time.Sleep(hostedsite.RetryDelay(a.Header, time.Until(m.deadline)))
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -151,9 +151,9 @@
 }
 
 // faultLogMarks are texts in a daemon's log that show a fault of the daemon itself: a
-// violated invariant, a data race that a program built with the race detector found, and
-// a crash.
-var faultLogMarks = []string{`"Event":"Violation"`, "WARNING: DATA RACE", "panic: ", "fatal error: "}
+// violated invariant, a data race that a program built with the race detector found, a
+// crash, and a key of a caller.
+var faultLogMarks = []string{`"Event":"Violation"`, "WARNING: DATA RACE", "panic: ", "fatal error: ", keyMark}
 
 // faultsInLogs returns the first line of each daemon's log that shows a fault of the
 // daemon itself.
@@ -194,7 +194,8 @@
 		"worker silent": d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
 		"workers silent while state changes": d.changeStateWhileSilent, "node stopped while workers are silent": d.stopNodesWhileSilent,
 		"size of state changed": d.changeSizeOfState, "hung reads while state changed": d.changeStateWhileReadsHang, "connections silenced while state changed": d.silenceConnections,
-		"state changed": d.changeState, "state in series changed": d.changeStateInSeries,
+		"node cut off while keys change": d.changeKeysBesideCutNode,
+		"state changed":                  d.changeState, "state in series changed": d.changeStateInSeries,
 	}
 	if d.noRetries {
 		// The change would be one of the retry budget.
--- a/bench/hosted/state.go
+++ b/bench/hosted/state.go
@@ -25,12 +25,15 @@
 func (d *deployment) publishState(state hostedsite.State) {
 	d.version++
 	state.Version, state.Host, state.Added = d.version, host, d.addedRoutes
+	tenants, confirmed := d.keys.next()
+	state.Tenants = tenants
 	raw, err := state.Encode()
 	if err != nil {
 		d.judge.reportViolation("the desired state did not encode: " + err.Error())
 		return
 	}
 	d.store.Put(metastore.OperatorTopic, metastore.StateKey, raw)
+	confirmed()
 	d.published.Store(int64(d.version))
 	if d.upstreamsOnly {
 		go d.checkInForce(d.version)
--- a/bench/hosted/state_force.go
+++ b/bench/hosted/state_force.go
@@ -111,10 +111,11 @@
 	if err != nil {
 		return 0, false
 	}
-	m := message{id: requestID(fmt.Sprintf("probe-%d-%d-%d", version, index, number)), deadline: time.Now().Add(probeLimit)}
+	m := message{id: requestID(fmt.Sprintf("probe-%d-%d-%d", version, index, number)), deadline: time.Now().Add(probeLimit), public: true}
 	attempt := fmt.Sprintf("%s-%d", m.id, time.Now().UnixNano())
 	d.judge.recordAttempt(m, attempt, d.nodeAddress(index, callerPort))
 	hostedsite.SetAttemptHeaders(r.Header, attempt, probeLimit)
+	hostedsite.SetKey(r.Header, "")
 	a, err := c.Do(r)
 	if err != nil {
 		d.judge.recordEnding(attempt, left, false)
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -23,6 +23,9 @@
 // strandedSeeds are seeds of the soak for nodes that reach no upstream.
 var strandedSeeds = []uint64{422005, 422006, 422008, 422009}
 
+// keyedSeeds are seeds of the soak whose desired state has tenants.
+var keyedSeeds = []uint64{16, 20, 22}
+
 // The edits that remove the ingress server's own checks, which would prevent what a
 // mutant of the core does.
 var (
@@ -146,6 +149,18 @@
 	{Rule: "LIMIT", Mutant: Mutant{Name: "placements-not-counted", Promise: core.AnswerWhole, Edits: []Edit{{
 		"core/upstream_limit.go", "		u.signals.use.owner -= cost\n", "",
 	}}}},
+	{Rule: "KEY", Seeds: keyedSeeds, Mutant: Mutant{Name: "key-passed-on", Promise: core.AnswerWhole, Edits: []Edit{{
+		"platform/upstream.go", "	h.Del(headerCredential)\n", "",
+	}}}},
+	{Rule: "KEY", Seeds: keyedSeeds, Mutant: Mutant{Name: "keys-never-removed", Promise: core.ConfigurationMonotone, Edits: []Edit{{
+		"core/forward.go", "newRouteTable(d.Routes), newTenantTable(d.Tenants)\n",
+		"newRouteTable(d.Routes), newTenantTable(append(d.Tenants, s.former...))\n	s.former = append(s.former, d.Tenants...)\n",
+	}, {
+		"core/forward.go", "	tenants       tenantTable\n", "	tenants       tenantTable\n	former        []Tenant\n",
+	}}}},
+	{Rule: "KEY", Faults: []string{"keys change"}, Seeds: keyedSeeds, Mutant: Mutant{Name: "keys-of-cut-off-nodes-accepted", Promise: core.ConfigurationMonotone, Edits: []Edit{{
+		"core/key_proof.go", "	return s.lag.behind() || n.members.inMinority(n)\n", "	return false\n",
+	}}}},
 	{Rule: "MEMORY", Mutant: Mutant{Name: "head-without-limit", Promise: core.AnswerWhole, Edits: []Edit{{
 		"daisyshed/upstream/limits.go", "	if l.limit == 0 {\n", "	if true {\n",
 	}}}},
--- a/standin/hostedsite/caller.go
+++ b/standin/hostedsite/caller.go
@@ -35,6 +35,18 @@
 	h.Set("Kv-Source", "1.2.3.4:5/forged")
 }
 
+// ForgedTenant is the tenant that callers name themselves.
+const ForgedTenant = "forged"
+
+// SetKey sets the caller's key, unless it is empty, and a forged Tenant-Id. Where keys are needed, nodes
+// must forward neither.
+func SetKey(h http.Header, key string) {
+	if key != "" {
+		h.Set("Credential", key)
+	}
+	h.Set("Tenant-Id", ForgedTenant)
+}
+
 // SetResume sets the headers of an attempt that resumes a stream after an event, whose first
 // event the given attempt brought.
 func SetResume(h http.Header, event int, first string) {
--- a/standin/hostedsite/state.go
+++ b/standin/hostedsite/state.go
@@ -37,6 +37,16 @@
 	Timeout time.Duration
 	// CanaryShare is the share of the plain service's requests that go to CanaryService.
 	CanaryShare float64
+	// Tenants are the tenants whose keys callers need, but for the routes of versions; nil if they
+	// need none.
+	Tenants []Tenant
+}
+
+// Tenant is a tenant with its keys. Priority is its rank; negative if that of the route applies.
+type Tenant struct {
+	Name     string
+	Keys     []string
+	Priority int
 }
 
 // VersionRoutes is how many of the latest versions have a route of their own in a state.
@@ -69,12 +79,14 @@
 		routes = append(routes, route(fmt.Sprintf("extra%d", s.Version), "idempotent", plain))
 	}
 	for v := max(1, s.Version-VersionRoutes+1); v <= s.Version; v++ {
-		routes = append(routes, route(VersionRoute(v), "idempotent", plain))
+		versioned := route(VersionRoute(v), "idempotent", plain)
+		versioned["Public"] = true
+		routes = append(routes, versioned)
 	}
 	for i := range s.Added {
 		routes = append(routes, route(fmt.Sprintf("added%d", i), "idempotent", plain))
 	}
-	return json.Marshal(map[string]any{
+	state := map[string]any{
 		"Version": s.Version, "Routes": routes,
 		"Services": []any{
 			map[string]any{"Name": PlainService, "MaxConns": 200},
@@ -84,5 +96,21 @@
 			}},
 		},
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	})
+	}
+	if s.Tenants != nil {
+		state["Tenants"] = s.tenantRows()
+	}
+	return json.Marshal(state)
+}
+
+func (s State) tenantRows() []any {
+	rows := []any{}
+	for _, t := range s.Tenants {
+		row := map[string]any{"Name": t.Name, "ApiKeys": t.Keys}
+		if t.Priority >= 0 {
+			row["Priority"] = t.Priority
+		}
+		rows = append(rows, row)
+	}
+	return rows
 }
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -138,9 +138,13 @@
 	OnOrder func(Order)
 	// OnArrival is called when a request of a caller arrives, whether or not it is run. It may
 	// be nil.
-	OnArrival func(worker string)
+	OnArrival func(Arrival)
 }
 
+// Arrival records that a request of a caller has arrived, to be run or only prefilled. Key and Tenant
+// are the caller's key and tenant as the request names them, which are empty if it does not.
+type Arrival struct{ Worker, Attempt, Key, Tenant string }
+
 // RunNumber identifies a run among those of its worker.
 type RunNumber uint64
 
@@ -384,9 +388,14 @@
 
 // reportArrival calls OnArrival for a caller's request to this worker.
 func (w *Worker) reportArrival(r *http.Request) {
-	if w.settings.OnArrival != nil && r.Header.Get("Attempt-Id") != "" && r.Header.Get("Expect-Instance") == w.settings.ID {
-		w.settings.OnArrival(w.settings.ID)
+	attempt := r.Header.Get("Attempt-Id")
+	if w.settings.OnArrival == nil || attempt == "" || r.Header.Get("Expect-Instance") != w.settings.ID {
+		return
 	}
+	w.settings.OnArrival(Arrival{
+		Worker: w.settings.ID, Attempt: attempt,
+		Key: strings.Join(r.Header.Values("Credential"), ","), Tenant: strings.Join(r.Header.Values("Tenant-Id"), ","),
+	})
 }
 
 // reportPrompt calls OnPrompt for a request with a prompt.
