Show that a late copy of a response passes for that to the next call

Cause: responses to calls name no attempt, so that any of them matches any call on the connection; and an attempt that its caller sends again has the name of the first try.

--- a/daisyshed/ingress/commands_test.go
+++ b/daisyshed/ingress/commands_test.go
@@ -117,6 +117,70 @@
 	is.True(granted)
 }
 
+// An engine sends its response to a call again when the next call has arrived on the connection.
+// Two streams with one lease would share memory that was reserved for one of them.
+func TestLateCopyOfALeaseIsNotTakenForTheNextLease(t *testing.T) {
+	is := is.New(t)
+	w, address := startWorker(t, hostedworker.Settings{Slots: 2, Stage: hostedworker.Decode, Memory: 100})
+	w.SetFault(hostedworker.RepeatResponse, 1)
+	results := make(chan core.Message, 16)
+	s, _ := startServer(t, func(m core.Message) []core.ForwardCommand {
+		switch m := m.(type) {
+		case core.Forward:
+			return []core.ForwardCommand{core.RequestLease{ID: m.ID, Send: 1, Engine: "e1", Address: address, Tokens: 10, TTL: time.Second}}
+		case core.LeaseGranted:
+			results <- m
+			return []core.ForwardCommand{core.EndForward{ID: m.ID, Reason: core.NoCapacity, NotRun: true}}
+		}
+		return nil
+	})
+	granted := core.Set[core.LeaseID]{}
+	for range 3 {
+		post(t, s.URL, "a", nil)
+		granted.Add((<-results).(core.LeaseGranted).Lease)
+	}
+	is.Equal(len(granted), 3)
+}
+
+// A caller sends a rejected attempt again to the same node, and the upstream sends its rejection
+// again before the second answer. Taken for that, it would say that a request which runs has not.
+func TestLateCopyOfARejectionIsNotTakenForTheNextTry(t *testing.T) {
+	is := is.New(t)
+	const rejection = "HTTP/1.1 503 Busy\r\nAttempt-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const answer = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+	var tries atomic.Int32
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, r, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		next := answer
+		if tries.Add(1) == 1 {
+			next = rejection
+		}
+		for _, err = io.WriteString(c, next); err == nil; _, err = io.WriteString(c, rejection+answer) {
+			if _, err := http.ReadRequest(r.Reader); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(upstream.Close)
+	s, _ := startServer(t, func(m core.Message) []core.ForwardCommand {
+		switch m := m.(type) {
+		case core.Forward:
+			return []core.ForwardCommand{core.RunForward{
+				ID: m.ID, Send: 1, Engine: "e1", Address: upstream.Listener.Addr().String(), Patience: time.Second, Once: true,
+			}}
+		case core.StepRefused:
+			return []core.ForwardCommand{core.EndForward{ID: m.ID, Reason: core.NoCapacity, NotRun: true}}
+		}
+		return nil
+	})
+	is.Equal(post(t, s.URL, "a", nil).StatusCode, http.StatusServiceUnavailable)
+	is.Equal(post(t, s.URL, "a", nil).StatusCode, http.StatusOK)
+}
+
 // A process that has to exit answers the requests that are still in progress. A connection
 // that is closed without an answer would look as if the request had not been read.
 func TestExitAnswersRequestsInProgress(t *testing.T) {
