Do not call an engine on a connection that may bring a late copy

Cause: responses to calls name no attempt, so that a second copy of one passes for the response to the next call on its connection, and shifts all that follow. The same for an attempt that its caller sends again to the same node. Change: each request names a series whose responses cannot be told apart.

--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -256,6 +256,7 @@
 		Key: string(id), Address: address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: h, Body: x.body, ParseIdleTimeout: platform.IdleTimeout,
 		Matches: func(h http.Header) bool { return platform.MatchesAttempt(h, x.forward.Attempt) },
+		Series:  attemptSeries + x.forward.Attempt,
 	}
 }
 
--- a/daisyshed/ingress/hold.go
+++ b/daisyshed/ingress/hold.go
@@ -43,6 +43,7 @@
 	defer cancel()
 	r := &upstream.Request{
 		Key: string(c.Engine), Address: c.Address, NewConnection: c.NewConnection, ParseIdleTimeout: platform.IdleTimeout,
+		Series: callSeries,
 	}
 	held, err := x.server.Upstreams.Hold(ctx, r)
 	if err != nil {
@@ -68,10 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	call := platform.ReportCall(c.Engine)
-	response, err := held.Do(ctx, &upstream.Request{
-		Key: string(c.Engine), Address: c.Address, Method: call.Method, Target: call.Target, Host: c.Address, Header: call.Header,
-		Matches: platform.MatchesCall,
-	})
+	response, err := held.Do(ctx, callRequest(c.Engine, c.Address, call))
 	if err != nil {
 		return core.None[int64](), err
 	}
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -26,6 +26,10 @@
 	// responds at once, so one that has not responded by then is treated as
 	// unreachable.
 	leaseTimeout = 200 * time.Millisecond
+	// callSeries is the [upstream.Request] series of all calls: their responses name no attempt.
+	// attemptSeries begins that of an attempt, which its caller may send again.
+	callSeries    = "call"
+	attemptSeries = "attempt "
 )
 
 // Server serves callers' requests. Its exported fields are set before the first
@@ -232,8 +236,10 @@
 			s.Log.Error().Str("Event", "Order").Err(err).Send()
 			return
 		}
+		r := callRequest(c.Order.Engine, address, call)
 		// The engine takes the sender's machine for the holder, so no relay may send it.
-		status, _, err := s.callOn(ctx, c.Order.Engine, address, call, true)
+		r.Direct = true
+		status, _, err := s.callOn(ctx, r)
 		s.Log.Info().Str("Event", "Ordered").Str("Engine", string(c.Order.Engine)).
 			Str("Role", c.Order.Role.String()).Int64("Fencing", int64(c.Order.Fencing)).Int("Status", status).Err(err).Send()
 	}()
@@ -244,7 +250,9 @@
 func (s *Server) release(id core.EngineID, address string, c platform.Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if _, _, err := s.call(ctx, id, address, c); err != nil {
+	r := callRequest(id, address, c)
+	r.Discards = true
+	if _, _, err := s.callOn(ctx, r); err != nil {
 		s.Log.Warn().Str("Event", "ReleaseFailed").Str("Engine", string(id)).Err(err).Send()
 	}
 }
@@ -252,16 +260,21 @@
 // call makes a call to an upstream's control interface and returns the status
 // and the body of the response.
 func (s *Server) call(ctx context.Context, id core.EngineID, address string, c platform.Call) (int, []byte, error) {
-	return s.callOn(ctx, id, address, c, false)
+	return s.callOn(ctx, callRequest(id, address, c))
 }
 
-// callOn is call, on a direct connection if direct is set.
-func (s *Server) callOn(ctx context.Context, id core.EngineID, address string, c platform.Call, direct bool) (int, []byte, error) {
-	response, err := s.Upstreams.Do(ctx, &upstream.Request{
+// callRequest returns the request of a call.
+func callRequest(id core.EngineID, address string, c platform.Call) *upstream.Request {
+	return &upstream.Request{
 		Key: string(id), Address: address, Method: c.Method, Target: c.Target, Host: address,
 		Header: c.Header, Body: c.Body, ParseIdleTimeout: platform.IdleTimeout,
-		Matches: platform.MatchesCall, Direct: direct,
-	})
+		Matches: platform.MatchesCall, Series: callSeries,
+	}
+}
+
+// callOn makes a call with a request of callRequest.
+func (s *Server) callOn(ctx context.Context, r *upstream.Request) (int, []byte, error) {
+	response, err := s.Upstreams.Do(ctx, r)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -56,6 +56,13 @@
 	// Matches reports whether a response with these headers belongs to this
 	// request. If it is nil, every response does.
 	Matches func(http.Header) bool
+	// Series identifies the requests whose responses Matches cannot tell apart. A connection
+	// that has lately carried a response of the same series is not used, because a late copy of
+	// that response would pass for the response to this request. It may be empty.
+	Series string
+	// Discards says that the content of the response is not used, so that a late copy in its
+	// place does no harm.
+	Discards bool
 	// ParseIdleTimeout returns the upstream's idle timeout from the headers of
 	// a response; zero if they do not state it.
 	ParseIdleTimeout func(http.Header) time.Duration
@@ -186,6 +193,8 @@
 	openedAt   time.Time
 	lastUsedAt time.Time
 	idleLimit  time.Duration
+	// carried are the series of the responses received lately.
+	carried []carriedSeries
 }
 
 // Do sends a request and returns once the head of the response has been read.
@@ -252,6 +261,7 @@
 	out.complete = response.ContentLength == 0
 	out.close = func(complete bool) {
 		if complete && reusable && !response.Close && requestWritten(written) && cn.r.Buffered() == 0 {
+			cn.recordSeries(r.Series)
 			keep(cn, response.Header)
 			return
 		}
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -52,7 +52,7 @@
 	key := r.poolKey()
 	list := c.idle[key]
 	for i := len(list) - 1; i >= 0; i-- {
-		if cn := list[i]; cn.relay == "" || !r.Direct {
+		if cn := list[i]; (cn.relay == "" || !r.Direct) && (r.Discards || !cn.hasCarried(r.Series)) {
 			c.idle[key] = slices.Delete(list, i, i+1)
 			return cn
 		}
