Pass an unproven rejection on to callers of idempotent requests alone

Cause: the runtime knew only whether a request must run once, and a stream that may be resumed has another policy; its caller got an engine's own 408, 421, 429 or 503 although the engine may have run it, and would have begun it anew. Change: a run says whether its request is repeatable. All others get 502, after another engine was tried if one may.

--- a/core/forward_message.go
+++ b/core/forward_message.go
@@ -249,6 +249,9 @@
 	Patience time.Duration
 	// Once says that the request must run at most once.
 	Once bool
+	// Repeatable says that the request may run any number of times, so that its caller may get
+	// an upstream's rejection that proves nothing.
+	Repeatable bool
 	// NewConnection asks for a connection that has carried no request before.
 	NewConnection bool
 	// StallAfter is the pause between events after which the run is reported as
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -68,7 +68,7 @@
 	s.logRun(n, f)
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Hold: f.takeHold(), Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
+		Once: f.route.RetryPolicy == Once, Repeatable: f.route.RetryPolicy == Repeatable, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
 	})
 	s.watchNoAnswer(n, f, u, time.Duration(silentObjectives*float64(f.route.Objective)))
 	if f.route.RetryPolicy == Repeatable {
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -318,7 +318,7 @@
 	}
 	run := RunForward{
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Hold: f.takeHold(), Patience: f.timeLeft(n.now), MaxOverlap: maxOverlap,
-		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil, GoneOn: f.goneOn,
+		Once: f.route.RetryPolicy == Once, Repeatable: f.route.RetryPolicy == Repeatable, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil, GoneOn: f.goneOn,
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
 		run.StallAfter = max(fractionOf(f.route.GapPatience, stallShare), minStallAfter)
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -33,7 +33,7 @@
 		x.failRun(r, result.err, 0)
 	case x.headSent.Load():
 		x.failRun(r, &UpstreamFailedError{Status: response.status}, response.status)
-	case r.Once && platform.PromisesNotRun(response.status):
+	case !r.Repeatable && platform.PromisesNotRun(response.status):
 		x.failRun(r, &UnprovenRejectionError{Status: response.status}, response.status)
 	case response.status >= http.StatusInternalServerError:
 		x.failure = &response
