--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -57,7 +57,7 @@
 // Hosted lists the mutants of the hosted daemon.
 var Hosted = []HostedMutant{
 	{Rule: "REFUSED", Mutant: Mutant{Name: "unproven-rejection-relayed", Promise: core.NotRunTrue, Edits: []Edit{{
-		"daisyshed/ingress/relay.go", "case r.Once && platform.PromisesNotRun(", "case false && platform.PromisesNotRun(",
+		"daisyshed/ingress/relay.go", "case !r.Repeatable && platform.PromisesNotRun(", "case false && platform.PromisesNotRun(",
 	}}}},
 	{Rule: "TWICE", Mutant: Mutant{Name: "any-503-proves-not-run", Promise: core.AtMostOnce, Edits: []Edit{{
 		"platform/upstream.go", "	case h.Get(headerNotRun) != \"\":\n", "	case h.Get(headerNotRun) != \"\" || status == http.StatusServiceUnavailable:\n",
