Answer at a planned stop what has arrived before it

Cause: the listener was closed with what waited in its queue, and with the connection that waited for a slot; net/http's reads that wait for a request were ended by a deadline, after which a read does not look whether anything has arrived; new connections had no time for their first request; and a request that was read together with the one before did not count as one. Answers from then on close their connections.

--- a/daisyshed/httpserver/server.go
+++ b/daisyshed/httpserver/server.go
@@ -35,6 +35,7 @@
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    l.HeaderBytes,
 		ErrorLog:          errorLog,
+		ConnContext:       tcp.WithConn,
 		ConnState:         tcp.TrackState,
 	}
 }
@@ -44,6 +45,9 @@
 // http.Server.ReadTimeout does not fit: it would also end long responses.
 func limitBodyReads(next http.Handler, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if tcp.BeginRequest(r.Context()) {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
--- a/daisyshed/httpserver/stop.go
+++ b/daisyshed/httpserver/stop.go
@@ -12,14 +12,14 @@
 const stopCheckInterval = 10 * time.Millisecond
 
 // Stop stops serving l, a listener of package tcp whose connections a server tracks by
-// [tcp.TrackState]. It accepts no more connections, ends those that wait for a request,
-// and returns once the others have ended too, or with the error of ctx.
+// [tcp.TrackState]. It accepts no more connections than those that have been opened, ends
+// those that wait for a request, and returns once the others have ended too, or with the
+// error of ctx.
 //
 // [http.Server.Shutdown] does not fit: it drops a request that has just been read from a
 // kept connection, and its caller cannot tell that from one that was lost while it ran.
 func Stop(ctx context.Context, l net.Listener) error {
-	// The listener may have been closed before.
-	_ = l.Close()
+	tcp.StopAccepting(l)
 	t := time.NewTicker(stopCheckInterval)
 	defer t.Stop()
 	for tcp.CloseIdle(l) > 0 {
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/tcp"
 	"daisyshed.dev/daisyshed/upstream"
 	"daisyshed.dev/platform"
 	"github.com/rs/zerolog"
@@ -118,7 +119,7 @@
 // ServeHTTP serves one request. It reads the whole body first, so that the
 // request can be sent more than once.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.closing.Load() {
+	if tcp.BeginRequest(r.Context()) || s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	forward := platform.DecodeForward(r)
--- a/daisyshed/tcp/conn.go
+++ b/daisyshed/tcp/conn.go
@@ -18,6 +18,9 @@
 	// broken is set once a write has failed. The server closes the connection after that.
 	broken atomic.Bool
 
+	// acceptedAt is when the connection was accepted.
+	acceptedAt time.Time
+
 	mu sync.Mutex
 	// busy is set from the first byte of a request until the server waits for the next
 	// one, and interrupted once a read that waits for a request has been ended.
@@ -32,6 +35,9 @@
 // Read reads from the connection.
 func (c *slotConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && err != nil {
+		n, err = c.readArrived(p, err)
+	}
 	if n > 0 {
 		c.begin()
 	}
@@ -96,6 +102,17 @@
 	return c.idleSince, !c.busy && !c.interrupted && !c.idleSince.IsZero()
 }
 
+// expectsRequest reports whether the connection is new, or its last answer has just been sent, so
+// that a request may be on its way.
+func (c *slotConn) expectsRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() {
+		return time.Since(c.acceptedAt) < firstRequestTime
+	}
+	return time.Since(c.idleSince) < nextRequestTime
+}
+
 // interrupt ends the read that waits for a request, so that the server closes the
 // connection. It does nothing once a request has begun to arrive.
 func (c *slotConn) interrupt() {
@@ -130,8 +147,9 @@
 }
 
 // CloseIdle has the server close those connections of a listener of this package on which
-// no request has begun to arrive, and returns how many connections are open. The server
-// may miss it for a connection that is just becoming idle; call CloseIdle again for that.
+// no request has begun to arrive, and returns how many connections are open. New ones get
+// firstRequestTime for their first request, and others nextRequestTime after an answer. The server may miss it for a connection that is
+// just becoming idle; call CloseIdle again for that.
 func CloseIdle(l net.Listener) int {
 	limited, ok := l.(*limitedListener)
 	if !ok {
@@ -140,7 +158,13 @@
 	limited.mu.Lock()
 	defer limited.mu.Unlock()
 	for c := range limited.open {
-		c.interrupt()
+		if !c.expectsRequest() {
+			c.interrupt()
+		}
+	}
+	if limited.stopping.Load() {
+		// One that is being accepted is not among them yet.
+		return len(limited.open) + int(limited.accepting.Load())
 	}
 	return len(limited.open)
 }
--- a/daisyshed/tcp/listen.go
+++ b/daisyshed/tcp/listen.go
@@ -51,7 +51,7 @@
 // Limit returns a listener that keeps at most limit connections of l open at a time.
 func Limit(l net.Listener, limit int) net.Listener {
 	return &limitedListener{
-		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), idle: &IdleTimeout{}, open: map[*slotConn]struct{}{},
+		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), taken: make(chan struct{}), idle: &IdleTimeout{}, open: map[*slotConn]struct{}{},
 	}
 }
 
@@ -64,9 +64,17 @@
 	once   sync.Once
 
 	idle *IdleTimeout
+	// stopping is set once StopAccepting was called, and accepting counts the calls of Accept in
+	// progress.
+	stopping  atomic.Bool
+	accepting atomic.Int32
 
 	mu   sync.Mutex
 	open map[*slotConn]struct{}
+	// queued are connections that Accept returns after StopAccepting. taken is closed once it is
+	// complete.
+	queued []*slotConn
+	taken  chan struct{}
 }
 
 // IdleTimeout is for how long a server keeps connections that wait for a further request. Its zero
@@ -90,26 +98,42 @@
 
 // Accept waits for a connection, then for a free slot.
 func (l *limitedListener) Accept() (net.Conn, error) {
+	l.accepting.Add(1)
+	defer l.accepting.Add(-1)
 	conn, err := l.Listener.Accept()
-	if err != nil {
+	switch {
+	case err != nil && l.stopping.Load():
+		return l.acceptQueued()
+	case err != nil:
 		return nil, err
 	}
 	if err := l.takeSlot(); err != nil {
+		if l.stopping.Load() {
+			return l.track(conn, false), nil
+		}
 		// The connection has not been used, so an error from closing it does not matter.
 		_ = conn.Close()
 		return nil, err
 	}
-	c := &slotConn{Conn: conn, listener: l}
+	return l.track(conn, true), nil
+}
+
+// track returns an accepted connection that counts as open until it is closed. slot says that it
+// occupies one of the slots.
+func (l *limitedListener) track(conn net.Conn, slot bool) *slotConn {
+	c := &slotConn{Conn: conn, listener: l, acceptedAt: time.Now()}
 	c.release = sync.OnceFunc(func() {
 		l.mu.Lock()
 		delete(l.open, c)
 		l.mu.Unlock()
-		<-l.slots
+		if slot {
+			<-l.slots
+		}
 	})
 	l.mu.Lock()
 	l.open[c] = struct{}{}
 	l.mu.Unlock()
-	return c, nil
+	return c
 }
 
 // takeSlot waits for a free slot, and has the server close the connection that has been idle for
