--- a/daisyshed/engine/stream_test.go
+++ b/daisyshed/engine/stream_test.go
@@ -193,6 +193,23 @@
 	})
 }
 
+// An engine sends tokens again that its caller has, and no new one.
+func TestStreamThatRepeatsItselfFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines()
+		e.client.Decode("d1", decode("d1", 1, 0))
+		e.write("d1", token(1, "a", false))
+		is.Equal(<-e.messages, core.FirstToken{Allocation: allocation(1)})
+		for range 3 {
+			time.Sleep(stepTimeout / 2)
+			e.write("d1", ": x\n\n"+token(1, "a", false))
+		}
+		is.Equal(len(e.messages), 1)
+		is.Equal((<-e.messages).(core.EngineFailed).Reason, engine.StalledStreamError{}.Error())
+	})
+}
+
 func TestNewerAttemptSupersedesOlderStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
