Count only events as progress of a stream

Cause: the stall timer of a stream started again with each block of lines, whether or not it held an event, and with tokens that the caller had. Change: lines without data or an id are relayed while the stream runs, dropped before its first event, and start no timer.

--- a/daisyshed/engine/stream.go
+++ b/daisyshed/engine/stream.go
@@ -133,6 +133,7 @@
 // copyTokens requests the tokens that the caller lacks and sends them to the
 // caller until the last one.
 func (t *tokenStream) copyTokens(ctx context.Context) error {
+	start := time.Now()
 	stall := time.AfterFunc(t.client.StepTimeout, func() { t.cancel(StalledStreamError{}) })
 	defer stall.Stop()
 	resp, err := t.client.postJSON(ctx, t.address, wire.DecodePath, wire.DecodeRequest{
@@ -146,6 +147,8 @@
 	}
 	defer resp.Body.Close()
 	events := sse.NewReader(resp.Body)
+	// left is for how long after began the engine may send no new token.
+	left, began := t.client.StepTimeout, start
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -155,11 +158,17 @@
 			return err
 		}
 		stall.Stop()
+		left -= time.Since(began)
+		sent := t.answer.TokensSent()
 		last, err := t.handleEvent(ctx, event)
 		if err != nil || last {
 			return err
 		}
-		stall.Reset(t.client.StepTimeout)
+		if t.answer.TokensSent() > sent {
+			left = t.client.StepTimeout
+		}
+		began = time.Now()
+		stall.Reset(max(left, 0))
 	}
 }
 
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -40,6 +40,8 @@
 	// overlap limits how long it may take to do so. stall waits for the next event of current.
 	current, replacement *run
 	overlap, stall       *time.Timer
+	// stallAt is when stall fires.
+	stallAt time.Time
 	// goneOn counts the reports to the core that a run has begun to answer or goes on.
 	goneOn int
 
--- a/daisyshed/ingress/relay.go
+++ b/daisyshed/ingress/relay.go
@@ -141,6 +141,8 @@
 	case e.err != nil:
 		x.failRun(e.run, e.err, 0)
 		return false
+	case !e.data:
+		return x.relayFiller(e)
 	}
 	x.keepOnly(e.run)
 	x.sendStreamHead(e)
@@ -157,6 +159,25 @@
 	return false
 }
 
+// relayFiller relays lines of the present run's stream that are no event, such as comments, and
+// reports whether the request has ended. A run that sends nothing else is silent. Before the first
+// event they are dropped: the answer has not begun.
+func (x *exchange) relayFiller(e streamEvent) bool {
+	if e.run != x.current || !e.run.started {
+		return false
+	}
+	began := time.Now()
+	if _, err := x.w.Write(e.event); err != nil || http.NewResponseController(x.w).Flush() != nil {
+		x.endDisconnected()
+		return true
+	}
+	if e.run.StallAfter > 0 {
+		// The time in which the caller did not read does not count.
+		x.setStallTimer(x.stallAt.Add(time.Since(began)))
+	}
+	return false
+}
+
 // sendStreamHead sends the head of a stream's response unless it was sent before.
 func (x *exchange) sendStreamHead(e streamEvent) {
 	if !x.headSent.Load() {
--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -75,12 +75,14 @@
 func (b bufferedResponse) success() bool { return b.status >= 200 && b.status < 300 }
 
 // streamEvent is a whole event of a run's stream with its id, or the error that ended the
-// stream; io.EOF if it ended as it should.
+// stream; io.EOF if it ended as it should. Without data or an id it is no progress of the
+// stream.
 type streamEvent struct {
 	run    *run
 	status int
 	header http.Header
 	event  []byte
+	data   bool
 	id     string
 	err    error
 }
@@ -172,10 +174,12 @@
 // stream without an event has broken off: nothing tells it from one whose engine ended.
 func (x *exchange) readEvents(r *run, response *upstream.Response) {
 	events := upstream.NewEventReader(response.Body)
-	for count := 0; ; count++ {
+	for began := false; ; {
 		e := streamEvent{run: r, status: response.Status, header: response.Header}
 		e.event, e.id, e.err = events.Next()
-		if e.err == io.EOF && count == 0 && response.Unframed {
+		e.data = e.id != "" || upstream.HasData(e.event)
+		began = began || e.data
+		if e.err == io.EOF && !began && response.Unframed {
 			e.err = io.ErrUnexpectedEOF
 		}
 		if e.err != nil {
--- a/daisyshed/ingress/takeover.go
+++ b/daisyshed/ingress/takeover.go
@@ -72,12 +72,18 @@
 // restartStallTimer waits for the next event of the present run from now on.
 func (x *exchange) restartStallTimer(r *run) {
 	if r.StallAfter > 0 {
-		x.stall.Reset(r.StallAfter)
+		x.setStallTimer(time.Now().Add(r.StallAfter))
 		return
 	}
 	x.stall.Stop()
 }
 
+// setStallTimer has the present run reported as silent at an instant.
+func (x *exchange) setStallTimer(at time.Time) {
+	x.stallAt = at
+	x.stall.Reset(time.Until(at))
+}
+
 // reportStalled notifies the core that the present run is silent. The run goes on. It is
 // reported again after each StallAfter, because there may have been no room for another run.
 func (x *exchange) reportStalled() {
@@ -91,7 +97,7 @@
 	}
 	r.stalled = true
 	x.server.SendToCore(core.ForwardStalled{ID: x.forward.ID, Send: r.Send, Engine: r.Engine})
-	x.stall.Reset(r.StallAfter)
+	x.setStallTimer(time.Now().Add(r.StallAfter))
 }
 
 // reportStarted notifies the core that the first bytes of a run's answer go to the caller.
--- a/daisyshed/upstream/events.go
+++ b/daisyshed/upstream/events.go
@@ -56,3 +56,15 @@
 		}
 	}
 }
+
+// HasData reports whether an event that Next has returned carries data. Comments, blank lines and
+// other fields are no event for its receiver.
+func HasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		if string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
