Show that an order that was given up may still be delivered

Cause: the connection of a cancelled request is closed in order; the system then delivers what it holds in the background, also when a partition ends later.

--- a/daisyshed/upstream/late_copy_test.go
+++ b/daisyshed/upstream/late_copy_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,3 +97,24 @@
 		})
 	}
 }
+
+// A request is cancelled without an answer. What the system has not delivered of it by then must
+// never arrive: a partition may end many seconds later, when another node gives orders.
+func TestCancelledRequestIsNotDeliveredLater(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			_, err := r.ReadByte()
+			ended <- err
+		}
+	})
+	client := &upstream.Client{DialTimeout: time.Second}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Do(ctx, request(address, nil))
+	is.True(err != nil)
+	// After an orderly close the system would go on to deliver what it holds.
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
