Send no order after its claim, and deliver none after it was given up

Cause: an order was bounded by a second from when its goroutine began, so that a process which stands still before that sends it under a claim that has expired, as the claim's holder or beside the next one. A connection that is given up was closed in order, after which the system delivers what it holds. Change: orders name the end of their claim, by the clock that counts suspensions, and it is compared once the connection is open, immediately before the order is written. A cancelled request's connection is aborted.

--- a/core/command.go
+++ b/core/command.go
@@ -184,8 +184,12 @@
 	EventsAfter uint64
 }
 
-// SendOrder sends an exclusive order to an engine.
-type SendOrder struct{ Order Order }
+// SendOrder sends an exclusive order to an engine. A hosted node must not send it after Expires,
+// by the clock of the core: another node may give orders then. Zero sets no limit.
+type SendOrder struct {
+	Order   Order
+	Expires Instant
+}
 
 // CallService sends a call to a plain service, once.
 type CallService struct {
--- a/core/forward_once_test.go
+++ b/core/forward_once_test.go
@@ -138,6 +138,33 @@
 	is.Equal(len(w.orders), 0)
 }
 
+// The runtime may stand still before it sends an order, so that the order names the end of its claim,
+// counted from when the claim was sent.
+func TestOrderNamesTheEndOfItsClaim(t *testing.T) {
+	is := is.New(t)
+	h := readyAlone(
+		core.Instance{ID: "d1", Service: "model", Address: "d1:1", Slots: 4, Role: core.Decode, Born: 1},
+		core.Instance{ID: "d2", Service: "model", Address: "d2:1", Slots: 4, Role: core.Decode, Born: 1},
+	)
+	wanted := core.PeerMessage{From: "n2", Incarnation: 1, Body: core.RolesWanted{Orders: []core.Order{{Engine: "d1", Kind: core.SetRole, Role: core.Prefill}}}}
+	var claims []core.ClaimOrders
+	var claimedAt core.Instant
+	for range 20 {
+		h.deliver(wanted)
+		if claims = commandsOf[core.ClaimOrders](h.advance(100 * time.Millisecond)); len(claims) > 0 {
+			claimedAt = h.now
+			break
+		}
+	}
+	is.Equal(len(claims), 1)
+	h.advance(400 * time.Millisecond)
+	h.deliver(wanted)
+	orders := commandsOf[core.SendOrder](h.deliver(core.OrdersClaimed{Ticket: claims[0].Ticket, Offset: claims[0].At}))
+	is.Equal(len(orders), 1)
+	is.True(orders[0].Expires <= claimedAt.Add(1500*time.Millisecond))
+	is.True(orders[0].Expires > h.now)
+}
+
 // For every sequence of answers, a request that may run once reaches at most
 // one upstream that may have run it, ends exactly once, and is reported as not
 // run only if no upstream may have run it.
--- a/core/roles.go
+++ b/core/roles.go
@@ -444,7 +444,7 @@
 		o.Fencing = fencingToken(s.storeEra, m.Offset)
 		s.recordOrder(n, o)
 		n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "order", Decode: o.Engine, Tokens: Tokens(o.Role)}})
-		n.do(SendOrder{Order: o})
+		n.do(SendOrder{Order: o, Expires: s.sentAt.Add(claimValid)})
 	}
 }
 
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -186,7 +186,7 @@
 	}
 	h.ingress = &ingress.Server{
 		Upstreams: h.upstreams, SendToCore: h.inbox.Send, Log: h.log, Meter: h.metrics, Node: s.Node,
-		ReportViolation: h.reportViolation, OnLimit: h.recordCallerLimit,
+		ReportViolation: h.reportViolation, Clock: clock, OnLimit: h.recordCallerLimit,
 	}
 	h.directory = &directory.Server{SendToCore: h.inbox.Send}
 	h.peers = h.newPeerTransport(incarnation)
--- a/daisyshed/ingress/errors.go
+++ b/daisyshed/ingress/errors.go
@@ -64,3 +64,10 @@
 
 // Error returns the message.
 func (NotHeldError) Error() string { return "the connection of the run is not held" }
+
+// ClaimExpiredError reports an order that was not sent, because the claim that allowed it has
+// expired.
+type ClaimExpiredError struct{}
+
+// Error returns the message.
+func (ClaimExpiredError) Error() string { return "the claim to give orders has expired" }
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -45,6 +45,8 @@
 	// ReportViolation is called when serving a request has violated an invariant. It must
 	// not block.
 	ReportViolation func(core.Violation)
+	// Clock is the clock of the core. It may be nil if orders name no end of their claim.
+	Clock func() core.Instant
 	// OnLimit is called when the body of a caller's request exceeds a limit of bytes or
 	// time. It must not block, and may be nil.
 	OnLimit func(attempt string, err error)
@@ -225,9 +227,9 @@
 	}
 }
 
-// SendOrder sends an order to an engine without blocking. The claim that allows the
-// order expires soon, so the call is bounded in order not to outlast it, and is
-// not retried.
+// SendOrder sends an order to an engine without blocking. It is not written after the claim that
+// allows it has expired, which the time to connect and a pause of this process may bring about.
+// The call is bounded, because another node waits for an order in flight, and is not retried.
 func (s *Server) SendOrder(address string, c core.SendOrder) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
@@ -240,6 +242,12 @@
 		r := callRequest(c.Order.Engine, address, call)
 		// The engine takes the sender's machine for the holder, so no relay may send it.
 		r.Direct = true
+		r.Check = func() error {
+			if c.Expires != 0 && s.Clock() > c.Expires {
+				return ClaimExpiredError{}
+			}
+			return nil
+		}
 		status, _, err := s.callOn(ctx, r)
 		s.Log.Info().Str("Event", "Ordered").Str("Engine", string(c.Order.Engine)).
 			Str("Role", c.Order.Role.String()).Int64("Fencing", int64(c.Order.Fencing)).Int("Status", status).Err(err).Send()
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -63,6 +63,9 @@
 	// Discards says that the content of the response is not used, so that a late copy in its
 	// place does no harm.
 	Discards bool
+	// Check is called once a connection is open, immediately before the request is written. If it
+	// returns an error, nothing is sent. It may be nil.
+	Check func() error
 	// ParseIdleTimeout returns the upstream's idle timeout from the headers of
 	// a response; zero if they do not state it.
 	ParseIdleTimeout func(http.Header) time.Duration
@@ -197,8 +200,19 @@
 	carried []carriedSeries
 }
 
+// abort closes the connection and discards what was written to it and not delivered. After an
+// orderly close the system goes on to deliver it, also when a partition ends later.
+func (cn *conn) abort() {
+	if direct, ok := cn.Conn.(*net.TCPConn); ok {
+		// If the option cannot be set, the connection is closed already.
+		_ = direct.SetLinger(0)
+	}
+	// The connection is discarded, so an error from closing it does not matter.
+	_ = cn.Close()
+}
+
 // Do sends a request and returns once the head of the response has been read.
-// Cancelling ctx closes the connection, also while the body is being read.
+// Cancelling ctx aborts the connection, also while the body is being read.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	cn, err := c.connect(ctx, r)
 	if err != nil {
@@ -210,12 +224,16 @@
 // do sends a request on a connection. keep receives the connection, with the head of the
 // response, if it can be used again.
 func (c *Client) do(ctx context.Context, cn *conn, r *Request, keep func(*conn, http.Header)) (*Response, error) {
-	if err := ctx.Err(); err != nil {
+	err := ctx.Err()
+	if err == nil && r.Check != nil {
+		err = r.Check()
+	}
+	if err != nil {
 		// The connection is discarded, so an error from closing it does not matter.
 		_ = cn.Close()
 		return nil, &UnsentError{Relay: cn.relay, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	response, err := c.roundTrip(cn, r, keep)
 	if err != nil {
 		c.reportLimit(r.Key, err)
