Report what a node holds again after it was taken for dead

Cause: owners release the places of a node that they take for dead, and the node reports them only to new owners. Change: a node that learns that others take it for dead reports what its requests hold to their owners, at once and a second later, as they learn of the death at different times. Owners ignore what they have. Hosted nodes only; the message is the one that new owners get.

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -121,6 +121,29 @@
 	s.end(n, f, NoCapacity, m.RetryAfter)
 }
 
+// placesReportDelay is how long after a node has learned that others take it for dead it reports what
+// it holds a second time: they learn of that, and release it, at different times.
+const placesReportDelay = time.Second
+
+// reportPlacesAgain reports to owners what this node's requests hold, because the owners may have
+// taken it for dead and have released that. Those that have not ignore it.
+func (s *forwards) reportPlacesAgain(n *Node) {
+	s.reportPlaces(n)
+	n.afterFunc(placesReportDelay, s.reportPlaces)
+}
+
+func (s *forwards) reportPlaces(n *Node) {
+	for _, id := range sortedKeys(s.live) {
+		f := s.live[id]
+		if run := f.silent; run != nil && run.owner != "" {
+			n.send(run.owner, ForwardHeld{ID: run.placement, Group: run.group, Decode: run.engine.ID, Memory: run.reserved})
+		}
+		if f.owner != "" && f.decode != nil {
+			n.send(f.owner, ForwardHeld{ID: f.placement, Group: f.group, Decode: f.decode.ID, Memory: f.reserved})
+		}
+	}
+}
+
 // ownersChanged notifies new owners of what requests hold at their engines, and
 // requests a new placement for those that waited at the old owners.
 func (s *forwards) ownersChanged(n *Node) {
--- a/core/membership.go
+++ b/core/membership.go
@@ -250,6 +250,9 @@
 	}
 	s.sequence = u.Sequence + 1
 	s.enqueueUpdate(n.Self.ID)
+	if u.Status == Dead && n.Hosted {
+		n.forward.reportPlacesAgain(n)
+	}
 }
 
 // selfUpdate returns the update that this node sends about itself.
