Show that a node which stood still runs its requests again

Cause: its timers for silent upstreams are due before it has seen the answers that arrived meanwhile.

--- a/core/silent_node_test.go
+++ b/core/silent_node_test.go
@@ -11,7 +11,12 @@
 // runAt has the owner place a stream of its entry h, and the stream run.
 func runAt(h *hostedNode, owner core.NodeID, id core.ForwardID) core.RunForward {
 	h.deliver(streamTo(id, "draft"))
-	out := h.deliver(core.PeerMessage{From: owner, Incarnation: 1, Body: core.ForwardPlaced{ID: id, Decode: "d1", Prefill: "p1", Memory: 1000}})
+	return runOf(h, h.deliver(core.PeerMessage{From: owner, Incarnation: 1, Body: core.ForwardPlaced{ID: id, Decode: "d1", Prefill: "p1", Memory: 1000}}))
+}
+
+// runOf has engines grant the leases and prefills that are asked for, and returns the run that
+// follows; a zero one if there is none.
+func runOf(h *hostedNode, out []core.Command) core.RunForward {
 	for range 8 {
 		var next []core.Command
 		for _, c := range out {
@@ -71,3 +76,51 @@
 	out = h.deliver(core.ForwardResponseStarted{ID: 1, Send: run.Send, Engine: run.Engine}, core.ForwardResponseCompleted{ID: 1, Send: run.Send, Engine: run.Engine, Events: 5})
 	is.Equal(endsOf(out), 0)
 }
+
+// The store drops the entry of an engine that is slow to check in, and shows it again later. What
+// runs there must go on, and must not be run elsewhere.
+func TestRunGoesOnWhileTheEntryOfItsEngineIsLate(t *testing.T) {
+	for _, kind := range []string{"draft", "resumable"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			list := engineInstances()
+			h := readyAlone(append(list, moreEngines()[2:]...)...)
+			run := runOf(h, h.deliver(streamTo(1, kind)))
+			is.True(run.Engine != "")
+			started := h.deliver(core.ForwardResponseStarted{ID: 1, Send: run.Send, Engine: run.Engine})
+			is.Equal(endsOf(started), 0)
+			out := h.deliver(core.InstancesRead{After: 1, Offset: 2, Removed: []core.EngineID{run.Engine}})
+			out = append(out, h.advance(4*time.Second)...)
+			for _, i := range append(list, moreEngines()...) {
+				if i.ID == run.Engine {
+					out = append(out, h.deliver(core.InstancesRead{After: 2, Offset: 3, Changed: []core.Instance{i}})...)
+				}
+			}
+			out = append(out, h.advance(time.Second)...)
+			out = append(out, h.deliver(core.ForwardResponseCompleted{ID: 1, Send: run.Send, Engine: run.Engine, Events: 5})...)
+			is.Equal(len(commandsOf[core.RunForward](out)), 0)
+			is.Equal(endsOf(out), 0)
+		})
+	}
+}
+
+// The node itself stands still while answers arrive. When it goes on, its timers are due before it
+// has seen the answers. It must not take its upstreams for silent: their answers wait.
+func TestNodeThatStoodStillRunsNothingAgain(t *testing.T) {
+	for _, kind := range []string{"read", "resumable"} {
+		t.Run(kind, func(t *testing.T) {
+			is := is.New(t)
+			h := readyAlone(append(moreEngines(), plainInstance("e1"), plainInstance("e2"))...)
+			m := streamTo(1, kind)
+			run := runOf(h, h.deliver(m))
+			is.True(run.Engine != "")
+			h.now = h.now.Add(5 * time.Second)
+			out := h.deliver(core.Tick{})
+			out = append(out, h.deliver(core.ForwardResponseStarted{ID: 1, Send: run.Send, Engine: run.Engine})...)
+			out = append(out, h.deliver(core.ForwardResponseCompleted{ID: 1, Send: run.Send, Engine: run.Engine, Events: 5})...)
+			out = append(out, h.advance(time.Second)...)
+			is.Equal(len(commandsOf[core.RunForward](out)), 0)
+			is.Equal(len(commandsOf[core.RequestLease](out)), 0)
+		})
+	}
+}
