Take nobody for silent right after a pause of the own process

Cause: timers for silent upstreams were due, and were run, before the node had seen what had arrived while it stood still.

--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -96,11 +96,19 @@
 // retryIfSilent sends a repeatable request to another upstream too if the present one
 // does not answer in time. The present one may be sound and answer first.
 func (s *forwards) retryIfSilent(n *Node, f *forwardedRequest) {
+	s.retryIfSilentAfter(n, f, time.Duration(silentObjectives*float64(f.route.Objective)))
+}
+
+func (s *forwards) retryIfSilentAfter(n *Node, f *forwardedRequest, after time.Duration) {
 	step := f.step
-	n.afterFunc(time.Duration(silentObjectives*float64(f.route.Objective)), func(n *Node) {
+	n.afterFunc(after, func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
+		if n.justResumed() {
+			s.retryIfSilentAfter(n, f, resumeGrace)
+			return
+		}
 		if f.silent != nil || f.unprovenRuns() >= f.route.MaxRuns || f.sends >= maxSends {
 			return
 		}
--- a/core/forward_silent.go
+++ b/core/forward_silent.go
@@ -28,7 +28,7 @@
 // for the run's StallAfter.
 func (s *forwards) handleStalled(n *Node, m ForwardStalled) {
 	f, ok := s.live[m.ID]
-	if !ok || m.Send != f.current || f.silent != nil {
+	if !ok || m.Send != f.current || f.silent != nil || n.justResumed() {
 		return
 	}
 	n.isolation.observeNoAnswer(n, f.decode)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -344,11 +344,19 @@
 // watchFirstEvent looks for another engine for a resumable stream if the present one
 // does not send a first event in time.
 func (s *forwards) watchFirstEvent(n *Node, f *forwardedRequest) {
+	s.watchFirstEventAfter(n, f, time.Duration(firstEventObjectives*float64(f.route.Objective)))
+}
+
+func (s *forwards) watchFirstEventAfter(n *Node, f *forwardedRequest, after time.Duration) {
 	step := f.step
-	n.afterFunc(time.Duration(firstEventObjectives*float64(f.route.Objective)), func(n *Node) {
+	n.afterFunc(after, func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
+		if n.justResumed() {
+			s.watchFirstEventAfter(n, f, resumeGrace)
+			return
+		}
 		if f.silent == nil {
 			s.replaceSilentRun(n, f)
 		}
--- a/core/node.go
+++ b/core/node.go
@@ -122,6 +122,15 @@
 	n.now = max(n.now, now)
 }
 
+// resumeGrace is how long after a pause of its process a node does not take others for silent: it
+// has not read yet what they have sent meanwhile.
+const resumeGrace = 200 * time.Millisecond
+
+// justResumed reports whether the process was paused until a moment ago.
+func (n *Node) justResumed() bool {
+	return n.resumedAt != 0 && n.now.Sub(n.resumedAt) < resumeGrace
+}
+
 // do adds a command to those that the current Update returns.
 func (n *Node) do(c Command) { n.commands = append(n.commands, c) }
 
