--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -128,6 +128,7 @@
 // reportPlacesAgain reports to owners what this node's requests hold, because the owners may have
 // taken it for dead and have released that. Those that have not ignore it.
 func (s *forwards) reportPlacesAgain(n *Node) {
+	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "taken-for-dead", Tokens: Tokens(len(s.live))}})
 	s.reportPlaces(n)
 	n.afterFunc(placesReportDelay, s.reportPlaces)
 }
