--- a/daisyshed/upstream/late_copy_test.go
+++ b/daisyshed/upstream/late_copy_test.go
@@ -103,7 +103,7 @@
 func TestCancelledRequestIsNotDeliveredLater(t *testing.T) {
 	is := is.New(t)
 	ended := make(chan error, 1)
-	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+	address := serve(t, func(_ net.Conn, r *bufio.Reader) {
 		if readRequest(r) {
 			_, err := r.ReadByte()
 			ended <- err
