--- a/daisyshed/peer/transport_test.go
+++ b/daisyshed/peer/transport_test.go
@@ -159,7 +159,7 @@
 		p.a.Enqueue("b", "addr", core.Heartbeat{Sequence: uint64(i)})
 	}
 	for i := range 3 {
-		is.Equal(<-p.inbox, core.PeerMessage{From: "a", Incarnation: 7, Body: core.Heartbeat{Sequence: uint64(i)}})
+		is.Equal(<-p.inbox, core.PeerMessage{From: "a", Incarnation: 7, Protocol: core.LatestProtocol, Body: core.Heartbeat{Sequence: uint64(i)}})
 	}
 	synctest.Wait()
 	is.Equal(p.connections(), 1)
