Let the route's priority decide between tenants of equal priority

Cause: the priority of a tenant replaced that of the route. Change: the tenant's rank decides first, the route's between equal ones.

--- a/core/forward.go
+++ b/core/forward.go
@@ -291,7 +291,7 @@
 	patience := min(f.Patience, f.route.Timeout)
 	f.deadline = n.now.Add(patience)
 	f.queueEntry = queueEntry{
-		rank:           f.ownRank(),
+		rank:           s.ownRank(f),
 		arrived:        n.now,
 		latestOnTime:   n.now.Add(f.route.Objective - s.usualFirstByteTime(f)),
 		callerDeadline: f.deadline,
--- a/core/key_check.go
+++ b/core/key_check.go
@@ -91,12 +91,22 @@
 	}
 }
 
-// ownRank returns the rank of the request's tenant if it has one, else that of the route.
-func (f *forwardedRequest) ownRank() int {
-	if rank, ok := f.tenantRank.Get(); ok {
-		return rank
+// routeRanks is the number of route ranks that are told apart within one rank of tenants.
+const routeRanks = 16
+
+// ownRank returns the rank of the request. The tenant's rank decides first and the route's decides
+// between requests of equal tenants, so that kinds of requests keep their order where all tenants have
+// the same rank. The route's rank stands in for that of a tenant without one.
+func (s *forwards) ownRank(f *forwardedRequest) int {
+	route := f.route.Rank
+	if !s.state.HasTenants {
+		return route
+	}
+	tenant, ok := f.tenantRank.Get()
+	if !ok {
+		tenant = route
 	}
-	return f.route.Rank
+	return tenant*routeRanks + min(max(route, 0), routeRanks-1)
 }
 
 // mustHideKey reports whether the caller's key must not reach upstreams: the state by which the
