Run two builds side by side in the soak, and skip unknown messages

This build skips an unknown message, and reports it once for the stream. Tests of platform, wire, standin and daisyshed pass.

--- a/bench/cmd/hostedsoak/main.go
+++ b/bench/cmd/hostedsoak/main.go
@@ -23,6 +23,7 @@
 	Nodes    int           `long:"nodes" value-name:"N" description:"daemons of a run" default:"4"`
 	Callers  int           `long:"callers" value-name:"N" description:"callers of a run" default:"24"`
 	Faults   []string      `long:"faults" value-name:"TEXT" description:"only faults whose names contain this; may be repeated"`
+	Other    string        `long:"other-daemon" value-name:"FILE" description:"another build's program, which half of the nodes begin with; each start of a node may be with either"`
 	OmitBorn bool          `long:"omit-born" description:"some workers do not say in their answers when they started"`
 }
 
@@ -54,7 +55,7 @@
 			defer wait.Done()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			result, err := hosted.Run(opts.Bin, opts.Seed+uint64(i), opts.Length, hosted.Size{Nodes: opts.Nodes, Callers: opts.Callers, Faults: opts.Faults, OmitBorn: opts.OmitBorn})
+			result, err := hosted.Run(opts.Bin, opts.Seed+uint64(i), opts.Length, hosted.Size{Nodes: opts.Nodes, Callers: opts.Callers, Faults: opts.Faults, OmitBorn: opts.OmitBorn, Other: opts.Other})
 			mu.Lock()
 			defer mu.Unlock()
 			for kind, n := range result.Injected {
--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -85,6 +85,8 @@
 	block    int
 	bin      string
 	rng      *rand.Rand
+	// programRNG draws the builds of processes.
+	programRNG *rand.Rand
 	// upstreamsOnly restricts faults to the upstreams and changes of settings and
 	// state. Bounds on time are checked throughout then: the platform promises
 	// them only for nodes that are running and connected.
@@ -178,8 +180,10 @@
 	ratio float64
 	// overLimit is set once the daemon has exceeded its memory limit.
 	overLimit bool
-	cmd       *exec.Cmd
-	ended     chan struct{}
+	// other says that the latest process is of the other build.
+	other bool
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 // open starts the stand-ins and the daemons of a run. The returned function ends
@@ -193,7 +197,7 @@
 		return nil, nil, err
 	}
 	d := &deployment{
-		size: size, grace: grace, dir: dir, bin: bin, block: int(seed % addressBlocks), rng: rand.New(rand.NewPCG(seed, 2)),
+		size: size, grace: grace, dir: dir, bin: bin, block: int(seed % addressBlocks), rng: rand.New(rand.NewPCG(seed, 2)), programRNG: rand.New(rand.NewPCG(seed, 4)),
 		upstreamsOnly: seed%3 == 0, limitsFirst: seed%2 == 0, lateFirst: seed%3 != 0 && seed%5 == 2, noRetries: seed%4 == 1, memoryMB: memoryLimits[seed%uint64(len(memoryLimits))],
 		store: &metastore.Store{Delay: 2 * time.Millisecond}, judge: newJudge(grace),
 		workers: map[string]*workerHandle{}, done: make(chan struct{}),
@@ -452,16 +456,21 @@
 	if d.closed || p.running() {
 		return nil
 	}
-	cmd := exec.Command(d.bin, "--hosted", "--advertise-peer", d.address(peerNetwork, n, peerPort), "--source-address", d.source(p.index).String())
+	cmd := exec.Command(d.program(p), "--hosted", "--advertise-peer", d.address(peerNetwork, n, peerPort), "--source-address", d.source(p.index).String())
 	cmd.Env = append(os.Environ(), hostedsite.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	endFormer := func() {}
+	if p.other {
+		endFormer = d.judge.beginHarm(d.nodeAddress(p.index, callerPort), nodeFormer)
+	}
 	ended := make(chan struct{})
 	p.cmd, p.ended, p.stopping, p.overLimit = cmd, ended, false, false
 	go func() {
 		err := cmd.Wait()
+		endFormer()
 		d.mu.Lock()
 		if !p.stopping {
 			d.judge.reportViolation(fmt.Sprintf("n%d ended by itself: %v", n, err))
@@ -472,6 +481,23 @@
 	return nil
 }
 
+// program chooses the program of a node's next process. The caller holds d.mu.
+func (d *deployment) program(p *process) string {
+	if d.size.Other == "" {
+		return d.bin
+	}
+	if first := p.cmd == nil; first {
+		p.other = p.index%2 == 1
+	} else {
+		p.other = d.programRNG.IntN(2) == 0
+	}
+	d.judge.count(map[bool]string{false: "starts", true: "starts of the other build"}[p.other])
+	if p.other {
+		return d.size.Other
+	}
+	return d.bin
+}
+
 // running reports whether the daemon has been started and has not ended. Faults
 // overlap, so two of them may try to restart the same daemon. A second process
 // would not be ended with the run and would serve later runs at the same
--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -67,6 +67,9 @@
 	// OmitBorn has some workers omit their start time from their answers. Then only the list of
 	// workers distinguishes an incarnation from the next one.
 	OmitBorn bool
+	// Other is the program of another build; empty for none. Every second node begins with it, and
+	// each later start of a node is with either.
+	Other string
 }
 
 // DefaultSize is the size of most runs.
@@ -155,10 +158,19 @@
 // crash, and a key of a caller.
 var faultLogMarks = []string{`"Event":"Violation"`, "WARNING: DATA RACE", "panic: ", "fatal error: ", keyMark}
 
+// otherBuildMarks are texts in a daemon's log that show that it does not understand what nodes of
+// another build write: their desired states, their messages, and values in these. Such a node may serve
+// by its own reads of the store.
+var otherBuildMarks = []string{`"Event":"Unreadable"`, "envelope without a known body", "has the unknown value"}
+
 // faultsInLogs returns the first line of each daemon's log that shows a fault of the
 // daemon itself.
 func (d *deployment) faultsInLogs() []string {
 	var faults []string
+	marks := faultLogMarks
+	if d.size.Other != "" {
+		marks = slices.Concat(marks, otherBuildMarks)
+	}
 	for i := range d.size.Nodes {
 		raw, err := os.ReadFile(d.logPath(i))
 		if err != nil {
@@ -167,7 +179,7 @@
 		}
 		for line := range strings.Lines(string(raw)) {
 			isFault := func(mark string) bool { return strings.Contains(line, mark) }
-			if slices.ContainsFunc(faultLogMarks, isFault) {
+			if slices.ContainsFunc(marks, isFault) {
 				faults = append(faults, fmt.Sprintf("log of n%d: %s", i+1, strings.TrimSpace(line)))
 				break
 			}
--- a/daisyshed/peer/secure_test.go
+++ b/daisyshed/peer/secure_test.go
@@ -105,7 +105,7 @@
 	is := is.New(t)
 	a, _, address, inbox := securePair(t, "a")
 	a.Enqueue("b", address, core.Heartbeat{Sequence: 1})
-	is.Equal(<-inbox, core.PeerMessage{From: "a", Incarnation: 7, Body: core.Heartbeat{Sequence: 1}})
+	is.Equal(<-inbox, core.PeerMessage{From: "a", Incarnation: 7, Protocol: core.LatestProtocol, Body: core.Heartbeat{Sequence: 1}})
 
 	impostor, faults, address, inbox := securePair(t, "c")
 	impostor.Enqueue("b", address, core.Heartbeat{Sequence: 1})
--- a/daisyshed/peer/serve.go
+++ b/daisyshed/peer/serve.go
@@ -107,10 +107,11 @@
 
 // receive passes the messages of a stream to t.Receive until the stream ends, or
 // until a message names a sender that the connection's certificate does not
-// allow.
+// allow. A message that only later builds know is skipped, and reported once for the stream.
 func (t *Transport) receive(conn net.Conn, stream *yamux.Stream, check identityCheck) error {
 	frames := bufio.NewReader(stream)
 	var sender core.NodeID
+	reported := false
 	defer func() { t.forgetIncoming(sender, conn) }()
 	for {
 		// The deadline is twice the sender's idle timeout, so that the sender
@@ -119,6 +120,13 @@
 			return err
 		}
 		m, err := wire.ReadFrame(frames)
+		if errors.Is(err, wire.EmptyEnvelopeError{}) {
+			if !reported {
+				t.Meter.PeerFault(err)
+			}
+			reported = true
+			continue
+		}
 		if err != nil {
 			return err
 		}
--- a/daisyshed/peer/transport_test.go
+++ b/daisyshed/peer/transport_test.go
@@ -135,6 +135,7 @@
 	{"Full queue drops without blocking", fullQueueDropsWithoutBlocking},
 	{"Invalid bytes end only their connection", invalidBytesEndOnlyTheirConnection},
 	{"Invalid frame ends only its connection", invalidFrameEndsOnlyItsConnection},
+	{"Message of a later build is skipped", messageOfLaterBuildIsSkipped},
 	{"Connection without a stream is closed", connectionWithoutStreamIsClosed},
 	{"Message that cannot be encoded leaves its connection open", unencodableMessageLeavesItsConnectionOpen},
 }
@@ -159,7 +160,7 @@
 		p.a.Enqueue("b", "addr", core.Heartbeat{Sequence: uint64(i)})
 	}
 	for i := range 3 {
-		is.Equal(<-p.inbox, core.PeerMessage{From: "a", Incarnation: 7, Body: core.Heartbeat{Sequence: uint64(i)}})
+		is.Equal(<-p.inbox, core.PeerMessage{From: "a", Incarnation: 7, Protocol: core.LatestProtocol, Body: core.Heartbeat{Sequence: uint64(i)}})
 	}
 	synctest.Wait()
 	is.Equal(p.connections(), 1)
@@ -271,6 +272,32 @@
 	is.True(errors.As(p.meterB.faultsSoFar()[0], &decode))
 }
 
+// The connection of a node with a later build was closed at each message that this build does not
+// know, and what followed was lost.
+func messageOfLaterBuildIsSkipped(t *testing.T) {
+	is := is.New(t)
+	p := newPair()
+	defer p.close()
+	near, far := net.Pipe()
+	defer near.Close()
+	go p.b.ServeConn(far)
+	session, err := yamux.Client(near, nil)
+	is.NoErr(err)
+	stream, err := session.OpenStream()
+	is.NoErr(err)
+	// An envelope from "a" with field 59, which is no body of this build.
+	unknown := []byte{6, 0x0a, 1, 'a', 0xda, 0x03, 0}
+	known, err := wire.EncodeFrame(core.PeerMessage{From: "a", Body: core.StateQuery{}})
+	is.NoErr(err)
+	for _, frame := range [][]byte{unknown, known, unknown, known} {
+		_, err = stream.Write(frame)
+		is.NoErr(err)
+	}
+	synctest.Wait()
+	is.Equal(len(p.inbox), 2)
+	is.Equal(p.meterB.faultsSoFar(), []error{wire.EmptyEnvelopeError{}})
+}
+
 func connectionWithoutStreamIsClosed(t *testing.T) {
 	is := is.New(t)
 	p := newPair()
--- a/wire/peer/frame.go
+++ b/wire/peer/frame.go
@@ -95,8 +95,8 @@
 }
 
 // ReadFrame reads one envelope with a length prefix and returns its message. It
-// returns io.EOF at the end of the stream. After any other error the stream must
-// not be read any further.
+// returns io.EOF at the end of the stream. After any other error but
+// [EmptyEnvelopeError] the stream must not be read any further.
 func ReadFrame(r protodelim.Reader) (core.PeerMessage, error) {
 	size, err := binary.ReadUvarint(r)
 	if errors.Is(err, io.EOF) {
--- a/wire/peer/peer_test.go
+++ b/wire/peer/peer_test.go
@@ -10,6 +10,8 @@
 	"daisyshed.dev/core"
 	"daisyshed.dev/wire/peer"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 	"pgregory.net/rapid"
 )
@@ -82,6 +84,22 @@
 	is.Equal(out.Body.(core.PlaceForward).ID, core.ForwardID(3))
 }
 
+// Nodes of a later build send fields that this one does not know, in the envelope and in its body.
+func TestUnknownFieldsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	in := core.PeerMessage{From: "a", Incarnation: 3, Body: core.PlaceForward{ID: 3, Rank: 1}}
+	e, err := peer.ToEnvelope(in)
+	is.NoErr(err)
+	unknown := protowire.AppendString(protowire.AppendTag(nil, 999, protowire.BytesType), "later")
+	e.ProtoReflect().SetUnknown(unknown)
+	e.GetPlaceForward().ProtoReflect().SetUnknown(unknown)
+	data, err := proto.Marshal(e)
+	is.NoErr(err)
+	out, err := peer.Decode(data)
+	is.NoErr(err)
+	is.Equal(out, in)
+}
+
 func TestInvalidEnvelopesGiveTypedErrors(t *testing.T) {
 	is := is.New(t)
 	_, err := peer.Decode(nil)
