--- a/bench/hosted/unfinished.go
+++ b/bench/hosted/unfinished.go
@@ -38,7 +38,7 @@
 	defer conn.Close()
 	d.stop(d.nodes[0])
 	time.Sleep(sendAfterStop)
-	m := message{id: "unfinished", kind: hostedsite.NonIdempotent, body: []byte("x"), deadline: time.Now().Add(2 * patience)}
+	m := message{id: "unfinished", kind: hostedsite.NonIdempotent, body: []byte("x"), deadline: time.Now().Add(2 * patience), key: d.keys.key(validKey, d.rng)}
 	r, err := m.encode(unfinishedAttempt)
 	if err != nil {
 		return "", err
