--- a/core/usagecap/usagecap_test.go
+++ b/core/usagecap/usagecap_test.go
@@ -190,7 +190,7 @@
 // is larger than its part of the burst must not come on top of the cap, nor be granted when it is alone again.
 func TestNodesThatAreAllAloneKeepTheBound(t *testing.T) {
 	is := is.New(t)
-	terms := usagecap.Terms{Rate: 36000, Window: 8 * time.Second, Over: 0.1, Slack: 70000, Nodes: 65}
+	terms := usagecap.Terms{Rate: 36000, Window: 8 * time.Second, Over: 0.1, Slack: 20000, Nodes: 65}
 	d := newDeployment(terms, 1)
 	phase := func(length time.Duration, alone, quiet bool) (served int) {
 		for end := d.now + length; d.now < end; d.pass(20 * time.Millisecond) {
