Grant shares of usage caps ahead of requests, or one by one

Cause: a node that places few requests of a tenant got fragments of a share that serve no request, and many nodes that expect requests held all of a small cap. Change: nodes that place requests of others hold amounts ahead, with a floor of two requests; the others get what a waiting request needs as a whole. A part of the stock is kept for nodes that begin to place. An allocator drops its stock when no node leaves its part to it.

--- a/core/usagecap/allocator.go
+++ b/core/usagecap/allocator.go
@@ -8,16 +8,34 @@
 
 const (
 	// leaseTime is how long a node may use an amount after its grant.
-	leaseTime = 2 * time.Second
+	leaseTime = 1500 * time.Millisecond
 	// horizon is the time for whose demand a node holds granted amounts. It serves that long without
-	// an allocator.
-	horizon = 1250 * time.Millisecond
+	// an allocator. All nodes together hold heldShare of the stock at most, so that the rest is there
+	// for nodes that begin to place requests.
+	horizon   = 1250 * time.Millisecond
+	heldShare = 0.7
 	// maxDue is the longest time for which an allocator keeps the share of a node that does not report.
 	maxDue = 500 * time.Millisecond
+	// maxWait is the time whose fair share a request that waits may get at once.
+	maxWait = time.Second
 	// holderTime is how long an allocator remembers a node that does not report.
 	holderTime = 10 * time.Second
-	// floorShare is the share of the stock that a node without demand gets at most.
-	floorShare = 1.0 / 4
+	// floorShare is the share of the stock that a node without demand gets at most, and idleShare that
+	// of the depth which all nodes together hold beyond their demand: while nodes differ in who places
+	// requests, many of them expect some.
+	floorShare = 0.5
+	idleShare  = 0.7
+	// aheadShare is the share of its floor that a node must have to hold, by its demand or by what is
+	// left for nodes without demand, to get amounts ahead of its requests: its floor suffices for two
+	// requests, and what does not suffice for one serves nobody.
+	aheadShare = 0.5
+	// plentyShare is the share of the stock from which on other nodes get such amounts too.
+	plentyShare = 0.5
+	// shortShare is the share of what a node is to hold, from which on it is short.
+	shortShare = 0.7
+	// headroom is the fair share of a node in proportion to its demand, if there is enough: requests
+	// come unevenly.
+	headroom = 1.25
 )
 
 // Usage is what a node reports of one tenant to the allocator.
@@ -26,10 +44,16 @@
 	// to hold amounts even if there is no demand; in units a second.
 	Demand, Floor float64
 	// Used is what the node has admitted since it started, and Level what it has left of granted
-	// amounts; in units.
+	// amounts; in units. Level is negative if a request waits, by what is missing for it.
 	Used, Level float64
 }
 
+// target returns what the node is to hold, in units.
+func (u Usage) target() float64 { return max(u.Demand, u.Floor) * horizon.Seconds() }
+
+// Short reports whether the node should get more before long.
+func (u Usage) Short() bool { return u.Level < shortShare*u.target() }
+
 // Share is what an allocator grants to a node.
 type Share struct {
 	// Amount may be used until the lease ends, after the time Left. Rate is the rate at which more is
@@ -46,9 +70,9 @@
 	terms Terms
 	born  time.Duration
 	// stock is what has accrued and was not granted at the time at, when the delegations had passed
-	// seconds.
-	stock, seconds float64
-	at             time.Duration
+	// seconds. depth is what stock and holders contain together at most.
+	stock, seconds, depth float64
+	at                    time.Duration
 	// holders are in the order of their names.
 	holders []*holder
 }
@@ -57,6 +81,10 @@
 type holder struct {
 	node   string
 	demand float64
+	// floor is what a node that places the requests of others wants to hold at least, in units. ahead is
+	// set if it gets amounts ahead of its requests. Other nodes get what their requests need, one by one.
+	floor float64
+	ahead bool
 	// target is what the node is to hold, and level what it held when it last reported and what was
 	// granted to it then.
 	target, level float64
@@ -86,19 +114,19 @@
 func (a *Allocator) Report(now time.Duration, seconds float64, count int, node string, u Usage) Share {
 	h := a.holder(now, node)
 	a.recordUse(h, u.Used)
-	h.demand, h.level = u.Demand, max(u.Level, 0)
-	h.target = max(u.Demand, u.Floor) * horizon.Seconds()
+	h.demand, h.level, h.floor = u.Demand, max(u.Level, 0), u.Floor*horizon.Seconds()
+	h.target = u.target()
 	a.accrue(now, seconds, count)
 	a.divide(count)
 	amount := a.amountFor(now, h, u)
 	a.stock -= amount
-	h.level += amount
+	h.level = max(u.Level+amount, 0)
 	h.reportedAt, h.until = now, now+leaseTime
 	return Share{Amount: amount, Rate: a.expectedRate(h, count), Left: leaseTime, UsedElsewhere: h.elsewhere}
 }
 
 // amountFor returns how much a node gets. The fair shares of the others since they last reported stay
-// in stock.
+// in stock. What is less than a request that waits needs would serve nobody.
 func (a *Allocator) amountFor(now time.Duration, h *holder, u Usage) float64 {
 	due := 0.0
 	for _, other := range a.holders {
@@ -106,14 +134,50 @@
 			due += other.due(now)
 		}
 	}
-	available := max(a.stock-due, min(a.stock, h.rate*min(now-h.reportedAt, maxDue).Seconds()), 0)
-	wanted := max(u.Demand*horizon.Seconds()-h.level, min(u.Floor*horizon.Seconds()-h.level, floorShare*a.stock))
-	return max(min(wanted, available), 0)
+	since, missing := maxDue, max(-u.Level, 0)
+	if missing > 0 {
+		since = maxWait
+	}
+	available := max(a.stock-due, min(a.stock, h.rate*min(now-h.reportedAt, since).Seconds()), 0)
+	amount := min(a.wanted(h, u, missing), available)
+	if amount < missing {
+		return 0
+	}
+	return max(amount, 0)
+}
+
+// wanted returns how much a node is to get if there is enough in stock.
+func (a *Allocator) wanted(h *holder, u Usage, missing float64) float64 {
+	rates, idle, placers, span := 0.0, 0.0, 0, horizon.Seconds()
+	for _, other := range a.holders {
+		rates += other.rate
+		if other.floor > 0 {
+			placers++
+		}
+		if other != h {
+			idle += max(other.level-other.demand*span, 0)
+		}
+	}
+	if rates > 0 {
+		span = min(span, heldShare*a.depth/rates)
+	}
+	wanted, floor := h.rate*span, min(h.floor, idleShare*a.depth/float64(max(placers, 1)))
+	h.ahead = max(wanted, floor) >= aheadShare*h.floor && h.floor > 0
+	if !h.ahead {
+		floor = 0
+		if a.stock < plentyShare*a.depth {
+			wanted = 0
+		}
+	}
+	return max(wanted-u.Level, missing, min(floor-u.Level, floorShare*a.stock, idleShare*a.depth-idle))
 }
 
 // due returns the fair share of a node since it last reported, as far as it is expected to want it.
 func (h *holder) due(now time.Duration) float64 {
-	passed := min(now-h.reportedAt, maxDue).Seconds()
+	passed := (now - h.reportedAt).Seconds()
+	if !h.ahead || passed > maxDue.Seconds() {
+		return 0
+	}
 	return max(min(h.rate*passed, h.target-h.level+h.demand*passed), 0)
 }
 
@@ -121,7 +185,7 @@
 func (a *Allocator) holder(now time.Duration, node string) *holder {
 	a.holders = slices.DeleteFunc(a.holders, func(h *holder) bool {
 		if now >= h.until {
-			h.level, h.demand, h.target, h.rate = 0, 0, 0, 0
+			h.level, h.demand, h.floor, h.target, h.rate = 0, 0, 0, 0, 0
 		}
 		return now-h.reportedAt > holderTime
 	})
@@ -161,13 +225,14 @@
 	}
 	if count == 0 {
 		// Other allocators have had the parts of all nodes meanwhile.
-		a.born, a.stock = now, 0
+		a.born, a.stock, a.depth = now, 0, 0
 		return
 	}
-	income, depth := min(a.terms.part()*spans, a.terms.Rate*passed), a.terms.share(a.terms.Depth())*float64(count)
+	income := min(a.terms.part()*spans, a.terms.Rate*passed)
+	a.depth = a.terms.share(a.terms.Depth()) * float64(count)
 	if a.sparse(count) {
 		span := sparseTime * a.terms.Window.Seconds()
-		depth = max(depth, a.terms.share(a.terms.Rate)*float64(count)*span)
+		a.depth = max(a.depth, a.terms.share(a.terms.Rate)*float64(count)*span)
 		if (now - a.born).Seconds() > span {
 			income *= 1 - sparseTime
 		}
@@ -176,7 +241,7 @@
 	for _, h := range a.holders {
 		held += h.level
 	}
-	a.stock = max(min(a.stock+max(income, 0), depth-held), 0)
+	a.stock = max(min(a.stock+max(income, 0), a.depth-held), 0)
 }
 
 // sparse reports whether few of all nodes leave their part to the allocator.
@@ -187,14 +252,14 @@
 	return min(a.terms.part()*float64(count), a.terms.Rate)
 }
 
-// divide sets the fair share of each node: its demand, or an equal part of what those with less demand
-// leave.
+// divide sets the fair share of each node: its demand with some headroom, or an equal part of what those
+// with less demand leave.
 func (a *Allocator) divide(count int) {
 	list := slices.Clone(a.holders)
 	slices.SortStableFunc(list, func(x, y *holder) int { return cmp.Compare(x.demand, y.demand) })
 	left := a.income(count)
 	for i, h := range list {
-		h.rate = min(h.demand, left/float64(len(list)-i))
+		h.rate = min(headroom*h.demand, left/float64(len(list)-i))
 		left -= h.rate
 	}
 }
--- a/core/usagecap/meter.go
+++ b/core/usagecap/meter.go
@@ -36,8 +36,8 @@
 // Returns tells callers that were rejected when to come back, so that they do not all come at one time.
 type Returns struct{ next time.Duration }
 
-// Assign returns when a rejected caller is to come back: not before the earliest time, step after the
-// one rejected before it, and not after the longest time that it honours.
+// Assign returns after which time a rejected caller is to come back: step after the one rejected before
+// it, but not before the earliest time and not after the longest time that it honours.
 func (r *Returns) Assign(now, earliest, step, longest time.Duration) time.Duration {
 	r.next = min(max(r.next+step, now+earliest), now+longest)
 	return r.next - now
--- a/core/usagecap/terms.go
+++ b/core/usagecap/terms.go
@@ -16,12 +16,17 @@
 	marginParts = 4
 	// minStock is the time for which the cap must be in stock at least, so that the nodes that place
 	// requests do not run out between two grants.
-	minStock = 600 * time.Millisecond
+	minStock = time.Second
 	// ownShare is the share of the margin that the own parts of all nodes contain. In a window, a
 	// quarter of it accrues in addition.
 	ownShare = 1.0 / (marginParts + 1)
 	// ownRefillWindows is the number of windows in which an own part accrues.
 	ownRefillWindows = 4
+	// floorTime is the time for whose usage a node that places the requests of others holds amounts of
+	// each tenant, and floorParts the number of such nodes for which the stock suffices at least.
+	floorTime     = 250 * time.Millisecond
+	floorParts    = 4
+	floorRequests = 2
 	// sparseParts is such that an allocator with at most one in sparseParts of the nodes is sparse.
 	sparseParts = 8
 	// sparseTime is the share of the window whose income a sparse allocator may keep in stock.
@@ -49,6 +54,13 @@
 	return t.Burst + max(min(t.Rate*minStock.Seconds()-t.Burst, t.margin()/marginParts), 0)
 }
 
+// Floor returns the rate for which a node that places the requests of others is to hold amounts before
+// there is demand, in units a second. They suffice for two requests of the given size.
+func (t Terms) Floor(request float64) float64 {
+	floor := min(t.Rate*floorTime.Seconds(), t.Depth()/floorParts)
+	return max(floor, min(floorRequests*request, t.Depth()/2)) / horizon.Seconds()
+}
+
 // perWindow returns what the cap allows in one window, in units.
 func (t Terms) perWindow() float64 { return t.Rate*t.Window.Seconds() + t.Burst }
 
