Reject requests over the usage cap of their tenant where they are placed

Change: the node that places a request charges it to its share of the cap, before a place in a queue, a lease or a prefill, or rejects it as OverShare with the time at which there is room. Nodes report to one allocator, which grants shares; they change to the next one if it is silent. An entry charges what it places itself, and what an owner of an earlier build places. Requests are charged once, and given back if provably not run. Status and decisions show it.

--- a/core/addresses.go
+++ b/core/addresses.go
@@ -213,6 +213,8 @@
 		s.ProofAge = Some(proof.Age)
 	}
 	s.Limits = n.forward.upstreams.limits()
+	s.Usage, s.UsageAllocator = n.usage.status(n), n.usage.reports.current
+	s.UsageParts = n.usage.allocator.delegations.Count(time.Duration(n.now))
 	s.Suspects, s.Blocked = len(n.forward.suspects.suspicions), len(n.forward.suspects.blocked)
 	for _, u := range n.members.upstreams() {
 		s.Upstreams = append(s.Upstreams, n.upstreamStatus(u))
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -15,19 +15,28 @@
 	deniedFor = 250 * time.Millisecond
 )
 
-// handlePlaceForward handles a placement request: the request is placed or queued, or
-// rejected at once if it cannot expect to be served in time.
+// handlePlaceForward handles a placement request: the request is rejected if it is over the usage cap of
+// its tenant. Otherwise it is placed or queued, or rejected at once if it cannot expect to be served in
+// time.
 func (d *dispatcher) handlePlaceForward(n *Node, from NodeID, m PlaceForward) {
 	key := jobKey{node: from, id: m.ID}
+	n.usage.cancel(key)
 	if old, ok := d.jobs[key]; ok {
+		m.Charged = m.Charged || old.charged
 		d.remove(n, old)
 	}
+	n.usage.admitPlacement(n, from, m, d.acceptPlacement)
+}
+
+// acceptPlacement places, queues or rejects a request that is not over the usage cap of its tenant.
+func (d *dispatcher) acceptPlacement(n *Node, from NodeID, m PlaceForward) {
+	key := jobKey{node: from, id: m.ID}
 	j := &dispatchJob{
 		queueEntry: queueEntry{
 			rank: m.Rank, arrived: n.now.Add(-m.Waited), latestOnTime: n.now.Add(m.OnTime), callerDeadline: n.now.Add(m.Patience), objective: m.Objective,
 		},
 		key: key, group: m.Group, prompt: m.Prompt, expected: m.Expected, promptKey: m.PromptKey, attempt: m.Attempt, firstArrived: n.now, sentBefore: m.Again, avoid: SetOf(m.Avoid...), version: m.Version, maxPause: m.MaxPause,
-		waiting: true, addedAt: n.now,
+		waiting: true, addedAt: n.now, tenant: m.Tenant, usage: m.Usage, charged: m.Charged,
 	}
 	d.recordLimitDemand(n, j.group)
 	c := n.roles.costsOf(j.group)
@@ -85,6 +94,9 @@
 		d.rejectedPrompts[j.promptKey] = j.firstArrived
 	}
 	n.send(j.key.node, ForwardTurnedAway{ID: j.key.id, RetryAfter: d.retryAfter(n, j)})
+	if !j.sentBefore {
+		d.refund(n, j)
+	}
 }
 
 // placeWaiting places waiting jobs in order, as far as engines have room, and
--- a/core/dispatch_book.go
+++ b/core/dispatch_book.go
@@ -48,6 +48,10 @@
 	// if unknown. prefillAtDecode says that the decode engine prefills the prompt itself.
 	maxPause        time.Duration
 	prefillAtDecode bool
+	// tenant is charged with usage units of its cap, by this node or before, if charged is set.
+	tenant  TenantID
+	usage   Tokens
+	charged bool
 }
 
 // engineAllocation is what an owner has allocated on one engine.
@@ -155,7 +159,11 @@
 
 // handleReleased handles the report that a request holds nothing any more.
 func (d *dispatcher) handleReleased(n *Node, from NodeID, m ForwardReleased) {
+	n.usage.cancel(jobKey{node: from, id: m.ID})
 	if j, ok := d.jobs[jobKey{node: from, id: m.ID}]; ok {
+		if m.NotRun {
+			d.refund(n, j)
+		}
 		d.recordOutcome(n, from, j, m.Outcome)
 		d.recordCost(n, j, m.Output)
 		d.remove(n, j)
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -34,6 +34,11 @@
 		s.placeLocally(n, f)
 		return
 	}
+	if !n.usage.reports.knows(n, owner, usageProtocol) && s.mustCharge(n, f) {
+		// The owner does not know of usage caps.
+		s.charge(n, f, s.requestPlacement)
+		return
+	}
 	g, _ := f.Generation.Get()
 	f.phase = forwardAwaitingOwner
 	f.step++
@@ -43,7 +48,7 @@
 		ID: f.placement, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
 		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective, MaxPause: f.route.MaxPause,
 		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Version: f.version, Again: f.sends > 0, Avoid: s.unwanted(n, f),
-		Tenant: f.tenant,
+		Tenant: f.tenant, Usage: s.usageOf(n, f), Charged: f.charged,
 	})
 	step := f.step
 	n.afterFunc(ownerTimeout, func(n *Node) {
@@ -60,7 +65,7 @@
 // releaseAtOwner notifies the owner that the request holds nothing any more.
 func (s *forwards) releaseAtOwner(n *Node, f *forwardedRequest) {
 	if f.owner != "" {
-		n.send(f.owner, ForwardReleased{ID: f.placement, Outcome: f.outcome, Output: f.output})
+		n.send(f.owner, ForwardReleased{ID: f.placement, Outcome: f.outcome, Output: f.output, NotRun: f.notRun || s.mustCharge(n, f)})
 		f.owner = ""
 	}
 	f.outcome = RunUnknown
@@ -77,6 +82,7 @@
 func (s *forwards) handleQueued(from NodeID, m ForwardQueued) {
 	if f, ok := s.placed(m.ID); ok && f.phase == forwardAwaitingOwner && f.owner == from {
 		f.ownerAcked = true
+		f.charged = true
 	}
 }
 
@@ -102,6 +108,7 @@
 		return
 	}
 	f.placer = from
+	f.charged = true
 	if _, engine := f.spec.Engine.Get(); !engine {
 		s.runPlainAt(n, f, u)
 		return
@@ -119,6 +126,13 @@
 	// The rejection may be that of an earlier placement with this id. Releasing the present
 	// one is of no effect if the owner has none.
 	s.releaseAtOwner(n, f)
+	if f.sends == 0 {
+		s.chargeReturned(n, f, from)
+	}
+	if m.OverCap {
+		s.end(n, f, OverShare, m.RetryAfter)
+		return
+	}
 	s.end(n, f, NoCapacity, m.RetryAfter)
 }
 
--- a/core/forward.go
+++ b/core/forward.go
@@ -25,6 +25,9 @@
 	// forwardAwaitingPath requests wait before they are placed again, because no connection to
 	// the chosen upstream could be opened.
 	forwardAwaitingPath
+	// forwardAwaitingUsage requests wait for a share of the usage cap of their tenant, to be placed by
+	// this node.
+	forwardAwaitingUsage
 	// forwardLeasing requests wait for an engine to answer a lease request.
 	forwardLeasing
 	// forwardPrefilling requests wait for a prefill engine to compute the
@@ -72,6 +75,9 @@
 	outcome        RunOutcome
 	output         Tokens
 	advisedPrefill EngineID
+	// charged is set once the request is charged to the usage cap of its tenant, by this node or an
+	// owner, and notRun once it has ended and provably no upstream has run it.
+	charged, notRun bool
 	// prefillAtDecode says that the owner wants the decode engine to prefill the prompt.
 	prefillAtDecode bool
 
@@ -205,6 +211,7 @@
 	s.state, s.stateKnown = d, true
 	s.routes, s.tenants = newRouteTable(d.Routes), newTenantTable(d.Tenants)
 	s.versions.applyRoutes(n, d.Routes)
+	n.usage.configure(n)
 	n.do(LimitCallers{d.Limits})
 	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
@@ -461,6 +468,7 @@
 	s.doubt(n, f)
 	s.dequeue(f)
 	s.endLookup(f)
+	s.endCharge(n, f)
 	s.release(n, f)
 	if f.silent != nil {
 		s.releaseSilentRun(n, f, RunUnknown)
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -57,6 +57,10 @@
 // A plain request is sent to an upstream. A request to model engines is queued,
 // or rejected at once if it cannot expect to be served in time.
 func (s *forwards) placeLocally(n *Node, f *forwardedRequest) {
+	if s.mustCharge(n, f) {
+		s.charge(n, f, s.placeLocally)
+		return
+	}
 	f.placer = ""
 	if _, engine := f.spec.Engine.Get(); !engine {
 		s.runPlain(n, f)
--- a/core/forward_world_caller_test.go
+++ b/core/forward_world_caller_test.go
@@ -46,6 +46,8 @@
 	// counts those before.
 	resumedAs   *worldRequest
 	resumptions int
+	// tenant is the tenant of the caller; nil if there is none.
+	tenant *worldTenant
 	// drop ends the latest run at its engine; nil if there is none.
 	drop func()
 }
@@ -98,6 +100,7 @@
 	if notRun && retryAfter > 0 && !r.retried {
 		w.after(retryAfter, func() {
 			w.key = r.key
+			w.tenants.retry(r)
 			w.sendRequest(r.kind, r.output, r.firstArrived, true, core.PromptKey(r.promptKey))
 		})
 		return
@@ -151,6 +154,7 @@
 			Prompt: worldPrompt, MaxOutput: 5 * worldOutput, ExpectedOutput: estimate, PromptKey: promptKey, Parts: parts,
 		})
 	}
+	w.tenants.send(w.now, w.requests[id], &m)
 	n.deliver(m)
 	return id
 }
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -141,6 +141,8 @@
 	resumed []*worldRequest
 	// versions are the software versions that are recorded in the store.
 	versions map[core.ServiceVersion]bool
+	// tenants are the tenants with usage caps; nil if there are none.
+	tenants *worldTenants
 	// streamLog is the log of the origins of streams in the store, and appends and logReads count
 	// calls to it.
 	streamLog         []core.StreamOrigins
@@ -171,8 +173,12 @@
 	// unreached nodes receive nothing from peers, and peers nothing from them. Those that are
 	// cutOff do not reach the store either.
 	unreached, cutOff bool
+	// side is the side of a partition that the node is on.
+	side int
 	// placed counts the requests that the node has placed for others, as an owner.
 	placed int
+	// granted counts the answers of the node as an allocator of usage caps.
+	granted int
 	// controlStreams counts the streams whose versions the node has sent to other nodes, and
 	// controlMessages the messages for that.
 	controlStreams, controlMessages int
@@ -427,6 +433,7 @@
 	case core.RunForward:
 		n.connect(&worldSend{id: c.ID, send: c.Send, engine: c.Engine, step: core.RunStep}, func() { n.runForward(c) })
 	case core.EndForward:
+		w.tenants.end(w.now, w.requests[c.ID], c)
 		n.end(c.ID, c.NotRun, c.RetryAfter)
 	case core.RelayFailure:
 		n.end(c.ID, false, 0)
--- a/core/forward_world_upstream_test.go
+++ b/core/forward_world_upstream_test.go
@@ -127,6 +127,7 @@
 	w.steps[u.ID]++
 	n.arriveAt(u)
 	r.runs++
+	w.tenants.run(w.now, r)
 	w.recordDeadly(c.ID)
 	switch {
 	case u.dead, c.Hold != 0 && r.held != core.EngineCrash{Engine: u.ID, Born: u.Born}:
--- a/core/node.go
+++ b/core/node.go
@@ -56,6 +56,7 @@
 	relays       relays
 	isolation    isolation
 	relayChoice  relayChoice
+	usage        usage
 	checks       checks
 }
 
@@ -91,6 +92,7 @@
 	n.relays.start()
 	n.relayChoice.start()
 	n.isolation.start()
+	n.usage.start()
 	if n.Hosted {
 		n.feed.start(n)
 		n.forward.spread.start(n)
@@ -202,6 +204,7 @@
 		n.roles.handleOrdersNotClaimed(n, m)
 	case BoundsChanged:
 		n.Settings = m.Apply(n.Settings)
+		n.usage.configure(n)
 	case DesiredState:
 		n.forward.applyDesiredState(n, m)
 	case StateTransferBegan:
@@ -267,6 +270,7 @@
 
 func (n *Node) dispatchPeer(m PeerMessage) {
 	n.members.messageReceived(n, m.From, m.Incarnation)
+	n.usage.reports.heard(n, m)
 	switch b := m.Body.(type) {
 	case Heartbeat:
 		n.members.handleHeartbeat(n, m.From, b)
@@ -346,6 +350,10 @@
 		n.dispatcher.handlePlacerAnnounced(n, m.From, b)
 	case LimitsReported:
 		n.forward.upstreams.handleLimitsReported(n, m.From, b)
+	case UsageReported:
+		n.usage.allocator.handleReported(n, m.From, b)
+	case UsageGranted:
+		n.usage.handleGranted(n, m.From, b)
 	case SuspectsReported:
 		n.forward.handleSuspectsReported(n, m.From, b)
 	case StateQuery:
@@ -393,4 +401,5 @@
 	if n.members.applyVMList(n, m) {
 		n.owner.reconcile(n)
 	}
+	n.usage.configure(n)
 }
--- a/core/settings.go
+++ b/core/settings.go
@@ -60,6 +60,8 @@
 	// Retries bounds what all nodes together send to upstreams beyond the first
 	// arrival of each forwarded request.
 	Retries RetryBudget
+	// Usage bounds by how much all nodes together may exceed the usage caps of tenants.
+	Usage UsageBounds
 	// DrainDelay is the time after which a leaving upstream must receive no new
 	// requests.
 	DrainDelay time.Duration
@@ -98,6 +100,7 @@
 		MaxQueue:            64,
 		CheckEvery:          time.Second,
 		Retries:             RetryBudget{Ratio: 0.1, Window: 10 * time.Second, Slack: 10},
+		Usage:               UsageBounds{Window: 8 * time.Second, Over: 0.05},
 		DrainDelay:          2 * time.Second,
 		StateDelay:          2 * time.Second,
 		OrderLease:          5 * time.Second,
@@ -127,6 +130,7 @@
 	s.KeyWritersPerRegion = cmp.Or(s.KeyWritersPerRegion, d.KeyWritersPerRegion)
 	s.MaxQueue = cmp.Or(s.MaxQueue, d.MaxQueue)
 	s.Retries = cmp.Or(s.Retries, d.Retries)
+	s.Usage = cmp.Or(s.Usage, d.Usage)
 	s.DrainDelay = cmp.Or(s.DrainDelay, d.DrainDelay)
 	s.StateDelay = cmp.Or(s.StateDelay, d.StateDelay)
 	s.OrderLease = cmp.Or(s.OrderLease, d.OrderLease)
@@ -137,7 +141,9 @@
 // BoundsChanged replaces those settings of a hosted node that its platform may
 // change while the node runs.
 type BoundsChanged struct {
-	Retries         RetryBudget
+	Retries RetryBudget
+	// Usage is zero if the platform names no bounds.
+	Usage           UsageBounds
 	DrainDelay      time.Duration
 	StateDelay      time.Duration
 	OrderLease      time.Duration
@@ -150,6 +156,7 @@
 // Apply returns the settings with the changed values.
 func (m BoundsChanged) Apply(s Settings) Settings {
 	s.Retries = m.Retries
+	s.Usage = cmp.Or(m.Usage, DefaultSettings().Usage)
 	s.DrainDelay = m.DrainDelay
 	s.StateDelay = m.StateDelay
 	s.OrderLease = m.OrderLease
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -28,6 +28,9 @@
 	if _, ok := c.Body.(core.ForwardPlaced); ok {
 		n.placed++
 	}
+	if _, ok := c.Body.(core.UsageGranted); ok {
+		n.granted++
+	}
 	if b, ok := c.Body.(core.StreamsBegun); ok {
 		n.controlMessages++
 		n.controlStreams += len(b.Streams)
@@ -39,8 +42,10 @@
 		return
 	}
 	for _, to := range w.nodes {
-		if to.node.Self.ID == c.To && !n.unreached && !to.unreached {
-			to.deliverAfter(delay, core.PeerMessage{From: n.node.Self.ID, Incarnation: n.node.Incarnation, Body: c.Body})
+		if to.node.Self.ID == c.To && !n.unreached && !to.unreached && n.side == to.side {
+			to.deliverAfter(delay, core.PeerMessage{
+				From: n.node.Self.ID, Incarnation: n.node.Incarnation, Protocol: core.LatestProtocol, Body: c.Body,
+			})
 		}
 	}
 }
--- a/core/status.go
+++ b/core/status.go
@@ -25,6 +25,12 @@
 	Relays   []NodeID
 	// Limits are the limits on requests that upstreams have named and that are in force.
 	Limits []LimitStatus
+	// Usage is what the node admits for tenants with a usage cap, and UsageAllocator the node that
+	// allocates their caps; empty if this one knows none.
+	Usage          []TenantUsageStatus
+	UsageAllocator NodeID
+	// UsageParts is how many nodes leave their parts of the caps to this one.
+	UsageParts int
 	// Suspects is how many parts of prompts and whole requests are suspected of ending
 	// upstreams, and Blocked how many are rejected for it.
 	Suspects, Blocked int
--- a/core/tenant.go
+++ b/core/tenant.go
@@ -37,14 +37,16 @@
 	Cap  UsageCap
 }
 
-// TenantUsage reports what a node admits of a tenant's requests, in units of the tenant's cap.
+// TenantUsage reports what a node admits of a tenant's requests, in units of the tenant's cap. Without a
+// Tenant, it says that the node leaves its part of all caps to the allocator for the time Left, from the
+// end of what it has left to it before.
 type TenantUsage struct {
 	Tenant TenantID
 	// Demand is the rate at which requests have asked for usage lately, in units a second, and Used
 	// what the node has admitted since it started.
 	Demand, Used float64
-	// Rate is the share of the cap that the node holds, in units a second, for the time Left. Level is
-	// what its bucket contains.
+	// Rate is the rate for which the node wants to hold a share even without demand, in units a second.
+	// Level is what it has left of its share, for the time Left.
 	Rate, Level float64
 	Left        time.Duration
 }
@@ -57,8 +59,8 @@
 	Tenants []TenantUsage
 }
 
-// UsageShare is a share of a tenant's cap: Rate units a second and a burst of Burst units, for the
-// time Left.
+// UsageShare is a share of a tenant's cap. The node may use Burst units during the time Left, and may
+// expect more at the rate Rate, in units a second, as it reports.
 type UsageShare struct {
 	Tenant      TenantID
 	Rate, Burst float64
