--- a/daisyshed/hosted_reload.go
+++ b/daisyshed/hosted_reload.go
@@ -30,6 +30,7 @@
 func bounds(s platform.Settings) core.BoundsChanged {
 	return core.BoundsChanged{
 		Retries:         s.Bounds.Retries,
+		Usage:           s.Bounds.Usage,
 		DrainDelay:      s.Bounds.DrainDelay,
 		StateDelay:      s.Bounds.StateDelay,
 		OrderLease:      s.Bounds.Lease,
--- a/daisyshed/operator/gauges.go
+++ b/daisyshed/operator/gauges.go
@@ -23,6 +23,8 @@
 	m.setGauge("crash_suspects_blocked", float64(s.Blocked))
 	m.setMembers(s)
 	m.setLimits(s.Limits)
+	m.setUsage(s.Usage)
+	m.setGauge("usage_parts_allocated", float64(s.UsageParts))
 	m.setProofAge(s.ProofAge)
 	m.setAllocations(s)
 	m.setInvariants(s)
@@ -82,6 +84,41 @@
 	return m.scope.Tagged(map[string]string{"upstream": string(id)}).Gauge("upstream_limit_per_second")
 }
 
+// setUsage sets what this node admits for tenants with a usage cap, in units of the cap, and how many
+// requests it has rejected over the cap. The share of a tenant whose cap has ended is set to zero.
+func (m *Metrics) setUsage(list []core.TenantUsageStatus) {
+	current := map[core.TenantID]bool{}
+	for _, u := range list {
+		if _, known := m.capped[u.Tenant]; !known && len(m.capped) >= maxTenants {
+			continue
+		}
+		current[u.Tenant] = true
+		scope := m.tenantScope(u.Tenant)
+		scope.Gauge("usage_cap_per_second").Update(u.Cap)
+		scope.Gauge("usage_share_per_second").Update(u.Share)
+		scope.Gauge("usage_share_left").Update(u.Level)
+		scope.Gauge("usage_admitted").Update(u.Admitted)
+		scope.Gauge("usage_rejected_requests").Update(float64(u.Rejected))
+	}
+	for id, capped := range m.capped {
+		if capped && !current[id] {
+			m.tenantScope(id).Gauge("usage_cap_per_second").Update(0)
+			m.tenantScope(id).Gauge("usage_share_per_second").Update(0)
+		}
+		m.capped[id] = current[id]
+	}
+	for id := range current {
+		m.capped[id] = true
+	}
+}
+
+// maxTenants bounds the tenants for which a process reports metrics.
+const maxTenants = 256
+
+func (m *Metrics) tenantScope(id core.TenantID) tally.Scope {
+	return m.scope.Tagged(map[string]string{"tenant": string(id)})
+}
+
 // setAllocations sets the gauges that compare the allocation table of the upstreams
 // that this node owns with the memory that their engines report as allocated.
 func (m *Metrics) setAllocations(s core.Status) {
--- a/daisyshed/operator/metrics.go
+++ b/daisyshed/operator/metrics.go
@@ -60,6 +60,8 @@
 	tracker prefillTracker
 	// limited are the upstreams with a limit at the last status.
 	limited map[core.EngineID]bool
+	// capped are the tenants that have had a usage cap, and whether they had one at the last status.
+	capped map[core.TenantID]bool
 
 	mu      sync.Mutex
 	targets map[core.ProfileID]targets
@@ -82,7 +84,7 @@
 		SanitizeOptions:        sanitizer(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	m := &Metrics{scope: scope, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), onError: onError, tracker: newPrefillTracker()}
+	m := &Metrics{scope: scope, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), onError: onError, tracker: newPrefillTracker(), capped: map[core.TenantID]bool{}}
 	m.register()
 	return m, func() {
 		if err := closer.Close(); err != nil {
