--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -68,7 +68,7 @@
 	s.logRun(n, f)
 	n.do(RunForward{
 		ID: f.ID, Send: number, Engine: u.ID, Address: u.Address, Hold: f.takeHold(), Patience: f.timeLeft(n.now),
-		Once: f.route.RetryPolicy == Once, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
+		Once: f.route.RetryPolicy == Once, Repeatable: f.route.RetryPolicy == Repeatable, NewConnection: newConnection, TakesOver: f.silent != nil, GoneOn: f.goneOn,
 		Tenant: f.tenant, HideKey: s.mustHideKey(f),
 	})
 	s.watchNoAnswer(n, f, u, time.Duration(silentObjectives*float64(f.route.Objective)))
@@ -97,11 +97,19 @@
 // retryIfSilent sends a repeatable request to another upstream too if the present one
 // does not answer in time. The present one may be sound and answer first.
 func (s *forwards) retryIfSilent(n *Node, f *forwardedRequest) {
+	s.retryIfSilentAfter(n, f, time.Duration(silentObjectives*float64(f.route.Objective)))
+}
+
+func (s *forwards) retryIfSilentAfter(n *Node, f *forwardedRequest, after time.Duration) {
 	step := f.step
-	n.afterFunc(time.Duration(silentObjectives*float64(f.route.Objective)), func(n *Node) {
+	n.afterFunc(after, func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
+		if n.justResumed() {
+			s.retryIfSilentAfter(n, f, resumeGrace)
+			return
+		}
 		if f.silent != nil || f.unprovenRuns() >= f.route.MaxRuns || f.sends >= maxSends {
 			return
 		}
--- a/core/forward_stream.go
+++ b/core/forward_stream.go
@@ -323,7 +323,7 @@
 	}
 	run := RunForward{
 		ID: f.ID, Engine: f.decode.ID, Address: f.decode.Address, Lease: f.lease, Hold: f.takeHold(), Patience: f.timeLeft(n.now), MaxOverlap: maxOverlap,
-		Once: f.route.RetryPolicy == Once, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil, GoneOn: f.goneOn,
+		Once: f.route.RetryPolicy == Once, Repeatable: f.route.RetryPolicy == Repeatable, NewConnection: f.sentTo.Has(f.decode.ID), TakesOver: f.silent != nil, GoneOn: f.goneOn,
 		Tenant: f.tenant, HideKey: s.mustHideKey(f),
 	}
 	if f.route.RetryPolicy != Once && f.unprovenRuns()+1 < f.route.MaxRuns {
@@ -350,11 +350,19 @@
 // watchFirstEvent looks for another engine for a resumable stream if the present one
 // does not send a first event in time.
 func (s *forwards) watchFirstEvent(n *Node, f *forwardedRequest) {
+	s.watchFirstEventAfter(n, f, time.Duration(firstEventObjectives*float64(f.route.Objective)))
+}
+
+func (s *forwards) watchFirstEventAfter(n *Node, f *forwardedRequest, after time.Duration) {
 	step := f.step
-	n.afterFunc(time.Duration(firstEventObjectives*float64(f.route.Objective)), func(n *Node) {
+	n.afterFunc(after, func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
+		if n.justResumed() {
+			s.watchFirstEventAfter(n, f, resumeGrace)
+			return
+		}
 		if f.silent == nil {
 			s.replaceSilentRun(n, f)
 		}
--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -71,6 +71,8 @@
 	orders []worldOrder
 	// reads counts reads of the list of upstreams.
 	reads int
+	// tenants returns the tenants of a version of the desired state; nil if it has none.
+	tenants func(version int64) []core.Tenant
 	// orderDelay is the additional time after which orders are carried out.
 	orderDelay time.Duration
 	requests   map[core.ForwardID]*worldRequest
@@ -141,8 +143,8 @@
 	resumed []*worldRequest
 	// versions are the software versions that are recorded in the store.
 	versions map[core.ServiceVersion]bool
-	// tenants are the tenants with usage caps; nil if there are none.
-	tenants *worldTenants
+	// capped are the tenants with usage caps; nil if there are none.
+	capped *worldTenants
 	// streamLog is the log of the origins of streams in the store, and appends and logReads count
 	// calls to it.
 	streamLog         []core.StreamOrigins
@@ -173,7 +175,7 @@
 	// unreached nodes receive nothing from peers, and peers nothing from them. Those that are
 	// cutOff do not reach the store either.
 	unreached, cutOff bool
-	// side is the side of a partition that the node is on.
+	// side is the side of a partition between nodes.
 	side int
 	// placed counts the requests that the node has placed for others, as an owner.
 	placed int
@@ -433,7 +435,7 @@
 	case core.RunForward:
 		n.connect(&worldSend{id: c.ID, send: c.Send, engine: c.Engine, step: core.RunStep}, func() { n.runForward(c) })
 	case core.EndForward:
-		w.tenants.end(w.now, w.requests[c.ID], c)
+		w.capped.end(w.now, w.requests[c.ID], c)
 		n.end(c.ID, c.NotRun, c.RetryAfter)
 	case core.RelayFailure:
 		n.end(c.ID, false, 0)
--- a/core/membership.go
+++ b/core/membership.go
@@ -83,6 +83,7 @@
 	// reconcilePending is set while a call of the owner's reconcile is scheduled.
 	reconcilePending bool
 	detector         detector
+	poll             contactPoll
 	list             vmListState
 	memberCache      memberCache
 }
@@ -250,6 +251,9 @@
 	}
 	s.sequence = u.Sequence + 1
 	s.enqueueUpdate(n.Self.ID)
+	if u.Status == Dead && n.Hosted {
+		n.forward.reportPlacesAgain(n)
+	}
 }
 
 // selfUpdate returns the update that this node sends about itself.
--- a/core/node.go
+++ b/core/node.go
@@ -120,10 +120,20 @@
 func (n *Node) advanceClock(now Instant) {
 	if now.Sub(n.now) > n.Settings.PromiseValid {
 		n.resumedAt = now
+		n.forward.proof.paused(n.members.detector.sequence)
 	}
 	n.now = max(n.now, now)
 }
 
+// resumeGrace is how long after a pause of its process a node does not take others for silent: it
+// has not read yet what they have sent meanwhile.
+const resumeGrace = 200 * time.Millisecond
+
+// justResumed reports whether the process was paused until a moment ago.
+func (n *Node) justResumed() bool {
+	return n.resumedAt != 0 && n.now.Sub(n.resumedAt) < resumeGrace
+}
+
 // do adds a command to those that the current Update returns.
 func (n *Node) do(c Command) { n.commands = append(n.commands, c) }
 
--- a/core/state_spread_test.go
+++ b/core/state_spread_test.go
@@ -68,6 +68,9 @@
 func (w *hostedWorld) largeState(version int64) core.DesiredState {
 	d := worldState()
 	d.Version, d.Offset, d.Encoded = version, core.Offset(version), make([]byte, largeStateBytes)
+	if w.tenants != nil {
+		d.HasTenants, d.Tenants = true, w.tenants(version)
+	}
 	if w.states == nil {
 		w.states = map[core.Offset]core.DesiredState{}
 	}
--- a/core/usage_world_test.go
+++ b/core/usage_world_test.go
@@ -54,9 +54,9 @@
 // in units a second and bursts of a second, or of nothing.
 func usageWorld(seed uint64, burst float64, rates ...float64) *hostedWorld {
 	w := newHostedWorld(worldOptions{nodes: 65, prefillers: 4, decoders: 12, plain: 12, slots: 100, seed: seed, domains: 3})
-	w.tenants = &worldTenants{}
+	w.capped = &worldTenants{}
 	for i, rate := range rates {
-		w.tenants.list = append(w.tenants.list, &worldTenant{Tenant: core.Tenant{
+		w.capped.list = append(w.capped.list, &worldTenant{Tenant: core.Tenant{
 			ID: core.TenantID(fmt.Sprint("t", i)), Keys: []core.CredentialDigest{keyOf(byte(i + 1))},
 			Cap: core.UsageCap{Rate: rate, Burst: burst * rate, Unit: core.TokenUnit, PlainTokens: plainAmount},
 		}})
@@ -66,13 +66,23 @@
 			Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}, DrainDelay: 2 * time.Second, StateDelay: stateDelay,
 			Usage: core.UsageBounds{Window: usageWindow, Over: usageOver, Slack: usageSlack},
 		})
-		n.deliver(w.tenants.state(2))
+		n.deliver(w.capped.state(2))
 	}
 	w.pick = w.anyOf(w.nodes...)
+	w.confirmStates()
 	w.run(20 * time.Second)
 	return w
 }
 
+// confirmStates has the store confirm the desired state to all nodes again and again, so that they know
+// which keys are valid.
+func (w *hostedWorld) confirmStates() {
+	for _, n := range w.nodes {
+		n.deliver(core.StateConfirmed{})
+	}
+	w.after(stateDelay/4, w.confirmStates)
+}
+
 // state returns a version of the desired state with the tenants.
 func (t *worldTenants) state(version int64) core.DesiredState {
 	var list []core.Tenant
@@ -144,9 +154,9 @@
 		kind := []core.RouteID{"draft", "pay", "pay", "pay", "read", "read"}[w.rng.IntN(6)]
 		w.after(at, func() {
 			any := w.pick
-			w.tenants.next, w.pick = t, pick
+			w.capped.next, w.pick = t, pick
 			w.sendRequest(kind, worldOutput/4, w.now, false, 0)
-			w.tenants.next, w.pick = nil, any
+			w.capped.next, w.pick = nil, any
 		})
 	}
 }
@@ -184,7 +194,7 @@
 // sent and by when they arrived.
 func (w *hostedWorld) checkUsage(t *testing.T, from core.Instant) {
 	t.Helper()
-	for _, tenant := range w.tenants.list {
+	for _, tenant := range w.capped.list {
 		limit := tenant.Cap.Rate*usageWindow.Seconds() + tenant.Cap.Burst
 		bound, most := limit*(1+usageOver)+usageSlack, 0.0
 		for _, list := range [][]usedAt{tenant.arrived, tenant.runs} {
@@ -212,13 +222,13 @@
 	n.node = &core.Node{Self: old.Self, Incarnation: old.Incarnation + 1, Seed: old.Seed + 1, Settings: old.Settings, Hosted: true}
 	n.killed, n.wakeAt, n.era = false, 0, 0
 	n.start()
-	n.deliver(n.w.tenants.state(2))
+	n.deliver(n.w.capped.state(2))
 }
 
 // hardLoad has one tenant send 6.7 times its usual rate, another one with the same cap its usual, and a
 // small one far below its cap, for a duration. It returns them.
 func (w *hostedWorld) hardLoad(d time.Duration, greedyAt ...*worldNode) (greedy, other, small *worldTenant) {
-	greedy, other, small = w.tenants.list[0], w.tenants.list[1], w.tenants.list[2]
+	greedy, other, small = w.capped.list[0], w.capped.list[1], w.capped.list[2]
 	w.tenantLoad(greedy, 6.7*usual, d, w.anyOf(greedyAt...))
 	w.tenantLoad(other, usual, d, w.anyOf(w.nodes...))
 	w.tenantLoad(small, 0.2, d, w.anyOf(w.nodes...))
@@ -376,7 +386,7 @@
 	w.run(5 * time.Second)
 	greedy.Cap.Rate, greedy.Cap.Burst = 13_500, 13_500
 	for i, n := range w.nodes {
-		w.after(time.Duration(btoi(i%3 == 0)*2)*time.Second, func() { n.deliver(w.tenants.state(3)) })
+		w.after(time.Duration(btoi(i%3 == 0)*2)*time.Second, func() { n.deliver(w.capped.state(3)) })
 	}
 	w.run(30 * time.Second)
 	w.checkUsage(t, began.Add(7*time.Second+usageWindow))
--- a/daisyshed/settings/core.go
+++ b/daisyshed/settings/core.go
@@ -52,6 +52,7 @@
 		MaxQueue:            s.Limits.Queue,
 		CheckEvery:          core.DefaultSettings().CheckEvery,
 		Retries:             core.DefaultSettings().Retries,
+		Usage:               core.DefaultSettings().Usage,
 		DrainDelay:          core.DefaultSettings().DrainDelay,
 		StateDelay:          core.DefaultSettings().StateDelay,
 		OrderLease:          core.DefaultSettings().OrderLease,
