--- a/core/usage_world_test.go
+++ b/core/usage_world_test.go
@@ -153,10 +153,10 @@
 		}
 		kind := []core.RouteID{"draft", "pay", "pay", "pay", "read", "read"}[w.rng.IntN(6)]
 		w.after(at, func() {
-			any := w.pick
+			usualPick := w.pick
 			w.capped.next, w.pick = t, pick
 			w.sendRequest(kind, worldOutput/4, w.now, false, 0)
-			w.capped.next, w.pick = nil, any
+			w.capped.next, w.pick = nil, usualPick
 		})
 	}
 }
