--- a/core/forward_world_test.go
+++ b/core/forward_world_test.go
@@ -143,6 +143,8 @@
 	resumed []*worldRequest
 	// versions are the software versions that are recorded in the store.
 	versions map[core.ServiceVersion]bool
+	// capped are the tenants with usage caps; nil if there are none.
+	capped *worldTenants
 	// streamLog is the log of the origins of streams in the store, and appends and logReads count
 	// calls to it.
 	streamLog         []core.StreamOrigins
@@ -177,6 +179,8 @@
 	side int
 	// placed counts the requests that the node has placed for others, as an owner.
 	placed int
+	// granted counts the answers of the node as an allocator of usage caps.
+	granted int
 	// controlStreams counts the streams whose versions the node has sent to other nodes, and
 	// controlMessages the messages for that.
 	controlStreams, controlMessages int
@@ -431,6 +435,7 @@
 	case core.RunForward:
 		n.connect(&worldSend{id: c.ID, send: c.Send, engine: c.Engine, step: core.RunStep}, func() { n.runForward(c) })
 	case core.EndForward:
+		w.capped.end(w.now, w.requests[c.ID], c)
 		n.end(c.ID, c.NotRun, c.RetryAfter)
 	case core.RelayFailure:
 		n.end(c.ID, false, 0)
