--- a/bench/hosted/soak.go
+++ b/bench/hosted/soak.go
@@ -67,6 +67,9 @@
 	// OmitBorn has some workers omit their start time from their answers. Then only the list of
 	// workers distinguishes an incarnation from the next one.
 	OmitBorn bool
+	// Other is the program of another build; empty for none. Every second node begins with it, and
+	// each later start of a node is with either.
+	Other string
 }
 
 // DefaultSize is the size of most runs.
@@ -151,14 +154,23 @@
 }
 
 // faultLogMarks are texts in a daemon's log that show a fault of the daemon itself: a
-// violated invariant, a data race that a program built with the race detector found, and
-// a crash.
-var faultLogMarks = []string{`"Event":"Violation"`, "WARNING: DATA RACE", "panic: ", "fatal error: "}
+// violated invariant, a data race that a program built with the race detector found, a
+// crash, and a key of a caller.
+var faultLogMarks = []string{`"Event":"Violation"`, "WARNING: DATA RACE", "panic: ", "fatal error: ", keyMark}
+
+// otherBuildMarks are texts in a daemon's log that show that it does not understand what nodes of
+// another build write: their desired states, their messages, and values in these. Such a node may serve
+// by its own reads of the store.
+var otherBuildMarks = []string{`"Event":"Unreadable"`, "envelope without a known body", "has the unknown value"}
 
 // faultsInLogs returns the first line of each daemon's log that shows a fault of the
 // daemon itself.
 func (d *deployment) faultsInLogs() []string {
 	var faults []string
+	marks := faultLogMarks
+	if d.size.Other != "" {
+		marks = slices.Concat(marks, otherBuildMarks)
+	}
 	for i := range d.size.Nodes {
 		raw, err := os.ReadFile(d.logPath(i))
 		if err != nil {
@@ -167,7 +179,7 @@
 		}
 		for line := range strings.Lines(string(raw)) {
 			isFault := func(mark string) bool { return strings.Contains(line, mark) }
-			if slices.ContainsFunc(faultLogMarks, isFault) {
+			if slices.ContainsFunc(marks, isFault) {
 				faults = append(faults, fmt.Sprintf("log of n%d: %s", i+1, strings.TrimSpace(line)))
 				break
 			}
@@ -194,7 +206,8 @@
 		"worker silent": d.silenceWorker, "worker sends endless bytes": d.sendEndlessBytes,
 		"workers silent while state changes": d.changeStateWhileSilent, "node stopped while workers are silent": d.stopNodesWhileSilent,
 		"size of state changed": d.changeSizeOfState, "hung reads while state changed": d.changeStateWhileReadsHang, "connections silenced while state changed": d.silenceConnections,
-		"state changed": d.changeState, "state in series changed": d.changeStateInSeries,
+		"node cut off while keys change": d.changeKeysBesideCutNode,
+		"state changed":                  d.changeState, "state in series changed": d.changeStateInSeries,
 	}
 	if d.noRetries {
 		// The change would be one of the retry budget.
--- a/core/decision.go
+++ b/core/decision.go
@@ -20,9 +20,8 @@
 	Attempt  Attempt
 	Profile  ProfileID
 	Customer CustomerID
-	// Tenant is the tenant of a forwarded request, and Rank its rank.
-	Tenant TenantID
-	Rank   int
+	// Rank is the rank of a forwarded request, whose tenant is its Customer.
+	Rank int
 	// Step names the decision, for example place, move, refuse, adopt and finish
 	// for requests, call for calls, drain and returned for engines, and claim,
 	// order, ordered and order-refused for exclusive orders.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -15,22 +15,33 @@
 	deniedFor = 250 * time.Millisecond
 )
 
-// handlePlaceForward handles a placement request: the request is placed or queued, or
-// rejected at once if it cannot expect to be served in time.
+// handlePlaceForward handles a placement request: the request is rejected if it is over the usage cap of
+// its tenant. Otherwise it is placed or queued, or rejected at once if it cannot expect to be served in
+// time.
 func (d *dispatcher) handlePlaceForward(n *Node, from NodeID, m PlaceForward) {
 	key := jobKey{node: from, id: m.ID}
+	n.usage.cancel(key)
 	if old, ok := d.jobs[key]; ok {
 		if d.answerAgain(n, old, m) {
 			return
 		}
+		m.Charged = m.Charged || old.charged
 		d.remove(n, old)
 	}
+	first := m.Waited == 0
+	n.usage.admitPlacement(n, from, m, func(n *Node, from NodeID, m PlaceForward) { d.acceptPlacement(n, from, m, first) })
+}
+
+// acceptPlacement places, queues or rejects a request that is not over the usage cap of its tenant. first
+// says that its entry asks for a placement for the first time.
+func (d *dispatcher) acceptPlacement(n *Node, from NodeID, m PlaceForward, first bool) {
+	key := jobKey{node: from, id: m.ID}
 	j := &dispatchJob{
 		queueEntry: queueEntry{
 			rank: m.Rank, arrived: n.now.Add(-m.Waited), latestOnTime: n.now.Add(m.OnTime), callerDeadline: n.now.Add(m.Patience), objective: m.Objective,
 		},
 		key: key, group: m.Group, prompt: m.Prompt, expected: m.Expected, promptKey: m.PromptKey, attempt: m.Attempt, firstArrived: n.now, sentBefore: m.Again, avoid: SetOf(m.Avoid...), version: m.Version, maxPause: m.MaxPause,
-		waiting: true, addedAt: n.now,
+		waiting: true, addedAt: n.now, tenant: m.Tenant, usage: m.Usage, charged: m.Charged,
 	}
 	d.recordLimitDemand(n, j.group)
 	c := n.roles.costsOf(j.group)
@@ -39,7 +50,7 @@
 	returning := d.recogniseReturning(n, j, m)
 	shares := d.sharesOf(n, j.group)
 	if shares != nil {
-		shares.arrive(n, j, m, returning)
+		shares.arrive(n, j, first && !returning)
 	}
 	if !j.late(n.now) && !j.sentBefore {
 		getOrCreate(d.onTimeArrivals, j.group).record(n.now)
@@ -96,7 +107,7 @@
 func (d *dispatcher) logRejection(n *Node, j *dispatchJob, cause TurnAwayCause, why string) {
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "turn-away", Request: RequestID(j.attempt), Profile: ProfileID(j.group.Service),
-		Reason: NoCapacity, Cause: cause, Tenant: j.share.tenant, Rank: j.rank, Waited: n.now.Sub(j.arrived), Slack: j.latestOnTime.Sub(j.arrived),
+		Reason: NoCapacity, Cause: cause, Customer: CustomerID(j.tenant), Rank: j.rank, Waited: n.now.Sub(j.arrived), Slack: j.latestOnTime.Sub(j.arrived),
 		Detail: why + ", entry " + string(j.key.node), Version: n.forward.state.Version,
 	}})
 }
@@ -108,6 +119,9 @@
 		d.rejectedPrompts[j.promptKey] = j.firstArrived
 	}
 	n.send(j.key.node, ForwardTurnedAway{ID: j.key.id, RetryAfter: d.retryAfter(n, j)})
+	if !j.sentBefore {
+		d.refund(n, j)
+	}
 }
 
 // placeWaiting places waiting jobs in order, as far as engines have room, and
--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -34,10 +34,16 @@
 		s.placeLocally(n, f)
 		return
 	}
+	if !n.usage.reports.knows(n, owner, usageProtocol) && s.mustCharge(n, f) {
+		// The owner does not know of usage caps.
+		s.charge(n, f, s.requestPlacement)
+		return
+	}
 	f.phase = forwardAwaitingOwner
 	f.owner = owner
 	f.ownerAcked = false
 	f.asked = ownerAsk{owner: owner, at: n.now}
+	f.placedAlone = false
 	s.askOwner(n, f, 1)
 }
 
@@ -50,7 +56,7 @@
 		ID: f.placement, Group: f.group, Prompt: f.prompt(), Expected: f.expectedOutput(), MaxOutput: g.MaxOutput, Rank: f.rank,
 		OnTime: f.latestOnTime.Sub(n.now), Patience: f.callerDeadline.Sub(n.now), Objective: f.objective, MaxPause: f.route.MaxPause,
 		Waited: f.waited(n.now), PromptKey: g.PromptKey, Attempt: f.Attempt, Version: f.version, Again: f.sends > 0, Avoid: s.unwanted(n, f),
-		Tenant: f.tenant,
+		Tenant: f.tenant, Usage: s.usageOf(n, f), Charged: f.charged,
 	})
 	step := f.step
 	n.afterFunc(s.ownerTimeout(n, f), func(n *Node) {
@@ -72,7 +78,7 @@
 // releaseAtOwner notifies the owner that the request holds nothing any more.
 func (s *forwards) releaseAtOwner(n *Node, f *forwardedRequest) {
 	if f.owner != "" {
-		n.send(f.owner, ForwardReleased{ID: f.placement, Outcome: f.outcome, Output: f.output})
+		n.send(f.owner, ForwardReleased{ID: f.placement, Outcome: f.outcome, Output: f.output, NotRun: f.notRun || s.mustCharge(n, f)})
 		f.owner = ""
 	}
 	f.outcome = RunUnknown
@@ -92,6 +98,7 @@
 	}
 	if f, ok := s.placed(m.ID); ok && f.phase == forwardAwaitingOwner && f.owner == from {
 		f.ownerAcked = true
+		f.charged = true
 	}
 }
 
@@ -120,6 +127,7 @@
 		return
 	}
 	f.placer = from
+	f.charged = true
 	if _, engine := f.spec.Engine.Get(); !engine {
 		s.runPlainAt(n, f, u)
 		return
@@ -140,9 +148,40 @@
 	// The rejection may be that of an earlier placement with this id. Releasing the present
 	// one is of no effect if the owner has none.
 	s.releaseAtOwner(n, f)
+	if f.sends == 0 {
+		s.chargeReturned(n, f, from)
+	}
+	if m.OverCap {
+		s.end(n, f, OverShare, m.RetryAfter)
+		return
+	}
 	s.end(n, f, NoCapacity, m.RetryAfter)
 }
 
+// placesReportDelay is how long after a node has learned that others take it for dead it reports what
+// it holds a second time: they learn of that, and release it, at different times.
+const placesReportDelay = time.Second
+
+// reportPlacesAgain reports to owners what this node's requests hold, because the owners may have
+// taken it for dead and have released that. Those that have not ignore it.
+func (s *forwards) reportPlacesAgain(n *Node) {
+	n.do(LogDecision{Decision: Decision{At: n.now, Node: n.Self.ID, Step: "taken-for-dead", Tokens: Tokens(len(s.live))}})
+	s.reportPlaces(n)
+	n.afterFunc(placesReportDelay, s.reportPlaces)
+}
+
+func (s *forwards) reportPlaces(n *Node) {
+	for _, id := range sortedKeys(s.live) {
+		f := s.live[id]
+		if run := f.silent; run != nil && run.owner != "" {
+			n.send(run.owner, ForwardHeld{ID: run.placement, Group: run.group, Decode: run.engine.ID, Memory: run.reserved})
+		}
+		if f.owner != "" && f.decode != nil {
+			n.send(f.owner, ForwardHeld{ID: f.placement, Group: f.group, Decode: f.decode.ID, Memory: f.reserved})
+		}
+	}
+}
+
 // ownersChanged notifies new owners of what requests hold at their engines, and
 // requests a new placement for those that waited at the old owners.
 func (s *forwards) ownersChanged(n *Node) {
--- a/core/dispatch_place.go
+++ b/core/dispatch_place.go
@@ -48,7 +48,7 @@
 	}
 	c, domain := n.roles.costsOf(j.group), n.domainOf(j.key.node)
 	decode := d.cheapestOrAvoided(n, j, func(u *upstream) bool {
-		return j.fits(u) && d.hasMemory(n, u, c, engine, j.memory) && d.withinLimit(n, u, j.group)
+		return j.fits(u) && d.hasMemory(n, u, c, engine.KVCapacityTokens, j.memory) && d.withinLimit(n, u, j.group)
 	}, func(u *upstream) float64 {
 		cost := float64(d.allocationOf(u).memory)
 		if u.Domain != domain {
@@ -100,16 +100,17 @@
 	return assigned
 }
 
-// hasMemory reports whether a decode engine has a slot and memory for a request that needs the
-// given amount.
-func (d *dispatcher) hasMemory(n *Node, u *upstream, c *engineCosts, engine EngineSpec, need Tokens) bool {
+// hasMemory reports whether a decode engine with the given memory has a slot, and room for a request
+// that needs a part of it.
+func (d *dispatcher) hasMemory(n *Node, u *upstream, c *engineCosts, memory, need Tokens) bool {
 	requests := d.allocationOf(u).requests
-	room := engine.KVCapacityTokens
+	if u.Slots != 0 && requests >= u.Slots || !n.roles.canServe(n, u, Decode) {
+		return false
+	}
 	if requests > 0 {
-		room -= c.overrunReserve(n, requests+1)
+		memory -= c.overrunReserve(n, requests+1)
 	}
-	free := u.Slots == 0 || requests < u.Slots
-	return free && n.roles.canServe(n, u, Decode) && d.fits(n, u, need, room)
+	return d.fits(n, u, need, memory)
 }
 
 // prefillsSoon reports whether a prefill engine begins another prompt soon.
--- a/core/displacement.go
+++ b/core/displacement.go
@@ -59,7 +59,7 @@
 // describe describes for the log why a job goes where it does in the order.
 func (s *groupShares) describe(n *Node, j *dispatchJob) string {
 	text := ""
-	if over := s.queue.Counters.Overuse(n.instant(), fairshare.Tenant(j.share.tenant)); over > 0 {
+	if over := s.queue.Counters.Overuse(n.instant(), fairshare.Tenant(j.tenant)); over > 0 {
 		text = fmt.Sprintf(", its tenant was served %.2f of its share beyond it", over)
 	}
 	if j.share.owed {
@@ -71,7 +71,7 @@
 // logDispatch logs that a job of a divided group is placed that has waited.
 func (d *dispatcher) logDispatch(n *Node, s *groupShares, j *dispatchJob) {
 	n.do(LogDecision{Decision: Decision{
-		At: n.now, Node: n.Self.ID, Step: "dispatch", Request: RequestID(j.attempt), Profile: ProfileID(j.group.Service), Tenant: j.share.tenant, Rank: j.rank,
+		At: n.now, Node: n.Self.ID, Step: "dispatch", Request: RequestID(j.attempt), Profile: ProfileID(j.group.Service), Customer: CustomerID(j.tenant), Rank: j.rank,
 		Prefill: j.prefill, Decode: j.decode, Waited: n.now.Sub(j.arrived), Slack: j.latestOnTime.Sub(j.arrived), Tokens: j.memory,
 		Detail: fmt.Sprintf("of %d waiting, entry %s%s", len(d.queue), j.key.node, s.describe(n, j)), Version: n.forward.state.Version,
 	}})
--- a/core/fairshare/queue.go
+++ b/core/fairshare/queue.go
@@ -10,7 +10,7 @@
 // time its tenant's fair share that the tenant was served beyond it. Strict order by the
 // counters serves all long answers of tenants within their share before any short one of
 // others, which serves fewer callers of both; see docs/design/FAIR-SHARES.md.
-const overusePenalty = 0.2
+const overusePenalty = 0.5
 
 // Request is a queued request.
 type Request struct {
--- a/core/forward.go
+++ b/core/forward.go
@@ -25,6 +25,9 @@
 	// forwardAwaitingPath requests wait before they are placed again, because no connection to
 	// the chosen upstream could be opened.
 	forwardAwaitingPath
+	// forwardAwaitingUsage requests wait for a share of the usage cap of their tenant, to be placed by
+	// this node.
+	forwardAwaitingUsage
 	// forwardLeasing requests wait for an engine to answer a lease request.
 	forwardLeasing
 	// forwardPrefilling requests wait for a prefill engine to compute the
@@ -47,12 +50,12 @@
 	route Route
 	spec  ServiceSpec
 	// tenant is the tenant of the caller's key; empty if there is none. tenantRank is the rank of the
-	// tenant, and keyOutcome that of the check of its key. hidesKey is set if the state by which the
-	// request was admitted has tenants.
+	// tenant. hidesKey is set if the state by which the request was admitted has tenants, and
+	// keyProblem tells the log why the check of the key has rejected the request.
 	tenant     TenantID
 	tenantRank Option[int]
-	keyOutcome KeyOutcome
 	hidesKey   bool
+	keyProblem string
 	deadline   Instant
 	phase      forwardPhase
 	// step counts the steps taken. A timer does nothing if step has changed
@@ -69,11 +72,16 @@
 	ownerAcked bool
 	// asked is the request for a placement that an owner has not answered yet.
 	asked ownerAsk
+	// placedAlone says that this node placed the request by itself and has reported that to owner.
+	placedAlone bool
 	// placer is the owner that chose the upstream of the latest run; empty if this node did.
 	placer         NodeID
 	outcome        RunOutcome
 	output         Tokens
 	advisedPrefill EngineID
+	// charged is set once the request is charged to the usage cap of its tenant, by this node or an
+	// owner, and notRun once it has ended and provably no upstream has run it.
+	charged, notRun bool
 	// prefillAtDecode says that the owner wants the decode engine to prefill the prompt.
 	prefillAtDecode bool
 
@@ -146,6 +154,7 @@
 	// tenants.
 	ranked        Set[ServiceID]
 	weights       tenantWeights
+	keyChecks     KeyChecks
 	upstreams     upstreams
 	live          map[ForwardID]*forwardedRequest
 	queue         []*forwardedRequest
@@ -215,12 +224,14 @@
 	s.routes, s.tenants = newRouteTable(d.Routes), newTenantTable(d.Tenants)
 	s.ranked, s.weights = rankedServices(d.Routes), newTenantWeights(d.Tenants)
 	s.versions.applyRoutes(n, d.Routes)
+	n.usage.configure(n)
 	n.do(LimitCallers{d.Limits})
 	s.updateReady(n)
 	n.do(LogDecision{Decision: Decision{
 		At: n.now, Node: n.Self.ID, Step: "desired", Version: d.Version, Tokens: Tokens(len(d.Routes)),
 		Detail: d.Source.String(), Waited: lag,
 	}})
+	s.logTenants(n)
 	s.spread.notify(n)
 	s.spread.answerParked(n)
 }
@@ -299,7 +310,7 @@
 	patience := min(f.Patience, f.route.Timeout)
 	f.deadline = n.now.Add(patience)
 	f.queueEntry = queueEntry{
-		rank:           f.ownRank(),
+		rank:           s.ownRank(f),
 		arrived:        n.now,
 		latestOnTime:   n.now.Add(f.route.Objective - s.usualFirstByteTime(f)),
 		callerDeadline: f.deadline,
@@ -382,7 +393,7 @@
 func (s *forwards) reject(n *Node, f *forwardedRequest, reason RejectionReason, after time.Duration) {
 	s.checkNotRun(n, f)
 	d := s.newDecision(n, f, "refuse", reason)
-	d.Detail = f.describeProof()
+	d.Detail = f.describeProof() + f.keyProblem
 	n.do(LogDecision{Decision: d})
 	n.do(EndForward{ID: f.ID, Reason: reason, NotRun: true, RetryAfter: after})
 	s.close(n, f)
@@ -471,6 +482,7 @@
 	s.doubt(n, f)
 	s.dequeue(f)
 	s.endLookup(f)
+	s.endCharge(n, f)
 	s.release(n, f)
 	if f.silent != nil {
 		s.releaseSilentRun(n, f, RunUnknown)
@@ -548,8 +560,8 @@
 func (s *forwards) newDecision(n *Node, f *forwardedRequest, step string, reason RejectionReason) Decision {
 	d := Decision{
 		At: n.now, Node: n.Self.ID, Request: RequestID(f.Attempt), Attempt: Attempt(f.sends),
-		Profile: ProfileID(f.route.ID), Step: step, Reason: reason, Waited: f.waited(n.now),
-		Version: s.state.Version, Tokens: f.reserved, Slack: f.latestOnTime.Sub(f.arrived), Tenant: f.tenant, Rank: f.rank,
+		Profile: ProfileID(f.route.ID), Customer: CustomerID(f.tenant), Step: step, Reason: reason, Waited: f.waited(n.now),
+		Version: s.state.Version, Tokens: f.reserved, Slack: f.latestOnTime.Sub(f.arrived), Rank: f.rank,
 	}
 	if f.prefill != nil {
 		d.Prefill = f.prefill.ID
--- a/core/group_shares.go
+++ b/core/group_shares.go
@@ -21,7 +21,6 @@
 
 // jobShare is what a job counts in the division of its group's room.
 type jobShare struct {
-	tenant TenantID
 	// cost is what the job costs its tenant, which has the given weight.
 	cost, weight float64
 	// charged says that the cost has been charged. The job is predicted to end at the instant
@@ -48,18 +47,14 @@
 // instant returns the present for package fairshare.
 func (n *Node) instant() time.Duration { return time.Duration(n.now) }
 
-// usedElsewhere returns what a tenant has used at other nodes in all, in units of its cap.
-func (n *Node) usedElsewhere(TenantID) float64 { return 0 }
-
-// arrive records a job that arrives at the group. returning says that its caller was rejected
-// before.
-func (s *groupShares) arrive(n *Node, j *dispatchJob, m PlaceForward, returning bool) {
-	now, t := n.instant(), fairshare.Tenant(m.Tenant)
-	j.share.tenant = m.Tenant
-	j.share.weight, j.share.cost = n.forward.weights.of(m.Tenant, m.Usage, j.memory)
+// arrive records a job that arrives at the group. first says that it is the first attempt of a caller,
+// which has not been placed before.
+func (s *groupShares) arrive(n *Node, j *dispatchJob, first bool) {
+	now, t := n.instant(), fairshare.Tenant(j.tenant)
+	j.share.weight, j.share.cost = n.forward.weights.of(j.tenant, j.usage, j.memory)
 	s.queue.Counters.Arrived(now, t, j.share.weight)
-	s.queue.Counters.UsedElsewhere(now, t, n.usedElsewhere(m.Tenant))
-	if !returning && !j.sentBefore && m.Waited == 0 {
+	s.queue.Counters.UsedElsewhere(now, t, n.usage.usedElsewhere(j.tenant))
+	if first && !j.sentBefore {
 		s.queue.Demand.Arrived(now, t, j.rank)
 	}
 }
@@ -68,7 +63,7 @@
 func (s *groupShares) place(n *Node, j *dispatchJob) {
 	now := n.instant()
 	j.share.charged = true
-	s.queue.Counters.Charge(now, fairshare.Tenant(j.share.tenant), j.share.cost)
+	s.queue.Counters.Charge(now, fairshare.Tenant(j.tenant), j.share.cost)
 	s.serve(n, j, 1)
 	c := n.roles.costsOf(j.group)
 	if c.tokenSeconds.count < minCostSamples {
@@ -106,7 +101,7 @@
 func (s *groupShares) refund(n *Node, j *dispatchJob) {
 	if j.share.charged {
 		j.share.charged = false
-		s.queue.Counters.Charge(n.instant(), fairshare.Tenant(j.share.tenant), -j.share.cost)
+		s.queue.Counters.Charge(n.instant(), fairshare.Tenant(j.tenant), -j.share.cost)
 		s.serve(n, j, -1)
 	}
 }
@@ -115,14 +110,14 @@
 // counted.
 func (s *groupShares) serve(n *Node, j *dispatchJob, number float64) {
 	if !j.sentBefore {
-		s.queue.Demand.Served(n.instant(), fairshare.Tenant(j.share.tenant), j.rank, number)
+		s.queue.Demand.Served(n.instant(), fairshare.Tenant(j.tenant), j.rank, number)
 	}
 }
 
 // shared returns the job as package fairshare orders it.
 func (j *dispatchJob) shared(now Instant) fairshare.Request {
 	r := fairshare.Request{
-		Tenant: fairshare.Tenant(j.share.tenant), Rank: j.rank, Late: j.late(now), Prior: j.sentBefore,
+		Tenant: fairshare.Tenant(j.tenant), Rank: j.rank, Late: j.late(now), Prior: j.sentBefore,
 		At: time.Duration(j.arrived.Add(j.lengthPenalty)), Cost: j.share.cost, Objective: j.objective, Left: j.latestOnTime.Sub(now),
 	}
 	if r.Late {
@@ -135,6 +130,10 @@
 // does not matter, because they have no upstream in common. It returns the divided groups of
 // which no job can be placed, whose jobs it does not sort.
 func (d *dispatcher) sortQueue(n *Node) (full []DispatchGroup) {
+	if !n.forward.dividesAny() {
+		sortWaiting(n.now, d.queue)
+		return nil
+	}
 	var divided []*groupShares
 	var group DispatchGroup
 	var s *groupShares
--- a/core/owner_delay.go
+++ b/core/owner_delay.go
@@ -114,6 +114,7 @@
 		return
 	}
 	if f.owner = s.groupOwner(n, f.group); f.owner != "" {
+		f.placedAlone = true
 		n.send(f.owner, ForwardHeld{ID: f.placement, Group: f.group, Decode: f.decode.ID, Memory: f.reserved})
 	}
 }
--- a/core/placement_gate.go
+++ b/core/placement_gate.go
@@ -22,7 +22,7 @@
 		if !u.open(n.now) {
 			continue
 		}
-		if d.hasMemory(n, u, c, engine, least.memory) {
+		if d.hasMemory(n, u, c, engine.KVCapacityTokens, least.memory) {
 			memory = true
 			decodePrefill = decodePrefill || d.mayPrefillAtDecode(n, &least, u)
 		}
--- a/core/return_schedule.go
+++ b/core/return_schedule.go
@@ -52,5 +52,5 @@
 	}
 	now := n.instant()
 	earliest, latest := now+fractionOf(longest, minRetryShare), now+longest
-	return max(s.returns.Assign(now, fairshare.Tenant(j.share.tenant), j.rank, j.share.weight, rate, earliest, latest)-now, 0)
+	return max(s.returns.Assign(now, fairshare.Tenant(j.tenant), j.rank, j.share.weight, rate, earliest, latest)-now, 0)
 }
--- a/core/status.go
+++ b/core/status.go
@@ -25,12 +25,22 @@
 	Relays   []NodeID
 	// Limits are the limits on requests that upstreams have named and that are in force.
 	Limits []LimitStatus
+	// Usage is what the node admits for tenants with a usage cap, and UsageAllocator the node that
+	// allocates their caps; empty if this one knows none.
+	Usage          []TenantUsageStatus
+	UsageAllocator NodeID
+	// UsageParts is how many nodes leave their parts of the caps to this one.
+	UsageParts int
 	// Suspects is how many parts of prompts and whole requests are suspected of ending
 	// upstreams, and Blocked how many are rejected for it.
 	Suspects, Blocked int
 	// ProofAge is how old a hosted node's proof is that its desired state is the latest; None
 	// without one.
 	ProofAge Option[time.Duration]
+	// Tenants describes the tenants of a hosted node's desired state. KeyChecks counts the requests
+	// whose key was checked, by KeyOutcome.
+	Tenants   TenantsInForce
+	KeyChecks KeyChecks
 	// Checks and Violations count invariant checks and violations by Promise.
 	Checks     [9]uint64
 	Violations [9]uint64
--- a/core/tenant_weights.go
+++ b/core/tenant_weights.go
@@ -65,3 +65,6 @@
 // state has tenants, or routes of the service differ in rank. Other services are served as if
 // neither existed.
 func (s *forwards) divides(id ServiceID) bool { return s.state.HasTenants || s.ranked.Has(id) }
+
+// dividesAny reports whether the room of any service is divided.
+func (s *forwards) dividesAny() bool { return s.state.HasTenants || len(s.ranked) > 0 }
--- a/daisyctl/command/explain.go
+++ b/daisyctl/command/explain.go
@@ -91,7 +91,6 @@
 	printLine(w, "%s %s, attempt %d on %s", d.Step, d.Request, d.Attempt, d.Node)
 	detail(w, "profile", string(d.Profile))
 	detail(w, "customer", string(d.Customer))
-	detail(w, "tenant", string(d.Tenant))
 	detail(w, "prefill", string(d.Prefill))
 	detail(w, "decode", string(d.Decode))
 	if d.Reason != core.NoReason {
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -40,6 +40,8 @@
 	// overlap limits how long it may take to do so. stall waits for the next event of current.
 	current, replacement *run
 	overlap, stall       *time.Timer
+	// stallAt is when stall fires.
+	stallAt time.Time
 	// goneOn counts the reports to the core that a run has begun to answer or goes on.
 	goneOn int
 
@@ -256,6 +258,7 @@
 		Key: string(id), Address: address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
 		Header: h, Body: x.body, ParseIdleTimeout: platform.IdleTimeout,
 		Matches: func(h http.Header) bool { return platform.MatchesAttempt(h, x.forward.Attempt) },
+		Series:  attemptSeries + x.forward.Attempt,
 	}
 }
 
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/tcp"
 	"daisyshed.dev/daisyshed/upstream"
 	"daisyshed.dev/platform"
 	"github.com/rs/zerolog"
@@ -26,6 +27,10 @@
 	// responds at once, so one that has not responded by then is treated as
 	// unreachable.
 	leaseTimeout = 200 * time.Millisecond
+	// callSeries is the [upstream.Request] series of all calls: their responses name no attempt.
+	// attemptSeries begins that of an attempt, which its caller may send again.
+	callSeries    = "call"
+	attemptSeries = "attempt "
 )
 
 // Server serves callers' requests. Its exported fields are set before the first
@@ -40,6 +45,8 @@
 	// ReportViolation is called when serving a request has violated an invariant. It must
 	// not block.
 	ReportViolation func(core.Violation)
+	// Clock is the clock of the core. It may be nil if orders name no end of their claim.
+	Clock func() core.Instant
 	// OnLimit is called when the body of a caller's request exceeds a limit of bytes or
 	// time. It must not block, and may be nil.
 	OnLimit func(attempt string, err error)
@@ -114,7 +121,7 @@
 // ServeHTTP serves one request. It reads the whole body first, so that the
 // request can be sent more than once.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.closing.Load() {
+	if tcp.BeginRequest(r.Context()) || s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	forward := platform.DecodeForward(r)
@@ -220,9 +227,9 @@
 	}
 }
 
-// SendOrder sends an order to an engine without blocking. The claim that allows the
-// order expires soon, so the call is bounded in order not to outlast it, and is
-// not retried.
+// SendOrder sends an order to an engine without blocking. It is not written after the claim that
+// allows it has expired, which the time to connect and a pause of this process may bring about.
+// The call is bounded, because another node waits for an order in flight, and is not retried.
 func (s *Server) SendOrder(address string, c core.SendOrder) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
@@ -232,8 +239,16 @@
 			s.Log.Error().Str("Event", "Order").Err(err).Send()
 			return
 		}
+		r := callRequest(c.Order.Engine, address, call)
 		// The engine takes the sender's machine for the holder, so no relay may send it.
-		status, _, err := s.callOn(ctx, c.Order.Engine, address, call, true)
+		r.Direct = true
+		r.Check = func() error {
+			if c.Expires != 0 && s.Clock() > c.Expires {
+				return ClaimExpiredError{}
+			}
+			return nil
+		}
+		status, _, err := s.callOn(ctx, r)
 		s.Log.Info().Str("Event", "Ordered").Str("Engine", string(c.Order.Engine)).
 			Str("Role", c.Order.Role.String()).Int64("Fencing", int64(c.Order.Fencing)).Int("Status", status).Err(err).Send()
 	}()
@@ -244,7 +259,9 @@
 func (s *Server) release(id core.EngineID, address string, c platform.Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if _, _, err := s.call(ctx, id, address, c); err != nil {
+	r := callRequest(id, address, c)
+	r.Discards = true
+	if _, _, err := s.callOn(ctx, r); err != nil {
 		s.Log.Warn().Str("Event", "ReleaseFailed").Str("Engine", string(id)).Err(err).Send()
 	}
 }
@@ -252,16 +269,21 @@
 // call makes a call to an upstream's control interface and returns the status
 // and the body of the response.
 func (s *Server) call(ctx context.Context, id core.EngineID, address string, c platform.Call) (int, []byte, error) {
-	return s.callOn(ctx, id, address, c, false)
+	return s.callOn(ctx, callRequest(id, address, c))
 }
 
-// callOn is call, on a direct connection if direct is set.
-func (s *Server) callOn(ctx context.Context, id core.EngineID, address string, c platform.Call, direct bool) (int, []byte, error) {
-	response, err := s.Upstreams.Do(ctx, &upstream.Request{
+// callRequest returns the request of a call.
+func callRequest(id core.EngineID, address string, c platform.Call) *upstream.Request {
+	return &upstream.Request{
 		Key: string(id), Address: address, Method: c.Method, Target: c.Target, Host: address,
 		Header: c.Header, Body: c.Body, ParseIdleTimeout: platform.IdleTimeout,
-		Matches: platform.MatchesCall, Direct: direct,
-	})
+		Matches: platform.MatchesCall, Series: callSeries,
+	}
+}
+
+// callOn makes a call with a request of callRequest.
+func (s *Server) callOn(ctx context.Context, r *upstream.Request) (int, []byte, error) {
+	response, err := s.Upstreams.Do(ctx, r)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/daisyshed/operator/log.go
+++ b/daisyshed/operator/log.go
@@ -16,7 +16,6 @@
 		Uint32("Attempt", uint32(d.Attempt)).
 		Str("Profile", string(d.Profile)).
 		Str("Customer", string(d.Customer)).
-		Str("Tenant", string(d.Tenant)).
 		Int("Rank", d.Rank).
 		Str("Prefill", string(d.Prefill)).
 		Str("Decode", string(d.Decode)).
