--- a/daisyshed/operator/metrics_test.go
+++ b/daisyshed/operator/metrics_test.go
@@ -193,3 +193,12 @@
 	}
 	is.True(rules > 0)
 }
+
+// Operators see by rank and cause what owners reject; other decisions must not count as rejections.
+func TestRejectionsOfOwnersAreCountedByRank(t *testing.T) {
+	text := scrape(t, func(m *operator.Metrics) {
+		m.RecordCommand(core.LogDecision{Decision: core.Decision{Step: "turn-away", Cause: core.Displaced, Rank: 34}})
+		m.RecordCommand(core.LogDecision{Decision: core.Decision{Step: "dispatch", Rank: 34}})
+	})
+	is.New(t).True(regexp.MustCompile(`daisyshed_owner_rejections_total\{cause="Displaced",rank="34"\} 1\n`).MatchString(text))
+}
