--- a/core/forward.go
+++ b/core/forward.go
@@ -146,14 +146,10 @@
 // forwards routes, places and tracks opaque requests according to the desired
 // state.
 type forwards struct {
-	state      DesiredState
-	stateKnown bool
-	routes     routeTable
-	tenants    tenantTable
-	// ranked are the services whose routes have different ranks, and weights those of the
-	// tenants.
-	ranked        Set[ServiceID]
-	weights       tenantWeights
+	state         DesiredState
+	stateKnown    bool
+	routes        routeTable
+	tenants       tenantTable
 	keyChecks     KeyChecks
 	upstreams     upstreams
 	live          map[ForwardID]*forwardedRequest
@@ -176,6 +172,9 @@
 	unresponsiveUntil map[NodeID]Instant
 	// ownerDelays is how long owners take to answer.
 	ownerDelays ownerDelays
+	// ranked are the services whose routes have different ranks, and weights are those of tenants.
+	ranked  Set[ServiceID]
+	weights tenantWeights
 	// readyAnnounced is set while the node is announced to be ready, and everReady once it
 	// has been.
 	// listQueriedAt is when a peer was last queried for the list of upstreams.
