--- a/core/fairshare/queue.go
+++ b/core/fairshare/queue.go
@@ -52,19 +52,19 @@
 
 // A key holds, from the highest bits on, the level of the request, whether its tenant is served
 // often enough, and its instant relative to the present in nanoseconds, which keyTimeBits hold.
-// One number is compared several times as fast as its parts, and the queue is sorted for each
-// message at a load peak.
+// One number is compared several times as fast as its parts, and the queue is sorted for many
+// messages at a load peak.
 const (
-	keyTimeBits = 48
-	keyTimeMax  = int64(1)<<(keyTimeBits-1) - 1
-	keyFed      = int64(1) << keyTimeBits
-	keyLevel    = keyFed << 1
+	keyTimeBits   = 48
+	keyTimeMax    = int64(1)<<(keyTimeBits-1) - 1
+	keyNotStarved = int64(1) << keyTimeBits
+	keyLevel      = keyNotStarved << 1
 )
 
 func keyOf(now time.Duration, level int, starved bool, at time.Duration) int64 {
 	key := int64(level)*keyLevel + min(max(int64(at-now), -keyTimeMax), keyTimeMax) + keyTimeMax
 	if !starved {
-		key += keyFed
+		key += keyNotStarved
 	}
 	return key
 }
