--- a/core/decision.go
+++ b/core/decision.go
@@ -20,13 +20,17 @@
 	Attempt  Attempt
 	Profile  ProfileID
 	Customer CustomerID
+	// Rank is the rank of a forwarded request, whose tenant is its Customer.
+	Rank int
 	// Step names the decision, for example place, move, refuse, adopt and finish
 	// for requests, call for calls, drain and returned for engines, and claim,
 	// order, ordered and order-refused for exclusive orders.
-	Step       string
-	Prefill    EngineID
-	Decode     EngineID
-	Reason     RejectionReason
+	Step    string
+	Prefill EngineID
+	Decode  EngineID
+	Reason  RejectionReason
+	// Cause is why an owner rejects a request.
+	Cause      TurnAwayCause
 	Candidates []Candidate
 	Predicted  time.Duration
 	Actual     time.Duration
--- a/core/forward.go
+++ b/core/forward.go
@@ -70,6 +70,10 @@
 	// placement is the id of the request's present placement towards owners.
 	placement  ForwardID
 	ownerAcked bool
+	// asked is the request for a placement that an owner has not answered yet.
+	asked ownerAsk
+	// placedAlone says that this node placed the request by itself and has reported that to owner.
+	placedAlone bool
 	// placer is the owner that chose the upstream of the latest run; empty if this node did.
 	placer         NodeID
 	outcome        RunOutcome
@@ -166,6 +170,11 @@
 	// unresponsiveUntil holds, for owners that did not answer in time, until
 	// when no placement is requested from them.
 	unresponsiveUntil map[NodeID]Instant
+	// ownerDelays is how long owners take to answer.
+	ownerDelays ownerDelays
+	// ranked are the services whose routes have different ranks, and weights are those of tenants.
+	ranked  Set[ServiceID]
+	weights tenantWeights
 	// readyAnnounced is set while the node is announced to be ready, and everReady once it
 	// has been.
 	// listQueriedAt is when a peer was last queried for the list of upstreams.
@@ -193,6 +202,7 @@
 	s.live = map[ForwardID]*forwardedRequest{}
 	s.outputModels = map[ServiceID]*outputModel{}
 	s.unresponsiveUntil = map[NodeID]Instant{}
+	s.ownerDelays = ownerDelays{}
 	s.upstreams.signals = map[EngineID]*upstreamSignals{}
 	s.budgets = map[ServiceID]*retryBudgetShare{}
 	s.firstByteTimes = map[ServiceID]*durationStats{}
@@ -211,6 +221,7 @@
 	lag := s.lag.apply(n.now, d.Version)
 	s.state, s.stateKnown = d, true
 	s.routes, s.tenants = newRouteTable(d.Routes), newTenantTable(d.Tenants)
+	s.ranked, s.weights = rankedServices(d.Routes), newTenantWeights(d.Tenants)
 	s.versions.applyRoutes(n, d.Routes)
 	n.usage.configure(n)
 	n.do(LimitCallers{d.Limits})
@@ -549,7 +560,7 @@
 	d := Decision{
 		At: n.now, Node: n.Self.ID, Request: RequestID(f.Attempt), Attempt: Attempt(f.sends),
 		Profile: ProfileID(f.route.ID), Customer: CustomerID(f.tenant), Step: step, Reason: reason, Waited: f.waited(n.now),
-		Version: s.state.Version, Tokens: f.reserved, Slack: f.latestOnTime.Sub(f.arrived),
+		Version: s.state.Version, Tokens: f.reserved, Slack: f.latestOnTime.Sub(f.arrived), Rank: f.rank,
 	}
 	if f.prefill != nil {
 		d.Prefill = f.prefill.ID
--- a/core/mechanism.go
+++ b/core/mechanism.go
@@ -37,6 +37,14 @@
 	// ProvenKeys rejects requests for which a key is needed while this node is partitioned from
 	// the store and from most nodes, since the key may have been removed.
 	ProvenKeys
+	// FairShares divides the room between tenants by virtual token counters.
+	FairShares
+	// RankShares keeps the least share of each rank, and places late requests behind less
+	// urgent ones that can be on time.
+	RankShares
+	// SlowOwners has entries wait longer for an owner whose answers have been slow, and return
+	// to one that answers late.
+	SlowOwners
 	mechanisms
 )
 
--- a/core/usage_placement.go
+++ b/core/usage_placement.go
@@ -103,11 +103,11 @@
 }
 
 // endCharge records whether a request that ends was run, and gives back what this node has charged for
-// it. An owner gives back what was charged once the request is released there.
+// it. An owner that placed it gives back what was charged once the request is released there.
 func (s *forwards) endCharge(n *Node, f *forwardedRequest) {
 	n.usage.cancel(jobKey{node: n.Self.ID, id: f.placement})
 	f.notRun = f.unprovenRuns() == 0 && f.prefills == 0 && !f.emitted
-	if f.notRun && f.charged && f.owner == "" {
+	if f.notRun && f.charged && (f.owner == "" || f.placedAlone) {
 		n.usage.refund(n, f.tenant, float64(s.usageOf(n, f)))
 	}
 }
--- a/core/usage_world_test.go
+++ b/core/usage_world_test.go
@@ -61,11 +61,8 @@
 			Cap: core.UsageCap{Rate: rate, Burst: burst * rate, Unit: core.TokenUnit, PlainTokens: plainAmount},
 		}})
 	}
+	w.setUsageBounds()
 	for _, n := range w.nodes {
-		n.deliver(core.BoundsChanged{
-			Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}, DrainDelay: 2 * time.Second, StateDelay: stateDelay,
-			Usage: core.UsageBounds{Window: usageWindow, Over: usageOver, Slack: usageSlack},
-		})
 		n.deliver(w.capped.state(2))
 	}
 	w.pick = w.anyOf(w.nodes...)
@@ -74,6 +71,16 @@
 	return w
 }
 
+// setUsageBounds gives all nodes the bounds of usage caps.
+func (w *hostedWorld) setUsageBounds() {
+	for _, n := range w.nodes {
+		n.deliver(core.BoundsChanged{
+			Retries: core.RetryBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}, DrainDelay: 2 * time.Second, StateDelay: stateDelay,
+			Usage: core.UsageBounds{Window: usageWindow, Over: usageOver, Slack: usageSlack},
+		})
+	}
+}
+
 // confirmStates has the store confirm the desired state to all nodes again and again, so that they know
 // which keys are valid.
 func (w *hostedWorld) confirmStates() {
@@ -121,10 +128,21 @@
 }
 
 // retry has the next request be that of a caller who retries.
-func (t *worldTenants) retry(r *worldRequest) {
+func (t *worldTenants) retry(r *worldRequest) { t.as(r.tenant) }
+
+// as has the next request be one of a tenant.
+func (t *worldTenants) as(tenant *worldTenant) {
 	if t != nil {
-		t.next = r.tenant
+		t.next = tenant
+	}
+}
+
+// upcoming returns the tenant of the next request; nil if there is none.
+func (t *worldTenants) upcoming() *worldTenant {
+	if t == nil {
+		return nil
 	}
+	return t.next
 }
 
 // run records a request that has reached an upstream.
--- a/daisyctl/command/explain.go
+++ b/daisyctl/command/explain.go
@@ -96,6 +96,9 @@
 	if d.Reason != core.NoReason {
 		detail(w, "refused", d.Reason.String())
 	}
+	if d.Cause != core.NoCause {
+		detail(w, "cause", fmt.Sprintf("%s, rank %d", d.Cause, d.Rank))
+	}
 	detailDuration(w, "waited", d.Waited)
 	detailDuration(w, "first token predicted", d.Predicted)
 	detailDuration(w, "first token measured", d.Actual)
