Add daisyctl state check

Change: the command reports what is wrong with a desired state, and what differs from the one in force.

--- a/daisyctl/command/parser.go
+++ b/daisyctl/command/parser.go
@@ -30,6 +30,10 @@
 	if err := addGroup(parser, "upstream", "Show upstreams; no command here changes one", upstreams); err != nil {
 		return nil, err
 	}
+	states := []commandEntry{{"check", "Check a desired state, and compare it with the one in force", &stateCheckCommand{app: a}}}
+	if err := addGroup(parser, "state", "Check desired states of hosted deployments before they are sent", states); err != nil {
+		return nil, err
+	}
 	return parser, addCommands(parser.Command, []commandEntry{
 		{"status", "Show nodes, offsets, lag and invariant checks", &statusCommand{app: a}},
 		{"explain", "Say why a request, or a hypothetical one, was placed or refused", &explainCommand{app: a}},
