--- a/core/statecheck/finding.go
+++ b/core/statecheck/finding.go
@@ -11,7 +11,7 @@
 const (
 	// Warning findings take effect, but not all of what was written does, or it contradicts itself.
 	Warning Severity = iota
-	// Error findings are rejected by nodes, left out, or serve no request as written.
+	// Error findings are rejected by nodes, left out, out of range, or serve no request as written.
 	Error
 )
 
--- a/daisyctl/command/state_check.go
+++ b/daisyctl/command/state_check.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
+	"unicode"
 
 	"daisyshed.dev/core/statecheck"
 	"daisyshed.dev/platform"
@@ -69,10 +71,10 @@
 
 func (r stateReport) print(w io.Writer) {
 	for _, f := range r.Findings {
-		printLine(w, "%-8s %s: %s", f.Severity, f.statePlace, f.Text)
+		printLine(w, "%-8s %s: %s", f.Severity, f.statePlace, visible(f.Text))
 	}
 	for _, c := range r.Changes {
-		printLine(w, "%-8s %s: %s", "change", c.statePlace, c.Text)
+		printLine(w, "%-8s %s: %s", "change", c.statePlace, visible(c.Text))
 	}
 	summary := fmt.Sprintf("%s, %s", pluralize(r.Errors, "error"), pluralize(r.Warnings, "warning"))
 	if r.Against != "" {
@@ -86,7 +88,7 @@
 	out := p.Part
 	switch {
 	case p.Name != "":
-		out += " " + p.Name
+		out += " " + printable(p.Name)
 	case p.Part == partName(statecheck.Whole):
 	case p.Row == nil:
 		out += "s"
@@ -99,6 +101,24 @@
 	return out
 }
 
+// printable returns a name, quoted if a terminal might not show it as it is.
+func printable(name string) string {
+	if quoted := strconv.Quote(name); quoted != `"`+name+`"` || strings.TrimSpace(name) != name {
+		return quoted
+	}
+	return name
+}
+
+// visible returns a sentence without characters that a terminal may act on.
+func visible(text string) string {
+	return strings.Map(func(r rune) rune {
+		if !unicode.IsPrint(r) {
+			return unicode.ReplacementChar
+		}
+		return r
+	}, text)
+}
+
 // newStatePlace returns a place. A negative row stands for several rows.
 func newStatePlace(part statecheck.Part, row int, name, field string) statePlace {
 	p := statePlace{Part: partName(part), Name: name, Field: field}
