review: streams joined of two software versions after a release

A script replaces the three engines of a service by those of a later version, one at a time, while 12 streams run. The old ones serve for DrainMs and half a second and exit; streams that they began break off. Callers wait for 14 s and take their streams up again with Last-Event-Id, up to five times. The route's TimeoutMs is 5,000.

Take-ups that come TimeoutMs and a second after the last old engine left the list are answered 200 with the rest of the events from the new version: the node takes the version that is left for the only one that can have begun the stream.

--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -91,7 +91,7 @@
 }
 
 // openSite starts the store, plain workers and the daemons.
-func openSite(r *recorder, nodes, workers int) (*site, error) {
+func openSite(r *recorder, nodes, workers int, timeout time.Duration) (*site, error) {
 	dir, err := os.MkdirTemp("", "rig2-")
 	if err != nil {
 		return nil, err
@@ -101,14 +101,14 @@
 	sitesMu.Lock()
 	sites = append(sites, s)
 	sitesMu.Unlock()
-	if err := s.start(nodes, workers); err != nil {
+	if err := s.start(nodes, workers, timeout); err != nil {
 		s.close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *site) start(nodes, workers int) error {
+func (s *site) start(nodes, workers int, timeout time.Duration) error {
 	l, err := s.claimBlock()
 	if err != nil {
 		return err
@@ -116,13 +116,14 @@
 	server := &http.Server{Handler: s.store, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	s.ends = append(s.ends, func() { _ = server.Close() })
-	state, err := hostedsite.State{Version: 1, Host: host, Timeout: 2 * time.Second, CanaryShare: 0}.Encode()
+	state, err := hostedsite.State{Version: 1, Host: host, Timeout: timeout}.Encode()
 	if err != nil {
 		return err
 	}
 	s.store.Put("keyed.op", "config", state)
 	for i := range workers {
-		if err := s.startWorker(i); err != nil {
+		_, err := s.startWorker(i, hostedworker.Settings{Service: hostedsite.PlainService, Slots: 6, Work: 15 * time.Millisecond})
+		if err != nil {
 			return err
 		}
 	}
@@ -151,28 +152,51 @@
 
 func (s *site) ip(last int) string { return fmt.Sprintf("127.61.%d.%d", s.block, last) }
 
-func (s *site) address(last, port int) string { return net.JoinHostPort(s.ip(last), strconv.Itoa(port)) }
+func (s *site) address(last, port int) string {
+	return net.JoinHostPort(s.ip(last), strconv.Itoa(port))
+}
+
+// worker is a running worker.
+type worker struct {
+	site      *site
+	id, stage string
+	*hostedworker.Worker
+	left chan struct{}
+	stop func()
+}
 
-func (s *site) startWorker(i int) error {
-	id := fmt.Sprintf("i-%03d", i+1)
-	w, stop, err := hostedworker.Start(hostedworker.Settings{
-		ID: id, Service: hostedsite.PlainService, Zone: zone(i), Slots: 6, Work: 15 * time.Millisecond,
-	}, s.address(100+i, workerPort), s.recordRun)
+// startWorker starts the worker with a number, and its check-ins.
+func (s *site) startWorker(i int, settings hostedworker.Settings) (*worker, error) {
+	settings.ID, settings.Zone = fmt.Sprintf("i-%03d", i+1), zone(i)
+	started, stop, err := hostedworker.Start(settings, s.address(100+i, workerPort), s.recordRun)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.ends = append(s.ends, stop)
-	go func() {
-		for {
-			s.store.Put(metastore.UpstreamTopic, id, w.Entry())
-			select {
-			case <-time.After(beatEvery):
-			case <-s.done:
-				return
-			}
+	w := &worker{site: s, id: settings.ID, stage: settings.Stage, Worker: started, left: make(chan struct{}), stop: sync.OnceFunc(stop)}
+	s.ends = append(s.ends, w.stop)
+	go w.checkIn()
+	return w, nil
+}
+
+// checkIn writes the worker's entry until the worker has left.
+func (w *worker) checkIn() {
+	for {
+		w.site.store.Put(metastore.UpstreamTopic, w.id, w.Entry())
+		select {
+		case <-time.After(beatEvery):
+		case <-w.left:
+			w.site.store.Put(metastore.UpstreamTopic, w.id, nil)
+			return
+		case <-w.site.done:
+			return
 		}
-	}()
-	return nil
+	}
+}
+
+// leave ends a worker that has drained.
+func (w *worker) leave() {
+	w.stop()
+	close(w.left)
 }
 
 func (s *site) recordRun(r hostedworker.Run) {
