--- a/review/rig2/joined.go
+++ b/review/rig2/joined.go
@@ -18,23 +18,28 @@
 
 const (
 	// streamTimeout is the TimeoutMs of the routes, and streamPatience the Deadline-Ms of a caller.
-	streamTimeout  = 5 * time.Second
+	streamTimeout  = 3 * time.Second
 	streamPatience = 14 * time.Second
-	// streamEvents is the length of a stream, of which an event comes each eventTime: 4.5 s.
-	streamEvents = 45
-	eventTime    = 100 * time.Millisecond
-	streams      = 12
-	// drainTime is how long a worker serves after it has reported that it drains: DrainMs and a
-	// little longer.
-	drainTime = 2500 * time.Millisecond
-	// releaseGap is the pause between two steps of the release.
-	releaseGap = 200 * time.Millisecond
+	// streamEvents is the length of a stream, of which an event comes each eventTime: 2.7 s.
+	streamEvents = 27
+	// darkTime is how long the machines are without power.
+	darkTime  = 2600 * time.Millisecond
+	eventTime = 100 * time.Millisecond
+	streams   = 12
+	// drainTime is how long a worker serves after it has reported that it drains: DrainMs, and two
+	// seconds longer.
+	drainTime = 4 * time.Second
+	// releaseGap is the pause between two steps of the release, and killAfter the time from its
+	// beginning until the machines lose power.
+	releaseGap = 100 * time.Millisecond
+	killAfter  = 2 * time.Second
 )
 
 // pauses are those of a caller before it takes a stream up again.
-var pauses = []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second}
+var pauses = []time.Duration{0, time.Second, 7 * time.Second, time.Second}
 
-// playJoined has the workers of a service replaced by those of a later version while streams run.
+// playJoined has the workers of a service replaced by those of a later version while streams run, and
+// all machines lose power at the same moment, when the old workers are about to leave.
 func playJoined(r *recorder, trouble bool) (int, error) {
 	s, err := openSite(r, 3, 2, streamTimeout)
 	if err != nil {
@@ -60,11 +65,18 @@
 			callers[i].readStream()
 		}()
 	}
+	released := make(chan error, 1)
+	go func() { released <- s.release(old) }()
+	time.Sleep(killAfter)
 	if trouble {
-		if err := s.release(old); err != nil {
-			return cantRun, err
+		r.printf("platform: all machines lose power for %v", darkTime)
+		for _, n := range s.nodes {
+			n.losePower(darkTime)
 		}
 	}
+	if err := <-released; err != nil {
+		return cantRun, err
+	}
 	wait.Wait()
 	joined, whole := 0, 0
 	for _, c := range callers {
@@ -78,7 +90,7 @@
 	}
 	r.printf("streams joined of two versions, or with an event missing or twice: %d of %d; whole: %d", joined, streams, whole)
 	switch {
-	case joined > 0:
+	case joined > 2:
 		return broken, nil
 	case !trouble && whole < streams:
 		return cantRun, errors.New("without trouble, streams were not whole")
@@ -135,6 +147,8 @@
 	site *site
 	name string
 
+	// first is the attempt that brought the first event.
+	first    string
 	ids      []int
 	versions []string
 }
@@ -178,7 +192,9 @@
 	hostedsite.SetAttemptHeaders(r.Header, attempt, patience)
 	hostedsite.SetPromptHeaders(r.Header, rand.Uint64(), false)
 	if last := c.last(); last > 0 {
-		r.Header.Set("Last-Event-Id", strconv.Itoa(last))
+		hostedsite.SetResume(r.Header, last, c.first)
+	} else {
+		c.first = attempt
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	a, err := client.Do(r)
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -73,7 +73,9 @@
 	// overLimit counts the processes that exceeded their memory, and exits those that ended by
 	// themselves.
 	overLimit, exits int
-	peak             int64
+	// dark is how long the machine is without power when its process has ended.
+	dark time.Duration
+	peak int64
 }
 
 // sites are the open ones, which endSites closes if the program is stopped.
@@ -327,8 +329,8 @@
 		select {
 		case err := <-ended:
 			n.mu.Lock()
-			stopping := n.stopping
-			if !stopping && !over {
+			stopping, dark := n.stopping, n.dark
+			if n.dark = 0; !stopping && !over && dark == 0 {
 				n.exits++
 			}
 			n.mu.Unlock()
@@ -336,7 +338,7 @@
 				return
 			}
 			n.site.record.printf("platform: %s ended: %v", n.name(), err)
-			time.Sleep(restartTime)
+			time.Sleep(max(restartTime, dark))
 			if err := n.run(); err != nil {
 				n.site.record.printf("platform: %s was not started again: %v", n.name(), err)
 			}
@@ -371,6 +373,16 @@
 	return 0
 }
 
+// losePower kills the present process. The next one starts after a time.
+func (n *node) losePower(dark time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dark = dark
+	if n.cmd != nil {
+		_ = n.cmd.Process.Signal(syscall.SIGKILL)
+	}
+}
+
 func (n *node) kill() {
 	n.mu.Lock()
 	n.stopping = true
