--- a/review/rig2/heads.go
+++ b/review/rig2/heads.go
@@ -28,7 +28,7 @@
 
 // playHeads has a crowd of clients send heads over the limit to two of three machines, three times.
 func playHeads(r *recorder, trouble bool) (int, error) {
-	s, err := openSite(r, 3, 3, 2*time.Second)
+	s, err := openSite(r, 3, 3, 2*time.Second, 600*time.Millisecond)
 	if err != nil {
 		return cantRun, err
 	}
--- a/review/rig2/joined.go
+++ b/review/rig2/joined.go
@@ -41,7 +41,7 @@
 // playJoined has the workers of a service replaced by those of a later version while streams run, and
 // all machines lose power at the same moment, when the old workers are about to leave.
 func playJoined(r *recorder, trouble bool) (int, error) {
-	s, err := openSite(r, 3, 2, streamTimeout)
+	s, err := openSite(r, 3, 2, streamTimeout, 600*time.Millisecond)
 	if err != nil {
 		return cantRun, err
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -28,7 +28,7 @@
 		os.Exit(cantRun)
 	}
 	r := &recorder{out: out, began: time.Now()}
-	cases := map[string]func(*recorder, bool) (int, error){"heads": playHeads, "joined": playJoined}
+	cases := map[string]func(*recorder, bool) (int, error){"heads": playHeads, "joined": playJoined, "budget": playBudget}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -93,7 +94,7 @@
 }
 
 // openSite starts the store, plain workers and the daemons.
-func openSite(r *recorder, nodes, workers int, timeout time.Duration) (*site, error) {
+func openSite(r *recorder, nodes, workers int, timeout, objective time.Duration) (*site, error) {
 	dir, err := os.MkdirTemp("", "rig2-")
 	if err != nil {
 		return nil, err
@@ -103,14 +104,14 @@
 	sitesMu.Lock()
 	sites = append(sites, s)
 	sitesMu.Unlock()
-	if err := s.start(nodes, workers, timeout); err != nil {
+	if err := s.start(nodes, workers, timeout, objective); err != nil {
 		s.close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *site) start(nodes, workers int, timeout time.Duration) error {
+func (s *site) start(nodes, workers int, timeout, objective time.Duration) error {
 	l, err := s.claimBlock()
 	if err != nil {
 		return err
@@ -118,7 +119,7 @@
 	server := &http.Server{Handler: s.store, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	s.ends = append(s.ends, func() { _ = server.Close() })
-	state, err := hostedsite.State{Version: 1, Host: host, Timeout: timeout}.Encode()
+	state, err := desiredState(timeout, objective)
 	if err != nil {
 		return err
 	}
@@ -130,15 +131,39 @@
 		}
 	}
 	for i := range nodes {
-		n := &node{site: s, index: i}
-		s.nodes = append(s.nodes, n)
-		if err := n.start(); err != nil {
+		if err := s.startNode(i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// desiredState returns the desired state of the project's stand-in with another SloMs.
+func desiredState(timeout, objective time.Duration) ([]byte, error) {
+	raw, err := hostedsite.State{Version: 1, Host: host, Timeout: timeout}.Encode()
+	if err != nil {
+		return nil, err
+	}
+	var state map[string]any
+	if err := json.Unmarshal(raw, &state); err != nil {
+		return nil, err
+	}
+	routes, _ := state["Routes"].([]any)
+	for _, r := range routes {
+		if route, ok := r.(map[string]any); ok {
+			route["SloMs"] = objective.Milliseconds()
+		}
+	}
+	return json.Marshal(state)
+}
+
+// startNode starts the next daemon.
+func (s *site) startNode(i int) error {
+	n := &node{site: s, index: i}
+	s.nodes = append(s.nodes, n)
+	return n.start()
+}
+
 // claimBlock finds a block of loopback addresses on which the store's port is free.
 func (s *site) claimBlock() (net.Listener, error) {
 	var err error
