--- a/review/rig2/joined.go
+++ b/review/rig2/joined.go
@@ -58,7 +58,7 @@
 	callers := make([]*caller, streams)
 	var wait sync.WaitGroup
 	for i := range callers {
-		callers[i] = &caller{site: s, name: fmt.Sprintf("draft-%d", i)}
+		callers[i] = &caller{site: s, name: fmt.Sprintf("draft-%d", i), prompt: rand.Uint64()}
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
@@ -144,8 +144,9 @@
 
 // caller reads one stream, and takes it up again when it breaks off.
 type caller struct {
-	site *site
-	name string
+	site   *site
+	name   string
+	prompt uint64
 
 	// first is the attempt that brought the first event.
 	first    string
@@ -190,7 +191,7 @@
 	}
 	r.Host = host
 	hostedsite.SetAttemptHeaders(r.Header, attempt, patience)
-	hostedsite.SetPromptHeaders(r.Header, rand.Uint64(), false)
+	hostedsite.SetPromptHeaders(r.Header, c.prompt, false)
 	if last := c.last(); last > 0 {
 		hostedsite.SetResume(r.Header, last, c.first)
 	} else {
