--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: \(.*\)/^\1$$/p' KNOWN-RED.txt 2>/dev/null | sed 's:/:$$/^:' | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)',)
 
-.PHONY: all build test race demo soak mutants hosted-mutants soak-processes hosted-soak bench capacity generate format lint clean
+.PHONY: all build test hostile race demo soak mutants hosted-mutants soak-processes hosted-soak bench capacity generate format lint clean
 
 all: build test
 
@@ -17,7 +17,12 @@
 	@for m in daisyshed daisyctl standin bench; do (cd $$m && $(GO) build -o $(BIN)/$$m .) || exit 1; done
 
 test:
-	@for m in $(MODULES); do (cd $$m && $(GO) test $(SKIP) ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(GO) test $(SKIP) $$($(GO) list ./... | grep -v /hostile$$)) || exit 1; done
+	@$(MAKE) --no-print-directory hostile
+
+# Runs crowds of clients that break the protocol against real daemons, one crowd at a time.
+hostile:
+	@cd bench && $(GO) test -p 1 -parallel 1 $(SKIP) ./hostile
 
 race:
 	@for m in core daisyshed; do (cd $$m && $(GO) test -race -short $(SKIP) ./...) || exit 1; done
--- a/bench/hosted/silence.go
+++ b/bench/hosted/silence.go
@@ -89,7 +89,7 @@
 // sendEndlessBytes has a random worker send bytes without end instead of some answers.
 func (d *deployment) sendEndlessBytes() {
 	w, _ := d.randomRunningWorker()
-	kinds := int(hostedworker.NumFaults - hostedworker.FirstEndless)
+	kinds := int(hostedworker.LastEndless - hostedworker.FirstEndless + 1)
 	w.SetFault(hostedworker.FirstEndless+hostedworker.Fault(d.rng.IntN(kinds)), endlessShare)
 	d.afterRandomDelay(maxEndless, func() { w.SetFault(hostedworker.NoFault, 0) })
 }
--- a/standin/hostedsite/settings.go
+++ b/standin/hostedsite/settings.go
@@ -5,6 +5,7 @@
 package hostedsite
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -25,6 +26,8 @@
 	// MemoryMB is the process's memory limit in megabytes. A process that exceeds it is
 	// killed.
 	MemoryMB int
+	// MaxFiles is the process's limit of descriptors; zero for defaultMaxFiles.
+	MaxFiles int
 	// RetryRatio is the retry budget's ratio of retries to requests, and RetrySlack the
 	// number of retries that it allows besides.
 	RetryRatio float64
@@ -35,6 +38,9 @@
 	Store string
 }
 
+// defaultMaxFiles is the limit of descriptors of a node that sets none.
+const defaultMaxFiles = 1000
+
 // Settings returns the content of the node's settings file, in TOML.
 func (n Node) Settings() string {
 	return fmt.Sprintf(`NodeName = "%s"
@@ -50,7 +56,7 @@
 Directory = "%s:%d"
 [Limits]
 MemoryMb = %d
-MaxFds = 1000
+MaxFds = %d
 [Bounds]
 BudgetRatio = %g
 BudgetWindowS = 10
@@ -63,5 +69,5 @@
 [Platform]
 Address = "%s"
 `, n.Name, n.Domain, n.IP, n.PeerPort, n.PeerPort+1, n.BeatEvery.Milliseconds(), n.IP, n.CallerPort, n.IP, n.ReadyPort,
-		n.IP, n.AddressesPort, n.MemoryMB, n.RetryRatio, n.RetrySlack, int(n.Grace.Seconds()), n.Store)
+		n.IP, n.AddressesPort, n.MemoryMB, cmp.Or(n.MaxFiles, defaultMaxFiles), n.RetryRatio, n.RetrySlack, int(n.Grace.Seconds()), n.Store)
 }
--- a/standin/hostedworker/endless.go
+++ b/standin/hostedworker/endless.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -9,6 +10,18 @@
 // endlessBlock is the size of the writes that send bytes without end.
 const endlessBlock = 64 << 10
 
+// manyHeadersBytes is the size of a head with many header fields. It is near the limit of most clients.
+const manyHeadersBytes = 48 << 10
+
+// setManyHeaders sets header fields with short names.
+func setManyHeaders(h http.Header) {
+	for i, size := 0, 0; size < manyHeadersBytes; i++ {
+		name := fmt.Sprintf("X%x", i)
+		h[name] = []string{""}
+		size += len(name) + len(": \r\n")
+	}
+}
+
 // sendEndless sends bytes without end, as fast as the caller reads them, until the
 // connection is closed.
 func sendEndless(rw http.ResponseWriter, fault Fault) {
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -66,15 +66,19 @@
 	// EndlessEvent responds with status 200 and the head of a stream, and sends an event
 	// that never ends.
 	EndlessEvent
-	// NumFaults is the number of faults, including NoFault.
-	NumFaults
+	// ManyHeaders responds with the right answer under a head of manyHeadersBytes, of short header
+	// fields with different names.
+	ManyHeaders
 )
 
-// FirstEndless is the first of the faults that send bytes without end.
-const FirstEndless = EndlessStatusLine
+// FirstEndless and LastEndless are the first and the last of the faults that send bytes without end.
+const (
+	FirstEndless = EndlessStatusLine
+	LastEndless  = EndlessEvent
+)
 
 // endless reports whether the fault sends bytes without end.
-func (f Fault) endless() bool { return f >= FirstEndless && f < NumFaults }
+func (f Fault) endless() bool { return f >= FirstEndless && f <= LastEndless }
 
 // breaksAnswer reports whether the fault keeps the caller from receiving an answer to a
 // request that runs.
@@ -614,6 +618,9 @@
 	}
 	out := Answer(attempt, body)
 	switch fault {
+	case ManyHeaders:
+		setManyHeaders(rw.Header())
+		_, _ = rw.Write(out)
 	case LoseReply:
 		panic(http.ErrAbortHandler)
 	case Fail:
