core: a request that ends takes its timers with it

What callers saw: 150 clients that send short requests one after another, all of them inside the limits, took a process to 108 MB of its 64 within four seconds, by 15 MB a second. Cause: a request sets timers for its deadline, for silence and for its owner's answer. Each held the record of the request until it fired, however soon the request had ended: for as long as the route's timeout and the caller's deadline allow. A heap profile showed 74 MB, nearly all of it records of ended requests; the collector used 31% of the processor. Change: the timers of a request are removed when it ends (whileLive, stopTimers). A timer that has not fired does nothing for an ended request, so that nothing else changes.

--- a/core/dispatch_entry.go
+++ b/core/dispatch_entry.go
@@ -59,7 +59,7 @@
 		Tenant: f.tenant, Usage: s.usageOf(n, f), Charged: f.charged,
 	})
 	step := f.step
-	n.afterFunc(s.ownerTimeout(n, f), func(n *Node) {
+	s.whileLive(n, f, s.ownerTimeout(n, f), func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.ownerAcked {
 			return
 		}
--- a/core/forward.go
+++ b/core/forward.go
@@ -59,8 +59,9 @@
 	deadline   Instant
 	phase      forwardPhase
 	// step counts the steps taken. A timer does nothing if step has changed
-	// since the timer was set.
-	step int
+	// since the timer was set. timers are those of the request that may not have fired.
+	step   int
+	timers []*timer
 
 	// group and owner are set while an owner has the request in its allocation
 	// table. ownerAcked is set once the owner has confirmed that the request is
@@ -314,7 +315,7 @@
 		callerDeadline: f.deadline,
 		objective:      f.route.Objective,
 	}
-	n.afterFunc(patience, func(n *Node) { s.expire(n, f) })
+	s.whileLive(n, f, patience, func(n *Node) { s.expire(n, f) })
 }
 
 // usualFirstByteTime returns the time from a placement to the first bytes of
@@ -334,7 +335,7 @@
 	}
 	hasSilentRun := f.silent != nil && f.emitted
 	if f.phase == forwardResponding || hasSilentRun {
-		n.afterFunc(max(f.Patience+lateAnswerTime-f.waited(n.now), 0), func(n *Node) { s.endOverdue(n, f) })
+		s.whileLive(n, f, max(f.Patience+lateAnswerTime-f.waited(n.now), 0), func(n *Node) { s.endOverdue(n, f) })
 	}
 	takingOver := hasSilentRun && f.phase == forwardRunning
 	if f.phase == forwardResponding || takingOver {
@@ -485,6 +486,7 @@
 	if f.silent != nil {
 		s.releaseSilentRun(n, f, RunUnknown)
 	}
+	s.stopTimers(n, f)
 	s.placeWaiting(n)
 }
 
--- a/core/forward_plain.go
+++ b/core/forward_plain.go
@@ -102,7 +102,7 @@
 
 func (s *forwards) retryIfSilentAfter(n *Node, f *forwardedRequest, after time.Duration) {
 	step := f.step
-	n.afterFunc(after, func(n *Node) {
+	s.whileLive(n, f, after, func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.phase != forwardRunning {
 			return
 		}
--- a/core/path_failure.go
+++ b/core/path_failure.go
@@ -40,7 +40,7 @@
 	}
 	f.phase = forwardAwaitingPath
 	step := f.step
-	n.afterFunc(n.jitter(pathRetryDelay<<(f.pathRetries-2)), func(n *Node) {
+	s.whileLive(n, f, n.jitter(pathRetryDelay<<(f.pathRetries-2)), func(n *Node) {
 		if s.live[f.ID] == f && f.step == step {
 			s.requestPlacement(n, f)
 		}
@@ -50,7 +50,7 @@
 // watchNoAnswer has the path to an upstream probed if a step there has no answer in time.
 func (s *forwards) watchNoAnswer(n *Node, f *forwardedRequest, u *upstream, after time.Duration) {
 	step, began := f.step, n.now
-	n.afterFunc(after, func(n *Node) {
+	s.whileLive(n, f, after, func(n *Node) {
 		if s.live[f.ID] != f || f.step != step || f.phase == forwardResponding {
 			return
 		}
--- a/core/timer.go
+++ b/core/timer.go
@@ -21,12 +21,14 @@
 	at      Instant
 	order   uint64
 	message Message
+	// index is the timer's place in the heap; negative once it was removed.
+	index int
 }
 
 // timerHeap orders timers by time, and timers with equal times by the order in which they
 // were set.
 type timerHeap struct {
-	items []timer
+	items []*timer
 	order uint64
 }
 
@@ -38,20 +40,37 @@
 	}
 	return a.order < b.order
 }
-func (h *timerHeap) Swap(i, j int) { h.items[i], h.items[j] = h.items[j], h.items[i] }
+
+// Swap exchanges two items, for container/heap.
+func (h *timerHeap) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].index, h.items[j].index = i, j
+}
 
 // Push appends x, for container/heap.
-func (h *timerHeap) Push(x any) { h.items = append(h.items, x.(timer)) }
+func (h *timerHeap) Push(x any) {
+	t := x.(*timer)
+	t.index = len(h.items)
+	h.items = append(h.items, t)
+}
 
 // Pop removes the last item, for container/heap.
 func (h *timerHeap) Pop() any {
 	last := len(h.items) - 1
 	x := h.items[last]
-	h.items[last] = timer{}
+	x.index = -1
+	h.items[last] = nil
 	h.items = h.items[:last]
 	return x
 }
 
+// remove removes a timer, unless it is removed already.
+func (h *timerHeap) remove(t *timer) {
+	if t.index >= 0 {
+		heap.Remove(h, t.index)
+	}
+}
+
 func (h *timerHeap) earliest() (Instant, bool) {
 	if len(h.items) == 0 {
 		return 0, false
@@ -60,9 +79,11 @@
 }
 
 // after passes the message to this node once d has passed.
-func (n *Node) after(d time.Duration, message Message) {
+func (n *Node) after(d time.Duration, message Message) *timer {
 	n.timers.order++
-	heap.Push(&n.timers, timer{at: n.now.Add(d), order: n.timers.order, message: message})
+	t := &timer{at: n.now.Add(d), order: n.timers.order, message: message}
+	heap.Push(&n.timers, t)
+	return t
 }
 
 // afterFunc calls f once d has passed.
@@ -98,7 +119,7 @@
 		if !ok || at > n.now {
 			return
 		}
-		t := heap.Pop(&n.timers).(timer)
+		t := heap.Pop(&n.timers).(*timer)
 		n.dispatch(t.message)
 	}
 }
