Bound connections and heads of clients by what they take in parsed form

What callers saw: clients outside the operators' control ended a process: 150 that send whole heads of 16 to 30 KB of short fields took it to 155 and 274 MB of 64, and 1,200 that stop in the middle of a small head to 108, at each port. Cause: Unfinished counted bytes as they come from the wire, and released them when the handler began. net/http takes some hundred bytes for a field, so that the same bytes cost fifteen times as much; the header was cloned for the request and again for each run; nobody counted it while the request waited. Every connection could hold 4 KB of a head whatever the others held, up to 100 KB in parsed form, and the number of connections followed from descriptors alone. Change: tcp.Admission accounts for the connections of a port and for the heads of their requests in parsed form, from the first byte until the handler has returned, in proportion to MemoryMb. A head is measured while it arrives. Beyond the bound, clients that have sent nothing for longest give way: idle, new and silent, in the middle of a head or a body, or with an answer that they do not read; then a head is rejected before it is parsed: 431 over MaxHeaderBytes of the desired state, which takes effect now in place of 64 KiB, or 503 with Retry-After, and the connection lingers so that the answer can be read. A single head is admitted in any case, and small ones always. One copy of a header is kept; a run's own headers replace those of the caller on the wire. Trailers of requests are dropped. Each port has an account of its own, so that none starves the others. A metric and a log line tell what was refused. Why it works: what is counted is at least what is held (TestHeadBytesCoverTheParsedHead), and what a connection may hold beside the account, times the connections, is a fraction of the memory too.

--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -156,7 +156,7 @@
 		"core/upstream_limit.go", "		u.signals.use.owner -= cost\n", "",
 	}}}},
 	{Rule: "KEY", Seeds: keyedSeeds, Mutant: Mutant{Name: "key-passed-on", Promise: core.AnswerWhole, Edits: []Edit{{
-		"platform/upstream.go", "	h.Del(headerCredential)\n", "",
+		"platform/upstream.go", "	h[headerCredential], h[headerTenant] = nil, nil\n", "	h[headerTenant] = nil\n",
 	}}}},
 	{Rule: "KEY", Seeds: keyedSeeds, Mutant: Mutant{Name: "keys-never-removed", Promise: core.ConfigurationMonotone, Edits: []Edit{{
 		"core/forward.go", "newRouteTable(d.Routes), newTenantTable(d.Tenants)\n",
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -37,10 +37,7 @@
 	// bodyShare is the fraction of the process's memory limit that the bodies of callers'
 	// requests may hold. Garbage, buffers of connections and answers need the rest.
 	bodyShare = 0.25
-	// headShare is the fraction that heads of requests may hold before they have ended, and
-	// responseShare the same for heads, events and buffered bodies of responses. A head takes
-	// several times its bytes while it is parsed, and most end within milliseconds.
-	headShare     = 0.03
+	// responseShare is the same for heads, events and buffered bodies of responses.
 	responseShare = 0.06
 	// hostedInboxSize is the size of the control goroutine's inbox, in messages.
 	hostedInboxSize = 4096
@@ -58,19 +55,12 @@
 	// peerWriteTimeout is the write timeout of each part of a message to a peer, and of
 	// one event of an operator's watch.
 	peerWriteTimeout = 500 * time.Millisecond
-	// hostedHeaderBytes bounds the headers of callers' requests from the start,
-	// when the desired state with the operators' limits is not known yet.
-	hostedHeaderBytes = 64 << 10
 	// hostedHeaderTimeout is the timeout for reading a request's headers. It is longer than
 	// the values that operators set, so that callers that keep to those are never
 	// disconnected. hostedIdleTimeout is that of idle connections; operators set a shorter
 	// one for callers.
 	hostedHeaderTimeout = 10 * time.Second
 	hostedIdleTimeout   = 5 * time.Minute
-	// callerFileShare is the fraction of the process's descriptors that callers' connections
-	// may use. The others are for upstreams, peers and the store: a node that cannot open
-	// these serves nobody.
-	callerFileShare = 0.6
 	// queryReadTimeout bounds the time to read the body of a readiness check, a query or a
 	// scrape, which needs none, and queryWriteTimeout that to write the response.
 	queryReadTimeout  = time.Second
@@ -116,10 +106,11 @@
 	ingress    *ingress.Server
 	directory  *directory.Server
 	upstreams  *upstream.Client
-	// heads bounds the heads of requests, and responses the unfinished parts of responses.
-	heads, responses tcp.Unfinished
-	watcher          *store.Watcher
-	callerServer     *http.Server
+	// admissions bounds what clients hold, and responses the unfinished parts of responses.
+	admissions   admissions
+	responses    tcp.Unfinished
+	watcher      *store.Watcher
+	callerServer *http.Server
 	// callerIdle is for how long callers' connections may be idle.
 	callerIdle tcp.IdleTimeout
 	// callerListener is the listener of callerServer; nil until it is open.
@@ -149,7 +140,7 @@
 		fmt.Println(path + ": no faults")
 		return exitOK
 	}
-	limitMemory(s)
+	limitHeap(s.MemoryBytes)
 	h, closeHosted := openHosted(s, raw, advertised, source, disabled)
 	defer closeHosted()
 	return h.run(path, signals)
@@ -211,7 +202,8 @@
 		SendToCore: h.inbox.Send, Log: h.log, Self: h.self(),
 	}
 	h.ingress.LimitMemory(bodyBytes(s))
-	h.limitUnfinished(s)
+	h.admissions = h.newAdmissions(s)
+	h.limitResponses(s)
 	settings := bounds(s).Apply(core.DefaultSettings())
 	h.loop = &control.Loop{
 		Node: &core.Node{
@@ -272,10 +264,11 @@
 // ObserveAnswers sets whether answers that say nothing of their upstream are passed on too.
 func (h hostedRuntime) ObserveAnswers(c core.ObserveAnswers) { h.observeAll.Store(c.All) }
 
-// LimitCallers sets the largest body that later requests may have, and how long callers'
+// LimitCallers sets the largest head and body that later requests may have, and how long callers'
 // connections may be idle.
 func (h hostedRuntime) LimitCallers(c core.LimitCallers) {
 	h.ingress.LimitBodies(c.BodyBytes)
+	h.admissions.limitClients(c.CallerLimits)
 	h.callerIdle.Set(c.IdleTimeout)
 }
 
@@ -383,7 +376,7 @@
 // the reading of bodies.
 func (h *hosted) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler: h.ingress, MaxHeaderBytes: hostedHeaderBytes, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
+		Handler: h.ingress, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
 		ErrorLog: operator.HTTPErrorLogger(h.log), ConnContext: tcp.WithConn, ConnState: tcp.TrackState,
 	}
 }
@@ -391,7 +384,7 @@
 // newQueryServer returns an HTTP server for readiness checks, queries or scrapes.
 func (h *hosted) newQueryServer(handler http.Handler) *http.Server {
 	return httpserver.New(handler, httpserver.Limits{
-		HeaderBytes: hostedHeaderBytes, HeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
+		HeaderBytes: maxHeaderBytes, HeaderTimeout: hostedHeaderTimeout, IdleTimeout: hostedIdleTimeout,
 		ReadTimeout: queryReadTimeout, WriteTimeout: queryWriteTimeout,
 	}, operator.HTTPErrorLogger(h.log))
 }
@@ -439,13 +432,14 @@
 	go h.serve(func() error { return h.peers.Serve(peers) })
 	go h.operators.Run(ctx)
 	endpoints := []struct {
-		address string
-		server  *http.Server
+		address   string
+		server    *http.Server
+		admission *tcp.Admission
 	}{
-		{s.CallerAddress, h.callerServer},
-		{s.ReadyAddress, h.newQueryServer(h.directory.ReadyHandler())},
-		{s.DirectoryAddress, h.newQueryServer(h.directory.AddressHandler())},
-		{s.MetricsAddress, h.newQueryServer(h.operators.Handler())},
+		{s.CallerAddress, h.callerServer, h.admissions.callers},
+		{s.ReadyAddress, h.newQueryServer(h.directory.ReadyHandler()), h.admissions.ready},
+		{s.DirectoryAddress, h.newQueryServer(h.directory.AddressHandler()), h.admissions.directory},
+		{s.MetricsAddress, h.newQueryServer(h.operators.Handler()), h.admissions.metrics},
 	}
 	for _, endpoint := range endpoints {
 		limit, idle := s.MaxFiles, &tcp.IdleTimeout{}
@@ -456,7 +450,7 @@
 		if err != nil {
 			return oops.In("daisyshed").With("Node", s.Node).Wrap(err)
 		}
-		tcp.LimitHeads(l, &h.heads)
+		tcp.Admit(l, endpoint.admission)
 		if endpoint.server == h.callerServer {
 			h.callerListener = l
 		}
--- a/daisyshed/hosted_reload.go
+++ b/daisyshed/hosted_reload.go
@@ -16,18 +16,15 @@
 // bounds would spend the shared retry budget by different rules.
 const settingsInterval = time.Second
 
-// limitMemory sets the Go runtime's memory limit to memoryShare of the process's
+// limitHeap sets the Go runtime's memory limit to memoryShare of the process's
 // memory limit.
-func limitMemory(s platform.Settings) {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
-}
+func limitHeap(memory int64) { debug.SetMemoryLimit(int64(memoryShare * float64(memory))) }
 
 // bodyBytes returns how many bytes the bodies of callers' requests may hold.
 func bodyBytes(s platform.Settings) int64 { return int64(bodyShare * float64(s.MemoryBytes)) }
 
-// limitUnfinished bounds what connections hold of messages that have not ended.
-func (h *hosted) limitUnfinished(s platform.Settings) {
-	h.heads.SetLimit(int64(headShare * float64(s.MemoryBytes)))
+// limitResponses bounds what connections hold of responses that have not ended.
+func (h *hosted) limitResponses(s platform.Settings) {
 	h.responses.SetLimit(int64(responseShare * float64(s.MemoryBytes)))
 }
 
@@ -69,9 +66,10 @@
 		h.log.Error().Str("Event", "Reload").Err(err).Send()
 		return
 	}
-	limitMemory(s)
+	limitHeap(s.MemoryBytes)
 	h.ingress.LimitMemory(bodyBytes(s))
-	h.limitUnfinished(s)
+	h.admissions.limitMemory(s)
+	h.limitResponses(s)
 	h.settings.Bounds = s.Bounds
 	h.inbox.Send(bounds(s))
 	h.log.Info().Str("Event", "Reload").Float64("RetryRatio", s.Bounds.Retries.Ratio).Send()
--- a/daisyshed/httpserver/server.go
+++ b/daisyshed/httpserver/server.go
@@ -45,9 +45,14 @@
 // http.Server.ReadTimeout does not fit: it would also end long responses.
 func limitBodyReads(next http.Handler, timeout time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if tcp.BeginRequest(r.Context()) {
+		last, err := tcp.BeginRequest(r)
+		if last {
 			w.Header().Set("Connection", "close")
 		}
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
--- a/daisyshed/ingress/body.go
+++ b/daisyshed/ingress/body.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/daisyshed/tcp"
 	"daisyshed.dev/platform"
 )
 
@@ -45,7 +46,12 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 	}
 	body := &heldBody{budget: &s.bodies}
-	if err := body.read(r.Body, r.ContentLength, limit); err != nil {
+	received := tcp.ReceiveBody(r)
+	err := body.read(r.Body, r.ContentLength, limit)
+	received()
+	// Trailers are not passed on.
+	r.Trailer = nil
+	if err != nil {
 		body.release()
 		s.rejectBody(w, r, forward, timeout, err)
 		return nil, false
@@ -70,8 +76,7 @@
 	case errors.As(err, &full):
 		s.reportLimit(forward.Attempt, err)
 		skipBody(w, r)
-		after := core.RetryAfter(forward.Patience, rand.Float64())
-		platform.WriteEndForward(w, forward.Attempt, core.EndForward{Reason: core.MemoryFull, NotRun: true, RetryAfter: after})
+		s.rejectMemoryFull(w, forward)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		s.reportLimit(forward.Attempt, &BodyTimeoutError{Timeout: timeout})
 		w.Header().Set("Connection", "close")
@@ -81,6 +86,12 @@
 	}
 }
 
+// rejectMemoryFull rejects a request for which there is no memory.
+func (s *Server) rejectMemoryFull(w http.ResponseWriter, forward core.Forward) {
+	after := core.RetryAfter(forward.Patience, rand.Float64())
+	platform.WriteEndForward(w, forward.Attempt, core.EndForward{Reason: core.MemoryFull, NotRun: true, RetryAfter: after})
+}
+
 // skipBody reads the rest of a body and drops it. A caller that is still sending when its
 // connection is closed may not see the response.
 func skipBody(w http.ResponseWriter, r *http.Request) {
--- a/daisyshed/ingress/exchange.go
+++ b/daisyshed/ingress/exchange.go
@@ -22,12 +22,13 @@
 // exchange is one request in progress. Only its own goroutine writes to the
 // caller.
 type exchange struct {
-	server    *Server
-	w         http.ResponseWriter
-	r         *http.Request
-	ctx       context.Context
-	body      []byte
-	forward   core.Forward
+	server  *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	body    []byte
+	forward core.Forward
+	// header is what of the caller's header is forwarded. It is not changed: several runs may read it.
 	header    http.Header
 	startedAt time.Time
 
@@ -217,7 +218,7 @@
 	ctx, cancel := context.WithTimeout(x.ctx, c.Timeout)
 	defer cancel()
 	s := step{kind: core.ReadPromptStep, engine: c.Engine, send: c.Send}
-	header := x.header.Clone()
+	header := http.Header{}
 	platform.SetRunPrefill(header, c)
 	response, err := x.send(ctx, c.Engine, c.Address, header, c.NewConnection)
 	if err != nil {
@@ -245,7 +246,7 @@
 }
 
 // send sends the caller's request to an upstream, with the headers h in place
-// of the caller's.
+// of the caller's of the same names.
 func (x *exchange) send(ctx context.Context, id core.EngineID, address string, h http.Header, newConnection bool) (*upstream.Response, error) {
 	r := x.request(id, address, h)
 	r.NewConnection = newConnection
@@ -256,7 +257,7 @@
 func (x *exchange) request(id core.EngineID, address string, h http.Header) *upstream.Request {
 	return &upstream.Request{
 		Key: string(id), Address: address, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: h, Body: x.body, ParseIdleTimeout: platform.IdleTimeout,
+		Header: x.header, Replace: h, Body: x.body, ParseIdleTimeout: platform.IdleTimeout,
 		Matches: func(h http.Header) bool { return platform.MatchesAttempt(h, x.forward.Attempt) },
 		Series:  attemptSeries + x.forward.Attempt,
 	}
--- a/daisyshed/ingress/run.go
+++ b/daisyshed/ingress/run.go
@@ -110,7 +110,7 @@
 		x.current, x.replacement = r, nil
 	}
 	x.addRun(r)
-	header := x.header.Clone()
+	header := http.Header{}
 	platform.SetRun(header, c)
 	if x.lastEventID != "" {
 		platform.SetResume(header, x.lastEventID)
@@ -118,7 +118,8 @@
 	go x.readResponse(r, header)
 }
 
-// readResponse sends a run's request, reads the response and passes it on.
+// readResponse sends a run's request with the headers that replace the caller's, reads the response
+// and passes it on.
 func (x *exchange) readResponse(r *run, header http.Header) {
 	response, err := x.sendRun(r, header)
 	if err != nil {
--- a/daisyshed/ingress/server.go
+++ b/daisyshed/ingress/server.go
@@ -121,10 +121,15 @@
 // ServeHTTP serves one request. It reads the whole body first, so that the
 // request can be sent more than once.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if tcp.BeginRequest(r.Context()) || s.closing.Load() {
+	last, full := tcp.BeginRequest(r)
+	if last || s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	forward := platform.DecodeForward(r)
+	if full != nil {
+		s.rejectMemoryFull(w, forward)
+		return
+	}
 	// The deadline also bounds what net/http writes after the handler has returned. Each
 	// request sets its own. If w supports no deadlines, only the core's bound applies.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(forward.Patience + unreadTime))
@@ -137,7 +142,6 @@
 	defer cancel()
 	x := &exchange{
 		server: s, w: w, r: r, ctx: ctx, body: body.bytes, forward: forward, startedAt: time.Now(),
-		header:   platform.UpstreamRequestHeader(r.Header),
 		commands: newCommandSlot(),
 		results:  make(chan runResult),
 		events:   make(chan streamEvent),
@@ -145,6 +149,9 @@
 	}
 	x.forward.ID = core.ForwardID(s.lastID.Add(1))
 	x.forward.Key = platform.RequestKey(r, body.bytes)
+	x.header = platform.UpstreamRequestHeader(r.Header)
+	// A header in parsed form may be large; one copy of it is kept.
+	r.Header = x.header
 	s.add(x)
 	defer s.remove(x)
 	s.SendToCore(x.forward)
--- a/daisyshed/tcp/conn.go
+++ b/daisyshed/tcp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -9,6 +10,23 @@
 	"time"
 )
 
+// phase is what a connection's server waits for.
+type phase int
+
+const (
+	// awaiting: the first byte of a request.
+	awaiting phase = iota
+	// receivingHead: the rest of a head.
+	receivingHead
+	// receivingBody: the rest of a body.
+	receivingBody
+	// serving: nothing of the client; its request is being served.
+	serving
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // slotConn is a connection that occupies a slot until it is closed.
 type slotConn struct {
 	net.Conn
@@ -21,80 +39,158 @@
 	// acceptedAt is when the connection was accepted.
 	acceptedAt time.Time
 
-	mu sync.Mutex
-	// busy is set from the first byte of a request until the server waits for the next
-	// one, and interrupted once a read that waits for a request has been ended.
-	busy        bool
-	interrupted bool
+	mu    sync.Mutex
+	phase phase
+	// interrupted is set once a read that waits for a request has been ended, evicted once the
+	// connection has been closed for another one's sake, and refused once a request was rejected before
+	// it was parsed.
+	interrupted, evicted, refused bool
 	// idleSince is when the server began to wait for the next request; zero before the first
 	// one has been answered. idleTimer ends the connection after the listener's idle timeout.
 	idleSince time.Time
 	idleTimer *time.Timer
-	// head is what the connection holds of a request's head. handled is set while a handler serves the
-	// request whose head has been read.
-	head    Reservation
-	handled bool
+	// partBegan is when the head or the body that is being received began, and lastRead when bytes were
+	// received last. writeBegan is when the present write began; zero if there is none.
+	partBegan, lastRead, writeBegan time.Time
+	// scanner measures the head that is being received, and headBytes is what the head of the present
+	// request takes by the listener's admission.
+	scanner   HeadScanner
+	headBytes int64
 }
 
 // Read reads from the connection.
 func (c *slotConn) Read(p []byte) (int, error) {
+	if c.isRefused() {
+		return 0, c.readError(net.ErrClosed)
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && err != nil {
 		n, err = c.readArrived(p, err)
 	}
 	if n > 0 {
-		c.begin()
-		if full := c.holdHead(n); full != nil {
-			return 0, full
+		if reason := c.received(p[:n]); reason != nil {
+			c.refuse(reason)
+			return 0, c.readError(reason)
 		}
 	}
 	return n, err
 }
 
-// holdHead records that n bytes were read, if they are of a request's head. The server closes the
-// connection without an answer if it returns an error: the request was not read.
-func (c *slotConn) holdHead(n int) error {
+// isRefused reports whether the request was rejected before it was parsed. net/http may go on reading
+// after an error.
+func (c *slotConn) isRefused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.handled || c.closed.Load() {
-		return nil
+	return c.refused
+}
+
+// received records that bytes were read, and measures those of a head. It returns an error if the head
+// is too long or there is no memory for it; the request is not read any further then.
+func (c *slotConn) received(p []byte) error {
+	reason := c.receive(p)
+	for full := (*HeadsFullError)(nil); errors.As(reason, &full) && c.listener.closeSilent(holdsHead); {
+		reason = c.receive(nil)
 	}
-	if err := c.head.Grow(int64(n)); err != nil {
-		return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
+	if reason != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.refused = true
+		c.releaseHead()
 	}
-	return nil
+	return reason
 }
 
-// endHead records that a handler serves the request whose head has been read.
-func (c *slotConn) endHead() {
+// receive is received without making room for the head. p is empty if it was scanned before.
+func (c *slotConn) receive(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head.Release()
-	c.handled = true
+	c.lastRead = time.Now()
+	c.beginLocked()
+	a := c.listener.admission
+	if c.phase != receivingHead || a == nil {
+		return nil
+	}
+	c.scanner.Scan(p)
+	if limit, tooLong := a.tooLong(c.scanner.Text()); tooLong {
+		return &HeadTooLongError{Limit: limit}
+	}
+	if err := c.resizeHead(c.scanner.Bytes()); err != nil {
+		return err
+	}
+	if c.scanner.Ended() {
+		c.phase = serving
+	}
+	return nil
+}
+
+// resizeHead sets what the head of the present request takes. The caller holds c.mu.
+func (c *slotConn) resizeHead(n int64) error {
+	a := c.listener.admission
+	if a == nil || c.closed.Load() || c.evicted {
+		return nil
+	}
+	if !a.resize(c.headBytes, n) {
+		return &HeadsFullError{Bytes: n, Held: a.Held()}
+	}
+	c.headBytes = n
+	return nil
+}
+
+// releaseHead frees what the head of the present request takes. The caller holds c.mu.
+func (c *slotConn) releaseHead() {
+	if a := c.listener.admission; a != nil {
+		a.resize(c.headBytes, 0)
+	}
+	c.headBytes = 0
 }
 
 // Write writes to the connection.
 func (c *slotConn) Write(p []byte) (int, error) {
+	c.setWriteBegan(time.Now())
 	n, err := c.Conn.Write(p)
+	c.setWriteBegan(time.Time{})
 	if err != nil {
 		c.broken.Store(true)
 	}
 	return n, err
 }
 
+func (c *slotConn) setWriteBegan(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeBegan = t
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection was closed for another one's sake.
+func (c *slotConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // begin records that a request has begun to arrive. The server reads it to its end and
 // answers it, although the connection was to be closed.
 func (c *slotConn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = true
+	c.beginLocked()
+}
+
+// beginLocked is begin for a caller that holds c.mu.
+func (c *slotConn) beginLocked() {
+	if c.phase == awaiting {
+		c.phase, c.partBegan = receivingHead, time.Now()
+	}
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 	}
 	if c.interrupted {
 		c.interrupted = false
 		// If the deadline cannot be set, the next read fails.
-		_ = c.SetReadDeadline(time.Time{})
+		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -102,7 +198,8 @@
 func (c *slotConn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.handled, c.idleSince = false, false, time.Now()
+	c.releaseHead()
+	c.phase, c.scanner, c.idleSince = awaiting, HeadScanner{}, time.Now()
 	timeout := c.listener.idle.get()
 	switch {
 	case timeout <= 0:
@@ -116,19 +213,18 @@
 // expire ends the connection if it has been idle for the listener's idle timeout.
 func (c *slotConn) expire() {
 	c.mu.Lock()
-	idle := !c.busy && time.Since(c.idleSince) >= c.listener.idle.get()
+	idle := c.phase == awaiting && time.Since(c.idleSince) >= c.listener.idle.get()
 	c.mu.Unlock()
 	if idle {
 		c.interrupt()
 	}
 }
 
-// idleFrom returns since when the connection has waited for a further request; false if it
-// does not, or is being closed.
-func (c *slotConn) idleFrom() (time.Time, bool) {
+// idle reports whether the connection waits for a further request, and is not being closed.
+func (c *slotConn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleSince, !c.busy && !c.interrupted && !c.idleSince.IsZero()
+	return c.phase == awaiting && !c.interrupted && !c.idleSince.IsZero()
 }
 
 // expectsRequest reports whether the connection is new, or its last answer has just been sent, so
@@ -147,24 +243,37 @@
 func (c *slotConn) interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy {
+	c.interruptLocked()
+}
+
+// interruptLocked is interrupt for a caller that holds c.mu.
+func (c *slotConn) interruptLocked() {
+	if c.phase != awaiting {
 		return
 	}
 	c.interrupted = true
 	// If the deadline cannot be set, the connection is closed already.
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetReadDeadline(past)
 }
 
-// Close closes the connection and frees its slot.
+// Close closes the connection and frees its slot. If a request was rejected before it was parsed, its
+// client is given time to read the answer.
 func (c *slotConn) Close() error {
-	defer c.release()
-	c.closed.Store(true)
+	again := c.closed.Swap(true)
 	c.mu.Lock()
-	c.head.Release()
+	c.releaseHead()
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 	}
+	lingers := c.refused && !c.evicted
 	c.mu.Unlock()
+	if lingers {
+		if !again {
+			go c.linger()
+		}
+		return nil
+	}
+	defer c.release()
 	return c.Conn.Close()
 }
 
--- a/daisyshed/tcp/listen.go
+++ b/daisyshed/tcp/listen.go
@@ -35,7 +35,7 @@
 func (e *ListenError) Unwrap() error { return e.Cause }
 
 // Listen listens on address and keeps at most limit accepted connections open at
-// a time. A further one replaces the connection that has been idle for longest, and waits in
+// a time. A further one replaces the connection whose client has been idle for longest, and waits in
 // the operating system's backlog while none is idle.
 func Listen(address string, limit int) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
@@ -51,7 +51,7 @@
 // Limit returns a listener that keeps at most limit connections of l open at a time.
 func Limit(l net.Listener, limit int) net.Listener {
 	return &limitedListener{
-		Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{}), taken: make(chan struct{}), idle: &IdleTimeout{}, open: map[*slotConn]struct{}{},
+		Listener: l, limit: limit, freed: make(chan struct{}, 1), closed: make(chan struct{}), taken: make(chan struct{}), idle: &IdleTimeout{}, open: map[*slotConn]struct{}{},
 	}
 }
 
@@ -59,13 +59,15 @@
 // free.
 type limitedListener struct {
 	net.Listener
-	slots  chan struct{}
+	// limit is the number of slots. freed receives a value when a slot becomes free.
+	limit  int
+	freed  chan struct{}
 	closed chan struct{}
 	once   sync.Once
 
 	idle *IdleTimeout
-	// heads bounds the heads of requests that connections hold; nil sets no bound.
-	heads *Unfinished
+	// admission bounds the connections and the heads of their requests; nil sets no bound.
+	admission *Admission
 	// stopping is set once StopAccepting was called, and accepting counts the calls of Accept in
 	// progress.
 	stopping  atomic.Bool
@@ -73,6 +75,8 @@
 
 	mu   sync.Mutex
 	open map[*slotConn]struct{}
+	// used is the number of slots in use.
+	used int
 	// queued are connections that Accept returns after StopAccepting. taken is closed once it is
 	// complete.
 	queued []*slotConn
@@ -98,15 +102,6 @@
 	return l, err
 }
 
-// LimitHeads bounds the heads of requests that the connections of a listener of this package hold. It is
-// called before the listener accepts. The server's handlers call [BeginRequest], and its ConnState is
-// [TrackState].
-func LimitHeads(l net.Listener, heads *Unfinished) {
-	if limited, ok := l.(*limitedListener); ok {
-		limited.heads = heads
-	}
-}
-
 // Accept waits for a connection, then for a free slot.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	l.accepting.Add(1)
@@ -132,13 +127,17 @@
 // track returns an accepted connection that counts as open until it is closed. slot says that it
 // occupies one of the slots.
 func (l *limitedListener) track(conn net.Conn, slot bool) *slotConn {
-	c := &slotConn{Conn: conn, listener: l, acceptedAt: time.Now(), head: l.heads.Reserve()}
+	c := &slotConn{Conn: conn, listener: l, acceptedAt: time.Now()}
 	c.release = sync.OnceFunc(func() {
 		l.mu.Lock()
 		delete(l.open, c)
-		l.mu.Unlock()
 		if slot {
-			<-l.slots
+			l.used--
+		}
+		l.mu.Unlock()
+		select {
+		case l.freed <- struct{}{}:
+		default:
 		}
 	})
 	l.mu.Lock()
@@ -147,43 +146,43 @@
 	return c
 }
 
-// takeSlot waits for a free slot, and has the server close the connection that has been idle for
-// longest while there is none.
+// takeSlot waits for a free slot. While there is none, it has the server close the connection whose
+// client has been silent for longest.
 func (l *limitedListener) takeSlot() error {
-	for {
-		select {
-		case l.slots <- struct{}{}:
-			return nil
-		default:
-		}
-		l.closeLongestIdle()
+	for !l.occupy() {
+		l.closeSilent(anyConn)
 		t := time.NewTimer(evictEvery)
 		select {
-		case l.slots <- struct{}{}:
-			t.Stop()
-			return nil
+		case <-l.freed:
+		case <-t.C:
 		case <-l.closed:
 			t.Stop()
 			return net.ErrClosed
-		case <-t.C:
 		}
+		t.Stop()
 	}
+	return nil
 }
 
-// closeLongestIdle has the server close the connection that has been idle for longest, if one is.
-func (l *limitedListener) closeLongestIdle() {
+// occupy takes a slot if one is free.
+func (l *limitedListener) occupy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var oldest *slotConn
-	var since time.Time
-	for c := range l.open {
-		if at, idle := c.idleFrom(); idle && (oldest == nil || at.Before(since)) {
-			oldest, since = c, at
-		}
+	if l.used >= l.maxConns() {
+		return false
 	}
-	if oldest != nil {
-		oldest.interrupt()
+	l.used++
+	return true
+}
+
+// maxConns returns the number of slots.
+func (l *limitedListener) maxConns() int {
+	if l.admission != nil {
+		if n := int(l.admission.conns.Load()); n > 0 {
+			return min(n, l.limit)
+		}
 	}
+	return l.limit
 }
 
 // Close closes the listener and unblocks Accept.
--- a/daisyshed/tcp/stop.go
+++ b/daisyshed/tcp/stop.go
@@ -1,9 +1,9 @@
 package tcp
 
 import (
-	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -53,7 +53,7 @@
 	var taken []int
 	// If the listener is closed already, there is nothing to take.
 	_ = raw.Control(func(s uintptr) {
-		for range l.room() {
+		for range max(l.room(), 0) {
 			fd, _, err := syscall.Accept4(int(s), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 			if err != nil {
 				break
@@ -82,9 +82,9 @@
 func (l *limitedListener) room() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	room := cap(l.slots) - len(l.slots)
+	room := l.maxConns() - l.used
 	for c := range l.open {
-		if _, idle := c.idleFrom(); idle {
+		if c.idle() {
 			room++
 		}
 	}
@@ -121,7 +121,8 @@
 	if !c.interrupted || !arrived(c.Conn) {
 		return false
 	}
-	c.busy, c.interrupted = true, false
+	c.interrupted = false
+	c.beginLocked()
 	return c.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
@@ -143,16 +144,47 @@
 	return err == nil && n > 0
 }
 
-// BeginRequest records that a handler serves a request of the connection that ctx carries, and
-// reports whether the connection has to be closed after it, because the listener was closed by
-// [StopAccepting]. A server that has read the request together with the one before does not tell
-// by [TrackState] that it serves it.
-func BeginRequest(ctx context.Context) (last bool) {
-	c, ok := ctx.Value(connKey{}).(*slotConn)
+// BeginRequest records that a handler serves a request, and reports whether its connection has to be
+// closed after it, because the listener was closed by [StopAccepting]. It returns a *[HeadsFullError]
+// if there is no memory for the request's head; the handler rejects the request then. A server that has
+// read the request together with the one before does not tell by [TrackState] that it serves it, and
+// its head was not measured before.
+func BeginRequest(r *http.Request) (last bool, err error) {
+	c, ok := r.Context().Value(connKey{}).(*slotConn)
 	if !ok {
-		return false
+		return false, nil
+	}
+	if err := c.beginRequest(r); err != nil {
+		c.listener.admission.report(err)
+		return true, err
+	}
+	return c.listener.stopping.Load(), nil
+}
+
+func (c *slotConn) beginRequest(r *http.Request) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beginLocked()
+	c.phase = serving
+	if c.listener.admission == nil {
+		return nil
 	}
-	c.begin()
-	c.endHead()
-	return c.listener.stopping.Load()
+	return c.resizeHead(HeaderBytes(r.Header) + HeadBytes(int64(len(r.RequestURI)+len(r.Host)), 0))
+}
+
+// ReceiveBody records that the body of a request is read until the returned function is called. The
+// connection may be closed for another one's sake until then.
+func ReceiveBody(r *http.Request) (received func()) {
+	c, ok := r.Context().Value(connKey{}).(*slotConn)
+	if !ok {
+		return func() {}
+	}
+	c.setPhase(receivingBody)
+	return func() { c.setPhase(serving) }
+}
+
+func (c *slotConn) setPhase(p phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.partBegan = p, time.Now()
 }
--- a/daisyshed/tcp/unfinished_test.go
+++ b/daisyshed/tcp/unfinished_test.go
@@ -21,12 +21,12 @@
 	is := is.New(t)
 	const limit, size, conns = 64 << 10, 16 << 10, 16
 	l := listen(t, 2*conns)
-	var heads tcp.Unfinished
-	heads.SetLimit(limit)
-	tcp.LimitHeads(l, &heads)
+	var heads tcp.Admission
+	heads.SetHeadMemory(limit)
+	tcp.Admit(l, &heads)
 	s := &http.Server{
 		ReadHeaderTimeout: 5 * time.Second, ConnContext: tcp.WithConn, ConnState: tcp.TrackState,
-		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { tcp.BeginRequest(r.Context()) }),
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = tcp.BeginRequest(r) }),
 	}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -49,7 +49,10 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Replace has the headers that replace those of the same names in Header. One without values is not
+	// sent.
+	Replace http.Header
+	Body    []byte
 	// NewConnection prevents the reuse of an earlier connection.
 	NewConnection bool
 	// Direct prevents the use of a relay.
--- a/daisyshed/upstream/pool.go
+++ b/daisyshed/upstream/pool.go
@@ -158,8 +158,13 @@
 	var b bytes.Buffer
 	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	replaced := make(map[string]bool, len(r.Replace))
+	for name := range r.Replace {
+		replaced[name] = true
+	}
 	// Writing to a bytes.Buffer cannot fail.
-	_ = r.Header.Write(&b)
+	_ = r.Header.WriteSubset(&b, replaced)
+	_ = r.Replace.Write(&b)
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
