Share descriptors out between the ports of a hosted daemon

What callers saw: silent connections to all ports took 1,178 descriptors of a process that has 600, so that none was left for upstreams and the store. Cause: callers' connections had 0.6 of MaxFds, and each other port as many as MaxFds. Change: other nodes have 0.15, and readiness checks, address queries and scrapes 0.04 each.

--- a/daisyshed/admission.go
+++ b/daisyshed/admission.go
@@ -32,9 +32,12 @@
 	defaultHeaderBytes = 64 << 10
 	maxHeaderBytes     = 1 << 20
 	// callerFileShare is the fraction of the process's descriptors that callers' connections
-	// may use. The others are for upstreams, peers and the store: a node that cannot open
+	// may use, peerFileShare that of connections of other nodes, and queryFileShare that of each other
+	// port. The others are for upstreams, peers and the store: a node that cannot open
 	// these serves nobody.
 	callerFileShare = 0.6
+	peerFileShare   = 0.15
+	queryFileShare  = 0.04
 	// refusalLogInterval is the least time between two log lines on refusals for the same reason.
 	refusalLogInterval = time.Second
 )
@@ -89,6 +92,9 @@
 	}
 }
 
+// share returns a fraction of the process's descriptors, as a number of connections.
+func share(files int, fraction float64) int { return max(int(fraction*float64(files)), 1) }
+
 // refusals counts and logs what was refused to clients of a port. Logs have one line for each reason
 // and refusalLogInterval.
 type refusals struct {
--- a/daisyshed/hosted.go
+++ b/daisyshed/hosted.go
@@ -425,7 +425,7 @@
 // listen opens all listeners and starts serving on them.
 func (h *hosted) listen(ctx context.Context) error {
 	s := h.settings
-	peers, err := tcp.Listen(s.PeerAddress, s.MaxFiles)
+	peers, err := tcp.Listen(s.PeerAddress, share(s.MaxFiles, peerFileShare))
 	if err != nil {
 		return oops.In("daisyshed").With("Node", s.Node).Wrap(err)
 	}
@@ -442,9 +442,9 @@
 		{s.MetricsAddress, h.newQueryServer(h.operators.Handler()), h.admissions.metrics},
 	}
 	for _, endpoint := range endpoints {
-		limit, idle := s.MaxFiles, &tcp.IdleTimeout{}
+		limit, idle := share(s.MaxFiles, queryFileShare), &tcp.IdleTimeout{}
 		if endpoint.server == h.callerServer {
-			limit, idle = int(callerFileShare*float64(s.MaxFiles)), &h.callerIdle
+			limit, idle = share(s.MaxFiles, callerFileShare), &h.callerIdle
 		}
 		l, err := tcp.ListenWithIdleTimeout(endpoint.address, limit, idle)
 		if err != nil {
