upstream: count heads of responses in parsed form until their requests have ended

What callers saw: a worker whose answers have heads of 48 KB of short fields took a process to 112 MB of 64, beside 150 ordinary callers. The bound on unfinished responses counted the bytes of a head as they came, and released them when the head had been read; parsed, it takes fifteen times as much, until the answer has gone to the caller. Change: the head is measured while it arrives, also the part that was read together with an interim response, and is held until the request's step has ended, unless it is small.

--- a/daisyshed/tcp/unfinished.go
+++ b/daisyshed/tcp/unfinished.go
@@ -5,12 +5,12 @@
 	"sync/atomic"
 )
 
-// smallMessage is how many bytes of an unfinished message a connection may hold whatever the others
-// hold: as many as its read buffer. Heads of most messages are shorter.
+// smallMessage is how many bytes of a message a connection may hold whatever the others hold: as many
+// as its read buffer. Heads of most messages take less, also in parsed form.
 const smallMessage = 4 << 10
 
 // Unfinished bounds the sum of the bytes that connections hold of messages whose end has not been
-// received. A bound for each message is not enough: a process has thousands of connections, and a
+// received, or that are in use as a whole. A bound for each message is not enough: a process has thousands of connections, and a
 // faulty sender may never end a message on any of them. Its zero value refuses nothing. It is safe for
 // concurrent use.
 type Unfinished struct{ limit, held atomic.Int64 }
@@ -37,6 +37,12 @@
 	held int64
 }
 
+// Small reports whether the message is one that a connection may hold whatever the others hold.
+func (r *Reservation) Small() bool { return r.held <= smallMessage }
+
+// Next returns an empty reservation of the same Unfinished.
+func (r *Reservation) Next() Reservation { return Reservation{of: r.of} }
+
 // Reserve returns an empty reservation of u, which may be nil.
 func (u *Unfinished) Reserve() Reservation { return Reservation{of: u} }
 
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -97,6 +97,8 @@
 	reportLimit func(error)
 	complete    bool
 	unfinished  *tcp.Unfinished
+	// head is what the head holds in parsed form.
+	head tcp.Reservation
 }
 
 // Close keeps the connection for reuse if request and response are complete and
@@ -218,6 +220,13 @@
 	carried []carriedSeries
 }
 
+// scanBuffered measures the part of a head that was read together with what precedes it.
+func (cn *conn) scanBuffered() {
+	// Peek cannot fail for what is buffered.
+	buffered, _ := cn.r.Peek(cn.r.Buffered())
+	cn.in.head.Scan(buffered)
+}
+
 // abort closes the connection and discards what was written to it and not delivered. After an
 // orderly close the system goes on to deliver it, also when a partition ends later.
 func (cn *conn) abort() {
@@ -262,9 +271,19 @@
 	}
 	release := response.close
 	response.close = func(complete bool) { release(stop() && complete) }
+	response.holdHead(ctx)
 	return response, nil
 }
 
+// holdHead records the head as held until ctx ends, unless it is small.
+func (r *Response) holdHead(ctx context.Context) {
+	if r.head.Small() {
+		r.head.Release()
+		return
+	}
+	context.AfterFunc(ctx, r.head.Release)
+}
+
 // roundTrip writes a request and reads the head of the response.
 func (c *Client) roundTrip(cn *conn, r *Request, keep func(*conn, http.Header)) (*Response, error) {
 	written := make(chan error, 1)
@@ -278,7 +297,9 @@
 		go func() { written <- writeLongRequest(cn, r) }()
 	}
 	response, err := c.readResponse(cn, r)
+	head := cn.in.removeLimit()
 	if err != nil {
+		head.Release()
 		if cn.in.exceeded != nil {
 			// net/http may report the part that was read as malformed.
 			err = cn.in.exceeded
@@ -290,7 +311,7 @@
 		c.OnResponse(r.Key, response.StatusCode, response.Header)
 	}
 	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
-	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, OpenedAt: cn.openedAt, Relay: cn.relay, unfinished: c.Unfinished}
+	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, OpenedAt: cn.openedAt, Relay: cn.relay, unfinished: c.Unfinished, head: head}
 	out.Unframed = response.ContentLength < 0 && !isChunked(response)
 	out.Body = &bodyReader{r: response.Body, response: out}
 	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
@@ -325,7 +346,6 @@
 // readResponse reads the head of the response that belongs to the request. A
 // late response to an earlier request may precede it on the connection.
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
-	defer cn.in.removeLimit()
 	for range maxResponsesRead {
 		response, err := readFinalHead(cn, r)
 		if err != nil {
@@ -352,6 +372,7 @@
 func readFinalHead(cn *conn, r *Request) (*http.Response, error) {
 	for range maxInterim + 1 {
 		cn.in.setLimit(Head, maxHeadBytes)
+		cn.scanBuffered()
 		response, err := http.ReadResponse(cn.r, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, headError(err)
--- a/daisyshed/upstream/limits.go
+++ b/daisyshed/upstream/limits.go
@@ -84,17 +84,24 @@
 	limit, left int64
 	// exceeded is the error that Read returned at the limit; nil before.
 	exceeded error
-	// held is what the connection holds of a head.
+	// head measures the head that is being read, and held is what the connection holds of heads in
+	// parsed form.
+	head tcp.HeadScanner
 	held tcp.Reservation
 }
 
 // setLimit bounds the bytes of the part that is read next.
-func (l *limitedReader) setLimit(p Part, limit int64) { l.part, l.limit, l.left = p, limit, limit }
+func (l *limitedReader) setLimit(p Part, limit int64) {
+	l.part, l.limit, l.left, l.head = p, limit, limit, tcp.HeadScanner{}
+}
 
-// removeLimit ends the limit, because the part has been read.
-func (l *limitedReader) removeLimit() {
+// removeLimit ends the limit, because the part has been read. It returns what the head holds, which
+// the caller releases once it does not use the head any more.
+func (l *limitedReader) removeLimit() tcp.Reservation {
 	l.limit = 0
-	l.held.Release()
+	held := l.held
+	l.held = held.Next()
+	return held
 }
 
 // Read reads from the connection.
@@ -109,7 +116,9 @@
 	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
 	if l.part == Head {
-		if full := l.held.Grow(int64(n)); full != nil {
+		before := l.head.Bytes()
+		l.head.Scan(p[:n])
+		if full := l.held.Grow(l.head.Bytes() - before); full != nil {
 			l.exceeded = full
 			return 0, full
 		}
