An answer that ends with its connection is whole only if its request was delivered

Cause: on one socket a writer and a reader wait. The system reports a reset to one of them: if the writer gets ECONNRESET, the error is cleared and the reader sees an orderly end. The end of a body without length or chunks is the end of the connection, and nobody asked what had become of the request. A relay marks the end as broken if a write has failed or is under way, if bytes of the request still come 50 ms after the last ones, or if the system holds some. http1.Transport does the same for net/http's. Answers with a length or chunks are not affected, nor are those to requests that were delivered. TestServiceAnswerIsReturned finds its dialer one level deeper, and checks the same.

--- a/daisyshed/daemon.go
+++ b/daisyshed/daemon.go
@@ -18,6 +18,7 @@
 	"daisyshed.dev/daisyshed/service"
 	"daisyshed.dev/daisyshed/settings"
 	"daisyshed.dev/daisyshed/vmlist"
+	"daisyshed.dev/wire/http1"
 	"daisyshed.dev/wire/mutualtls"
 	wirelog "daisyshed.dev/wire/platformlog"
 	wirevms "daisyshed.dev/wire/vmlist"
@@ -144,15 +145,15 @@
 	}
 }
 
-func (d *daemon) newHTTPTransport() *http.Transport {
+func (d *daemon) newHTTPTransport() http.RoundTripper {
 	p := d.settings.Periods
-	return &http.Transport{
+	return &http1.Transport{Base: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: p.DialTimeout}).DialContext,
 		MaxConnsPerHost:        d.settings.Limits.UpstreamConnections,
 		MaxIdleConnsPerHost:    d.settings.Limits.UpstreamConnections,
 		IdleConnTimeout:        p.IdleTimeout,
 		MaxResponseHeaderBytes: int64(d.settings.Limits.HeaderBytes),
-	}
+	}}
 }
 
 func (d *daemon) newCallerServer(incarnation core.Incarnation) *caller.Server {
--- a/daisyshed/peer/relay_copy.go
+++ b/daisyshed/peer/relay_copy.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"daisyshed.dev/wire/http1"
 	wire "daisyshed.dev/wire/peer"
 	"github.com/hashicorp/yamux"
 )
@@ -17,6 +18,10 @@
 // find out whether the other node has reset the stream.
 const writeCheckInterval = 25 * time.Millisecond
 
+// settleTime is how long after the last bytes of the other node more may come, if it is still sending a
+// request.
+const settleTime = 50 * time.Millisecond
+
 // relayCopy copies the bytes between an upstream and a stream.
 type relayCopy struct {
 	upstream net.Conn
@@ -26,6 +31,11 @@
 	idle      *time.Timer
 	idleAfter time.Duration
 	aborted   atomic.Bool
+	// requestedAt is how long after began bytes came from the other node last; zero if none have.
+	// writing is set during a write to the upstream, and refused once one has failed.
+	began            time.Time
+	requestedAt      atomic.Int64
+	writing, refused atomic.Bool
 }
 
 // relayedBytes are the bytes sent to and received from an upstream, and whether the connection to it
@@ -38,7 +48,7 @@
 // copyRelayed copies bytes both ways until the other node closes the stream, or no bytes are
 // sent for idleAfter. It closes the upstream's connection.
 func copyRelayed(upstream net.Conn, stream *yamux.Stream, r *bufio.Reader, idleAfter time.Duration) relayedBytes {
-	c := &relayCopy{upstream: upstream, stream: stream, chunks: wire.ChunkReader{Source: r}, idleAfter: idleAfter}
+	c := &relayCopy{upstream: upstream, stream: stream, chunks: wire.ChunkReader{Source: r}, idleAfter: idleAfter, began: time.Now()}
 	c.idle = time.AfterFunc(idleAfter, c.abort)
 	defer c.idle.Stop()
 	done := make(chan relayedBytes, 1)
@@ -68,11 +78,17 @@
 	sent, takes := int64(0), true
 	for {
 		n, err := c.chunks.Read(buffer)
+		if n > 0 {
+			c.requestedAt.Store(int64(time.Since(c.began)))
+		}
 		if n > 0 && takes {
 			c.idle.Reset(c.idleAfter)
+			c.writing.Store(true)
 			var w int
 			w, takes = c.write(buffer[:n])
 			sent += int64(w)
+			c.refused.Store(!takes)
+			c.writing.Store(false)
 		}
 		if err == io.EOF && !c.aborted.Load() {
 			c.closeWrite()
@@ -122,6 +138,18 @@
 	return err != nil && !errors.Is(err, yamux.ErrTimeout)
 }
 
+// delivered reports whether the upstream, which has closed its side, had received all that the other
+// node sends. Otherwise the end of its answer may be that of a connection that it broke off: a reset is
+// reported to only one of the socket's reader and its writer.
+func (c *relayCopy) delivered() bool {
+	latest := c.requestedAt.Load()
+	if latest == 0 {
+		return true
+	}
+	time.Sleep(time.Duration(latest) + settleTime - time.Since(c.began))
+	return c.requestedAt.Load() == latest && !c.writing.Load() && !c.refused.Load() && !http1.Unacknowledged(c.upstream)
+}
+
 // fromUpstream copies from the upstream until it closes or breaks the connection, marks the
 // end as one of both, and returns what was received.
 func (c *relayCopy) fromUpstream() (b relayedBytes) {
@@ -140,7 +168,7 @@
 		}
 		if err != nil {
 			// If the write fails, the other node sees that the stream ends without a mark.
-			_, _ = c.stream.Write(wire.AppendChunkEnd(chunk[:0], err == io.EOF))
+			_, _ = c.stream.Write(wire.AppendChunkEnd(chunk[:0], err == io.EOF && c.delivered()))
 			b.brokenOff = err != io.EOF && !errors.Is(err, net.ErrClosed)
 			return b
 		}
--- a/daisyshed/service/client.go
+++ b/daisyshed/service/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"daisyshed.dev/core"
+	"daisyshed.dev/wire/http1"
 	"daisyshed.dev/wire/service"
 )
 
@@ -41,7 +42,7 @@
 // request and does not follow redirects. It never sends a request twice.
 func NewHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		Transport: &http1.Transport{Base: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/daisyshed/service/client_test.go
+++ b/daisyshed/service/client_test.go
@@ -12,6 +12,7 @@
 
 	"daisyshed.dev/core"
 	"daisyshed.dev/daisyshed/service"
+	"daisyshed.dev/wire/http1"
 	"github.com/matryer/is"
 )
 
@@ -27,7 +28,7 @@
 	dials := 0
 	var seen *http.Request
 	client := &service.Client{HTTP: service.NewHTTPClient(), SendToCore: func(m core.Message) { messages <- m }}
-	client.HTTP.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+	client.HTTP.Transport.(*http1.Transport).Base.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
 		dials++
 		if serve == nil {
 			return nil, io.ErrClosedPipe
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -14,6 +14,7 @@
 
 	"daisyshed.dev/core"
 	"daisyshed.dev/daisyshed/tcp"
+	"daisyshed.dev/wire/http1"
 )
 
 const (
@@ -286,15 +287,15 @@
 
 // roundTrip writes a request and reads the head of the response.
 func (c *Client) roundTrip(cn *conn, r *Request, keep func(*conn, http.Header)) (*Response, error) {
-	written := make(chan error, 1)
+	delivery := http1.NewDelivery()
 	if len(r.Body) <= maxInlineBody {
 		n, err := writeRequest(cn, r)
 		if err != nil && n == 0 {
 			return nil, &UnsentError{Relay: cn.relay, Cause: err}
 		}
-		written <- err
+		delivery.Finish(err)
 	} else {
-		go func() { written <- writeLongRequest(cn, r) }()
+		go func() { delivery.Finish(writeLongRequest(cn, r)) }()
 	}
 	response, err := c.readResponse(cn, r)
 	head := cn.in.removeLimit()
@@ -310,14 +311,14 @@
 	if c.OnResponse != nil {
 		c.OnResponse(r.Key, response.StatusCode, response.Header)
 	}
-	reusable := !response.Close && response.ContentLength != -1 || isChunked(response)
+	reusable := !response.Close && response.ContentLength != -1 || http1.IsChunked(response)
 	out := &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, OpenedAt: cn.openedAt, Relay: cn.relay, unfinished: c.Unfinished, head: head}
-	out.Unframed = response.ContentLength < 0 && !isChunked(response)
-	out.Body = &bodyReader{r: response.Body, response: out}
+	out.Unframed = http1.IsUnframed(response)
+	out.Body = &bodyReader{received: response, response: out, conn: cn.Conn, delivery: delivery}
 	out.reportLimit = func(err error) { c.reportLimit(r.Key, err) }
 	out.complete = response.ContentLength == 0
 	out.close = func(complete bool) {
-		if complete && reusable && !response.Close && requestWritten(written) && cn.r.Buffered() == 0 {
+		if complete && reusable && !response.Close && delivery.Written() && cn.r.Buffered() == 0 {
 			cn.recordSeries(r.Series)
 			keep(cn, response.Header)
 			return
@@ -328,21 +329,6 @@
 	return out, nil
 }
 
-func isChunked(response *http.Response) bool {
-	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
-}
-
-// requestWritten reports whether the whole request has been written, without
-// waiting for it.
-func requestWritten(written <-chan error) bool {
-	select {
-	case err := <-written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // readResponse reads the head of the response that belongs to the request. A
 // late response to an earlier request may precede it on the connection.
 func (c *Client) readResponse(cn *conn, r *Request) (*http.Response, error) {
@@ -357,7 +343,7 @@
 		if c.OnUnmatched != nil {
 			c.OnUnmatched(r.Key, response.Header)
 		}
-		if response.Close || response.ContentLength < 0 && !isChunked(response) {
+		if response.Close || http1.IsUnframed(response) {
 			return nil, MismatchedResponseError{}
 		}
 		cn.in.setLimit(LateBody, maxLateBytes)
@@ -401,15 +387,21 @@
 
 // bodyReader reads the body of a response and records when it has been read to its end.
 type bodyReader struct {
-	r        io.Reader
+	received *http.Response
 	response *Response
+	conn     net.Conn
+	delivery *http1.Delivery
 }
 
-// Read reads from the body.
+// Read reads from the body. At its end it checks that the response is whole.
 func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	if err == io.EOF {
-		b.response.complete = true
+	n, err := b.received.Body.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if b.response.Unframed && !b.delivery.Confirm(b.conn) {
+		return n, io.ErrUnexpectedEOF
 	}
-	return n, err
+	b.response.complete = true
+	return n, io.EOF
 }
