Responses whose head is not valid are no answers

What callers saw (MIXED): the answer of a worker in trouble with status 000, or with a blank in the name of a field, as an answer: the line was passed on, or the body was not the worker's. Cause: net/http takes any three digits for a status. Below 200 a response was skipped as interim, so that a 200 after a 000 or 099 was taken; 600 and 999 were passed on. Its reader of heads keeps a name with a blank as it is: the Content-Length or Transfer-Encoding of which the name has one before the colon is not seen, and the body is read to the end of the connection. The same holds for interim heads and for trailers, for versions such as HTTP/3.7, and for a length beside chunks, which it drops (RFC 9112, 5.1, 6.1 and 6.3; RFC 9110, 15). Change: http1.CheckHead rejects statuses outside 100 to 599, switches of protocol, other versions than HTTP/1 and names that are no tokens, in final and interim heads; trailers are checked at the end of the body, and a length beside chunks while the head arrives. The step fails as one that may have run: 502 for what may not be repeated, another try for what may. Evidence: of the 21 cases of TestInvalidHeadIsNoAnswer 14 failed before; a control byte and a tab in a name, and a 000 that ends the connection, were no answers before either, and four are guards of what is valid. TestInvalidAnswerIsNotPassedOn (status, name) and the five cases of TestTransportRejectsInvalidHeads failed before. Why it works: what is passed on, and the rule by which its body is read, come from fields that a recipient has to accept. Messages of peers are no HTTP. A length beside chunks is not noticed on net/http's transport, which removes it.

--- a/daisyshed/ingress/mixed_test.go
+++ b/daisyshed/ingress/mixed_test.go
@@ -49,7 +49,9 @@
 
 // invalidAnswers are answers of upstreams in trouble that callers got as answers.
 var invalidAnswers = map[string]string{
-	"part": "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\n\r\npart",
+	"part":   "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\n\r\npart",
+	"status": "HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\npart",
+	"name":   "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Seal: s\r\nContent-Length : 4\r\nBad Name: x\r\n\r\npart",
 }
 
 // longUpload is more than the system's buffers take, so that its writer waits.
--- a/daisyshed/tcp/head.go
+++ b/daisyshed/tcp/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 )
 
 const (
@@ -32,11 +33,20 @@
 // HeadScanner measures a head while it is received. Its zero value is at the start of a head.
 type HeadScanner struct {
 	text, lines int64
-	// lineText is how much of the present line was received, without its end.
+	// lineText is how much of the present line was received, without its end, and start its beginning.
 	lineText int64
+	start    [len(transferEncoding)]byte
 	ended    bool
+	// hasLength and hasEncoding say that a field names the length or the encoding of the body.
+	hasLength, hasEncoding bool
 }
 
+// The names of the fields that say where a body ends.
+const (
+	contentLength    = "content-length:"
+	transferEncoding = "transfer-encoding:"
+)
+
 // Scan reads the next part of a head, and ignores what follows its end.
 func (s *HeadScanner) Scan(p []byte) {
 	for len(p) > 0 && !s.ended {
@@ -50,7 +60,7 @@
 		s.scanLine(p[:end])
 		p = p[end+1:]
 		empty := s.lineText == 0
-		s.lineText = 0
+		s.endLine()
 		switch {
 		case !empty:
 			s.lines++
@@ -62,9 +72,28 @@
 
 // scanLine reads a part of a line, without the carriage return that may belong to the line's end.
 func (s *HeadScanner) scanLine(p []byte) {
-	s.lineText += int64(len(bytes.TrimSuffix(p, []byte("\r"))))
+	p = bytes.TrimSuffix(p, []byte("\r"))
+	if s.lineText < int64(len(s.start)) {
+		copy(s.start[s.lineText:], p)
+	}
+	s.lineText += int64(len(p))
 }
 
+// endLine ends a line.
+func (s *HeadScanner) endLine() {
+	start := s.start[:min(s.lineText, int64(len(s.start)))]
+	s.lineText = 0
+	s.hasLength = s.hasLength || hasPrefixFold(start, contentLength)
+	s.hasEncoding = s.hasEncoding || hasPrefixFold(start, transferEncoding)
+}
+
+func hasPrefixFold(p []byte, prefix string) bool {
+	return len(p) >= len(prefix) && strings.EqualFold(string(p[:len(prefix)]), prefix)
+}
+
+// HasAmbiguousLength reports whether the fields so far name both a length and an encoding of the body.
+func (s *HeadScanner) HasAmbiguousLength() bool { return s.hasLength && s.hasEncoding }
+
 // Text returns the number of bytes that were received of the head.
 func (s *HeadScanner) Text() int64 { return s.text }
 
--- a/daisyshed/tcp/head_test.go
+++ b/daisyshed/tcp/head_test.go
@@ -36,6 +36,20 @@
 	})
 }
 
+// Both fields that say where a body ends are found, however the head arrives.
+func TestScannerFindsAnAmbiguousLength(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nX: transfer-encoding:\r\ncontent-LENGTH: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+	both := strings.Index(head, "chunked\r\n") + len("chunked\r\n")
+	for i := range len(head) {
+		var s tcp.HeadScanner
+		s.Scan([]byte(head[:i]))
+		is.Equal(s.HasAmbiguousLength(), i >= both)
+		s.Scan([]byte(head[i:]))
+		is.True(s.HasAmbiguousLength())
+	}
+}
+
 // What a head is said to take is at least what it takes, for short fields and for long ones.
 func TestHeadBytesCoverTheParsedHead(t *testing.T) {
 	const heads = 50
--- a/daisyshed/upstream/client.go
+++ b/daisyshed/upstream/client.go
@@ -363,6 +363,9 @@
 		if err != nil {
 			return nil, headError(err)
 		}
+		if err := cn.in.checkHead(response); err != nil {
+			return nil, &MalformedHeadError{Cause: err}
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -402,6 +405,9 @@
 	if b.response.Unframed && !b.delivery.Confirm(b.conn) {
 		return n, io.ErrUnexpectedEOF
 	}
+	if err := http1.CheckFields(b.received.Trailer); err != nil {
+		return n, err
+	}
 	b.response.complete = true
 	return n, io.EOF
 }
--- a/daisyshed/upstream/limits.go
+++ b/daisyshed/upstream/limits.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 
 	"daisyshed.dev/daisyshed/peer"
 	"daisyshed.dev/daisyshed/tcp"
+	"daisyshed.dev/wire/http1"
 )
 
 const (
@@ -95,6 +97,14 @@
 	l.part, l.limit, l.left, l.head = p, limit, limit, tcp.HeadScanner{}
 }
 
+// checkHead returns an error if the head that has been read is not valid.
+func (l *limitedReader) checkHead(response *http.Response) error {
+	if l.head.HasAmbiguousLength() {
+		return http1.AmbiguousLengthError{}
+	}
+	return http1.CheckHead(response)
+}
+
 // removeLimit ends the limit, because the part has been read. It returns what the head holds, which
 // the caller releases once it does not use the head any more.
 func (l *limitedReader) removeLimit() tcp.Reservation {
--- a/daisyshed/upstream/mixed_test.go
+++ b/daisyshed/upstream/mixed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -112,3 +113,57 @@
 		}
 	}
 }
+
+// Upstreams in trouble send heads that are not valid. net/http accepts these, and callers got the
+// answer, or one whose end was found by another rule than the upstream's.
+func TestInvalidHeadIsNoAnswer(t *testing.T) {
+	const own = "Attempt-Id: a\r\n"
+	const sound = "HTTP/1.1 200 OK\r\n" + own + "Content-Length: 2\r\n\r\nok"
+	for name, c := range map[string]struct {
+		sent  string
+		valid bool
+	}{
+		"status 000":                    {"HTTP/1.1 000 Trouble\r\n" + own + "Content-Length: 2\r\n\r\nok", false},
+		"status 000 before an answer":   {"HTTP/1.1 000 Trouble\r\n" + own + "\r\n" + sound, false},
+		"status 099 before an answer":   {"HTTP/1.1 099 Trouble\r\n" + own + "\r\n" + sound, false},
+		"status 600":                    {"HTTP/1.1 600 Trouble\r\n" + own + "Content-Length: 2\r\n\r\nok", false},
+		"status 999":                    {"HTTP/1.1 999 Trouble\r\n" + own + "Content-Length: 2\r\n\r\nok", false},
+		"status 599":                    {"HTTP/1.1 599 Own\r\n" + own + "Content-Length: 2\r\n\r\nok", true},
+		"upgrade":                       {"HTTP/1.1 101 Upgrade\r\n" + own + "\r\n" + sound, false},
+		"version 3.7":                   {"HTTP/3.7 200 OK\r\n" + own + "Content-Length: 2\r\n\r\nok", false},
+		"blank in a name":               {"HTTP/1.1 200 OK\r\n" + own + "Bad Name: x\r\nContent-Length: 2\r\n\r\nok", false},
+		"blank before the colon":        {"HTTP/1.1 200 OK\r\n" + own + "X-Name : x\r\nContent-Length: 2\r\n\r\nok", false},
+		"blank in the length's name":    {"HTTP/1.1 200 OK\r\n" + own + "Content-Length : 2\r\n\r\nok", false},
+		"blank in the encoding's name":  {"HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
+		"control byte in a name":        {"HTTP/1.1 200 OK\r\n" + own + "X-\x01Name: x\r\nContent-Length: 2\r\n\r\nok", false},
+		"tab in a name":                 {"HTTP/1.1 200 OK\r\n" + own + "X\tName: x\r\nContent-Length: 2\r\n\r\nok", false},
+		"blank in an interim head":      {"HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\n" + sound, false},
+		"blank in a trailer":            {"HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: x\r\n\r\n", false},
+		"length and chunks":             {"HTTP/1.1 200 OK\r\n" + own + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
+		"length and chunks, interim":    {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + own + "transfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", false},
+		"trailer":                       {"HTTP/1.1 200 OK\r\n" + own + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Sum: x\r\n\r\n", true},
+		"interim head before an answer": {"HTTP/1.1 103 Hints\r\nX-Name: x\r\n\r\n" + sound, true},
+		"uncommon name":                 {"HTTP/1.1 200 OK\r\n" + own + "x!#$%&'*+-.^_`|~9: x\r\nContent-Length: 2\r\n\r\nok", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				defer conn.Close()
+				if readRequest(r) {
+					_, _ = io.WriteString(conn, c.sent)
+				}
+			})
+			client := &upstream.Client{DialTimeout: time.Second}
+			defer client.Close()
+			body, err := readAnswer(t, client, address, []byte("b"))
+			if c.valid {
+				is.NoErr(err)
+				is.Equal(string(body), "ok")
+				return
+			}
+			var unsent *upstream.UnsentError
+			is.True(err != nil)
+			is.True(!errors.As(err, &unsent))
+		})
+	}
+}
--- a/wire/http1/transport.go
+++ b/wire/http1/transport.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 )
 
-// Transport is a transport that rejects bodies that end with their connection although the request was
-// not delivered. It serves HTTP/1.1 without upgrades.
+// Transport is a transport that rejects invalid responses, and bodies that end with their connection
+// although the request was not delivered. It serves HTTP/1.1 without upgrades.
 type Transport struct{ Base http.RoundTripper }
 
 // RoundTrip sends a request.
@@ -24,9 +24,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if IsUnframed(response) {
-		response.Body = &checkedBody{ReadCloser: response.Body, delivery: d}
+	if err := CheckHead(response); err != nil {
+		// The response is not used, so an error from closing it does not matter.
+		_ = response.Body.Close()
+		return nil, err
 	}
+	response.Body = &checkedBody{ReadCloser: response.Body, response: response, delivery: d, unframed: IsUnframed(response)}
 	return response, nil
 }
 
@@ -60,17 +63,25 @@
 	return d.Confirm(conn)
 }
 
-// checkedBody is the body of a response that ends with its connection.
+// checkedBody is the body of a response.
 type checkedBody struct {
 	io.ReadCloser
+	response *http.Response
 	delivery *tracedDelivery
+	unframed bool
 }
 
 // Read reads from the body. At its end it checks that the response is whole.
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !b.delivery.confirm() {
+	if err != io.EOF {
+		return n, err
+	}
+	if b.unframed && !b.delivery.confirm() {
 		return n, io.ErrUnexpectedEOF
 	}
-	return n, err
+	if err := CheckFields(b.response.Trailer); err != nil {
+		return n, err
+	}
+	return n, io.EOF
 }
--- a/wire/http1/transport_test.go
+++ b/wire/http1/transport_test.go
@@ -56,6 +56,23 @@
 	return string(got), err
 }
 
+// Calls over net/http's transport took an invalid head for an answer.
+func TestTransportRejectsInvalidHeads(t *testing.T) {
+	for name, answer := range map[string]string{
+		"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok",
+		"status 600": "HTTP/1.1 600 Trouble\r\nContent-Length: 2\r\n\r\nok",
+		"blank":      "HTTP/1.1 200 OK\r\nBad Name: x\r\nContent-Length: 2\r\n\r\nok",
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+		"trailer":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := send(serve(t, answer, true), []byte("b"))
+			is.True(err != nil)
+		})
+	}
+}
+
 // A call whose answer ended with the connection while the request was being written took a part of an
 // answer for the whole.
 func TestTransportTakesNoPartForAnAnswer(t *testing.T) {
