Bound what clients of daemons with settings of their own hold

Cause: the number of connections and the size of a head had bounds of their own, 4,096 and 16 KiB, and no sum; such a daemon did not know how much memory it may use. Change: Limits.MemoryBytes, 1 GiB if it is not set, which no client inside the limits meets: 4,096 connections fit, and heads of 80 MB in parsed form. It sets the runtime's memory limit as MemoryMb does, and the bounds on the callers' and the operators' connections; connections with TLS are bounded by their number alone. Bodies of such daemons' callers have a bound each, and still no sum.

--- a/bench/hostile/hostile_test.go
+++ b/bench/hostile/hostile_test.go
@@ -178,3 +178,28 @@
 	}
 	check(t, s)
 }
+
+// A daemon with settings of its own shares the cause.
+func TestCrowdLeavesAnUnhostedProcessAlive(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a crowd takes a while")
+	}
+	for _, c := range []struct {
+		name    string
+		clients int
+		client  hostile.Client
+	}{
+		{"whole heads", crowd, hostile.WholeHeads{Bytes: allowedHead}},
+		{"many heads that stop early", many, hostile.UnfinishedHead{Bytes: 3 << 10, Fields: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, closeSite, err := hostile.OpenUnhosted(build(t), small)
+			is.NoErr(err)
+			defer closeSite()
+			s.Play(playTime, func() {}, hostile.Crowd{Clients: c.clients, Client: c.client})
+			is.Equal(s.Answers(), http.StatusNotFound)
+			check(t, s)
+		})
+	}
+}
--- a/bench/hostile/site.go
+++ b/bench/hostile/site.go
@@ -133,6 +133,59 @@
 	return fmt.Sprintf("127.62.%d.%d:%d", s.block, last, port)
 }
 
+// OpenUnhosted starts a daemon with settings of its own, and neither a log nor a list of nodes, and waits
+// until it answers callers. The returned function ends it.
+func OpenUnhosted(bin string, l Limits) (*Site, func(), error) {
+	dir, err := os.MkdirTemp("", "hostile")
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &Site{Limits: l, dir: dir, ended: make(chan struct{}), done: make(chan struct{})}
+	s.cleanup = append(s.cleanup, func() { _ = os.RemoveAll(dir) })
+	if err := s.startUnhosted(bin); err != nil {
+		s.close()
+		return nil, nil, err
+	}
+	return s, s.close, nil
+}
+
+func (s *Site) startUnhosted(bin string) error {
+	guard, err := s.claimBlock()
+	if err != nil {
+		return err
+	}
+	s.cleanup = append(s.cleanup, func() { _ = guard.Close() })
+	settings := fmt.Sprintf(`Node: n1
+Domain: z0
+Region: r
+CallerAddress: %s
+PeerAddress: %s
+OperatorAddress: %s
+Log: http://%s
+VMList: http://%s
+Limits:
+  MemoryBytes: %d
+  CallerConnections: %d
+`, s.Address(CallerPort), s.Address(PeerPort), s.Address(MetricsPort), s.address(4, storePort), s.address(4, storePort), s.Limits.Bytes(), s.Limits.MaxFiles/2)
+	path, err := s.writeSettings(settings)
+	if err != nil {
+		return err
+	}
+	if err := s.run(exec.Command(bin, "--settings", path)); err != nil {
+		return err
+	}
+	go s.countFiles()
+	return s.await(func() bool { return s.Answers() != 0 })
+}
+
+// Answers returns the status of the answer to a request of a path that the daemon does not know; zero if
+// there is none.
+func (s *Site) Answers() int {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return get(ctx, "http://"+s.Address(CallerPort)+"/unknown")
+}
+
 // sendHeartbeats renews the worker's entry until the site is closed.
 func (s *Site) sendHeartbeats(store *metastore.Store, id string) {
 	for {
--- a/daisyshed/daemon.go
+++ b/daisyshed/daemon.go
@@ -17,6 +17,7 @@
 	"daisyshed.dev/daisyshed/platformlog"
 	"daisyshed.dev/daisyshed/service"
 	"daisyshed.dev/daisyshed/settings"
+	"daisyshed.dev/daisyshed/tcp"
 	"daisyshed.dev/daisyshed/vmlist"
 	"daisyshed.dev/wire/http1"
 	"daisyshed.dev/wire/mutualtls"
@@ -91,8 +92,23 @@
 // logFault logs an error after which the daemon keeps running.
 func (d *daemon) logFault(err error) { d.log.Warn().Str("Event", "Fault").Err(err).Send() }
 
+// limitClients bounds what clients hold, as they share the process's memory. The connections of a port
+// with TLS carry no heads that could be measured, and are few.
+func (d *daemon) limitClients(metrics *operator.Metrics) {
+	memory := int64(d.settings.Limits.MemoryBytes)
+	limitHeap(memory)
+	callers, operators := newAdmission("caller", d.log, metrics), newAdmission("operator", d.log, metrics)
+	limitMemory(callers, memory, callerConnShare, callerHeadShare)
+	limitMemory(operators, memory, queryConnShare, queryHeadShare)
+	tcp.Admit(d.listeners.caller, callers)
+	if d.tls == nil {
+		tcp.Admit(d.listeners.operator, operators)
+	}
+}
+
 // build creates the servers, the clients and the control loop.
 func (d *daemon) build(metrics *operator.Metrics, incarnation core.Incarnation, clock func() core.Instant) {
+	d.limitClients(metrics)
 	callers := d.newCallerServer(incarnation)
 	callers.LatencyRecorder = metrics
 	d.peers = d.newPeerTransport(metrics, incarnation)
--- a/daisyshed/settings/settings.go
+++ b/daisyshed/settings/settings.go
@@ -48,6 +48,7 @@
 	Decisions           int `help:"latest decisions kept for operators"`
 	KeyWritersPerRegion int `help:"nodes of a region that write once-only keys"`
 	Queue               int `help:"requests that wait at one owner for one profile"`
+	MemoryBytes         int `help:"memory of the process in bytes, from which the bounds on what clients hold follow"`
 }
 
 // Periods holds intervals, timeouts and lifetimes.
@@ -99,6 +100,7 @@
 			Decisions:           4096,
 			KeyWritersPerRegion: d.KeyWritersPerRegion,
 			Queue:               d.MaxQueue,
+			MemoryBytes:         1 << 30,
 		},
 		Periods: Periods{
 			HeartbeatEvery:  d.HeartbeatEvery,
