soak: workers that send invalid heads, or a part of an answer before they have read the upload

The soak injects them where it injected bytes without end (the number of draws is the same); callers send uploads of 900 KB while workers answer early, and the buffers of links are small, so that a link does not acknowledge what its worker has not read.

--- a/bench/hosted/deployment.go
+++ b/bench/hosted/deployment.go
@@ -121,6 +121,8 @@
 	// were any.
 	strands  []*strand
 	stranded int
+	// longUploads is set while callers send long uploads.
+	longUploads atomic.Bool
 	// breakStreams is set while callers break connections off in the middle of streams.
 	breakStreams atomic.Bool
 	// version is the latest version of the desired state. Only the goroutine that injects
--- a/bench/hosted/load.go
+++ b/bench/hosted/load.go
@@ -82,7 +82,7 @@
 func (l *load) newCaller(i int) *caller {
 	return &caller{
 		load: l, judge: l.deployment.judge, rng: rand.New(rand.NewPCG(uint64(i), uint64(l.deployment.block))), zone: zoneOf(i),
-		open: map[string]*callerConn{}, keyRNG: rand.New(rand.NewPCG(uint64(i), 3)), returnRNG: rand.New(rand.NewPCG(uint64(i), 4)),
+		open: map[string]*callerConn{}, keyRNG: rand.New(rand.NewPCG(uint64(i), 3)), returnRNG: rand.New(rand.NewPCG(uint64(i), 4)), uploadRNG: rand.New(rand.NewPCG(uint64(i), 5)),
 	}
 }
 
@@ -114,6 +114,7 @@
 	rng             *rand.Rand
 	keyRNG          *rand.Rand
 	returnRNG       *rand.Rand
+	uploadRNG       *rand.Rand
 	open            map[string]*callerConn
 	addresses       []string
 	addressesExpire time.Time
@@ -241,6 +242,12 @@
 	return m.deadline
 }
 
+// longUploadShare is the share of long uploads among requests to plain services while there are any,
+// and longUpload the body of one.
+const longUploadShare = 0.2
+
+var longUpload = bytes.Repeat([]byte("u"), 900_000)
+
 func (c *caller) newMessage() message {
 	m := message{
 		kind:     []string{hostedsite.NonIdempotent, hostedsite.Idempotent, hostedsite.NonResumable, hostedsite.Resumable}[c.rng.IntN(4)],
@@ -265,6 +272,9 @@
 	if kind, _ := c.load.deployment.deadlyKind.Load().(string); kind == m.kind && c.rng.Float64() < deadlyShare {
 		m.whole, m.body = true, deadlyBody
 	}
+	if !m.whole && !m.stream() && c.load.deployment.longUploads.Load() && c.uploadRNG.Float64() < longUploadShare {
+		m.body = longUpload
+	}
 	if m.kind == hostedsite.Resumable && c.load.deployment.breakStreams.Load() && c.rng.Float64() < breakShare {
 		m.breakAfter = 1 + c.rng.IntN(maxBreakEvent)
 	}
--- a/bench/hosted/proxy.go
+++ b/bench/hosted/proxy.go
@@ -27,6 +27,10 @@
 	linkReset
 )
 
+// linkBuffer is the size of the system's buffers of a link's connections, in bytes. With larger ones, a
+// long upload would be acknowledged although its upstream does not read it.
+const linkBuffer = 16 << 10
+
 // linkDelay is the time by which linkDelayed delays each read of data.
 const linkDelay = 120 * time.Millisecond
 
@@ -90,6 +94,9 @@
 		reset(from)
 		return
 	}
+	// If the sizes cannot be set, a connection has ended.
+	_ = from.(*net.TCPConn).SetReadBuffer(linkBuffer)
+	_ = to.(*net.TCPConn).SetWriteBuffer(linkBuffer)
 	p.mu.Lock()
 	p.open[from], p.open[to] = struct{}{}, struct{}{}
 	p.mu.Unlock()
--- a/bench/hosted/silence.go
+++ b/bench/hosted/silence.go
@@ -86,10 +86,37 @@
 	}
 }
 
-// sendEndlessBytes has a random worker send bytes without end instead of some answers.
+// sendEndlessBytes has a random worker send bytes without end, or what is no answer, instead of some
+// answers. If long uploads are to be answered early, all plain workers do so, and callers send some.
 func (d *deployment) sendEndlessBytes() {
 	w, _ := d.randomRunningWorker()
-	kinds := int(hostedworker.LastEndless - hostedworker.FirstEndless + 1)
-	w.SetFault(hostedworker.FirstEndless+hostedworker.Fault(d.rng.IntN(kinds)), endlessShare)
-	d.afterRandomDelay(maxEndless, func() { w.SetFault(hostedworker.NoFault, 0) })
+	workers, share := []*hostedworker.Worker{w}, endlessShare
+	fault := hostedworker.FirstEndless + hostedworker.Fault(d.rng.IntN(int(hostedworker.LastInvalid-hostedworker.FirstEndless+1)))
+	if fault == hostedworker.EarlyPart {
+		workers, share = d.plainWorkers(), 1
+		d.longUploads.Store(true)
+	}
+	setFault := func(f hostedworker.Fault) {
+		for _, w := range workers {
+			w.SetFault(f, share)
+		}
+	}
+	setFault(fault)
+	d.afterRandomDelay(maxEndless, func() {
+		setFault(hostedworker.NoFault)
+		d.longUploads.Store(false)
+	})
+}
+
+// plainWorkers returns the running workers of plain services.
+func (d *deployment) plainWorkers() []*hostedworker.Worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var workers []*hostedworker.Worker
+	for _, id := range d.workerIDs() {
+		if m := d.workers[id]; m.stage == "" {
+			workers = append(workers, m.worker)
+		}
+	}
+	return workers
 }
--- a/bench/mutants/hosted.go
+++ b/bench/mutants/hosted.go
@@ -167,6 +167,12 @@
 	{Rule: "KEY", Faults: []string{"keys change"}, Seeds: keyedSeeds, Mutant: Mutant{Name: "keys-of-cut-off-nodes-accepted", Promise: core.ConfigurationMonotone, Edits: []Edit{{
 		"core/key_proof.go", "	return s.lag.behind() || n.members.inMinority(n)\n", "	return false\n",
 	}}}},
+	{Rule: "MIXED", Faults: []string{"endless"}, Mutant: Mutant{Name: "part-of-an-answer-passed", Promise: core.AnswerWhole, Edits: []Edit{{
+		"daisyshed/upstream/client.go", "	if b.response.Unframed && !b.delivery.Confirm(b.conn) {\n", "	if false {\n",
+	}}}},
+	{Rule: "MIXED", Faults: []string{"endless"}, Mutant: Mutant{Name: "invalid-heads-passed", Promise: core.AnswerWhole, Edits: []Edit{{
+		"daisyshed/upstream/limits.go", "	return http1.CheckHead(response)\n", "	return nil\n",
+	}}}},
 	{Rule: "MEMORY", Mutant: Mutant{Name: "head-without-limit", Promise: core.AnswerWhole, Edits: []Edit{{
 		"daisyshed/upstream/limits.go", "	if l.limit == 0 {\n", "	if true {\n",
 	}}}},
--- a/standin/hostedworker/worker.go
+++ b/standin/hostedworker/worker.go
@@ -66,24 +66,36 @@
 	// EndlessEvent responds with status 200 and the head of a stream, and sends an event
 	// that never ends.
 	EndlessEvent
+	// InvalidStatus responds with status 000 and then, as if that were interim, with status 200 and
+	// bytes that are not the answer. This and the next fault also affect prefills and control calls.
+	InvalidStatus
+	// InvalidName responds with such bytes under a head in which a blank follows the name of a header.
+	InvalidName
+	// EarlyPart responds to a long upload to a plain service before the worker has read it: with status
+	// 200, without a length, with a part of an answer and a reset.
+	EarlyPart
 	// ManyHeaders responds with the right answer under a head of manyHeadersBytes, of short header
 	// fields with different names.
 	ManyHeaders
 )
 
-// FirstEndless and LastEndless are the first and the last of the faults that send bytes without end.
+// FirstEndless is the first of the faults that send bytes without end, and LastInvalid the last of
+// those after them that send what is no answer.
 const (
 	FirstEndless = EndlessStatusLine
-	LastEndless  = EndlessEvent
+	LastInvalid  = EarlyPart
 )
 
 // endless reports whether the fault sends bytes without end.
-func (f Fault) endless() bool { return f >= FirstEndless && f <= LastEndless }
+func (f Fault) endless() bool { return f >= FirstEndless && f <= EndlessEvent }
+
+// invalid reports whether the fault sends a head that is not valid.
+func (f Fault) invalid() bool { return f == InvalidStatus || f == InvalidName }
 
 // breaksAnswer reports whether the fault keeps the caller from receiving an answer to a
 // request that runs.
 func (f Fault) breaksAnswer() bool {
-	return f == LoseReply || f == CutShort || f == Hang || f.endless()
+	return f == LoseReply || f == CutShort || f == Hang || f == EarlyPart || f.endless() || f.invalid()
 }
 
 // QuietTime is how long a worker that rejects with RejectWithDelay wants no requests.
@@ -354,6 +366,12 @@
 		return
 	}
 	w.nameLimit(rw.Header())
+	if fault == EarlyPart && w.answersEarly(r) {
+		attempt := r.Header.Get("Attempt-Id")
+		defer w.beginRun(r.Context(), Run{Attempt: attempt, Broken: true, DrainingFor: draining})()
+		sendEarlyPart(rw, attempt)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -367,6 +385,10 @@
 		sendEndless(rw, fault)
 		return
 	}
+	if fault.invalid() && (control || r.Header.Get("Serving-Stage") == Prefill) {
+		sendInvalid(rw, fault, r.Header.Get("Attempt-Id"))
+		return
+	}
 	switch {
 	case r.URL.Path == "/-/hold-take":
 		w.reserve(rw, body)
@@ -385,6 +407,13 @@
 	}
 }
 
+// answersEarly reports whether EarlyPart affects a request.
+func (w *Worker) answersEarly(r *http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.settings.Stage == "" && r.ContentLength > earlyUpload && r.Header.Get("Attempt-Id") != ""
+}
+
 // endsWorker reports whether a request with the given body ends the worker.
 func (w *Worker) endsWorker(body []byte, running bool) bool {
 	return w.settings.EndsWorker != nil && w.settings.EndsWorker(w.settings.ID, body, running)
@@ -529,6 +558,8 @@
 		<-r.Context().Done()
 	case fault.endless():
 		sendEndless(rw, fault)
+	case fault.invalid():
+		sendInvalid(rw, fault, attempt)
 	case w.settings.Stage == "":
 		w.answer(rw, r, body, fault)
 	default:
