hostile: the platform's names stay in the stand-ins, one reader of peak memory

Change: hostedsite.AttemptFields, the constants of metastore, hosted.PeakMemory; the crowds send the same bytes as before.

--- a/bench/hosted/export_test.go
+++ b/bench/hosted/export_test.go
@@ -32,7 +32,6 @@
 
 // The functions that tests call directly.
 var (
-	PeakMemory      = peakMemory
 	MemoryViolation = memoryViolation
 	HasRaceDetector = hasRaceDetector
 	ReadBody        = readBody
--- a/bench/hosted/memory.go
+++ b/bench/hosted/memory.go
@@ -50,7 +50,7 @@
 		d.mu.Unlock()
 		return
 	}
-	used := peakMemory(p.cmd.Process.Pid)
+	used := PeakMemory(p.cmd.Process.Pid)
 	d.peakMemory = max(d.peakMemory, used)
 	p.overLimit = used > int64(d.memoryMB)*megabyte
 	overLimit := p.overLimit
@@ -79,8 +79,8 @@
 	return fmt.Sprintf("MEMORY: n%d used %d MB of %d MB", index+1, used/megabyte, limitMB)
 }
 
-// peakMemory returns the peak resident memory of a process in bytes; zero if it has ended.
-func peakMemory(pid int) int64 {
+// PeakMemory returns the peak resident memory of a process in bytes; zero if it has ended.
+func PeakMemory(pid int) int64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
--- a/bench/hostile/client.go
+++ b/bench/hostile/client.go
@@ -51,8 +51,8 @@
 func (Unread) client()         {}
 func (Silent) client()         {}
 
-// patience is the deadline that clients name, in milliseconds.
-const patience = 4000
+// patience is the deadline that clients name.
+const patience = 4 * time.Second
 
 // block is the size of the writes of clients that send without end.
 const block = 16 << 10
@@ -148,7 +148,7 @@
 
 // requestLine returns the request line and the fields that each request has.
 func requestLine(i int) string {
-	return fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: crowd-%d\r\nDeadline-Ms: %d\r\n", hostedsite.Idempotent, host, i, patience)
+	return fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: %s\r\n", hostedsite.Idempotent, host) + hostedsite.AttemptFields(fmt.Sprintf("crowd-%d", i), patience)
 }
 
 // headOf returns a head of at most size bytes without the empty line at its end.
@@ -229,7 +229,7 @@
 	}
 	defer c.Close()
 	// The deadline is that of the caller. Setting it cannot fail on an open connection.
-	_ = c.SetDeadline(time.Now().Add(patience * time.Millisecond))
+	_ = c.SetDeadline(time.Now().Add(patience))
 	if !send(c, headOf(-1, size, "")+"\r\n") {
 		return 0
 	}
--- a/bench/hostile/site.go
+++ b/bench/hostile/site.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	store.Put("keyed.op", "config", state)
+	store.Put(metastore.OperatorTopic, metastore.StateKey, state)
 	settings := hostedworker.Settings{ID: "i-001", Service: hostedsite.PlainService, Zone: "z0", Slots: 200, Work: time.Millisecond}
 	w, stop, err := hostedworker.Start(settings, s.address(3, workerPort), func(hostedworker.Run) {})
 	if err != nil {
--- a/standin/hostedsite/caller.go
+++ b/standin/hostedsite/caller.go
@@ -35,6 +35,12 @@
 	h.Set("Kv-Source", "1.2.3.4:5/forged")
 }
 
+// AttemptFields returns the fields of a head that name an attempt and how long its caller waits, each
+// with the end of its line.
+func AttemptFields(attempt string, patience time.Duration) string {
+	return "Attempt-Id: " + attempt + "\r\nDeadline-Ms: " + strconv.FormatInt(patience.Milliseconds(), 10) + "\r\n"
+}
+
 // ForgedTenant is the tenant that callers name themselves.
 const ForgedTenant = "forged"
 
