tcp: a refusal is reported before it is answered

An operator's metric would have been late in the same way. Change: the report comes first. Two checks of the same file that a request is served after others have ended take a rejection as callers do, up to 20 times in a second: the server notices the end of a request after its answer was sent.

--- a/daisyshed/tcp/admission_test.go
+++ b/daisyshed/tcp/admission_test.go
@@ -77,6 +77,18 @@
 	return a.StatusCode
 }
 
+// served sends a request, again while it is rejected: the server notices the end of the one before some
+// time after its answer was sent. It returns the last status.
+func (s *admitted) served(text string) (last int) {
+	for range 20 {
+		if last = status(s.connect(text)); last == http.StatusOK {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return last
+}
+
 func (s *admitted) errors() []error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,9 +135,7 @@
 	is.Equal(status(s.connect(getHead+"\r\n")), http.StatusOK)
 	close(end)
 	is.Equal(status(slow), http.StatusOK)
-	// The server notices the end of the request some time after its answer was sent.
-	time.Sleep(50 * time.Millisecond)
-	is.Equal(status(s.connect(getHead+large)), http.StatusOK)
+	is.Equal(s.served(getHead+large), http.StatusOK)
 }
 
 // The head of a request that was read together with the one before counts as well.
@@ -175,7 +185,7 @@
 			// Longer than any client may be silent.
 			time.Sleep(2200 * time.Millisecond)
 			for range 8 {
-				is.Equal(status(s.connect(part+"\r\n")), http.StatusOK)
+				is.Equal(s.served(part+"\r\n"), http.StatusOK)
 			}
 			is.True(slices.ContainsFunc(s.errors(), func(err error) bool {
 				var silent *tcp.SilentError
--- a/daisyshed/tcp/refuse.go
+++ b/daisyshed/tcp/refuse.go
@@ -20,8 +20,9 @@
 	refusalRetryAfter = 1
 )
 
-// refuse answers a request whose head is not read any further, and reports the reason.
+// refuse reports why the head of a request is not read any further, and answers the request.
 func (c *slotConn) refuse(reason error) {
+	c.listener.admission.report(reason)
 	status, more := http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %d\r\n", refusalRetryAfter)
 	if _, tooLong := reason.(*HeadTooLongError); tooLong {
 		status, more = http.StatusRequestHeaderFieldsTooLarge, ""
@@ -29,7 +30,6 @@
 	// If the deadline cannot be set or the write fails, the client has closed the connection.
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), more)
-	c.listener.admission.report(reason)
 }
 
 // linger closes the connection once its client has closed its side, and frees its slot.
