Reword comments on the bounds on clients in the field's terms

Cause: four comments of tcp and one of a core test took two readings. Change: comments alone. Measured: lint of tcp and the tests of tcp and TestEndedRequestsAreNotKept pass; no code differs.

--- a/core/forward_timer_test.go
+++ b/core/forward_timer_test.go
@@ -24,7 +24,7 @@
 	}
 	grown := max(heapBytes()-before, 0) / requests
 	t.Logf("%d bytes a request", grown)
-	// A record of a request is larger than this by itself.
+	// Retaining the record of each request would exceed this.
 	is.True(grown < 1<<10)
 	runtime.KeepAlive(n)
 }
--- a/daisyshed/tcp/admission.go
+++ b/daisyshed/tcp/admission.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// smallHead is how many bytes a head may take in parsed form whatever others hold. Heads of most
-	// requests take less.
+	// smallHead is the parsed size, in bytes, up to which a head is always admitted. Heads of most
+	// requests are smaller.
 	smallHead = 8 << 10
 	// headSlack is how many bytes a head may have beyond the limit, as in net/http: the limit may be
 	// meant without the request line.
@@ -22,7 +22,8 @@
 	// the whole body, may take if no limit is set.
 	partSilence     = 200 * time.Millisecond
 	defaultPartTime = 5 * time.Second
-	// unreadSilence is for how long a client may leave an answer unread before the same holds for it.
+	// unreadSilence is how long a write to a client may block before its connection may be closed to
+	// admit another one.
 	unreadSilence = 2 * time.Second
 )
 
@@ -44,8 +45,8 @@
 // sets no bound.
 func (a *Admission) SetConns(n int) { a.conns.Store(int64(n)) }
 
-// SetHeadMemory sets how many bytes all heads may take in parsed form, besides smallHead for each
-// connection; zero sets no bound. A single head is admitted in any case.
+// SetHeadMemory limits the total parsed size of all heads, in bytes, not counting smallHead for each
+// connection; zero sets no limit. A head is always admitted if no other one uses the memory.
 func (a *Admission) SetHeadMemory(n int64) { a.headMemory.Store(n) }
 
 // SetHeadBytes sets how many bytes the text of a head may have; zero sets no bound.
--- a/daisyshed/tcp/head.go
+++ b/daisyshed/tcp/head.go
@@ -14,8 +14,8 @@
 	textCopies = 3
 )
 
-// HeadBytes returns how many bytes a head takes in parsed form, from the size of its text and its
-// number of fields. Short fields take many times their text.
+// HeadBytes estimates the memory of a parsed head, in bytes, from the size of its text and its number
+// of fields. Short fields need many times the memory of their text.
 func HeadBytes(text, fields int64) int64 { return textCopies*text + fieldBytes*fields }
 
 // HeaderBytes returns HeadBytes of a header.
@@ -97,7 +97,7 @@
 // Text returns the number of bytes that were received of the head.
 func (s *HeadScanner) Text() int64 { return s.text }
 
-// Bytes returns what the head takes in parsed form so far.
+// Bytes estimates the memory of the parsed head so far, in bytes.
 func (s *HeadScanner) Bytes() int64 { return HeadBytes(s.text, s.lines) }
 
 // Ended reports whether the end of the head was received.
