--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,7 @@
-#!/bin/bash
-# Builds the stand-ins that the scripts of the third review start. It needs Go and nothing else.
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the third review start. They use the standard library only
+# and belong to no module, so that the workspace stays as it is.
 set -euo pipefail
-cd "$(dirname "$0")/.."
-mkdir -p target/review
-(cd review/rig3 && GOWORK=off go build -o ../../target/review/rig3 .)
+cd "$(dirname "$0")"
+mkdir -p ../target/review
+GOWORK=off GOFLAGS= GOTOOLCHAIN=local go build -o ../target/review/rig3 rig3/*.go
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -14,6 +16,7 @@
 func run() int {
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	name := flag.String("case", "memory", "the case to play")
+	trouble := flag.String("trouble", "1", "0 leaves the disruption out")
 	flag.Parse()
 	s, err := newSite(*record)
 	if err != nil {
@@ -21,15 +24,21 @@
 		return 2
 	}
 	defer s.close()
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupts
+		s.abandon()
+		os.Exit(2)
+	}()
 	if err := s.open(); err != nil {
 		s.logf("not started: %v", err)
 		return 2
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
-	s.logf("case %s, trouble %v", *name, trouble)
+	s.logf("case %s, trouble %s", *name, *trouble)
 	switch *name {
 	case "memory":
-		return memory(s, trouble)
+		return memory(s, *trouble != "0")
 	default:
 		fmt.Fprintln(os.Stderr, "unknown case")
 		return 2
--- a/review/rig3/site.go
+++ b/review/rig3/site.go
@@ -29,7 +29,9 @@
 	record  *os.File
 	mu      sync.Mutex
 	stop    chan struct{}
-	routes  []map[string]any
+	// starting is held while a process starts, and for good once the run is abandoned.
+	starting sync.Mutex
+	routes   []map[string]any
 }
 
 // node is one daemon.
@@ -255,6 +257,8 @@
 		return err
 	}
 	defer log.Close()
+	s.starting.Lock()
+	defer s.starting.Unlock()
 	n.cmd = exec.Command("target/daisyshed", "--hosted")
 	n.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "DAISYSHED_SETTINGS=" + path}
 	n.cmd.Stdout, n.cmd.Stderr = log, log
@@ -322,6 +326,17 @@
 	return 0
 }
 
+// abandon kills all processes and removes the temporary folder, because the run was interrupted.
+func (s *site) abandon() {
+	s.starting.Lock()
+	for _, n := range s.nodes {
+		if n.cmd != nil && n.cmd.Process != nil {
+			_ = n.cmd.Process.Kill()
+		}
+	}
+	_ = os.RemoveAll(s.dir)
+}
+
 // close ends all processes and removes the temporary folder.
 func (s *site) close() {
 	close(s.stop)
