--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -21,10 +21,11 @@
 	longID = 19500
 	// bodyBytes is what uploading clients send of a body before they go on slowly.
 	bodyBytes = 66000
-	// leavers and uploaders are the numbers of clients.
-	leavers, uploaders = 120, 262
-	// roundTime is how long a crowd stays at most, and maxRounds how often it comes to a machine.
-	roundTime, maxRounds = 8 * time.Second, 4
+	// leavers and uploaders are the numbers of clients. Three tenths leave at most, as give_up has it.
+	leavers, uploaders = 110, 262
+	// roundTime is how long a crowd stays at most, within the 5.5 s of give_up, and maxRounds how often
+	// it comes to a machine.
+	roundTime, maxRounds = 5 * time.Second, 4
 	// killsWanted is how often the processes of a machine have to end, by the rule.
 	killsWanted = 3
 )
